--- /dev/null
+++ b/Makefile
@@ -0,0 +1,119 @@
+# Targets: all, demo, check, lint, format, fuzz, measure, clean.
+# SANITIZE=1 builds with AddressSanitizer and UndefinedBehaviorSanitizer.
+
+MAKEFLAGS += --no-print-directory
+SANITIZE ?= 0
+CC = gcc
+VARIANT = $(if $(filter 1,$(SANITIZE)),sanitize,release)
+BUILD = build/$(VARIANT)
+
+LIBS = -lev -lzmq -lmicrohttpd -lcurl -lpopt -llog4c -lyaml -ljansson \
+	-lxxhash -lsodium -lprotobuf-c -lpthread -lm
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wno-unused-parameter
+CPPFLAGS = -Isrc -Itests -D_GNU_SOURCE
+CFLAGS = -std=c11 -O2 -g $(WARNINGS)
+ifeq ($(SANITIZE),1)
+CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=all \
+	-fno-omit-frame-pointer
+endif
+
+# Library code is everything under src but the two programs.
+MAINS = src/process/main.c $(wildcard src/ctl/*.c)
+LIB_SRC = $(filter-out $(MAINS),$(wildcard src/*/*.c))
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+TEST_SRC = $(wildcard tests/test_*.c)
+TESTS = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+TEST_LIB_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/lib/*.c))
+STANDIN_SRC = $(wildcard tests/standin/*.c)
+STANDIN_LIB = $(filter tests/standin/lib_%.c,$(STANDIN_SRC))
+STANDINS = $(patsubst %.c,$(BUILD)/%,$(filter-out $(STANDIN_LIB),$(STANDIN_SRC)))
+PROGRAMS = $(if $(wildcard src/process/main.c),$(BUILD)/chivestaged) \
+	$(if $(wildcard src/ctl/main.c),$(BUILD)/chivestage)
+BENCHES = $(patsubst %.c,$(BUILD)/%,$(wildcard tests/bench/*.c))
+FUZZ_SRC = $(wildcard tests/fuzz/fuzz_*.c)
+FUZZERS = $(FUZZ_SRC:tests/fuzz/%.c=build/fuzz/%)
+
+SOURCES = $(filter-out %.pb-c.c,$(wildcard src/*/*.c tests/*.c tests/*/*.c))
+HEADERS = $(filter-out %.pb-c.h,$(wildcard src/*/*.h tests/*.h tests/*/*.h))
+
+.SECONDARY:
+.PHONY: all demo check lint format fuzz measure clean
+all: $(PROGRAMS) $(STANDINS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo CC $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/src/proto/%.o: CFLAGS += -Wno-error
+
+$(BUILD)/libchivestage.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/chivestaged: $(BUILD)/src/process/main.o $(BUILD)/libchivestage.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/chivestage: $(patsubst %.c,$(BUILD)/%.o,$(wildcard src/ctl/*.c)) \
+		$(BUILD)/libchivestage.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) \
+		$(BUILD)/libchivestage.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
+
+$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(TEST_LIB_OBJ) \
+		$(BUILD)/libchivestage.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/tests/standin/%: $(BUILD)/tests/standin/%.o \
+		$(STANDIN_LIB:%.c=$(BUILD)/%.o) $(BUILD)/libchivestage.a
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
+build/fuzz/%: tests/fuzz/%.c $(LIB_SRC) $(HEADERS)
+	@mkdir -p $(@D)
+	clang $(CPPFLAGS) -std=c11 -O1 -g -w \
+		-fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all \
+		-o $@ $< $(LIB_SRC) $(LIBS)
+
+demo:
+	tools/deps
+	$(MAKE) all
+	tests/demo $(BUILD)
+
+check:
+	tools/deps
+	$(MAKE) SANITIZE=1 check-built
+
+.PHONY: check-built fuzzers
+check-built: all $(TESTS) $(BENCHES) $(FUZZERS)
+	tests/run $(BUILD)
+
+fuzzers: $(FUZZERS)
+
+fuzz: fuzzers
+	tests/fuzz/run build/fuzz 60
+
+measure:
+	tools/deps
+	$(MAKE) all $(BENCHES)
+	tests/measure $(BUILD)
+
+format:
+	@clang-format -i $(SOURCES) $(HEADERS)
+
+lint:
+	@echo clang-format, cppcheck, clang-tidy: $(words $(SOURCES)) sources
+	@clang-format --dry-run -Werror $(SOURCES) $(HEADERS)
+	@cppcheck --quiet --std=c11 --error-exitcode=1 -Isrc -Itests \
+		--enable=warning,performance,portability \
+		--suppress=missingIncludeSystem --inline-suppr \
+		-j 8 $(SOURCES)
+	@printf '%s\n' $(SOURCES) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' sh
+
+clean:
+	rm -rf build
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/base/err.h
@@ -0,0 +1,49 @@
+/**
+ * @file err.h
+ * Error struct that callers pass down and every layer fills in.
+ *
+ * A function that can fail takes an err_t as its last argument, which may be
+ * NULL, and returns false or NULL on failure. Each layer uses its own codes
+ * and maps the errors of the layer below to them.
+ */
+#ifndef BASE_ERR_H
+#define BASE_ERR_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum { ERR_MESSAGE_SIZE_BYTES = 512 };
+
+/** Layer that reports an error; codes are unique within a layer only. */
+typedef enum {
+	ERR_LAYER_NONE,
+	ERR_LAYER_BASE,
+	ERR_LAYER_SETTINGS,
+	ERR_LAYER_DOCUMENT,
+	ERR_LAYER_CONNECTION,
+	ERR_LAYER_PLATFORM,
+	ERR_LAYER_ENGINE,
+	ERR_LAYER_PEER,
+	ERR_LAYER_REQUEST,
+	ERR_LAYER_PROCESS,
+	ERR_LAYER_CTL
+} err_layer_t;
+
+/** One error: its layer, a code of that layer, and what failed on what. */
+typedef struct {
+	err_layer_t layer;
+	int32_t code;
+	char message[ERR_MESSAGE_SIZE_BYTES];
+} err_t;
+
+/**
+ * Fills in @p err, if it is not NULL.
+ * @return always false, so that callers can write `return err_set(...)`.
+ */
+bool err_set(err_t *err, err_layer_t layer, int32_t code, const char *format,
+	     ...) __attribute__((format(printf, 4, 5)));
+
+/** Resets @p err, if it is not NULL, to "no error". */
+void err_clear(err_t *err);
+
+#endif
--- /dev/null
+++ b/src/base/units.h
@@ -0,0 +1,23 @@
+/**
+ * @file units.h
+ * Time units and the size of names.
+ *
+ * Times are int64_t microseconds of CLOCK_MONOTONIC unless a name says
+ * otherwise; names carry the unit as a suffix (_us, _ms, _bytes, _tokens).
+ */
+#ifndef BASE_UNITS_H
+#define BASE_UNITS_H
+
+#include <stdint.h>
+
+#define US_PER_MS INT64_C(1000)
+#define MS_PER_S INT64_C(1000)
+#define US_PER_S INT64_C(1000000)
+
+/** Size of a buffer for any configured name, with the terminating NUL. */
+enum { NAME_SIZE_BYTES = 64 };
+
+/** Size of a buffer for an HTTP URL or endpoint, with the terminating NUL. */
+enum { URL_SIZE_BYTES = 256 };
+
+#endif
--- /dev/null
+++ b/src/connection/platform.h
@@ -0,0 +1,99 @@
+/**
+ * @file platform.h
+ * Client of the platform's object API: versions, conditional updates,
+ * watches, and the list of VMs.
+ *
+ * Follows the Kubernetes API conventions. Calls beyond the request budget are
+ * answered at once with PLATFORM_BUDGET. A call whose answer is lost ends
+ * with PLATFORM_UNKNOWN: a write may have taken effect, and the caller reads
+ * back to settle it.
+ */
+#ifndef CONNECTION_PLATFORM_H
+#define CONNECTION_PLATFORM_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/err.h"
+#include "base/units.h"
+#include "connection/client.h"
+
+typedef struct platform platform_t;
+
+typedef struct {
+	char url[URL_SIZE_BYTES]; /**< http://ADDRESS:PORT */
+	char namespace_name[NAME_SIZE_BYTES];
+	char token[NAME_SIZE_BYTES]; /**< bearer token; empty: none */
+	int64_t timeout_ms;
+	int32_t calls_per_s; /**< request budget of this process */
+} platform_conf_t;
+
+typedef enum {
+	PLATFORM_OK,
+	PLATFORM_NOT_FOUND,
+	PLATFORM_EXISTS, /**< create of an existing name */
+	PLATFORM_CONFLICT, /**< the version is not the current one */
+	PLATFORM_REFUSED, /**< rejected as invalid or not allowed */
+	PLATFORM_BUDGET, /**< not sent: request budget used up */
+	PLATFORM_UNSENT, /**< not sent: no connection */
+	PLATFORM_UNKNOWN /**< sent, but no usable answer */
+} platform_status_t;
+
+typedef enum {
+	PLATFORM_CONFIGURATIONS,
+	PLATFORM_CLAIMS,
+	PLATFORM_LEASES
+} platform_kind_t;
+
+/** An object; @p spec is borrowed for the duration of the callback. */
+typedef struct {
+	char name[NAME_SIZE_BYTES * 4];
+	int64_t version; /**< resourceVersion */
+	json_t *spec;
+} platform_object_t;
+
+typedef void (*platform_done_t)(void *context, platform_status_t status,
+				const platform_object_t *object);
+
+platform_t *platform_create(client_t *client, const platform_conf_t *conf);
+void platform_destroy(platform_t *platform);
+
+void platform_get(platform_t *platform, platform_kind_t kind, const char *name,
+		  platform_done_t done, void *context);
+
+/** Creates an object if the name is free; takes over @p spec. */
+void platform_create_object(platform_t *platform, platform_kind_t kind,
+			    const char *name, json_t *spec,
+			    platform_done_t done, void *context);
+
+/** Replaces an object that has @p version; takes over @p spec. */
+void platform_put(platform_t *platform, platform_kind_t kind, const char *name,
+		  int64_t version, json_t *spec, platform_done_t done,
+		  void *context);
+
+/** Deletes an object that has @p version. */
+void platform_delete(platform_t *platform, platform_kind_t kind,
+		     const char *name, int64_t version, platform_done_t done,
+		     void *context);
+
+/** Waits up to @p wait_ms for a version above @p version. */
+void platform_watch(platform_t *platform, platform_kind_t kind,
+		    const char *name, int64_t version, int64_t wait_ms,
+		    platform_done_t done, void *context);
+
+/** One VM of the platform's list. */
+typedef struct {
+	char id[NAME_SIZE_BYTES];
+	char data_centre[NAME_SIZE_BYTES];
+	char address[URL_SIZE_BYTES]; /**< peer endpoint ADDRESS:PORT */
+	bool leaving;
+} platform_vm_t;
+
+typedef void (*platform_vms_done_t)(void *context, platform_status_t status,
+				    const platform_vm_t *vms, size_t count);
+
+void platform_list_vms(platform_t *platform, platform_vms_done_t done,
+		       void *context);
+
+#endif
--- /dev/null
+++ b/src/process/load.h
@@ -0,0 +1,34 @@
+/**
+ * @file load.h
+ * Load report of a backend server, as its adapter reads it.
+ */
+#ifndef PROCESS_LOAD_H
+#define PROCESS_LOAD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/units.h"
+#include "version/document.h"
+
+enum { LOAD_MODELS_MAX = 8 };
+
+typedef struct {
+	char server[NAME_SIZE_BYTES];
+	uint64_t incarnation; /**< changes when the server restarts */
+	bool cold;
+	int64_t kv_total_tokens;
+	int64_t kv_used_tokens;
+	int32_t running;
+	int32_t queued;
+	int64_t prefill_queued_tokens; /**< queued plus running prefill */
+	int64_t prefill_tokens_per_s;
+	server_role_t role;
+	bool shares_kv; /**< can hold a prompt together with other servers */
+	int32_t model_count;
+	char models[LOAD_MODELS_MAX][NAME_SIZE_BYTES];
+	int64_t taken_us; /**< when the server took the figures */
+	int64_t received_us; /**< when this node learned them */
+} load_report_t;
+
+#endif
