--- /dev/null
+++ b/src/connection/client.c
@@ -0,0 +1,423 @@
+#include "connection/client.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+
+enum {
+	HEADER_NAME_MAX = 128,
+	/* Bounds what libcurl holds of one paused call. */
+	RECEIVE_BUFFER_SIZE_BYTES = 8 * 1024,
+	STATUS_INFORMATIONAL_END = 200
+};
+
+struct client {
+	CURLM *multi;
+	struct ev_loop *loop;
+	ev_timer timer;
+	client_call_t *calls;
+	/*
+	 * Above 0 while libcurl runs. It refuses to add or remove handles
+	 * from inside its callbacks, so both wait until it returned.
+	 */
+	int depth;
+	bool deferred;
+};
+
+struct client_call {
+	client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	char *body;
+	client_handler_t handler;
+	ev_timer idle;
+	ev_tstamp last_activity;
+	ev_tstamp idle_timeout;
+	bool added;
+	bool paused;
+	bool cancelled;
+	client_call_t *prev, *next;
+};
+
+typedef struct {
+	ev_io watcher;
+	client_t *client;
+} client_socket_t;
+
+static void call_free(client_call_t *call)
+{
+	ev_timer_stop(call->client->loop, &call->idle);
+	DL_DELETE(call->client->calls, call);
+	if (call->added)
+		curl_multi_remove_handle(call->client->multi, call->easy);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	free(call->body);
+	if (call->handler.on_free)
+		call->handler.on_free(call->handler.context);
+	free(call);
+}
+
+static void call_add(client_call_t *call)
+{
+	call->added = true;
+	curl_multi_add_handle(call->client->multi, call->easy);
+}
+
+/* Adds and removes the calls that were started or cancelled in callbacks. */
+static void leave_curl(client_t *client)
+{
+	client_call_t *call, *next;
+
+	if (--client->depth || !client->deferred)
+		return;
+	client->deferred = false;
+	DL_FOREACH_SAFE(client->calls, call, next) {
+		if (call->cancelled)
+			call_free(call);
+		else if (!call->added)
+			call_add(call);
+	}
+}
+
+/*
+ * Maps the result of libcurl. CLIENT_CONNECT_FAILED promises that no byte was
+ * sent, so the size of what was sent is checked besides the code: libcurl
+ * reports a failed connect too when it repeats a request whose first
+ * connection broke.
+ */
+static client_end_t map_result(CURL *easy, CURLcode code)
+{
+	long sent_bytes = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	switch (code) {
+	case CURLE_OK:
+		return CLIENT_OK;
+	case CURLE_OPERATION_TIMEDOUT:
+		return sent_bytes ? CLIENT_TIMED_OUT : CLIENT_CONNECT_FAILED;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+		return sent_bytes ? CLIENT_BROKEN : CLIENT_CONNECT_FAILED;
+	default:
+		return CLIENT_BROKEN;
+	}
+}
+
+static void call_end(client_call_t *call, client_end_t end)
+{
+	client_handler_t handler = call->handler;
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	call->handler.on_free = NULL;
+	call_free(call);
+	if (handler.on_end)
+		handler.on_end(handler.context, end, (int)status);
+	if (handler.on_free)
+		handler.on_free(handler.context);
+}
+
+static void end_finished_calls(client_t *client)
+{
+	CURLMsg *message;
+	int queued;
+
+	while ((message = curl_multi_info_read(client->multi, &queued))) {
+		client_call_t *call = NULL;
+		CURLcode code = message->data.result;
+		CURL *easy = message->easy_handle;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+		call_end(call, map_result(easy, code));
+	}
+}
+
+static void socket_action(client_t *client, curl_socket_t fd, int events)
+{
+	int running;
+
+	client->depth++;
+	curl_multi_socket_action(client->multi, fd, events, &running);
+	leave_curl(client);
+	end_finished_calls(client);
+}
+
+static void on_socket_ready(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	client_socket_t *socket = watcher->data;
+
+	socket_action(socket->client, watcher->fd,
+		      (events & EV_READ ? CURL_CSELECT_IN : 0) |
+			      (events & EV_WRITE ? CURL_CSELECT_OUT : 0));
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	socket_action(watcher->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int on_curl_timer(CURLM *multi, long timeout_ms, void *context)
+{
+	client_t *client = context;
+
+	ev_timer_stop(client->loop, &client->timer);
+	if (timeout_ms < 0)
+		return 0;
+	ev_timer_set(&client->timer, (double)timeout_ms / MS_PER_S, 0);
+	ev_timer_start(client->loop, &client->timer);
+	return 0;
+}
+
+static int on_curl_socket(CURL *easy, curl_socket_t fd, int what, void *context,
+			  void *socket_context)
+{
+	client_t *client = context;
+	client_socket_t *socket = socket_context;
+	int events = 0;
+
+	if (socket)
+		ev_io_stop(client->loop, &socket->watcher);
+	if (what == CURL_POLL_REMOVE) {
+		free(socket);
+		curl_multi_assign(client->multi, fd, NULL);
+		return 0;
+	}
+	if (!socket) {
+		socket = mem_calloc(1, sizeof(*socket));
+		socket->client = client;
+		socket->watcher.data = socket;
+		ev_init(&socket->watcher, on_socket_ready);
+		curl_multi_assign(client->multi, fd, socket);
+	}
+	events |= what & CURL_POLL_IN ? EV_READ : 0;
+	events |= what & CURL_POLL_OUT ? EV_WRITE : 0;
+	ev_io_set(&socket->watcher, fd, events);
+	if (events)
+		ev_io_start(client->loop, &socket->watcher);
+	return 0;
+}
+
+client_t *client_create(struct ev_loop *loop, err_t *err)
+{
+	client_t *client = mem_calloc(1, sizeof(*client));
+
+	client->loop = loop;
+	client->multi = curl_multi_init();
+	if (!client->multi) {
+		err_set(err, ERR_LAYER_CONNECTION, 0,
+			"HTTP client: out of memory");
+		free(client);
+		return NULL;
+	}
+	ev_init(&client->timer, on_timer);
+	client->timer.data = client;
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION,
+			  on_curl_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	return client;
+}
+
+void client_destroy(client_t *client)
+{
+	client_call_t *call, *next;
+
+	if (!client)
+		return;
+	DL_FOREACH_SAFE(client->calls, call, next)
+		call_free(call);
+	curl_multi_cleanup(client->multi);
+	ev_timer_stop(client->loop, &client->timer);
+	free(client);
+}
+
+static size_t on_curl_data(char *data, size_t unit, size_t count, void *context)
+{
+	client_call_t *call = context;
+	size_t size = unit * count;
+
+	if (call->cancelled)
+		return 0;
+	if (call->paused)
+		return CURL_WRITEFUNC_PAUSE;
+	call->last_activity = ev_now(call->client->loop);
+	if (call->handler.on_data &&
+	    call->handler.on_data(call->handler.context, data, size) ==
+		    CLIENT_PAUSE)
+		call->paused = true;
+	return call->cancelled ? 0 : size;
+}
+
+static void report_header(client_call_t *call, const char *line, size_t size)
+{
+	char name[HEADER_NAME_MAX];
+	const char *colon = memchr(line, ':', size), *end = line + size;
+	char *value;
+
+	if (!colon || (size_t)(colon - line) >= sizeof(name))
+		return;
+	memcpy(name, line, (size_t)(colon - line));
+	name[colon - line] = '\0';
+	for (colon++; colon < end && (*colon == ' ' || *colon == '\t');)
+		colon++;
+	while (end > colon && strchr(" \t\r\n", end[-1]))
+		end--;
+	value = mem_copy(colon, (size_t)(end - colon));
+	call->handler.on_header(call->handler.context, name, value);
+	free(value);
+}
+
+static size_t on_curl_header(char *line, size_t unit, size_t count,
+			     void *context)
+{
+	client_call_t *call = context;
+	size_t size = unit * count;
+	long status = 0;
+
+	if (call->cancelled)
+		return 0;
+	call->last_activity = ev_now(call->client->loop);
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < STATUS_INFORMATIONAL_END)
+		return size;
+	if (size > 2) {
+		if (call->handler.on_header)
+			report_header(call, line, size);
+	} else if (call->handler.on_status) {
+		call->handler.on_status(call->handler.context, (int)status);
+	}
+	return call->cancelled ? 0 : size;
+}
+
+static void on_idle(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	client_call_t *call = watcher->data;
+	ev_tstamp silent = ev_now(loop) - call->last_activity;
+	client_t *client = call->client;
+	long sent_bytes = 0;
+
+	if (call->paused)
+		silent = 0;
+	if (silent < call->idle_timeout) {
+		ev_timer_set(watcher, call->idle_timeout - silent, 0);
+		ev_timer_start(loop, watcher);
+		return;
+	}
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	call_end(call, sent_bytes ? CLIENT_TIMED_OUT : CLIENT_CONNECT_FAILED);
+	end_finished_calls(client);
+}
+
+static void set_method(CURL *easy, const client_request_t *request,
+		       const char *body)
+{
+	if (!strcmp(request->method, "HEAD"))
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	if (body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)request->body_size_bytes);
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static void set_options(client_call_t *call, const client_request_t *request)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	/* Servers are addressed directly, whatever the environment says. */
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_BUFFERSIZE,
+			 (long)RECEIVE_BUFFER_SIZE_BYTES);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)request->connect_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)request->total_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+			 (long)request->at_most_once);
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+			 (long)request->at_most_once);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_curl_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	set_method(easy, request, call->body);
+}
+
+static void start_idle_timer(client_call_t *call, int64_t timeout_ms)
+{
+	ev_init(&call->idle, on_idle);
+	call->idle.data = call;
+	call->last_activity = ev_now(call->client->loop);
+	if (timeout_ms <= 0)
+		return;
+	call->idle_timeout = (double)timeout_ms / MS_PER_S;
+	ev_timer_set(&call->idle, call->idle_timeout, 0);
+	ev_timer_start(call->client->loop, &call->idle);
+}
+
+client_call_t *client_call(client_t *client, const client_request_t *request,
+			   const client_handler_t *handler)
+{
+	client_call_t *call = mem_calloc(1, sizeof(*call));
+	const char *const *header;
+
+	call->client = client;
+	call->handler = *handler;
+	call->easy = curl_easy_init();
+	if (!call->easy)
+		abort();
+	if (request->body)
+		call->body = mem_copy(request->body, request->body_size_bytes);
+	/* Waiting for "100 Continue" would delay a large prompt. */
+	call->headers = curl_slist_append(NULL, "Expect:");
+	for (header = request->headers; header && *header; header++)
+		call->headers = curl_slist_append(call->headers, *header);
+	set_options(call, request);
+	start_idle_timer(call, request->idle_timeout_ms);
+	DL_APPEND(client->calls, call);
+	if (client->depth)
+		client->deferred = true;
+	else
+		call_add(call);
+	return call;
+}
+
+void client_call_resume(client_call_t *call)
+{
+	client_t *client = call->client;
+
+	if (!call->paused || call->cancelled)
+		return;
+	call->paused = false;
+	call->last_activity = ev_now(client->loop);
+	client->depth++;
+	curl_easy_pause(call->easy, CURLPAUSE_CONT);
+	leave_curl(client);
+}
+
+void client_call_cancel(client_call_t *call)
+{
+	if (!call->client->depth) {
+		call_free(call);
+		return;
+	}
+	call->cancelled = true;
+	call->client->deferred = true;
+}
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -55,6 +55,8 @@
 	client_flow_t (*on_data)(void *context, const void *data, size_t size);
 	/** The call ended; the handle is invalid afterwards. */
 	void (*on_end)(void *context, client_end_t end, int status);
+	/** The call is freed, however it ended; called last. */
+	void (*on_free)(void *context);
 	void *context;
 } client_handler_t;
 
@@ -73,7 +75,10 @@
 /** Ends a call without calling its handler again. */
 void client_call_cancel(client_call_t *call);
 
-/** Starts a call whose body is collected, up to a limit in bytes. */
+/**
+ * Starts a call whose body is collected. A body above the limit ends the call
+ * with CLIENT_BROKEN.
+ */
 typedef void (*client_done_t)(void *context, client_end_t end, int status,
 			      const char *body, size_t size);
 client_call_t *client_fetch(client_t *client, const client_request_t *request,
--- /dev/null
+++ b/src/connection/exchange.c
@@ -0,0 +1,368 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "connection/listener_private.h"
+
+enum {
+	REPLY_BLOCK_SIZE_BYTES = 4096,
+	/* A drained buffer above this size is given back. */
+	BUFFER_KEEP_BYTES = 16 * 1024
+};
+
+#define LEAVING_POLL_S 0.5
+
+static int connection_fd(const exchange_t *exchange)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	return info ? info->connect_fd : -1;
+}
+
+static void stop_watching(exchange_t *exchange)
+{
+	ev_io_stop(exchange->listener->loop, &exchange->leaving);
+	ev_timer_stop(exchange->listener->loop, &exchange->leaving_poll);
+}
+
+/*
+ * The caller has closed its side. Reading would not tell under TLS, where the
+ * closing alert comes first, so the state of the connection is asked.
+ */
+static bool caller_left(const exchange_t *exchange)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+
+	if (getsockopt(connection_fd(exchange), IPPROTO_TCP, TCP_INFO, &info,
+		       &size))
+		return true;
+	return info.tcpi_state != TCP_ESTABLISHED;
+}
+
+static void on_leaving(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	exchange_t *exchange = watcher->data;
+
+	if (caller_left(exchange)) {
+		exchange_abort(exchange);
+		return;
+	}
+	/* Data of a next request keeps the socket readable: poll instead. */
+	ev_io_stop(loop, &exchange->leaving);
+	ev_timer_set(&exchange->leaving_poll, LEAVING_POLL_S, LEAVING_POLL_S);
+	ev_timer_start(loop, &exchange->leaving_poll);
+}
+
+static void on_leaving_poll(struct ev_loop *loop, ev_timer *watcher, int events)
+{
+	exchange_t *exchange = watcher->data;
+
+	if (caller_left(exchange))
+		exchange_abort(exchange);
+}
+
+/* The library does not watch the socket of a suspended connection. */
+static void watch_leaving(exchange_t *exchange)
+{
+	ev_io_init(&exchange->leaving, on_leaving, connection_fd(exchange),
+		   EV_READ);
+	exchange->leaving.data = exchange;
+	ev_io_start(exchange->listener->loop, &exchange->leaving);
+}
+
+static void suspend(exchange_t *exchange)
+{
+	exchange->suspended = true;
+	MHD_suspend_connection(exchange->connection);
+}
+
+static void resume(exchange_t *exchange)
+{
+	if (!exchange->suspended)
+		return;
+	exchange->suspended = false;
+	MHD_resume_connection(exchange->connection);
+	exchange->listener->run_pending = true;
+}
+
+void *exchange_on_uri(void *context, const char *uri,
+		      struct MHD_Connection *connection)
+{
+	listener_t *listener = context;
+	exchange_t *exchange = mem_calloc(1, sizeof(*exchange));
+
+	exchange->listener = listener;
+	exchange->connection = connection;
+	exchange->path = mem_strdup(uri);
+	exchange->query = exchange->path + strcspn(exchange->path, "?");
+	if (*exchange->query)
+		*exchange->query++ = '\0';
+	ev_init(&exchange->leaving, on_leaving);
+	ev_init(&exchange->leaving_poll, on_leaving_poll);
+	exchange->leaving_poll.data = exchange;
+	DL_APPEND(listener->exchanges, exchange);
+	return exchange;
+}
+
+static enum MHD_Result queue_reply(exchange_t *exchange)
+{
+	exchange->queued = true;
+	return MHD_queue_response(exchange->connection,
+				  (unsigned int)exchange->status,
+				  exchange->reply);
+}
+
+static enum MHD_Result begin(exchange_t *exchange, const char *method)
+{
+	const listener_handler_t *handler = &exchange->listener->handler;
+
+	exchange->started = true;
+	exchange->method = mem_strdup(method);
+	if (handler->on_request)
+		exchange->user = handler->on_request(handler->context,
+						     exchange);
+	if (exchange->aborted)
+		return MHD_NO;
+	if (exchange->reply &&
+	    exchange_body_bytes(exchange) > DISCARD_MAX_BYTES)
+		return queue_reply(exchange);
+	return MHD_YES;
+}
+
+static enum MHD_Result complete(exchange_t *exchange)
+{
+	if (!exchange->completed) {
+		exchange->completed = true;
+		MHD_set_connection_option(exchange->connection,
+					  MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+		if (!exchange->reply)
+			exchange->listener->handler.on_complete(exchange->user);
+		if (!exchange->aborted &&
+		    (!exchange->reply || exchange->streaming))
+			watch_leaving(exchange);
+	}
+	if (exchange->aborted)
+		return MHD_NO;
+	if (exchange->reply)
+		return queue_reply(exchange);
+	suspend(exchange);
+	return MHD_YES;
+}
+
+enum MHD_Result exchange_on_access(void *context,
+				   struct MHD_Connection *connection,
+				   const char *url, const char *method,
+				   const char *version, const char *data,
+				   size_t *size, void **exchange_slot)
+{
+	exchange_t *exchange = *exchange_slot;
+	const listener_handler_t *handler = &exchange->listener->handler;
+
+	if (!exchange->started)
+		return begin(exchange, method);
+	if (exchange->queued)
+		return MHD_YES;
+	if (!*size)
+		return complete(exchange);
+	if (!exchange->reply && handler->on_body)
+		handler->on_body(exchange->user, data, *size);
+	*size = 0;
+	return exchange->aborted ? MHD_NO : MHD_YES;
+}
+
+void exchange_on_completed(void *context, struct MHD_Connection *connection,
+			   void **exchange_slot,
+			   enum MHD_RequestTerminationCode code)
+{
+	exchange_t *exchange = *exchange_slot;
+	listener_t *listener = context;
+	bool sent = exchange && code == MHD_REQUEST_TERMINATED_COMPLETED_OK &&
+		    exchange->queued && !exchange->aborted;
+
+	if (!exchange)
+		return;
+	stop_watching(exchange);
+	if (exchange->started && listener->handler.on_close)
+		listener->handler.on_close(exchange->user, sent);
+	if (sent)
+		MHD_set_connection_option(connection,
+					  MHD_CONNECTION_OPTION_TIMEOUT,
+					  (unsigned int)CONNECTION_TIMEOUT_S);
+	DL_DELETE(listener->exchanges, exchange);
+	if (exchange->reply)
+		MHD_destroy_response(exchange->reply);
+	free(exchange->data);
+	free(exchange->method);
+	free(exchange->path);
+	free(exchange);
+	*exchange_slot = NULL;
+}
+
+/* Gives the library the next part of a streamed reply. */
+static ssize_t on_read(void *context, uint64_t position, char *target,
+		       size_t max)
+{
+	exchange_t *exchange = context;
+	const listener_handler_t *handler = &exchange->listener->handler;
+	size_t size;
+
+	if (exchange->aborted)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (!exchange->size && !exchange->ended && handler->on_drained)
+		handler->on_drained(exchange->user);
+	if (!exchange->size && exchange->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (!exchange->size) {
+		suspend(exchange);
+		return 0;
+	}
+	size = exchange->size < max ? exchange->size : max;
+	memcpy(target, exchange->data + exchange->start, size);
+	exchange->start += size;
+	exchange->size -= size;
+	exchange->progress_us = clock_monotonic_us();
+	if (!exchange->size && exchange->capacity > BUFFER_KEEP_BYTES) {
+		free(exchange->data);
+		exchange->data = NULL;
+		exchange->capacity = 0;
+	}
+	return (ssize_t)size;
+}
+
+const char *exchange_method(const exchange_t *exchange)
+{
+	return exchange->method;
+}
+
+const char *exchange_path(const exchange_t *exchange)
+{
+	return exchange->path;
+}
+
+const char *exchange_query(const exchange_t *exchange)
+{
+	return exchange->query;
+}
+
+const char *exchange_header(const exchange_t *exchange, const char *name)
+{
+	return MHD_lookup_connection_value(exchange->connection,
+					   MHD_HEADER_KIND, name);
+}
+
+int64_t exchange_body_bytes(const exchange_t *exchange)
+{
+	const char *length = exchange_header(exchange, "Content-Length");
+
+	if (length)
+		return strtoll(length, NULL, 10);
+	return exchange_header(exchange, "Transfer-Encoding") ? -1 : 0;
+}
+
+static void set_reply(exchange_t *exchange, int status,
+		      struct MHD_Response *reply, const reply_header_t *headers,
+		      size_t header_count)
+{
+	size_t i;
+
+	for (i = 0; i < header_count; i++)
+		MHD_add_response_header(reply, headers[i].name,
+					headers[i].value);
+	exchange->status = status;
+	exchange->reply = reply;
+	exchange->progress_us = clock_monotonic_us();
+	resume(exchange);
+}
+
+void exchange_reply(exchange_t *exchange, int status,
+		    const reply_header_t *headers, size_t header_count,
+		    const void *body, size_t size)
+{
+	if (exchange->reply || exchange->aborted)
+		return;
+	set_reply(exchange, status,
+		  MHD_create_response_from_buffer(size, (void *)body,
+						  MHD_RESPMEM_MUST_COPY),
+		  headers, header_count);
+}
+
+void exchange_stream(exchange_t *exchange, int status,
+		     const reply_header_t *headers, size_t header_count)
+{
+	if (exchange->reply || exchange->aborted)
+		return;
+	exchange->streaming = true;
+	set_reply(exchange, status,
+		  MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
+						    REPLY_BLOCK_SIZE_BYTES,
+						    on_read, exchange, NULL),
+		  headers, header_count);
+}
+
+/* Makes room for @p size bytes after the waiting ones. */
+static void reserve(exchange_t *exchange, size_t size)
+{
+	size_t needed = exchange->size + size, capacity = exchange->capacity;
+
+	if (exchange->start + needed <= capacity)
+		return;
+	if (exchange->size)
+		memmove(exchange->data, exchange->data + exchange->start,
+			exchange->size);
+	exchange->start = 0;
+	if (needed <= capacity)
+		return;
+	capacity = capacity ? capacity : REPLY_BLOCK_SIZE_BYTES;
+	while (capacity < needed)
+		capacity *= 2;
+	exchange->data = mem_realloc(exchange->data, capacity, 1);
+	exchange->capacity = capacity;
+}
+
+void exchange_write(exchange_t *exchange, const void *data, size_t size)
+{
+	if (exchange->aborted || exchange->ended || !size)
+		return;
+	if (!exchange->size)
+		exchange->progress_us = clock_monotonic_us();
+	reserve(exchange, size);
+	memcpy(exchange->data + exchange->start + exchange->size, data, size);
+	exchange->size += size;
+	resume(exchange);
+}
+
+void exchange_end(exchange_t *exchange)
+{
+	exchange->ended = true;
+	resume(exchange);
+}
+
+void exchange_abort(exchange_t *exchange)
+{
+	if (exchange->aborted)
+		return;
+	exchange->aborted = true;
+	stop_watching(exchange);
+	/* Wakes the library up when it waits for a caller that stalls. */
+	shutdown(connection_fd(exchange), SHUT_RDWR);
+	resume(exchange);
+}
+
+size_t exchange_pending_bytes(const exchange_t *exchange)
+{
+	/* What the library holds at the end is not known: count a byte. */
+	return exchange->size + (exchange->ended ? 1 : 0);
+}
+
+int64_t exchange_progress_us(const exchange_t *exchange)
+{
+	return exchange->progress_us;
+}
