Add settings, log, metrics, traces and the status slot

Settings are read through a table of keys with types, units and ranges; each refusal names file, line and key. log4c writes the numbered events through an appender and layout of our own, because its stock layouts add a second timestamp and level to each line.

--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,216 @@
+#include "base/log.h"
+
+#include <inttypes.h>
+#include <log4c.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/units.h"
+
+enum { FIELDS_SIZE_BYTES = 1024, LINE_SIZE_BYTES = 2560 };
+
+typedef struct {
+	event_t event;
+	log_level_t level;
+	const char *name;
+	const char *message;
+} event_info_t;
+
+#define LOG_LEVEL_OF(level) LOG_##level
+
+static const event_info_t events[] = {
+#define EVENT(number, name, level, message) \
+	{ EVENT_##name, LOG_LEVEL_OF(level), #name, message },
+#include "base/events.def"
+#undef EVENT
+};
+
+/* log4c formats into shared buffers, so writers take turns. */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static log4c_category_t *category;
+static log_format_t line_format;
+
+static int append_to_stderr(log4c_appender_t *appender,
+			    const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+}
+
+static const char *message_only(const log4c_layout_t *layout,
+				const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+static const log4c_appender_type_t appender_type = {
+	.name = "chivestage_stderr", .append = append_to_stderr
+};
+
+static const log4c_layout_type_t layout_type = { .name = "chivestage_message",
+						 .format = message_only };
+
+static int priority_of(log_level_t level)
+{
+	switch (level) {
+	case LOG_ERROR:
+		return LOG4C_PRIORITY_ERROR;
+	case LOG_WARN:
+		return LOG4C_PRIORITY_WARN;
+	case LOG_INFO:
+		return LOG4C_PRIORITY_INFO;
+	case LOG_DEBUG:
+		return LOG4C_PRIORITY_DEBUG;
+	}
+	return LOG4C_PRIORITY_ERROR;
+}
+
+bool log_open(log_level_t level, log_format_t format, err_t *err)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	log4c_appender_type_set(&appender_type);
+	log4c_layout_type_set(&layout_type);
+	category = log4c_category_get("chivestage");
+	appender = log4c_appender_get("chivestage");
+	layout = log4c_layout_get("chivestage");
+	if (!category || !appender || !layout)
+		return err_set(err, ERR_LAYER_BASE, 0, "log4c: cannot open");
+	log4c_layout_set_type(layout, &layout_type);
+	log4c_appender_set_type(appender, &appender_type);
+	log4c_appender_set_layout(appender, layout);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_priority(category, priority_of(level));
+	line_format = format;
+	return true;
+}
+
+void log_close(void)
+{
+	pthread_mutex_lock(&lock);
+	category = NULL;
+	pthread_mutex_unlock(&lock);
+}
+
+static const event_info_t *find(event_t event)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(events) / sizeof(events[0]); i++)
+		if (events[i].event == event)
+			return &events[i];
+	return NULL;
+}
+
+const char *log_event_message(event_t event)
+{
+	const event_info_t *info = find(event);
+
+	return info ? info->message : NULL;
+}
+
+static const char *level_name(log_level_t level)
+{
+	static const char *const names[] = { "error", "warn", "info", "debug" };
+
+	return names[level];
+}
+
+/* Appends @p size bytes of @p text as the inside of a JSON string. */
+static char *append_json(char *target, const char *end, const char *text,
+			 size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size && end - target > 8; i++) {
+		unsigned char c = (unsigned char)text[i];
+
+		if (c == '"' || c == '\\') {
+			*target++ = '\\';
+			*target++ = (char)c;
+		} else if (c < ' ') {
+			target += sprintf(target, "\\u%04x", c);
+		} else {
+			*target++ = (char)c;
+		}
+	}
+	*target = '\0';
+	return target;
+}
+
+/* Turns `key=value key="two words"` into JSON members. */
+static void append_fields(char *target, const char *end, const char *fields)
+{
+	while (*fields && end - target > 16) {
+		size_t key = strcspn(fields, "= "), value;
+		const char *start = fields + key;
+
+		target += sprintf(target, ",\"");
+		target = append_json(target, end, fields, key);
+		target += sprintf(target, "\":\"");
+		if (*start == '=')
+			start++;
+		if (*start == '"') {
+			start++;
+			value = strcspn(start, "\"");
+			fields = start + value + (start[value] == '"');
+		} else {
+			value = strcspn(start, " ");
+			fields = start + value;
+		}
+		target = append_json(target, end, start, value);
+		target += sprintf(target, "\"");
+		fields += strspn(fields, " ");
+	}
+	snprintf(target, (size_t)(end - target), "}");
+}
+
+static void format_line(char *line, const event_info_t *info,
+			const char *fields)
+{
+	int64_t now_ms = clock_wall_us() / US_PER_MS;
+	int length;
+
+	if (line_format == LOG_FORMAT_KEY_VALUE) {
+		snprintf(line, LINE_SIZE_BYTES,
+			 "time_ms=%" PRId64 " level=%s event=%d message=\"%s\""
+			 "%s%s",
+			 now_ms, level_name(info->level), (int)info->event,
+			 info->message, *fields ? " " : "", fields);
+		return;
+	}
+	length = snprintf(line, LINE_SIZE_BYTES,
+			  "{\"time_ms\":%" PRId64 ",\"level\":\"%s\","
+			  "\"event\":%d,\"message\":\"%s\"",
+			  now_ms, level_name(info->level), (int)info->event,
+			  info->message);
+	append_fields(line + length, line + LINE_SIZE_BYTES, fields);
+}
+
+void log_event(event_t event, const char *format, ...)
+{
+	const event_info_t *info = find(event);
+	char fields[FIELDS_SIZE_BYTES] = "", line[LINE_SIZE_BYTES];
+	va_list args;
+
+	if (!info)
+		return;
+	if (format) {
+		va_start(args, format);
+		vsnprintf(fields, sizeof(fields), format, args);
+		va_end(args);
+	}
+	pthread_mutex_lock(&lock);
+	if (category && log4c_category_is_priority_enabled(
+				category, priority_of(info->level))) {
+		format_line(line, info, fields);
+		log4c_category_log(category, priority_of(info->level), "%s",
+				   line);
+	}
+	pthread_mutex_unlock(&lock);
+}
--- /dev/null
+++ b/src/process/settings.c
@@ -0,0 +1,423 @@
+#include "process/settings.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <yaml.h>
+
+#include "base/mem.h"
+
+typedef enum {
+	SETTING_TEXT,
+	SETTING_ADDRESS, /* ADDRESS:PORT */
+	SETTING_INT32,
+	SETTING_DURATION_MS,
+	SETTING_SIZE_BYTES,
+	SETTING_ENUM
+} setting_type_t;
+
+/* One key; `initial` is read like a given value, NULL means required. */
+typedef struct {
+	const char *section;
+	const char *key;
+	setting_type_t type;
+	size_t offset_bytes;
+	size_t size_bytes;
+	int64_t min;
+	int64_t max;
+	const char *initial;
+	const char *const *values; /* SETTING_ENUM, NULL-terminated */
+} setting_t;
+
+/* Where a value stands, for errors. */
+typedef struct {
+	const char *path;
+	size_t line;
+	const setting_t *setting;
+} place_t;
+
+static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
+static const char *const formats[] = { "key-value", "json", NULL };
+static const char *const policies[] = { "round-robin", "least-outstanding",
+					"cost", "cost-lanes", NULL };
+
+#define KIB INT64_C(1024)
+#define MIB (1024 * KIB)
+#define GIB (1024 * MIB)
+#define DAY_MS INT64_C(86400000)
+#define PLACE(member) \
+	offsetof(settings_t, member), sizeof(((settings_t *)NULL)->member)
+
+static const setting_t table[] = {
+	{ "vm", "id", SETTING_TEXT, PLACE(vm_id), 1, 0, NULL, NULL },
+	{ "vm", "data_centre", SETTING_TEXT, PLACE(data_centre), 1, 0, NULL,
+	  NULL },
+	{ "callers", "address", SETTING_ADDRESS, PLACE(caller_address), 0, 0,
+	  NULL, NULL },
+	{ "callers", "certificate", SETTING_TEXT, PLACE(caller_certificate), 0,
+	  0, "", NULL },
+	{ "callers", "key", SETTING_TEXT, PLACE(caller_key), 0, 0, "", NULL },
+	{ "callers", "tasks", SETTING_INT32, PLACE(request_tasks), 1, 64, "1",
+	  NULL },
+	{ "callers", "memory", SETTING_SIZE_BYTES, PLACE(memory_budget_bytes),
+	  MIB, 64 * GIB, "256MiB", NULL },
+	{ "callers", "body_max", SETTING_SIZE_BYTES, PLACE(body_max_bytes), KIB,
+	  GIB, "16MiB", NULL },
+	{ "operators", "address", SETTING_ADDRESS, PLACE(operator_address), 0,
+	  0, NULL, NULL },
+	{ "operators", "certificate", SETTING_TEXT, PLACE(operator_certificate),
+	  0, 0, "", NULL },
+	{ "operators", "key", SETTING_TEXT, PLACE(operator_key), 0, 0, "",
+	  NULL },
+	{ "operators", "token", SETTING_TEXT, PLACE(operator_token), 8, 0, NULL,
+	  NULL },
+	{ "peers", "address", SETTING_ADDRESS, PLACE(peer_address), 0, 0, NULL,
+	  NULL },
+	{ "peers", "public_key", SETTING_TEXT, PLACE(peer_public_key), 40, 0,
+	  NULL, NULL },
+	{ "peers", "secret_key", SETTING_TEXT, PLACE(peer_secret_key), 40, 0,
+	  NULL, NULL },
+	{ "platform", "url", SETTING_TEXT, PLACE(platform_url), 1, 0, NULL,
+	  NULL },
+	{ "platform", "namespace", SETTING_TEXT, PLACE(platform_namespace), 1,
+	  0, "default", NULL },
+	{ "platform", "token", SETTING_TEXT, PLACE(platform_token), 0, 0, "",
+	  NULL },
+	{ "platform", "timeout", SETTING_DURATION_MS,
+	  PLACE(platform_timeout_ms), 10, 60000, "1s", NULL },
+	{ "platform", "calls_per_s", SETTING_INT32, PLACE(platform_calls_per_s),
+	  1, 10000, "100", NULL },
+	{ "traces", "url", SETTING_TEXT, PLACE(trace_url), 0, 0, "", NULL },
+	{ "log", "level", SETTING_ENUM, PLACE(log_level), 0, 0, "info",
+	  levels },
+	{ "log", "format", SETTING_ENUM, PLACE(log_format), 0, 0, "key-value",
+	  formats },
+	{ "history", "path", SETTING_TEXT, PLACE(history_path), 0, 0, "",
+	  NULL },
+	{ "routing", "policy", SETTING_ENUM, PLACE(route_policy), 0, 0,
+	  "cost-lanes", policies },
+	{ "routing", "queue_max", SETTING_INT32, PLACE(queue_max), 1, 1000000,
+	  "10000", NULL },
+	{ "shutdown", "notice", SETTING_DURATION_MS, PLACE(drain_notice_ms), 0,
+	  DAY_MS, "5s", NULL },
+	{ "shutdown", "limit", SETTING_DURATION_MS, PLACE(drain_max_ms), 0,
+	  DAY_MS, "1h", NULL },
+};
+
+enum { SETTING_COUNT = sizeof(table) / sizeof(table[0]) };
+
+static bool value_error(const place_t *place, const char *problem, err_t *err)
+{
+	return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_VALUE,
+		       "%s:%zu: %s.%s: %s", place->path, place->line,
+		       place->setting->section, place->setting->key, problem);
+}
+
+typedef struct {
+	const char *text;
+	int64_t factor;
+} unit_t;
+
+static const unit_t durations[] = { { "ms", 1 },
+				    { "s", 1000 },
+				    { "min", 60000 },
+				    { "h", 3600000 },
+				    { NULL, 0 } };
+static const unit_t sizes[] = {
+	{ "KiB", KIB }, { "MiB", MIB }, { "GiB", GIB }, { NULL, 0 }
+};
+static const unit_t no_unit[] = { { "", 1 }, { NULL, 0 } };
+
+/* Reads a non-negative number with one of the units. */
+static bool read_number(const char *text, const unit_t *units,
+			const place_t *place, int64_t *value, err_t *err)
+{
+	const setting_t *setting = place->setting;
+	char problem[128], *end;
+	const unit_t *unit;
+	long long number;
+
+	errno = 0;
+	number = strtoll(text, &end, 10);
+	if (end == text || errno || *text < '0' || *text > '9')
+		return value_error(place, "expected a number", err);
+	for (unit = units; unit->text; unit++)
+		if (!strcmp(end, unit->text))
+			break;
+	if (!unit->text) {
+		snprintf(problem, sizeof(problem),
+			 units == no_unit ? "expected a number without a unit"
+					  : "expected a unit such as %s or %s",
+			 units[0].text, units[1].text);
+		return value_error(place, problem, err);
+	}
+	if (number > INT64_MAX / unit->factor ||
+	    number * unit->factor < setting->min ||
+	    number * unit->factor > setting->max) {
+		snprintf(problem, sizeof(problem),
+			 "out of range, from %" PRId64 " to %" PRId64 "%s",
+			 setting->min, setting->max,
+			 units == durations ? " ms"
+			 : units == sizes   ? " bytes"
+					    : "");
+		return value_error(place, problem, err);
+	}
+	*value = number * unit->factor;
+	return true;
+}
+
+/* Accepts IPV4:PORT and [IPV6]:PORT; port 0 is not an address to listen on. */
+static bool is_address(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long port;
+
+	if (!colon || colon == text)
+		return false;
+	port = strtol(colon + 1, &end, 10);
+	return !*end && port > 0 && port <= UINT16_MAX &&
+	       strspn(text, "0123456789abcdefABCDEF.:[]") == strlen(text);
+}
+
+static bool read_enum(const char *text, const place_t *place, int *target,
+		      err_t *err)
+{
+	const char *const *values = place->setting->values;
+	char problem[160] = "expected one of";
+	size_t length;
+	int i;
+
+	for (i = 0; values[i]; i++) {
+		if (!strcmp(values[i], text)) {
+			*target = i;
+			return true;
+		}
+	}
+	for (i = 0; values[i]; i++) {
+		length = strlen(problem);
+		snprintf(problem + length, sizeof(problem) - length, " %s",
+			 values[i]);
+	}
+	return value_error(place, problem, err);
+}
+
+static bool read_text(const char *text, const place_t *place, char *target,
+		      err_t *err)
+{
+	const setting_t *setting = place->setting;
+	char problem[96];
+
+	if (strlen(text) >= setting->size_bytes ||
+	    (int64_t)strlen(text) < setting->min) {
+		snprintf(problem, sizeof(problem),
+			 "expected %" PRId64 " to %zu characters", setting->min,
+			 setting->size_bytes - 1);
+		return value_error(place, problem, err);
+	}
+	mem_strlcpy(target, text, setting->size_bytes);
+	return true;
+}
+
+static bool read_value(const char *text, const place_t *place,
+		       settings_t *settings, err_t *err)
+{
+	char *target = (char *)settings + place->setting->offset_bytes;
+	int64_t number = 0;
+
+	switch (place->setting->type) {
+	case SETTING_ADDRESS:
+		if (!is_address(text))
+			return value_error(place, "expected ADDRESS:PORT", err);
+		return read_text(text, place, target, err);
+	case SETTING_TEXT:
+		return read_text(text, place, target, err);
+	case SETTING_INT32:
+		if (!read_number(text, no_unit, place, &number, err))
+			return false;
+		*(int32_t *)(void *)target = (int32_t)number;
+		return true;
+	case SETTING_DURATION_MS:
+		return read_number(text, durations, place,
+				   (int64_t *)(void *)target, err);
+	case SETTING_SIZE_BYTES:
+		return read_number(text, sizes, place,
+				   (int64_t *)(void *)target, err);
+	case SETTING_ENUM:
+		return read_enum(text, place, (int *)(void *)target, err);
+	}
+	return false;
+}
+
+static bool key_error(const char *path, const yaml_node_t *node,
+		      const char *section, const char *key, const char *problem,
+		      err_t *err)
+{
+	return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_KEY,
+		       "%s:%zu: %s%s%s: %s", path, node->start_mark.line + 1,
+		       section, *key ? "." : "", key, problem);
+}
+
+static const char *scalar(const yaml_node_t *node)
+{
+	return node && node->type == YAML_SCALAR_NODE
+		       ? (const char *)node->data.scalar.value
+		       : NULL;
+}
+
+static int find_setting(const char *section, const char *key)
+{
+	int i;
+
+	for (i = 0; i < SETTING_COUNT; i++)
+		if (!strcmp(table[i].section, section) &&
+		    (!key || !strcmp(table[i].key, key)))
+			return i;
+	return -1;
+}
+
+static bool read_pair(const char *path, const char *section,
+		      const yaml_node_t *key_node,
+		      const yaml_node_t *value_node, bool seen[],
+		      settings_t *settings, err_t *err)
+{
+	const char *key = scalar(key_node), *text = scalar(value_node);
+	place_t place = { .path = path };
+	int i;
+
+	if (!key)
+		return key_error(path, key_node, section, "",
+				 "expected keys with values", err);
+	i = find_setting(section, key);
+	if (i < 0)
+		return key_error(path, key_node, section, key, "unknown key",
+				 err);
+	if (seen[i])
+		return key_error(path, key_node, section, key,
+				 "stands more than once", err);
+	seen[i] = true;
+	place.setting = &table[i];
+	place.line = value_node->start_mark.line + 1;
+	if (!text)
+		return value_error(&place, "expected a single value", err);
+	return read_value(text, &place, settings, err);
+}
+
+static bool read_section(const char *path, yaml_document_t *document,
+			 const yaml_node_t *name_node,
+			 const yaml_node_t *section_node, bool seen[],
+			 settings_t *settings, err_t *err)
+{
+	const char *section = scalar(name_node);
+	const yaml_node_pair_t *pair;
+
+	if (!section || find_setting(section, NULL) < 0)
+		return key_error(path, name_node, section ? section : "?", "",
+				 "unknown section", err);
+	if (section_node->type != YAML_MAPPING_NODE)
+		return key_error(path, name_node, section, "",
+				 "expected keys with values", err);
+	for (pair = section_node->data.mapping.pairs.start;
+	     pair < section_node->data.mapping.pairs.top; pair++)
+		if (!read_pair(path, section,
+			       yaml_document_get_node(document, pair->key),
+			       yaml_document_get_node(document, pair->value),
+			       seen, settings, err))
+			return false;
+	return true;
+}
+
+static bool read_root(const char *path, yaml_document_t *document, bool seen[],
+		      settings_t *settings, err_t *err)
+{
+	const yaml_node_t *root = yaml_document_get_root_node(document);
+	const yaml_node_pair_t *pair;
+
+	if (!root || root->type != YAML_MAPPING_NODE)
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_SYNTAX,
+			       "%s:1: expected sections with keys", path);
+	for (pair = root->data.mapping.pairs.start;
+	     pair < root->data.mapping.pairs.top; pair++)
+		if (!read_section(path, document,
+				  yaml_document_get_node(document, pair->key),
+				  yaml_document_get_node(document, pair->value),
+				  seen, settings, err))
+			return false;
+	return true;
+}
+
+static bool fill_in(const char *path, const bool seen[], settings_t *settings,
+		    err_t *err)
+{
+	place_t place = { .path = path };
+	int i;
+
+	for (i = 0; i < SETTING_COUNT; i++) {
+		place.setting = &table[i];
+		if (seen[i])
+			continue;
+		if (!table[i].initial)
+			return err_set(err, ERR_LAYER_SETTINGS,
+				       SETTINGS_ERR_KEY, "%s: %s.%s: missing",
+				       path, table[i].section, table[i].key);
+		if (!read_value(table[i].initial, &place, settings, err))
+			return false;
+	}
+	return true;
+}
+
+static bool check_pairs(const char *path, const settings_t *settings,
+			err_t *err)
+{
+	if (!*settings->caller_certificate != !*settings->caller_key)
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_KEY,
+			       "%s: callers: certificate and key go together",
+			       path);
+	if (!*settings->operator_certificate != !*settings->operator_key)
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_KEY,
+			       "%s: operators: certificate and key go "
+			       "together",
+			       path);
+	if (strpbrk(settings->vm_id, "./ \t\"") || settings->vm_id[0] == '-')
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_VALUE,
+			       "%s: vm.id: expected a name without '.', '/', "
+			       "'\"' and spaces",
+			       path);
+	return true;
+}
+
+bool settings_load(const char *path, settings_t *settings, err_t *err)
+{
+	bool seen[SETTING_COUNT] = { false }, loaded;
+	yaml_document_t document;
+	yaml_parser_t parser;
+	FILE *file = fopen(path, "r");
+
+	memset(settings, 0, sizeof(*settings));
+	if (!file)
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_FILE,
+			       "%s: %s", path, strerror(errno));
+	if (!yaml_parser_initialize(&parser)) {
+		fclose(file);
+		return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_FILE,
+			       "%s: cannot start the YAML parser", path);
+	}
+	yaml_parser_set_input_file(&parser, file);
+	loaded = yaml_parser_load(&parser, &document);
+	if (!loaded) {
+		err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_SYNTAX,
+			"%s:%zu: %s", path, parser.problem_mark.line + 1,
+			parser.problem ? parser.problem : "not YAML");
+	} else {
+		loaded = read_root(path, &document, seen, settings, err) &&
+			 fill_in(path, seen, settings, err) &&
+			 check_pairs(path, settings, err);
+		yaml_document_delete(&document);
+	}
+	yaml_parser_delete(&parser);
+	fclose(file);
+	return loaded;
+}
--- /dev/null
+++ b/tests/test_telemetry.c
@@ -0,0 +1,161 @@
+/** Log lines, metrics text, trace context and spans. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/trace.h"
+#include "cases.h"
+
+static const struct {
+	const char *header;
+	bool valid;
+} parents[] = {
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", true },
+	{ "01-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-x", true },
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01-x", false },
+	{ "ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", false },
+	{ "00-00000000000000000000000000000000-b7ad6b7169203331-01", false },
+	{ "00-0af7651916cd43dd8448eb211c80319c-0000000000000000-01", false },
+	{ "00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", false },
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331", false },
+	{ "", false },
+};
+
+static void reads_only_valid_trace_contexts(void **state)
+{
+	char text[TRACE_PARENT_SIZE_BYTES];
+	trace_context_t context, child;
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(parents); i++)
+		assert_int_equal(trace_context_parse(parents[i].header,
+						     &context),
+				 parents[i].valid);
+	assert_false(trace_context_parse(NULL, &context));
+	trace_context_new(&context);
+	trace_context_child(&context, &child);
+	assert_memory_equal(context.trace_id, child.trace_id, 16);
+	assert_memory_not_equal(context.span_id, child.span_id, 8);
+	trace_context_format(&child, text);
+	assert_true(trace_context_parse(text, &context));
+	assert_memory_equal(&context, &child, sizeof(context));
+}
+
+/* An exporter that is down must cost a bounded amount of memory. */
+static void drops_and_counts_spans_beyond_the_queue(void **state)
+{
+	static span_t taken[8192];
+	span_t span = { .name = "accept" };
+	int64_t dropped = metrics_get(METRIC_SPANS_DROPPED);
+	int i;
+
+	for (i = 0; i < 5000; i++)
+		trace_record(&span);
+	assert_int_equal(metrics_get(METRIC_SPANS_DROPPED) - dropped, 904);
+	assert_int_equal(trace_take(taken, COUNT_OF(taken)), 4096);
+	assert_int_equal(trace_take(taken, COUNT_OF(taken)), 0);
+}
+
+static void renders_spans_as_otlp_json(void **state)
+{
+	span_t span = { .name = "connect",
+			.start_us = 1,
+			.end_us = 2,
+			.failed = true,
+			.detail = "e1" };
+	char *text;
+	json_t *root, *spans;
+
+	trace_context_new(&span.context);
+	text = trace_render_otlp(&span, 1, "vm-1");
+	root = json_loads(text, 0, NULL);
+	assert_non_null(root);
+	spans = json_object_get(
+		json_array_get(
+			json_object_get(
+				json_array_get(json_object_get(root,
+							       "resourceSpans"),
+					       0),
+				"scopeSpans"),
+			0),
+		"spans");
+	assert_int_equal(json_array_size(spans), 1);
+	assert_string_equal(
+		json_string_value(json_object_get(json_array_get(spans, 0),
+						  "endTimeUnixNano")),
+		"2000");
+	json_decref(root);
+	free(text);
+}
+
+static void renders_metrics_with_bands(void **state)
+{
+	char *text;
+
+	metrics_ttft(1000, "quick", 3000);
+	metrics_ttft(1000, "quick", 7000000);
+	metrics_ttft(200000, "quick", 900000000);
+	text = metrics_render();
+	assert_non_null(strstr(text, "# TYPE chivestage_requests_total "
+				     "counter\n"));
+	assert_non_null(strstr(text, "_bucket{class=\"quick\",prompt=\"to_4k\""
+				     ",le=\"0.005\"} 1\n"));
+	assert_non_null(strstr(text, "_count{class=\"quick\",prompt="
+				     "\"to_4k\"} 2\n"));
+	assert_non_null(strstr(text, "prompt=\"above_100k\",le=\"300\"} 0\n"));
+	assert_non_null(strstr(text, "prompt=\"above_100k\",le=\"+Inf\"} 1\n"));
+	free(text);
+}
+
+/* Runs one event with standard error redirected to a file. */
+static void capture(log_format_t format, char *line, size_t size)
+{
+	FILE *file = tmpfile();
+	FILE *saved = stderr;
+
+	assert_non_null(file);
+	assert_true(log_open(LOG_INFO, format, NULL));
+	stderr = file;
+	log_event(EVENT_START_FAILED, "file=%s problem=\"%s\"", "a.yaml",
+		  "no \\ such file");
+	stderr = saved;
+	log_close();
+	rewind(file);
+	assert_non_null(fgets(line, (int)size, file));
+	fclose(file);
+}
+
+static void writes_events_in_both_formats(void **state)
+{
+	char line[1024];
+	json_t *json;
+
+	capture(LOG_FORMAT_KEY_VALUE, line, sizeof(line));
+	assert_non_null(strstr(line, " level=error event=102 message=\"start "
+				     "failed\" file=a.yaml problem="));
+	capture(LOG_FORMAT_JSON, line, sizeof(line));
+	json = json_loads(line, 0, NULL);
+	assert_non_null(json);
+	assert_int_equal(json_integer_value(json_object_get(json, "event")),
+			 102);
+	assert_string_equal(json_string_value(json_object_get(json, "problem")),
+			    "no \\ such file");
+	json_decref(json);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(reads_only_valid_trace_contexts),
+		cmocka_unit_test(drops_and_counts_spans_beyond_the_queue),
+		cmocka_unit_test(renders_spans_as_otlp_json),
+		cmocka_unit_test(renders_metrics_with_bands),
+		cmocka_unit_test(writes_events_in_both_formats),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
