--- a/Makefile
+++ b/Makefile
@@ -109,6 +109,7 @@
 	@cppcheck --quiet --std=c11 --error-exitcode=1 -Isrc -Itests \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --inline-suppr \
+		--library=tools/cppcheck.cfg \
 		-j 8 $(SOURCES)
 	@printf '%s\n' $(SOURCES) | xargs -P 8 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c11 2>/dev/null' sh
--- a/src/version/document.c
+++ b/src/version/document.c
@@ -138,6 +138,24 @@
 	return true;
 }
 
+/* Ids of recent changes; see edit.h. */
+static bool check_recent_changes(const json_t *root, err_t *err)
+{
+	const json_t *recent = json_object_get(root, "recent_changes");
+	size_t i;
+
+	if (recent && !json_is_array(recent))
+		return err_set(err, ERR_LAYER_DOCUMENT, DOCUMENT_ERR_SCHEMA,
+			       "recent_changes: expected an array");
+	for (i = 0; i < json_array_size(recent); i++)
+		if (!json_is_string(json_array_get(recent, i)))
+			return err_set(err, ERR_LAYER_DOCUMENT,
+				       DOCUMENT_ERR_SCHEMA,
+				       "recent_changes[%zu]: expected a string",
+				       i);
+	return true;
+}
+
 static bool check_root_keys(const json_t *root, err_t *err)
 {
 	const char *key;
@@ -149,6 +167,7 @@
 	json_object_foreach((json_t *)root, key, value)
 	{
 		if (!strcmp(key, "version") || !strcmp(key, "change_id") ||
+		    !strcmp(key, "recent_changes") ||
 		    !strcmp(key, limits_section.key) || section_find(key))
 			continue;
 		return err_set(err, ERR_LAYER_DOCUMENT, DOCUMENT_ERR_SCHEMA,
@@ -164,7 +183,8 @@
 	bool parsed;
 	int id;
 
-	if (!check_root_keys(root, err) || !parse_header(document, root, err))
+	if (!check_root_keys(root, err) || !check_recent_changes(root, err) ||
+	    !parse_header(document, root, err))
 		return false;
 	limits = json_object_get(root, limits_section.key);
 	if (!limits)
