--- a/src/process/credit.h
+++ b/src/process/credit.h
@@ -32,11 +32,24 @@
 
 typedef enum {
 	CREDIT_REQUEST, /**< holder asks for `amount`, at least `minimum` */
+	/**
+	 * Answers a request or a renewal; with retry_after_us above 0 the
+	 * holder returns what it does not use and draws nothing new from the
+	 * grant until then.
+	 */
 	CREDIT_GRANT,
-	CREDIT_REFUSAL, /**< nothing now; ask again after retry_after_us */
+	/**
+	 * Nothing now; ask again after retry_after_us. With sequence 0 it
+	 * recalls what is not in use of a held grant.
+	 */
+	CREDIT_REFUSAL,
 	CREDIT_RENEW, /**< holder extends grant `id` */
 	CREDIT_RETURN, /**< holder gives back `amount` of grant `id` */
-	CREDIT_PRESENT /**< holder tells a new owner what it holds */
+	/**
+	 * Holder tells a new owner what it holds. The message with id 0 ends
+	 * the list and carries the sum.
+	 */
+	CREDIT_PRESENT
 } credit_msg_type_t;
 
 /** One message of the credit protocol. */
@@ -44,6 +57,13 @@
 	credit_msg_type_t type;
 	resource_t resource;
 	uint64_t id; /**< grant; chosen by the holder, unique per VM */
+	/**
+	 * Grows with every new message of the holder; an answer repeats the
+	 * number of the message that it answers, 0 if it answers none. It
+	 * tells a late answer to an earlier message from the answer to a
+	 * renewal, and a repeated partial return from a second one.
+	 */
+	uint64_t sequence;
 	credit_amount_t amount;
 	credit_amount_t minimum;
 	int64_t lifetime_us; /**< of a grant or renewal */
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1132,7 +1132,7 @@
   (ProtobufCMessageInit) peer__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__credit__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer__credit__field_descriptors[11] =
 {
   {
     "type",
@@ -1254,6 +1254,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Credit, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__credit__field_indices_by_name[] = {
   3,   /* field[3] = id */
@@ -1264,13 +1276,14 @@
   2,   /* field[2] = resource */
   1,   /* field[1] = resource_kind */
   9,   /* field[9] = retry_after_us */
+  10,   /* field[10] = sequence */
   5,   /* field[5] = slots */
   0,   /* field[0] = type */
 };
 static const ProtobufCIntRange peer__credit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer__credit__descriptor =
 {
@@ -1280,7 +1293,7 @@
   "Peer__Credit",
   "peer",
   sizeof(Peer__Credit),
-  10,
+  11,
   peer__credit__field_descriptors,
   peer__credit__field_indices_by_name,
   1,  peer__credit__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -166,10 +166,11 @@
   int32_t minimum_slots;
   int64_t lifetime_us;
   int64_t retry_after_us;
+  uint64_t sequence;
 };
 #define PEER__CREDIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__credit__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__ServerLoad
