--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -77,7 +77,8 @@
 	if (--client->depth || !client->deferred)
 		return;
 	client->deferred = false;
-	DL_FOREACH_SAFE(client->calls, call, next) {
+	DL_FOREACH_SAFE(client->calls, call, next)
+	{
 		if (call->cancelled)
 			call_free(call);
 		else if (!call->added)
@@ -234,7 +235,7 @@
 	if (!client)
 		return;
 	DL_FOREACH_SAFE(client->calls, call, next)
-		call_free(call);
+	call_free(call);
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->loop, &client->timer);
 	free(client);
--- a/src/connection/engine.h
+++ b/src/connection/engine.h
@@ -2,6 +2,18 @@
  * @file engine.h
  * Wire format of model engines: builds requests, reads replies, no I/O.
  * A different wire format changes only this module.
+ *
+ * Beyond design.md section 4.4 the adapter uses these forms:
+ * - submission: `resume_text` (text of the tokens counted by resume_tokens);
+ * - chunk: `tokens` (default 1 if it has text), `choices[0].text` or
+ *   `choices[0].delta.content`, `choices[0].finish_reason`;
+ * - load report: `incarnation` a number, `time_us`, `role` one of
+ *   both, prefill, decode, `models` an array of names;
+ * - stream list: `{"streams":["ID",...]}`;
+ * - cache events: `{"incarnation":1,"events":[{"seq":1,"stored":true,
+ *   "block":"hex"}]}`;
+ * - order: `kind` load_model or set_role;
+ * - KV export and import: `stream_id`, import also `source`.
  */
 #ifndef CONNECTION_ENGINE_H
 #define CONNECTION_ENGINE_H
@@ -84,6 +96,7 @@
 	int64_t tokens;
 	const char *text; /**< inside the buffer given to the parser's user */
 	size_t text_size_bytes;
+	char finish_reason[24]; /**< empty: the stream goes on */
 } engine_chunk_t;
 
 /** Reads the data of one SSE event. The text is decoded into @p buffer. */
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -127,8 +127,8 @@
 	exchange->started = true;
 	exchange->method = mem_strdup(method);
 	if (handler->on_request)
-		exchange->user = handler->on_request(handler->context,
-						     exchange);
+		exchange->user =
+			handler->on_request(handler->context, exchange);
 	if (exchange->aborted)
 		return MHD_NO;
 	if (exchange->reply &&
--- a/src/connection/fetch.c
+++ b/src/connection/fetch.c
@@ -35,8 +35,8 @@
 
 	if (end == CLIENT_OK && fetch->too_long)
 		end = CLIENT_BROKEN;
-	fetch->done(fetch->context, end, status,
-		    fetch->body ? fetch->body : "", fetch->size);
+	fetch->done(fetch->context, end, status, fetch->body ? fetch->body : "",
+		    fetch->size);
 }
 
 static void on_fetch_free(void *context)
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -179,11 +179,10 @@
 		flags |= MHD_USE_TLS;
 	else
 		tls[0].option = MHD_OPTION_END;
-	listener->daemon = MHD_start_daemon(flags, 0, NULL, NULL,
-					    exchange_on_access, listener,
-					    MHD_OPTION_ARRAY, options,
-					    MHD_OPTION_ARRAY, tls,
-					    MHD_OPTION_END);
+	listener->daemon =
+		MHD_start_daemon(flags, 0, NULL, NULL, exchange_on_access,
+				 listener, MHD_OPTION_ARRAY, options,
+				 MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
 	if (listener->daemon)
 		return true;
 	return err_set(err, ERR_LAYER_CONNECTION, LISTENER_ERR_START,
@@ -197,8 +196,8 @@
 
 static void start_watchers(listener_t *listener)
 {
-	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
-		listener->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(listener->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 
 	ev_io_init(&listener->readable, on_readable, info->epoll_fd, EV_READ);
 	listener->readable.data = listener;
@@ -267,7 +266,7 @@
 		return;
 	/* The library does not stop while connections are suspended. */
 	DL_FOREACH_SAFE(listener->exchanges, exchange, next)
-		exchange_abort(exchange);
+	exchange_abort(exchange);
 	run_daemon(listener);
 	ev_io_stop(listener->loop, &listener->readable);
 	ev_timer_stop(listener->loop, &listener->timeout);
