--- a/tests/test_edit.c
+++ b/tests/test_edit.c
@@ -45,10 +45,14 @@
 	{ SET, "classes", NULL, "{}", "the item has no name", NULL },
 };
 
+enum { DIFF_SIZE_BYTES = 1024 };
+
 static void append_line(void *context, const char *text)
 {
-	strcat(context, text);
-	strcat(context, "\n");
+	char *diff = context;
+	size_t length = strlen(diff);
+
+	snprintf(diff + length, DIFF_SIZE_BYTES - length, "%s\n", text);
 }
 
 static bool apply(size_t i, json_t *root, err_t *err)
@@ -80,7 +84,7 @@
 		json_t *before = json_loads(base, 0, NULL);
 		json_t *root = json_deep_copy(before);
 		document_t *document = NULL;
-		char diff[1024] = "";
+		char diff[DIFF_SIZE_BYTES] = "";
 		err_t err = { 0 };
 
 		if (apply(i, root, &err))
