--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -4,9 +4,9 @@
  * watches, and the list of VMs.
  *
  * Follows the Kubernetes API conventions. Calls beyond the request budget are
- * answered at once with PLATFORM_BUDGET. A call whose answer is lost ends
- * with PLATFORM_UNKNOWN: a write may have taken effect, and the caller reads
- * back to settle it.
+ * answered at once with PLATFORM_BUDGET, before the function returns. A call
+ * whose answer is lost ends with PLATFORM_UNKNOWN: a write may have taken
+ * effect, and the caller reads back to settle it.
  */
 #ifndef CONNECTION_PLATFORM_H
 #define CONNECTION_PLATFORM_H
@@ -21,6 +21,9 @@
 
 typedef struct platform platform_t;
 
+/** Name of the one configuration object; its spec is the document. */
+#define PLATFORM_CONFIGURATION_NAME "fleet"
+
 typedef struct {
 	char url[URL_SIZE_BYTES]; /**< http://ADDRESS:PORT */
 	char namespace_name[NAME_SIZE_BYTES];
@@ -72,12 +75,17 @@
 		  int64_t version, json_t *spec, platform_done_t done,
 		  void *context);
 
-/** Deletes an object that has @p version. */
+/** Deletes an object that has @p version, sent as ?resourceVersion=V. */
 void platform_delete(platform_t *platform, platform_kind_t kind,
 		     const char *name, int64_t version, platform_done_t done,
 		     void *context);
 
-/** Waits up to @p wait_ms for a version above @p version. */
+/**
+ * Waits up to @p wait_ms for a version above @p version. Ends with PLATFORM_OK
+ * and the object, with PLATFORM_OK and no object if there was no change in
+ * time, or with PLATFORM_CONFLICT if the platform no longer knows the changes
+ * since @p version and the object must be read again.
+ */
 void platform_watch(platform_t *platform, platform_kind_t kind,
 		    const char *name, int64_t version, int64_t wait_ms,
 		    platform_done_t done, void *context);
@@ -93,6 +101,10 @@
 typedef void (*platform_vms_done_t)(void *context, platform_status_t status,
 				    const platform_vm_t *vms, size_t count);
 
+/**
+ * Reads {"items":[{"metadata":{"name"},"spec":{"data_centre","address",
+ * "leaving"}}]}.
+ */
 void platform_list_vms(platform_t *platform, platform_vms_done_t done,
 		       void *context);
 
