--- /dev/null
+++ b/src/process/control_config.c
@@ -0,0 +1,166 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/history.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "process/control.h"
+
+/*
+ * A configuration must be in force everywhere within 4 s, so a failed read
+ * is repeated well within that time.
+ */
+enum { RETRY_MS = 500, WATCH_MS = 10000 };
+
+struct control_config {
+	control_t *control;
+	ev_timer next; /* starts the next call outside of callbacks */
+	bool calling;
+	bool known; /* the object was read; false: read before watching */
+	int64_t object_version;
+};
+
+static void schedule(control_config_t *config, int64_t delay_ms)
+{
+	ev_timer_stop(config->control->loop, &config->next);
+	ev_timer_set(&config->next, (double)delay_ms / MS_PER_S, 0.);
+	ev_timer_start(config->control->loop, &config->next);
+}
+
+static void tell_tasks(control_t *control, document_t *document)
+{
+	int32_t i;
+
+	for (i = 0; i < control->settings.request_tasks; i++) {
+		task_msg_t *message = task_msg_create(TASK_MSG_CONFIG, 0);
+
+		message->as.config = document_ref(document);
+		control_send(control, (uint32_t)i, message);
+	}
+}
+
+static void apply(control_t *control, document_t *document, const char *source)
+{
+	int64_t version = document_version(document);
+
+	metrics_set(METRIC_CONFIG_VERSION, version);
+	log_event(EVENT_CONFIG_APPLIED,
+		  "version=%" PRId64 " change_id=%s source=%s", version,
+		  document_change_id(document), source);
+	history_event("config",
+		      "version=%" PRId64 " data_centre=%s "
+		      "incarnation=%" PRIu64,
+		      version, control->settings.data_centre,
+		      control->incarnation);
+	dispatch_configure(control->dispatch, document, clock_monotonic_us());
+	control_load_configure(control->load, document);
+	tell_tasks(control, document);
+}
+
+static void offer(control_t *control, document_t *document, const char *source)
+{
+	int64_t version = document_version(document);
+
+	switch (inforce_offer(control->inforce, document)) {
+	case INFORCE_APPLIED:
+		apply(control, document, source);
+		break;
+	case INFORCE_SAME:
+		break;
+	case INFORCE_STALE:
+		metrics_add(METRIC_CONFIG_STALE, 1);
+		log_event(EVENT_CONFIG_STALE,
+			  "version=%" PRId64 " in_force=%" PRId64 " source=%s",
+			  version, inforce_version(control->inforce), source);
+		break;
+	case INFORCE_CONFLICT:
+		log_event(EVENT_CONFIG_CONFLICT,
+			  "version=%" PRId64 " source=%s", version, source);
+		break;
+	}
+}
+
+void control_config_offer(control_config_t *config, const char *text,
+			  size_t size_bytes, const char *source)
+{
+	document_t *document;
+	err_t err;
+
+	document = document_parse(text, size_bytes, &err);
+	if (!document) {
+		log_event(EVENT_CONFIG_REFUSED, "source=%s problem=\"%s\"",
+			  source, err.message);
+		return;
+	}
+	offer(config->control, document, source);
+	document_unref(document);
+}
+
+static void offer_object(control_config_t *config,
+			 const platform_object_t *object)
+{
+	char *text = json_dumps(object->spec, JSON_COMPACT);
+
+	control_config_offer(config, text, strlen(text), "platform");
+	free(text);
+}
+
+static void on_answer(void *context, platform_status_t status,
+		      const platform_object_t *object)
+{
+	control_config_t *config = context;
+
+	config->calling = false;
+	if (status == PLATFORM_OK && object) {
+		config->known = true;
+		config->object_version = object->version;
+		offer_object(config, object);
+	} else if (status != PLATFORM_OK) {
+		config->known = false;
+	}
+	schedule(config, status == PLATFORM_OK ? 0 : RETRY_MS);
+}
+
+static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	control_config_t *config = timer->data;
+	platform_t *platform = config->control->platform;
+
+	if (config->calling)
+		return;
+	config->calling = true;
+	if (config->known)
+		platform_watch(platform, PLATFORM_CONFIGURATIONS,
+			       PLATFORM_CONFIGURATION_NAME,
+			       config->object_version, WATCH_MS, on_answer,
+			       config);
+	else
+		platform_get(platform, PLATFORM_CONFIGURATIONS,
+			     PLATFORM_CONFIGURATION_NAME, on_answer, config);
+}
+
+control_config_t *control_config_create(control_t *control)
+{
+	control_config_t *config = mem_calloc(1, sizeof(*config));
+
+	config->control = control;
+	ev_timer_init(&config->next, on_next, 0., 0.);
+	config->next.data = config;
+	return config;
+}
+
+void control_config_destroy(control_config_t *config)
+{
+	if (!config)
+		return;
+	ev_timer_stop(config->control->loop, &config->next);
+	free(config);
+}
+
+void control_config_start(control_config_t *config)
+{
+	schedule(config, 0);
+}
--- /dev/null
+++ b/src/process/control_task.c
@@ -0,0 +1,240 @@
+#include "process/control_task.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "process/control.h"
+
+/*
+ * Deadlines and retries of the dispatcher are decided with this resolution;
+ * 50 wake-ups a second are far below 1% of a core.
+ */
+enum { TICK_MS = 20 };
+
+/* Upper 42 bits: wall-clock ms, so that a later process has a higher one. */
+enum { INCARNATION_RANDOM_BITS = 22 };
+
+static uint64_t new_incarnation(void)
+{
+	uint64_t time_ms = (uint64_t)(clock_wall_us() / US_PER_MS);
+
+	return time_ms << INCARNATION_RANDOM_BITS |
+	       randombytes_uniform(1u << INCARNATION_RANDOM_BITS);
+}
+
+void control_send(control_t *control, uint32_t task, task_msg_t *message)
+{
+	if (task >= (uint32_t)control->settings.request_tasks ||
+	    !mailbox_send(control->request_tasks[task], message))
+		task_msg_destroy(message);
+}
+
+static void on_message(void *context, void *received)
+{
+	control_t *control = context;
+	task_msg_t *message = received;
+	int64_t now_us = clock_monotonic_us();
+
+	if (control->closing) {
+		task_msg_destroy(message);
+		return;
+	}
+	switch (message->type) {
+	case TASK_MSG_SUBMIT:
+		dispatch_submit(control->dispatch, message->request,
+				&message->as.submit, now_us);
+		break;
+	case TASK_MSG_FIRST_TOKEN:
+		dispatch_first_token(control->dispatch, message->request,
+				     &message->as.first_token, now_us);
+		break;
+	case TASK_MSG_FINISHED:
+		dispatch_finished(control->dispatch, message->request,
+				  &message->as.finished, now_us);
+		break;
+	case TASK_MSG_STOP:
+		ev_break(control->loop, EVBREAK_ALL);
+		break;
+	case TASK_MSG_DRAIN:
+	case TASK_MSG_IDLE:
+	case TASK_MSG_DISPATCH:
+	case TASK_MSG_REFUSE:
+	case TASK_MSG_ANSWER:
+	case TASK_MSG_CONFIG:
+		break;
+	}
+	task_msg_destroy(message);
+}
+
+static void pump_decisions(control_t *control)
+{
+	dispatch_action_t action;
+
+	while (dispatch_next(control->dispatch, &action)) {
+		task_msg_t *message = task_msg_create(action.message.type,
+						      action.message.request);
+
+		*message = action.message;
+		control_send(control, action.task, message);
+	}
+}
+
+static void on_before_wait(struct ev_loop *loop, ev_prepare *watcher,
+			   int events)
+{
+	pump_decisions(watcher->data);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	control_t *control = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	credit_holder_tick(control->holder, now_us);
+	dispatch_tick(control->dispatch, now_us);
+	control_load_tick(control->load, now_us);
+}
+
+static void create_decisions(control_t *control)
+{
+	const settings_t *settings = &control->settings;
+	credit_holder_conf_t holder = {
+		.incarnation = control->incarnation,
+		/* Replaced by the limits of the configuration. */
+		.server_block = { .kv_tokens = 16000, .slots = 4 },
+		.account_block = 10,
+	};
+	dispatch_conf_t dispatch = {
+		.incarnation = control->incarnation,
+		.policy = settings->route_policy,
+		.queue_max = settings->queue_max,
+	};
+
+	mem_strlcpy(holder.vm_id, settings->vm_id, sizeof(holder.vm_id));
+	mem_strlcpy(dispatch.vm_id, settings->vm_id, sizeof(dispatch.vm_id));
+	mem_strlcpy(dispatch.data_centre, settings->data_centre,
+		    sizeof(dispatch.data_centre));
+	control->inforce = inforce_create();
+	control->holder = credit_holder_create(&holder);
+	control->dispatch = dispatch_create(&dispatch, control->holder);
+}
+
+static bool open_mailboxes(control_t *control, void *zmq, err_t *err)
+{
+	char name[32];
+	int32_t i;
+
+	control->mailbox = mailbox_create(zmq, "control", control->loop,
+					  on_message, control, err);
+	if (!control->mailbox)
+		return false;
+	control->request_tasks =
+		mem_calloc((size_t)control->settings.request_tasks,
+			   sizeof(*control->request_tasks));
+	for (i = 0; i < control->settings.request_tasks; i++) {
+		snprintf(name, sizeof(name), "request-%d", i);
+		control->request_tasks[i] =
+			mailbox_sender_create(zmq, name, err);
+		if (!control->request_tasks[i])
+			return false;
+	}
+	return true;
+}
+
+static bool open_platform(control_t *control, err_t *err)
+{
+	const settings_t *settings = &control->settings;
+	platform_conf_t conf = {
+		.timeout_ms = settings->platform_timeout_ms,
+		.calls_per_s = settings->platform_calls_per_s,
+	};
+
+	control->client = client_create(control->loop, err);
+	if (!control->client)
+		return false;
+	mem_strlcpy(conf.url, settings->platform_url, sizeof(conf.url));
+	mem_strlcpy(conf.namespace_name, settings->platform_namespace,
+		    sizeof(conf.namespace_name));
+	mem_strlcpy(conf.token, settings->platform_token, sizeof(conf.token));
+	control->platform = platform_create(control->client, &conf);
+	return true;
+}
+
+static void start_watchers(control_t *control)
+{
+	ev_timer_init(&control->tick, on_tick, 0., (double)TICK_MS / MS_PER_S);
+	control->tick.data = control;
+	ev_timer_start(control->loop, &control->tick);
+	ev_prepare_init(&control->before_wait, on_before_wait);
+	/* After the mailbox has delivered what is queued. */
+	ev_set_priority(&control->before_wait, EV_MINPRI);
+	control->before_wait.data = control;
+	ev_prepare_start(control->loop, &control->before_wait);
+}
+
+control_t *control_task_create(const settings_t *settings, void *zmq,
+			       err_t *err)
+{
+	control_t *control = mem_calloc(1, sizeof(*control));
+	err_t cause;
+
+	control->settings = *settings;
+	control->incarnation = new_incarnation();
+	control->loop = ev_loop_new(EVFLAG_AUTO);
+	if (!control->loop || !open_mailboxes(control, zmq, &cause) ||
+	    !open_platform(control, &cause)) {
+		err_set(err, ERR_LAYER_PROCESS, CONTROL_ERR_START,
+			"control task: %s",
+			control->loop ? cause.message : "no event loop");
+		control_task_destroy(control);
+		return NULL;
+	}
+	create_decisions(control);
+	control->config = control_config_create(control);
+	control->load = control_load_create(control);
+	start_watchers(control);
+	return control;
+}
+
+void *control_task_run(void *context)
+{
+	control_t *control = context;
+
+	control_config_start(control->config);
+	ev_run(control->loop, 0);
+	return NULL;
+}
+
+static void close_mailboxes(control_t *control)
+{
+	int32_t i;
+
+	for (i = 0;
+	     control->request_tasks && i < control->settings.request_tasks; i++)
+		mailbox_sender_destroy(control->request_tasks[i]);
+	free(control->request_tasks);
+	control->closing = true;
+	if (control->mailbox)
+		mailbox_drain(control->mailbox);
+	mailbox_destroy(control->mailbox);
+}
+
+void control_task_destroy(control_t *control)
+{
+	if (!control)
+		return;
+	control_load_destroy(control->load);
+	control_config_destroy(control->config);
+	dispatch_destroy(control->dispatch);
+	credit_holder_destroy(control->holder);
+	inforce_destroy(control->inforce);
+	platform_destroy(control->platform);
+	client_destroy(control->client);
+	close_mailboxes(control);
+	if (control->loop)
+		ev_loop_destroy(control->loop);
+	free(control);
+}
