--- /dev/null
+++ b/tests/standin/service.c
@@ -0,0 +1,115 @@
+/**
+ * Stand-in of a plain service. A body `{"action":"ID"}` is an action, which
+ * is counted in the history; a query argument `call` names a lookup.
+ * Faults: lose_answers (of the next N calls, after they ran), refuse (the
+ * next N calls, before they run), slow_ms.
+ */
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/history.h"
+#include "lib_http.h"
+
+static char *name = NULL;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static int64_t lose_answers, refuse, slow_ms, running, executed, incarnation;
+
+static enum MHD_Result set_fault(http_request_t *request)
+{
+	json_t *fault = http_body_json(request);
+
+	http_fault(fault, "lose_answers", &lose_answers);
+	http_fault(fault, "refuse", &refuse);
+	http_fault(fault, "slow_ms", &slow_ms);
+	json_decref(fault);
+	return http_reply(request, fault ? 200 : 400, "{}");
+}
+
+static enum MHD_Result report_load(http_request_t *request)
+{
+	return http_reply_json(
+		request, 200,
+		json_pack("{s:I,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:[],s:s,s:b,s:I}",
+			  "incarnation", incarnation, "cold", 0, "kv_total",
+			  (json_int_t)0, "kv_used", (json_int_t)0, "running",
+			  running, "queued", (json_int_t)0,
+			  "prefill_tokens_queued", (json_int_t)0,
+			  "prefill_tokens_per_s", (json_int_t)0, "models",
+			  "role", "both", "shares_kv", 0, "time_us",
+			  clock_monotonic_us()));
+}
+
+/* Runs one call; false if its answer has to be lost. */
+static bool execute(http_request_t *request, char answer[256])
+{
+	json_t *body = http_body_json(request);
+	const char *action = http_json_string(body, "action", NULL);
+	const char *call = http_argument(request, "call");
+
+	history_event("execute", "%s=\"%s\" method=%s",
+		      action ? "action" : "call",
+		      action ? action : (call ? call : ""), request->method);
+	executed++;
+	snprintf(answer, 256,
+		 "{\"server\":\"%s\",\"%s\":\"%.100s\",\"run\":%" PRId64 "}",
+		 name, action ? "action" : "call",
+		 action ? action : (call ? call : ""), executed);
+	json_decref(body);
+	return !http_take(&lose_answers);
+}
+
+static enum MHD_Result on_request(http_request_t *request)
+{
+	char answer[256];
+	bool refused, answered = false;
+	int64_t wait_ms;
+
+	if (!strcmp(request->path, "/standin/fault"))
+		return set_fault(request);
+	if (!strcmp(request->path, "/v1/load"))
+		return report_load(request);
+	pthread_mutex_lock(&lock);
+	refused = http_take(&refuse);
+	wait_ms = slow_ms;
+	running++;
+	if (!refused)
+		answered = execute(request, answer);
+	pthread_mutex_unlock(&lock);
+	http_sleep_ms(wait_ms);
+	pthread_mutex_lock(&lock);
+	running--;
+	pthread_mutex_unlock(&lock);
+	if (refused)
+		return http_refuse(request);
+	return answered ? http_reply(request, 200, answer) : MHD_NO;
+}
+
+static void start(void)
+{
+	incarnation = http_incarnation();
+	history_event("start", "incarnation=%" PRId64, incarnation);
+}
+
+static void stop(void)
+{
+	history_event("stop", "incarnation=%" PRId64, incarnation);
+}
+
+int main(int argc, const char **argv)
+{
+	struct poptOption options[] = { { NULL, 0, POPT_ARG_INCLUDE_TABLE,
+					  http_options, 0, NULL, NULL },
+					{ "name", 0, POPT_ARG_STRING, &name, 0,
+					  "name of the server", "NAME" },
+					POPT_AUTOHELP POPT_TABLEEND };
+	int status;
+
+	http_parse_options(argc, argv, options);
+	status = http_serve(name ? name : "service", on_request, start, stop);
+	free(name);
+	return status;
+}
