Add the stand-in of a model engine

Continuous batching by event: prefill goes by priority and arrival at one rate, each stream decodes at its own. Streams live on after their connection until their end or a cancellation, as engines with resumable streams do; the tokens are a function of prompt and index.

--- /dev/null
+++ b/tests/standin/engine.c
@@ -0,0 +1,337 @@
+/**
+ * Stand-in of a model engine: the HTTP side; lib_batch.c is the machine.
+ *
+ * A prompt has one token for each four bytes. With `resume_tokens`, the text
+ * of these tokens may follow the prompt; `max_tokens` counts them too.
+ * Faults: crash, cold, stall, refuse (the next N), lose_submits (the next N
+ * are run but not answered), cut_after (tokens) with cut_count (streams),
+ * crossed and wrong_offset (the next N chunks follow one of another stream,
+ * or of a wrong offset), slow_ms (per token).
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/history.h"
+#include "base/mem.h"
+#include "lib/tokens.h"
+#include "lib_batch.h"
+#include "lib_http.h"
+#include "lib_sse.h"
+
+enum { CALL_SIZE_BYTES = 64 };
+
+static char *name, *fencing_text;
+static int64_t fencing_seen;
+static int64_t refuse, lose_submits;
+
+/* @return the text of the prompt or of all messages; the caller frees it. */
+static char *prompt_text(const json_t *body)
+{
+	const json_t *message, *messages = json_object_get(body, "messages");
+	const char *prompt = http_json_string(body, "prompt", NULL);
+	size_t i, size = 0;
+	char *text;
+
+	if (prompt)
+		return mem_strdup(prompt);
+	text = mem_calloc(1, 1);
+	json_array_foreach(messages, i, message)
+	{
+		const char *part = http_json_string(message, "content", "");
+		size_t length = strlen(part);
+
+		text = mem_realloc(text, size + length + 1, 1);
+		memcpy(text + size, part, length + 1);
+		size += length;
+	}
+	return text;
+}
+
+/* Cuts off the tokens of earlier attempts that follow the prompt. */
+static size_t prompt_size(const char *prompt, size_t size, int64_t resumed)
+{
+	size_t tail = (size_t)resumed * TOKEN_SIZE_BYTES, i;
+	char text[TOKEN_SIZE_BYTES + 1];
+	uint64_t seed;
+
+	if (resumed <= 0 || tail > size)
+		return size;
+	seed = tokens_seed(prompt, size - tail);
+	for (i = 0; i < (size_t)resumed; i++) {
+		token_text(seed, (int64_t)i, text);
+		if (memcmp(prompt + size - tail + i * TOKEN_SIZE_BYTES, text,
+			   TOKEN_SIZE_BYTES) != 0)
+			return size;
+	}
+	return size - tail;
+}
+
+static char *call_number(const char *prompt, size_t size)
+{
+	char call[CALL_SIZE_BYTES] = "";
+	size_t from = size > CALL_SIZE_BYTES ? size - CALL_SIZE_BYTES : 0;
+	const char *found = strstr(prompt + from, "call=");
+
+	if (found)
+		sscanf(found + 5, "%63[0-9A-Za-z_.-]", call);
+	return mem_strdup(call);
+}
+
+static stream_t *new_stream(const json_t *body, int64_t *cached)
+{
+	stream_t *stream = mem_calloc(1, sizeof(*stream));
+	const json_t *peers = json_object_get(body, "peers");
+	const char *salt = http_json_string(body, "cache_salt", "");
+	char *prompt = prompt_text(body);
+	size_t size, i;
+
+	pthread_cond_init(&stream->changed, NULL);
+	stream->first = http_json_integer(body, "resume_tokens", 0);
+	size = prompt_size(prompt, strlen(prompt), stream->first);
+	prompt[size] = '\0';
+	stream->id = mem_strdup(http_json_string(body, "stream_id", "none"));
+	stream->call = call_number(prompt, size);
+	stream->seed = tokens_seed(prompt, size);
+	stream->prompt_tokens = prompt_token_count(size) + stream->first;
+	stream->generated = stream->first;
+	stream->max_tokens = http_json_integer(body, "max_tokens", 16);
+	stream->priority = http_json_integer(body, "priority", 0);
+	stream->readers = 1;
+	for (i = 0; i < json_array_size(peers) && i < BATCH_PEERS_MAX; i++) {
+		const char *peer = json_string_value(json_array_get(peers, i));
+
+		stream->peers[i] = mem_strdup(peer ? peer : "");
+		stream->peer_count++;
+	}
+	*cached = batch_cache_prompt(prompt, size,
+				     tokens_seed(salt, strlen(salt)));
+	free(prompt);
+	return stream;
+}
+
+static const char *why_not_run(const json_t *body)
+{
+	if (http_take(&refuse))
+		return "fault";
+	if (strcmp(http_json_string(body, "model", ""), batch_conf.model) != 0)
+		return "model";
+	return NULL;
+}
+
+static enum MHD_Result submit(http_request_t *request)
+{
+	bool chat = !strcmp(request->path, "/v1/chat/completions");
+	json_t *body = http_body_json(request);
+	const char *reason;
+	stream_t *stream;
+	int64_t cached;
+	bool taken;
+
+	pthread_mutex_lock(&batch_lock);
+	reason = why_not_run(body);
+	stream = new_stream(body, &cached);
+	json_decref(body);
+	if (reason) {
+		history_event("refused", "call=\"%s\" reason=%s", stream->call,
+			      reason);
+		stream_free(stream);
+		pthread_mutex_unlock(&batch_lock);
+		return http_refuse(request);
+	}
+	if (stream->peer_count) {
+		pthread_mutex_unlock(&batch_lock);
+		batch_call_peers(stream, stream->prompt_tokens /
+						 (1 + stream->peer_count));
+		pthread_mutex_lock(&batch_lock);
+	}
+	taken = batch_add(stream, cached) && !http_take(&lose_submits);
+	if (!taken)
+		batch_release(stream);
+	pthread_mutex_unlock(&batch_lock);
+	return taken ? sse_start(request, stream, stream->first, chat) : MHD_NO;
+}
+
+static enum MHD_Result on_stream(http_request_t *request, const char *id)
+{
+	stream_t *stream;
+
+	pthread_mutex_lock(&batch_lock);
+	stream = batch_find(id);
+	if (stream && !strcmp(request->method, "DELETE"))
+		batch_end(stream, STREAM_CANCELLED);
+	else if (stream)
+		stream->readers++;
+	pthread_mutex_unlock(&batch_lock);
+	if (!stream)
+		return http_reply(request, 404, "{}");
+	if (!strcmp(request->method, "DELETE"))
+		return http_reply(request, 200, "{}");
+	return sse_start(
+		request, stream,
+		http_argument_integer(request, "offset", stream->first), false);
+}
+
+static enum MHD_Result on_order(http_request_t *request, const json_t *body)
+{
+	int64_t fencing = http_json_integer(body, "fencing", 0);
+	const char *model = http_json_string(body, "model", NULL);
+	const char *role = http_json_string(body, "role", NULL);
+	bool stale = !strcmp(fencing_text, "enforced") &&
+		     fencing < fencing_seen;
+
+	if (fencing > fencing_seen)
+		fencing_seen = fencing;
+	history_event("order", "fencing=%" PRId64 " kind=%s accepted=%d",
+		      fencing, http_json_string(body, "kind", ""), !stale);
+	if (stale)
+		return http_reply(request, 409, "{}");
+	if (model && *model && strcmp(model, batch_conf.model) != 0) {
+		free(batch_conf.model);
+		batch_conf.model = mem_strdup(model);
+		batch_turn_cold();
+	}
+	if (role && *role) {
+		free(batch_conf.role);
+		batch_conf.role = mem_strdup(role);
+	}
+	return http_reply(request, 200, "{}");
+}
+
+static enum MHD_Result on_fault(http_request_t *request, const json_t *fault)
+{
+	int64_t crash = 0, cold = 0;
+
+	http_fault(fault, "crash", &crash);
+	http_fault(fault, "cold", &cold);
+	http_fault(fault, "refuse", &refuse);
+	http_fault(fault, "lose_submits", &lose_submits);
+	http_fault(fault, "cut_after", &sse_faults.cut_after);
+	http_fault(fault, "cut_count", &sse_faults.cut_count);
+	http_fault(fault, "crossed", &sse_faults.crossed);
+	http_fault(fault, "wrong_offset", &sse_faults.wrong_offset);
+	http_fault(fault, "slow_ms", &batch_conf.slow_ms);
+	http_fault(fault, "stall", &batch_conf.stall);
+	if (crash)
+		batch_restart("crash");
+	if (cold)
+		batch_turn_cold();
+	return http_reply(request, fault ? 200 : 400, "{}");
+}
+
+/* Hands the memory of a stream from one engine to another. */
+static enum MHD_Result on_kv(http_request_t *request, const json_t *body,
+			     bool import)
+{
+	const char *id = http_json_string(body, "stream_id", "");
+	stream_t *stream = batch_find(id);
+	int64_t tokens = http_json_integer(body, "tokens", 0);
+
+	if (!import && !stream)
+		return http_reply(request, 404, "{}");
+	if (import)
+		batch_share(id, tokens);
+	else
+		tokens = stream->held_tokens;
+	return http_reply_json(request, 200,
+			       json_pack("{s:s,s:I}", "stream_id", id, "tokens",
+					 tokens));
+}
+
+static enum MHD_Result on_locked(http_request_t *request, const json_t *body)
+{
+	const char *path = request->path;
+
+	if (!strcmp(path, "/v1/load"))
+		return http_reply_json(request, 200, batch_load());
+	if (!strcmp(path, "/v1/streams"))
+		return http_reply_json(request, 200, batch_list());
+	if (!strcmp(path, "/v1/cache_events"))
+		return http_reply_json(request, 200,
+				       batch_cache_events(http_argument_integer(
+					       request, "after", 0)));
+	if (!strcmp(path, "/v1/orders"))
+		return on_order(request, body);
+	if (!strcmp(path, "/v1/kv/export") || !strcmp(path, "/v1/kv/import"))
+		return on_kv(request, body, !strcmp(path, "/v1/kv/import"));
+	if (!strcmp(path, "/standin/share")) {
+		batch_share(http_json_string(body, "stream_id", ""),
+			    http_json_integer(body, "tokens", 0));
+		return http_reply(request, 200, "{}");
+	}
+	if (!strcmp(path, "/standin/fault"))
+		return on_fault(request, body);
+	return http_reply(request, 404, "{}");
+}
+
+static enum MHD_Result on_request(http_request_t *request)
+{
+	enum MHD_Result result;
+	json_t *body;
+
+	if (!strcmp(request->path, "/v1/completions") ||
+	    !strcmp(request->path, "/v1/chat/completions"))
+		return submit(request);
+	if (!strncmp(request->path, "/v1/streams/", 12))
+		return on_stream(request, request->path + 12);
+	body = http_body_json(request);
+	pthread_mutex_lock(&batch_lock);
+	result = on_locked(request, body);
+	pthread_mutex_unlock(&batch_lock);
+	json_decref(body);
+	return result;
+}
+
+int main(int argc, const char **argv)
+{
+#define NUMBER(option, target, help)                               \
+	{                                                          \
+		option, 0, POPT_ARG_LONGLONG, target, 0, help, "N" \
+	}
+#define TEXT(option, target, help)                                  \
+	{                                                           \
+		option, 0, POPT_ARG_STRING, target, 0, help, "TEXT" \
+	}
+	struct poptOption options[] = {
+		{ NULL, 0, POPT_ARG_INCLUDE_TABLE, http_options, 0, NULL,
+		  NULL },
+		TEXT("name", &name, "name of the server"),
+		TEXT("model", &batch_conf.model, "model that it serves"),
+		TEXT("role", &batch_conf.role, "both, prefill or decode"),
+		TEXT("fencing", &fencing_text, "enforced or ignored"),
+		NUMBER("kv-tokens", &batch_conf.kv_tokens, "memory"),
+		NUMBER("prefill-tokens-per-s", &batch_conf.prefill_tokens_per_s,
+		       "prefill rate of the engine"),
+		NUMBER("decode-tokens-per-s", &batch_conf.decode_tokens_per_s,
+		       "decode rate of one stream"),
+		NUMBER("cold-limit", &batch_conf.cold_limit,
+		       "requests borne while cold"),
+		NUMBER("cold-until", &batch_conf.cold_until,
+		       "completed requests that make it warm"),
+		NUMBER("report-lag-ms", &batch_conf.report_lag_ms,
+		       "age of load reports"),
+		NUMBER("event-gap", &batch_conf.event_gap,
+		       "every Nth cache event is lost"),
+		{ "shares-kv", 0, POPT_ARG_NONE, &batch_conf.shares_kv, 0,
+		  "holds prompts together with other engines", NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	int status;
+
+	http_parse_options(argc, argv, options);
+	if (!name)
+		name = mem_strdup("engine");
+	if (!batch_conf.model)
+		batch_conf.model = mem_strdup("m");
+	if (!batch_conf.role)
+		batch_conf.role = mem_strdup("both");
+	if (!fencing_text)
+		fencing_text = mem_strdup("ignored");
+	status = http_serve(name, on_request, batch_start, batch_stop);
+	free(name);
+	free(fencing_text);
+	free(batch_conf.model);
+	free(batch_conf.role);
+	return status;
+}
--- /dev/null
+++ b/tests/standin/lib_report.c
@@ -0,0 +1,227 @@
+#include "lib_batch.h"
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "lib/tokens.h"
+#include "lib_http.h"
+
+enum {
+	REPORTS = 64,
+	PEER_TIMEOUT_MS = 500,
+	BLOCK_SIZE_BYTES = 4096,
+	BLOCKS_MAX = 4096,
+	EVENTS_MAX = 4096
+};
+
+typedef struct {
+	uint64_t block;
+	bool stored;
+} cache_event_t;
+
+static json_t *reports[REPORTS];
+static int64_t report_count, reported_us;
+static uint64_t blocks[BLOCKS_MAX]; /* ring: the oldest is evicted */
+static int64_t block_count;
+static cache_event_t events[EVENTS_MAX]; /* by sequence number */
+static int64_t last_sequence;
+
+static bool is_cached(uint64_t block)
+{
+	int64_t i;
+
+	for (i = 0; i < BLOCKS_MAX && i < block_count; i++)
+		if (blocks[i] == block)
+			return true;
+	return false;
+}
+
+static void publish(uint64_t block, bool stored)
+{
+	cache_event_t *event = &events[++last_sequence % EVENTS_MAX];
+
+	event->block = block;
+	event->stored = stored;
+}
+
+int64_t batch_cache_prompt(const char *prompt, size_t size, uint64_t salt)
+{
+	uint64_t block = salt, *place;
+	int64_t cached = 0;
+	bool hit = true;
+	size_t at;
+
+	for (at = 0; at + BLOCK_SIZE_BYTES <= size; at += BLOCK_SIZE_BYTES) {
+		block = XXH64(prompt + at, BLOCK_SIZE_BYTES, block);
+		hit = hit && is_cached(block);
+		if (hit) {
+			cached += BLOCK_SIZE_BYTES / PROMPT_BYTES_PER_TOKEN;
+			continue;
+		}
+		place = &blocks[block_count % BLOCKS_MAX];
+		if (block_count++ >= BLOCKS_MAX)
+			publish(*place, false);
+		*place = block;
+		publish(block, true);
+	}
+	return cached;
+}
+
+json_t *batch_cache_events(int64_t after)
+{
+	json_t *list = json_array();
+	int64_t sequence = last_sequence - EVENTS_MAX + 1;
+	char block[20];
+
+	if (sequence <= after)
+		sequence = after + 1;
+	for (; sequence > 0 && sequence <= last_sequence; sequence++) {
+		const cache_event_t *event = &events[sequence % EVENTS_MAX];
+
+		if (batch_conf.event_gap &&
+		    sequence % batch_conf.event_gap == 0)
+			continue;
+		snprintf(block, sizeof(block), "%016" PRIx64, event->block);
+		json_array_append_new(
+			list,
+			json_pack("{s:I,s:s,s:s}", "sequence", sequence, "type",
+				  event->stored ? "stored" : "evicted", "block",
+				  block));
+	}
+	return json_pack("{s:I,s:o}", "incarnation", batch.incarnation,
+			 "events", list);
+}
+
+void batch_clear_cache(void)
+{
+	block_count = 0;
+	last_sequence = 0;
+}
+
+void batch_drop_reports(void)
+{
+	for (report_count = 0; report_count < REPORTS; report_count++)
+		json_decref(reports[report_count]);
+}
+
+static json_t *take_report(int64_t now_us)
+{
+	int64_t queued = 0, running = 0;
+	double left = 0;
+	const stream_t *stream;
+
+	for (stream = batch.streams; stream; stream = stream->next) {
+		running += stream->state == STREAM_DECODE;
+		queued += stream->state == STREAM_PREFILL;
+		left += stream->prefill_left * stream_is_running(stream);
+	}
+	return json_pack("{s:I,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:[s],s:s,s:b,s:I}",
+			 "incarnation", batch.incarnation, "cold", batch.cold,
+			 "kv_total", batch_conf.kv_tokens, "kv_used",
+			 batch.kv_used, "running", running, "queued", queued,
+			 "prefill_tokens_queued", (json_int_t)left,
+			 "prefill_tokens_per_s",
+			 batch_conf.prefill_tokens_per_s, "models",
+			 batch_conf.model, "role", batch_conf.role, "shares_kv",
+			 batch_conf.shares_kv, "time_us", now_us);
+}
+
+/* Keeps reports over twice the lag, in a ring. */
+void batch_keep_report(int64_t now_us)
+{
+	json_t **place = &reports[report_count % REPORTS];
+
+	if (!batch_conf.report_lag_ms ||
+	    now_us - reported_us <
+		    batch_conf.report_lag_ms * US_PER_MS * 2 / REPORTS)
+		return;
+	json_decref(*place);
+	*place = take_report(now_us);
+	report_count++;
+	reported_us = now_us;
+}
+
+json_t *batch_load(void)
+{
+	int64_t now_us = clock_monotonic_us(), i;
+	int64_t until_us = now_us - batch_conf.report_lag_ms * US_PER_MS;
+
+	if (!batch_conf.report_lag_ms)
+		return take_report(now_us);
+	for (i = report_count - 1; i >= 0 && i > report_count - REPORTS; i--)
+		if (http_json_integer(reports[i % REPORTS], "time_us", 0) <=
+		    until_us)
+			return json_incref(reports[i % REPORTS]);
+	return take_report(now_us);
+}
+
+json_t *batch_list(void)
+{
+	json_t *list = json_array();
+	const stream_t *stream;
+
+	for (stream = batch.streams; stream; stream = stream->next)
+		if (stream_is_running(stream))
+			json_array_append_new(
+				list,
+				json_pack("{s:s,s:I,s:I}", "stream_id",
+					  stream->id, "prompt_tokens",
+					  stream->prompt_tokens, "generated",
+					  stream->generated));
+	return json_pack("{s:I,s:o}", "incarnation", batch.incarnation,
+			 "streams", list);
+}
+
+bool batch_call_peers(const stream_t *stream, int64_t tokens)
+{
+	char url[320], body[256];
+	bool held = true;
+	int32_t i;
+
+	snprintf(body, sizeof(body),
+		 "{\"stream_id\":\"%.128s\",\"tokens\":%" PRId64 "}",
+		 stream->id, tokens);
+	for (i = 0; i < stream->peer_count; i++) {
+		CURL *call = curl_easy_init();
+
+		snprintf(url, sizeof(url), "%s/standin/share",
+			 stream->peers[i]);
+		curl_easy_setopt(call, CURLOPT_URL, url);
+		curl_easy_setopt(call, CURLOPT_POSTFIELDS, body);
+		curl_easy_setopt(call, CURLOPT_NOSIGNAL, 1L);
+		curl_easy_setopt(call, CURLOPT_TIMEOUT_MS,
+				 (long)PEER_TIMEOUT_MS);
+		held = !curl_easy_perform(call) && held;
+		curl_easy_cleanup(call);
+	}
+	return held;
+}
+
+/* Gives back the memory on the peers of ended streams, without the lock. */
+void batch_release_peers(void)
+{
+	stream_t *stream;
+
+	for (stream = batch.streams; stream; stream = stream->next) {
+		stream_t copy;
+
+		if (stream_is_running(stream) || !stream->peer_count)
+			continue;
+		copy = *stream;
+		stream->peer_count = 0;
+		copy.id = mem_strdup(stream->id);
+		pthread_mutex_unlock(&batch_lock);
+		batch_call_peers(&copy, 0);
+		while (copy.peer_count)
+			free(copy.peers[--copy.peer_count]);
+		free(copy.id);
+		pthread_mutex_lock(&batch_lock);
+	}
+}
