--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1550,7 +1550,7 @@
   (ProtobufCMessageInit) peer__leaving__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__summary__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer__summary__field_descriptors[3] =
 {
   {
     "config_version",
@@ -1576,15 +1576,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Summary, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__summary__field_indices_by_name[] = {
   0,   /* field[0] = config_version */
+  2,   /* field[2] = data_centre */
   1,   /* field[1] = members */
 };
 static const ProtobufCIntRange peer__summary__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor peer__summary__descriptor =
 {
@@ -1594,7 +1607,7 @@
   "Peer__Summary",
   "peer",
   sizeof(Peer__Summary),
-  2,
+  3,
   peer__summary__field_descriptors,
   peer__summary__field_indices_by_name,
   1,  peer__summary__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -229,12 +229,19 @@
 {
   ProtobufCMessage base;
   int64_t config_version;
+  /*
+   * empty: unchanged
+   */
   size_t n_members;
   Peer__Member **members;
+  /*
+   * empty: that of the sender
+   */
+  char *data_centre;
 };
 #define PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__summary__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__Member
