--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -226,7 +226,7 @@
 		goto done;
 	started = start_daemon(listener, conf, fd, certificate, key, err);
 	if (started) {
-		struct sockaddr_in address;
+		struct sockaddr_in address = { 0 };
 		socklen_t size = sizeof(address);
 
 		getsockname(fd, (struct sockaddr *)&address, &size);
