--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -359,6 +359,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_curl_header);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	set_method(easy, request, call->body);
+	if (request->ca_path)
+		curl_easy_setopt(easy, CURLOPT_CAINFO, request->ca_path);
 }
 
 static void start_idle_timer(client_call_t *call, int64_t timeout_ms)
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -30,6 +30,7 @@
 	 * a request by itself when a reused connection turns out to be closed.
 	 */
 	bool at_most_once;
+	const char *ca_path; /**< PEM file that vouches for https; or NULL */
 } client_request_t;
 
 typedef enum {
--- /dev/null
+++ b/src/ctl/node.c
@@ -0,0 +1,165 @@
+#include <ev.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "connection/client.h"
+#include "ctl/ctl.h"
+
+enum { STATUS_MAX_BYTES = 16 * 1024 * 1024, TIMEOUT_MS = 5000 };
+
+typedef struct {
+	struct ev_loop *loop;
+	client_end_t end;
+	int status;
+	char *body;
+} reply_t;
+
+static void on_done(void *context, client_end_t end, int status,
+		    const char *body, size_t size)
+{
+	reply_t *reply = context;
+
+	reply->end = end;
+	reply->status = status;
+	reply->body = mem_copy(body, size);
+	ev_break(reply->loop, EVBREAK_ALL);
+}
+
+static void fetch(const settings_t *settings, client_t *client, reply_t *reply)
+{
+	char url[URL_SIZE_BYTES + 32], authorization[NAME_SIZE_BYTES + 32];
+	const char *headers[] = { authorization, NULL };
+	client_request_t request = {
+		.method = "GET",
+		.url = url,
+		.headers = headers,
+		.connect_timeout_ms = TIMEOUT_MS,
+		.idle_timeout_ms = TIMEOUT_MS,
+		.total_timeout_ms = TIMEOUT_MS,
+		.ca_path = *settings->operator_certificate
+				   ? settings->operator_certificate
+				   : NULL,
+	};
+
+	snprintf(url, sizeof(url), "%s://%s/status",
+		 *settings->operator_certificate ? "https" : "http",
+		 settings->operator_address);
+	snprintf(authorization, sizeof(authorization),
+		 "Authorization: Bearer %s", settings->operator_token);
+	client_fetch(client, &request, STATUS_MAX_BYTES, on_done, reply);
+	ev_run(reply->loop, 0);
+}
+
+/* Reads a node's status; prints the error and returns NULL if it fails. */
+static json_t *read_status(const invocation_t *invocation, exit_code_t *code)
+{
+	reply_t reply = { .loop = NULL };
+	settings_t settings;
+	client_t *client;
+	json_t *json = NULL;
+	err_t err = { 0 };
+
+	*code = EXIT_FAILED;
+	if (!ctl_settings(invocation, &settings))
+		return NULL;
+	reply.loop = ev_loop_new(EVFLAG_AUTO);
+	client = client_create(reply.loop, &err);
+	if (!client) {
+		ctl_complain("%s", err.message);
+		ev_loop_destroy(reply.loop);
+		return NULL;
+	}
+	fetch(&settings, client, &reply);
+	client_destroy(client);
+	ev_loop_destroy(reply.loop);
+	if (reply.end != CLIENT_OK) {
+		ctl_complain("%s: no answer", settings.operator_address);
+		*code = EXIT_UNREACHABLE;
+	} else if (reply.status != 200) {
+		ctl_complain("%s: HTTP status %d", settings.operator_address,
+			     reply.status);
+	} else {
+		json = json_loads(reply.body, 0, NULL);
+		if (!json)
+			ctl_complain("%s: the answer is not JSON",
+				     settings.operator_address);
+	}
+	free(reply.body);
+	return json;
+}
+
+/* Prints nested values as PATH: VALUE lines. */
+static void print_value(const char *path, const json_t *value)
+{
+	char child[256];
+	const char *key;
+	json_t *member;
+	size_t i;
+
+	if (json_is_object(value)) {
+		json_object_foreach((json_t *)value, key, member)
+		{
+			snprintf(child, sizeof(child), "%s%s%s", path,
+				 *path ? "." : "", key);
+			print_value(child, member);
+		}
+	} else if (json_is_array(value)) {
+		json_array_foreach(value, i, member)
+		{
+			snprintf(child, sizeof(child), "%s[%zu]", path, i);
+			print_value(child, member);
+		}
+	} else if (json_is_string(value)) {
+		printf("%s: %s\n", path, json_string_value(value));
+	} else {
+		printf("%s: ", path);
+		ctl_print_json(value);
+	}
+}
+
+exit_code_t command_status(const invocation_t *invocation)
+{
+	exit_code_t code;
+	json_t *status = read_status(invocation, &code);
+
+	if (!status)
+		return code;
+	if (invocation->json)
+		ctl_print_json(status);
+	else
+		print_value("", status);
+	json_decref(status);
+	return EXIT_OK;
+}
+
+static const char *text_member(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "-";
+}
+
+exit_code_t command_member_list(const invocation_t *invocation)
+{
+	exit_code_t code;
+	json_t *status = read_status(invocation, &code);
+	const json_t *members, *member;
+	size_t i;
+
+	if (!status)
+		return code;
+	members = json_object_get(status, "members");
+	if (invocation->json) {
+		ctl_print_json(members);
+	} else {
+		json_array_foreach(members, i, member)
+			printf("%s %s %s %s\n", text_member(member, "id"),
+			       text_member(member, "data_centre"),
+			       text_member(member, "state"),
+			       text_member(member, "address"));
+	}
+	json_decref(status);
+	return EXIT_OK;
+}
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -349,15 +349,24 @@
 	return true;
 }
 
-static bool fill_in(const char *path, const bool seen[], settings_t *settings,
-		    err_t *err)
+typedef enum { READER_DAEMON, READER_TOOL } reader_t;
+
+static bool is_needed(reader_t reader, const setting_t *setting)
+{
+	return reader == READER_DAEMON ||
+	       !strcmp(setting->section, "platform") ||
+	       !strcmp(setting->section, "operators");
+}
+
+static bool fill_in(const char *path, reader_t reader, const bool seen[],
+		    settings_t *settings, err_t *err)
 {
 	place_t place = { .path = path };
 	int i;
 
 	for (i = 0; i < SETTING_COUNT; i++) {
 		place.setting = &table[i];
-		if (seen[i])
+		if (seen[i] || !is_needed(reader, &table[i]))
 			continue;
 		if (!table[i].initial)
 			return err_set(err, ERR_LAYER_SETTINGS,
@@ -389,7 +398,8 @@
 	return true;
 }
 
-bool settings_load(const char *path, settings_t *settings, err_t *err)
+static bool load(const char *path, reader_t reader, settings_t *settings,
+		 err_t *err)
 {
 	bool seen[SETTING_COUNT] = { false }, loaded;
 	yaml_document_t document;
@@ -413,7 +423,7 @@
 			parser.problem ? parser.problem : "not YAML");
 	} else {
 		loaded = read_root(path, &document, seen, settings, err) &&
-			 fill_in(path, seen, settings, err) &&
+			 fill_in(path, reader, seen, settings, err) &&
 			 check_pairs(path, settings, err);
 		yaml_document_delete(&document);
 	}
@@ -421,3 +431,13 @@
 	fclose(file);
 	return loaded;
 }
+
+bool settings_load(const char *path, settings_t *settings, err_t *err)
+{
+	return load(path, READER_DAEMON, settings, err);
+}
+
+bool settings_load_tool(const char *path, settings_t *settings, err_t *err)
+{
+	return load(path, READER_TOOL, settings, err);
+}
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -66,4 +66,7 @@
 /** Reads @p path; false with @p err filled in as `file:line: key: problem`. */
 bool settings_load(const char *path, settings_t *settings, err_t *err);
 
+/** The same for the tool, which needs only `platform` and `operators`. */
+bool settings_load_tool(const char *path, settings_t *settings, err_t *err);
+
 #endif
