--- a/src/base/trace.c
+++ b/src/base/trace.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 #include <pthread.h>
 #include <sodium.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -15,6 +16,12 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static span_t queue[QUEUE_SPANS];
 static size_t queue_head, queue_count;
+static atomic_bool recording = true;
+
+void trace_enable(bool enabled)
+{
+	atomic_store(&recording, enabled);
+}
 
 void trace_context_new(trace_context_t *context)
 {
@@ -77,6 +84,8 @@
 
 void trace_record(const span_t *span)
 {
+	if (!atomic_load(&recording))
+		return;
 	pthread_mutex_lock(&lock);
 	if (queue_count == QUEUE_SPANS) {
 		metrics_add(METRIC_SPANS_DROPPED, 1);
--- a/src/base/trace.h
+++ b/src/base/trace.h
@@ -43,6 +43,9 @@
 void trace_context_format(const trace_context_t *context,
 			  char text[TRACE_PARENT_SIZE_BYTES]);
 
+/** Turns recording on (the default) or off, when nothing exports spans. */
+void trace_enable(bool enabled);
+
 /** Queues a finished span; drops and counts it if the queue is full. */
 void trace_record(const span_t *span);
 
