Add both sides of the credit protocol and a simulation of its faults

Change: credit_holder and credit_owner, the simulated nodes of tests/lib/credit_sim.c, and a fuzzer whose oracle is that what holders may use never exceeds the limit and that everything is free again after quiet time.

--- a/Makefile
+++ b/Makefile
@@ -71,11 +71,12 @@
 		$(STANDIN_LIB:%.c=$(BUILD)/%.o) $(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-build/fuzz/%: tests/fuzz/%.c $(LIB_SRC) $(HEADERS)
+FUZZ_LIB = tests/lib/credit_sim.c
+build/fuzz/%: tests/fuzz/%.c $(FUZZ_LIB) $(LIB_SRC) $(HEADERS)
 	@mkdir -p $(@D)
 	clang $(CPPFLAGS) -std=c11 -O1 -g -w \
 		-fsanitize=fuzzer,address,undefined -fno-sanitize-recover=all \
-		-o $@ $< $(LIB_SRC) $(LIBS)
+		-o $@ $< $(FUZZ_LIB) $(LIB_SRC) $(LIBS)
 
 demo:
 	tools/deps
--- a/src/process/credit.h
+++ b/src/process/credit.h
@@ -9,6 +9,8 @@
 #ifndef PROCESS_CREDIT_H
 #define PROCESS_CREDIT_H
 
+#include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/units.h"
@@ -44,10 +46,16 @@
 	 */
 	CREDIT_REFUSAL,
 	CREDIT_RENEW, /**< holder extends grant `id` */
-	CREDIT_RETURN, /**< holder gives back `amount` of grant `id` */
 	/**
-	 * Holder tells a new owner what it holds. The message with id 0 ends
-	 * the list and carries the sum.
+	 * Holder gives back `amount` of grant `id` and keeps `minimum`. What
+	 * is kept counts, so that a repeated return has no further effect.
+	 */
+	CREDIT_RETURN,
+	/**
+	 * Holder tells a new owner what it holds, or an owner what is still
+	 * in use of a grant that expired. Answered like a renewal, but never
+	 * refused: it states a fact. The message with id 0 ends the list of
+	 * a holder, carries the sum and has no answer.
 	 */
 	CREDIT_PRESENT
 } credit_msg_type_t;
@@ -61,7 +69,7 @@
 	 * Grows with every new message of the holder; an answer repeats the
 	 * number of the message that it answers, 0 if it answers none. It
 	 * tells a late answer to an earlier message from the answer to a
-	 * renewal, and a repeated partial return from a second one.
+	 * renewal.
 	 */
 	uint64_t sequence;
 	credit_amount_t amount;
@@ -75,4 +83,36 @@
 #define CREDIT_LIFETIME_US (2 * US_PER_S)
 #define CREDIT_MARGIN_US (250 * US_PER_MS)
 
+/** Sets a resource; unused bytes are zero, so it can serve as a hash key. */
+void resource_set(resource_t *resource, resource_kind_t kind, const char *name);
+bool resource_equal(const resource_t *a, const resource_t *b);
+
+credit_amount_t credit_add(credit_amount_t a, credit_amount_t b);
+
+/** Subtracts per component; a component that would be negative is 0. */
+credit_amount_t credit_sub(credit_amount_t a, credit_amount_t b);
+credit_amount_t credit_min(credit_amount_t a, credit_amount_t b);
+credit_amount_t credit_max(credit_amount_t a, credit_amount_t b);
+bool credit_is_zero(credit_amount_t amount);
+
+/** Whether no component of @p amount is above that of @p limit. */
+bool credit_fits(credit_amount_t amount, credit_amount_t limit);
+
+/** Whether a received message has sensible numbers and a name. */
+bool credit_msg_valid(const credit_msg_t *message);
+
+/** First-in, first-out queue of messages to send. */
+typedef struct {
+	credit_msg_t *messages;
+	size_t first;
+	size_t count;
+	size_t capacity;
+} credit_queue_t;
+
+/** Adds a copy of @p message and returns it. */
+credit_msg_t *credit_queue_add(credit_queue_t *queue,
+			       const credit_msg_t *message);
+bool credit_queue_take(credit_queue_t *queue, credit_msg_t *message);
+void credit_queue_clear(credit_queue_t *queue);
+
 #endif
--- /dev/null
+++ b/src/process/credit_grant.c
@@ -0,0 +1,101 @@
+#include "process/credit_grant.h"
+
+#include "base/mem.h"
+
+credit_amount_t grant_unused(const credit_grant_t *grant)
+{
+	return credit_sub(grant->amount, grant->used);
+}
+
+bool grant_usable(const credit_grant_t *grant, int64_t now_us)
+{
+	return grant->state == GRANT_HELD && !grant->closed &&
+	       grant->expires_us > now_us;
+}
+
+static credit_msg_t *add(credit_sender_t *sender, credit_msg_type_t type,
+			 const resource_t *resource, uint64_t id)
+{
+	credit_msg_t message = { .type = type,
+				 .resource = *resource,
+				 .id = id,
+				 .lifetime_us = CREDIT_LIFETIME_US,
+				 .holder_incarnation = sender->incarnation };
+	credit_msg_t *added = credit_queue_add(&sender->queue, &message);
+
+	mem_strlcpy(added->holder, sender->vm_id, sizeof(added->holder));
+	return added;
+}
+
+static void send(credit_grant_t *grant, credit_msg_type_t type,
+		 const resource_t *resource, credit_sender_t *sender,
+		 int64_t now_us)
+{
+	credit_msg_t *message = add(sender, type, resource, grant->id);
+
+	message->amount = grant->amount;
+	message->minimum = grant->minimum;
+	message->sequence = grant->ask_sequence;
+	grant->repeat_us = now_us + CREDIT_REPEAT_US;
+}
+
+static void renumber(credit_grant_t *grant, credit_sender_t *sender,
+		     int64_t now_us)
+{
+	grant->ask_sequence = ++sender->next_sequence;
+	grant->ask_sent_us = now_us;
+}
+
+void grant_ask(credit_grant_t *grant, const resource_t *resource,
+	       credit_sender_t *sender, int64_t now_us)
+{
+	credit_msg_type_t type = CREDIT_REQUEST;
+
+	if (grant->state == GRANT_REFUSED)
+		grant->state = GRANT_ASKED;
+	else if (grant->state == GRANT_HELD)
+		type = CREDIT_RENEW;
+	else if (grant->state == GRANT_LAPSED)
+		type = CREDIT_PRESENT;
+	if (!grant->ask_sequence ||
+	    now_us - grant->ask_sent_us >= CREDIT_RENEW_US)
+		renumber(grant, sender, now_us);
+	send(grant, type, resource, sender, now_us);
+}
+
+void grant_present(credit_grant_t *grant, const resource_t *resource,
+		   credit_sender_t *sender, int64_t now_us)
+{
+	renumber(grant, sender, now_us);
+	send(grant, CREDIT_PRESENT, resource, sender, now_us);
+}
+
+void grant_return(uint64_t id, const resource_t *resource,
+		  credit_amount_t amount, credit_amount_t kept,
+		  credit_sender_t *sender)
+{
+	credit_msg_t *message = add(sender, CREDIT_RETURN, resource, id);
+
+	message->amount = credit_sub(amount, kept);
+	message->minimum = kept;
+	message->sequence = ++sender->next_sequence;
+}
+
+bool grant_shrink(credit_grant_t *grant, const resource_t *resource,
+		  credit_sender_t *sender)
+{
+	if (credit_is_zero(grant_unused(grant)))
+		return !credit_is_zero(grant->amount);
+	grant_return(grant->id, resource, grant->amount, grant->used, sender);
+	grant->amount = grant->used;
+	return !credit_is_zero(grant->amount);
+}
+
+void grant_present_end(const resource_t *resource, credit_amount_t sum,
+		       credit_sender_t *sender)
+{
+	credit_msg_t *message = add(sender, CREDIT_PRESENT, resource, 0);
+
+	message->amount = sum;
+	message->sequence = ++sender->next_sequence;
+}
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -60,7 +60,11 @@
 void credit_holder_receive(credit_holder_t *holder, const credit_msg_t *message,
 			   int64_t now_us);
 
-/** The owner of a resource changed: presents the grants to the new one. */
+/**
+ * The owner of a resource changed: presents the grants to the new one. Call
+ * it for every server and weight-load resource when this node learns its
+ * owner for the first time, too, since the owner waits for every member.
+ */
 void credit_holder_owner_changed(credit_holder_t *holder,
 				 const resource_t *resource, int64_t now_us);
 
--- a/src/process/credit_owner.h
+++ b/src/process/credit_owner.h
@@ -90,7 +90,11 @@
 void credit_owner_receive(credit_owner_t *owner, const credit_msg_t *message,
 			  int64_t now_us);
 
-/** Expires grants, refills rates, ends quarantines; every 50 ms or so. */
+/**
+ * Expires grants, refills rates, ends quarantines. Call every 50 ms or so: a
+ * gap of 1 s counts as a pause of the process, in which peers may have moved
+ * its ownership, and puts every resource into quarantine.
+ */
 void credit_owner_tick(credit_owner_t *owner, int64_t now_us);
 
 /** Takes the next message to a holder; false if there is none. */
--- /dev/null
+++ b/src/process/credit_owner_limits.c
@@ -0,0 +1,169 @@
+#include <utlist.h>
+
+#include "base/mem.h"
+#include "process/credit_owner_state.h"
+
+bool owner_share_less(owner_share_t a, owner_share_t b)
+{
+	return (int64_t)a.units * b.listed < (int64_t)b.units * a.listed;
+}
+
+owner_share_t owner_share_at(const credit_owner_t *owner, int64_t now_us)
+{
+	return now_us < owner->share_from_us ? owner->share_before
+					     : owner->share;
+}
+
+static int64_t share_of(int64_t amount, owner_share_t share)
+{
+	if (share.units >= share.listed)
+		return amount;
+	return amount / share.listed * share.units;
+}
+
+static credit_amount_t full_limit(const owned_t *owned)
+{
+	credit_amount_t limit = owned->limit.amount;
+
+	if (owned->reported && owned->report_kv_total > 0 &&
+	    owned->report_kv_total < limit.kv_tokens)
+		limit.kv_tokens = owned->report_kv_total;
+	if (owned->ramp_slots < limit.slots)
+		limit.slots = owned->ramp_slots;
+	return limit;
+}
+
+credit_amount_t owned_limit(const credit_owner_t *owner, const owned_t *owned,
+			    int64_t now_us)
+{
+	owner_share_t share = owner_share_at(owner, now_us);
+	credit_amount_t limit = full_limit(owned);
+
+	limit.kv_tokens = share_of(limit.kv_tokens, share);
+	limit.slots = (int32_t)share_of(limit.slots, share);
+	return limit;
+}
+
+/* What the server had in use, and what was granted since it said so. */
+static credit_amount_t reported_use(const owned_t *owned)
+{
+	credit_amount_t used = owned->report_used;
+	const owner_grant_t *grant;
+
+	DL_FOREACH (owned->grants, grant)
+		if (grant->granted_us >= owned->report_taken_us)
+			used = credit_add(used, grant->amount);
+	return used;
+}
+
+credit_amount_t owned_free(const credit_owner_t *owner, const owned_t *owned,
+			   int64_t now_us)
+{
+	credit_amount_t nothing = { 0 }, used = owned->granted, free_amount;
+
+	if (owned->retired || owned->quarantine_until_us)
+		return nothing;
+	if (owned_is_rate(owned)) {
+		free_amount = nothing;
+		free_amount.slots = (int32_t)(owned->rate_tokens_us / US_PER_S);
+		return free_amount;
+	}
+	free_amount = credit_sub(owned_limit(owner, owned, now_us), used);
+	if (!owned->reported || (owner->agreed && !owned->lapsed_us))
+		return free_amount;
+	used = credit_max(used, reported_use(owned));
+	return credit_min(free_amount, credit_sub(full_limit(owned), used));
+}
+
+bool owned_over_limit(const credit_owner_t *owner, const owned_t *owned,
+		      int64_t now_us)
+{
+	if (owned_is_rate(owned))
+		return false;
+	return owned->retired ||
+	       !credit_fits(owned->granted, owned_limit(owner, owned, now_us));
+}
+
+int64_t owned_rate(const credit_owner_t *owner, const owned_t *owned,
+		   int64_t now_us)
+{
+	return share_of(owned->limit.requests_per_s,
+			owner_share_at(owner, now_us));
+}
+
+void owned_refill(const credit_owner_t *owner, owned_t *owned, int64_t now_us)
+{
+	int64_t rate = owned_rate(owner, owned, now_us);
+	int64_t elapsed_us = now_us - owned->rate_filled_us;
+	int64_t burst = rate > 0 ? rate : 1;
+
+	owned->rate_filled_us = now_us;
+	if (elapsed_us > US_PER_S)
+		elapsed_us = US_PER_S;
+	if (elapsed_us > 0)
+		owned->rate_tokens_us += rate * elapsed_us;
+	if (owned->rate_tokens_us > burst * US_PER_S)
+		owned->rate_tokens_us = burst * US_PER_S;
+}
+
+void credit_owner_ramp(credit_owner_t *owner, const resource_t *resource,
+		       int32_t slots, int64_t now_us)
+{
+	owned_t *owned = owned_find(owner, resource);
+
+	if (!owned)
+		return;
+	if (slots < owned->ramp_slots)
+		owned->recall_us = 0;
+	owned->ramp_slots = slots;
+	if (owned_over_limit(owner, owned, now_us))
+		owned_recall(owner, owned, now_us);
+}
+
+void credit_owner_report(credit_owner_t *owner, const load_report_t *report,
+			 int64_t now_us)
+{
+	resource_t resource;
+	owned_t *owned;
+
+	resource_set(&resource, RESOURCE_SERVER, report->server);
+	owned = owned_find(owner, &resource);
+	if (!owned ||
+	    (owned->reported && report->taken_us < owned->report_taken_us))
+		return;
+	owned->reported = true;
+	owned->report_kv_total = report->kv_total_tokens;
+	owned->report_used.kv_tokens = report->kv_used_tokens;
+	owned->report_used.slots = report->running + report->queued;
+	owned->report_taken_us = report->taken_us;
+	if (report->taken_us > owned->lapsed_us &&
+	    credit_fits(owned->report_used, owned->granted))
+		owned->lapsed_us = 0;
+	if (owned_over_limit(owner, owned, now_us))
+		owned_recall(owner, owned, now_us);
+}
+
+void owned_recall(credit_owner_t *owner, owned_t *owned, int64_t now_us)
+{
+	credit_msg_t message = { .type = CREDIT_REFUSAL };
+	bool over = owned_over_limit(owner, owned, now_us);
+	owner_grant_t *grant;
+
+	if (now_us < owned->recall_us || owned_is_rate(owned))
+		return;
+	owned->recall_us = now_us + RECALL_RETRY_US;
+	message.resource = owned->resource;
+	message.retry_after_us = RECALL_RETRY_US;
+	DL_FOREACH (owned->grants, grant) {
+		/* The use that asked for a new grant may not have drawn yet. */
+		if (grant->recalled ||
+		    (!over && now_us - grant->granted_us < RECALL_RETRY_US))
+			continue;
+		grant->recalled = true;
+		message.id = grant->id;
+		message.holder_incarnation = grant->incarnation;
+		mem_strlcpy(message.holder, grant->holder,
+			    sizeof(message.holder));
+		credit_queue_add(&owner->queue, &message);
+	}
+}
--- /dev/null
+++ b/src/process/credit_owner_state.h
@@ -0,0 +1,154 @@
+/**
+ * @file credit_owner_state.h
+ * State of the credit owner. Internal: shared by the part that keeps limits
+ * and time (credit_owner.c) and the part that answers holders
+ * (credit_owner_messages.c).
+ */
+#ifndef PROCESS_CREDIT_OWNER_STATE_H
+#define PROCESS_CREDIT_OWNER_STATE_H
+
+#include <uthash.h>
+
+#include "process/credit_owner.h"
+
+/** Time after which no grant of an earlier owner can be in use. */
+#define QUARANTINE_US (CREDIT_LIFETIME_US + CREDIT_MARGIN_US)
+
+/** Recalls of one resource are at least this far apart. */
+#define RECALL_RETRY_US (100 * US_PER_MS)
+
+/** A grant as its owner sees it. */
+typedef struct owner_grant {
+	char holder[NAME_SIZE_BYTES];
+	uint64_t incarnation;
+	uint64_t id;
+	credit_amount_t amount;
+	int64_t granted_us;
+	int64_t expires_us;
+	bool recalled;
+	struct owner_grant *prev, *next;
+} owner_grant_t;
+
+/** What a holder said it held when the owner changed. */
+typedef struct owner_declared {
+	char holder[NAME_SIZE_BYTES];
+	uint64_t incarnation;
+	credit_amount_t sum;
+	bool complete; /**< all of it was presented */
+	struct owner_declared *next;
+} owner_declared_t;
+
+/** The refused request that is served next. */
+typedef struct {
+	bool set;
+	char holder[NAME_SIZE_BYTES];
+	uint64_t incarnation;
+	uint64_t id;
+	credit_amount_t minimum;
+	int64_t since_us;
+	int64_t last_us;
+} owner_waiter_t;
+
+/** One owned resource. */
+typedef struct {
+	resource_t resource;
+	credit_limit_t limit;
+	bool retired;
+	int32_t ramp_slots; /**< INT32_MAX: no ramp */
+
+	credit_amount_t granted; /**< sum of the grants */
+	owner_grant_t *grants;
+
+	int64_t quarantine_until_us; /**< 0: not in quarantine */
+	owner_declared_t *declared;
+
+	bool reported;
+	int64_t report_kv_total;
+	credit_amount_t report_used;
+	int64_t report_taken_us;
+	int64_t lapsed_us; /**< a grant expired in use then; 0: settled */
+
+	owner_waiter_t waiter;
+	int64_t recall_us; /**< next recall at the earliest */
+
+	int64_t rate_tokens_us; /**< requests times 1,000,000 */
+	int64_t rate_filled_us;
+	UT_hash_handle hh;
+} owned_t;
+
+/** A VM that may hold grants. */
+typedef struct {
+	char vm_id[NAME_SIZE_BYTES];
+	int64_t left_us; /**< when it left the view; INT64_MAX: in it */
+	UT_hash_handle hh;
+} owner_member_t;
+
+/** Share of the limits that may be granted here: units of listed. */
+typedef struct {
+	int32_t units;
+	int32_t listed;
+} owner_share_t;
+
+struct credit_owner {
+	char vm_id[NAME_SIZE_BYTES];
+	bool agreed;
+	owner_share_t share;
+	owner_share_t share_before; /**< in force until share_from_us */
+	int64_t share_from_us;
+	owner_member_t *members;
+	owned_t *owned;
+	credit_queue_t queue;
+	int64_t last_us; /**< time of the last call */
+};
+
+/** @return the share in force. */
+owner_share_t owner_share_at(const credit_owner_t *owner, int64_t now_us);
+bool owner_share_less(owner_share_t a, owner_share_t b);
+
+owned_t *owned_find(const credit_owner_t *owner, const resource_t *resource);
+
+/** @return the limit in force of a server or of weight loads. */
+credit_amount_t owned_limit(const credit_owner_t *owner, const owned_t *owned,
+			    int64_t now_us);
+
+/** @return what may be granted now. */
+credit_amount_t owned_free(const credit_owner_t *owner, const owned_t *owned,
+			   int64_t now_us);
+
+/** Whether more is granted than the limit, or the resource is retired. */
+bool owned_over_limit(const credit_owner_t *owner, const owned_t *owned,
+		      int64_t now_us);
+
+bool owned_is_rate(const owned_t *owned);
+
+/** @return the requests per second that may be granted here. */
+int64_t owned_rate(const credit_owner_t *owner, const owned_t *owned,
+		   int64_t now_us);
+
+/** Adds the requests that a rate allows since the last call. */
+void owned_refill(const credit_owner_t *owner, owned_t *owned, int64_t now_us);
+
+/**
+ * Asks the holders to return what they do not use. Grants of the last
+ * RECALL_RETRY_US are spared while the limit is kept.
+ */
+void owned_recall(credit_owner_t *owner, owned_t *owned, int64_t now_us);
+
+/** Sets what a grant holds; removes it at zero. */
+void owned_set_amount(owned_t *owned, owner_grant_t *grant,
+		      credit_amount_t amount);
+
+/** Removes grants that their holders can no longer use. */
+void owned_expire(owned_t *owned, int64_t now_us);
+
+/**
+ * Notices that this process was paused. Peers may have moved its ownership
+ * since, so every resource goes into quarantine.
+ */
+void owner_check_pause(credit_owner_t *owner, int64_t now_us);
+
+/** Ends a quarantine that is over. */
+void owned_check_quarantine(credit_owner_t *owner, owned_t *owned,
+			    int64_t now_us);
+
+#endif
