--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -2,7 +2,7 @@
  * Stand-in of a model engine: the HTTP side; lib_batch.c is the machine.
  *
  * A prompt has one token for each four bytes. With `resume_tokens`, the text
- * of these tokens may follow the prompt; `max_tokens` counts them too.
+ * of these tokens is in `resume_text`, and `max_tokens` counts them too.
  * Faults: crash, cold, stall, refuse (the next N), lose_submits (the next N
  * are run but not answered), cut_after (tokens) with cut_count (streams),
  * crossed and wrong_offset (the next N chunks follow one of another stream,
@@ -49,23 +49,21 @@
 	return text;
 }
 
-/* Cuts off the tokens of earlier attempts that follow the prompt. */
-static size_t prompt_size(const char *prompt, size_t size, int64_t resumed)
+/* Whether the text of earlier attempts is that of the first tokens. */
+static bool is_continuation(const stream_t *stream, const char *text)
 {
-	size_t tail = (size_t)resumed * TOKEN_SIZE_BYTES, i;
-	char text[TOKEN_SIZE_BYTES + 1];
-	uint64_t seed;
-
-	if (resumed <= 0 || tail > size)
-		return size;
-	seed = tokens_seed(prompt, size - tail);
-	for (i = 0; i < (size_t)resumed; i++) {
-		token_text(seed, (int64_t)i, text);
-		if (memcmp(prompt + size - tail + i * TOKEN_SIZE_BYTES, text,
+	char token[TOKEN_SIZE_BYTES + 1];
+	int64_t i;
+
+	if (strlen(text) != (size_t)stream->first * TOKEN_SIZE_BYTES)
+		return false;
+	for (i = 0; i < stream->first; i++) {
+		token_text(stream->seed, i, token);
+		if (memcmp(text + i * TOKEN_SIZE_BYTES, token,
 			   TOKEN_SIZE_BYTES) != 0)
-			return size;
+			return false;
 	}
-	return size - tail;
+	return true;
 }
 
 static char *call_number(const char *prompt, size_t size)
@@ -85,12 +83,10 @@
 	const json_t *peers = json_object_get(body, "peers");
 	const char *salt = http_json_string(body, "cache_salt", "");
 	char *prompt = prompt_text(body);
-	size_t size, i;
+	size_t size = strlen(prompt), i;
 
 	pthread_cond_init(&stream->changed, NULL);
 	stream->first = http_json_integer(body, "resume_tokens", 0);
-	size = prompt_size(prompt, strlen(prompt), stream->first);
-	prompt[size] = '\0';
 	stream->id = mem_strdup(http_json_string(body, "stream_id", "none"));
 	stream->call = call_number(prompt, size);
 	stream->seed = tokens_seed(prompt, size);
@@ -111,12 +107,14 @@
 	return stream;
 }
 
-static const char *why_not_run(const json_t *body)
+static const char *why_not_run(const json_t *body, const stream_t *stream)
 {
 	if (http_take(&refuse))
 		return "fault";
 	if (strcmp(http_json_string(body, "model", ""), batch_conf.model) != 0)
 		return "model";
+	if (!is_continuation(stream, http_json_string(body, "resume_text", "")))
+		return "resume_text";
 	return NULL;
 }
 
@@ -130,8 +128,8 @@
 	bool taken;
 
 	pthread_mutex_lock(&batch_lock);
-	reason = why_not_run(body);
 	stream = new_stream(body, &cached);
+	reason = why_not_run(body, stream);
 	json_decref(body);
 	if (reason) {
 		history_event("refused", "call=\"%s\" reason=%s", stream->call,
@@ -220,23 +218,30 @@
 	return http_reply(request, fault ? 200 : 400, "{}");
 }
 
-/* Hands the memory of a stream from one engine to another. */
-static enum MHD_Result on_kv(http_request_t *request, const json_t *body,
-			     bool import)
+static enum MHD_Result export_kv(http_request_t *request, const json_t *body)
 {
-	const char *id = http_json_string(body, "stream_id", "");
-	stream_t *stream = batch_find(id);
-	int64_t tokens = http_json_integer(body, "tokens", 0);
+	stream_t *stream = batch_find(http_json_string(body, "stream_id", ""));
 
-	if (!import && !stream)
+	if (!stream)
 		return http_reply(request, 404, "{}");
-	if (import)
-		batch_share(id, tokens);
-	else
-		tokens = stream->held_tokens;
 	return http_reply_json(request, 200,
-			       json_pack("{s:s,s:I}", "stream_id", id, "tokens",
-					 tokens));
+			       json_pack("{s:s,s:I}", "stream_id", stream->id,
+					 "tokens", stream->held_tokens));
+}
+
+/* Holds the memory of a stream of another engine, as that one reports it. */
+static enum MHD_Result import_kv(http_request_t *request)
+{
+	json_t *body = http_body_json(request);
+	const char *id = http_json_string(body, "stream_id", "");
+	int64_t tokens = batch_export(http_json_string(body, "source", ""), id);
+
+	pthread_mutex_lock(&batch_lock);
+	if (tokens > 0)
+		batch_share(id, tokens);
+	pthread_mutex_unlock(&batch_lock);
+	json_decref(body);
+	return http_reply(request, tokens > 0 ? 200 : 404, "{}");
 }
 
 static enum MHD_Result on_locked(http_request_t *request, const json_t *body)
@@ -253,8 +258,8 @@
 					       request, "after", 0)));
 	if (!strcmp(path, "/v1/orders"))
 		return on_order(request, body);
-	if (!strcmp(path, "/v1/kv/export") || !strcmp(path, "/v1/kv/import"))
-		return on_kv(request, body, !strcmp(path, "/v1/kv/import"));
+	if (!strcmp(path, "/v1/kv/export"))
+		return export_kv(request, body);
 	if (!strcmp(path, "/standin/share")) {
 		batch_share(http_json_string(body, "stream_id", ""),
 			    http_json_integer(body, "tokens", 0));
@@ -275,6 +280,8 @@
 		return submit(request);
 	if (!strncmp(request->path, "/v1/streams/", 12))
 		return on_stream(request, request->path + 12);
+	if (!strcmp(request->path, "/v1/kv/import"))
+		return import_kv(request);
 	body = http_body_json(request);
 	pthread_mutex_lock(&batch_lock);
 	result = on_locked(request, body);
--- a/tests/standin/lib_batch.h
+++ b/tests/standin/lib_batch.h
@@ -125,6 +125,9 @@
 /** Tells the peers of a stream to hold memory, or to give it back (0). */
 bool batch_call_peers(const stream_t *stream, int64_t tokens);
 
+/** Asks another engine for the memory of a stream. @return tokens, or 0 */
+int64_t batch_export(const char *source, const char *id);
+
 /** Gives back the memory on peers of ended streams; unlocks meanwhile. */
 void batch_release_peers(void);
 
--- a/tests/standin/lib_report.c
+++ b/tests/standin/lib_report.c
@@ -89,11 +89,10 @@
 		    sequence % batch_conf.event_gap == 0)
 			continue;
 		snprintf(block, sizeof(block), "%016" PRIx64, event->block);
-		json_array_append_new(
-			list,
-			json_pack("{s:I,s:s,s:s}", "sequence", sequence, "type",
-				  event->stored ? "stored" : "evicted", "block",
-				  block));
+		json_array_append_new(list,
+				      json_pack("{s:I,s:b,s:s}", "seq",
+						sequence, "stored",
+						event->stored, "block", block));
 	}
 	return json_pack("{s:I,s:o}", "incarnation", batch.incarnation,
 			 "events", list);
@@ -169,37 +168,60 @@
 
 	for (stream = batch.streams; stream; stream = stream->next)
 		if (stream_is_running(stream))
-			json_array_append_new(
-				list,
-				json_pack("{s:s,s:I,s:I}", "stream_id",
-					  stream->id, "prompt_tokens",
-					  stream->prompt_tokens, "generated",
-					  stream->generated));
+			json_array_append_new(list, json_string(stream->id));
 	return json_pack("{s:I,s:o}", "incarnation", batch.incarnation,
 			 "streams", list);
 }
 
+/* Posts to another engine; the caller frees the answer, NULL if none. */
+static json_t *post(const char *server, const char *path, const char *id,
+		    int64_t tokens)
+{
+	CURL *call = curl_easy_init();
+	char url[320], body[256], *answer = NULL;
+	size_t size = 0;
+	FILE *file = open_memstream(&answer, &size);
+	json_t *json = NULL;
+	bool answered;
+
+	snprintf(url, sizeof(url), "%s%s", server, path);
+	snprintf(body, sizeof(body),
+		 "{\"stream_id\":\"%.128s\",\"tokens\":%" PRId64 "}", id,
+		 tokens);
+	curl_easy_setopt(call, CURLOPT_URL, url);
+	curl_easy_setopt(call, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(call, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(call, CURLOPT_WRITEDATA, file);
+	curl_easy_setopt(call, CURLOPT_TIMEOUT_MS, (long)PEER_TIMEOUT_MS);
+	answered = !curl_easy_perform(call);
+	fclose(file);
+	if (answered)
+		json = json_loadb(answer, size, 0, NULL);
+	curl_easy_cleanup(call);
+	free(answer);
+	return json;
+}
+
+int64_t batch_export(const char *source, const char *id)
+{
+	json_t *answer = post(source, "/v1/kv/export", id, 0);
+	int64_t tokens = http_json_integer(answer, "tokens", 0);
+
+	json_decref(answer);
+	return tokens;
+}
+
 bool batch_call_peers(const stream_t *stream, int64_t tokens)
 {
-	char url[320], body[256];
 	bool held = true;
 	int32_t i;
 
-	snprintf(body, sizeof(body),
-		 "{\"stream_id\":\"%.128s\",\"tokens\":%" PRId64 "}",
-		 stream->id, tokens);
 	for (i = 0; i < stream->peer_count; i++) {
-		CURL *call = curl_easy_init();
-
-		snprintf(url, sizeof(url), "%s/standin/share",
-			 stream->peers[i]);
-		curl_easy_setopt(call, CURLOPT_URL, url);
-		curl_easy_setopt(call, CURLOPT_POSTFIELDS, body);
-		curl_easy_setopt(call, CURLOPT_NOSIGNAL, 1L);
-		curl_easy_setopt(call, CURLOPT_TIMEOUT_MS,
-				 (long)PEER_TIMEOUT_MS);
-		held = !curl_easy_perform(call) && held;
-		curl_easy_cleanup(call);
+		json_t *answer = post(stream->peers[i], "/standin/share",
+				      stream->id, tokens);
+
+		held = answer && held;
+		json_decref(answer);
 	}
 	return held;
 }
