Connect members, other data centres, credits and load figures

Owners are found by rendezvous hash over the candidates of the resource's data centre; credit messages of this node to itself stay in the process. Load figures are sent when they changed, within a budget of bytes per second, because sending all of them would exceed 8 KB/s per node. Compiled only.

--- a/src/connection/peer.c
+++ b/src/connection/peer.c
@@ -365,6 +365,16 @@
 		close_link(peer, link);
 }
 
+void peer_retain(peer_t *peer, bool (*keep)(void *context, const char *vm_id),
+		 void *context)
+{
+	link_t *link, *next;
+
+	HASH_ITER (hh, peer->links, link, next)
+		if (!keep(context, link->vm_id))
+			close_link(peer, link);
+}
+
 bool peer_send(peer_t *peer, const char *vm_id, const void *data, size_t size)
 {
 	link_t *link;
--- a/src/connection/peer.h
+++ b/src/connection/peer.h
@@ -37,6 +37,10 @@
 		  err_t *err);
 void peer_disconnect(peer_t *peer, const char *vm_id);
 
+/** Closes the links to VMs for which @p keep returns false. */
+void peer_retain(peer_t *peer, bool (*keep)(void *context, const char *vm_id),
+		 void *context);
+
 /** Sends a message; false if it was dropped. */
 bool peer_send(peer_t *peer, const char *vm_id, const void *data, size_t size);
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -9,8 +9,10 @@
 
 #include "base/mailbox.h"
 #include "connection/client.h"
+#include "connection/peer_codec.h"
 #include "connection/platform.h"
 #include "process/credit_holder.h"
+#include "process/credit_owner.h"
 #include "process/dispatch.h"
 #include "process/settings.h"
 #include "process/task_msg.h"
@@ -18,6 +20,8 @@
 
 typedef struct control_config control_config_t;
 typedef struct control_load control_load_t;
+typedef struct control_members control_members_t;
+typedef struct control_credits control_credits_t;
 
 typedef struct control {
 	settings_t settings;
@@ -29,9 +33,12 @@
 	mailbox_sender_t **request_tasks; /* settings.request_tasks of them */
 	inforce_t *inforce;
 	credit_holder_t *holder;
+	credit_owner_t *owner;
 	dispatch_t *dispatch;
 	control_config_t *config;
 	control_load_t *load;
+	control_members_t *members;
+	control_credits_t *credits;
 	ev_timer tick;
 	ev_prepare before_wait;
 	bool closing; /* messages are discarded */
@@ -48,6 +55,9 @@
 void control_config_offer(control_config_t *config, const char *text,
 			  size_t size_bytes, const char *source);
 
+/** Starts or ends the watch when the members change. */
+void control_config_members(control_config_t *config);
+
 /* control_load.c: reads the load reports of backend servers. */
 control_load_t *control_load_create(control_t *control);
 void control_load_destroy(control_load_t *load);
@@ -58,8 +68,87 @@
 /** Sends the polls that are due. */
 void control_load_tick(control_load_t *load, int64_t now_us);
 
+/** A member joined: it needs every figure. */
+void control_load_members(control_load_t *load);
+
+/** Takes in one entry of another node's digest. */
+void control_load_digest(control_load_t *load, const peer_load_t *entry);
+
+/*
+ * control_members.c, control_receive.c, control_remote.c, control_vms.c:
+ * members of this data centre, other data centres, messages between nodes.
+ */
+control_members_t *control_members_create(control_t *control, void *zmq,
+					  err_t *err);
+void control_members_destroy(control_members_t *members);
+void control_members_tick(control_members_t *members, int64_t now_us);
+
+/** Announces that this node is leaving. */
+void control_members_leave(control_members_t *members);
+
+/** Whether this node holds the watch of the configuration. */
+bool control_members_watches(const control_members_t *members);
+
+/** Finds the node that owns a resource; false if none can be reached. */
+bool control_members_owner(const control_members_t *members,
+			   const char *data_centre, const char *key,
+			   char owner[NAME_SIZE_BYTES]);
+
+/** @return the incarnation of a member of any data centre, 0 if unknown. */
+uint64_t control_members_incarnation(const control_members_t *members,
+				     const char *vm_id);
+
+/**
+ * Fills in the view for the credit owner.
+ * @param names memory for the member names, valid as long as the view
+ */
+void control_members_view(const control_members_t *members, credit_view_t *view,
+			  char (*names)[NAME_SIZE_BYTES], size_t capacity);
+
+void control_members_send_credit(control_members_t *members, const char *vm_id,
+				 const credit_msg_t *credit);
+
+/** @return the number of nodes that load figures are sent to. */
+size_t control_members_receivers(const control_members_t *members);
+
+/** Sends load figures to those nodes. */
+void control_members_send_digest(control_members_t *members,
+				 peer_load_t *servers, size_t count);
+
+/** Sends the document in force to members that have an older one. */
+void control_members_push_config(control_members_t *members);
+
+/* control_credits.c: both sides of the credit protocol. */
+control_credits_t *control_credits_create(control_t *control);
+void control_credits_destroy(control_credits_t *credits);
+
+/** Follows the resources and limits of a new configuration. */
+void control_credits_configure(control_credits_t *credits,
+			       document_t *document);
+
+/** Finds the owners again after a change of members. */
+void control_credits_members(control_credits_t *credits);
+
+/** Handles a credit message of a peer; the sender is named in it. */
+void control_credits_receive(control_credits_t *credits, credit_msg_t *message);
+
+/** Takes in a load report of a server that this node owns. */
+void control_credits_report(control_credits_t *credits,
+			    const load_report_t *report);
+
+/** Whether this node owns the credits of a server. */
+bool control_credits_owns(const control_credits_t *credits, const char *server);
+
+void control_credits_tick(control_credits_t *credits, int64_t now_us);
+
+/** Carries messages between holder, owner and peers until there are none. */
+void control_credits_pump(control_credits_t *credits);
+
 /* control_task.c */
 
+/** The members or the reachability of a data centre changed. */
+void control_members_changed(control_t *control);
+
 /** Sends a message to a request task; takes over @p message. */
 void control_send(control_t *control, uint32_t task, task_msg_t *message);
 
--- a/src/process/control_config.c
+++ b/src/process/control_config.c
@@ -20,6 +20,7 @@
 	ev_timer next; /* starts the next call outside of callbacks */
 	bool calling;
 	bool known; /* the object was read; false: read before watching */
+	bool watching; /* this node holds the watch */
 	int64_t object_version;
 };
 
@@ -57,7 +58,9 @@
 		      control->incarnation);
 	dispatch_configure(control->dispatch, document, clock_monotonic_us());
 	control_load_configure(control->load, document);
+	control_credits_configure(control->credits, document);
 	tell_tasks(control, document);
+	control_members_push_config(control->members);
 }
 
 static void offer(control_t *control, document_t *document, const char *source)
@@ -124,12 +127,18 @@
 	schedule(config, status == PLATFORM_OK ? 0 : RETRY_MS);
 }
 
+/* Without a document every node reads; later two nodes hold the watch. */
+static bool must_call(const control_config_t *config)
+{
+	return config->watching || !inforce_document(config->control->inforce);
+}
+
 static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	control_config_t *config = timer->data;
 	platform_t *platform = config->control->platform;
 
-	if (config->calling)
+	if (config->calling || !must_call(config))
 		return;
 	config->calling = true;
 	if (config->known)
@@ -160,6 +169,19 @@
 	free(config);
 }
 
+void control_config_members(control_config_t *config)
+{
+	bool watching = control_members_watches(config->control->members);
+
+	if (watching == config->watching)
+		return;
+	config->watching = watching;
+	/* What changed before this node took over the watch must be seen. */
+	config->known = false;
+	if (watching && !config->calling)
+		schedule(config, 0);
+}
+
 void control_config_start(control_config_t *config)
 {
 	schedule(config, 0);
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -8,6 +8,7 @@
 #include "base/metrics.h"
 #include "connection/engine.h"
 #include "process/control.h"
+#include "process/digest.h"
 
 /*
  * At 14 servers per node (440 servers, 32 nodes) a poll every 250 ms is 56
@@ -16,9 +17,15 @@
 enum {
 	POLL_INTERVAL_MS = 250,
 	POLL_TIMEOUT_MS = 1000,
-	REPORT_MAX_BYTES = 64 * 1024
+	REPORT_MAX_BYTES = 64 * 1024,
+	DIGEST_SERVERS = 32 /* of one message */
 };
 
+/* A server's clock counts as equal to this node's up to this difference. */
+#define CLOCK_DIFFERENCE_US (10 * US_PER_S)
+/* Age of figures whose time is on an unknown clock. */
+#define ASSUMED_AGE_US (500 * US_PER_MS)
+
 typedef struct {
 	UT_hash_handle hh;
 	control_load_t *load;
@@ -35,6 +42,7 @@
 struct control_load {
 	control_t *control;
 	server_t *servers;
+	digest_t *digest;
 };
 
 control_load_t *control_load_create(control_t *control)
@@ -42,6 +50,7 @@
 	control_load_t *load = mem_calloc(1, sizeof(*load));
 
 	load->control = control;
+	load->digest = digest_create();
 	return load;
 }
 
@@ -49,6 +58,7 @@
 {
 	if (server->call)
 		client_call_cancel(server->call);
+	digest_drop(load->digest, server->name);
 	HASH_DEL(load->servers, server);
 	free(server);
 }
@@ -61,6 +71,7 @@
 		return;
 	HASH_ITER (hh, load->servers, server, next)
 		remove_server(load, server);
+	digest_destroy(load->digest);
 	free(load);
 }
 
@@ -107,14 +118,33 @@
 	log_event(EVENT_SERVER_SILENT, "server=%s", server->name);
 }
 
+static bool is_near(int64_t time_us, int64_t now_us)
+{
+	return time_us <= now_us && now_us - time_us <= CLOCK_DIFFERENCE_US;
+}
+
+/*
+ * Servers give the time of their figures on the wall clock, or, on the same
+ * machine, on the monotonic one.
+ */
+static int64_t age_of(int64_t time_us)
+{
+	if (is_near(time_us, clock_wall_us()))
+		return clock_wall_us() - time_us;
+	if (is_near(time_us, clock_monotonic_us()))
+		return clock_monotonic_us() - time_us;
+	return ASSUMED_AGE_US;
+}
+
 static void take_report(server_t *server, load_report_t *report)
 {
 	control_t *control = server->load->control;
 
-	/* Age is counted from before the request, so it is never too low. */
 	mem_strlcpy(report->server, server->name, sizeof(report->server));
 	report->received_us = clock_monotonic_us();
-	report->taken_us = server->sent_us;
+	report->taken_us = report->received_us - age_of(report->taken_us);
+	if (report->taken_us > server->sent_us)
+		report->taken_us = server->sent_us;
 	if (server->silent)
 		log_event(EVENT_SERVER_REPORTING, "server=%s", server->name);
 	if (report->cold && !server->cold)
@@ -122,6 +152,8 @@
 	server->silent = false;
 	server->cold = report->cold;
 	dispatch_load(control->dispatch, report, report->received_us);
+	control_credits_report(control->credits, report);
+	digest_report(server->load->digest, report);
 }
 
 static void on_report(void *context, client_end_t end, int status,
@@ -165,11 +197,52 @@
 	engine_call_clear(&call);
 }
 
+static void send_digest(control_load_t *load, int64_t now_us)
+{
+	control_members_t *members = load->control->members;
+	load_report_t reports[DIGEST_SERVERS];
+	peer_load_t entries[DIGEST_SERVERS];
+	size_t count, i;
+
+	count = digest_take(load->digest, control_members_receivers(members),
+			    now_us, reports, DIGEST_SERVERS);
+	for (i = 0; i < count; i++) {
+		entries[i].report = reports[i];
+		entries[i].age_us = now_us - reports[i].taken_us;
+	}
+	if (count)
+		control_members_send_digest(members, entries, count);
+}
+
 void control_load_tick(control_load_t *load, int64_t now_us)
 {
+	const control_credits_t *credits = load->control->credits;
 	server_t *server, *next;
 
-	HASH_ITER (hh, load->servers, server, next)
+	HASH_ITER (hh, load->servers, server, next) {
+		if (!control_credits_owns(credits, server->name)) {
+			digest_drop(load->digest, server->name);
+			continue;
+		}
 		if (!server->call && server->due_us <= now_us)
 			poll_server(server, now_us);
+	}
+	send_digest(load, now_us);
+}
+
+void control_load_members(control_load_t *load)
+{
+	digest_resend(load->digest);
+}
+
+void control_load_digest(control_load_t *load, const peer_load_t *entry)
+{
+	load_report_t report = entry->report;
+
+	/* This node reads what it owns itself. */
+	if (control_credits_owns(load->control->credits, report.server))
+		return;
+	report.received_us = clock_monotonic_us();
+	report.taken_us = report.received_us - entry->age_us;
+	dispatch_load(load->control->dispatch, &report, report.received_us);
 }
--- /dev/null
+++ b/src/process/control_remote.c
@@ -0,0 +1,246 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "process/control_members.h"
+#include "process/rendezvous.h"
+
+enum {
+	/* Above this size members are sent on change and every tenth time. */
+	FULL_SUMMARY_MEMBERS = 8,
+	FULL_SUMMARY_EVERY = 10,
+	/* Summaries that one node forwards in a second at most. */
+	FORWARDS_PER_S = 100,
+	INTERVAL_MAX_S = 5,
+	/* Silence of this many intervals makes a data centre unreachable. */
+	SILENT_INTERVALS = 3
+};
+
+/*
+ * Between two data centres a relay sends one message a second, and hands what
+ * it receives to every member of its own. In a large fleet the latter would
+ * exceed 8 KB/s, so the interval grows with the number of messages.
+ */
+static int64_t interval_us(const control_members_t *members)
+{
+	size_t sites = 0, forwards;
+
+	while (remote_at(members->remote, sites))
+		sites++;
+	forwards = sites * members->candidate_count / FORWARDS_PER_S + 1;
+	if (forwards > INTERVAL_MAX_S)
+		forwards = INTERVAL_MAX_S;
+	return (int64_t)forwards * US_PER_S;
+}
+
+static void add_member(peer_summary_t *summary, const char *vm_id,
+		       const char *address, uint64_t incarnation, bool leaving)
+{
+	peer_member_t *entry = &summary->members[summary->count++];
+
+	mem_strlcpy(entry->vm_id, vm_id, sizeof(entry->vm_id));
+	mem_strlcpy(entry->address, address, sizeof(entry->address));
+	entry->incarnation = incarnation;
+	entry->leaving = leaving;
+}
+
+static void fill_local(control_members_t *members, peer_summary_t *summary)
+{
+	const control_t *control = members->control;
+	const member_t *member;
+	size_t i;
+
+	summary->members =
+		mem_calloc(CANDIDATES_MAX, sizeof(*summary->members));
+	add_member(summary, control->settings.vm_id,
+		   control->settings.peer_address, control->incarnation,
+		   members->leaving);
+	for (i = 0; (member = member_at(members->members, i)); i++)
+		if ((member->state == MEMBER_ALIVE ||
+		     member->state == MEMBER_SUSPECT) &&
+		    summary->count < CANDIDATES_MAX)
+			add_member(summary, member->vm_id, member->address,
+				   member->incarnation, member->leaving);
+}
+
+/* Sends to two relays of the data centre, others each time if it is silent. */
+static void send_to_site(control_members_t *members, const remote_site_t *site,
+			 peer_msg_t *message)
+{
+	char names[CANDIDATES_MAX][NAME_SIZE_BYTES];
+	size_t count = remote_candidates(site, names, CANDIDATES_MAX);
+	int32_t chosen[RELAYS];
+	size_t chosen_count, i;
+
+	if (!site->reachable) {
+		for (i = 0; i < RELAYS && i < count; i++)
+			members_send(members,
+				     names[(members->summaries + i) % count],
+				     message);
+		return;
+	}
+	chosen_count = rendezvous_top("relay",
+				      (const char(*)[NAME_SIZE_BYTES])names,
+				      count, RELAYS, chosen);
+	for (i = 0; i < chosen_count; i++)
+		members_send(members, names[chosen[i]], message);
+}
+
+static void send_summaries(control_members_t *members)
+{
+	peer_msg_t message = { .type = PEER_SUMMARY };
+	peer_summary_t *summary = &message.as.summary;
+	const remote_site_t *site;
+	size_t count, i;
+
+	if (!remote_at(members->remote, 0) ||
+	    !members_chosen(members, "relay", RELAYS))
+		return;
+	fill_local(members, summary);
+	summary->config_version = inforce_version(members->control->inforce);
+	count = summary->count;
+	for (i = 0; (site = remote_at(members->remote, i)); i++) {
+		summary->count =
+			count <= FULL_SUMMARY_MEMBERS || !site->reachable ||
+					members->summaries %
+							FULL_SUMMARY_EVERY ==
+						0
+				? count
+				: 0;
+		send_to_site(members, site, &message);
+	}
+	members->summaries++;
+	free(summary->members);
+}
+
+/* Hands the state of another data centre on within this one. */
+static void forward(control_members_t *members, const remote_site_t *site,
+		    bool with_members)
+{
+	peer_msg_t message = { .type = PEER_SUMMARY };
+	peer_summary_t *summary = &message.as.summary;
+	size_t i;
+
+	if (!members_chosen(members, "relay", RELAYS))
+		return;
+	mem_strlcpy(summary->data_centre, site->name,
+		    sizeof(summary->data_centre));
+	summary->config_version = site->config_version;
+	summary->members = mem_calloc(site->count, sizeof(*summary->members));
+	for (i = 0; with_members && i < site->count; i++)
+		add_member(summary, site->members[i].vm_id,
+			   site->members[i].address,
+			   site->members[i].incarnation,
+			   site->members[i].leaving);
+	members_broadcast(members, &message);
+	free(summary->members);
+}
+
+/*
+ * Only what was heard directly is handed on: two relays that repeated each
+ * other would keep a lost data centre reachable for ever.
+ */
+static void forward_all(control_members_t *members, int64_t interval,
+			int64_t now_us)
+{
+	const remote_site_t *site;
+	size_t i;
+
+	for (i = 0; (site = remote_at(members->remote, i)); i++)
+		if (site->reachable && now_us - site->direct_us < 2 * interval)
+			forward(members, site,
+				site->count <= FULL_SUMMARY_MEMBERS ||
+					members->summaries %
+							FULL_SUMMARY_EVERY ==
+						0);
+}
+
+static void tell_dispatcher(control_members_t *members, int64_t now_us)
+{
+	const remote_site_t *site;
+	size_t i;
+
+	for (i = 0; (site = remote_at(members->remote, i)); i++)
+		dispatch_reachable(members->control->dispatch, site->name,
+				   site->reachable, now_us);
+	members->changed = true;
+}
+
+void members_tick_remote(control_members_t *members, int64_t now_us)
+{
+	int64_t interval = interval_us(members);
+
+	if (remote_tick(members->remote, SILENT_INTERVALS * interval, now_us)) {
+		log_event(EVENT_DATA_CENTRE_UNREACHABLE, "silent_ms=%d",
+			  (int)(SILENT_INTERVALS * interval / US_PER_MS));
+		tell_dispatcher(members, now_us);
+	}
+	if (now_us < members->summary_us)
+		return;
+	members->summary_us = now_us + interval;
+	send_summaries(members);
+	forward_all(members, interval, now_us);
+}
+
+/* Opens links before the first credit is needed, in a small fleet. */
+static void connect_members(control_members_t *members, const char *data_centre)
+{
+	const remote_site_t *site = remote_find(members->remote, data_centre);
+	size_t i;
+
+	if (remote_count(members->remote) > DIRECT_MEMBERS_MAX)
+		return;
+	for (i = 0; i < site->count; i++)
+		peer_connect(members->peer, site->members[i].vm_id,
+			     site->members[i].address, NULL);
+}
+
+static void take(control_members_t *members, const char *data_centre,
+		 const peer_summary_t *summary, bool direct)
+{
+	remote_member_t *list = mem_calloc(summary->count, sizeof(*list));
+	int64_t now_us = clock_monotonic_us();
+	size_t i;
+
+	for (i = 0; i < summary->count; i++) {
+		mem_strlcpy(list[i].vm_id, summary->members[i].vm_id,
+			    sizeof(list[i].vm_id));
+		mem_strlcpy(list[i].address, summary->members[i].address,
+			    sizeof(list[i].address));
+		list[i].incarnation = summary->members[i].incarnation;
+		list[i].leaving = summary->members[i].leaving;
+	}
+	if (remote_summary(members->remote, data_centre,
+			   summary->config_version, list, summary->count,
+			   direct, now_us)) {
+		log_event(EVENT_DATA_CENTRE_REACHABLE, "data_centre=%s",
+			  data_centre);
+		tell_dispatcher(members, now_us);
+		connect_members(members, data_centre);
+		if (direct)
+			forward(members,
+				remote_find(members->remote, data_centre),
+				true);
+	}
+	free(list);
+}
+
+void members_receive_summary(control_members_t *members,
+			     const peer_msg_t *message)
+{
+	const peer_summary_t *summary = &message->as.summary;
+	const char *local = members->control->settings.data_centre;
+	bool direct = strcmp(message->data_centre, local) != 0;
+	const char *described = direct ? message->data_centre
+				       : summary->data_centre;
+
+	if (!*described || !strcmp(described, local))
+		return;
+	take(members, described, summary, direct);
+	if (direct)
+		members_request_config(members, message->vm_id,
+				       summary->config_version);
+}
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -85,7 +85,11 @@
 static void on_before_wait(struct ev_loop *loop, ev_prepare *watcher,
 			   int events)
 {
-	pump_decisions(watcher->data);
+	control_t *control = watcher->data;
+
+	control_credits_pump(control->credits);
+	pump_decisions(control);
+	control_credits_pump(control->credits);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
@@ -93,11 +97,18 @@
 	control_t *control = timer->data;
 	int64_t now_us = clock_monotonic_us();
 
-	credit_holder_tick(control->holder, now_us);
+	control_members_tick(control->members, now_us);
+	control_credits_tick(control->credits, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 }
 
+void control_members_changed(control_t *control)
+{
+	control_config_members(control->config);
+	control_credits_members(control->credits);
+}
+
 static void create_decisions(control_t *control)
 {
 	const settings_t *settings = &control->settings;
@@ -119,6 +130,7 @@
 		    sizeof(dispatch.data_centre));
 	control->inforce = inforce_create();
 	control->holder = credit_holder_create(&holder);
+	control->owner = credit_owner_create(settings->vm_id);
 	control->dispatch = dispatch_create(&dispatch, control->holder);
 }
 
@@ -163,6 +175,20 @@
 	return true;
 }
 
+static void create_parts(control_t *control)
+{
+	create_decisions(control);
+	control->config = control_config_create(control);
+	control->load = control_load_create(control);
+	control->credits = control_credits_create(control);
+}
+
+static bool open_members(control_t *control, void *zmq, err_t *err)
+{
+	control->members = control_members_create(control, zmq, err);
+	return control->members;
+}
+
 static void start_watchers(control_t *control)
 {
 	ev_timer_init(&control->tick, on_tick, 0., (double)TICK_MS / MS_PER_S);
@@ -184,17 +210,16 @@
 	control->settings = *settings;
 	control->incarnation = new_incarnation();
 	control->loop = ev_loop_new(EVFLAG_AUTO);
+	create_parts(control);
 	if (!control->loop || !open_mailboxes(control, zmq, &cause) ||
-	    !open_platform(control, &cause)) {
+	    !open_platform(control, &cause) ||
+	    !open_members(control, zmq, &cause)) {
 		err_set(err, ERR_LAYER_PROCESS, CONTROL_ERR_START,
 			"control task: %s",
 			control->loop ? cause.message : "no event loop");
 		control_task_destroy(control);
 		return NULL;
 	}
-	create_decisions(control);
-	control->config = control_config_create(control);
-	control->load = control_load_create(control);
 	start_watchers(control);
 	return control;
 }
@@ -228,7 +253,10 @@
 		return;
 	control_load_destroy(control->load);
 	control_config_destroy(control->config);
+	control_credits_destroy(control->credits);
+	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
+	credit_owner_destroy(control->owner);
 	credit_holder_destroy(control->holder);
 	inforce_destroy(control->inforce);
 	platform_destroy(control->platform);
--- a/src/process/remote.c
+++ b/src/process/remote.c
@@ -103,7 +103,7 @@
 
 bool remote_summary(remote_table_t *table, const char *data_centre,
 		    int64_t config_version, const remote_member_t *members,
-		    size_t count, int64_t now_us)
+		    size_t count, bool direct, int64_t now_us)
 {
 	remote_site_t *site = obtain_site(table, data_centre);
 	bool changed = !site->reachable;
@@ -113,6 +113,8 @@
 		return false;
 	site->reachable = true;
 	site->heard_us = now_us;
+	if (direct)
+		site->direct_us = now_us;
 	if (config_version > site->config_version)
 		site->config_version = config_version;
 	if (count && set_members(site, members, count))
@@ -159,8 +161,8 @@
 		const remote_member_t *member =
 			site->count ? bsearch(&key, site->members, site->count,
 					      sizeof(*site->members),
-					      compare_members) :
-				      NULL;
+					      compare_members)
+				    : NULL;
 
 		if (member)
 			return member;
--- a/src/process/remote.h
+++ b/src/process/remote.h
@@ -27,6 +27,7 @@
 	char name[NAME_SIZE_BYTES];
 	bool reachable; /**< a summary arrived in time */
 	int64_t heard_us; /**< last summary; 0: none */
+	int64_t direct_us; /**< last one from that data centre itself */
 	int64_t config_version;
 	size_t count;
 	remote_member_t *members; /**< sorted by vm_id */
@@ -41,11 +42,12 @@
 
 /**
  * Takes in a summary; no members means that they did not change.
+ * @param direct from a relay there, not handed on within this data centre
  * @return whether the members or the reachability changed
  */
 bool remote_summary(remote_table_t *table, const char *data_centre,
 		    int64_t config_version, const remote_member_t *members,
-		    size_t count, int64_t now_us);
+		    size_t count, bool direct, int64_t now_us);
 
 /**
  * Marks data centres without a summary for @p silence_us as unreachable.
