--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -22,6 +22,7 @@
 	const char *const *headers; /**< "Name: value", NULL-terminated */
 	const void *body; /**< NULL: no body */
 	size_t body_size_bytes;
+	char *owned_body; /**< instead of body, not copied; freed by the call */
 	int64_t connect_timeout_ms;
 	int64_t idle_timeout_ms; /**< silence after which the call fails */
 	int64_t total_timeout_ms; /**< 0: none */
--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -69,25 +69,24 @@
 	}
 }
 
-bool engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
-		   bool chat, const char *body, size_t body_size_bytes,
-		   const char *delivered, int64_t delivered_tokens,
-		   int64_t now_us, err_t *err)
+void engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
+		   const engine_request_t *request, const char *delivered,
+		   int64_t delivered_tokens, int64_t now_us)
 {
-	json_t *json = json_loadb(body, body_size_bytes, 0, NULL);
+	json_t *json = json_copy((json_t *)request->body);
 
-	if (!json_is_object(json)) {
-		json_decref(json);
-		return err_set(err, ERR_LAYER_ENGINE, ENGINE_ERR_MALFORMED,
-			       "request body: not a JSON object");
-	}
 	set_call(call, "POST", "%s/v1/%s", dispatch->url,
-		 chat ? "chat/completions" : "completions");
+		 request->chat ? "chat/completions" : "completions");
 	/* Fields of the attempt are not the caller's to choose. */
 	json_object_del(json, "peers");
 	json_object_del(json, "resume_tokens");
 	json_object_del(json, "resume_text");
+	json_object_del(json, "max_completion_tokens");
 	set_attempt(json, dispatch, now_us);
+	json_object_set_new(json, "model", json_string(request->model));
+	json_object_set_new(json, "cache_salt", json_string(request->account));
+	json_object_set_new(json, "max_tokens",
+			    json_integer(request->max_tokens));
 	if (delivered_tokens > 0) {
 		json_object_set_new(json, "resume_tokens",
 				    json_integer(delivered_tokens));
@@ -95,7 +94,6 @@
 				    json_string(delivered ? delivered : ""));
 	}
 	set_body(call, json);
-	return true;
 }
 
 void engine_resume(engine_call_t *call, const char *url, const stream_id_t *id,
--- a/src/connection/engine.h
+++ b/src/connection/engine.h
@@ -4,20 +4,23 @@
  * A different wire format changes only this module.
  *
  * Beyond design.md section 4.4 the adapter uses these forms:
- * - submission: `resume_text` (text of the tokens counted by resume_tokens);
+ * - submission: `resume_text` (text of the tokens counted by resume_tokens;
+ *   `max_tokens` counts them too), `cache_salt` (the client account);
  * - chunk: `tokens` (default 1 if it has text), `choices[0].text` or
  *   `choices[0].delta.content`, `choices[0].finish_reason`;
- * - load report: `incarnation` a number, `time_us`, `role` one of
- *   both, prefill, decode, `models` an array of names;
+ * - load report: `incarnation` a number, `time_us`, `role` one of both,
+ *   prefill, decode, `models` an array of names;
  * - stream list: `{"streams":["ID",...]}`;
- * - cache events: `{"incarnation":1,"events":[{"seq":1,"stored":true,
- *   "block":"hex"}]}`;
+ * - cache events: `{"incarnation":1,"events":[{"sequence":1,
+ *   "type":"stored","block":"hex"}]}`, type stored or evicted; blocks are
+ *   those of request/prefix_hash.h;
  * - order: `kind` load_model or set_role;
  * - KV export and import: `stream_id`, import also `source`.
  */
 #ifndef CONNECTION_ENGINE_H
 #define CONNECTION_ENGINE_H
 
+#include <jansson.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -42,17 +45,23 @@
 
 void engine_call_clear(engine_call_t *call);
 
+/** What a caller asked for. */
+typedef struct {
+	const json_t *body; /**< body of the caller's request, an object */
+	bool chat; /**< chat completion instead of completion */
+	const char *model;
+	const char *account; /**< salt of the prefix cache */
+	int64_t max_tokens;
+} engine_request_t;
+
 /**
  * Builds the submission of one attempt.
- * @param body             JSON body of the caller's request
- * @param chat             chat completion instead of completion
  * @param delivered        text delivered by earlier attempts, or NULL
  * @param delivered_tokens number of tokens of that text
  */
-bool engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
-		   bool chat, const char *body, size_t body_size_bytes,
-		   const char *delivered, int64_t delivered_tokens,
-		   int64_t now_us, err_t *err);
+void engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
+		   const engine_request_t *request, const char *delivered,
+		   int64_t delivered_tokens, int64_t now_us);
 
 /** Builds the resumption of a broken stream from a token offset. */
 void engine_resume(engine_call_t *call, const char *url, const stream_id_t *id,
--- a/src/connection/engine_report.c
+++ b/src/connection/engine_report.c
@@ -151,10 +151,13 @@
 {
 	int64_t sequence;
 	const char *block = json_string_value(json_object_get(json, "block"));
+	const char *type = json_string_value(json_object_get(json, "type"));
 
-	if (!read_number(json, "seq", INT64_MAX, &sequence, err) ||
-	    !read_bool(json, "stored", &event->stored, err))
+	if (!read_number(json, "sequence", INT64_MAX, &sequence, err))
 		return false;
+	if (!type || (strcmp(type, "stored") != 0 && strcmp(type, "evicted")))
+		return malformed(err, "type");
+	event->stored = !strcmp(type, "stored");
 	if (!block || !*block || strlen(block) > 16 ||
 	    strspn(block, "0123456789abcdef") != strlen(block))
 		return malformed(err, "block");
--- /dev/null
+++ b/src/process/main.c
@@ -0,0 +1,265 @@
+#include <curl/curl.h>
+#include <ev.h>
+#include <popt.h>
+#include <pthread.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "base/history.h"
+#include "base/log.h"
+#include "base/mailbox.h"
+#include "base/mem.h"
+#include "process/control_task.h"
+#include "process/request_task.h"
+#include "process/settings.h"
+#include "process/task_msg.h"
+#if __has_include("process/telemetry_task.h")
+#include "process/telemetry_task.h"
+#define HAVE_TELEMETRY 1
+#else
+#define HAVE_TELEMETRY 0
+#endif
+
+enum { EXIT_USAGE = 2, TASKS_MAX = 64 };
+
+typedef struct {
+	void *object;
+	void *(*run)(void *);
+	void (*destroy)(void *);
+	pthread_t thread;
+	bool running;
+} task_t;
+
+typedef struct {
+	settings_t settings;
+	void *zmq;
+	struct ev_loop *loop;
+	mailbox_t *mailbox;
+	mailbox_sender_t *control;
+	ev_signal term, interrupt;
+	task_t tasks[TASKS_MAX]; /* request tasks, control, telemetry */
+	size_t task_count;
+} daemon_t;
+
+static void destroy_request(void *task)
+{
+	request_task_destroy(task);
+}
+
+static void destroy_control(void *task)
+{
+	control_task_destroy(task);
+}
+
+static void on_message(void *context, void *received)
+{
+	daemon_t *process = context;
+	task_msg_t *message = received;
+
+	if (message->type == TASK_MSG_STOP)
+		ev_break(process->loop, EVBREAK_ALL);
+	task_msg_destroy(message);
+}
+
+static void on_signal(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	daemon_t *process = watcher->data;
+	task_msg_t *message = task_msg_create(TASK_MSG_DRAIN, 0);
+
+	if (!mailbox_send(process->control, message))
+		task_msg_destroy(message);
+}
+
+static bool add_task(daemon_t *process, void *object, void *(*run)(void *),
+		     void (*destroy)(void *))
+{
+	task_t *task = &process->tasks[process->task_count];
+
+	if (!object)
+		return false;
+	task->object = object;
+	task->run = run;
+	task->destroy = destroy;
+	process->task_count++;
+	return true;
+}
+
+#if HAVE_TELEMETRY
+static void destroy_telemetry(void *task)
+{
+	telemetry_task_destroy(task);
+}
+
+static bool create_telemetry(daemon_t *process, err_t *err)
+{
+	return add_task(process,
+			telemetry_task_create(&process->settings, process->zmq,
+					      err),
+			telemetry_task_run, destroy_telemetry);
+}
+#else
+static bool create_telemetry(daemon_t *process, err_t *err)
+{
+	return true;
+}
+#endif
+
+/* All sockets are opened here, so that a failure ends the start. */
+static bool create_tasks(daemon_t *process, err_t *err)
+{
+	int32_t i, count = process->settings.request_tasks;
+
+	process->mailbox = mailbox_create(process->zmq, "main", process->loop,
+					  on_message, process, err);
+	if (!process->mailbox)
+		return false;
+	if (!add_task(process,
+		      control_task_create(&process->settings, process->zmq,
+					  err),
+		      control_task_run, destroy_control))
+		return false;
+	for (i = 0; i < count; i++)
+		if (!add_task(process,
+			      request_task_create(&process->settings,
+						  (uint32_t)i, process->zmq,
+						  err),
+			      request_task_run, destroy_request))
+			return false;
+	process->control = mailbox_sender_create(process->zmq, "control", err);
+	return process->control && create_telemetry(process, err);
+}
+
+/* The threads inherit blocked signals, so that main's loop receives them. */
+static bool start_threads(daemon_t *process, err_t *err)
+{
+	sigset_t signals;
+	size_t i;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	for (i = 0; i < process->task_count; i++) {
+		task_t *task = &process->tasks[i];
+
+		if (pthread_create(&task->thread, NULL, task->run,
+				   task->object))
+			return err_set(err, ERR_LAYER_PROCESS, 0,
+				       "start thread %zu: no resources", i);
+		task->running = true;
+	}
+	pthread_sigmask(SIG_UNBLOCK, &signals, NULL);
+	return true;
+}
+
+static void watch_signals(daemon_t *process)
+{
+	ev_signal_init(&process->term, on_signal, SIGTERM);
+	process->term.data = process;
+	ev_signal_start(process->loop, &process->term);
+	ev_signal_init(&process->interrupt, on_signal, SIGINT);
+	process->interrupt.data = process;
+	ev_signal_start(process->loop, &process->interrupt);
+}
+
+static void destroy_tasks(daemon_t *process)
+{
+	size_t i;
+
+	for (i = 0; i < process->task_count; i++)
+		if (process->tasks[i].running)
+			pthread_join(process->tasks[i].thread, NULL);
+	while (process->task_count--)
+		process->tasks[process->task_count].destroy(
+			process->tasks[process->task_count].object);
+	mailbox_sender_destroy(process->control);
+	if (process->mailbox)
+		mailbox_drain(process->mailbox);
+	mailbox_destroy(process->mailbox);
+}
+
+static int run(daemon_t *process)
+{
+	err_t err = { 0 };
+	bool started;
+
+	process->zmq = zmq_ctx_new();
+	process->loop = ev_default_loop(0);
+	started = create_tasks(process, &err) && start_threads(process, &err);
+	if (started) {
+		watch_signals(process);
+		log_event(EVENT_PROCESS_STARTED, "vm=%s data_centre=%s",
+			  process->settings.vm_id,
+			  process->settings.data_centre);
+		ev_run(process->loop, 0);
+	} else {
+		log_event(EVENT_START_FAILED, "error=\"%s\"", err.message);
+		fprintf(stderr, "chivestaged: %s\n", err.message);
+		/* A thread that runs already cannot be told to stop. */
+		if (process->task_count && process->tasks[0].running)
+			_exit(EXIT_FAILURE);
+	}
+	destroy_tasks(process);
+	zmq_ctx_term(process->zmq);
+	log_event(EVENT_PROCESS_STOPPED, "vm=%s", process->settings.vm_id);
+	return started ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+static bool read_options(int argc, const char **argv, char **path)
+{
+	struct poptOption options[] = { { "config", 'c', POPT_ARG_STRING, path,
+					  0, "settings of this process",
+					  "SETTINGS.yaml" },
+					POPT_AUTOHELP POPT_TABLEEND };
+	poptContext context =
+		poptGetContext("chivestaged", argc, argv, options, 0);
+	int result = poptGetNextOpt(context);
+	bool valid = result == -1 && !poptPeekArg(context) && *path;
+
+	if (result < -1)
+		fprintf(stderr, "chivestaged: %s: %s\n",
+			poptBadOption(context, 0), poptStrerror(result));
+	if (!valid)
+		poptPrintUsage(context, stderr, 0);
+	poptFreeContext(context);
+	return valid;
+}
+
+int main(int argc, const char **argv)
+{
+	daemon_t process = { .zmq = NULL };
+	char *path = NULL;
+	err_t err = { 0 };
+	bool valid;
+	int status;
+
+	if (!read_options(argc, argv, &path)) {
+		free(path);
+		return EXIT_USAGE;
+	}
+	valid = settings_load(path, &process.settings, &err) &&
+		log_open(process.settings.log_level,
+			 process.settings.log_format, &err) &&
+		history_open(process.settings.history_path,
+			     process.settings.vm_id, &err);
+	free(path);
+	if (!valid) {
+		fprintf(stderr, "chivestaged: %s\n", err.message);
+		return EXIT_FAILURE;
+	}
+	/* A caller or server that closes its connection is no error here. */
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
+		fprintf(stderr, "chivestaged: a library cannot start\n");
+		return EXIT_FAILURE;
+	}
+	status = run(&process);
+	history_close();
+	log_close();
+	curl_global_cleanup();
+	return status;
+}
--- /dev/null
+++ b/src/process/request_admit.c
@@ -0,0 +1,291 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/history.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "process/request.h"
+
+/* Request headers that plain services receive. */
+static const char *const passed_headers[] = { "Content-Type", "Accept",
+					      "Accept-Language", "User-Agent",
+					      "Idempotency-Key" };
+
+static void refuse_err(request_t *request, const err_t *err)
+{
+	refusal_t refusal = (refusal_t)err->code;
+
+	request_refuse(request, refusal, OUTCOME_NOT_RUN,
+		       refusal_status(refusal) == 503 ? RETRY_AFTER_S : 0,
+		       err->message);
+}
+
+static void read_trace(request_t *request)
+{
+	const char *header = exchange_header(request->exchange, "traceparent");
+	trace_context_t parent;
+
+	if (header && trace_context_parse(header, &parent)) {
+		trace_context_child(&parent, &request->trace);
+		memcpy(request->trace_parent, parent.span_id,
+		       sizeof(request->trace_parent));
+	} else {
+		trace_context_new(&request->trace);
+	}
+}
+
+static const account_conf_t *authenticate(const document_t *document,
+					  exchange_t *exchange)
+{
+	uint8_t hash[KEY_HASH_SIZE_BYTES];
+	const char *key =
+		parse_bearer(exchange_header(exchange, "Authorization"));
+
+	if (!key)
+		return NULL;
+	document_hash_key(key, hash);
+	return document_account_by_key(document, hash);
+}
+
+/* Counts the request against max_in_flight; false if it is used up. */
+static bool take_account_slot(request_t *request)
+{
+	request_task_t *task = request->task;
+	const account_conf_t *account = request->account;
+	/* The limit is for the node, and a task counts its own share. */
+	int32_t tasks = task->settings.request_tasks;
+	int32_t share = (account->max_in_flight + tasks - 1) / tasks;
+	account_use_t *use;
+
+	HASH_FIND_STR(task->accounts, account->name, use);
+	if (!use) {
+		use = mem_calloc(1, sizeof(*use));
+		mem_strlcpy(use->name, account->name, sizeof(use->name));
+		HASH_ADD_STR(task->accounts, name, use);
+	}
+	if (account->max_in_flight && use->in_flight >= share)
+		return false;
+	use->in_flight++;
+	request->use = use;
+	return true;
+}
+
+/* Reserves memory for the body and the reply before the body is read. */
+static bool take_memory(request_t *request, err_t *err)
+{
+	request_task_t *task = request->task;
+	int64_t body_bytes = exchange_body_bytes(request->exchange);
+	/* The body, and its parsed form or the copy that is being sent. */
+	int64_t needed_bytes = REQUEST_RESERVE_BYTES + body_bytes * 2;
+
+	if (!parse_body_size(body_bytes, task->settings.body_max_bytes, err))
+		return false;
+	if (!budget_reserve(&task->budget, needed_bytes)) {
+		metrics_add(METRIC_MEMORY_REFUSED, 1);
+		return err_set(err, ERR_LAYER_REQUEST, REFUSAL_MEMORY_FULL,
+			       "%s", refusal_message(REFUSAL_MEMORY_FULL));
+	}
+	request->reserved_bytes = needed_bytes;
+	request->body_expected_bytes = (size_t)body_bytes;
+	request->body = mem_calloc(request->body_expected_bytes + 1, 1);
+	return true;
+}
+
+static bool set_service(request_t *request, const char *name, err_t *err)
+{
+	const service_conf_t *service =
+		document_service(request->document, name);
+	service_kind_t kind = request->kind == REQUEST_MODEL ? SERVICE_MODEL
+							     : SERVICE_PLAIN;
+
+	if (!service || service->kind != kind)
+		return err_set(err, ERR_LAYER_REQUEST, REFUSAL_NOT_FOUND,
+			       "no %s %.64s",
+			       kind == SERVICE_MODEL ? "model" : "service",
+			       name);
+	if (!document_account_may_use_service(request->account, name))
+		return err_set(err, ERR_LAYER_REQUEST, REFUSAL_FORBIDDEN,
+			       "the account may not use this service");
+	request->service = service;
+	request->class_conf = parse_class(
+		request->document, request->account, service,
+		request->class_header[0] ? request->class_header : NULL, err);
+	return request->class_conf;
+}
+
+static void pass_header(request_t *request, const char *name, const char *value)
+{
+	char text[1024];
+	size_t i = 0;
+
+	while (request->passed[i])
+		i++;
+	if (i < PASSED_HEADERS_MAX && value &&
+	    (size_t)snprintf(text, sizeof(text), "%s: %s", name, value) <
+		    sizeof(text))
+		request->passed[i] = mem_strdup(text);
+}
+
+static bool prepare_plain(request_t *request, const endpoint_t *endpoint,
+			  err_t *err)
+{
+	exchange_t *exchange = request->exchange;
+	size_t i;
+
+	request->kind = REQUEST_LOOKUP;
+	if (!set_service(request, endpoint->service, err))
+		return false;
+	if (!request->service->repeatable)
+		request->kind = REQUEST_ACTION;
+	if (!parse_idempotency_key(exchange_header(exchange, "Idempotency-Key"),
+				   request->kind == REQUEST_ACTION,
+				   request->key, err))
+		return false;
+	request->method = mem_strdup(exchange_method(exchange));
+	request->path = mem_strdup(endpoint->rest);
+	request->query = mem_strdup(exchange_query(exchange));
+	for (i = 0; i < sizeof(passed_headers) / sizeof(passed_headers[0]); i++)
+		pass_header(request, passed_headers[i],
+			    exchange_header(exchange, passed_headers[i]));
+	request_set_deadline(request);
+	return true;
+}
+
+static bool prepare(request_t *request, const endpoint_t *endpoint, err_t *err)
+{
+	const char *class_header =
+		exchange_header(request->exchange, "Chivestage-Class");
+
+	if (class_header &&
+	    mem_strlcpy(request->class_header, class_header, NAME_SIZE_BYTES))
+		return err_set(err, ERR_LAYER_REQUEST, REFUSAL_FORBIDDEN,
+			       "the account may not use this class");
+	request->chat = endpoint->type == ENDPOINT_CHAT;
+	request->kind = REQUEST_MODEL;
+	if (endpoint->type == ENDPOINT_SERVICE &&
+	    !prepare_plain(request, endpoint, err))
+		return false;
+	if (!take_account_slot(request))
+		return err_set(err, ERR_LAYER_REQUEST, REFUSAL_RATE_LIMITED,
+			       "the account has too many requests in flight");
+	return take_memory(request, err);
+}
+
+/* What is checked before a request exists; NULL after a refusal. */
+static const account_conf_t *check(request_task_t *task, exchange_t *exchange,
+				   const char *id, endpoint_t *endpoint)
+{
+	const account_conf_t *account;
+	err_t err = { 0 };
+
+	if (!parse_endpoint(exchange_method(exchange), exchange_path(exchange),
+			    endpoint, &err)) {
+		exchange_refuse(task, exchange, id, (refusal_t)err.code,
+				err.message);
+		return NULL;
+	}
+	if (!task->document || task->draining) {
+		exchange_refuse(task, exchange, id, REFUSAL_NOT_READY,
+				task->draining ? "the node is shutting down"
+					       : "");
+		return NULL;
+	}
+	account = authenticate(task->document, exchange);
+	if (!account)
+		exchange_refuse(task, exchange, id, REFUSAL_UNAUTHORIZED, "");
+	return account;
+}
+
+void *request_on_request(void *context, exchange_t *exchange)
+{
+	request_task_t *task = context;
+	request_t *request = request_create(task, exchange);
+	endpoint_t endpoint;
+	err_t err = { 0 };
+
+	metrics_add(METRIC_REQUESTS, 1);
+	read_trace(request);
+	request->account = check(task, exchange, request->id, &endpoint);
+	if (!request->account) {
+		request_free(request);
+		return NULL;
+	}
+	request->document = document_ref(task->document);
+	if (endpoint.type == ENDPOINT_MODELS) {
+		reply_models(task, exchange, request->id, request->account);
+		request_free(request);
+		return NULL;
+	}
+	if (!prepare(request, &endpoint, &err))
+		refuse_err(request, &err);
+	return request;
+}
+
+static bool admit_model(request_t *request, submit_msg_t *submit, err_t *err)
+{
+	completion_t *completion = &request->completion;
+
+	if (!parse_completion(request->body, request->body_size_bytes,
+			      request->chat, request->account->name, completion,
+			      err) ||
+	    !set_service(request, completion->model, err))
+		return false;
+	/* The parsed form replaces the text. */
+	free(request->body);
+	request->body = NULL;
+	request_set_deadline(request);
+	submit->prompt_tokens = completion->prompt_tokens;
+	submit->max_tokens = completion->max_tokens;
+	submit->blocks = completion->blocks;
+	submit->block_count = completion->block_count;
+	completion->blocks = NULL;
+	return true;
+}
+
+static void admit_plain(request_t *request, submit_msg_t *submit)
+{
+	if (request->kind != REQUEST_ACTION)
+		return;
+	mem_strlcpy(submit->key, request->key, sizeof(submit->key));
+	parse_request_hash(request->method, request->path, request->query,
+			   request->body, request->body_size_bytes,
+			   submit->request_hash);
+}
+
+static void fill_submit(const request_t *request, submit_msg_t *submit)
+{
+	submit->kind = request->kind;
+	submit->task = request->task->index;
+	submit->received_us = request->received_us;
+	submit->deadline_us = request->deadline_us;
+	mem_strlcpy(submit->service, request->service->name, NAME_SIZE_BYTES);
+	mem_strlcpy(submit->account, request->account->name, NAME_SIZE_BYTES);
+	mem_strlcpy(submit->class_name, request->class_conf->name,
+		    NAME_SIZE_BYTES);
+}
+
+void request_admit(request_t *request)
+{
+	static const char *const kinds[] = { "model", "lookup", "action" };
+	task_msg_t *message = task_msg_create(TASK_MSG_SUBMIT, request->number);
+	err_t err = { 0 };
+
+	if (request->kind == REQUEST_MODEL &&
+	    !admit_model(request, &message->as.submit, &err)) {
+		task_msg_destroy(message);
+		refuse_err(request, &err);
+		return;
+	}
+	if (request->kind != REQUEST_MODEL)
+		admit_plain(request, &message->as.submit);
+	fill_submit(request, &message->as.submit);
+	request_phase(request, "admit", false);
+	request->state = REQUEST_WAITING;
+	request->admitted = true;
+	history_event("admit", "request=%s kind=%s deadline_us=%" PRId64,
+		      request->id, kinds[request->kind], request->deadline_us);
+	if (!mailbox_send(request->task->control, message))
+		task_msg_destroy(message);
+}
--- /dev/null
+++ b/src/process/request_cancel.c
@@ -0,0 +1,134 @@
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "base/log.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "connection/engine.h"
+#include "process/request.h"
+
+enum {
+	REPLY_MAX_BYTES = 4096,
+	TIMEOUT_MS = 2000,
+	/* With the longest pause this is 5 minutes, past most restarts. */
+	TRIES_MAX = 60,
+	/* A shutdown waits for so many tries of each cancellation. */
+	TRIES_BEFORE_STOP = 3
+};
+
+#define FIRST_PAUSE_S 0.2
+#define LONGEST_PAUSE_S 5.0
+
+struct cancellation {
+	request_task_t *task;
+	char server[NAME_SIZE_BYTES];
+	char url[URL_SIZE_BYTES];
+	char id[STREAM_ID_SIZE_BYTES];
+	int32_t tries;
+	ev_timer pause;
+	client_call_t *call;
+	cancellation_t *prev, *next;
+};
+
+static void cancellation_free(cancellation_t *cancellation)
+{
+	request_task_t *task = cancellation->task;
+
+	if (cancellation->call)
+		client_call_cancel(cancellation->call);
+	ev_timer_stop(task->loop, &cancellation->pause);
+	DL_DELETE(task->cancellations, cancellation);
+	free(cancellation);
+}
+
+/* Whether repeating makes sense: the server still exists. */
+static bool may_repeat(const cancellation_t *cancellation)
+{
+	const document_t *document = cancellation->task->document;
+
+	return cancellation->tries < TRIES_MAX &&
+	       document_server(document, cancellation->server);
+}
+
+static void on_done(void *context, client_end_t end, int status,
+		    const char *body, size_t size)
+{
+	cancellation_t *cancellation = context;
+	request_task_t *task = cancellation->task;
+	double pause_s = FIRST_PAUSE_S * (double)(1 << cancellation->tries);
+	bool done = end == CLIENT_OK &&
+		    (status / 100 == 2 || status == 404 || status == 410);
+
+	cancellation->call = NULL;
+	if (done || !may_repeat(cancellation)) {
+		if (!done)
+			log_event(EVENT_CANCEL_FAILED, "server=%s stream=%s",
+				  cancellation->server, cancellation->id);
+		cancellation_free(cancellation);
+		request_task_check_idle(task);
+		return;
+	}
+	if (cancellation->tries > 5 || pause_s > LONGEST_PAUSE_S)
+		pause_s = LONGEST_PAUSE_S;
+	ev_timer_set(&cancellation->pause, pause_s, 0);
+	ev_timer_start(task->loop, &cancellation->pause);
+	request_task_check_idle(task);
+}
+
+static void send_cancel(cancellation_t *cancellation)
+{
+	engine_call_t call;
+	client_request_t send = {
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_timeout_ms = TIMEOUT_MS,
+		.total_timeout_ms = TIMEOUT_MS,
+	};
+
+	engine_cancel(&call, cancellation->url, cancellation->id);
+	send.method = call.method;
+	send.url = call.url;
+	cancellation->tries++;
+	cancellation->call = client_fetch(cancellation->task->client, &send,
+					  REPLY_MAX_BYTES, on_done,
+					  cancellation);
+	engine_call_clear(&call);
+}
+
+static void on_pause(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	send_cancel(timer->data);
+}
+
+void cancellation_add(request_task_t *task, const char *server, const char *url,
+		      const stream_id_t *id)
+{
+	cancellation_t *cancellation = mem_calloc(1, sizeof(*cancellation));
+
+	metrics_add(METRIC_STREAMS_CANCELLED, 1);
+	cancellation->task = task;
+	mem_strlcpy(cancellation->server, server, NAME_SIZE_BYTES);
+	mem_strlcpy(cancellation->url, url, URL_SIZE_BYTES);
+	stream_id_format(id, cancellation->id);
+	ev_init(&cancellation->pause, on_pause);
+	cancellation->pause.data = cancellation;
+	DL_APPEND(task->cancellations, cancellation);
+	send_cancel(cancellation);
+}
+
+bool cancellations_pending(const request_task_t *task)
+{
+	const cancellation_t *cancellation;
+
+	DL_FOREACH (task->cancellations, cancellation)
+		if (cancellation->tries < TRIES_BEFORE_STOP ||
+		    (cancellation->tries == TRIES_BEFORE_STOP &&
+		     cancellation->call))
+			return true;
+	return false;
+}
+
+void cancellations_clear(request_task_t *task)
+{
+	while (task->cancellations)
+		cancellation_free(task->cancellations);
+}
--- /dev/null
+++ b/src/process/request_model.c
@@ -0,0 +1,316 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "connection/engine.h"
+#include "process/request.h"
+
+enum { ERROR_BODY_MAX_BYTES = 8 * 1024 };
+
+static void on_header(void *context, const char *name, const char *value)
+{
+	request_t *request = context;
+
+	if (!strcasecmp(name, "X-Not-Run") && !strcmp(value, "1"))
+		request->not_run = true;
+}
+
+static void on_status(void *context, int status)
+{
+	request_t *request = context;
+
+	request->status = status;
+	request_phase(request, "connect", status != 200);
+}
+
+/* Reports the first token of an attempt. */
+static void note_token(request_t *request)
+{
+	task_msg_t *message;
+	int64_t now_us;
+
+	if (request->attempt_token_seen)
+		return;
+	request->attempt_token_seen = true;
+	now_us = clock_monotonic_us();
+	message = task_msg_create(TASK_MSG_FIRST_TOKEN, request->number);
+	message->as.first_token.attempt = request->dispatch.stream_id.attempt;
+	message->as.first_token.at_us = now_us;
+	if (!mailbox_send(request->task->control, message))
+		task_msg_destroy(message);
+	request_phase(request, "first token", false);
+	if (request->first_token_seen)
+		return;
+	request->first_token_seen = true;
+	metrics_ttft(request->completion.prompt_tokens,
+		     request->class_conf->name, now_us - request->received_us);
+}
+
+static void deliver(request_t *request, const sse_event_t *event,
+		    const engine_chunk_t *chunk)
+{
+	static const reply_header_t headers[] = {
+		{ "Content-Type", "text/event-stream" },
+		{ "Cache-Control", "no-cache" },
+	};
+
+	if (chunk->tokens) {
+		note_token(request);
+		request->resumes = 0;
+	}
+	metrics_add(METRIC_CHUNKS_RELAYED, 1);
+	if (chunk->finish_reason[0])
+		mem_strlcpy(request->finish_reason, chunk->finish_reason,
+			    sizeof(request->finish_reason));
+	/* Also for a stream: a new attempt continues after this text. */
+	collected_add(request, &request->answer, chunk->text,
+		      chunk->text_size_bytes, SIZE_MAX / 4);
+	if (!request->completion.stream)
+		return;
+	if (!request->headers_sent)
+		request_begin_stream(request, 200, headers, 2);
+	exchange_write(request->exchange, event->raw, event->raw_size);
+}
+
+static void model_send(request_t *request, engine_call_t *call);
+
+/* The connection is lost, or a chunk is: reads on from the position. */
+static void lost(request_t *request)
+{
+	engine_call_t call;
+
+	if (request->call)
+		client_call_cancel(request->call);
+	request->call = NULL;
+	if (request->resumes++ >= RESUMES_MAX) {
+		request_attempt_end(request, ATTEMPT_BROKEN);
+		return;
+	}
+	metrics_add(METRIC_STREAMS_RESUMED, 1);
+	log_event(EVENT_STREAM_RESUMED,
+		  "request=%s attempt=%" PRIu32 " server=%s offset=%" PRId64,
+		  request->id, request->dispatch.stream_id.attempt,
+		  request->dispatch.server, request->stream.next_tokens);
+	request->resuming = true;
+	request->status = 0;
+	stream_resume(&request->stream);
+	sse_reset(&request->sse);
+	engine_resume(&call, request->dispatch.url,
+		      &request->dispatch.stream_id,
+		      request->stream.next_tokens);
+	model_send(request, &call);
+}
+
+static bool on_end_marker(request_t *request)
+{
+	switch (stream_end_marker(&request->stream)) {
+	case STREAM_COMPLETE:
+		request_attempt_end(request, ATTEMPT_COMPLETE);
+		request_complete_model(request);
+		return false;
+	case STREAM_LOST:
+		lost(request);
+		return false;
+	default:
+		metrics_add(METRIC_CHUNKS_DROPPED, 1);
+		return true;
+	}
+}
+
+static bool on_chunk(request_t *request, const sse_event_t *event,
+		     const engine_chunk_t *chunk)
+{
+	stream_result_t result = stream_chunk(
+		&request->stream, &chunk->stream_id, chunk->offset_tokens,
+		chunk->tokens, chunk->finish_reason[0]);
+
+	if (result == STREAM_DELIVER) {
+		deliver(request, event, chunk);
+		return true;
+	}
+	metrics_add(METRIC_CHUNKS_DROPPED, 1);
+	log_event(EVENT_CHUNK_DROPPED,
+		  "request=%s server=%s reason=%d offset=%" PRId64
+		  " expected=%" PRId64,
+		  request->id, request->dispatch.server, (int)result,
+		  chunk->offset_tokens, request->stream.next_tokens);
+	if (result != STREAM_LOST)
+		return true;
+	lost(request);
+	return false;
+}
+
+static bool on_event(void *context, const sse_event_t *event)
+{
+	request_t *request = context;
+	request_task_t *task = request->task;
+	engine_chunk_t chunk;
+
+	if (!event->data_size)
+		return true;
+	if (!engine_parse_event(event->data, event->data_size, task->text,
+				sizeof(task->text), &chunk, NULL)) {
+		metrics_add(METRIC_CHUNKS_DROPPED, 1);
+		return true;
+	}
+	switch (chunk.type) {
+	case ENGINE_EVENT_CHUNK:
+		return on_chunk(request, event, &chunk);
+	case ENGINE_EVENT_DONE:
+		return on_end_marker(request);
+	case ENGINE_EVENT_OTHER:
+		/* Names no stream, so it may belong to another request. */
+		metrics_add(METRIC_CHUNKS_DROPPED, 1);
+		return true;
+	}
+	return true;
+}
+
+static client_flow_t on_data(void *context, const void *data, size_t size)
+{
+	request_t *request = context;
+
+	if (request->state != REQUEST_RUNNING)
+		return CLIENT_CONTINUE;
+	if (request->status != 200) {
+		if (!request->resuming && !request->stream.next_tokens)
+			collected_add(request, &request->answer, data, size,
+				      ERROR_BODY_MAX_BYTES);
+		return CLIENT_CONTINUE;
+	}
+	if (sse_feed(&request->sse, data, size, on_event, request) ==
+	    SSE_TOO_LONG) {
+		request_attempt_end(request, ATTEMPT_BROKEN);
+		return CLIENT_CONTINUE;
+	}
+	if (request->state != REQUEST_RUNNING || !request->call ||
+	    !request->headers_sent ||
+	    exchange_pending_bytes(request->exchange) < REPLY_BUFFER_HIGH_BYTES)
+		return CLIENT_CONTINUE;
+	request->paused = true;
+	return CLIENT_PAUSE;
+}
+
+/* The engine rejected the request as such: another one would too. */
+static bool is_rejection(const request_t *request)
+{
+	return !request->resuming && request->status >= 400 &&
+	       request->status < 500 && request->status != 408 &&
+	       request->status != 429 && !request->headers_sent &&
+	       !request->stream.next_tokens;
+}
+
+static void on_response(request_t *request)
+{
+	static const reply_header_t type = { "Content-Type",
+					     "application/json" };
+
+	if (request->status == 200) {
+		lost(request);
+	} else if (request->status == 503 && request->not_run &&
+		   !request->resuming) {
+		request->attempt_sent = false;
+		request_attempt_end(request, ATTEMPT_REFUSED);
+	} else if (is_rejection(request)) {
+		request_attempt_end(request, ATTEMPT_COMPLETE);
+		request_reply(request, request->status, OUTCOME_FAILED, &type,
+			      1, request->answer.data, request->answer.size);
+	} else {
+		request_attempt_end(request, ATTEMPT_BROKEN);
+	}
+}
+
+static void on_end(void *context, client_end_t end, int status)
+{
+	request_t *request = context;
+
+	request->call = NULL;
+	request->paused = false;
+	if (request->state != REQUEST_RUNNING)
+		return;
+	switch (end) {
+	case CLIENT_OK:
+		on_response(request);
+		break;
+	case CLIENT_CONNECT_FAILED:
+		if (request->resuming) {
+			request_attempt_end(request, ATTEMPT_BROKEN);
+			break;
+		}
+		request->attempt_sent = false;
+		request_attempt_end(request, ATTEMPT_CONNECT_FAILED);
+		break;
+	case CLIENT_TIMED_OUT:
+		request_attempt_end(request, ATTEMPT_TIMED_OUT);
+		break;
+	case CLIENT_BROKEN:
+	case CLIENT_CANCELLED:
+		lost(request);
+		break;
+	}
+}
+
+static void model_send(request_t *request, engine_call_t *call)
+{
+	char traceparent[TRACE_PARENT_SIZE_BYTES + 16] = "traceparent: ";
+	const char *headers[] = { "Content-Type: application/json",
+				  "Accept: text/event-stream", traceparent,
+				  NULL };
+	client_request_t send = {
+		.method = call->method,
+		.url = call->url,
+		.headers = headers,
+		.owned_body = call->body,
+		.body_size_bytes = call->body_size_bytes,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.idle_timeout_ms = request->class_conf->server_idle_ms,
+	};
+	client_handler_t handler = {
+		.on_header = on_header,
+		.on_status = on_status,
+		.on_data = on_data,
+		.on_end = on_end,
+		.context = request,
+	};
+
+	trace_context_format(&request->trace,
+			     traceparent + strlen(traceparent));
+	request->paused = false;
+	request->call = client_call(request->task->client, &send, &handler);
+}
+
+void model_start(request_t *request)
+{
+	stream_t *stream = &request->stream;
+	engine_request_t wanted = {
+		.body = request->completion.body,
+		.chat = request->chat,
+		.model = request->service->model,
+		.account = request->account->name,
+		.max_tokens = request->completion.max_tokens,
+	};
+	engine_call_t call;
+
+	if (stream->next_tokens && request->answer.overflow) {
+		/* Without the text no server can continue. */
+		request_give_up(request, ATTEMPT_CALLER_GONE);
+		request_refuse(request, REFUSAL_MEMORY_FULL, OUTCOME_FAILED,
+			       RETRY_AFTER_S, "");
+		return;
+	}
+	stream_attempt(stream, &request->dispatch.stream_id);
+	sse_reset(&request->sse);
+	request->attempt_token_seen = false;
+	request->attempt_sent = true;
+	if (!stream->next_tokens)
+		request->answer.size = 0; /* body of a refusal */
+	engine_submit(&call, &request->dispatch, &wanted, request->answer.data,
+		      stream->next_tokens, clock_monotonic_us());
+	model_send(request, &call);
+}
--- /dev/null
+++ b/src/process/request_reply.c
@@ -0,0 +1,269 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/history.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "process/request.h"
+
+enum {
+	REPLY_HEADERS_MAX = PASSED_HEADERS_MAX + 4,
+	/* A larger whole reply is streamed, so that a stall is noticed. */
+	WHOLE_REPLY_MAX_BYTES = 16 * 1024
+};
+
+static const char json_content_type[] = "application/json";
+
+/* @return a JSON text that the caller frees. */
+static char *error_body(refusal_t refusal, const char *message)
+{
+	json_t *json, *text = json_string(message);
+	char *body;
+
+	if (!text) /* a caller's text that is not UTF-8 */
+		text = json_string(refusal_message(refusal));
+	json = json_pack("{s:{s:s,s:o}}", "error", "code",
+			 refusal_code(refusal), "message", text);
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return body;
+}
+
+static void send_refusal(exchange_t *exchange, const char *id,
+			 refusal_t refusal, outcome_t outcome,
+			 int32_t retry_after_s, const char *message)
+{
+	char retry_after[16];
+	char *body = error_body(refusal, message && *message
+						 ? message
+						 : refusal_message(refusal));
+	reply_header_t headers[] = {
+		{ "Content-Type", json_content_type },
+		{ "Chivestage-Request-Id", id },
+		{ "Chivestage-Outcome", outcome_text(outcome) },
+		{ "Retry-After", retry_after },
+	};
+
+	snprintf(retry_after, sizeof(retry_after), "%" PRId32, retry_after_s);
+	exchange_reply(exchange, refusal_status(refusal), headers,
+		       retry_after_s > 0 ? 4 : 3, body, strlen(body));
+	free(body);
+}
+
+static void count(outcome_t outcome)
+{
+	static const metric_t metrics[] = {
+		[OUTCOME_COMPLETE] = METRIC_REQUESTS_COMPLETE,
+		[OUTCOME_NOT_RUN] = METRIC_REQUESTS_REFUSED,
+		[OUTCOME_FAILED] = METRIC_REQUESTS_FAILED,
+		[OUTCOME_UNKNOWN] = METRIC_REQUESTS_UNKNOWN,
+	};
+
+	metrics_add(metrics[outcome], 1);
+}
+
+void exchange_refuse(const request_task_t *task, exchange_t *exchange,
+		     const char *id, refusal_t refusal, const char *message)
+{
+	count(OUTCOME_NOT_RUN);
+	history_event("refuse", "request=%s outcome=%s code=%s", id,
+		      outcome_text(OUTCOME_NOT_RUN), refusal_code(refusal));
+	send_refusal(exchange, id, refusal, OUTCOME_NOT_RUN,
+		     refusal_status(refusal) == 503 ? RETRY_AFTER_S : 0,
+		     message);
+}
+
+/*
+ * The outcome that can be claimed: `not-run` only while no server may have
+ * run the request, `failed` once a part of the answer was delivered.
+ */
+static outcome_t true_outcome(const request_t *request, outcome_t outcome)
+{
+	if (outcome != OUTCOME_NOT_RUN ||
+	    !(request->bytes_sent || request->attempt_sent))
+		return outcome;
+	return request->stream.next_tokens ? OUTCOME_FAILED : OUTCOME_UNKNOWN;
+}
+
+static void send_last_event(request_t *request, refusal_t refusal,
+			    outcome_t outcome, const char *message)
+{
+	char event[512];
+	json_t *json = json_pack(
+		"{s:s,s:s,s:s}", "outcome", outcome_text(outcome), "code",
+		refusal_code(refusal), "message",
+		message && *message ? message : refusal_message(refusal));
+	char *data = json_dumps(json, JSON_COMPACT);
+	int size = snprintf(event, sizeof(event),
+			    "event: chivestage\ndata: %s\n\n", data);
+
+	json_decref(json);
+	free(data);
+	exchange_write(request->exchange, event, (size_t)size);
+	exchange_end(request->exchange);
+}
+
+void request_refuse(request_t *request, refusal_t refusal, outcome_t outcome,
+		    int32_t retry_after_s, const char *message)
+{
+	outcome = true_outcome(request, outcome);
+	count(outcome);
+	if (request->admitted)
+		log_event(EVENT_REQUEST_REFUSED,
+			  "request=%s code=%s outcome=%s", request->id,
+			  refusal_code(refusal), outcome_text(outcome));
+	history_event("refuse", "request=%s outcome=%s code=%s", request->id,
+		      outcome_text(outcome), refusal_code(refusal));
+	history_event("end", "request=%s outcome=%s", request->id,
+		      outcome_text(outcome));
+	request->state = REQUEST_ANSWERED;
+	if (!request->exchange)
+		request_free(request);
+	else if (!request->headers_sent)
+		send_refusal(request->exchange, request->id, refusal, outcome,
+			     retry_after_s, message);
+	else if (request->kind == REQUEST_MODEL)
+		send_last_event(request, refusal, outcome, message);
+	else
+		exchange_abort(request->exchange);
+}
+
+/* Adds the common headers. @return the number of headers. */
+static size_t add_headers(const request_t *request, const outcome_t *outcome,
+			  const reply_header_t *headers, size_t count,
+			  reply_header_t all[REPLY_HEADERS_MAX])
+{
+	memcpy(all, headers, count * sizeof(*headers));
+	all[count++] = (reply_header_t){ "Chivestage-Request-Id", request->id };
+	if (outcome)
+		all[count++] = (reply_header_t){ "Chivestage-Outcome",
+						 outcome_text(*outcome) };
+	return count;
+}
+
+void request_begin_stream(request_t *request, int status,
+			  const reply_header_t *headers, size_t header_count)
+{
+	reply_header_t all[REPLY_HEADERS_MAX];
+	size_t total = add_headers(request, NULL, headers, header_count, all);
+
+	request->headers_sent = true;
+	exchange_stream(request->exchange, status, all, total);
+}
+
+void request_reply(request_t *request, int status, outcome_t outcome,
+		   const reply_header_t *headers, size_t header_count,
+		   const void *body, size_t size)
+{
+	reply_header_t all[REPLY_HEADERS_MAX];
+	size_t total =
+		add_headers(request, &outcome, headers, header_count, all);
+
+	count(outcome);
+	history_event("end", "request=%s outcome=%s", request->id,
+		      outcome_text(outcome));
+	request->state = REQUEST_ANSWERED;
+	if (!request->exchange) {
+		request_free(request);
+	} else if (size <= WHOLE_REPLY_MAX_BYTES) {
+		exchange_reply(request->exchange, status, all, total, body,
+			       size);
+	} else {
+		request->headers_sent = true;
+		exchange_stream(request->exchange, status, all, total);
+		exchange_write(request->exchange, body, size);
+		exchange_end(request->exchange);
+	}
+}
+
+/* The answer of a caller that did not ask for a stream. */
+static void reply_collected(request_t *request)
+{
+	const completion_t *completion = &request->completion;
+	json_t *text =
+		json_stringn(request->answer.data ? request->answer.data : "",
+			     request->answer.size);
+	const char *reason = request->finish_reason[0] ? request->finish_reason
+						       : "stop";
+	json_t *choice, *json;
+	char *body;
+
+	if (request->chat)
+		choice = json_pack("{s:i,s:{s:s,s:o},s:s}", "index", 0,
+				   "message", "role", "assistant", "content",
+				   text, "finish_reason", reason);
+	else
+		choice = json_pack("{s:i,s:o,s:s}", "index", 0, "text", text,
+				   "finish_reason", reason);
+	json = json_pack(
+		"{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id", request->id,
+		"object", request->chat ? "chat.completion" : "text_completion",
+		"created", (json_int_t)(clock_wall_us() / US_PER_S), "model",
+		completion->model, "choices", choice, "usage", "prompt_tokens",
+		(json_int_t)completion->prompt_tokens, "completion_tokens",
+		(json_int_t)request->stream.next_tokens, "total_tokens",
+		(json_int_t)(completion->prompt_tokens +
+			     request->stream.next_tokens));
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	request_reply(request, 200, OUTCOME_COMPLETE,
+		      &(reply_header_t){ "Content-Type", json_content_type }, 1,
+		      body, strlen(body));
+	free(body);
+}
+
+void request_complete_model(request_t *request)
+{
+	static const char end_marker[] = "data: [DONE]\n\n";
+
+	if (!request->completion.stream) {
+		if (request->answer.overflow)
+			request_refuse(request, REFUSAL_MEMORY_FULL,
+				       OUTCOME_FAILED, RETRY_AFTER_S, "");
+		else
+			reply_collected(request);
+		return;
+	}
+	count(OUTCOME_COMPLETE);
+	history_event("end", "request=%s outcome=%s", request->id,
+		      outcome_text(OUTCOME_COMPLETE));
+	request->state = REQUEST_ANSWERED;
+	exchange_write(request->exchange, end_marker, sizeof(end_marker) - 1);
+	exchange_end(request->exchange);
+}
+
+void reply_models(request_task_t *task, exchange_t *exchange, const char *id,
+		  const account_conf_t *account)
+{
+	reply_header_t headers[] = {
+		{ "Content-Type", json_content_type },
+		{ "Chivestage-Request-Id", id },
+		{ "Chivestage-Outcome", outcome_text(OUTCOME_COMPLETE) },
+	};
+	json_t *list = json_array(), *json;
+	char *body;
+	size_t i;
+
+	for (i = 0; i < document_service_count(task->document); i++) {
+		const service_conf_t *service =
+			document_service_at(task->document, i);
+
+		if (service->kind == SERVICE_MODEL &&
+		    document_account_may_use_service(account, service->name))
+			json_array_append_new(list,
+					      json_pack("{s:s,s:s,s:s}", "id",
+							service->name, "object",
+							"model", "owned_by",
+							"chivestage"));
+	}
+	json = json_pack("{s:s,s:o}", "object", "list", "data", list);
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	count(OUTCOME_COMPLETE);
+	exchange_reply(exchange, 200, headers, 3, body, strlen(body));
+	free(body);
+}
--- a/src/request/sse.c
+++ b/src/request/sse.c
@@ -106,8 +106,8 @@
 	size_t used = 0;
 
 	if (sse->held_size) {
-		sse_result_t result = finish_held(sse, data, size, &used, each,
-						  context);
+		sse_result_t result =
+			finish_held(sse, data, size, &used, each, context);
 
 		if (result != SSE_OK)
 			return result;
--- a/src/request/stream.c
+++ b/src/request/stream.c
@@ -11,12 +11,12 @@
 {
 	stream->id = *id;
 	stream->attempt_delivered = false;
-	stream->gap = false;
+	stream->gaps = 0;
 }
 
 void stream_resume(stream_t *stream)
 {
-	stream->gap = false;
+	stream->gaps = 0;
 }
 
 static stream_result_t drop(stream_t *stream, stream_result_t reason)
@@ -43,13 +43,15 @@
 	if (offset_tokens < stream->next_tokens)
 		return drop(stream, STREAM_DROP_REPEATED);
 	if (offset_tokens > stream->next_tokens) {
-		stream->gap = true;
-		return drop(stream, STREAM_GAP);
+		stream->gaps++;
+		return drop(stream, stream->gaps < STREAM_GAPS_MAX
+					    ? STREAM_GAP
+					    : STREAM_LOST);
 	}
-	/* A chunk without tokens repeats at the same offset. */
-	if (!tokens && stream->finished)
-		return finish ? drop(stream, STREAM_DROP_REPEATED) :
-				STREAM_DELIVER;
+	/* After the finish reason only chunks without tokens, such as usage. */
+	if (stream->finished && (tokens || finish))
+		return drop(stream, STREAM_DROP_AFTER_END);
+	stream->gaps = 0;
 	stream->next_tokens += tokens;
 	stream->attempt_delivered = true;
 	stream->finished = stream->finished || finish;
@@ -60,8 +62,8 @@
 {
 	if (stream->complete)
 		return drop(stream, STREAM_DROP_AFTER_END);
-	if (stream->gap || !stream->finished)
-		return STREAM_GAP;
+	if (!stream->finished)
+		return STREAM_LOST;
 	stream->complete = true;
 	return STREAM_COMPLETE;
 }
--- a/src/request/stream.h
+++ b/src/request/stream.h
@@ -17,12 +17,18 @@
 	stream_id_t id; /**< current attempt */
 	int64_t next_tokens; /**< tokens delivered over all attempts */
 	bool attempt_delivered; /**< the current attempt delivered a chunk */
-	bool gap; /**< a chunk is missing; cleared by stream_resume() */
+	int32_t gaps; /**< chunks in a row above the position */
 	bool finished; /**< a chunk with a finish reason was delivered */
 	bool complete;
 	int64_t dropped; /**< chunks dropped over all attempts */
 } stream_t;
 
+/*
+ * A single chunk with a wrong offset may be a stray one, after which the
+ * stream goes on; several in a row mean that a chunk was lost.
+ */
+enum { STREAM_GAPS_MAX = 4 };
+
 typedef enum {
 	STREAM_DELIVER,
 	STREAM_COMPLETE,
@@ -30,7 +36,8 @@
 	STREAM_DROP_OTHER_ATTEMPT,
 	STREAM_DROP_REPEATED, /**< offset below the position */
 	STREAM_DROP_AFTER_END,
-	STREAM_GAP /**< offset above the position, or an end after a gap */
+	STREAM_GAP, /**< offset above the position: dropped */
+	STREAM_LOST /**< chunks are missing: read again from the position */
 } stream_result_t;
 
 void stream_init(stream_t *stream);
@@ -47,8 +54,8 @@
 			     bool finish);
 
 /**
- * The end marker arrived. It names no stream, so that it counts only after a
- * chunk of this stream with a finish reason.
+ * The end marker arrived. It names no stream, so it counts only after a chunk
+ * of this stream with a finish reason; before that, chunks are missing.
  */
 stream_result_t stream_end_marker(stream_t *stream);
 
