Ask holders for what they hold, and count reported use across a cut

Cause: fuzz_credits found two states in which holders could use more than the limit. A list of presented grants that was sent to the previous process of the owner's VM ended the quarantine of the new process; and a node that was cut off granted its static share while the other side kept more than its own share in use. Ruled out: waiting out the quarantine in every case, because planned moves of ownership would then stop new grants for 2.25 s. Change: a new owner asks every member with a number that ends the list; the list carries a digest of its grants. Without agreement a node grants no blocks, and counts what the server reports.

--- a/src/process/credit.c
+++ b/src/process/credit.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/mem.h"
 
 /* Bounds received amounts, so that sums of grants cannot overflow. */
@@ -60,6 +62,16 @@
 	       amount.slots <= limit.slots;
 }
 
+credit_amount_t credit_digest(credit_amount_t list, uint64_t id)
+{
+	uint64_t hash = XXH3_64bits(&id, sizeof(id));
+
+	list.slots++;
+	list.kv_tokens = (list.kv_tokens + (int64_t)(hash >> 17)) &
+			 (KV_TOKENS_MAX - 1);
+	return list;
+}
+
 static bool amount_valid(credit_amount_t amount)
 {
 	return amount.kv_tokens >= 0 && amount.kv_tokens <= KV_TOKENS_MAX &&
--- a/src/process/credit.h
+++ b/src/process/credit.h
@@ -42,7 +42,9 @@
 	CREDIT_GRANT,
 	/**
 	 * Nothing now; ask again after retry_after_us. With sequence 0 it
-	 * recalls what is not in use of a held grant.
+	 * recalls what is not in use of a held grant. With id 0 a new owner
+	 * asks a holder to present what it holds; the holder ends its list
+	 * with this sequence number.
 	 */
 	CREDIT_REFUSAL,
 	CREDIT_RENEW, /**< holder extends grant `id` */
@@ -55,7 +57,8 @@
 	 * Holder tells a new owner what it holds, or an owner what is still
 	 * in use of a grant that expired. Answered like a renewal, but never
 	 * refused: it states a fact. The message with id 0 ends the list of
-	 * a holder, carries the sum and has no answer.
+	 * a holder and has no answer. Its `minimum` holds the number of
+	 * grants (slots) and the sum of their credit_digest() (kv_tokens).
 	 */
 	CREDIT_PRESENT
 } credit_msg_type_t;
@@ -98,6 +101,9 @@
 /** Whether no component of @p amount is above that of @p limit. */
 bool credit_fits(credit_amount_t amount, credit_amount_t limit);
 
+/** @return the amount with @p id added to a list of presented grants. */
+credit_amount_t credit_digest(credit_amount_t list, uint64_t id);
+
 /** Whether a received message has sensible numbers and a name. */
 bool credit_msg_valid(const credit_msg_t *message);
 
--- a/src/process/credit_grant.c
+++ b/src/process/credit_grant.c
@@ -91,11 +91,11 @@
 	return !credit_is_zero(grant->amount);
 }
 
-void grant_present_end(const resource_t *resource, credit_amount_t sum,
-		       credit_sender_t *sender)
+void grant_present_end(const resource_t *resource, credit_amount_t digest,
+		       uint64_t sequence, credit_sender_t *sender)
 {
 	credit_msg_t *message = add(sender, CREDIT_PRESENT, resource, 0);
 
-	message->amount = sum;
-	message->sequence = ++sender->next_sequence;
+	message->minimum = digest;
+	message->sequence = sequence;
 }
--- a/src/process/credit_grant.h
+++ b/src/process/credit_grant.h
@@ -79,7 +79,7 @@
 		  credit_sender_t *sender);
 
 /** Ends the list of presented grants of a resource. */
-void grant_present_end(const resource_t *resource, credit_amount_t sum,
-		       credit_sender_t *sender);
+void grant_present_end(const resource_t *resource, credit_amount_t digest,
+		       uint64_t sequence, credit_sender_t *sender);
 
 #endif
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -56,14 +56,18 @@
 			 const resource_t *resource, uint64_t use,
 			 int64_t now_us);
 
-/** Handles a grant or a refusal of the owner. */
+/**
+ * Handles a grant or a refusal of the owner. Messages of a node that this
+ * node does not regard as the owner must not be passed in.
+ */
 void credit_holder_receive(credit_holder_t *holder, const credit_msg_t *message,
 			   int64_t now_us);
 
 /**
  * The owner of a resource changed: presents the grants to the new one. Call
- * it for every server and weight-load resource when this node learns its
- * owner for the first time, too, since the owner waits for every member.
+ * it also when the owner has a new incarnation, and when this node learns
+ * the owner of a server or of weight loads for the first time, since a new
+ * owner waits for every member.
  */
 void credit_holder_owner_changed(credit_holder_t *holder,
 				 const resource_t *resource, int64_t now_us);
--- a/src/process/credit_holder_messages.c
+++ b/src/process/credit_holder_messages.c
@@ -84,27 +84,6 @@
 	grant->repeat_us = retry_us;
 }
 
-void credit_holder_receive(credit_holder_t *holder, const credit_msg_t *message,
-			   int64_t now_us)
-{
-	credit_entry_t *entry;
-	credit_grant_t *grant = NULL;
-
-	if (!credit_msg_valid(message))
-		return;
-	entry = credit_entry_find(holder, &message->resource);
-	if (entry) {
-		credit_entry_expire(holder, entry, now_us);
-		grant = find(entry, message->id);
-	}
-	if (message->type == CREDIT_GRANT && grant)
-		receive_grant(holder, entry, grant, message, now_us);
-	else if (message->type == CREDIT_GRANT)
-		refuse_grant(holder, message);
-	else if (message->type == CREDIT_REFUSAL && grant)
-		receive_refusal(holder, entry, grant, message, now_us);
-}
-
 /* Requests start again under a new id: an answer of the old owner must not
  * be taken for one of the new owner. */
 static void ask_again(credit_holder_t *holder, credit_entry_t *entry,
@@ -117,31 +96,66 @@
 	grant_ask(grant, &entry->resource, &holder->sender, now_us);
 }
 
-void credit_holder_owner_changed(credit_holder_t *holder,
-				 const resource_t *resource, int64_t now_us)
+/* Presents every grant and ends the list with the owner's number. */
+static void present_all(credit_holder_t *holder, const resource_t *resource,
+			uint64_t sequence, int64_t now_us)
 {
 	credit_entry_t *entry = credit_entry_find(holder, resource);
-	credit_amount_t sum = { 0 };
+	credit_amount_t digest = { 0 };
 	credit_grant_t *grant;
 
+	if (resource->kind == RESOURCE_ACCOUNT)
+		return;
 	if (entry)
 		credit_entry_expire(holder, entry, now_us);
 	LL_FOREACH (entry ? entry->grants : NULL, grant) {
 		if (grant->state != GRANT_HELD && grant->state != GRANT_LAPSED)
 			continue;
-		if (resource->kind == RESOURCE_ACCOUNT)
-			continue;
-		sum = credit_add(sum, grant->amount);
+		digest = credit_digest(digest, grant->id);
 		grant_present(grant, resource, &holder->sender, now_us);
 	}
-	if (resource->kind != RESOURCE_ACCOUNT)
-		grant_present_end(resource, sum, &holder->sender);
+	grant_present_end(resource, digest, sequence, &holder->sender);
+}
+
+void credit_holder_owner_changed(credit_holder_t *holder,
+				 const resource_t *resource, int64_t now_us)
+{
+	credit_entry_t *entry = credit_entry_find(holder, resource);
+	credit_grant_t *grant;
+
+	present_all(holder, resource, 0, now_us);
 	LL_FOREACH (entry ? entry->grants : NULL, grant)
 		if (grant->state == GRANT_ASKED ||
 		    grant->state == GRANT_REFUSED)
 			ask_again(holder, entry, grant, now_us);
 }
 
+void credit_holder_receive(credit_holder_t *holder, const credit_msg_t *message,
+			   int64_t now_us)
+{
+	credit_entry_t *entry;
+	credit_grant_t *grant = NULL;
+
+	if (!credit_msg_valid(message))
+		return;
+	if (message->type == CREDIT_REFUSAL && !message->id) {
+		present_all(holder, &message->resource, message->sequence,
+			    now_us);
+		return;
+	}
+	entry = credit_entry_find(holder, &message->resource);
+	if (entry) {
+		credit_entry_expire(holder, entry, now_us);
+		grant = find(entry, message->id);
+	}
+	if (message->type == CREDIT_GRANT && grant)
+		receive_grant(holder, entry, grant, message, now_us);
+	else if (message->type == CREDIT_GRANT)
+		refuse_grant(holder, message);
+	else if (message->type == CREDIT_REFUSAL && grant)
+		receive_refusal(holder, entry, grant, message, now_us);
+}
+
 static bool is_idle(const credit_entry_t *entry, int64_t now_us)
 {
 	return now_us - entry->last_draw_us >= IDLE_US;
--- a/src/process/credit_owner.c
+++ b/src/process/credit_owner.c
@@ -14,6 +14,9 @@
  * side without agreement waits for the other one to stop. */
 #define CUT_SKEW_US US_PER_S
 
+/* A member whose list is missing is asked again after this time. */
+#define SOLICIT_US (250 * US_PER_MS)
+
 /* Streams whose grant expired count by the server's report for at most this
  * long: an engine that counts cached prefixes as used never reports less. */
 #define LAPSED_MAX_US (30 * US_PER_S)
@@ -132,6 +135,10 @@
 	owned->quarantine_until_us = now_us + QUARANTINE_US;
 	if (!owner->agreed)
 		owned->quarantine_until_us += CUT_SKEW_US;
+	/* Lists that answer an earlier quarantine, perhaps of an earlier
+	 * process of this VM, have another number. */
+	owned->quarantine = (uint64_t)now_us;
+	owned->solicit_us = now_us;
 	clear_declared(owned);
 }
 
@@ -227,20 +234,43 @@
 	return false;
 }
 
-void owned_check_quarantine(credit_owner_t *owner, owned_t *owned,
-			    int64_t now_us)
+void owned_solicit(credit_owner_t *owner, const owned_t *owned,
+		   const char *vm_id)
+{
+	credit_msg_t message = { .type = CREDIT_REFUSAL,
+				 .resource = owned->resource,
+				 .sequence = owned->quarantine };
+
+	mem_strlcpy(message.holder, vm_id, sizeof(message.holder));
+	credit_queue_add(&owner->queue, &message);
+}
+
+/* Whether every VM that may hold a grant has presented its grants. */
+static bool all_declared(credit_owner_t *owner, owned_t *owned, int64_t now_us)
 {
+	bool all = owner->agreed && owner->members;
+	bool solicit = owner->agreed && now_us >= owned->solicit_us;
 	owner_member_t *member, *next;
 
-	if (!owned->quarantine_until_us)
-		return;
-	if (now_us < owned->quarantine_until_us) {
-		if (!owner->agreed || !owner->members)
-			return;
-		HASH_ITER (hh, owner->members, member, next)
-			if (!is_declared(owned, member->vm_id))
-				return;
+	if (solicit)
+		owned->solicit_us = now_us + SOLICIT_US;
+	HASH_ITER (hh, owner->members, member, next) {
+		if (is_declared(owned, member->vm_id))
+			continue;
+		all = false;
+		if (solicit && member->left_us == INT64_MAX)
+			owned_solicit(owner, owned, member->vm_id);
 	}
+	return all;
+}
+
+void owned_check_quarantine(credit_owner_t *owner, owned_t *owned,
+			    int64_t now_us)
+{
+	if (!owned->quarantine_until_us ||
+	    (now_us < owned->quarantine_until_us &&
+	     !all_declared(owner, owned, now_us)))
+		return;
 	owned->quarantine_until_us = 0;
 	/* Streams of holders that are gone show in the server's report. */
 	if (owned->resource.kind == RESOURCE_SERVER)
--- a/src/process/credit_owner_limits.c
+++ b/src/process/credit_owner_limits.c
@@ -3,6 +3,9 @@
 #include "base/mem.h"
 #include "process/credit_owner_state.h"
 
+/* Without agreement a report counts for this long. */
+#define REPORT_AGE_US (2 * US_PER_S)
+
 bool owner_share_less(owner_share_t a, owner_share_t b)
 {
 	return (int64_t)a.units * b.listed < (int64_t)b.units * a.listed;
@@ -44,14 +47,16 @@
 	return limit;
 }
 
-/* What the server had in use, and what was granted since it said so. */
+/* What the server had in use, and what was granted since it said so. Grants
+ * of a short time before may not have been drawn when it did. */
 static credit_amount_t reported_use(const owned_t *owned)
 {
+	int64_t since_us = owned->report_taken_us - RECALL_RETRY_US;
 	credit_amount_t used = owned->report_used;
 	const owner_grant_t *grant;
 
 	DL_FOREACH (owned->grants, grant)
-		if (grant->granted_us >= owned->report_taken_us)
+		if (grant->granted_us >= since_us)
 			used = credit_add(used, grant->amount);
 	return used;
 }
@@ -69,8 +74,14 @@
 		return free_amount;
 	}
 	free_amount = credit_sub(owned_limit(owner, owned, now_us), used);
-	if (!owned->reported || (owner->agreed && !owned->lapsed_us))
+	if (owned->resource.kind != RESOURCE_SERVER ||
+	    (owner->agreed && (!owned->lapsed_us || !owned->reported)))
 		return free_amount;
+	/* Work of nodes on the other side of a cut shows only in reports. */
+	if (!owner->agreed &&
+	    (!owned->reported ||
+	     now_us - owned->report_taken_us >= REPORT_AGE_US))
+		return nothing;
 	used = credit_max(used, reported_use(owned));
 	return credit_min(free_amount, credit_sub(full_limit(owned), used));
 }
--- a/src/process/credit_owner_messages.c
+++ b/src/process/credit_owner_messages.c
@@ -71,6 +71,10 @@
 {
 	bool close = grant->recalled || owned_over_limit(owner, owned, now_us);
 
+	if (!owner->agreed && !owned_is_rate(owned) &&
+	    message->type != CREDIT_REQUEST)
+		close = true;
+
 	grant->recalled = close;
 	grant->expires_us = now_us + CREDIT_LIFETIME_US + CREDIT_MARGIN_US;
 	answer(owner, message, CREDIT_GRANT, grant->amount,
@@ -79,10 +83,15 @@
 
 /* A share of what is free, so that a scarce resource is not held by one node
  * as an idle block; always enough for the use that asks. */
-static credit_amount_t grant_size(credit_amount_t free_amount,
+static credit_amount_t grant_size(const credit_owner_t *owner,
+				  credit_amount_t free_amount,
 				  credit_amount_t amount,
 				  credit_amount_t minimum)
 {
+	/* Without agreement this node counts other nodes' work by reports,
+	 * which do not show blocks. */
+	if (!owner->agreed)
+		return minimum;
 	free_amount.kv_tokens /= 4;
 	free_amount.slots /= 4;
 	return credit_max(minimum, credit_min(amount, free_amount));
@@ -193,7 +202,8 @@
 	}
 	if (is_waiter(&owned->waiter, message))
 		owned->waiter.set = false;
-	size = grant_size(free_amount, message->amount, message->minimum);
+	size = grant_size(owner, free_amount, message->amount,
+			  message->minimum);
 	if (owned_is_rate(owned))
 		owned->rate_tokens_us -= size.slots * US_PER_S;
 	grant = add_grant(owned, message, size, now_us);
@@ -262,21 +272,22 @@
 	return declared;
 }
 
-/* A holder has declared what it holds once the presented grants add up to
- * the sum that it gave. */
+/* A holder has declared what it holds once exactly the grants of its list are
+ * known: with others counted in, a missing one could go unnoticed. */
 static void check_declared(owned_t *owned)
 {
 	owner_declared_t *declared;
 	owner_grant_t *grant;
 
 	LL_FOREACH (owned->declared, declared) {
-		credit_amount_t sum = { 0 };
+		credit_amount_t digest = { 0 };
 
 		DL_FOREACH (owned->grants, grant)
 			if (grant->incarnation == declared->incarnation &&
 			    !strcmp(grant->holder, declared->holder))
-				sum = credit_add(sum, grant->amount);
-		if (credit_fits(declared->sum, sum))
+				digest = credit_digest(digest, grant->id);
+		if (digest.slots == declared->digest.slots &&
+		    digest.kv_tokens == declared->digest.kv_tokens)
 			declared->complete = true;
 	}
 }
@@ -290,11 +301,13 @@
 		return;
 	if (message->id) {
 		present(owner, owned, message, now_us);
-	} else if (owned->quarantine_until_us) {
+	} else if (owned->quarantine_until_us &&
+		   message->sequence == owned->quarantine) {
 		declared = get_declared(owned, message);
 		declared->incarnation = message->holder_incarnation;
-		declared->sum = message->amount;
-		declared->complete = false;
+		declared->digest = message->minimum;
+	} else if (owned->quarantine_until_us) {
+		owned_solicit(owner, owned, message->holder);
 	}
 	check_declared(owned);
 	owned_check_quarantine(owner, owned, now_us);
--- a/src/process/credit_owner_state.h
+++ b/src/process/credit_owner_state.h
@@ -33,7 +33,7 @@
 typedef struct owner_declared {
 	char holder[NAME_SIZE_BYTES];
 	uint64_t incarnation;
-	credit_amount_t sum;
+	credit_amount_t digest;
 	bool complete; /**< all of it was presented */
 	struct owner_declared *next;
 } owner_declared_t;
@@ -60,6 +60,8 @@
 	owner_grant_t *grants;
 
 	int64_t quarantine_until_us; /**< 0: not in quarantine */
+	uint64_t quarantine; /**< number that ends a holder's list */
+	int64_t solicit_us; /**< when to ask holders for their lists again */
 	owner_declared_t *declared;
 
 	bool reported;
@@ -147,7 +149,11 @@
  */
 void owner_check_pause(credit_owner_t *owner, int64_t now_us);
 
-/** Ends a quarantine that is over. */
+/** Asks a member to present what it holds. */
+void owned_solicit(credit_owner_t *owner, const owned_t *owned,
+		   const char *vm_id);
+
+/** Ends a quarantine that is over; asks for lists that are missing. */
 void owned_check_quarantine(credit_owner_t *owner, owned_t *owned,
 			    int64_t now_us);
 
