--- a/src/connection/peer_codec.c
+++ b/src/connection/peer_codec.c
@@ -58,10 +58,6 @@
 		return malformed(err, "credit type");
 	if (body->resource_kind > RESOURCE_WEIGHT_LOAD)
 		return malformed(err, "resource kind");
-	if (body->kv_tokens < 0 || body->slots < 0 ||
-	    body->minimum_kv_tokens < 0 || body->minimum_slots < 0 ||
-	    body->lifetime_us < 0 || body->retry_after_us < 0)
-		return malformed(err, "credit amount");
 	credit->type = body->type;
 	credit->resource.kind = body->resource_kind;
 	credit->id = body->id;
@@ -72,8 +68,9 @@
 	credit->minimum.slots = body->minimum_slots;
 	credit->lifetime_us = body->lifetime_us;
 	credit->retry_after_us = body->retry_after_us;
-	return read_name(credit->resource.name, body->resource, "resource",
-			 err);
+	if (!read_name(credit->resource.name, body->resource, "resource", err))
+		return false;
+	return credit_msg_valid(credit) || malformed(err, "credit amount");
 }
 
 static bool read_load(const Peer__ServerLoad *body, peer_load_t *load,
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -6,6 +6,7 @@
 #define PROCESS_CONTROL_H
 
 #include <ev.h>
+#include <jansson.h>
 
 #include "base/mailbox.h"
 #include "connection/client.h"
@@ -14,6 +15,7 @@
 #include "process/credit_holder.h"
 #include "process/credit_owner.h"
 #include "process/dispatch.h"
+#include "process/drain.h"
 #include "process/settings.h"
 #include "process/task_msg.h"
 #include "version/inforce.h"
@@ -22,6 +24,8 @@
 typedef struct control_load control_load_t;
 typedef struct control_members control_members_t;
 typedef struct control_credits control_credits_t;
+typedef struct control_shutdown control_shutdown_t;
+typedef struct control_status control_status_t;
 
 typedef struct control {
 	settings_t settings;
@@ -39,6 +43,8 @@
 	control_load_t *load;
 	control_members_t *members;
 	control_credits_t *credits;
+	control_shutdown_t *shutdown;
+	control_status_t *status;
 	ev_timer tick;
 	ev_prepare before_wait;
 	bool closing; /* messages are discarded */
@@ -71,6 +77,9 @@
 /** A member joined: it needs every figure. */
 void control_load_members(control_load_t *load);
 
+/** @return the servers and their load, for the status. */
+json_t *control_load_status(const control_load_t *load, int64_t now_us);
+
 /** Takes in one entry of another node's digest. */
 void control_load_digest(control_load_t *load, const peer_load_t *entry);
 
@@ -118,6 +127,12 @@
 /** Sends the document in force to members that have an older one. */
 void control_members_push_config(control_members_t *members);
 
+/** @return the members of all data centres, for the status. */
+json_t *control_members_status(const control_members_t *members);
+
+/** @return the other data centres, for the status. */
+json_t *control_members_sites(const control_members_t *members);
+
 /* control_credits.c: both sides of the credit protocol. */
 control_credits_t *control_credits_create(control_t *control);
 void control_credits_destroy(control_credits_t *credits);
@@ -144,6 +159,21 @@
 /** Carries messages between holder, owner and peers until there are none. */
 void control_credits_pump(control_credits_t *credits);
 
+/* control_shutdown.c: carries out the phases of drain.h. */
+control_shutdown_t *control_shutdown_create(control_t *control, void *zmq,
+					    err_t *err);
+void control_shutdown_destroy(control_shutdown_t *shutdown);
+void control_shutdown_start(control_shutdown_t *shutdown);
+void control_shutdown_idle(control_shutdown_t *shutdown, uint32_t task);
+void control_shutdown_tick(control_shutdown_t *shutdown, int64_t now_us);
+drain_phase_t control_shutdown_phase(const control_shutdown_t *shutdown);
+
+/* control_status.c: publishes the status for operators once a second. */
+control_status_t *control_status_create(control_t *control);
+void control_status_destroy(control_status_t *status);
+void control_status_publish(control_status_t *status, int64_t now_us);
+void control_status_tick(control_status_t *status, int64_t now_us);
+
 /* control_task.c */
 
 /** The members or the reachability of a data centre changed. */
--- a/src/process/control_config.c
+++ b/src/process/control_config.c
@@ -20,6 +20,7 @@
 	ev_timer next; /* starts the next call outside of callbacks */
 	bool calling;
 	bool known; /* the object was read; false: read before watching */
+	bool missing; /* the platform has no such object */
 	bool watching; /* this node holds the watch */
 	int64_t object_version;
 };
@@ -124,6 +125,10 @@
 	} else if (status != PLATFORM_OK) {
 		config->known = false;
 	}
+	if (status == PLATFORM_NOT_FOUND && !config->missing)
+		log_event(EVENT_CONFIG_MISSING, "name=%s",
+			  PLATFORM_CONFIGURATION_NAME);
+	config->missing = status == PLATFORM_NOT_FOUND;
 	schedule(config, status == PLATFORM_OK ? 0 : RETRY_MS);
 }
 
--- a/src/process/control_credits.c
+++ b/src/process/control_credits.c
@@ -289,12 +289,17 @@
 {
 	control_t *control = credits->control;
 	int64_t now_us = clock_monotonic_us();
+	const entry_t *entry;
 
 	if (is_for_owner(message->type)) {
 		credit_owner_receive(control->owner, message, now_us);
 		return;
 	}
-	/* The sender of an answer is the owner; the holder is this node. */
+	/* Until here the message names its sender. */
+	entry = find_entry(credits, &message->resource);
+	if (!entry || strcmp(entry->owner, message->holder) != 0 ||
+	    entry->owner_incarnation != message->holder_incarnation)
+		return;
 	mem_strlcpy(message->holder, control->settings.vm_id,
 		    sizeof(message->holder));
 	message->holder_incarnation = control->incarnation;
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -37,6 +37,7 @@
 	bool silent;
 	bool cold;
 	bool listed; /* during configure: still in the document */
+	load_report_t report; /* newest; taken_us 0: none */
 } server_t;
 
 struct control_load {
@@ -151,6 +152,7 @@
 		log_event(EVENT_SERVER_COLD, "server=%s", server->name);
 	server->silent = false;
 	server->cold = report->cold;
+	server->report = *report;
 	dispatch_load(control->dispatch, report, report->received_us);
 	control_credits_report(control->credits, report);
 	digest_report(server->load->digest, report);
@@ -238,6 +240,7 @@
 void control_load_digest(control_load_t *load, const peer_load_t *entry)
 {
 	load_report_t report = entry->report;
+	server_t *server;
 
 	/* This node reads what it owns itself. */
 	if (control_credits_owns(load->control->credits, report.server))
@@ -245,4 +248,36 @@
 	report.received_us = clock_monotonic_us();
 	report.taken_us = report.received_us - entry->age_us;
 	dispatch_load(load->control->dispatch, &report, report.received_us);
+	HASH_FIND_STR(load->servers, report.server, server);
+	if (server)
+		server->report = report;
+}
+
+json_t *control_load_status(const control_load_t *load, int64_t now_us)
+{
+	const control_credits_t *credits = load->control->credits;
+	json_t *list = json_array();
+	server_t *server, *next;
+
+	HASH_ITER (hh, load->servers, server, next) {
+		const load_report_t *report = &server->report;
+
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:I}", "name",
+				  server->name, "owned",
+				  control_credits_owns(credits, server->name),
+				  "cold", report->cold, "kv_total_tokens",
+				  (json_int_t)report->kv_total_tokens,
+				  "kv_used_tokens",
+				  (json_int_t)report->kv_used_tokens, "running",
+				  report->running, "queued", report->queued,
+				  "age_ms",
+				  report->taken_us
+					  ? (json_int_t)((now_us -
+							  report->taken_us) /
+							 US_PER_MS)
+					  : (json_int_t)-1));
+	}
+	return list;
 }
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -55,11 +55,15 @@
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
+	case TASK_MSG_DRAIN:
+		control_shutdown_start(control->shutdown);
+		break;
+	case TASK_MSG_IDLE:
+		control_shutdown_idle(control->shutdown, message->as.task);
+		break;
 	case TASK_MSG_STOP:
 		ev_break(control->loop, EVBREAK_ALL);
 		break;
-	case TASK_MSG_DRAIN:
-	case TASK_MSG_IDLE:
 	case TASK_MSG_DISPATCH:
 	case TASK_MSG_REFUSE:
 	case TASK_MSG_ANSWER:
@@ -101,6 +105,8 @@
 	control_credits_tick(control->credits, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
+	control_status_tick(control->status, now_us);
+	control_shutdown_tick(control->shutdown, now_us);
 }
 
 void control_members_changed(control_t *control)
@@ -181,12 +187,15 @@
 	control->config = control_config_create(control);
 	control->load = control_load_create(control);
 	control->credits = control_credits_create(control);
+	control->status = control_status_create(control);
 }
 
 static bool open_members(control_t *control, void *zmq, err_t *err)
 {
 	control->members = control_members_create(control, zmq, err);
-	return control->members;
+	if (control->members)
+		control->shutdown = control_shutdown_create(control, zmq, err);
+	return control->shutdown;
 }
 
 static void start_watchers(control_t *control)
@@ -251,6 +260,8 @@
 {
 	if (!control)
 		return;
+	control_shutdown_destroy(control->shutdown);
+	control_status_destroy(control->status);
 	control_load_destroy(control->load);
 	control_config_destroy(control->config);
 	control_credits_destroy(control->credits);
--- a/src/process/member.h
+++ b/src/process/member.h
@@ -137,7 +137,8 @@
 
 /**
  * Lists the candidates for ownership, sorted by name: this node unless it is
- * leaving, and every member that is alive or suspect and not leaving.
+ * leaving, and every member that is alive or suspect and not leaving. When
+ * all are leaving, all are candidates.
  * @return their number, at most @p capacity
  */
 size_t member_candidates(const member_table_t *table, bool self_leaving,
