--- a/src/connection/peer_encode.c
+++ b/src/connection/peer_encode.c
@@ -102,7 +102,8 @@
 {
 	Peer__LoadDigest body = PEER__LOAD_DIGEST__INIT;
 	Peer__ServerLoad *loads = mem_calloc(digest->count, sizeof(*loads));
-	Peer__ServerLoad **list = mem_calloc(digest->count, sizeof(*list));
+	Peer__ServerLoad **list =
+		mem_calloc(digest->count, sizeof(Peer__ServerLoad *));
 	char *(*models)[LOAD_MODELS_MAX] =
 		mem_calloc(digest->count, sizeof(*models));
 	uint8_t *data;
@@ -116,6 +117,7 @@
 	body.servers = list;
 	envelope->load_digest = &body;
 	data = pack(envelope, size);
+	envelope->load_digest = NULL;
 	free(models);
 	free(list);
 	free(loads);
@@ -127,7 +129,8 @@
 {
 	Peer__Summary body = PEER__SUMMARY__INIT;
 	Peer__Member *members = mem_calloc(summary->count, sizeof(*members));
-	Peer__Member **list = mem_calloc(summary->count, sizeof(*list));
+	Peer__Member **list =
+		mem_calloc(summary->count, sizeof(Peer__Member *));
 	uint8_t *data;
 	size_t i;
 
@@ -147,6 +150,7 @@
 	body.members = list;
 	envelope->summary = &body;
 	data = pack(envelope, size);
+	envelope->summary = NULL;
 	free(list);
 	free(members);
 	return data;
--- a/src/connection/platform.c
+++ b/src/connection/platform.c
@@ -16,7 +16,7 @@
 enum { ANSWER_MAX_BYTES = 2 * 1024 * 1024 };
 
 typedef struct call {
-	struct call *prev, *next;
+	struct call *next;
 	platform_t *platform;
 	client_call_t *handle;
 	platform_call_type_t type;
@@ -51,19 +51,23 @@
 
 static void free_call(call_t *call)
 {
-	DL_DELETE(call->platform->calls, call);
 	free(call->data);
 	free(call);
 }
 
+static void remove_call(call_t *call)
+{
+	LL_DELETE(call->platform->calls, call);
+	free_call(call);
+}
+
 void platform_destroy(platform_t *platform)
 {
 	call_t *call, *next;
 
 	if (!platform)
 		return;
-	DL_FOREACH_SAFE(platform->calls, call, next)
-	{
+	LL_FOREACH_SAFE (platform->calls, call, next) {
 		client_call_cancel(call->handle);
 		free_call(call);
 	}
@@ -154,7 +158,7 @@
 		finish_vms(call, status);
 	else
 		finish_object(call, status);
-	free_call(call);
+	remove_call(call);
 }
 
 /* @return whether the line ended the watch. */
@@ -208,7 +212,7 @@
 	call->size_bytes += size;
 	if (call->type == PLATFORM_CALL_WATCH && handle_lines(call)) {
 		client_call_cancel(call->handle);
-		free_call(call);
+		remove_call(call);
 	}
 	return CLIENT_CONTINUE;
 }
@@ -222,7 +226,7 @@
 	call->type = type;
 	call->done = done;
 	call->context = context;
-	DL_APPEND(platform->calls, call);
+	LL_PREPEND(platform->calls, call);
 	return call;
 }
 
@@ -232,7 +236,7 @@
 		call->vms_done(call->context, status, NULL, 0);
 	else
 		call->done(call->context, status, NULL);
-	free_call(call);
+	remove_call(call);
 }
 
 /* Sends a call; @p text is its body or NULL and is freed. */
--- a/src/process/control_credits.c
+++ b/src/process/control_credits.c
@@ -53,8 +53,10 @@
 
 	if (!credits)
 		return;
-	HASH_ITER (hh, credits->entries, entry, next) {
-		HASH_DEL(credits->entries, entry);
+	entry = credits->entries;
+	HASH_CLEAR(hh, credits->entries);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
 		free(entry);
 	}
 	free(credits->names);
@@ -219,12 +221,15 @@
 	int64_t now_us = clock_monotonic_us();
 	entry_t *entry, *next;
 
-	HASH_ITER (hh, credits->entries, entry, next)
+	for (entry = credits->entries; entry; entry = next) {
+		next = entry->hh.next;
 		entry->listed = false;
+	}
 	list_servers(credits, document);
 	list_accounts(credits, document);
 	list_weight_loads(credits, document);
-	HASH_ITER (hh, credits->entries, entry, next) {
+	for (entry = credits->entries; entry; entry = next) {
+		next = entry->hh.next;
 		if (!entry->listed) {
 			drop_entry(credits, entry, now_us);
 			continue;
@@ -266,23 +271,15 @@
 	entry_t *entry, *next;
 
 	update_view(credits, now_us);
-	HASH_ITER (hh, credits->entries, entry, next)
+	for (entry = credits->entries; entry; entry = next) {
+		next = entry->hh.next;
 		assign(credits, entry, now_us);
+	}
 }
 
-static bool is_for_owner(credit_msg_type_t type)
+static bool is_for_holder(credit_msg_type_t type)
 {
-	switch (type) {
-	case CREDIT_REQUEST:
-	case CREDIT_RENEW:
-	case CREDIT_RETURN:
-	case CREDIT_PRESENT:
-		return true;
-	case CREDIT_GRANT:
-	case CREDIT_REFUSAL:
-		break;
-	}
-	return false;
+	return type == CREDIT_GRANT || type == CREDIT_REFUSAL;
 }
 
 void control_credits_receive(control_credits_t *credits, credit_msg_t *message)
@@ -291,7 +288,7 @@
 	int64_t now_us = clock_monotonic_us();
 	const entry_t *entry;
 
-	if (is_for_owner(message->type)) {
+	if (!is_for_holder(message->type)) {
 		credit_owner_receive(control->owner, message, now_us);
 		return;
 	}
@@ -375,9 +372,11 @@
 {
 	entry_t *entry, *next;
 
-	HASH_ITER (hh, credits->entries, entry, next)
+	for (entry = credits->entries; entry; entry = next) {
+		next = entry->hh.next;
 		if (!entry->listed)
 			drop_entry(credits, entry, now_us);
+	}
 }
 
 void control_credits_tick(control_credits_t *credits, int64_t now_us)
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -70,8 +70,10 @@
 
 	if (!load)
 		return;
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		remove_server(load, server);
+	}
 	digest_destroy(load->digest);
 	free(load);
 }
@@ -99,15 +101,19 @@
 	server_t *server, *next;
 	size_t i;
 
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		server->listed = false;
+	}
 	/* Retired servers too: they finish the work they have. */
 	for (i = 0; (conf = document_server_at(document, i)); i++)
 		if (!strcmp(conf->data_centre, data_centre))
 			follow(load, conf);
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		if (!server->listed)
 			remove_server(load, server);
+	}
 }
 
 static void on_silent(server_t *server)
@@ -221,7 +227,8 @@
 	const control_credits_t *credits = load->control->credits;
 	server_t *server, *next;
 
-	HASH_ITER (hh, load->servers, server, next) {
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		if (!control_credits_owns(credits, server->name)) {
 			digest_drop(load->digest, server->name);
 			continue;
@@ -259,7 +266,8 @@
 	json_t *list = json_array();
 	server_t *server, *next;
 
-	HASH_ITER (hh, load->servers, server, next) {
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		const load_report_t *report = &server->report;
 
 		json_array_append_new(
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -151,7 +151,7 @@
 		return false;
 	control->request_tasks =
 		mem_calloc((size_t)control->settings.request_tasks,
-			   sizeof(*control->request_tasks));
+			   sizeof(mailbox_sender_t *));
 	for (i = 0; i < control->settings.request_tasks; i++) {
 		snprintf(name, sizeof(name), "request-%d", i);
 		control->request_tasks[i] =
--- a/src/process/digest.c
+++ b/src/process/digest.c
@@ -45,8 +45,10 @@
 
 	if (!digest)
 		return;
-	HASH_ITER (hh, digest->entries, entry, next) {
-		HASH_DEL(digest->entries, entry);
+	entry = digest->entries;
+	HASH_CLEAR(hh, digest->entries);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
 		free(entry);
 	}
 	free(digest);
@@ -81,8 +83,10 @@
 {
 	entry_t *entry, *next;
 
-	HASH_ITER (hh, digest->entries, entry, next)
+	for (entry = digest->entries; entry; entry = next) {
+		next = entry->hh.next;
 		entry->known = false;
+	}
 }
 
 static int64_t per_cent(int64_t before, int64_t after, int64_t whole)
@@ -137,10 +141,12 @@
 {
 	entry_t *entry, *next, *best = NULL;
 
-	HASH_ITER (hh, digest->entries, entry, next)
+	for (entry = digest->entries; entry; entry = next) {
+		next = entry->hh.next;
 		if (entry->urgency >= DUE &&
 		    (!best || entry->urgency > best->urgency))
 			best = entry;
+	}
 	return best;
 }
 
@@ -168,8 +174,10 @@
 		return 0;
 	digest->taken_us = now_us;
 	refill(digest, now_us);
-	HASH_ITER (hh, digest->entries, entry, next)
+	for (entry = digest->entries; entry; entry = next) {
+		next = entry->hh.next;
 		entry->urgency = urgency_of(entry, now_us);
+	}
 	/* The last message may overdraw the budget: it is never too small. */
 	while (count < capacity && digest->budget_us > 0 &&
 	       (entry = most_urgent(digest))) {
--- a/src/process/member.c
+++ b/src/process/member.c
@@ -7,7 +7,7 @@
 #include "process/member_table.h"
 
 /* Dead members are still called, so that a healed partition is noticed. */
-#define IDLE_HEARTBEAT_US US_PER_S
+#define DEAD_HEARTBEAT_US US_PER_S
 /* A dead member that the VM list does not confirm is forgotten. */
 #define FORGET_US (60 * US_PER_S)
 
@@ -26,7 +26,6 @@
 
 	if (!table)
 		return;
-	HASH_CLEAR(hh, table->by_name);
 	for (i = 0; i < table->count; i++)
 		free(table->entries[i]);
 	free(table->entries);
@@ -63,10 +62,13 @@
 
 entry_t *member_entry(const member_table_t *table, const char *vm_id)
 {
-	entry_t *entry;
+	size_t i;
 
-	HASH_FIND_STR(table->by_name, vm_id, entry);
-	return entry;
+	/* A data centre has some dozen members: a search is cheap. */
+	for (i = 0; i < table->count; i++)
+		if (!strcmp(table->entries[i]->public.vm_id, vm_id))
+			return table->entries[i];
+	return NULL;
 }
 
 static void report(member_table_t *table, const entry_t *entry, bool removed)
@@ -106,10 +108,12 @@
 	mem_strlcpy(entry->public.vm_id, vm_id, sizeof(entry->public.vm_id));
 	entry->public.changed_us = now_us;
 	entry->public.unreachable = true;
-	HASH_ADD_KEYPTR(hh, table->by_name, entry->public.vm_id,
-			strlen(entry->public.vm_id), entry);
-	table->entries = mem_realloc(table->entries, table->count + 1,
-				     sizeof(*table->entries));
+	if (table->count == table->entry_capacity) {
+		table->entry_capacity += ENTRIES_STEP;
+		table->entries = mem_realloc(table->entries,
+					     table->entry_capacity,
+					     sizeof(entry_t *));
+	}
 	table->entries[table->count++] = entry;
 	connect_to(table, entry, address);
 	return entry;
@@ -121,7 +125,6 @@
 
 	report(table, entry, true);
 	member_act(table, MEMBER_DO_DISCONNECT, entry->public.vm_id);
-	HASH_DEL(table->by_name, entry);
 	table->entries[index] = table->entries[--table->count];
 	free(entry);
 }
@@ -143,7 +146,7 @@
 				    now_us);
 		/* A replaced VM may keep its id; a live one knows better. */
 		else if (entry->public.state != MEMBER_ALIVE &&
-			 strcmp(entry->public.address, seeds[i].address))
+			 strcmp(entry->public.address, seeds[i].address) != 0)
 			connect_to(table, entry, seeds[i].address);
 		entry->public.listed = true;
 	}
@@ -191,8 +194,11 @@
 {
 	entry->heard_us = now_us;
 	entry->public.unreachable = false;
-	if (entry->public.state != MEMBER_ALIVE)
-		member_set_state(table, entry, MEMBER_ALIVE, now_us);
+	if (entry->public.state == MEMBER_ALIVE)
+		return;
+	/* It must not wait out the longer interval of a silent member. */
+	entry->heartbeat_us = now_us;
+	member_set_state(table, entry, MEMBER_ALIVE, now_us);
 }
 
 static void set_leaving(member_table_t *table, entry_t *entry, int64_t now_us)
@@ -223,7 +229,8 @@
 	/* A heartbeat that was overtaken says nothing about the present. */
 	if (heartbeat->sequence && heartbeat->sequence <= entry->sequence)
 		return false;
-	if (has_address && strcmp(entry->public.address, heartbeat->address))
+	if (has_address &&
+	    strcmp(entry->public.address, heartbeat->address) != 0)
 		connect_to(table, entry, heartbeat->address);
 	hear(table, entry, now_us);
 	if (!heartbeat->sequence)
@@ -247,13 +254,12 @@
 			   int64_t now_us)
 {
 	member_action_t *action;
-	bool alive = entry->public.state == MEMBER_ALIVE ||
-		     entry->public.state == MEMBER_SUSPECT;
+	bool dead = entry->public.state == MEMBER_DEAD;
 
 	if (now_us < entry->heartbeat_us)
 		return;
 	entry->heartbeat_us =
-		now_us + (alive ? MEMBER_HEARTBEAT_US : IDLE_HEARTBEAT_US);
+		now_us + (dead ? DEAD_HEARTBEAT_US : MEMBER_HEARTBEAT_US);
 	action = member_act(table, MEMBER_DO_HEARTBEAT, entry->public.vm_id);
 	action->sequence = ++entry->sent;
 	action->with_address = entry->public.unreachable;
--- a/src/process/member_table.h
+++ b/src/process/member_table.h
@@ -5,17 +5,14 @@
 #ifndef PROCESS_MEMBER_TABLE_H
 #define PROCESS_MEMBER_TABLE_H
 
-#include <uthash.h>
-
 #include "process/member.h"
 
 /* Probes that this node relays for others at one time, and how long. */
-enum { RELAYS_MAX = 64, PROBE_HELPERS = 2 };
+enum { RELAYS_MAX = 64, PROBE_HELPERS = 2, ENTRIES_STEP = 16 };
 #define RELAY_LIFETIME_US MEMBER_DEAD_US
 
 typedef struct {
 	member_t public;
-	UT_hash_handle hh; /* by vm_id */
 	uint64_t sequence; /* highest heartbeat seen */
 	uint64_t sent; /* heartbeats sent to it */
 	int64_t heard_us; /* last direct message */
@@ -34,9 +31,8 @@
 struct member_table {
 	char vm_id[NAME_SIZE_BYTES];
 	uint64_t incarnation;
-	entry_t *by_name;
 	entry_t **entries;
-	size_t count;
+	size_t count, entry_capacity;
 	relay_t relays[RELAYS_MAX];
 	size_t next_relay;
 	uint64_t next_nonce;
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -268,7 +268,7 @@
 	assert_non_null(fleet);
 	fleet->random = 1;
 	for (node = 0; node < NODES; node++)
-		start_node(fleet, node, (uint64_t)(100 + node));
+		start_node(fleet, node, UINT64_C(100) + (uint64_t)node);
 	return fleet;
 }
 
@@ -300,6 +300,39 @@
 	}
 }
 
+/* Guards against suspicion between members that have just met again. */
+static void suspects_nobody_after_a_meeting(void **state)
+{
+	fleet_t *fleet = create_fleet();
+	int64_t now_ms;
+
+	fleet->cut[0][1] = fleet->cut[1][0] = true;
+	fleet->alive[2] = fleet->alive[3] = false;
+	for (now_ms = 0; now_ms < 5000; now_ms += STEP_MS)
+		run_step(fleet, now_ms);
+	fleet->cut[0][1] = fleet->cut[1][0] = false;
+	for (; now_ms < 15000; now_ms += STEP_MS)
+		run_step(fleet, now_ms);
+	start_node(fleet, 2, 200);
+	for (; now_ms < 20000; now_ms += STEP_MS)
+		run_step(fleet, now_ms);
+	assert_int_equal(fleet->reports[0][MEMBER_ALIVE], 2);
+	assert_int_equal(fleet->reports[0][MEMBER_SUSPECT], 0);
+	assert_int_equal(fleet->reports[1][MEMBER_SUSPECT], 0);
+	/* The longer interval towards a dead member must end at once too. */
+	fleet->jitter_ms = 50;
+	fleet->alive[2] = false;
+	fleet->cut[0][1] = fleet->cut[1][0] = true;
+	for (; now_ms < 25000; now_ms += STEP_MS)
+		run_step(fleet, now_ms);
+	fleet->cut[0][1] = fleet->cut[1][0] = false;
+	for (; now_ms < 30000; now_ms += STEP_MS)
+		run_step(fleet, now_ms);
+	assert_int_equal(fleet->reports[0][MEMBER_SUSPECT], 2);
+	assert_int_equal(fleet->reports[1][MEMBER_SUSPECT], 2);
+	destroy_fleet(fleet);
+}
+
 /* Guards against members that flap under loss: none may be reported dead. */
 static void reports_no_death_under_loss(void **state)
 {
@@ -441,6 +474,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(observes_states),
+		cmocka_unit_test(suspects_nobody_after_a_meeting),
 		cmocka_unit_test(reports_no_death_under_loss),
 		cmocka_unit_test(refuses_an_older_incarnation),
 		cmocka_unit_test(ignores_an_overtaken_heartbeat),
