--- a/src/process/credit.h
+++ b/src/process/credit.h
@@ -47,7 +47,7 @@
 	 * with this sequence number.
 	 */
 	CREDIT_REFUSAL,
-	CREDIT_RENEW, /**< holder extends grant `id` */
+	CREDIT_RENEW, /**< holder extends grant `id`, uses `minimum` of it */
 	/**
 	 * Holder gives back `amount` of grant `id` and keeps `minimum`. What
 	 * is kept counts, so that a repeated return has no further effect.
@@ -55,9 +55,9 @@
 	CREDIT_RETURN,
 	/**
 	 * Holder tells a new owner what it holds, or an owner what is still
-	 * in use of a grant that expired. Answered like a renewal, but never
-	 * refused: it states a fact. The message with id 0 ends the list of
-	 * a holder and has no answer. Its `minimum` holds the number of
+	 * in use (`minimum`) of a grant that expired. Answered like a renewal,
+	 * but never refused: it states a fact. The message with id 0 ends the
+	 * list of a holder and has no answer. Its `minimum` holds the number of
 	 * grants (slots) and the sum of their credit_digest() (kv_tokens).
 	 */
 	CREDIT_PRESENT
@@ -81,6 +81,13 @@
 	int64_t retry_after_us;
 	char holder[NAME_SIZE_BYTES]; /**< VM id */
 	uint64_t holder_incarnation;
+	/**
+	 * Requests of this holder that completed and failed on the server
+	 * since the holder started: evidence for the ramp that the owner
+	 * keeps. Sums, so that lost and repeated messages do not matter.
+	 */
+	uint64_t completed;
+	uint64_t failed;
 } credit_msg_t;
 
 #define CREDIT_LIFETIME_US (2 * US_PER_S)
--- a/src/process/credit_grant.c
+++ b/src/process/credit_grant.c
@@ -34,7 +34,8 @@
 	credit_msg_t *message = add(sender, type, resource, grant->id);
 
 	message->amount = grant->amount;
-	message->minimum = grant->minimum;
+	message->minimum = type == CREDIT_REQUEST ? grant->minimum
+						  : grant->used;
 	message->sequence = grant->ask_sequence;
 	grant->repeat_us = now_us + CREDIT_REPEAT_US;
 }
--- a/src/process/credit_holder.c
+++ b/src/process/credit_holder.c
@@ -57,7 +57,7 @@
 	return entry;
 }
 
-static credit_entry_t *entry_get(credit_holder_t *holder,
+credit_entry_t *credit_entry_get(credit_holder_t *holder,
 				 const resource_t *resource)
 {
 	credit_entry_t *entry = credit_entry_find(holder, resource);
@@ -260,7 +260,7 @@
 				 const resource_t *resource, uint64_t use_id,
 				 credit_amount_t amount, int64_t now_us)
 {
-	credit_entry_t *entry = entry_get(holder, resource);
+	credit_entry_t *entry = credit_entry_get(holder, resource);
 	credit_use_t *use = use_get(entry, use_id, amount);
 
 	credit_entry_expire(holder, entry, now_us);
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -46,6 +46,14 @@
 void credit_holder_release(credit_holder_t *holder, const resource_t *resource,
 			   uint64_t use, int64_t now_us);
 
+/**
+ * Counts a request that the server completed, or that failed on it: refused
+ * connection, broken stream or silence. The owner learns of it with the next
+ * message about the resource; of a failure at once.
+ */
+void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
+			 bool completed);
+
 /** @return what can be drawn now without a message. */
 credit_amount_t credit_holder_available(const credit_holder_t *holder,
 					const resource_t *resource,
--- a/src/process/credit_holder_messages.c
+++ b/src/process/credit_holder_messages.c
@@ -243,7 +243,9 @@
 		LL_FOREACH_SAFE (entry->grants, grant, next)
 			tick_grant(holder, entry, grant, now_us);
 		drop_abandoned_uses(entry, now_us);
-		if (!entry->grants && !entry->uses)
+		/* The counts of a holder must not start again at 0. */
+		if (!entry->grants && !entry->uses && !entry->completed &&
+		    !entry->failed)
 			credit_entry_destroy(holder, entry);
 	}
 }
@@ -264,7 +266,31 @@
 	}
 }
 
+void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
+			 bool completed)
+{
+	credit_amount_t nothing = { 0 };
+	credit_entry_t *entry = credit_entry_get(holder, resource);
+
+	if (completed) {
+		entry->completed++;
+		return;
+	}
+	entry->failed++;
+	/* Returns no grant, but carries the counts. */
+	grant_return(0, resource, nothing, nothing, &holder->sender);
+}
+
 bool credit_holder_next(credit_holder_t *holder, credit_msg_t *message)
 {
-	return credit_queue_take(&holder->sender.queue, message);
+	const credit_entry_t *entry;
+
+	if (!credit_queue_take(&holder->sender.queue, message))
+		return false;
+	entry = credit_entry_find(holder, &message->resource);
+	if (entry) {
+		message->completed = entry->completed;
+		message->failed = entry->failed;
+	}
+	return true;
 }
--- a/src/process/credit_holder_state.h
+++ b/src/process/credit_holder_state.h
@@ -28,6 +28,8 @@
 	credit_grant_t *grants;
 	credit_use_t *uses;
 	int64_t last_draw_us;
+	uint64_t completed;
+	uint64_t failed;
 	UT_hash_handle hh;
 } credit_entry_t;
 
@@ -40,6 +42,10 @@
 /** @return what is held of a resource, or NULL. */
 credit_entry_t *credit_entry_find(const credit_holder_t *holder,
 				  const resource_t *resource);
+
+/** @return what is held of a resource; a new entry if there is none. */
+credit_entry_t *credit_entry_get(credit_holder_t *holder,
+				 const resource_t *resource);
 void credit_entry_destroy(credit_holder_t *holder, credit_entry_t *entry);
 
 /** @return whether this is a rate, which draws spend for good. */
--- a/src/process/credit_owner.c
+++ b/src/process/credit_owner.c
@@ -43,9 +43,12 @@
 static void owned_destroy(credit_owner_t *owner, owned_t *owned)
 {
 	owner_grant_t *grant, *next;
+	owner_work_t *work, *next_work;
 
 	DL_FOREACH_SAFE (owned->grants, grant, next)
 		free(grant);
+	LL_FOREACH_SAFE (owned->work, work, next_work)
+		free(work);
 	clear_declared(owned);
 	HASH_DEL(owner->owned, owned);
 	free(owned);
@@ -308,6 +311,41 @@
 	}
 }
 
+void owned_count_work(owned_t *owned, const credit_msg_t *message)
+{
+	owner_work_t *work;
+
+	LL_FOREACH (owned->work, work)
+		if (!strcmp(work->holder, message->holder))
+			break;
+	if (!work) {
+		work = mem_calloc(1, sizeof(*work));
+		mem_strlcpy(work->holder, message->holder,
+			    sizeof(work->holder));
+		LL_PREPEND(owned->work, work);
+	} else if (work->incarnation == message->holder_incarnation) {
+		if (message->completed < work->completed ||
+		    message->failed < work->failed)
+			return; /* an older message */
+		owned->completed += message->completed - work->completed;
+		owned->failed += message->failed - work->failed;
+	}
+	work->incarnation = message->holder_incarnation;
+	work->completed = message->completed;
+	work->failed = message->failed;
+}
+
+void credit_owner_work(credit_owner_t *owner, const resource_t *resource,
+		       uint64_t *completed, uint64_t *failed)
+{
+	owned_t *owned = owned_find(owner, resource);
+
+	*completed = owned ? owned->completed : 0;
+	*failed = owned ? owned->failed : 0;
+	if (owned)
+		owned->completed = owned->failed = 0;
+}
+
 bool credit_owner_next(credit_owner_t *owner, credit_msg_t *message)
 {
 	return credit_queue_take(&owner->queue, message);
--- a/src/process/credit_owner.h
+++ b/src/process/credit_owner.h
@@ -90,6 +90,13 @@
 void credit_owner_receive(credit_owner_t *owner, const credit_msg_t *message,
 			  int64_t now_us);
 
+/**
+ * Takes the numbers of requests that completed and failed on a server since
+ * the last call, over all holders, for its ramp.
+ */
+void credit_owner_work(credit_owner_t *owner, const resource_t *resource,
+		       uint64_t *completed, uint64_t *failed);
+
 /**
  * Expires grants, refills rates, ends quarantines. Call every 50 ms or so: a
  * gap of 1 s counts as a pause of the process, in which peers may have moved
--- a/src/process/credit_owner_limits.c
+++ b/src/process/credit_owner_limits.c
@@ -3,8 +3,15 @@
 #include "base/mem.h"
 #include "process/credit_owner_state.h"
 
-/* Without agreement a report counts for this long. */
-#define REPORT_AGE_US (2 * US_PER_S)
+/* With a part of the VMs out of sight, both sides of a cut grant what a report
+ * shows as free. A side takes one report per REPORT_PERIOD_US, uses it until
+ * it is REPORT_AGE_US old, and takes the third of its share of the memory that
+ * is free: all that is granted by reports that overlap is then free in each of
+ * them. Slots are too few to divide; both sides may take the same ones within
+ * one age of a report, when one of them had more than its share in use. */
+#define REPORT_PERIOD_US (500 * US_PER_MS)
+#define REPORT_AGE_US (3 * REPORT_PERIOD_US)
+#define REPORT_ROUNDS (REPORT_AGE_US / REPORT_PERIOD_US)
 
 bool owner_share_less(owner_share_t a, owner_share_t b)
 {
@@ -47,24 +54,48 @@
 	return limit;
 }
 
-/* What the server had in use, and what was granted since it said so. Grants
- * of a short time before may not have been drawn when it did. */
-static credit_amount_t reported_use(const owned_t *owned)
+/* What may be in use without showing in the report: all of a grant, until its
+ * holder said before the report was taken what it uses of it. */
+static credit_amount_t unreported(const owned_t *owned)
 {
-	int64_t since_us = owned->report_taken_us - RECALL_RETRY_US;
-	credit_amount_t used = owned->report_used;
+	credit_amount_t sum = { 0 };
 	const owner_grant_t *grant;
 
 	DL_FOREACH (owned->grants, grant)
-		if (grant->granted_us >= since_us)
-			used = credit_add(used, grant->amount);
-	return used;
+		if (grant->used_us && grant->used_us < owned->report_taken_us)
+			sum = credit_add(sum, credit_sub(grant->amount,
+							 grant->used));
+		else
+			sum = credit_add(sum, grant->amount);
+	return sum;
+}
+
+bool owner_is_partial(const credit_owner_t *owner)
+{
+	return !owner->agreed || owner->share.units < owner->share.listed;
+}
+
+/* What is free by the server's report. */
+static credit_amount_t reported_free(const credit_owner_t *owner,
+				     const owned_t *owned, int64_t now_us)
+{
+	owner_share_t share = owner_share_at(owner, now_us);
+	credit_amount_t nothing = { 0 }, room;
+
+	room = credit_sub(full_limit(owned), owned->report_used);
+	if (!owner_is_partial(owner))
+		return credit_sub(room, unreported(owned));
+	if (now_us - owned->report_taken_us >= REPORT_AGE_US)
+		return nothing;
+	room.kv_tokens = share_of(room.kv_tokens, share) / REPORT_ROUNDS;
+	return credit_sub(room, unreported(owned));
 }
 
 credit_amount_t owned_free(const credit_owner_t *owner, const owned_t *owned,
 			   int64_t now_us)
 {
-	credit_amount_t nothing = { 0 }, used = owned->granted, free_amount;
+	bool partial = owner_is_partial(owner);
+	credit_amount_t nothing = { 0 }, free_amount;
 
 	if (owned->retired || owned->quarantine_until_us)
 		return nothing;
@@ -73,17 +104,14 @@
 		free_amount.slots = (int32_t)(owned->rate_tokens_us / US_PER_S);
 		return free_amount;
 	}
-	free_amount = credit_sub(owned_limit(owner, owned, now_us), used);
+	free_amount =
+		credit_sub(owned_limit(owner, owned, now_us), owned->granted);
 	if (owned->resource.kind != RESOURCE_SERVER ||
-	    (owner->agreed && (!owned->lapsed_us || !owned->reported)))
+	    (!partial && (!owned->lapsed_us || !owned->reported)))
 		return free_amount;
-	/* Work of nodes on the other side of a cut shows only in reports. */
-	if (!owner->agreed &&
-	    (!owned->reported ||
-	     now_us - owned->report_taken_us >= REPORT_AGE_US))
+	if (!owned->reported)
 		return nothing;
-	used = credit_max(used, reported_use(owned));
-	return credit_min(free_amount, credit_sub(full_limit(owned), used));
+	return credit_min(free_amount, reported_free(owner, owned, now_us));
 }
 
 bool owned_over_limit(const credit_owner_t *owner, const owned_t *owned,
@@ -134,13 +162,17 @@
 void credit_owner_report(credit_owner_t *owner, const load_report_t *report,
 			 int64_t now_us)
 {
+	int64_t earliest_us;
 	resource_t resource;
 	owned_t *owned;
 
 	resource_set(&resource, RESOURCE_SERVER, report->server);
 	owned = owned_find(owner, &resource);
-	if (!owned ||
-	    (owned->reported && report->taken_us < owned->report_taken_us))
+	if (!owned)
+		return;
+	earliest_us = owned->report_taken_us +
+		      (owner_is_partial(owner) ? REPORT_PERIOD_US : 0);
+	if (owned->reported && report->taken_us < earliest_us)
 		return;
 	owned->reported = true;
 	owned->report_kv_total = report->kv_total_tokens;
--- a/src/process/credit_owner_messages.c
+++ b/src/process/credit_owner_messages.c
@@ -71,7 +71,7 @@
 {
 	bool close = grant->recalled || owned_over_limit(owner, owned, now_us);
 
-	if (!owner->agreed && !owned_is_rate(owned) &&
+	if (owner_is_partial(owner) && !owned_is_rate(owned) &&
 	    message->type != CREDIT_REQUEST)
 		close = true;
 
@@ -88,9 +88,9 @@
 				  credit_amount_t amount,
 				  credit_amount_t minimum)
 {
-	/* Without agreement this node counts other nodes' work by reports,
-	 * which do not show blocks. */
-	if (!owner->agreed)
+	/* Work on the other side of a cut is counted by reports, which do not
+	 * show the unused part of blocks. */
+	if (owner_is_partial(owner))
 		return minimum;
 	free_amount.kv_tokens /= 4;
 	free_amount.slots /= 4;
@@ -222,6 +222,8 @@
 	else
 		owned_set_amount(owned, grant,
 				 credit_min(grant->amount, message->amount));
+	grant->used = credit_min(grant->amount, message->minimum);
+	grant->used_us = now_us;
 	extend(owner, owned, grant, message, now_us);
 }
 
@@ -328,6 +330,8 @@
 	if (!owned)
 		return;
 	owned_expire(owned, now_us);
+	if (owned->resource.kind == RESOURCE_SERVER)
+		owned_count_work(owned, message);
 	switch (message->type) {
 	case CREDIT_REQUEST:
 		receive_request(owner, owned, message, now_us);
--- a/src/process/credit_owner_state.h
+++ b/src/process/credit_owner_state.h
@@ -24,6 +24,8 @@
 	uint64_t id;
 	credit_amount_t amount;
 	int64_t granted_us;
+	credit_amount_t used; /**< as the holder last said */
+	int64_t used_us; /**< when it said so; 0: never */
 	int64_t expires_us;
 	bool recalled;
 	struct owner_grant *prev, *next;
@@ -38,6 +40,15 @@
 	struct owner_declared *next;
 } owner_declared_t;
 
+/** Counts of a holder's work as it last gave them. */
+typedef struct owner_work {
+	char holder[NAME_SIZE_BYTES];
+	uint64_t incarnation;
+	uint64_t completed;
+	uint64_t failed;
+	struct owner_work *next;
+} owner_work_t;
+
 /** The refused request that is served next. */
 typedef struct {
 	bool set;
@@ -73,6 +84,10 @@
 	owner_waiter_t waiter;
 	int64_t recall_us; /**< next recall at the earliest */
 
+	owner_work_t *work;
+	uint64_t completed; /**< not yet taken by credit_owner_work() */
+	uint64_t failed;
+
 	int64_t rate_tokens_us; /**< requests times 1,000,000 */
 	int64_t rate_filled_us;
 	UT_hash_handle hh;
@@ -103,6 +118,9 @@
 	int64_t last_us; /**< time of the last call */
 };
 
+/** Whether VMs that may use the servers are out of sight. */
+bool owner_is_partial(const credit_owner_t *owner);
+
 /** @return the share in force. */
 owner_share_t owner_share_at(const credit_owner_t *owner, int64_t now_us);
 bool owner_share_less(owner_share_t a, owner_share_t b);
@@ -149,6 +167,9 @@
  */
 void owner_check_pause(credit_owner_t *owner, int64_t now_us);
 
+/** Counts the work that a holder's message tells of. */
+void owned_count_work(owned_t *owned, const credit_msg_t *message);
+
 /** Asks a member to present what it holds. */
 void owned_solicit(credit_owner_t *owner, const owned_t *owned,
 		   const char *vm_id);
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1132,7 +1132,7 @@
   (ProtobufCMessageInit) peer__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__credit__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer__credit__field_descriptors[13] =
 {
   {
     "type",
@@ -1266,8 +1266,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "completed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Credit, completed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Credit, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__credit__field_indices_by_name[] = {
+  11,   /* field[11] = completed */
+  12,   /* field[12] = failed */
   3,   /* field[3] = id */
   4,   /* field[4] = kv_tokens */
   8,   /* field[8] = lifetime_us */
@@ -1283,7 +1309,7 @@
 static const ProtobufCIntRange peer__credit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor peer__credit__descriptor =
 {
@@ -1293,7 +1319,7 @@
   "Peer__Credit",
   "peer",
   sizeof(Peer__Credit),
-  11,
+  13,
   peer__credit__field_descriptors,
   peer__credit__field_indices_by_name,
   1,  peer__credit__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -167,10 +167,12 @@
   int64_t lifetime_us;
   int64_t retry_after_us;
   uint64_t sequence;
+  uint64_t completed;
+  uint64_t failed;
 };
 #define PEER__CREDIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__credit__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__ServerLoad
--- a/tests/lib/credit_sim.c
+++ b/tests/lib/credit_sim.c
@@ -110,6 +110,8 @@
 			members |= 1U << i;
 	}
 	sim->members = members;
+	if (members != (1U << SIM_NODES) - 1)
+		sim->cut_us = sim->now_us;
 	for (i = 0; i < SIM_NODES; i++) {
 		node = &sim->nodes[i];
 		if (!is_working(sim, node))
--- a/tests/lib/credit_sim.h
+++ b/tests/lib/credit_sim.h
@@ -60,6 +60,7 @@
 	credit_limit_t limit;
 	int64_t now_us;
 	int64_t step_us;
+	int64_t cut_us; /**< last time at which a node was out of sight */
 	uint64_t random;
 	uint32_t members; /**< as the failure detectors agree, as bits */
 	int32_t loss_percent;
--- /dev/null
+++ b/tests/test_credit_owner.c
@@ -0,0 +1,447 @@
+/** Credit owner: each case names the failure that it guards against. */
+#include <string.h>
+
+#include "cases.h"
+#include "process/credit_owner.h"
+
+static const char members[2][NAME_SIZE_BYTES] = { "a", "b" };
+static const credit_limit_t limit = { .amount = { 1000, 10 },
+				      .requests_per_s = 20 };
+
+typedef struct {
+	credit_owner_t *owner;
+	resource_t resource;
+	int64_t now_us;
+	uint64_t sequence;
+	credit_msg_t answer; /**< last message of the owner */
+	int answers;
+} fixture_t;
+
+static void set_view(fixture_t *f, bool agreed, int32_t listed)
+{
+	credit_view_t view = { agreed, listed, 2, 2, members };
+
+	credit_owner_view(f->owner, &view, f->now_us);
+}
+
+static void collect(fixture_t *f)
+{
+	credit_msg_t message;
+
+	f->answers = 0;
+	while (credit_owner_next(f->owner, &message)) {
+		f->answer = message;
+		f->answers++;
+	}
+}
+
+static void pass(fixture_t *f, int64_t time_us)
+{
+	int64_t end_us = f->now_us + time_us;
+
+	for (; f->now_us < end_us; f->now_us += 50 * US_PER_MS)
+		credit_owner_tick(f->owner, f->now_us);
+	collect(f);
+}
+
+/* An owner after its quarantine. */
+static fixture_t start(resource_kind_t kind)
+{
+	fixture_t f = { .now_us = US_PER_S };
+
+	f.owner = credit_owner_create("a");
+	resource_set(&f.resource, kind, "s");
+	set_view(&f, true, 2);
+	credit_owner_own(f.owner, &f.resource, &limit, f.now_us);
+	pass(&f, 2500 * US_PER_MS);
+	return f;
+}
+
+static credit_msg_type_t send(fixture_t *f, credit_msg_type_t type,
+			      const char *holder, uint64_t id, int64_t amount,
+			      int64_t minimum)
+{
+	credit_msg_t message = { .type = type,
+				 .resource = f->resource,
+				 .id = id,
+				 .sequence = ++f->sequence,
+				 .amount = { amount, amount > 0 },
+				 .minimum = { minimum, minimum > 0 },
+				 .holder_incarnation = 7 };
+
+	strcpy(message.holder, holder);
+	collect(f);
+	credit_owner_receive(f->owner, &message, f->now_us);
+	collect(f);
+	return f->answer.type;
+}
+
+static int64_t granted(const fixture_t *f)
+{
+	return credit_owner_granted(f->owner, &f->resource).kv_tokens;
+}
+
+static int64_t free_tokens(const fixture_t *f)
+{
+	return credit_owner_free(f->owner, &f->resource, f->now_us).kv_tokens;
+}
+
+typedef struct {
+	credit_msg_type_t type;
+	uint64_t id;
+	int64_t amount, minimum;
+	int64_t granted; /**< sum afterwards */
+} step_t;
+
+static const struct {
+	const char *guards;
+	step_t steps[4];
+	size_t count;
+} sequences[] = {
+	{ "a request that is served twice",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_REQUEST, 1, 600, 600, 600 } },
+	  2 },
+	{ "grants above the limit",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_REQUEST, 2, 600, 600, 600 } },
+	  2 },
+	{ "one holder takes all that is left as a block",
+	  { { CREDIT_REQUEST, 1, 1000, 10, 250 } },
+	  1 },
+	{ "a repeated partial return frees twice",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_RETURN, 1, 200, 400, 400 },
+	    { CREDIT_RETURN, 1, 200, 400, 400 } },
+	  3 },
+	{ "a late renewal undoes a partial return",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_RETURN, 1, 200, 400, 400 },
+	    { CREDIT_RENEW, 1, 600, 0, 400 } },
+	  3 },
+	{ "a returned grant stays granted",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_RETURN, 1, 600, 0, 0 },
+	    { CREDIT_REQUEST, 2, 900, 900, 900 } },
+	  3 },
+	{ "an unknown renewal goes past the limit",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_RENEW, 2, 600, 0, 600 } },
+	  2 },
+	{ "use in place is not counted because it is above the limit",
+	  { { CREDIT_REQUEST, 1, 600, 600, 600 },
+	    { CREDIT_PRESENT, 2, 600, 0, 1200 } },
+	  2 },
+	{ "a request for nothing is granted",
+	  { { CREDIT_REQUEST, 1, 100, 0, 0 } },
+	  1 },
+	{ "numbers out of range are taken in",
+	  { { CREDIT_REQUEST, 1, INT64_MAX, 1, 0 },
+	    { CREDIT_PRESENT, 1, -5, 0, 0 } },
+	  2 },
+};
+
+static void follows_sequences(void **state)
+{
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(sequences); i++) {
+		fixture_t f = start(RESOURCE_SERVER);
+
+		for (j = 0; j < sequences[i].count; j++) {
+			const step_t *step = &sequences[i].steps[j];
+
+			send(&f, step->type, "b", step->id, step->amount,
+			     step->minimum);
+			if (granted(&f) != step->granted)
+				fail_msg("%s: step %zu: %lld granted",
+					 sequences[i].guards, j,
+					 (long long)granted(&f));
+		}
+		credit_owner_destroy(f.owner);
+	}
+}
+
+/* Guards against a grant that is lost for good, or freed while its holder,
+ * or its holder's earlier process, may still use it. */
+static void expires_after_lifetime_and_margin(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+
+	send(&f, CREDIT_REQUEST, "b", 1, 600, 600);
+	pass(&f, CREDIT_LIFETIME_US);
+	assert_int_equal(granted(&f), 600);
+	pass(&f, CREDIT_MARGIN_US + 100 * US_PER_MS);
+	assert_int_equal(granted(&f), 0);
+	assert_int_equal(free_tokens(&f), 1000);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against grants of a new owner on top of those of the old one, and
+ * against an end of the quarantine by the list of an earlier one. */
+static void waits_for_what_is_outstanding(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+	credit_msg_t list = { .type = CREDIT_PRESENT };
+	uint64_t number;
+
+	list.resource = f.resource;
+	credit_owner_disown(f.owner, &f.resource);
+	assert_int_equal(send(&f, CREDIT_REQUEST, "b", 1, 10, 10),
+			 CREDIT_REFUSAL);
+	credit_owner_own(f.owner, &f.resource, &limit, f.now_us);
+	pass(&f, 50 * US_PER_MS);
+	assert_int_equal(f.answers, 2); /* asks both members for their lists */
+	assert_int_equal(f.answer.id, 0);
+	number = f.answer.sequence;
+	assert_int_equal(send(&f, CREDIT_REQUEST, "b", 1, 10, 10),
+			 CREDIT_REFUSAL);
+	assert_int_equal(send(&f, CREDIT_PRESENT, "b", 2, 700, 0),
+			 CREDIT_GRANT);
+	strcpy(list.holder, "a");
+	list.sequence = number;
+	credit_owner_receive(f.owner, &list, f.now_us);
+	strcpy(list.holder, "b");
+	list.holder_incarnation = 7;
+	list.minimum = credit_digest(list.minimum, 2);
+	list.sequence = number - 1;
+	credit_owner_receive(f.owner, &list, f.now_us);
+	assert_int_equal(free_tokens(&f), 0);
+	list.sequence = number;
+	credit_owner_receive(f.owner, &list, f.now_us);
+	assert_int_equal(free_tokens(&f), 300);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against grants after a pause in which another node took over. */
+static void starts_again_after_a_pause(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+
+	f.now_us += 3 * US_PER_S;
+	assert_int_equal(send(&f, CREDIT_REQUEST, "a", 1, 10, 10),
+			 CREDIT_REFUSAL);
+	pass(&f, 2500 * US_PER_MS);
+	assert_int_equal(send(&f, CREDIT_REQUEST, "a", 2, 10, 10),
+			 CREDIT_GRANT);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against new work on a retired or cold server through a block, and
+ * against the loss of work in progress. */
+static void recalls_blocks(void **state)
+{
+	int retire;
+
+	for (retire = 0; retire < 2; retire++) {
+		fixture_t f = start(RESOURCE_SERVER);
+
+		send(&f, CREDIT_REQUEST, "b", 1, 200, 10);
+		send(&f, CREDIT_REQUEST, "b", 2, 100, 10);
+		if (retire)
+			credit_owner_retire(f.owner, &f.resource, true,
+					    f.now_us);
+		else
+			credit_owner_ramp(f.owner, &f.resource, 1, f.now_us);
+		collect(&f);
+		assert_int_equal(f.answers, 2);
+		assert_int_equal(f.answer.type, CREDIT_REFUSAL);
+		assert_int_equal(f.answer.sequence, 0);
+		assert_int_equal(send(&f, CREDIT_REQUEST, "b", 3, 10, 10),
+				 CREDIT_REFUSAL);
+		assert_int_equal(send(&f, CREDIT_RENEW, "b", 1, 200, 0),
+				 CREDIT_GRANT);
+		assert_true(f.answer.retry_after_us > 0);
+		send(&f, CREDIT_RETURN, "b", 1, 200, 0);
+		send(&f, CREDIT_RETURN, "b", 2, 100, 0);
+		assert_int_equal(send(&f, CREDIT_REQUEST, "b", 4, 10, 10),
+				 retire ? CREDIT_REFUSAL : CREDIT_GRANT);
+		credit_owner_destroy(f.owner);
+	}
+}
+
+static const struct {
+	const char *guards;
+	bool agreed;
+	int32_t listed;
+	const char *holder;
+	int64_t amount;
+	int64_t reported_use; /* -1: no report */
+	bool grant;
+} shares[] = {
+	{ "an agreed view limits too much", true, 2, "b", 900, -1, true },
+	{ "work on the other side of a cut is not counted", true, 4, "b", 167,
+	  0, false },
+	{ "the reachable nodes have no share", true, 4, "b", 166, 0, true },
+	{ "a cut node takes more than its share", false, 4, "a", 84, 0, false },
+	{ "a cut node has no share", false, 4, "a", 83, 0, true },
+	{ "a cut node serves others", false, 4, "b", 10, 0, false },
+	{ "a cut node ignores work of the others", false, 4, "a", 20, 900,
+	  false },
+	{ "a cut node grants without a report", false, 4, "a", 10, -1, false },
+};
+
+static void grants_shares(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(shares); i++) {
+		fixture_t f = start(RESOURCE_SERVER);
+		load_report_t report = { .server = "s",
+					 .kv_total_tokens = 1000 };
+		credit_msg_type_t type;
+
+		set_view(&f, shares[i].agreed, shares[i].listed);
+		pass(&f, US_PER_S);
+		report.kv_used_tokens = shares[i].reported_use;
+		report.taken_us = f.now_us;
+		if (shares[i].reported_use >= 0)
+			credit_owner_report(f.owner, &report, f.now_us);
+		type = send(&f, CREDIT_REQUEST, shares[i].holder, 1,
+			    shares[i].amount, shares[i].amount);
+		if ((type == CREDIT_GRANT) != shares[i].grant)
+			fail_msg("%s", shares[i].guards);
+		credit_owner_destroy(f.owner);
+	}
+}
+
+/* Guards against a share that grows while the node that had it still uses
+ * grants of its own. */
+static void delays_a_larger_share(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+
+	set_view(&f, true, 4);
+	assert_int_equal(free_tokens(&f), 0); /* no report */
+	set_view(&f, true, 2);
+	pass(&f, 2 * US_PER_S);
+	assert_int_equal(free_tokens(&f), 500);
+	pass(&f, 300 * US_PER_MS);
+	assert_int_equal(free_tokens(&f), 1000);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against memory that was expired here and is used on the server. */
+static void counts_lapsed_use_by_the_report(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+	load_report_t report = { .server = "s",
+				 .kv_total_tokens = 1000,
+				 .kv_used_tokens = 600 };
+
+	send(&f, CREDIT_REQUEST, "b", 1, 600, 600);
+	pass(&f, 2500 * US_PER_MS);
+	report.taken_us = f.now_us;
+	credit_owner_report(f.owner, &report, f.now_us);
+	assert_int_equal(free_tokens(&f), 400);
+	send(&f, CREDIT_REQUEST, "a", 2, 300, 300);
+	assert_int_equal(free_tokens(&f), 100);
+	send(&f, CREDIT_RENEW, "a", 2, 300, 300);
+	report.taken_us = f.now_us + 1;
+	report.kv_used_tokens = 900;
+	credit_owner_report(f.owner, &report, f.now_us);
+	assert_int_equal(free_tokens(&f), 100);
+	report.kv_used_tokens = 300;
+	credit_owner_report(f.owner, &report, f.now_us);
+	assert_int_equal(free_tokens(&f), 700);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against large reservations that wait for good. */
+static void serves_a_large_request_in_the_end(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+	uint64_t id, large = 0;
+
+	for (id = 1; id <= 400; id++) {
+		send(&f, CREDIT_REQUEST, "b", id, 250, 250);
+		if (id > 3)
+			send(&f, CREDIT_RETURN, "b", id - 3, 250, 0);
+		if (!large && send(&f, CREDIT_REQUEST, "a", 999, 900, 900) ==
+				      CREDIT_GRANT)
+			large = id;
+		pass(&f, 50 * US_PER_MS);
+		if (large)
+			break;
+	}
+	assert_in_range(large, 1, 100);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against a rate above the configured one, and a rate that is lost
+ * with expired or returned grants. */
+static void refills_rates(void **state)
+{
+	fixture_t f = start(RESOURCE_ACCOUNT);
+	uint64_t id = 0;
+	int second, count = 0;
+
+	while (send(&f, CREDIT_REQUEST, "b", ++id, 0, 0), id < 3)
+		;
+	for (second = 0; second < 50; second++) {
+		credit_msg_t request = { .type = CREDIT_REQUEST,
+					 .resource = f.resource,
+					 .amount = { 0, 5 },
+					 .minimum = { 0, 1 },
+					 .holder = "b" };
+		do {
+			request.id = ++id;
+			credit_owner_receive(f.owner, &request, f.now_us);
+			collect(&f);
+			if (f.answer.type == CREDIT_GRANT)
+				count += f.answer.amount.slots;
+		} while (f.answer.type == CREDIT_GRANT);
+		assert_true(f.answer.retry_after_us > 0);
+		pass(&f, 100 * US_PER_MS);
+	}
+	/* A burst of one second, then 20 per second for 4.9 s. */
+	assert_in_range(count, 20 + 96, 20 + 98);
+	credit_owner_destroy(f.owner);
+}
+
+/* Guards against evidence that is counted twice, or taken from another
+ * process. */
+static void counts_work_once(void **state)
+{
+	static const struct {
+		uint64_t incarnation, completed, failed, more, more_failed;
+	} steps[] = { { 7, 5, 0, 0, 0 }, { 7, 8, 1, 3, 1 }, { 7, 8, 1, 0, 0 },
+		      { 7, 6, 1, 0, 0 }, { 8, 2, 0, 0, 0 }, { 8, 4, 0, 2, 0 } };
+	fixture_t f = start(RESOURCE_SERVER);
+	uint64_t completed, failed;
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(steps); i++) {
+		credit_msg_t message = { .type = CREDIT_RETURN,
+					 .resource = f.resource,
+					 .holder = "b" };
+
+		message.holder_incarnation = steps[i].incarnation;
+		message.completed = steps[i].completed;
+		message.failed = steps[i].failed;
+		credit_owner_receive(f.owner, &message, f.now_us);
+		credit_owner_work(f.owner, &f.resource, &completed, &failed);
+		assert_int_equal(completed, steps[i].more);
+		assert_int_equal(failed, steps[i].more_failed);
+	}
+	credit_owner_destroy(f.owner);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(follows_sequences),
+		cmocka_unit_test(expires_after_lifetime_and_margin),
+		cmocka_unit_test(waits_for_what_is_outstanding),
+		cmocka_unit_test(starts_again_after_a_pause),
+		cmocka_unit_test(recalls_blocks),
+		cmocka_unit_test(grants_shares),
+		cmocka_unit_test(delays_a_larger_share),
+		cmocka_unit_test(counts_lapsed_use_by_the_report),
+		cmocka_unit_test(serves_a_large_request_in_the_end),
+		cmocka_unit_test(refills_rates),
+		cmocka_unit_test(counts_work_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
