--- /dev/null
+++ b/tests/lib/fleet.sh
@@ -0,0 +1,295 @@
+# Starts and stops a fleet of processes on loopback, for the demo, the checks
+# and the measurements. Sourced by POSIX shell scripts with "set -eu".
+#
+# fleet_begin BUILD NAME      directory of the run, clean-up on exit
+# fleet_platform [OPTION...]  platform stand-in
+# fleet_engine NAME DC KV [OPTION...]     engine stand-in with KV tokens
+# fleet_service NAME DC [OPTION...]       plain-service stand-in
+# fleet_daemon NAME DC [YAML] chivestaged; YAML: further settings
+# fleet_configure             applies a configuration of all that was started
+# fleet_ready                 waits until every daemon is ready
+# fleet_fault NAME JSON       orders a fault of a stand-in
+# fleet_signal SIGNAL NAME    sends a signal to one process
+# fleet_load NAME OPTION...   runs the load client in the background
+# fleet_wait NAME             waits for a background process, fails with it
+# fleet_stop                  SIGTERM to all, expects exit 0 of each
+# fleet_check                 decides the invariants over the histories
+#
+# Variables to set before fleet_configure: FLEET_LIMITS, FLEET_CLASSES
+# (JSON), FLEET_RATE (requests_per_s of an account).
+
+FLEET_KEY=test-key-of-account-acme
+FLEET_TOKEN=test-operator-token
+FLEET_LIMITS='{"long_prompt_tokens":32000,"credit_block_tokens":16000}'
+FLEET_CLASSES='{"name":"quick","priority":80,"deadline_ms":10000,
+	"stall_ms":5000,"server_idle_ms":5000},
+	{"name":"slow","priority":20,"deadline_ms":60000,"stall_ms":5000,
+	"server_idle_ms":20000}'
+FLEET_RATE=0
+# The fleet's key pair for tests, from the manual page zmq_curve(7).
+FLEET_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLW{hID'
+FLEET_SECRET='D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs'
+
+fleet_fail() {
+	echo "FAILED: $*" >&2
+	exit 1
+}
+
+# Ends what still runs, by id; shows the logs if the script failed.
+fleet_end() {
+	status=$?
+	trap - EXIT
+	for file in "$RUN"/pid.*; do
+		[ -f "$file" ] || continue
+		kill -CONT "$(cat "$file")" 2>/dev/null || true
+		kill -KILL "$(cat "$file")" 2>/dev/null || true
+	done
+	wait
+	if [ $status -ne 0 ]; then
+		for file in "$RUN"/*.log; do
+			[ -s "$file" ] || continue
+			echo "--- $(basename "$file")"
+			tail -n "${FLEET_LOG_LINES:-40}" "$file"
+		done
+		echo "--- run kept in $RUN"
+	else
+		rm -rf "$RUN"
+	fi
+	exit $status
+}
+
+fleet_begin() {
+	BUILD=$1
+	RUN=$(mktemp -d "${TMPDIR:-/tmp}/chivestage-$2.XXXXXX")
+	mkdir "$RUN/history"
+	: >"$RUN/servers" >"$RUN/vms" >"$RUN/centres"
+	trap fleet_end EXIT
+	trap 'exit 1' INT TERM HUP
+	# Below the range that the kernel uses for outgoing connections.
+	PORT=$((10000 + $(od -An -N2 -tu2 /dev/urandom) % 20000))
+	DAEMONS= STANDINS= PLAIN=
+}
+
+# Sets PORT to the next free port.
+fleet_port() {
+	PORT=$((PORT + 1))
+	while grep -q ":$(printf %04X $PORT) " /proc/net/tcp; do
+		PORT=$((PORT + 1))
+	done
+}
+
+# fleet_start NAME COMMAND...
+fleet_start() {
+	fleet_name=$1
+	shift
+	"$@" >>"$RUN/$fleet_name.log" 2>&1 &
+	echo $! >"$RUN/pid.$fleet_name"
+}
+
+# Waits until something listens on PORT.
+fleet_listening() {
+	for _ in $(seq 100); do
+		grep -q ":$(printf %04X $PORT) 00000000:0000 0A" /proc/net/tcp &&
+			return 0
+		sleep 0.05
+	done
+	fleet_fail "$1 does not listen on port $PORT"
+}
+
+fleet_standin() {
+	# fleet_standin PROGRAM NAME OPTION...
+	fleet_program=$1
+	fleet_standin_name=$2
+	shift 2
+	fleet_port
+	echo "$PORT" >"$RUN/port.$fleet_standin_name"
+	fleet_start "$fleet_standin_name" \
+		"$BUILD/tests/standin/$fleet_program" \
+		--address "127.0.0.1:$PORT" \
+		--history "$RUN/history/$fleet_standin_name" "$@"
+	fleet_listening "$fleet_standin_name"
+	STANDINS="$STANDINS $fleet_standin_name"
+}
+
+fleet_platform() {
+	fleet_standin platform platform "$@"
+	PLATFORM=127.0.0.1:$PORT
+}
+
+fleet_centre() {
+	grep -qx "$1" "$RUN/centres" || echo "$1" >>"$RUN/centres"
+}
+
+fleet_engine() {
+	name=$1 centre=$2 kv=$3
+	shift 3
+	fleet_centre "$centre"
+	fleet_standin engine "$name" --name "$name" --kv-tokens "$kv" "$@"
+	echo "{\"name\":\"$name\",\"data_centre\":\"$centre\"," \
+		"\"url\":\"http://127.0.0.1:$PORT\",\"kind\":\"engine\"," \
+		"\"kv_tokens\":$kv,\"model\":\"m\",\"max_requests\":64}" \
+		>>"$RUN/servers"
+}
+
+fleet_service() {
+	name=$1 centre=$2
+	shift 2
+	fleet_centre "$centre"
+	fleet_standin service "$name" --name "$name" "$@"
+	PLAIN="$PLAIN $name"
+	echo "{\"name\":\"$name\",\"data_centre\":\"$centre\"," \
+		"\"url\":\"http://127.0.0.1:$PORT\",\"kind\":\"plain\"," \
+		"\"max_requests\":64,\"cold_requests\":8}" >>"$RUN/servers"
+}
+
+fleet_daemon() {
+	name=$1 centre=$2 extra=${3:-}
+	fleet_centre "$centre"
+	fleet_port
+	callers=127.0.0.1:$PORT
+	fleet_port
+	operators=127.0.0.1:$PORT
+	fleet_port
+	cat >"$RUN/$name.yaml" <<-END
+		vm: {id: $name, data_centre: $centre}
+		callers:
+		  address: $callers
+		  memory: ${FLEET_MEMORY:-256MiB}
+		operators: {address: $operators, token: $FLEET_TOKEN}
+		peers:
+		  address: 127.0.0.1:$PORT
+		  public_key: '$FLEET_PUBLIC'
+		  secret_key: '$FLEET_SECRET'
+		platform: {url: 'http://$PLATFORM'}
+		history: {path: $RUN/history/$name}
+		shutdown: {notice: ${FLEET_NOTICE:-500ms}, limit: 30s}
+		$extra
+	END
+	sed -i 's/^\t*//' "$RUN/$name.yaml"
+	echo "$callers" >"$RUN/callers.$name"
+	echo "$operators" >"$RUN/operators.$name"
+	echo "{\"metadata\":{\"name\":\"$name\"}," \
+		"\"spec\":{\"data_centre\":\"$centre\"," \
+		"\"address\":\"127.0.0.1:$PORT\",\"leaving\":false}}" \
+		>>"$RUN/vms"
+	[ -n "$DAEMONS" ] || SETTINGS=$RUN/$name.yaml
+	DAEMONS="$DAEMONS $name"
+	fleet_start "$name" "$BUILD/chivestaged" -c "$RUN/$name.yaml"
+}
+
+# Starts a daemon again that has ended, as a replaced VM of the same name.
+fleet_restart() {
+	fleet_start "$1" "$BUILD/chivestaged" -c "$RUN/$1.yaml"
+}
+
+fleet_join() {
+	paste -sd, "$1"
+}
+
+fleet_names() {
+	# fleet_names NAME...: the names as members of a JSON array
+	printf '"%s",' "$@" | sed 's/,$//'
+}
+
+fleet_tool() {
+	"$BUILD/chivestage" -c "$SETTINGS" "$@"
+}
+
+fleet_configure() {
+	hash=$(printf %s "$FLEET_KEY" | b2sum -l 256 | cut -d' ' -f1)
+	plain=
+	# shellcheck disable=SC2086
+	[ -z "$PLAIN" ] || plain=",{\"name\":\"status\",\"kind\":\"plain\",
+		\"class\":\"quick\",\"servers\":[$(fleet_names $PLAIN)]},
+		{\"name\":\"orders\",\"kind\":\"plain\",\"class\":\"quick\",
+		\"repeatable\":false,\"servers\":[$(fleet_names $PLAIN)]}"
+	cat >"$RUN/configuration.json" <<-END
+		{"version":1,"limits":$FLEET_LIMITS,
+		"classes":[$FLEET_CLASSES],
+		"data_centres":[$(sed 's/.*/{"name":"&"}/' "$RUN/centres" |
+		paste -sd,)],
+		"servers":[$(fleet_join "$RUN/servers")],
+		"services":[{"name":"m","kind":"model","model":"m",
+		"class":"quick"}$plain],
+		"accounts":[{"name":"acme","key_hash":"$hash",
+		"requests_per_s":$FLEET_RATE,"classes":["quick","slow"]}]}
+	END
+	curl -sf "http://$PLATFORM/standin/vms" -o "$RUN/answer" \
+		-d "{\"items\":[$(fleet_join "$RUN/vms")]}" ||
+		fleet_fail "cannot set the VM list"
+	fleet_tool config apply "$RUN/configuration.json" >>"$RUN/tool.log" \
+		2>&1 || fleet_fail "config apply: $(cat "$RUN/tool.log")"
+}
+
+fleet_is_ready() {
+	curl -sf -m 2 -o "$RUN/answer" "http://$(cat "$RUN/operators.$1")/readyz" \
+		-H "Authorization: Bearer $FLEET_TOKEN"
+}
+
+fleet_ready() {
+	for name in ${*:-$DAEMONS}; do
+		tries=0
+		until fleet_is_ready "$name"; do
+			tries=$((tries + 1))
+			[ $tries -lt 100 ] || fleet_fail "$name is not ready"
+			sleep 0.1
+		done
+	done
+}
+
+fleet_fault() {
+	curl -sf -o "$RUN/answer" -d "$2" \
+		"http://127.0.0.1:$(cat "$RUN/port.$1")/standin/fault" ||
+		fleet_fail "fault of $1: $2"
+}
+
+fleet_signal() {
+	kill "-$1" "$(cat "$RUN/pid.$2")"
+}
+
+fleet_callers() {
+	# The addresses of daemons, for the load client.
+	for name in ${*:-$DAEMONS}; do
+		printf '%s,' "$(cat "$RUN/callers.$name")"
+	done | sed 's/,$//'
+}
+
+fleet_load() {
+	load_name=$1
+	shift
+	fleet_start "$load_name" "$BUILD/tests/bench/load" \
+		--name "$load_name" --history "$RUN/history/$load_name" \
+		--key "$FLEET_KEY" "$@"
+}
+
+fleet_wait() {
+	wait "$(cat "$RUN/pid.$1")" ||
+		fleet_fail "$1 ended with status $?: $(tail -n 5 "$RUN/$1.log")"
+	rm "$RUN/pid.$1"
+}
+
+# Marks a process as ended on purpose, after SIGKILL.
+fleet_gone() {
+	wait "$(cat "$RUN/pid.$1")" || true
+	rm "$RUN/pid.$1"
+}
+
+fleet_stop() {
+	for name in $DAEMONS; do
+		[ ! -f "$RUN/pid.$name" ] || fleet_signal TERM "$name"
+	done
+	for name in $DAEMONS; do
+		[ ! -f "$RUN/pid.$name" ] || fleet_wait "$name"
+	done
+	for name in $STANDINS; do
+		[ ! -f "$RUN/pid.$name" ] || fleet_signal TERM "$name"
+	done
+	for name in $STANDINS; do
+		[ ! -f "$RUN/pid.$name" ] || fleet_wait "$name"
+	done
+}
+
+fleet_check() {
+	"$BUILD/tests/bench/check_history" "$@" "$RUN"/history/* ||
+		fleet_fail "the histories in $RUN/history show violations"
+}
