--- a/tests/lib/client.c
+++ b/tests/lib/client.c
@@ -23,7 +23,7 @@
 };
 
 typedef struct call {
-	struct call *prev, *next;
+	int slot; /* place in the caller's array */
 	caller_t *caller;
 	CURL *easy;
 	struct curl_slist *headers;
@@ -41,8 +41,9 @@
 
 struct caller {
 	CURLM *multi;
-	call_t *calls;
+	call_t **calls;
 	int running;
+	int capacity;
 	void (*done)(void *context, const call_spec_t *spec,
 		     const call_result_t *result);
 	void *context;
@@ -269,11 +270,14 @@
 	call->result.retry_after_s = -1;
 	mem_strlcpy(call->result.outcome, "none", sizeof(call->result.outcome));
 	set_options(call);
-	call->next = caller->calls;
-	if (call->next)
-		call->next->prev = call;
-	caller->calls = call;
-	caller->running++;
+	if (caller->running == caller->capacity) {
+		caller->capacity = caller->capacity * 2 + 16;
+		caller->calls = mem_realloc(caller->calls,
+					    (size_t)caller->capacity,
+					    sizeof(*caller->calls));
+	}
+	call->slot = caller->running++;
+	caller->calls[call->slot] = call;
 	record_invoke(spec);
 	call->start_us = clock_monotonic_us();
 	curl_multi_add_handle(caller->multi, call->easy);
@@ -283,13 +287,8 @@
 {
 	caller_t *caller = call->caller;
 
-	if (call->prev)
-		call->prev->next = call->next;
-	else
-		caller->calls = call->next;
-	if (call->next)
-		call->next->prev = call->prev;
-	caller->running--;
+	caller->calls[call->slot] = caller->calls[--caller->running];
+	caller->calls[call->slot]->slot = call->slot;
 	curl_multi_remove_handle(caller->multi, call->easy);
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
@@ -395,10 +394,13 @@
 
 void caller_destroy(caller_t *caller)
 {
-	while (caller->calls) {
-		history_event("gone", "call=%s", caller->calls->spec.id);
-		free_call(caller->calls);
+	while (caller->running) {
+		call_t *call = caller->calls[caller->running - 1];
+
+		history_event("gone", "call=%s", call->spec.id);
+		free_call(call);
 	}
+	free(caller->calls);
 	curl_multi_cleanup(caller->multi);
 	curl_global_cleanup();
 	free(caller);
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -243,8 +243,20 @@
 		fleet_fail "fault of $1: $2"
 }
 
+# Appends an event to the history; /proc/uptime is CLOCK_MONOTONIC in 10 ms.
+fleet_event() {
+	now=$(cut -d' ' -f1 /proc/uptime | tr -d .)0000
+	echo "{\"t_us\":$now,\"who\":\"fleet\",\"event\":\"$1\"," \
+		"\"node\":\"$2\"}" >>"$RUN/history/fleet"
+}
+
 fleet_signal() {
+	case $1 in
+	STOP) fleet_event paused "$2" ;;
+	KILL) fleet_event killed "$2" ;;
+	esac
 	kill "-$1" "$(cat "$RUN/pid.$2")"
+	[ "$1" != CONT ] || fleet_event resumed "$2"
 }
 
 fleet_callers() {
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -91,6 +91,38 @@
 	return http_reply_json(request, status, object_json(object));
 }
 
+/* Names the servers that a configuration has in service, as ",a,b,". */
+static void record_accepted(const json_t *spec)
+{
+	const json_t *centres = json_object_get(spec, "data_centres"), *item;
+	const json_t *servers = json_object_get(spec, "servers");
+	char names[1024] = ",", retired[1024] = ",", centre[96];
+	size_t i, used = 1;
+
+	json_array_foreach(centres, i, item)
+	{
+		if (json_is_true(json_object_get(item, "retired")))
+			used += (size_t)snprintf(
+				retired + used, sizeof(retired) - used,
+				"%.64s,", http_json_string(item, "name", ""));
+	}
+	used = 1;
+	json_array_foreach(servers, i, item)
+	{
+		snprintf(centre, sizeof(centre), ",%.64s,",
+			 http_json_string(item, "data_centre", ""));
+		if (!json_is_true(json_object_get(item, "retired")) &&
+		    !strstr(retired, centre) && used + 70 < sizeof(names))
+			used += (size_t)snprintf(
+				names + used, sizeof(names) - used, "%.64s,",
+				http_json_string(item, "name", ""));
+	}
+	history_event("accepted",
+		      "version=%" PRId64 " change_id=%s in_service=%s",
+		      http_json_integer(spec, "version", 0),
+		      http_json_string(spec, "change_id", ""), names);
+}
+
 static void store(object_t *object, json_t *spec)
 {
 	object->version = ++last_version;
@@ -100,9 +132,7 @@
 		object->spec = json_incref(spec);
 	}
 	if (spec && strstr(object->path, "/configurations/"))
-		history_event("accepted", "version=%" PRId64 " change_id=%s",
-			      http_json_integer(spec, "version", 0),
-			      http_json_string(spec, "change_id", ""));
+		record_accepted(spec);
 	pthread_cond_broadcast(&changed);
 }
 
@@ -293,6 +323,7 @@
 static enum MHD_Result on_control(http_request_t *request, json_t *body)
 {
 	json_t *items = json_object_get(body, "items");
+	int64_t was_down = down;
 
 	if (!body)
 		return reply_status(request, 400, "BadRequest");
@@ -303,6 +334,8 @@
 		vms_since_us = clock_monotonic_us();
 	}
 	http_fault(body, "down", &down);
+	if (down != was_down)
+		history_event(down ? "paused" : "resumed", "node=platform");
 	http_fault(body, "slow_ms", &slow_ms);
 	http_fault(body, "lose_answers", &lose_answers);
 	return http_reply(request, 200, "{}");
