--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -12,6 +12,9 @@
 # fleet_signal SIGNAL NAME    sends a signal to one process
 # fleet_load NAME OPTION...   runs the load client in the background
 # fleet_wait NAME             waits for a background process, fails with it
+# fleet_standard [OPTION...]  two data centres, four engines with the options,
+#                             two services, three daemons, configured, ready
+# fleet_idle                  waits until no engine holds memory
 # fleet_stop                  SIGTERM to all, expects exit 0 of each
 # fleet_check                 decides the invariants over the histories
 #
@@ -274,6 +277,48 @@
 		--key "$FLEET_KEY" "$@"
 }
 
+# Starts a load of all kinds on every daemon, with further options.
+fleet_mixed_load() {
+	mixed_name=$1
+	shift
+	fleet_load "$mixed_name" --targets "$(fleet_callers)" --short 8 \
+		--long 1 --lookup 3 --action 2 --chat-percent 20 \
+		--concurrency 12 --long-tokens 50000 --long-class slow \
+		--deadline-ms 10000 --long-deadline-ms 60000 "$@"
+}
+
+fleet_standard() {
+	fleet_platform
+	for name in e1:a e2:a e3:b e4:b; do
+		fleet_engine "${name%:*}" "${name#*:}" 400000 --cold-limit 2 \
+			--cold-until 4 "$@"
+	done
+	fleet_service r1 a
+	fleet_service r2 b
+	fleet_daemon n1 a
+	fleet_daemon n2 a
+	fleet_daemon n3 b
+	fleet_configure
+	fleet_ready
+}
+
+# Every engine has to give back the memory of streams that ended or whose
+# caller or daemon is gone.
+fleet_idle() {
+	tries=0
+	for name in $STANDINS; do
+		case $name in e[0-9]*) ;; *) continue ;; esac
+		[ -f "$RUN/pid.$name" ] || continue
+		until curl -sf "http://127.0.0.1:$(cat "$RUN/port.$name")/v1/load" |
+			grep -q '"kv_used":0,'; do
+			tries=$((tries + 1))
+			[ $tries -lt 150 ] ||
+				fleet_fail "$name still holds memory"
+			sleep 0.1
+		done
+	done
+}
+
 fleet_wait() {
 	wait "$(cat "$RUN/pid.$1")" ||
 		fleet_fail "$1 ended with status $?: $(tail -n 5 "$RUN/$1.log")"
