--- a/src/connection/engine_report.c
+++ b/src/connection/engine_report.c
@@ -155,7 +155,8 @@
 
 	if (!read_number(json, "sequence", INT64_MAX, &sequence, err))
 		return false;
-	if (!type || (strcmp(type, "stored") != 0 && strcmp(type, "evicted")))
+	if (!type ||
+	    (strcmp(type, "stored") != 0 && strcmp(type, "evicted") != 0))
 		return malformed(err, "type");
 	event->stored = !strcmp(type, "stored");
 	if (!block || !*block || strlen(block) > 16 ||
--- a/src/process/request_cancel.c
+++ b/src/process/request_cancel.c
@@ -129,6 +129,8 @@
 
 void cancellations_clear(request_task_t *task)
 {
-	while (task->cancellations)
-		cancellation_free(task->cancellations);
+	cancellation_t *cancellation, *next;
+
+	DL_FOREACH_SAFE(task->cancellations, cancellation, next)
+	cancellation_free(cancellation);
 }
--- a/src/process/request_reply.c
+++ b/src/process/request_reply.c
@@ -184,6 +184,9 @@
 static void reply_collected(request_t *request)
 {
 	const completion_t *completion = &request->completion;
+	json_int_t created_s = clock_wall_us() / US_PER_S;
+	json_int_t prompt_tokens = completion->prompt_tokens;
+	json_int_t answer_tokens = request->stream.next_tokens;
 	json_t *text =
 		json_stringn(request->answer.data ? request->answer.data : "",
 			     request->answer.size);
@@ -199,15 +202,13 @@
 	else
 		choice = json_pack("{s:i,s:o,s:s}", "index", 0, "text", text,
 				   "finish_reason", reason);
-	json = json_pack(
-		"{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id", request->id,
-		"object", request->chat ? "chat.completion" : "text_completion",
-		"created", (json_int_t)(clock_wall_us() / US_PER_S), "model",
-		completion->model, "choices", choice, "usage", "prompt_tokens",
-		(json_int_t)completion->prompt_tokens, "completion_tokens",
-		(json_int_t)request->stream.next_tokens, "total_tokens",
-		(json_int_t)(completion->prompt_tokens +
-			     request->stream.next_tokens));
+	json = json_pack("{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id",
+			 request->id, "object",
+			 request->chat ? "chat.completion" : "text_completion",
+			 "created", created_s, "model", completion->model,
+			 "choices", choice, "usage", "prompt_tokens",
+			 prompt_tokens, "completion_tokens", answer_tokens,
+			 "total_tokens", prompt_tokens + answer_tokens);
 	body = json_dumps(json, JSON_COMPACT);
 	json_decref(json);
 	request_reply(request, 200, OUTCOME_COMPLETE,
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -190,8 +190,10 @@
 		request_free(request);
 	cancellations_clear(task);
 	client_destroy(task->client);
-	HASH_ITER (hh, task->accounts, use, next_use) {
-		HASH_DEL(task->accounts, use);
+	use = task->accounts;
+	HASH_CLEAR(hh, task->accounts);
+	for (; use; use = next_use) {
+		next_use = use->hh.next;
 		free(use);
 	}
 	document_unref(task->document);
--- a/tests/lib/fixture.c
+++ b/tests/lib/fixture.c
@@ -31,8 +31,8 @@
 	dispatch->stream_id.attempt = attempt;
 	mem_strlcpy(dispatch->server, "s1", NAME_SIZE_BYTES);
 	mem_strlcpy(dispatch->url,
-		    fixture->dispatch_url ? fixture->dispatch_url :
-					    fixture->server_url,
+		    fixture->dispatch_url ? fixture->dispatch_url
+					  : fixture->server_url,
 		    URL_SIZE_BYTES);
 	dispatch->deadline_us = clock_monotonic_us() + 5 * US_PER_S;
 	fixture_send(fixture, message);
@@ -148,33 +148,32 @@
 	document_t *document;
 
 	document_hash_key(key, hash);
-	sodium_bin2hex(hex, sizeof(hex), sizeof(hash) ? hash : hash,
-		       sizeof(hash));
-	snprintf(
-		text, sizeof(text),
-		"{\"version\":1,\"data_centres\":[{\"name\":\"a\"}],"
-		"\"classes\":[{\"name\":\"quick\",\"deadline_ms\":%d,"
-		"\"stall_ms\":%d,\"server_idle_ms\":%d},"
-		"{\"name\":\"bulk\",\"deadline_ms\":9000}],"
-		"\"servers\":[{\"name\":\"s1\",\"data_centre\":\"a\","
-		"\"kind\":\"engine\",\"url\":\"http://127.0.0.1:1\","
-		"\"kv_tokens\":1000,\"model\":\"m\"},"
-		"{\"name\":\"p1\",\"data_centre\":\"a\",\"kind\":\"plain\","
-		"\"url\":\"http://127.0.0.1:1\"}],"
-		"\"services\":[{\"name\":\"chat\",\"kind\":\"model\","
-		"\"model\":\"m\",\"class\":\"quick\"},"
-		"{\"name\":\"hidden\",\"kind\":\"model\",\"model\":\"m\","
-		"\"class\":\"quick\"},"
-		"{\"name\":\"status\",\"kind\":\"plain\",\"class\":\"quick\","
-		"\"servers\":[\"p1\"]},"
-		"{\"name\":\"orders\",\"kind\":\"plain\",\"class\":\"quick\","
-		"\"repeatable\":false,\"servers\":[\"p1\"]}],"
-		"\"accounts\":[{\"name\":\"acme\",\"key_hash\":\"%s\","
-		"\"max_in_flight\":%d,\"classes\":[\"quick\"],"
-		"\"services\":[\"chat\",\"status\",\"orders\"]}]}",
-		conf->deadline_ms ? conf->deadline_ms : 5000,
-		conf->stall_ms ? conf->stall_ms : 5000,
-		conf->idle_ms ? conf->idle_ms : 5000, hex, conf->max_in_flight);
+	sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+	snprintf(text, sizeof(text),
+		 "{\"version\":1,\"data_centres\":[{\"name\":\"a\"}],"
+		 "\"classes\":[{\"name\":\"quick\",\"deadline_ms\":%d,"
+		 "\"stall_ms\":%d,\"server_idle_ms\":%d},"
+		 "{\"name\":\"bulk\",\"deadline_ms\":9000}],"
+		 "\"servers\":[{\"name\":\"s1\",\"data_centre\":\"a\","
+		 "\"kind\":\"engine\",\"url\":\"http://127.0.0.1:1\","
+		 "\"kv_tokens\":1000,\"model\":\"m\"},"
+		 "{\"name\":\"p1\",\"data_centre\":\"a\",\"kind\":\"plain\","
+		 "\"url\":\"http://127.0.0.1:1\"}],"
+		 "\"services\":[{\"name\":\"chat\",\"kind\":\"model\","
+		 "\"model\":\"m\",\"class\":\"quick\"},"
+		 "{\"name\":\"hidden\",\"kind\":\"model\",\"model\":\"m\","
+		 "\"class\":\"quick\"},"
+		 "{\"name\":\"status\",\"kind\":\"plain\",\"class\":\"quick\","
+		 "\"servers\":[\"p1\"]},"
+		 "{\"name\":\"orders\",\"kind\":\"plain\",\"class\":\"quick\","
+		 "\"repeatable\":false,\"servers\":[\"p1\"]}],"
+		 "\"accounts\":[{\"name\":\"acme\",\"key_hash\":\"%s\","
+		 "\"max_in_flight\":%d,\"classes\":[\"quick\"],"
+		 "\"services\":[\"chat\",\"status\",\"orders\"]}]}",
+		 conf->deadline_ms ? conf->deadline_ms : 5000,
+		 conf->stall_ms ? conf->stall_ms : 5000,
+		 conf->idle_ms ? conf->idle_ms : 5000, hex,
+		 conf->max_in_flight);
 	document = document_parse(text, strlen(text), &err);
 	assert_string_equal(err.message, "");
 	return document;
@@ -193,8 +192,7 @@
 	};
 	err_t err = { 0 };
 
-	fixture->server =
-		listener_create(fixture->loop, &conf, &handler, &err);
+	fixture->server = listener_create(fixture->loop, &conf, &handler, &err);
 	assert_string_equal(err.message, "");
 	snprintf(fixture->server_url, sizeof(fixture->server_url),
 		 "http://127.0.0.1:%u", listener_port(fixture->server));
@@ -206,10 +204,10 @@
 		.vm_id = "vm",
 		.caller_address = "127.0.0.1:0",
 		.request_tasks = 1,
-		.memory_budget_bytes = conf->memory_bytes ? conf->memory_bytes :
-							    64 * 1024 * 1024,
-		.body_max_bytes = conf->body_max_bytes ? conf->body_max_bytes :
-							 1024 * 1024,
+		.memory_budget_bytes = conf->memory_bytes ? conf->memory_bytes
+							  : 64 * 1024 * 1024,
+		.body_max_bytes = conf->body_max_bytes ? conf->body_max_bytes
+						       : 1024 * 1024,
 	};
 	err_t err = { 0 };
 
