--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -77,8 +77,7 @@
 	if (--client->depth || !client->deferred)
 		return;
 	client->deferred = false;
-	DL_FOREACH_SAFE(client->calls, call, next)
-	{
+	DL_FOREACH_SAFE (client->calls, call, next) {
 		if (call->cancelled)
 			call_free(call);
 		else if (!call->added)
@@ -234,8 +233,8 @@
 
 	if (!client)
 		return;
-	DL_FOREACH_SAFE(client->calls, call, next)
-	call_free(call);
+	DL_FOREACH_SAFE (client->calls, call, next)
+		call_free(call);
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->loop, &client->timer);
 	free(client);
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -265,8 +265,8 @@
 	if (!listener)
 		return;
 	/* The library does not stop while connections are suspended. */
-	DL_FOREACH_SAFE(listener->exchanges, exchange, next)
-	exchange_abort(exchange);
+	DL_FOREACH_SAFE (listener->exchanges, exchange, next)
+		exchange_abort(exchange);
 	run_daemon(listener);
 	ev_io_stop(listener->loop, &listener->readable);
 	ev_timer_stop(listener->loop, &listener->timeout);
--- a/src/process/request_cancel.c
+++ b/src/process/request_cancel.c
@@ -131,6 +131,6 @@
 {
 	cancellation_t *cancellation, *next;
 
-	DL_FOREACH_SAFE(task->cancellations, cancellation, next)
-	cancellation_free(cancellation);
+	DL_FOREACH_SAFE (task->cancellations, cancellation, next)
+		cancellation_free(cancellation);
 }
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -1,7 +1,9 @@
-/** Request task: streams, answers and outcomes seen by a caller. */
+/** Request task: answers and outcomes that a caller sees. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/mem.h"
 #include "cases.h"
 #include "lib/fixture.h"
 
@@ -11,6 +13,7 @@
 static const char prompt[] =
 	"{\"model\":\"chat\",\"prompt\":\"hello\",\"stream\":true,"
 	"\"max_tokens\":3}";
+static const char whole[] = "{\"model\":\"chat\",\"prompt\":\"hello\"}";
 
 static void serve_three(server_call_t *call, size_t index)
 {
@@ -23,22 +26,378 @@
 	serve_done(call);
 }
 
+static void start(void)
+{
+	fixture_start(&fixture, &(fixture_conf_t){ .deadline_ms = 0 });
+}
+
+static void complete(const char *body)
+{
+	fixture_call(&fixture, &answer, "POST", "/v1/completions", NULL, body);
+	fixture_wait(&fixture, &answer);
+}
+
+/* @return the texts of all chunks that the caller received, in order. */
+static const char *received_text(void)
+{
+	static char text[1024];
+	const char *at = answer.body;
+
+	text[0] = '\0';
+	while ((at = strstr(at, "\"text\":\""))) {
+		at += strlen("\"text\":\"");
+		strncat(text, at, strcspn(at, "\""));
+	}
+	return text;
+}
+
+static const finished_msg_t *finished(size_t nth)
+{
+	const task_msg_t *message =
+		fixture_message(&fixture, TASK_MSG_FINISHED, nth);
+
+	assert_non_null(message);
+	return &message->as.finished;
+}
+
 /* Guards against an answer that is changed or cut on its way. */
 static void relays_a_stream_to_its_end_marker(void **state)
 {
-	fixture_start(&fixture, &(fixture_conf_t){ .deadline_ms = 0 });
+	start();
 	fixture.serve = serve_three;
-	fixture_call(&fixture, &answer, "POST", "/v1/completions", NULL,
-		     prompt);
-	fixture_wait(&fixture, &answer);
+	complete(prompt);
 	assert_int_equal(answer.status, 200);
 	assert_string_equal(answer.content_type, "text/event-stream");
-	assert_non_null(strstr(answer.body, "\"text\":\"c \""));
+	assert_string_equal(received_text(), "a b c ");
 	assert_non_null(strstr(answer.body, "data: [DONE]\n\n"));
 	assert_non_null(fixture_message(&fixture, TASK_MSG_FIRST_TOKEN, 0));
-	assert_int_equal(fixture_message(&fixture, TASK_MSG_FINISHED, 0)
-				 ->as.finished.end,
-			 ATTEMPT_COMPLETE);
+	assert_int_equal(finished(0)->end, ATTEMPT_COMPLETE);
+	assert_int_equal(finished(0)->delivered_tokens, 3);
+	fixture_stop(&fixture);
+}
+
+/* Guards against an answer without outcome, and against chat as text. */
+static void collects_an_answer_that_is_not_streamed(void **state)
+{
+	start();
+	fixture.serve = serve_three;
+	complete(whole);
+	assert_int_equal(answer.status, 200);
+	assert_string_equal(answer.outcome, "complete");
+	assert_non_null(strstr(answer.body, "\"text\":\"a b c \""));
+	assert_non_null(strstr(answer.body, "\"completion_tokens\":3"));
+	fixture_call(&fixture, &answer, "POST", "/v1/chat/completions", NULL,
+		     "{\"model\":\"chat\",\"messages\":[{\"role\":\"user\","
+		     "\"content\":\"hi\"}]}");
+	fixture_wait(&fixture, &answer);
+	assert_non_null(strstr(answer.body, "\"content\":\"a b c \""));
+	assert_string_equal(fixture.calls[1].path, "/v1/chat/completions");
+	fixture_stop(&fixture);
+}
+
+/*
+ * What an engine sends on the first connection and on the one that resumes.
+ * Letters: a, b, c the tokens 0, 1, 2; x a chunk of another request, y of
+ * another attempt, D the end marker, . closes the connection without it.
+ */
+static const struct {
+	const char *first, *resumed;
+	const char *offset; /* asked for by the resumption */
+} disorders[] = {
+	{ "xaybcD", NULL, NULL }, /* crossed */
+	{ "abbacD", NULL, NULL }, /* duplicate and late */
+	{ "aDbcD", "bcD", "offset=1" }, /* early end marker */
+	{ "acD", "bcD", "offset=1" }, /* missing */
+	{ "acbcD", NULL, NULL }, /* a stray chunk, then the right one */
+	{ "acccc", "bcD", "offset=1" }, /* missing, and the stream goes on */
+	{ ".", "abcD", "offset=0" }, /* cut before the first token */
+	{ "ab.", "cD", "offset=2" }, /* cut mid-stream */
+	{ "abc.", "D", "offset=3" }, /* cut before the end marker */
+};
+static size_t disorder;
+
+static void serve_letters(server_call_t *call, const char *letters)
+{
+	static const char *const texts[] = { "a ", "b ", "c " };
+	char id[128], other[160];
+
+	mem_strlcpy(id, serve_stream_id(call), sizeof(id));
+	serve_stream(call);
+	for (; *letters; letters++) {
+		switch (*letters) {
+		case 'x':
+			serve_chunk(call, "vm.7.ffff.1", 0, "x ", true);
+			break;
+		case 'y':
+			snprintf(other, sizeof(other), "%.*s.9",
+				 (int)(strrchr(id, '.') - id), id);
+			serve_chunk(call, other, 1, "y ", true);
+			break;
+		case 'D':
+			exchange_write(call->exchange, "data: [DONE]\n\n", 14);
+			break;
+		case '.':
+			break;
+		default:
+			serve_chunk(call, id, *letters - 'a',
+				    texts[*letters - 'a'], *letters == 'c');
+		}
+	}
+	serve_end(call);
+}
+
+static void serve_disorder(server_call_t *call, size_t index)
+{
+	serve_letters(call, strcmp(call->method, "GET") != 0
+				    ? disorders[disorder].first
+				    : disorders[disorder].resumed);
+}
+
+/*
+ * Guards against answers mixed with those of other requests, with chunks that
+ * are lost, repeated or in the wrong place, and against cut answers that look
+ * complete.
+ */
+static void delivers_each_token_once_in_order(void **state)
+{
+	for (disorder = 0; disorder < COUNT_OF(disorders); disorder++) {
+		server_call_t *resumption;
+
+		start();
+		fixture.serve = serve_disorder;
+		complete(prompt);
+		if (strcmp(received_text(), "a b c ") != 0 ||
+		    !strstr(answer.body, "[DONE]"))
+			fail_msg("case %zu: %s", disorder, answer.body);
+		assert_int_equal(finished(0)->end, ATTEMPT_COMPLETE);
+		if (disorders[disorder].resumed) {
+			resumption = fixture_server_call(&fixture, "GET", 0);
+			assert_non_null(resumption);
+			assert_string_equal(resumption->query,
+					    disorders[disorder].offset);
+		} else {
+			assert_int_equal(fixture.call_count, 1);
+		}
+		fixture_stop(&fixture);
+	}
+}
+
+static void serve_cut_then_rest(server_call_t *call, size_t index)
+{
+	if (!strcmp(call->method, "GET"))
+		serve_reply(call, 404, NULL, NULL, "{}");
+	else
+		serve_letters(call, index ? "cD" : "ab.");
+}
+
+/* Guards against a repeated or lost part when another server continues. */
+static void continues_after_the_delivered_tokens(void **state)
+{
+	server_call_t *second;
+
+	start();
+	fixture.attempts_max = 2;
+	fixture.serve = serve_cut_then_rest;
+	complete(prompt);
+	assert_string_equal(received_text(), "a b c ");
+	assert_non_null(strstr(answer.body, "[DONE]"));
+	assert_int_equal(finished(0)->end, ATTEMPT_BROKEN);
+	assert_int_equal(finished(0)->delivered_tokens, 2);
+	second = fixture_server_call(&fixture, "POST", 1);
+	assert_non_null(strstr(second->body, "\"resume_tokens\":2"));
+	assert_non_null(strstr(second->body, "\"resume_text\":\"a b \""));
+	/* The first server may still hold the stream. */
+	assert_non_null(fixture_server_call(&fixture, "DELETE", 0));
+	fixture_stop(&fixture);
+}
+
+/* Guards against a failed stream that looks complete. */
+static void ends_a_failed_stream_with_an_event(void **state)
+{
+	start();
+	fixture.serve = serve_cut_then_rest;
+	complete(prompt);
+	assert_string_equal(received_text(), "a b ");
+	assert_null(strstr(answer.body, "[DONE]"));
+	assert_non_null(strstr(answer.body, "event: chivestage\ndata: "
+					    "{\"outcome\":\"failed\","
+					    "\"code\":\"server_failed\""));
+	fixture_stop(&fixture);
+}
+
+static void serve_refusal(server_call_t *call, size_t index)
+{
+	serve_reply(call, 503, "X-Not-Run", "1", "{}");
+}
+
+static void serve_failure(server_call_t *call, size_t index)
+{
+	serve_reply(call, 503, NULL, NULL, "{}");
+}
+
+static void serve_cut(server_call_t *call, size_t index)
+{
+	exchange_abort(call->exchange);
+}
+
+/*
+ * What a server does with the only attempt. Control claims `not-run` in each
+ * case; the caller must see it only where it is true.
+ */
+static const struct {
+	const char *url; /* NULL: the server */
+	void (*serve)(server_call_t *call, size_t index);
+	attempt_end_t end;
+	const char *outcome;
+} failures[] = {
+	{ "http://127.0.0.1:1", NULL, ATTEMPT_CONNECT_FAILED, "not-run" },
+	{ NULL, serve_refusal, ATTEMPT_REFUSED, "not-run" },
+	{ NULL, serve_failure, ATTEMPT_BROKEN, "unknown" },
+	{ NULL, serve_cut, ATTEMPT_BROKEN, "unknown" },
+};
+
+/* Guards against `not-run` for a call that may have run. */
+static void claims_not_run_only_if_nothing_was_sent(void **state)
+{
+	static const struct {
+		const char *path, *header, *body;
+	} calls[] = {
+		{ "/v1/completions", NULL, prompt },
+		{ "/services/status/7", NULL, "{}" },
+		{ "/services/orders/7", "Idempotency-Key: k", "{}" },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(failures) * COUNT_OF(calls); i++) {
+		j = i % COUNT_OF(calls);
+		start();
+		fixture.dispatch_url = failures[i / COUNT_OF(calls)].url;
+		fixture.serve = failures[i / COUNT_OF(calls)].serve;
+		/* Plain services answer 503 as they see fit. */
+		if (j && fixture.serve == serve_failure) {
+			fixture_stop(&fixture);
+			continue;
+		}
+		fixture_call(&fixture, &answer, "POST", calls[j].path,
+			     calls[j].header, calls[j].body);
+		fixture_wait(&fixture, &answer);
+		assert_int_equal(answer.status, 502);
+		if (strcmp(answer.outcome,
+			   failures[i / COUNT_OF(calls)].outcome) != 0)
+			fail_msg("case %zu: %s", i, answer.outcome);
+		assert_int_equal(finished(0)->end,
+				 failures[i / COUNT_OF(calls)].end);
+		assert_string_equal(answer.retry_after, "2");
+		fixture_stop(&fixture);
+	}
+}
+
+/* Wrong requests, and what they are refused with. */
+static const struct {
+	const char *method, *path, *header, *body;
+	int status;
+	const char *code;
+} wrong[] = {
+	{ "GET", "/nowhere", NULL, NULL, 404, "not_found" },
+	{ "GET", "/v1/completions", NULL, NULL, 400, "bad_request" },
+	{ "POST", "/v1/completions", NULL, "{", 400, "bad_request" },
+	{ "POST", "/v1/completions", NULL, "[]", 400, "bad_request" },
+	{ "POST", "/v1/completions", NULL, "{\"model\":\"chat\"}", 400,
+	  "bad_request" },
+	{ "POST", "/v1/completions", NULL,
+	  "{\"model\":\"none\",\"prompt\":\"x\"}", 404, "not_found" },
+	{ "POST", "/v1/completions", NULL,
+	  "{\"model\":\"status\",\"prompt\":\"x\"}", 404, "not_found" },
+	{ "POST", "/v1/completions", NULL,
+	  "{\"model\":\"hidden\",\"prompt\":\"x\"}", 403, "forbidden" },
+	{ "POST", "/v1/completions", "Chivestage-Class: bulk", whole, 403,
+	  "forbidden" },
+	{ "POST", "/v1/completions", "Transfer-Encoding: chunked", "{}", 400,
+	  "bad_request" },
+	{ "POST", "/v1/completions", "Content-Length: 2000000", NULL, 413,
+	  "too_large" },
+	{ "POST", "/services/orders/x", NULL, "{}", 400,
+	  "idempotency_key_required" },
+	{ "POST", "/services/none/x", NULL, "{}", 404, "not_found" },
+	{ "POST", "/services/chat/x", NULL, "{}", 404, "not_found" },
+};
+
+/* Guards against a wrong request that reaches control or a server. */
+static void refuses_wrong_requests(void **state)
+{
+	size_t i;
+
+	start();
+	for (i = 0; i < COUNT_OF(wrong); i++) {
+		fixture_call(&fixture, &answer, wrong[i].method, wrong[i].path,
+			     wrong[i].header, wrong[i].body);
+		fixture_wait(&fixture, &answer);
+		if (answer.status != wrong[i].status ||
+		    !strstr(answer.body, wrong[i].code))
+			fail_msg("case %zu: %d %s", i, answer.status,
+				 answer.body);
+		assert_string_equal(answer.outcome, "not-run");
+		assert_true(answer.request_id[0]);
+	}
+	assert_int_equal(fixture.message_count, 0);
+	assert_int_equal(fixture.call_count, 0);
+	fixture_stop(&fixture);
+}
+
+static void serve_echo(server_call_t *call, size_t index)
+{
+	char body[256];
+
+	snprintf(body, sizeof(body), "%s %s?%s %s", call->method, call->path,
+		 call->query, call->body);
+	serve_reply(call, 201, "Content-Type", "text/plain", body);
+}
+
+/* Guards against a lookup that is changed on its way. */
+static void passes_a_lookup_through(void **state)
+{
+	start();
+	fixture.serve = serve_echo;
+	fixture_call(&fixture, &answer, "PUT", "/services/status/a%20b?x=1%2F",
+		     NULL, "body");
+	fixture_wait(&fixture, &answer);
+	assert_int_equal(answer.status, 201);
+	assert_string_equal(answer.body, "PUT /a%20b?x=1%2F body");
+	assert_string_equal(answer.content_type, "text/plain");
+	assert_string_equal(answer.outcome, "complete");
+	fixture_stop(&fixture);
+}
+
+/* Guards against an action that is answered before it was recorded. */
+static void answers_an_action_when_control_says_so(void **state)
+{
+	const submit_msg_t *submit;
+
+	start();
+	fixture.serve = serve_echo;
+	fixture.answer_actions = false;
+	fixture_call(&fixture, &answer, "POST", "/services/orders/new",
+		     "Idempotency-Key: k1", "{}");
+	assert_string_equal(finished(0)->answer, "POST /new? {}");
+	assert_string_equal(finished(0)->content_type, "text/plain");
+	fixture_run(&fixture, NULL, 100);
+	assert_false(answer.ended);
+	submit = &fixture_message(&fixture, TASK_MSG_SUBMIT, 0)->as.submit;
+	assert_int_equal(submit->kind, REQUEST_ACTION);
+	assert_string_equal(submit->key, "k1");
+	{
+		task_msg_t *message = task_msg_create(
+			TASK_MSG_ANSWER, fixture.messages[0]->request);
+
+		message->as.answer.status = 201;
+		message->as.answer.outcome = OUTCOME_COMPLETE;
+		message->as.answer.answer = mem_strdup("recorded");
+		message->as.answer.answer_size_bytes = 8;
+		fixture_send(&fixture, message);
+	}
+	fixture_wait(&fixture, &answer);
+	assert_int_equal(answer.status, 201);
+	assert_string_equal(answer.outcome, "complete");
 	fixture_stop(&fixture);
 }
 
@@ -46,6 +405,14 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(relays_a_stream_to_its_end_marker),
+		cmocka_unit_test(collects_an_answer_that_is_not_streamed),
+		cmocka_unit_test(delivers_each_token_once_in_order),
+		cmocka_unit_test(continues_after_the_delivered_tokens),
+		cmocka_unit_test(ends_a_failed_stream_with_an_event),
+		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
+		cmocka_unit_test(refuses_wrong_requests),
+		cmocka_unit_test(passes_a_lookup_through),
+		cmocka_unit_test(answers_an_action_when_control_says_so),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
