--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -358,8 +358,12 @@
 
 size_t exchange_pending_bytes(const exchange_t *exchange)
 {
-	/* What the library holds at the end is not known: count a byte. */
-	return exchange->size + (exchange->ended ? 1 : 0);
+	/*
+	 * While the library does not ask for more, it holds a part that the
+	 * network has not taken. Its size is not known: count a byte.
+	 */
+	return exchange->size +
+	       (exchange->streaming && !exchange->suspended ? 1 : 0);
 }
 
 int64_t exchange_progress_us(const exchange_t *exchange)
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -15,9 +15,9 @@
 	/*
 	 * A refused body up to this size is read and discarded, because
 	 * closing a socket with unread data resets the connection and can
-	 * destroy the reply on its way.
+	 * destroy the reply on its way. The largest prompts are about 4 MiB.
 	 */
-	DISCARD_MAX_BYTES = 1024 * 1024
+	DISCARD_MAX_BYTES = 8 * 1024 * 1024
 };
 
 struct listener {
