--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -337,6 +337,8 @@
 	curl_easy_setopt(easy, CURLOPT_URL, request->url);
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	if (request->ca_file)
+		curl_easy_setopt(easy, CURLOPT_CAINFO, request->ca_file);
 	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 	/* Servers are addressed directly, whatever the environment says. */
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -23,6 +23,7 @@
 	const void *body; /**< NULL: no body */
 	size_t body_size_bytes;
 	char *owned_body; /**< instead of body, not copied; freed by the call */
+	const char *ca_file; /**< https: trusted certificate; NULL: system's */
 	int64_t connect_timeout_ms;
 	int64_t idle_timeout_ms; /**< silence after which the call fails */
 	int64_t total_timeout_ms; /**< 0: none */
--- /dev/null
+++ b/tests/test_client.c
@@ -0,0 +1,357 @@
+/** HTTP client: what each kind of failure is reported as. */
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/units.h"
+#include "cases.h"
+#include "connection/client.h"
+#include "connection/listener.h"
+
+typedef struct {
+	client_end_t end;
+	int status;
+	bool ended;
+	bool freed;
+	size_t size;
+	int parts;
+	client_call_t *call, *other;
+	client_flow_t flow;
+} seen_t;
+
+static struct ev_loop *loop;
+static client_t *client;
+static listener_t *server;
+static char url[64];
+static int requests;
+
+static void *on_request(void *context, exchange_t *exchange)
+{
+	requests++;
+	return exchange;
+}
+
+static void on_complete(void *user)
+{
+	exchange_t *exchange = user;
+	const char *path = exchange_path(exchange);
+	char part[3000];
+
+	memset(part, 'x', sizeof(part));
+	if (!strcmp(path, "/whole")) {
+		exchange_reply(exchange, 200, NULL, 0, part, sizeof(part));
+	} else if (!strcmp(path, "/cut")) {
+		exchange_stream(exchange, 200, NULL, 0);
+		exchange_write(exchange, part, sizeof(part));
+		exchange_abort(exchange);
+	} else if (!strcmp(path, "/parts")) {
+		exchange_stream(exchange, 200, NULL, 0);
+		while (exchange_pending_bytes(exchange) < 60000)
+			exchange_write(exchange, part, sizeof(part));
+		exchange_end(exchange);
+	}
+	/* Any other path is never answered. */
+}
+
+static client_flow_t on_data(void *context, const void *data, size_t size)
+{
+	seen_t *seen = context;
+
+	seen->size += size;
+	seen->parts++;
+	if (seen->other) {
+		/* From inside a callback: must be possible for any call. */
+		client_call_cancel(seen->other);
+		client_call_cancel(seen->call);
+		seen->other = NULL;
+	}
+	return seen->flow;
+}
+
+static void on_end(void *context, client_end_t end, int status)
+{
+	seen_t *seen = context;
+
+	seen->ended = true;
+	seen->end = end;
+	seen->status = status;
+}
+
+static void on_free(void *context)
+{
+	seen_t *seen = context;
+
+	seen->freed = true;
+}
+
+static void begin(seen_t *seen, const char *base, const char *path,
+		  bool at_most_once, int64_t idle_ms)
+{
+	char full[128];
+	client_request_t request = {
+		.method = "GET",
+		.url = full,
+		.connect_timeout_ms = 300,
+		.idle_timeout_ms = idle_ms,
+		.at_most_once = at_most_once,
+	};
+	client_handler_t handler = { .on_data = on_data,
+				     .on_end = on_end,
+				     .on_free = on_free,
+				     .context = seen };
+
+	snprintf(full, sizeof(full), "%s%s", base, path);
+	seen->call = client_call(client, &request, &handler);
+	assert_false(seen->ended);
+}
+
+static void on_step(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	ev_break(ev, EVBREAK_ALL);
+}
+
+static void run(seen_t *seen, int64_t limit_ms)
+{
+	int64_t end_us = clock_monotonic_us() + limit_ms * US_PER_MS;
+	ev_timer step;
+
+	while (!seen->ended && clock_monotonic_us() < end_us) {
+		ev_timer_init(&step, on_step, 0.005, 0);
+		ev_now_update(loop);
+		ev_timer_start(loop, &step);
+		ev_run(loop, EVRUN_ONCE);
+		ev_timer_stop(loop, &step);
+	}
+}
+
+static int set_up(void **state)
+{
+	listener_conf_t conf = { .address = "127.0.0.1:0",
+				 .connections_max = 20 };
+	listener_handler_t handler = { .on_request = on_request,
+				       .on_complete = on_complete };
+	err_t err = { 0 };
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_loop_new(EVFLAG_AUTO);
+	client = client_create(loop, &err);
+	server = listener_create(loop, &conf, &handler, &err);
+	assert_string_equal(err.message, "");
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u",
+		 listener_port(server));
+	requests = 0;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	client_destroy(client);
+	listener_destroy(server);
+	ev_loop_destroy(loop);
+	return 0;
+}
+
+/* Guards against a `not-run` that is claimed for a call that was sent. */
+static void tells_failures_apart(void **state)
+{
+	static const struct {
+		const char *base, *path;
+		client_end_t end;
+	} cases[] = {
+		{ NULL, "/whole", CLIENT_OK },
+		{ NULL, "/cut", CLIENT_BROKEN },
+		{ NULL, "/silent", CLIENT_TIMED_OUT },
+		{ "http://127.0.0.1:1", "/", CLIENT_CONNECT_FAILED },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		seen_t seen = { .flow = CLIENT_CONTINUE };
+
+		begin(&seen, cases[i].base ? cases[i].base : url, cases[i].path,
+		      i % 2, 100);
+		run(&seen, 2000);
+		assert_true(seen.ended && seen.freed);
+		if (seen.end != cases[i].end)
+			fail_msg("case %zu: end %d", i, (int)seen.end);
+	}
+}
+
+/*
+ * Answers the first request and keeps its connection open. Closes the
+ * connection of every further request without an answer, and with it the
+ * listening socket if close_all is set.
+ */
+typedef struct {
+	int fd;
+	int connections, requests;
+	bool close_all;
+	pthread_t thread;
+	char url[64];
+} raw_server_t;
+
+static bool read_request(raw_server_t *raw, int connection)
+{
+	static const char reply[] = "HTTP/1.1 200 OK\r\n"
+				    "Content-Length: 2\r\n\r\nok";
+	char text[2048];
+
+	if (read(connection, text, sizeof(text)) <= 0)
+		return false;
+	if (raw->requests++ == 0)
+		return write(connection, reply, sizeof(reply) - 1) > 0;
+	if (raw->close_all)
+		shutdown(raw->fd, SHUT_RDWR);
+	return false;
+}
+
+static void *serve_raw(void *context)
+{
+	raw_server_t *raw = context;
+	struct pollfd polled[8] = { { .fd = raw->fd, .events = POLLIN } };
+	nfds_t count = 1, i;
+
+	while (poll(polled, count, 5000) > 0) {
+		for (i = 1; i < count; i++) {
+			if (!polled[i].revents ||
+			    read_request(raw, polled[i].fd))
+				continue;
+			close(polled[i].fd);
+			polled[i--] = polled[--count];
+		}
+		if (polled[0].revents) {
+			int fd = accept(raw->fd, NULL, NULL);
+
+			if (fd < 0 || count == COUNT_OF(polled))
+				break;
+			raw->connections++;
+			polled[count].fd = fd;
+			polled[count].events = POLLIN;
+			polled[count++].revents = 0;
+		}
+	}
+	for (i = 1; i < count; i++)
+		close(polled[i].fd);
+	return NULL;
+}
+
+static void start_raw(raw_server_t *raw, bool close_all)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+
+	memset(raw, 0, sizeof(*raw));
+	raw->close_all = close_all;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	raw->fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(bind(raw->fd, (struct sockaddr *)&address, size), 0);
+	assert_int_equal(listen(raw->fd, 8), 0);
+	getsockname(raw->fd, (struct sockaddr *)&address, &size);
+	snprintf(raw->url, sizeof(raw->url), "http://127.0.0.1:%u",
+		 ntohs(address.sin_port));
+	pthread_create(&raw->thread, NULL, serve_raw, raw);
+}
+
+static void stop_raw(raw_server_t *raw)
+{
+	shutdown(raw->fd, SHUT_RDWR);
+	pthread_join(raw->thread, NULL);
+	close(raw->fd);
+}
+
+/*
+ * Guards against a call that libcurl repeats by itself and whose second
+ * connection fails: bytes were sent, so it is not a failed connect.
+ */
+static void does_not_call_a_repeated_request_unsent(void **state)
+{
+	seen_t first = { .flow = CLIENT_CONTINUE };
+	seen_t second = { .flow = CLIENT_CONTINUE };
+	raw_server_t raw;
+
+	start_raw(&raw, true);
+	begin(&first, raw.url, "/", false, 1000);
+	run(&first, 2000);
+	assert_int_equal(first.end, CLIENT_OK);
+	begin(&second, raw.url, "/", false, 1000);
+	run(&second, 2000);
+	assert_int_equal(raw.connections, 1);
+	assert_int_equal(raw.requests, 2);
+	assert_int_equal(second.end, CLIENT_BROKEN);
+	stop_raw(&raw);
+}
+
+/* Guards against an action that libcurl sends twice. */
+static void sends_at_most_once(void **state)
+{
+	seen_t first = { .flow = CLIENT_CONTINUE };
+	seen_t second = { .flow = CLIENT_CONTINUE };
+	raw_server_t raw;
+
+	start_raw(&raw, false);
+	begin(&first, raw.url, "/", false, 1000);
+	run(&first, 2000);
+	begin(&second, raw.url, "/", true, 1000);
+	run(&second, 2000);
+	assert_int_equal(second.end, CLIENT_BROKEN);
+	run(&(seen_t){ .ended = false }, 100);
+	assert_int_equal(raw.requests, 2);
+	stop_raw(&raw);
+}
+
+/* Guards against data that arrives while its taker cannot hold it. */
+static void pauses_and_resumes(void **state)
+{
+	seen_t seen = { .flow = CLIENT_PAUSE };
+	int resumed = 0;
+
+	begin(&seen, url, "/parts", false, 150);
+	run(&seen, 400);
+	assert_int_equal(seen.parts, 1);
+	assert_false(seen.ended); /* a paused call is not silent */
+	while (!seen.ended && resumed++ < 1000) {
+		client_call_resume(seen.call);
+		run(&seen, 1);
+	}
+	assert_int_equal(seen.end, CLIENT_OK);
+	assert_int_equal(seen.size, 60000);
+}
+
+/* Guards against a crash when calls are cancelled from inside a callback. */
+static void cancels_from_inside_a_callback(void **state)
+{
+	seen_t other = { .flow = CLIENT_CONTINUE };
+	seen_t seen = { .flow = CLIENT_CONTINUE };
+
+	begin(&other, url, "/silent", false, 5000);
+	run(&other, 50);
+	seen.other = other.call;
+	begin(&seen, url, "/parts", false, 1000);
+	run(&seen, 200);
+	assert_int_equal(seen.parts, 1);
+	assert_true(seen.freed && other.freed);
+	assert_false(seen.ended || other.ended);
+}
+
+int main(void)
+{
+#define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		CASE(tells_failures_apart),
+		CASE(does_not_call_a_repeated_request_unsent),
+		CASE(sends_at_most_once),
+		CASE(pauses_and_resumes),
+		CASE(cancels_from_inside_a_callback),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_listener.c
@@ -0,0 +1,315 @@
+/** HTTP listener: start errors, TLS, and what happens to a request. */
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/units.h"
+#include "cases.h"
+#include "connection/client.h"
+#include "connection/listener.h"
+
+static struct ev_loop *loop;
+static listener_t *server;
+static exchange_t *held; /* neither answered nor closed */
+static size_t body_size;
+static int opened, closed, sent;
+
+static void *on_request(void *context, exchange_t *exchange)
+{
+	opened++;
+	if (!strcmp(exchange_path(exchange), "/refused"))
+		exchange_reply(exchange, 413, NULL, 0, "no", 2);
+	return exchange;
+}
+
+static void on_body(void *user, const void *data, size_t size)
+{
+	body_size += size;
+}
+
+static void on_complete(void *user)
+{
+	exchange_t *exchange = user;
+	reply_header_t header = { "X-Query", exchange_query(exchange) };
+	char text[32];
+
+	if (!strcmp(exchange_path(exchange), "/held")) {
+		held = exchange;
+		return;
+	}
+	snprintf(text, sizeof(text), "%zu", body_size);
+	exchange_reply(exchange, 200, &header, 1, text, strlen(text));
+}
+
+static void on_close(void *user, bool whole)
+{
+	closed++;
+	sent += whole;
+	held = NULL;
+}
+
+static const listener_handler_t handler = { .on_request = on_request,
+					    .on_body = on_body,
+					    .on_complete = on_complete,
+					    .on_close = on_close };
+
+static int set_up(void **state)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	loop = ev_loop_new(EVFLAG_AUTO);
+	opened = closed = sent = 0;
+	body_size = 0;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	listener_destroy(server);
+	server = NULL;
+	ev_loop_destroy(loop);
+	assert_int_equal(opened, closed);
+	return 0;
+}
+
+static bool start(const char *address, const char *certificate, const char *key,
+		  err_t *err)
+{
+	listener_conf_t conf = { .address = address,
+				 .certificate = certificate,
+				 .key = key,
+				 .connections_max = 20 };
+
+	server = listener_create(loop, &conf, &handler, err);
+	return server;
+}
+
+#define DATA "tests/data/"
+
+/* Guards against a start without TLS, and against errors that name nothing. */
+static void refuses_to_start(void **state)
+{
+	static const struct {
+		const char *address, *certificate, *key, *message;
+		listener_err_t code;
+	} cases[] = {
+		{ "127.0.0.1", NULL, NULL, "listen on 127.0.0.1: expected",
+		  LISTENER_ERR_ADDRESS },
+		{ "localhost:0", NULL, NULL, "expected IPV4:PORT",
+		  LISTENER_ERR_ADDRESS },
+		{ "127.0.0.1:70000", NULL, NULL, "expected IPV4:PORT",
+		  LISTENER_ERR_ADDRESS },
+		{ "192.0.2.1:0", NULL, NULL,
+		  "listen on 192.0.2.1:0: ", LISTENER_ERR_ADDRESS },
+		{ "127.0.0.1:0", DATA "none.crt", DATA "node.key",
+		  "read tests/data/none.crt: No such file", LISTENER_ERR_FILE },
+		{ "127.0.0.1:0", DATA "node.crt", DATA "none.key",
+		  "read tests/data/none.key: No such file", LISTENER_ERR_FILE },
+		{ "127.0.0.1:0", DATA "node.crt", "", "read : No such file",
+		  LISTENER_ERR_FILE },
+		{ "127.0.0.1:0", DATA "node.crt", DATA "other.key",
+		  "key tests/data/other.key: ", LISTENER_ERR_START },
+		{ "127.0.0.1:0", DATA "node.crt", DATA "node.crt",
+		  "key tests/data/node.crt: ", LISTENER_ERR_START },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		err_t err = { 0 };
+
+		if (start(cases[i].address, cases[i].certificate, cases[i].key,
+			  &err))
+			fail_msg("case %zu started", i);
+		if (!strstr(err.message, cases[i].message))
+			fail_msg("case %zu: %s", i, err.message);
+		assert_int_equal(err.layer, ERR_LAYER_CONNECTION);
+		assert_int_equal(err.code, cases[i].code);
+	}
+}
+
+static void on_step(struct ev_loop *ev, ev_timer *timer, int events)
+{
+	ev_break(ev, EVBREAK_ALL);
+}
+
+static void run_for(int64_t ms)
+{
+	int64_t end_us = clock_monotonic_us() + ms * US_PER_MS;
+	ev_timer step;
+
+	while (clock_monotonic_us() < end_us) {
+		ev_timer_init(&step, on_step, 0.002, 0);
+		ev_now_update(loop);
+		ev_timer_start(loop, &step);
+		ev_run(loop, EVRUN_ONCE);
+		ev_timer_stop(loop, &step);
+	}
+}
+
+static int open_caller(const char *request)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_port = htons(listener_port(server));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(write(fd, request, strlen(request)), strlen(request));
+	return fd;
+}
+
+/* @return what the caller can read now. */
+static const char *read_reply(int fd)
+{
+	static char text[4096];
+	ssize_t size;
+
+	run_for(50);
+	size = recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT);
+	text[size > 0 ? size : 0] = '\0';
+	return text;
+}
+
+/* Guards against requests of one connection that run into each other. */
+static void answers_requests_of_one_connection(void **state)
+{
+	int fd;
+
+	assert_true(start("127.0.0.1:0", NULL, NULL, NULL));
+	fd = open_caller("POST /a?x=%2F HTTP/1.1\r\nHost: a\r\n"
+			 "Content-Length: 5\r\n\r\nhello");
+	assert_non_null(strstr(read_reply(fd), "X-Query: x=%2F"));
+	assert_int_equal(write(fd, "GET /b HTTP/1.1\r\nHost: a\r\n\r\n", 29),
+			 29);
+	assert_non_null(strstr(read_reply(fd), "\r\n\r\n5"));
+	assert_int_equal(sent, 2);
+	close(fd);
+	run_for(20);
+}
+
+/* Guards against a refused body that is read, or that destroys the reply. */
+static void refuses_a_body(void **state)
+{
+	int fd;
+
+	assert_true(start("127.0.0.1:0", NULL, NULL, NULL));
+	/* Large: refused before it comes. */
+	fd = open_caller("POST /refused HTTP/1.1\r\nHost: a\r\n"
+			 "Content-Length: 99999999\r\n\r\n");
+	assert_non_null(strstr(read_reply(fd), " 413 "));
+	close(fd);
+	/* Small: read and discarded, and the connection stays usable. */
+	fd = open_caller("POST /refused HTTP/1.1\r\nHost: a\r\n"
+			 "Content-Length: 5\r\n\r\nhello");
+	assert_non_null(strstr(read_reply(fd), " 413 "));
+	assert_int_equal(write(fd, "GET /b HTTP/1.1\r\nHost: a\r\n\r\n", 29),
+			 29);
+	assert_non_null(strstr(read_reply(fd), " 200 "));
+	assert_int_equal(body_size, 0);
+	close(fd);
+	run_for(20);
+}
+
+/* Guards against a caller that leaves unnoticed while its answer is made. */
+static void notices_a_caller_that_leaves(void **state)
+{
+	int fd;
+
+	assert_true(start("127.0.0.1:0", NULL, NULL, NULL));
+	fd = open_caller("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+	run_for(30);
+	assert_non_null(held);
+	close(fd);
+	run_for(30);
+	assert_null(held);
+	assert_int_equal(sent, 0);
+	/* The same with a second request in the socket: found by polling. */
+	fd = open_caller("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+	run_for(30);
+	assert_int_equal(write(fd, "GET /b HTTP/1.1\r\nHost: a\r\n\r\n", 29),
+			 29);
+	run_for(30);
+	assert_non_null(held);
+	close(fd);
+	run_for(700);
+	assert_null(held);
+}
+
+/* Guards against an abort that looks like a complete reply. */
+static void cuts_an_aborted_stream(void **state)
+{
+	const char *reply;
+	int fd;
+
+	assert_true(start("127.0.0.1:0", NULL, NULL, NULL));
+	fd = open_caller("GET /held HTTP/1.1\r\nHost: a\r\n\r\n");
+	run_for(30);
+	exchange_stream(held, 200, NULL, 0);
+	exchange_write(held, "part", 4);
+	reply = read_reply(fd);
+	assert_non_null(strstr(reply, "4\r\npart\r\n"));
+	exchange_abort(held);
+	reply = read_reply(fd);
+	assert_null(strstr(reply, "0\r\n\r\n"));
+	assert_int_equal(closed, 1);
+	assert_int_equal(sent, 0);
+	close(fd);
+}
+
+static void on_end(void *context, client_end_t end, int status)
+{
+	*(int *)context = end == CLIENT_OK ? status : -1;
+}
+
+/* Guards against a listener that ignores its certificate. */
+static void serves_tls(void **state)
+{
+	char url[64], plain[64];
+	int secure_status = 0, plain_status = 0;
+	client_request_t request = { .method = "GET",
+				     .url = url,
+				     .ca_file = DATA "node.crt",
+				     .connect_timeout_ms = 1000 };
+	client_handler_t seen = { .on_end = on_end, .context = &secure_status };
+	client_t *client = client_create(loop, NULL);
+	err_t err = { 0 };
+
+	start("127.0.0.1:0", DATA "node.crt", DATA "node.key", &err);
+	assert_string_equal(err.message, "");
+	snprintf(url, sizeof(url), "https://127.0.0.1:%u/",
+		 listener_port(server));
+	snprintf(plain, sizeof(plain), "http://127.0.0.1:%u/",
+		 listener_port(server));
+	client_call(client, &request, &seen);
+	run_for(300);
+	assert_int_equal(secure_status, 200);
+	request.url = plain;
+	seen.context = &plain_status;
+	client_call(client, &request, &seen);
+	run_for(300);
+	assert_int_equal(plain_status, -1);
+	client_destroy(client);
+	run_for(20);
+}
+
+int main(void)
+{
+#define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		CASE(refuses_to_start),
+		CASE(answers_requests_of_one_connection),
+		CASE(refuses_a_body),
+		CASE(notices_a_caller_that_leaves),
+		CASE(cuts_an_aborted_stream),
+		CASE(serves_tls),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_stream.c
@@ -0,0 +1,265 @@
+/** Position of a stream, the event splitter and the engine's chunks. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cases.h"
+#include "connection/engine.h"
+#include "request/sse.h"
+#include "request/stream.h"
+
+static const stream_id_t own = { "vm", 7, 1, 1 };
+
+/*
+ * One step: a chunk of request, attempt, offset, tokens; or an end marker;
+ * or the start of the next attempt; or a resumption.
+ */
+typedef struct {
+	enum { NONE, CHUNK, LAST, END, ATTEMPT, RESUME } step;
+	uint64_t request;
+	uint32_t attempt;
+	int64_t offset, tokens;
+	stream_result_t result;
+	int64_t position;
+} step_t;
+
+static const struct {
+	const char *guards; /* the failure that the case guards against */
+	step_t steps[12];
+} orders[] = {
+	{ "an answer in order that is not complete",
+	  { { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 1, 3, STREAM_DELIVER, 4 },
+	    { LAST, 1, 1, 4, 1, STREAM_DELIVER, 5 },
+	    { END, 0, 0, 0, 0, STREAM_COMPLETE, 5 } } },
+	{ "a chunk of another request or attempt",
+	  { { CHUNK, 2, 1, 0, 1, STREAM_DROP_OTHER_REQUEST, 0 },
+	    { CHUNK, 1, 2, 0, 1, STREAM_DROP_OTHER_ATTEMPT, 0 },
+	    { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 } } },
+	{ "a repeated or late chunk",
+	  { { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 0, 1, STREAM_DROP_REPEATED, 1 },
+	    { CHUNK, 1, 1, 1, 1, STREAM_DELIVER, 2 },
+	    { CHUNK, 1, 1, 0, 1, STREAM_DROP_REPEATED, 2 } } },
+	{ "a missing chunk",
+	  { { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 2, 1, STREAM_GAP, 1 },
+	    { LAST, 1, 1, 3, 1, STREAM_GAP, 1 },
+	    { END, 0, 0, 0, 0, STREAM_LOST, 1 },
+	    { RESUME, 0, 0, 0, 0, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 1, 2, STREAM_DELIVER, 3 },
+	    { LAST, 1, 1, 3, 1, STREAM_DELIVER, 4 },
+	    { END, 0, 0, 0, 0, STREAM_COMPLETE, 4 } } },
+	{ "a stream that runs on after a missing chunk",
+	  { { CHUNK, 1, 1, 1, 1, STREAM_GAP, 0 },
+	    { CHUNK, 1, 1, 2, 1, STREAM_GAP, 0 },
+	    { CHUNK, 1, 1, 3, 1, STREAM_GAP, 0 },
+	    { CHUNK, 1, 1, 4, 1, STREAM_LOST, 0 } } },
+	{ "a resumption for each stray chunk",
+	  { { CHUNK, 1, 1, 1, 1, STREAM_GAP, 0 },
+	    { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 2, 1, STREAM_GAP, 1 },
+	    { CHUNK, 1, 1, 1, 1, STREAM_DELIVER, 2 },
+	    { CHUNK, 1, 1, 3, 1, STREAM_GAP, 2 },
+	    { CHUNK, 1, 1, 2, 1, STREAM_DELIVER, 3 },
+	    { CHUNK, 1, 1, 4, 1, STREAM_GAP, 3 } } },
+	{ "the end marker of another stream",
+	  { { END, 0, 0, 0, 0, STREAM_LOST, 0 },
+	    { CHUNK, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { END, 0, 0, 0, 0, STREAM_LOST, 1 } } },
+	{ "chunks after the end",
+	  { { LAST, 1, 1, 0, 1, STREAM_DELIVER, 1 },
+	    { CHUNK, 1, 1, 1, 1, STREAM_DROP_AFTER_END, 1 },
+	    { CHUNK, 1, 1, 1, 0, STREAM_DELIVER, 1 }, /* usage */
+	    { END, 0, 0, 0, 0, STREAM_COMPLETE, 1 },
+	    { CHUNK, 1, 1, 1, 1, STREAM_DROP_AFTER_END, 1 },
+	    { END, 0, 0, 0, 0, STREAM_DROP_AFTER_END, 1 } } },
+	{ "a new attempt that repeats or skips tokens",
+	  { { CHUNK, 1, 1, 0, 2, STREAM_DELIVER, 2 },
+	    { ATTEMPT, 0, 2, 0, 0, STREAM_DELIVER, 2 },
+	    { CHUNK, 1, 1, 2, 1, STREAM_DROP_OTHER_ATTEMPT, 2 },
+	    { CHUNK, 1, 2, 0, 1, STREAM_DROP_REPEATED, 2 },
+	    { LAST, 1, 2, 2, 1, STREAM_DELIVER, 3 },
+	    { END, 0, 0, 0, 0, STREAM_COMPLETE, 3 } } },
+};
+
+static stream_result_t take_step(stream_t *stream, const step_t *step)
+{
+	stream_id_t id = own;
+
+	id.request = step->request;
+	id.attempt = step->attempt;
+	switch (step->step) {
+	case END:
+		return stream_end_marker(stream);
+	case ATTEMPT:
+		id.request = own.request;
+		stream_attempt(stream, &id);
+		return STREAM_DELIVER;
+	case RESUME:
+		stream_resume(stream);
+		return STREAM_DELIVER;
+	default:
+		return stream_chunk(stream, &id, step->offset, step->tokens,
+				    step->step == LAST);
+	}
+}
+
+static void keeps_the_position(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(orders); i++) {
+		const step_t *step = orders[i].steps;
+		stream_t stream;
+
+		stream_init(&stream);
+		stream_attempt(&stream, &own);
+		for (; step->step != NONE; step++) {
+			stream_result_t result = take_step(&stream, step);
+
+			if (result != step->result ||
+			    stream.next_tokens != step->position)
+				fail_msg("%s: step %td: %d at %lld",
+					 orders[i].guards,
+					 step - orders[i].steps, (int)result,
+					 (long long)stream.next_tokens);
+		}
+	}
+}
+
+static char joined[1024];
+
+static bool join(void *context, const sse_event_t *event)
+{
+	int *left = context;
+
+	strncat(joined, event->data, event->data_size);
+	strcat(joined, "|");
+	return --*left > 0;
+}
+
+/* Guards against events that are cut where the network cuts the stream. */
+static void splits_events_at_any_cut(void **state)
+{
+	static const char text[] = "data: one\n\ndata:two\r\n\r\n: note\n\n"
+				   "event: x\ndata: three\n\ndata: cut";
+	size_t cut, size = strlen(text);
+
+	for (cut = 0; cut <= size; cut++) {
+		sse_t sse = { .held = NULL };
+		int left = 100;
+
+		joined[0] = '\0';
+		sse_feed(&sse, text, cut, join, &left);
+		sse_feed(&sse, text + cut, size - cut, join, &left);
+		assert_string_equal(joined, "one|two||three|");
+		sse_clear(&sse);
+	}
+}
+
+/* Guards against a handler that is called after it said stop. */
+static void stops_when_told(void **state)
+{
+	sse_t sse = { .held = NULL };
+	int left = 1;
+
+	joined[0] = '\0';
+	assert_int_equal(sse_feed(&sse, "data: a\n\ndata: b\n\n", 18, join,
+				  &left),
+			 SSE_STOPPED);
+	assert_string_equal(joined, "a|");
+	sse_clear(&sse);
+}
+
+/* Guards against an event without end that fills the memory. */
+static void bounds_the_size_of_an_event(void **state)
+{
+	static char part[SSE_EVENT_MAX_BYTES / 4 + 1];
+	sse_t sse = { .held = NULL };
+	int left = 100, i;
+
+	memset(part, 'x', sizeof(part));
+	for (i = 0; i < 3; i++)
+		assert_int_equal(sse_feed(&sse, part, sizeof(part), join,
+					  &left),
+				 SSE_OK);
+	assert_int_equal(sse_feed(&sse, part, sizeof(part), join, &left),
+			 SSE_TOO_LONG);
+	sse_clear(&sse);
+}
+
+#define ID "\"stream_id\":\"vm.7.1.1\""
+
+/* Data of one event, and how it is read. */
+static const struct {
+	const char *data;
+	bool valid;
+	engine_event_type_t type;
+	int64_t offset, tokens;
+	const char *text, *reason;
+} events[] = {
+	{ "[DONE]", true, ENGINE_EVENT_DONE, 0, 0, "", "" },
+	{ "{" ID ",\"offset\":4,\"choices\":[{\"text\":\"a\\nb\"}]}", true,
+	  ENGINE_EVENT_CHUNK, 4, 1, "a\nb", "" },
+	{ "{" ID ",\"offset\":4,\"tokens\":3,\"choices\":[{\"delta\":"
+	  "{\"content\":\"\\u00e9\"},\"finish_reason\":\"stop\"}]}",
+	  true, ENGINE_EVENT_CHUNK, 4, 3, "\xc3\xa9", "stop" },
+	{ "{" ID ",\"offset\":0,\"choices\":[{\"delta\":{\"role\":\"x\"}}]}",
+	  true, ENGINE_EVENT_CHUNK, 0, 0, "", "" },
+	{ "{\"usage\":{}}", true, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{" ID "}", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{\"offset\":1}", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{" ID ",\"offset\":-1}", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{\"stream_id\":\"x\",\"offset\":1}", false, ENGINE_EVENT_OTHER, 0, 0,
+	  "", "" },
+	{ "{" ID ",\"offset\":1,\"tokens\":-1}", false, ENGINE_EVENT_OTHER, 0,
+	  0, "", "" },
+	{ "{" ID ",\"offset\":1,\"choices\":[{\"text\":"
+	  "\"a text beyond the buffer\"}]}",
+	  false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{\"a\":", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "[1]", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+};
+
+/* Guards against a malformed chunk that is taken for part of an answer. */
+static void reads_chunks(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(events); i++) {
+		engine_chunk_t chunk;
+		char buffer[16];
+		err_t err = { 0 };
+		bool valid = engine_parse_event(events[i].data,
+						strlen(events[i].data), buffer,
+						sizeof(buffer), &chunk, &err);
+
+		if (valid != events[i].valid)
+			fail_msg("case %zu: %s", i, err.message);
+		if (!valid) {
+			assert_int_equal(err.layer, ERR_LAYER_ENGINE);
+			continue;
+		}
+		assert_int_equal(chunk.type, events[i].type);
+		assert_int_equal(chunk.offset_tokens, events[i].offset);
+		assert_int_equal(chunk.tokens, events[i].tokens);
+		assert_int_equal(chunk.text_size_bytes, strlen(events[i].text));
+		assert_memory_equal(chunk.text, events[i].text,
+				    strlen(events[i].text));
+		assert_string_equal(chunk.finish_reason, events[i].reason);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(keeps_the_position),
+		cmocka_unit_test(splits_events_at_any_cut),
+		cmocka_unit_test(stops_when_told),
+		cmocka_unit_test(bounds_the_size_of_an_event),
+		cmocka_unit_test(reads_chunks),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
