--- a/src/process/request.c
+++ b/src/process/request.c
@@ -43,7 +43,7 @@
 		free((char *)request->reply_headers[i].value);
 }
 
-void request_free(request_t *request)
+void request_destroy(request_t *request)
 {
 	request_task_t *task = request->task;
 
@@ -267,7 +267,7 @@
 			request_give_up(request, ATTEMPT_CALLER_GONE);
 		break;
 	}
-	request_free(request);
+	request_destroy(request);
 }
 
 void request_on_dispatch(request_t *request, const dispatch_msg_t *dispatch)
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -144,7 +144,7 @@
 
 /* request.c: life of a request. */
 request_t *request_create(request_task_t *task, exchange_t *exchange);
-void request_free(request_t *request);
+void request_destroy(request_t *request);
 
 /** Starts the timer of the deadline. */
 void request_set_deadline(request_t *request);
--- a/src/process/request_admit.c
+++ b/src/process/request_admit.c
@@ -209,13 +209,13 @@
 	read_trace(request);
 	request->account = check(task, exchange, request->id, &endpoint);
 	if (!request->account) {
-		request_free(request);
+		request_destroy(request);
 		return NULL;
 	}
 	request->document = document_ref(task->document);
 	if (endpoint.type == ENDPOINT_MODELS) {
 		reply_models(task, exchange, request->id, request->account);
-		request_free(request);
+		request_destroy(request);
 		return NULL;
 	}
 	if (!prepare(request, &endpoint, &err))
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -117,7 +117,7 @@
 {
 	request_attempt_end(request, end);
 	if (!request->exchange)
-		request_free(request);
+		request_destroy(request);
 	else if (request->headers_sent)
 		request_refuse(request, REFUSAL_SERVER_FAILED, OUTCOME_FAILED,
 			       0, "");
@@ -129,7 +129,7 @@
 	if (request->kind == REQUEST_LOOKUP)
 		complete_lookup(request);
 	else if (!request->exchange)
-		request_free(request);
+		request_destroy(request);
 }
 
 static void on_end(void *context, client_end_t end, int status)
--- a/src/process/request_reply.c
+++ b/src/process/request_reply.c
@@ -122,7 +122,7 @@
 		      outcome_text(outcome));
 	request->state = REQUEST_ANSWERED;
 	if (!request->exchange)
-		request_free(request);
+		request_destroy(request);
 	else if (!request->headers_sent)
 		send_refusal(request->exchange, request->id, refusal, outcome,
 			     retry_after_s, message);
@@ -168,7 +168,7 @@
 		      outcome_text(outcome));
 	request->state = REQUEST_ANSWERED;
 	if (!request->exchange) {
-		request_free(request);
+		request_destroy(request);
 	} else if (size <= WHOLE_REPLY_MAX_BYTES) {
 		exchange_reply(request->exchange, status, all, total, body,
 			       size);
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -187,7 +187,7 @@
 	task->closing = true;
 	listener_destroy(task->listener);
 	HASH_ITER (hh, task->requests, request, next)
-		request_free(request);
+		request_destroy(request);
 	cancellations_clear(task);
 	client_destroy(task->client);
 	use = task->accounts;
