--- /dev/null
+++ b/tests/bench/relay.c
@@ -0,0 +1,122 @@
+/**
+ * Measures the processor time that the request task takes for each relayed
+ * chunk. Every stream gets one chunk in each round; a round starts when the
+ * callers have all chunks of the last one.
+ * usage: relay [STREAMS [ROUNDS]]
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "cases.h"
+#include "lib/fixture.h"
+
+enum { STREAMS_MAX = 1000 };
+
+static fixture_t fixture;
+static server_call_t *streams[STREAMS_MAX];
+static char ids[STREAMS_MAX][128];
+static int64_t stream_count, ended;
+
+static void serve(server_call_t *call, size_t index)
+{
+	mem_strlcpy(ids[stream_count], serve_stream_id(call), sizeof(ids[0]));
+	streams[stream_count++] = call;
+	serve_stream(call);
+}
+
+static void on_end(void *context, client_end_t end, int status)
+{
+	if (end != CLIENT_OK || status != 200)
+		fail_msg("call ended with %d, status %d", (int)end, status);
+	ended++;
+}
+
+static void start_call(void)
+{
+	static const char body[] =
+		"{\"model\":\"chat\",\"prompt\":\"hello\",\"stream\":true}";
+	char url[128];
+	const char *headers[] = { "Authorization: Bearer secret", NULL };
+	client_request_t request = { .method = "POST",
+				     .url = url,
+				     .headers = headers,
+				     .body = body,
+				     .body_size_bytes = strlen(body),
+				     .connect_timeout_ms = 5000 };
+	client_handler_t handler = { .on_end = on_end };
+
+	snprintf(url, sizeof(url), "%s/v1/completions", fixture.task_url);
+	client_call(fixture.client, &request, &handler);
+}
+
+static int64_t task_cpu_us(void)
+{
+	struct timespec used;
+	clockid_t clock;
+
+	pthread_getcpuclockid(fixture.thread, &clock);
+	clock_gettime(clock, &used);
+	return used.tv_sec * US_PER_S + used.tv_nsec / 1000;
+}
+
+static void run_until_relayed(int64_t chunks)
+{
+	int64_t end_us = clock_monotonic_us() + 20 * US_PER_S;
+
+	while (metrics_get(METRIC_CHUNKS_RELAYED) < chunks) {
+		if (clock_monotonic_us() > end_us)
+			fail_msg("%" PRId64 " of %" PRId64 " chunks relayed",
+				 metrics_get(METRIC_CHUNKS_RELAYED), chunks);
+		fixture_step(&fixture);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	int64_t count = argc > 1 ? strtol(argv[1], NULL, 10) : 100;
+	int64_t rounds = argc > 2 ? strtol(argv[2], NULL, 10) : 500;
+	int64_t i, round, cpu_us, start_us, chunks;
+
+	if (count < 1 || count > STREAMS_MAX || rounds < 1) {
+		fprintf(stderr, "usage: relay [STREAMS [ROUNDS]]\n");
+		return 2;
+	}
+	fixture_start(&fixture, &(fixture_conf_t){ .deadline_ms = 600000,
+						   .stall_ms = 60000,
+						   .idle_ms = 60000,
+						   .memory_bytes = 1 << 30 });
+	fixture.serve = serve;
+	for (i = 0; i < count; i++)
+		start_call();
+	while (stream_count < count)
+		fixture_step(&fixture);
+	cpu_us = task_cpu_us();
+	start_us = clock_monotonic_us();
+	for (round = 0; round < rounds; round++) {
+		for (i = 0; i < count; i++)
+			serve_chunk(streams[i], ids[i], round, "token ",
+				    round == rounds - 1);
+		run_until_relayed(count * (round + 1));
+	}
+	chunks = count * rounds;
+	cpu_us = task_cpu_us() - cpu_us;
+	start_us = clock_monotonic_us() - start_us;
+	for (i = 0; i < count; i++)
+		serve_done(streams[i]);
+	while (ended < count)
+		fixture_step(&fixture);
+	printf("{\"streams\":%" PRId64 ",\"chunks\":%" PRId64
+	       ",\"cpu_us_per_chunk\":%.2f,\"chunks_per_core_s\":%.0f,"
+	       "\"wall_s\":%.2f}\n",
+	       count, chunks, (double)cpu_us / (double)chunks,
+	       (double)chunks * US_PER_S / (double)cpu_us,
+	       (double)start_us / US_PER_S);
+	fixture_stop(&fixture);
+	return 0;
+}
--- a/tests/lib/fixture.h
+++ b/tests/lib/fixture.h
@@ -15,7 +15,7 @@
 #include "process/request_task.h"
 #include "process/task_msg.h"
 
-enum { FIXTURE_MESSAGES_MAX = 64, FIXTURE_CALLS_MAX = 32 };
+enum { FIXTURE_MESSAGES_MAX = 4096, FIXTURE_CALLS_MAX = 1024 };
 
 typedef struct fixture fixture_t;
 
