--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(TEST_LIB_OBJ) \
 		$(BUILD)/libchivestage.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
 $(BUILD)/tests/standin/%: $(BUILD)/tests/standin/%.o \
 		$(STANDIN_LIB:%.c=$(BUILD)/%.o) $(BUILD)/libchivestage.a
