--- a/src/process/servers.c
+++ b/src/process/servers.c
@@ -19,9 +19,10 @@
 #define ASSUMED_REPORT_AGE_US (500 * US_PER_MS)
 #define REPORT_AGE_MAX_US (10 * US_PER_S)
 
-void servers_init(servers_t *servers, const char *data_centre)
+void servers_init(servers_t *servers, const char *data_centre, prefix_t *prefix)
 {
 	memset(servers, 0, sizeof(*servers));
+	servers->prefix = prefix;
 	mem_strlcpy(servers->data_centre, data_centre, NAME_SIZE_BYTES);
 }
 
@@ -91,18 +92,28 @@
 	server->configured_kv_tokens = conf->kv_tokens;
 }
 
-static void remove_if_unused(servers_t *servers, server_t *server)
+/* Builds the table again from the servers that are configured or in use. */
+static void remove_unused(servers_t *servers, const document_t *document)
 {
-	server->in_service = false;
-	if (server->references)
-		return;
-	HASH_DEL(servers->servers, server);
-	free(server);
+	server_t *server = servers->servers, *next;
+
+	HASH_CLEAR(hh, servers->servers);
+	for (; server; server = next) {
+		next = server->hh.next;
+		if (!document_server(document, server->name)) {
+			server->in_service = false;
+			if (!server->references) {
+				prefix_drop(servers->prefix, &server->prefix);
+				free(server);
+				continue;
+			}
+		}
+		HASH_ADD_STR(servers->servers, name, server);
+	}
 }
 
 void servers_configure(servers_t *servers, const document_t *document)
 {
-	server_t *server, *next;
 	site_t *site;
 	size_t i;
 
@@ -112,11 +123,7 @@
 	for (site = servers->sites; site; site = site->hh.next)
 		site->rtt_us = document_rtt_us(document, servers->data_centre,
 					       site->name);
-	for (server = servers->servers; server; server = next) {
-		next = server->hh.next;
-		if (!document_server(document, server->name))
-			remove_if_unused(servers, server);
-	}
+	remove_unused(servers, document);
 }
 
 void servers_reachable(servers_t *servers, const char *data_centre,
@@ -156,10 +163,14 @@
 	return strcmp(x->name, y->name);
 }
 
-static int by_name(const void *a, const void *b)
+static int by_lane_rank(const void *a, const void *b)
 {
-	return strcmp((*(server_t *const *)a)->name,
-		      (*(server_t *const *)b)->name);
+	const server_t *x = *(server_t *const *)a;
+	const server_t *y = *(server_t *const *)b;
+
+	if (x->lane_rank != y->lane_rank)
+		return x->lane_rank < y->lane_rank ? -1 : 1;
+	return strcmp(x->name, y->name);
 }
 
 static group_t *find_group(group_t **groups, size_t *count, site_t *site,
@@ -199,7 +210,7 @@
 		qsort(*groups, count, sizeof(**groups), by_distance);
 	for (i = 0; i < count; i++)
 		qsort((*groups)[i].servers, (*groups)[i].count,
-		      sizeof(server_t *), by_name);
+		      sizeof(server_t *), by_lane_rank);
 	return count;
 }
 
--- a/src/process/servers.h
+++ b/src/process/servers.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #include "process/load.h"
+#include "process/prefix.h"
 #include "version/document.h"
 
 /** A data centre, seen from the data centre of this node. */
@@ -57,7 +58,8 @@
 	int64_t refused_until_us; /**< the credit owner refused... */
 	int64_t refused_tokens; /**< ...this amount, so a larger one too */
 	uint32_t lane_rank; /**< order in which servers join the long lane */
-	uint32_t prefix_slot; /**< of process/prefix */
+	int64_t hit_tokens; /**< used by process/route during one decision */
+	prefix_server_t prefix;
 
 	char name[NAME_SIZE_BYTES];
 	char url[URL_SIZE_BYTES];
@@ -75,17 +77,19 @@
 typedef struct {
 	site_t *site;
 	size_t count;
-	server_t **servers; /**< ascending name */
+	server_t **servers; /**< in the order in which they join the lane */
 	size_t round_robin; /**< next one, for ROUTE_ROUND_ROBIN */
 } group_t;
 
 typedef struct {
 	site_t *sites;
 	server_t *servers;
+	prefix_t *prefix; /**< not owned */
 	char data_centre[NAME_SIZE_BYTES]; /**< of this node */
 } servers_t;
 
-void servers_init(servers_t *servers, const char *data_centre);
+void servers_init(servers_t *servers, const char *data_centre,
+		  prefix_t *prefix);
 void servers_clear(servers_t *servers);
 
 /** Takes over a configuration; servers that left it stay while in use. */
@@ -109,6 +113,13 @@
  */
 bool server_report(server_t *server, const load_report_t *report);
 
+/** Whether the server takes part in the lanes: in service and not failing. */
+static inline bool server_available(const server_t *server)
+{
+	return server->in_service && server->usable && !server->failures &&
+	       server->site->reachable;
+}
+
 /** @return prefill tokens ahead of a new prompt, as predicted for now. */
 int64_t server_backlog_tokens(const server_t *server, int64_t now_us);
 
--- /dev/null
+++ b/src/request/retry.c
@@ -0,0 +1,45 @@
+#include "request/retry.h"
+
+#include <string.h>
+
+#include "base/units.h"
+
+/* Clears the seconds that passed since the last call. */
+static int advance(retry_budget_t *budget, int64_t now_us)
+{
+	int64_t second = now_us / US_PER_S;
+
+	if (second - budget->second >= RETRY_WINDOW_S) {
+		memset(budget, 0, sizeof(*budget));
+		budget->second = second;
+	}
+	while (budget->second < second) {
+		budget->second++;
+		budget->requests[budget->second % RETRY_WINDOW_S] = 0;
+		budget->retries[budget->second % RETRY_WINDOW_S] = 0;
+	}
+	return (int)(budget->second % RETRY_WINDOW_S);
+}
+
+void retry_request(retry_budget_t *budget, int64_t now_us)
+{
+	budget->requests[advance(budget, now_us)]++;
+}
+
+bool retry_take(retry_budget_t *budget, int32_t percent, int64_t now_us)
+{
+	int place = advance(budget, now_us);
+	int64_t requests = 0, retries = 0;
+	int i;
+
+	if (percent <= 0)
+		return false;
+	for (i = 0; i < RETRY_WINDOW_S; i++) {
+		requests += budget->requests[i];
+		retries += budget->retries[i];
+	}
+	if (retries >= RETRY_FLOOR + requests * percent / 100)
+		return false;
+	budget->retries[place]++;
+	return true;
+}
--- a/tests/fake_credit.h
+++ b/tests/fake_credit.h
@@ -61,6 +61,15 @@
 	return result;
 }
 
+bool credit_holder_valid(const credit_holder_t *holder,
+			 const resource_t *resource, uint64_t use,
+			 int64_t now_us)
+{
+	size_t i = fake_find(holder, resource, use);
+
+	return i < holder->count && holder->draws[i].drawn;
+}
+
 void credit_holder_release(credit_holder_t *holder, const resource_t *resource,
 			   uint64_t use, int64_t now_us)
 {
