--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -26,6 +26,10 @@
 #define INTERVAL_GROWTH 10
 #define INTERVAL_FIRST_MAX_US (100.0 * US_PER_MS)
 
+/* Least sum of weights to reckon with. Shares would be unequal if the first
+ * account of a burst were charged as if it were alone. */
+enum { ACTIVE_WEIGHT_MIN = 8 };
+
 typedef struct {
 	char name[NAME_SIZE_BYTES];
 	int32_t weight;
@@ -178,6 +182,8 @@
 
 	if (!account->count)
 		others += item->weight;
+	if (others < ACTIVE_WEIGHT_MIN)
+		others = ACTIVE_WEIGHT_MIN;
 	if (pace <= 0)
 		pace = ASSUMED_US_PER_TOKEN;
 	item->share_us = (int64_t)((double)item->cost_tokens * pace *
