--- a/tests/fake_credit.h
+++ b/tests/fake_credit.h
@@ -16,7 +16,9 @@
 struct credit_holder {
 	draw_result_t server_result;
 	draw_result_t account_result;
-	char pending_server[NAME_SIZE_BYTES]; /* this one answers pending */
+	const char *pending_server; /* answers pending, if not NULL */
+	const char *refusing_server; /* refuses, if not NULL */
+	int64_t kv_limit; /* per server, pending beyond it; 0: no limit */
 	size_t count; /* draws, pending or drawn */
 	struct {
 		resource_t resource;
@@ -39,6 +41,25 @@
 	return i;
 }
 
+/* KV tokens of a resource that other uses hold. */
+static int64_t fake_drawn(const credit_holder_t *holder,
+			  const resource_t *resource, uint64_t use)
+{
+	int64_t kv_tokens = 0;
+	size_t i;
+
+	for (i = 0; i < holder->count; i++)
+		if (holder->draws[i].drawn && holder->draws[i].use != use &&
+		    !strcmp(holder->draws[i].resource.name, resource->name))
+			kv_tokens += holder->draws[i].amount.kv_tokens;
+	return kv_tokens;
+}
+
+static bool fake_is(const char *name, const resource_t *resource)
+{
+	return name && !strcmp(resource->name, name);
+}
+
 draw_result_t credit_holder_draw(credit_holder_t *holder,
 				 const resource_t *resource, uint64_t use,
 				 credit_amount_t amount, int64_t now_us)
@@ -48,8 +69,13 @@
 				       : holder->account_result;
 	size_t i = fake_find(holder, resource, use);
 
-	if (!strcmp(resource->name, holder->pending_server))
+	if (fake_is(holder->pending_server, resource) ||
+	    (holder->kv_limit &&
+	     fake_drawn(holder, resource, use) + amount.kv_tokens >
+		     holder->kv_limit))
 		result = DRAW_PENDING;
+	if (fake_is(holder->refusing_server, resource))
+		result = DRAW_REFUSED;
 	if (result == DRAW_REFUSED)
 		return result;
 	if (i == holder->count)
