Predict the wait of each lane on its own

Cause: the predicted wait added up all requests of the service that were due before, so a million-token prompt in the queue made short requests look late although they use other servers; half of them were refused at once. Change: wait and pace are kept per lane.

--- a/src/process/dispatch.c
+++ b/src/process/dispatch.c
@@ -159,15 +159,14 @@
 	request->ran |= may_have_run;
 	server_failed(request->sends[0].server, now_us);
 	if (!may_retry(dispatch, request, now_us)) {
-		dispatch_refuse(dispatch, request,
-				action && request->ran
-					? REFUSAL_OUTCOME_NOT_KNOWN
-					: REFUSAL_SERVER_FAILED,
-				action && request->ran
-					? 0
-					: dispatch_retry_after_s(
-						  dispatch, request->service),
-				now_us);
+		dispatch_refuse(
+			dispatch, request,
+			action && request->ran ? REFUSAL_OUTCOME_NOT_KNOWN
+					       : REFUSAL_SERVER_FAILED,
+			action && request->ran
+				? 0
+				: dispatch_retry_after_s(dispatch, request),
+			now_us);
 		return;
 	}
 	place_end(dispatch, request, now_us);
--- a/src/process/dispatch_place.c
+++ b/src/process/dispatch_place.c
@@ -335,8 +335,8 @@
 		if (predicted_end_us(request, now_us) >
 		    request->submit.deadline_us) {
 			dispatch_refuse(dispatch, request, REFUSAL_DEADLINE,
-					dispatch_retry_after_s(
-						dispatch, request->service),
+					dispatch_retry_after_s(dispatch,
+							       request),
 					now_us);
 			return;
 		}
--- a/src/process/dispatch_request.c
+++ b/src/process/dispatch_request.c
@@ -67,10 +67,11 @@
 }
 
 int32_t dispatch_retry_after_s(const dispatch_t *dispatch,
-			       const service_t *service)
+			       const request_t *request)
 {
-	int64_t wait_us =
-		queue_wait_us(dispatch->queue, service->name, INT64_MAX);
+	int64_t wait_us = queue_wait_us(dispatch->queue,
+					request->submit.service,
+					request->is_long, INT64_MAX);
 	int64_t wait_s = (wait_us + US_PER_S - 1) / US_PER_S;
 
 	if (wait_s < 1)
@@ -117,6 +118,7 @@
 
 	mem_strlcpy(item->account, submit->account, NAME_SIZE_BYTES);
 	mem_strlcpy(item->service, submit->service, NAME_SIZE_BYTES);
+	item->is_long = request->is_long;
 	item->weight = account ? account->weight : 1;
 	item->priority = class ? class->priority : 0;
 	item->cost_tokens = place_kv_tokens(request) + 1;
@@ -130,7 +132,7 @@
 			 int64_t now_us)
 {
 	int64_t wait_us = queue_wait_us(dispatch->queue, request->item.service,
-					request->item.due_us);
+					request->is_long, request->item.due_us);
 
 	return now_us + wait_us +
 		       service_answer_us(request->service,
@@ -140,17 +142,15 @@
 
 void request_enqueue(dispatch_t *dispatch, request_t *request, int64_t now_us)
 {
-	service_t *service = request->service;
-
 	fill_item(dispatch, request);
 	if (!queue_push(dispatch->queue, &request->item, now_us)) {
 		dispatch_refuse(dispatch, request, REFUSAL_OVERLOADED,
-				dispatch_retry_after_s(dispatch, service),
+				dispatch_retry_after_s(dispatch, request),
 				now_us);
 		return;
 	}
 	if (!ends_in_time(dispatch, request, now_us))
 		dispatch_refuse(dispatch, request, REFUSAL_DEADLINE,
-				dispatch_retry_after_s(dispatch, service),
+				dispatch_retry_after_s(dispatch, request),
 				now_us);
 }
--- a/src/process/dispatch_state.h
+++ b/src/process/dispatch_state.h
@@ -38,7 +38,7 @@
 	/* valid during one pass over the queue */
 	int32_t long_held; /**< long prompts that found no server */
 	size_t lane_min; /**< servers of the largest set that waits */
-	double ahead_tokens;
+	double ahead_tokens[2]; /**< short, long */
 	struct {
 		bool set;
 		bool all; /**< nothing may pass the request that waits */
@@ -122,9 +122,9 @@
 /** Gives the final answer and ends the request. */
 void dispatch_refuse(dispatch_t *dispatch, request_t *request,
 		     refusal_t refusal, int32_t retry_after_s, int64_t now_us);
-/** @return the predicted wait of a new request in seconds, from 1. */
+/** @return the predicted wait of another such request in seconds, from 1. */
 int32_t dispatch_retry_after_s(const dispatch_t *dispatch,
-			       const service_t *service);
+			       const request_t *request);
 
 /* dispatch_wait.c */
 /** Refuses what no server will take, however long it waits. */
--- a/src/process/dispatch_wait.c
+++ b/src/process/dispatch_wait.c
@@ -12,7 +12,7 @@
 
 	if (now_us >= request->submit.deadline_us) {
 		dispatch_refuse(dispatch, request, REFUSAL_DEADLINE,
-				dispatch_retry_after_s(dispatch, service),
+				dispatch_retry_after_s(dispatch, request),
 				now_us);
 		return true;
 	}
@@ -96,7 +96,7 @@
 	     service = service->hh.next) {
 		service->long_held = 0;
 		service->lane_min = 0;
-		service->ahead_tokens = 0;
+		memset(service->ahead_tokens, 0, sizeof(service->ahead_tokens));
 		memset(service->blocked, 0, sizeof(service->blocked));
 	}
 	for (place = 0; (item = queue_at(dispatch->queue, place)); place++) {
@@ -135,8 +135,9 @@
 	while ((item = queue_at(dispatch->queue, place))) {
 		request_t *request = item->owner;
 		service_t *service = request->service;
-		double wait_us = service->ahead_tokens *
-				 queue_pace(dispatch->queue, service->name);
+		double wait_us = service->ahead_tokens[request->is_long] *
+				 queue_pace(dispatch->queue, service->name,
+					    request->is_long);
 
 		if (now_us + (int64_t)wait_us +
 			    service_answer_us(service,
@@ -144,11 +145,12 @@
 		    request->submit.deadline_us) {
 			dispatch_refuse(dispatch, request, REFUSAL_DEADLINE,
 					dispatch_retry_after_s(dispatch,
-							       service),
+							       request),
 					now_us);
 			continue;
 		}
-		service->ahead_tokens += (double)item->cost_tokens;
+		service->ahead_tokens[request->is_long] +=
+			(double)item->cost_tokens;
 		place++;
 	}
 }
--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -38,12 +38,18 @@
 	UT_hash_handle hh;
 } account_t;
 
+/* One lane of a service. Long prompts wait for other servers than short ones,
+ * so neither's wait says anything about the other's. */
 typedef struct {
-	char name[NAME_SIZE_BYTES];
 	int32_t count;
 	int64_t last_us; /* served a request, or began to have one waiting */
 	double interval_us; /* averages over requests served from the queue */
 	double cost_tokens;
+} lane_t;
+
+typedef struct {
+	char name[NAME_SIZE_BYTES];
+	lane_t lanes[2]; /* short, long */
 	UT_hash_handle hh;
 } service_t;
 
@@ -119,6 +125,11 @@
 	return service;
 }
 
+static lane_t *find_lane(queue_t *queue, const queue_item_t *item)
+{
+	return &find_service(queue, item->service)->lanes[item->is_long];
+}
+
 static bool before(const queue_item_t *a, const queue_item_t *b)
 {
 	return a->due_us != b->due_us ? a->due_us < b->due_us
@@ -142,7 +153,7 @@
 }
 
 static void insert(queue_t *queue, queue_item_t *item, account_t *account,
-		   service_t *service, int64_t now_us)
+		   lane_t *lane, int64_t now_us)
 {
 	size_t place = place_of(queue, item);
 
@@ -159,25 +170,25 @@
 		account->weight = item->weight;
 		queue->active_weight += item->weight;
 	}
-	if (!service->count++)
-		service->last_us = now_us;
+	if (!lane->count++)
+		lane->last_us = now_us;
 	item->account_state = account;
-	item->service_state = service;
+	item->lane_state = lane;
 	item->queued = true;
 }
 
-static double pace_of(const service_t *service)
+static double pace_of(const lane_t *lane)
 {
-	return service->cost_tokens > 0
-		       ? service->interval_us / service->cost_tokens
+	return lane->cost_tokens > 0
+		       ? lane->interval_us / lane->cost_tokens
 		       : 0;
 }
 
 /* Moves the account's next share behind the request. */
 static void advance_account(const queue_t *queue, account_t *account,
-			    queue_item_t *item, const service_t *service)
+			    queue_item_t *item, const lane_t *lane)
 {
-	double pace = pace_of(service);
+	double pace = pace_of(lane);
 	int64_t others = queue->active_weight;
 
 	if (!account->count)
@@ -205,7 +216,7 @@
 bool queue_push(queue_t *queue, queue_item_t *item, int64_t now_us)
 {
 	account_t *account;
-	service_t *service;
+	lane_t *lane;
 
 	if ((int64_t)queue->count >= queue->max)
 		return false;
@@ -213,49 +224,47 @@
 	if (account->count &&
 	    account->count >= queue->max - (int64_t)queue->count)
 		return false;
-	service = find_service(queue, item->service);
+	lane = find_lane(queue, item);
 	if (account->start_us < now_us)
 		account->start_us = now_us;
 	item->due_us = account->start_us + patience_us(item);
 	item->order = queue->arrivals++;
-	advance_account(queue, account, item, service);
-	insert(queue, item, account, service, now_us);
+	advance_account(queue, account, item, lane);
+	insert(queue, item, account, lane, now_us);
 	return true;
 }
 
 void queue_return(queue_t *queue, queue_item_t *item, int64_t now_us)
 {
 	insert(queue, item, find_account(queue, item->account),
-	       find_service(queue, item->service), now_us);
+	       find_lane(queue, item), now_us);
 }
 
-static void measure_pace(service_t *service, const queue_item_t *item,
-			 int64_t now_us)
+static void measure_pace(lane_t *lane, const queue_item_t *item, int64_t now_us)
 {
-	double interval_us = (double)(now_us - service->last_us);
+	double interval_us = (double)(now_us - lane->last_us);
 
 	double most_us =
-		INTERVAL_GROWTH * service->interval_us + INTERVAL_FIRST_MAX_US;
+		INTERVAL_GROWTH * lane->interval_us + INTERVAL_FIRST_MAX_US;
 
-	service->last_us = now_us;
+	lane->last_us = now_us;
 	if (interval_us > most_us)
 		interval_us = most_us;
-	if (service->cost_tokens <= 0) {
-		service->interval_us = interval_us;
-		service->cost_tokens = (double)item->cost_tokens;
+	if (lane->cost_tokens <= 0) {
+		lane->interval_us = interval_us;
+		lane->cost_tokens = (double)item->cost_tokens;
 		return;
 	}
-	service->interval_us +=
-		PACE_GAIN * (interval_us - service->interval_us);
-	service->cost_tokens +=
-		PACE_GAIN * ((double)item->cost_tokens - service->cost_tokens);
+	lane->interval_us += PACE_GAIN * (interval_us - lane->interval_us);
+	lane->cost_tokens +=
+		PACE_GAIN * ((double)item->cost_tokens - lane->cost_tokens);
 }
 
 void queue_remove(queue_t *queue, queue_item_t *item, bool served,
 		  int64_t now_us)
 {
 	account_t *account = item->account_state;
-	service_t *service = item->service_state;
+	lane_t *lane = item->lane_state;
 	size_t place = place_of(queue, item);
 
 	queue->count--;
@@ -264,11 +273,11 @@
 	item->queued = false;
 	/* A request that did not wait says nothing about the pace. */
 	if (served && now_us > item->received_us)
-		measure_pace(service, item, now_us);
+		measure_pace(lane, item, now_us);
 	/* What was not served does not count against the account. */
 	if (!served)
 		account->start_us -= item->share_us;
-	service->count--;
+	lane->count--;
 	if (!--account->count)
 		queue->active_weight -= account->weight;
 	if (!queue->count)
@@ -285,25 +294,30 @@
 	return place < queue->count ? queue->items[place] : NULL;
 }
 
-double queue_pace(const queue_t *queue, const char *name)
+double queue_pace(const queue_t *queue, const char *name, bool is_long)
 {
 	service_t *service = NULL;
 
 	HASH_FIND_STR(queue->services, name, service);
-	return service ? pace_of(service) : 0;
+	return service ? pace_of(&service->lanes[is_long]) : 0;
 }
 
-int64_t queue_wait_us(const queue_t *queue, const char *name, int64_t due_us)
+int64_t queue_wait_us(const queue_t *queue, const char *name, bool is_long,
+		      int64_t due_us)
 {
 	service_t *service = NULL;
+	const lane_t *lane;
 	int64_t cost_tokens = 0;
 	size_t i;
 
 	HASH_FIND_STR(queue->services, name, service);
-	if (!service || !service->count)
+	if (!service)
+		return 0;
+	lane = &service->lanes[is_long];
+	if (!lane->count)
 		return 0;
 	for (i = 0; i < queue->count && queue->items[i]->due_us < due_us; i++)
-		if (queue->items[i]->service_state == service)
+		if (queue->items[i]->lane_state == lane)
 			cost_tokens += queue->items[i]->cost_tokens;
-	return (int64_t)((double)cost_tokens * pace_of(service));
+	return (int64_t)((double)cost_tokens * pace_of(lane));
 }
--- a/src/process/queue.h
+++ b/src/process/queue.h
@@ -25,6 +25,7 @@
 	/* set by the caller */
 	char account[NAME_SIZE_BYTES];
 	char service[NAME_SIZE_BYTES];
+	bool is_long; /**< its wait and pace are those of the long lane */
 	int32_t weight; /**< of the account, from 1 */
 	int32_t priority; /**< of the class, 0 to 100 */
 	int64_t cost_tokens; /**< work, from 1 */
@@ -36,7 +37,7 @@
 	int64_t share_us; /**< by which it moved its account's next share */
 	uint64_t order; /**< of arrival, for equal due times */
 	bool queued;
-	void *account_state, *service_state;
+	void *account_state, *lane_state;
 } queue_item_t;
 
 queue_t *queue_create(int32_t max);
@@ -61,13 +62,14 @@
 /** @return the request at a place, 0 being the first to serve. */
 queue_item_t *queue_at(const queue_t *queue, size_t place);
 
-/** @return predicted wait behind requests of the service that are due before
- * @p due_us, from the pace at which it was served; 0 while that is unknown. */
-int64_t queue_wait_us(const queue_t *queue, const char *service,
+/** @return predicted wait behind requests of the service and lane that are due
+ * before @p due_us, from the pace at which they were served; 0 while that is
+ * unknown. */
+int64_t queue_wait_us(const queue_t *queue, const char *service, bool is_long,
 		      int64_t due_us);
 
-/** @return microseconds per token of cost at which a service is served while
- * requests wait; 0 while unknown. */
-double queue_pace(const queue_t *queue, const char *service);
+/** @return microseconds per token of cost at which a lane of a service is
+ * served while requests wait; 0 while unknown. */
+double queue_pace(const queue_t *queue, const char *service, bool is_long);
 
 #endif
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -180,7 +180,7 @@
 	int64_t now_us = 0;
 	size_t i;
 
-	assert_int_equal(queue_wait_us(queue, "s", INT64_MAX), 0);
+	assert_int_equal(queue_wait_us(queue, "s", false, INT64_MAX), 0);
 	for (i = 0; i < 400; i++)
 		queue_push(queue, item(i, "a", 1, 50, 0, 60 * US_PER_S), 0);
 	for (i = 0; i < 300; i++) {
@@ -188,9 +188,10 @@
 		queue_remove(queue, queue_at(queue, 0), true, now_us);
 	}
 	/* 100 requests wait, one is served every 20 ms. */
-	assert_in_range(queue_wait_us(queue, "s", INT64_MAX), 1900 * US_PER_MS,
-			2100 * US_PER_MS);
-	assert_int_equal(queue_wait_us(queue, "other", INT64_MAX), 0);
+	assert_in_range(queue_wait_us(queue, "s", false, INT64_MAX),
+			1900 * US_PER_MS, 2100 * US_PER_MS);
+	assert_int_equal(queue_wait_us(queue, "other", false, INT64_MAX), 0);
+	assert_int_equal(queue_wait_us(queue, "s", true, INT64_MAX), 0);
 	queue_destroy(queue);
 }
 
