--- a/src/process/queue.c
+++ b/src/process/queue.c
@@ -179,9 +179,8 @@
 
 static double pace_of(const lane_t *lane)
 {
-	return lane->cost_tokens > 0
-		       ? lane->interval_us / lane->cost_tokens
-		       : 0;
+	return lane->cost_tokens > 0 ? lane->interval_us / lane->cost_tokens
+				     : 0;
 }
 
 /* Moves the account's next share behind the request. */
