--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,12 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+# An archive, so that a test links only what it uses: a test with a fake of a
+# module must not get the module itself through another test's library.
+$(BUILD)/libtests.a: $(TEST_LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
 $(BUILD)/chivestaged: $(BUILD)/src/process/main.o $(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
@@ -59,11 +65,11 @@
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) \
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libtests.a \
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
-$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(TEST_LIB_OBJ) \
+$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(BUILD)/libtests.a \
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
