--- /dev/null
+++ b/src/process/lease.h
@@ -0,0 +1,67 @@
+/**
+ * @file lease.h
+ * A lease on an object of the platform.
+ *
+ * Clocks of two VMs are not compared. The holder counts the lease from before
+ * it sent the write that renewed it, by the monotonic clock, and stops
+ * LEASE_STOP_US before its end. A candidate takes the lease over after it has
+ * seen the same object version for the whole duration. The version with which
+ * a holder acquired the lease is its fencing token; versions only grow. Pure:
+ * lease_next() gives the platform calls to make.
+ */
+#ifndef PROCESS_LEASE_H
+#define PROCESS_LEASE_H
+
+#include "connection/platform.h"
+
+/** A reconciler that died is replaced within two of these. */
+#define LEASE_DURATION_US (10 * US_PER_S)
+
+/** Leaves room for two lost renewals before the holder stops. */
+#define LEASE_RENEW_US (LEASE_DURATION_US / 4)
+
+/** Time for the last order to reach its server, and for clock drift. */
+#define LEASE_STOP_US (2 * US_PER_S)
+
+typedef struct lease lease_t;
+
+typedef enum {
+	LEASE_ACTION_READ, /**< platform_get(name) */
+	LEASE_ACTION_CREATE, /**< platform_create_object(name, spec) */
+	LEASE_ACTION_PUT /**< platform_put(name, version, spec) */
+} lease_action_type_t;
+
+typedef struct {
+	lease_action_type_t type;
+	int64_t version;
+	json_t *spec; /**< one reference, for the taker */
+} lease_action_t;
+
+/** @param name of the platform object */
+lease_t *lease_create(const char *name, const char *vm_id,
+		      uint64_t incarnation);
+void lease_destroy(lease_t *lease);
+
+const char *lease_object_name(const lease_t *lease);
+
+/** Whether this node wants the lease. A holder that no longer wants it gives
+ * it up with a last write. */
+void lease_want(lease_t *lease, bool wanted);
+
+/** Takes the next platform call; false if none is due. */
+bool lease_next(lease_t *lease, lease_action_t *action, int64_t now_us);
+
+/** Result of the outstanding platform call. */
+void lease_platform(lease_t *lease, platform_status_t status,
+		    const platform_object_t *object, int64_t now_us);
+
+/** Whether this node may act now. Check it right before each act. */
+bool lease_held(const lease_t *lease, int64_t now_us);
+
+/** Whether there was no holder before this one. */
+bool lease_is_first(const lease_t *lease);
+
+/** @return the fencing token; meaningful while the lease is held. */
+int64_t lease_token(const lease_t *lease);
+
+#endif
--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,196 @@
+/** Lease: two candidates against one object with lost answers and pauses. */
+#include <string.h>
+
+#include "cases.h"
+#include "process/lease.h"
+
+static struct {
+	int64_t version;
+	int64_t last_version;
+	json_t *spec;
+	int64_t now_us;
+	lease_t *nodes[2];
+	lease_action_t late; /**< a write that takes effect later */
+} world;
+
+static void start(void)
+{
+	json_decref(world.spec);
+	memset(&world, 0, sizeof(world));
+	world.now_us = US_PER_S;
+	world.nodes[0] = lease_create("dc1", "a", 1);
+	world.nodes[1] = lease_create("dc1", "b", 2);
+}
+
+static void stop(void)
+{
+	lease_destroy(world.nodes[0]);
+	lease_destroy(world.nodes[1]);
+	json_decref(world.spec);
+	json_decref(world.late.spec);
+	world.spec = world.late.spec = NULL;
+}
+
+static platform_status_t apply(const lease_action_t *action)
+{
+	if (action->type == LEASE_ACTION_READ)
+		return world.version ? PLATFORM_OK : PLATFORM_NOT_FOUND;
+	if (action->type == LEASE_ACTION_CREATE && world.version)
+		return PLATFORM_EXISTS;
+	if (action->type == LEASE_ACTION_PUT &&
+	    action->version != world.version)
+		return PLATFORM_CONFLICT;
+	json_decref(world.spec);
+	world.spec = json_incref(action->spec);
+	world.version = ++world.last_version;
+	return PLATFORM_OK;
+}
+
+typedef enum { HEALTHY, DOWN, LOST_AFTER, LOST_LATE } answer_mode_t;
+
+/* Lets one node make its due call; false if there is none. */
+static bool serve(int node, answer_mode_t mode)
+{
+	platform_status_t status = PLATFORM_UNSENT;
+	platform_object_t object = { 0 };
+	lease_action_t action;
+	bool write;
+
+	if (!lease_next(world.nodes[node], &action, world.now_us))
+		return false;
+	write = action.type != LEASE_ACTION_READ;
+	if (mode == HEALTHY || mode == LOST_AFTER)
+		status = apply(&action);
+	if (write && (mode == LOST_AFTER || mode == LOST_LATE))
+		status = PLATFORM_UNKNOWN;
+	if (write && mode == LOST_LATE) {
+		json_decref(world.late.spec);
+		world.late = action;
+		json_incref(action.spec);
+	}
+	object.version = world.version;
+	object.spec = world.spec;
+	lease_platform(world.nodes[node], status, &object, world.now_us);
+	json_decref(action.spec);
+	return true;
+}
+
+static bool held(int node)
+{
+	return lease_held(world.nodes[node], world.now_us);
+}
+
+static void pass(int64_t time_us, answer_mode_t a, answer_mode_t b)
+{
+	int64_t end_us = world.now_us + time_us;
+
+	for (; world.now_us < end_us; world.now_us += 50 * US_PER_MS) {
+		serve(0, a);
+		serve(1, b);
+		if (held(0) && held(1))
+			fail_msg("two holders at %lld us",
+				 (long long)world.now_us);
+	}
+}
+
+/* Guards against two holders, and a lease that moves without need. */
+static void one_node_holds_it(void **state)
+{
+	start();
+	pass(60 * US_PER_S, HEALTHY, HEALTHY);
+	assert_true(held(0));
+	assert_int_equal(lease_token(world.nodes[0]), 1);
+	stop();
+}
+
+/* Guards against acts after the end of the lease, and a lease that nobody
+ * takes over; the token must grow. */
+static void moves_when_the_holder_cannot_renew(void **state)
+{
+	int64_t lost_us, token;
+
+	start();
+	pass(US_PER_S, HEALTHY, HEALTHY);
+	token = lease_token(world.nodes[0]);
+	lost_us = world.now_us;
+	while (held(0))
+		pass(50 * US_PER_MS, DOWN, HEALTHY);
+	assert_in_range(world.now_us - lost_us, 4 * US_PER_S,
+			LEASE_DURATION_US - LEASE_STOP_US);
+	while (!held(1) && world.now_us - lost_us < US_PER_S * 60)
+		pass(50 * US_PER_MS, DOWN, HEALTHY);
+	assert_in_range(world.now_us - lost_us, 8 * US_PER_S, 15 * US_PER_S);
+	assert_true(lease_token(world.nodes[1]) > token);
+	pass(30 * US_PER_S, HEALTHY, HEALTHY);
+	assert_true(held(1));
+	stop();
+}
+
+/* Guards against a holder that was paused and acts before it looks. */
+static void paused_holder_stops(void **state)
+{
+	start();
+	pass(US_PER_S, HEALTHY, HEALTHY);
+	world.now_us += 9 * US_PER_S;
+	assert_false(held(0));
+	pass(20 * US_PER_S, HEALTHY, HEALTHY);
+	assert_true(held(0) != held(1));
+	stop();
+}
+
+/* Guards against a lease that is lost with an answer. */
+static void settles_lost_answers(void **state)
+{
+	start();
+	pass(US_PER_S, LOST_AFTER, DOWN);
+	assert_true(held(0));
+	assert_int_equal(lease_token(world.nodes[0]), 1);
+	pass(30 * US_PER_S, LOST_AFTER, DOWN);
+	assert_true(held(0));
+	stop();
+}
+
+/* Guards against a late write whose age is counted from a later one: the
+ * other node counts from when the late write took effect. */
+static void counts_from_the_first_unanswered_write(void **state)
+{
+	start();
+	pass(US_PER_S, HEALTHY, HEALTHY);
+	while (!world.late.spec)
+		pass(50 * US_PER_MS, LOST_LATE, HEALTHY);
+	serve(0, HEALTHY); /* reads the old version */
+	apply(&world.late); /* takes effect */
+	serve(1, HEALTHY);
+	world.now_us += 6 * US_PER_S; /* pause of the holder */
+	serve(0, LOST_LATE); /* conflict, but the answer is lost */
+	serve(0, HEALTHY);
+	pass(20 * US_PER_S, DOWN, HEALTHY);
+	assert_true(held(1));
+	stop();
+}
+
+/* Guards against a lease that stays with a node that shuts down. */
+static void gives_it_up(void **state)
+{
+	start();
+	pass(US_PER_S, HEALTHY, HEALTHY);
+	lease_want(world.nodes[0], false);
+	assert_false(held(0));
+	pass(3 * US_PER_S, HEALTHY, HEALTHY);
+	assert_true(held(1));
+	stop();
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(one_node_holds_it),
+		cmocka_unit_test(moves_when_the_holder_cannot_renew),
+		cmocka_unit_test(paused_holder_stops),
+		cmocka_unit_test(settles_lost_answers),
+		cmocka_unit_test(counts_from_the_first_unanswered_write),
+		cmocka_unit_test(gives_it_up),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
