--- a/src/connection/platform.c
+++ b/src/connection/platform.c
@@ -35,6 +35,7 @@
 	call_t *calls;
 	int64_t budget_us; /* unused budget as time at calls_per_s */
 	int64_t refilled_us;
+	int32_t failures; /* calls without an answer since the last answer */
 	bool failing;
 };
 
@@ -92,12 +93,26 @@
 	return true;
 }
 
-static void log_reachability(platform_t *platform, platform_status_t status)
+bool platform_available(const platform_t *platform)
 {
-	bool failing = status == PLATFORM_UNSENT || status == PLATFORM_UNKNOWN;
+	return !platform->failing;
+}
+
+/*
+ * One lost answer says little. Calls that could not be sent, or two lost ones
+ * in a row, count as an outage until the next answer.
+ */
+static void note_status(platform_t *platform, platform_status_t status)
+{
+	bool failing;
 
-	if (failing)
+	if (status == PLATFORM_UNSENT || status == PLATFORM_UNKNOWN) {
 		metrics_add(METRIC_PLATFORM_FAILURES, 1);
+		platform->failures += status == PLATFORM_UNSENT ? 2 : 1;
+	} else {
+		platform->failures = 0;
+	}
+	failing = platform->failures >= 2;
 	if (failing == platform->failing)
 		return;
 	platform->failing = failing;
@@ -153,7 +168,7 @@
 	call->handle = NULL;
 	if (status == PLATFORM_OK && call->overflow)
 		status = PLATFORM_UNKNOWN;
-	log_reachability(call->platform, status);
+	note_status(call->platform, status);
 	if (call->type == PLATFORM_CALL_VMS)
 		finish_vms(call, status);
 	else
--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -62,6 +62,9 @@
 platform_t *platform_create(client_t *client, const platform_conf_t *conf);
 void platform_destroy(platform_t *platform);
 
+/** Whether the last calls were answered; true before the first call. */
+bool platform_available(const platform_t *platform);
+
 void platform_get(platform_t *platform, platform_kind_t kind, const char *name,
 		  platform_done_t done, void *context);
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -24,6 +24,7 @@
 typedef struct control_load control_load_t;
 typedef struct control_members control_members_t;
 typedef struct control_credits control_credits_t;
+typedef struct control_actions control_actions_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -43,6 +44,7 @@
 	control_load_t *load;
 	control_members_t *members;
 	control_credits_t *credits;
+	control_actions_t *actions;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -159,6 +161,28 @@
 /** Carries messages between holder, owner and peers until there are none. */
 void control_credits_pump(control_credits_t *credits);
 
+/* control_actions.c: claims of calls that run at most once. */
+control_actions_t *control_actions_create(control_t *control);
+void control_actions_destroy(control_actions_t *actions);
+
+/** Claims an action; refuses it at once without the platform. */
+void control_actions_submit(control_actions_t *actions, uint64_t request,
+			    const submit_msg_t *submit);
+
+/** Carries out what the claims want now. */
+void control_actions_pump(control_actions_t *actions);
+
+/** A decision of the dispatcher; false if the request is no action. */
+bool control_actions_dispatched(control_actions_t *actions, uint64_t request);
+bool control_actions_refused(control_actions_t *actions, uint64_t request,
+			     const refuse_msg_t *message);
+
+void control_actions_finished(control_actions_t *actions, uint64_t request,
+			      const finished_msg_t *message);
+
+/** @return the actions whose claims are not settled. */
+int32_t control_actions_count(const control_actions_t *actions);
+
 /* control_shutdown.c: carries out the phases of drain.h. */
 control_shutdown_t *control_shutdown_create(control_t *control, void *zmq,
 					    err_t *err);
--- a/src/process/control_shutdown.c
+++ b/src/process/control_shutdown.c
@@ -106,7 +106,9 @@
 
 void control_shutdown_tick(control_shutdown_t *shutdown, int64_t now_us)
 {
-	if (drain_tick(&shutdown->drain, 0, now_us))
+	int32_t pending = control_actions_count(shutdown->control->actions);
+
+	if (drain_tick(&shutdown->drain, pending, now_us))
 		enter(shutdown, now_us);
 }
 
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -44,14 +44,22 @@
 	}
 	switch (message->type) {
 	case TASK_MSG_SUBMIT:
-		dispatch_submit(control->dispatch, message->request,
-				&message->as.submit, now_us);
+		if (message->as.submit.kind == REQUEST_ACTION)
+			control_actions_submit(control->actions,
+					       message->request,
+					       &message->as.submit);
+		else
+			dispatch_submit(control->dispatch, message->request,
+					&message->as.submit, now_us);
 		break;
 	case TASK_MSG_FIRST_TOKEN:
 		dispatch_first_token(control->dispatch, message->request,
 				     &message->as.first_token, now_us);
 		break;
 	case TASK_MSG_FINISHED:
+		/* First the claim: the dispatcher may refuse the caller. */
+		control_actions_finished(control->actions, message->request,
+					 &message->as.finished);
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
@@ -73,14 +81,27 @@
 	task_msg_destroy(message);
 }
 
+/* Whether the request task is told; claims refuse their callers themselves. */
+static bool is_for_task(control_t *control, const task_msg_t *message)
+{
+	if (message->type == TASK_MSG_DISPATCH)
+		control_actions_dispatched(control->actions, message->request);
+	return message->type != TASK_MSG_REFUSE ||
+	       !control_actions_refused(control->actions, message->request,
+					&message->as.refuse);
+}
+
 static void pump_decisions(control_t *control)
 {
 	dispatch_action_t action;
 
 	while (dispatch_next(control->dispatch, &action)) {
-		task_msg_t *message = task_msg_create(action.message.type,
-						      action.message.request);
+		task_msg_t *message;
 
+		if (!is_for_task(control, &action.message))
+			continue;
+		message = task_msg_create(action.message.type,
+					  action.message.request);
 		*message = action.message;
 		control_send(control, action.task, message);
 	}
@@ -91,8 +112,10 @@
 {
 	control_t *control = watcher->data;
 
+	control_actions_pump(control->actions);
 	control_credits_pump(control->credits);
 	pump_decisions(control);
+	control_actions_pump(control->actions);
 	control_credits_pump(control->credits);
 }
 
@@ -187,6 +210,7 @@
 	control->config = control_config_create(control);
 	control->load = control_load_create(control);
 	control->credits = control_credits_create(control);
+	control->actions = control_actions_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -271,6 +295,7 @@
 	credit_holder_destroy(control->holder);
 	inforce_destroy(control->inforce);
 	platform_destroy(control->platform);
+	control_actions_destroy(control->actions);
 	client_destroy(control->client);
 	close_mailboxes(control);
 	if (control->loop)
--- a/src/request/claim.c
+++ b/src/request/claim.c
@@ -134,8 +134,10 @@
 	mem_strlcpy(record->content_type, finished->content_type,
 		    sizeof(record->content_type));
 	record->answer_size_bytes = finished->answer_size_bytes;
-	record->answer = mem_copy(finished->answer ? finished->answer : "",
-				  finished->answer_size_bytes);
+	if (!record->omitted)
+		record->answer =
+			mem_copy(finished->answer ? finished->answer : "",
+				 finished->answer_size_bytes);
 	claim_answer(claim);
 }
 
