--- a/src/process/control.h
+++ b/src/process/control.h
@@ -25,6 +25,8 @@
 typedef struct control_members control_members_t;
 typedef struct control_credits control_credits_t;
 typedef struct control_actions control_actions_t;
+typedef struct control_warmup control_warmup_t;
+typedef struct control_progress control_progress_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -45,6 +47,8 @@
 	control_members_t *members;
 	control_credits_t *credits;
 	control_actions_t *actions;
+	control_warmup_t *warmup;
+	control_progress_t *progress;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -126,6 +130,11 @@
 void control_members_send_digest(control_members_t *members,
 				 peer_load_t *servers, size_t count);
 
+/** Tells the owner of a server what became of requests on it. */
+void control_members_send_progress(control_members_t *members,
+				   const char *vm_id,
+				   const server_progress_t *progress);
+
 /** Sends the document in force to members that have an older one. */
 void control_members_push_config(control_members_t *members);
 
@@ -156,11 +165,44 @@
 /** Whether this node owns the credits of a server. */
 bool control_credits_owns(const control_credits_t *credits, const char *server);
 
+/** @return the VM id of a server's owner; empty if none can be reached. */
+const char *control_credits_owner(const control_credits_t *credits,
+				  const char *server);
+
 void control_credits_tick(control_credits_t *credits, int64_t now_us);
 
 /** Carries messages between holder, owner and peers until there are none. */
 void control_credits_pump(control_credits_t *credits);
 
+/* control_warmup.c: ramps of the servers that this node owns. */
+control_warmup_t *control_warmup_create(control_t *control);
+void control_warmup_destroy(control_warmup_t *warmup);
+
+/** This node owns a server, newly or with changed limits. */
+void control_warmup_own(control_warmup_t *warmup, const server_conf_t *conf,
+			bool retired);
+void control_warmup_disown(control_warmup_t *warmup, const char *server);
+void control_warmup_report(control_warmup_t *warmup,
+			   const load_report_t *report);
+void control_warmup_progress(control_warmup_t *warmup,
+			     const server_progress_t *progress);
+
+/** Whether the ramp of an owned server is over. */
+bool control_warmup_is_warm(const control_warmup_t *warmup, const char *server);
+
+/* control_progress.c: counts the ends of requests for the servers' owners. */
+control_progress_t *control_progress_create(control_t *control);
+void control_progress_destroy(control_progress_t *progress);
+void control_progress_dispatched(control_progress_t *progress, uint64_t request,
+				 const char *server);
+void control_progress_finished(control_progress_t *progress, uint64_t request,
+			       attempt_end_t end);
+
+/** What the owner of a server says of its ramp. */
+void control_progress_warm(control_progress_t *progress, const char *server,
+			   bool warm);
+void control_progress_tick(control_progress_t *progress, int64_t now_us);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- a/src/process/control_credits.c
+++ b/src/process/control_credits.c
@@ -1,42 +1,15 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
-#include "process/control.h"
+#include "process/control_credits.h"
 
 #define OWNER_TICK_US (40 * US_PER_MS)
 
 /* VMs of this and other data centres that may hold grants. */
 enum { HOLDERS_MAX = 512 };
 
-/* Kind and name; two kinds may use one name. */
-enum { KEY_SIZE_BYTES = NAME_SIZE_BYTES + 4 };
-
-/** A resource of any data centre and who owns it now. */
-typedef struct {
-	UT_hash_handle hh;
-	char key[KEY_SIZE_BYTES];
-	resource_t resource;
-	char data_centre[NAME_SIZE_BYTES];
-	credit_limit_t limit;
-	char owner[NAME_SIZE_BYTES]; /* empty: none can be reached */
-	uint64_t owner_incarnation;
-	bool owned; /* by this node */
-	bool retired;
-	bool listed; /* during configure: still in the document */
-} entry_t;
-
-struct control_credits {
-	control_t *control;
-	entry_t *entries;
-	int64_t tick_us;
-	credit_view_t view;
-	char (*names)[NAME_SIZE_BYTES], (*next_names)[NAME_SIZE_BYTES];
-};
-
 control_credits_t *control_credits_create(control_t *control)
 {
 	control_credits_t *credits = mem_calloc(1, sizeof(*credits));
@@ -49,7 +22,7 @@
 
 void control_credits_destroy(control_credits_t *credits)
 {
-	entry_t *entry, *next;
+	credit_resource_t *entry, *next;
 
 	if (!credits)
 		return;
@@ -64,39 +37,53 @@
 	free(credits);
 }
 
-static void format_key(char key[KEY_SIZE_BYTES], const resource_t *resource)
-{
-	snprintf(key, KEY_SIZE_BYTES, "%d %s", resource->kind, resource->name);
-}
-
-static entry_t *find_entry(const control_credits_t *credits,
-			   const resource_t *resource)
+static credit_resource_t *find_entry(const control_credits_t *credits,
+				     const resource_t *resource)
 {
 	char key[KEY_SIZE_BYTES];
-	entry_t *entry;
+	credit_resource_t *entry;
 
-	format_key(key, resource);
+	credit_resource_key(key, resource);
 	HASH_FIND_STR(credits->entries, key, entry);
 	return entry;
 }
 
-static bool is_local(const control_credits_t *credits, const entry_t *entry)
+static bool is_local(const control_credits_t *credits,
+		     const credit_resource_t *entry)
 {
 	return !strcmp(entry->data_centre,
 		       credits->control->settings.data_centre);
 }
 
-static void own(control_credits_t *credits, entry_t *entry, int64_t now_us)
+static void own(control_credits_t *credits, credit_resource_t *entry,
+		int64_t now_us)
 {
 	credit_owner_t *owner = credits->control->owner;
 
+	const server_conf_t *conf =
+		document_server(inforce_document(credits->control->inforce),
+				entry->resource.name);
+
 	credit_owner_own(owner, &entry->resource, &entry->limit, now_us);
 	credit_owner_retire(owner, &entry->resource, entry->retired, now_us);
+	if (entry->resource.kind == RESOURCE_SERVER && conf)
+		control_warmup_own(credits->control->warmup, conf,
+				   entry->retired);
 	entry->owned = true;
 }
 
+static void disown(control_credits_t *credits, credit_resource_t *entry)
+{
+	credit_owner_disown(credits->control->owner, &entry->resource);
+	if (entry->resource.kind == RESOURCE_SERVER)
+		control_warmup_disown(credits->control->warmup,
+				      entry->resource.name);
+	entry->owned = false;
+}
+
 /* Finds the owner again and tells both sides of a change. */
-static void assign(control_credits_t *credits, entry_t *entry, int64_t now_us)
+static void assign(control_credits_t *credits, credit_resource_t *entry,
+		   int64_t now_us)
 {
 	const control_members_t *members = credits->control->members;
 	char owner[NAME_SIZE_BYTES] = "";
@@ -116,89 +103,14 @@
 	if (self)
 		own(credits, entry, now_us);
 	else if (entry->owned)
-		credit_owner_disown(credits->control->owner, &entry->resource);
-	entry->owned = self;
+		disown(credits, entry);
 	if (*owner)
 		credit_holder_owner_changed(credits->control->holder,
 					    &entry->resource, now_us);
 }
 
-static entry_t *list_entry(control_credits_t *credits, resource_kind_t kind,
-			   const char *name, const char *data_centre)
-{
-	resource_t resource = { .kind = kind };
-	entry_t *entry;
-
-	mem_strlcpy(resource.name, name, sizeof(resource.name));
-	entry = find_entry(credits, &resource);
-	if (!entry) {
-		entry = mem_calloc(1, sizeof(*entry));
-		entry->resource = resource;
-		format_key(entry->key, &resource);
-		HASH_ADD_STR(credits->entries, key, entry);
-	}
-	mem_strlcpy(entry->data_centre, data_centre,
-		    sizeof(entry->data_centre));
-	entry->listed = true;
-	return entry;
-}
-
-static void list_servers(control_credits_t *credits, document_t *document)
-{
-	const server_conf_t *conf;
-	entry_t *entry;
-	size_t i;
-
-	for (i = 0; (conf = document_server_at(document, i)); i++) {
-		entry = list_entry(credits, RESOURCE_SERVER, conf->name,
-				   conf->data_centre);
-		entry->limit.amount.kv_tokens = conf->kv_tokens;
-		entry->limit.amount.slots = conf->max_requests;
-		entry->retired = !document_server_in_service(document, conf);
-	}
-}
-
-static int64_t data_centres_in_service(const document_t *document)
-{
-	const data_centre_conf_t *conf;
-	int64_t count = 0;
-	size_t i;
-
-	for (i = 0; (conf = document_data_centre_at(document, i)); i++)
-		if (!conf->retired)
-			count++;
-	return count ? count : 1;
-}
-
-/* Each data centre in service may use an equal part of an account's rate. */
-static void list_accounts(control_credits_t *credits, document_t *document)
-{
-	int64_t parts = data_centres_in_service(document);
-	const account_conf_t *conf;
-	entry_t *entry;
-	size_t i;
-
-	for (i = 0; (conf = document_account_at(document, i)); i++) {
-		if (!conf->requests_per_s)
-			continue;
-		entry = list_entry(credits, RESOURCE_ACCOUNT, conf->name,
-				   credits->control->settings.data_centre);
-		entry->limit.requests_per_s =
-			(conf->requests_per_s + parts - 1) / parts;
-	}
-}
-
-static void list_weight_loads(control_credits_t *credits, document_t *document)
-{
-	const char *local = credits->control->settings.data_centre;
-	entry_t *entry =
-		list_entry(credits, RESOURCE_WEIGHT_LOAD, local, local);
-
-	entry->limit.amount.slots = document_limits(document)->weight_loads_max;
-}
-
 /* Removal behaves like retirement: grants in use may still be renewed. */
-static void drop_entry(control_credits_t *credits, entry_t *entry,
+static void drop_entry(control_credits_t *credits, credit_resource_t *entry,
 		       int64_t now_us)
 {
 	credit_owner_t *owner = credits->control->owner;
@@ -211,7 +123,7 @@
 	if (granted.slots || granted.kv_tokens)
 		return;
 	if (entry->owned)
-		credit_owner_disown(owner, &entry->resource);
+		disown(credits, entry);
 	HASH_DEL(credits->entries, entry);
 	free(entry);
 }
@@ -219,15 +131,13 @@
 void control_credits_configure(control_credits_t *credits, document_t *document)
 {
 	int64_t now_us = clock_monotonic_us();
-	entry_t *entry, *next;
+	credit_resource_t *entry, *next;
 
 	for (entry = credits->entries; entry; entry = next) {
 		next = entry->hh.next;
 		entry->listed = false;
 	}
-	list_servers(credits, document);
-	list_accounts(credits, document);
-	list_weight_loads(credits, document);
+	credit_resources_list(credits, document);
 	for (entry = credits->entries; entry; entry = next) {
 		next = entry->hh.next;
 		if (!entry->listed) {
@@ -268,7 +178,7 @@
 void control_credits_members(control_credits_t *credits)
 {
 	int64_t now_us = clock_monotonic_us();
-	entry_t *entry, *next;
+	credit_resource_t *entry, *next;
 
 	update_view(credits, now_us);
 	for (entry = credits->entries; entry; entry = next) {
@@ -286,7 +196,7 @@
 {
 	control_t *control = credits->control;
 	int64_t now_us = clock_monotonic_us();
-	const entry_t *entry;
+	const credit_resource_t *entry;
 
 	if (!is_for_holder(message->type)) {
 		credit_owner_receive(control->owner, message, now_us);
@@ -307,7 +217,7 @@
 			  const credit_msg_t *message, int64_t now_us)
 {
 	control_t *control = credits->control;
-	entry_t *entry = find_entry(credits, &message->resource);
+	credit_resource_t *entry = find_entry(credits, &message->resource);
 
 	if (!entry || !*entry->owner)
 		return;
@@ -358,19 +268,33 @@
 				    report->received_us);
 }
 
-bool control_credits_owns(const control_credits_t *credits, const char *server)
+static const credit_resource_t *find_server(const control_credits_t *credits,
+					    const char *server)
 {
 	resource_t resource = { .kind = RESOURCE_SERVER };
-	const entry_t *entry;
 
 	mem_strlcpy(resource.name, server, sizeof(resource.name));
-	entry = find_entry(credits, &resource);
+	return find_entry(credits, &resource);
+}
+
+bool control_credits_owns(const control_credits_t *credits, const char *server)
+{
+	const credit_resource_t *entry = find_server(credits, server);
+
 	return entry && entry->owned;
 }
 
+const char *control_credits_owner(const control_credits_t *credits,
+				  const char *server)
+{
+	const credit_resource_t *entry = find_server(credits, server);
+
+	return entry ? entry->owner : "";
+}
+
 static void drop_removed(control_credits_t *credits, int64_t now_us)
 {
-	entry_t *entry, *next;
+	credit_resource_t *entry, *next;
 
 	for (entry = credits->entries; entry; entry = next) {
 		next = entry->hh.next;
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -60,6 +60,8 @@
 		/* First the claim: the dispatcher may refuse the caller. */
 		control_actions_finished(control->actions, message->request,
 					 &message->as.finished);
+		control_progress_finished(control->progress, message->request,
+					  message->as.finished.end);
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
@@ -84,8 +86,11 @@
 /* Whether the request task is told; claims refuse their callers themselves. */
 static bool is_for_task(control_t *control, const task_msg_t *message)
 {
-	if (message->type == TASK_MSG_DISPATCH)
+	if (message->type == TASK_MSG_DISPATCH) {
 		control_actions_dispatched(control->actions, message->request);
+		control_progress_dispatched(control->progress, message->request,
+					    message->as.dispatch.server);
+	}
 	return message->type != TASK_MSG_REFUSE ||
 	       !control_actions_refused(control->actions, message->request,
 					&message->as.refuse);
@@ -126,6 +131,7 @@
 
 	control_members_tick(control->members, now_us);
 	control_credits_tick(control->credits, now_us);
+	control_progress_tick(control->progress, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -211,6 +217,8 @@
 	control->load = control_load_create(control);
 	control->credits = control_credits_create(control);
 	control->actions = control_actions_create(control);
+	control->warmup = control_warmup_create(control);
+	control->progress = control_progress_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -289,6 +297,8 @@
 	control_load_destroy(control->load);
 	control_config_destroy(control->config);
 	control_credits_destroy(control->credits);
+	control_warmup_destroy(control->warmup);
+	control_progress_destroy(control->progress);
 	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
 	credit_owner_destroy(control->owner);
