--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -55,11 +55,15 @@
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
+	case TASK_MSG_DRAIN:
+		control_shutdown_start(control->shutdown);
+		break;
+	case TASK_MSG_IDLE:
+		control_shutdown_idle(control->shutdown, message->as.task);
+		break;
 	case TASK_MSG_STOP:
 		ev_break(control->loop, EVBREAK_ALL);
 		break;
-	case TASK_MSG_DRAIN:
-	case TASK_MSG_IDLE:
 	case TASK_MSG_DISPATCH:
 	case TASK_MSG_REFUSE:
 	case TASK_MSG_ANSWER:
@@ -85,7 +89,11 @@
 static void on_before_wait(struct ev_loop *loop, ev_prepare *watcher,
 			   int events)
 {
-	pump_decisions(watcher->data);
+	control_t *control = watcher->data;
+
+	control_credits_pump(control->credits);
+	pump_decisions(control);
+	control_credits_pump(control->credits);
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
@@ -93,9 +101,18 @@
 	control_t *control = timer->data;
 	int64_t now_us = clock_monotonic_us();
 
-	credit_holder_tick(control->holder, now_us);
+	control_members_tick(control->members, now_us);
+	control_credits_tick(control->credits, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
+	control_status_tick(control->status, now_us);
+	control_shutdown_tick(control->shutdown, now_us);
+}
+
+void control_members_changed(control_t *control)
+{
+	control_config_members(control->config);
+	control_credits_members(control->credits);
 }
 
 static void create_decisions(control_t *control)
@@ -119,6 +136,7 @@
 		    sizeof(dispatch.data_centre));
 	control->inforce = inforce_create();
 	control->holder = credit_holder_create(&holder);
+	control->owner = credit_owner_create(settings->vm_id);
 	control->dispatch = dispatch_create(&dispatch, control->holder);
 }
 
@@ -163,6 +181,23 @@
 	return true;
 }
 
+static void create_parts(control_t *control)
+{
+	create_decisions(control);
+	control->config = control_config_create(control);
+	control->load = control_load_create(control);
+	control->credits = control_credits_create(control);
+	control->status = control_status_create(control);
+}
+
+static bool open_members(control_t *control, void *zmq, err_t *err)
+{
+	control->members = control_members_create(control, zmq, err);
+	if (control->members)
+		control->shutdown = control_shutdown_create(control, zmq, err);
+	return control->shutdown;
+}
+
 static void start_watchers(control_t *control)
 {
 	ev_timer_init(&control->tick, on_tick, 0., (double)TICK_MS / MS_PER_S);
@@ -184,17 +219,16 @@
 	control->settings = *settings;
 	control->incarnation = new_incarnation();
 	control->loop = ev_loop_new(EVFLAG_AUTO);
+	create_parts(control);
 	if (!control->loop || !open_mailboxes(control, zmq, &cause) ||
-	    !open_platform(control, &cause)) {
+	    !open_platform(control, &cause) ||
+	    !open_members(control, zmq, &cause)) {
 		err_set(err, ERR_LAYER_PROCESS, CONTROL_ERR_START,
 			"control task: %s",
 			control->loop ? cause.message : "no event loop");
 		control_task_destroy(control);
 		return NULL;
 	}
-	create_decisions(control);
-	control->config = control_config_create(control);
-	control->load = control_load_create(control);
 	start_watchers(control);
 	return control;
 }
@@ -226,9 +260,14 @@
 {
 	if (!control)
 		return;
+	control_shutdown_destroy(control->shutdown);
+	control_status_destroy(control->status);
 	control_load_destroy(control->load);
 	control_config_destroy(control->config);
+	control_credits_destroy(control->credits);
+	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
+	credit_owner_destroy(control->owner);
 	credit_holder_destroy(control->holder);
 	inforce_destroy(control->inforce);
 	platform_destroy(control->platform);
