--- a/src/process/control.h
+++ b/src/process/control.h
@@ -27,6 +27,7 @@
 typedef struct control_actions control_actions_t;
 typedef struct control_warmup control_warmup_t;
 typedef struct control_progress control_progress_t;
+typedef struct control_janitor control_janitor_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -49,6 +50,7 @@
 	control_actions_t *actions;
 	control_warmup_t *warmup;
 	control_progress_t *progress;
+	control_janitor_t *janitor;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -203,6 +205,28 @@
 			   bool warm);
 void control_progress_tick(control_progress_t *progress, int64_t now_us);
 
+/* control_janitor.c: streams on engines whose holder is gone. */
+control_janitor_t *control_janitor_create(control_t *control);
+void control_janitor_destroy(control_janitor_t *janitor);
+void control_janitor_configure(control_janitor_t *janitor,
+			       document_t *document);
+void control_janitor_report(control_janitor_t *janitor,
+			    const load_report_t *report);
+void control_janitor_tick(control_janitor_t *janitor, int64_t now_us);
+
+/** What is known of the process of a VM. */
+void control_janitor_holder(control_janitor_t *janitor, const char *vm_id,
+			    uint64_t incarnation, bool dead);
+void control_janitor_vms(control_janitor_t *janitor, const platform_vm_t *vms,
+			 size_t count);
+
+/** Whether no engine got a new stream of a member since it died. */
+bool control_janitor_quiet(const control_janitor_t *janitor, const char *vm_id,
+			   int64_t dead_us);
+
+/** @return streams whose holder is gone and that are being cancelled. */
+size_t control_janitor_count(const control_janitor_t *janitor);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -162,6 +162,7 @@
 	dispatch_load(control->dispatch, report, report->received_us);
 	control_credits_report(control->credits, report);
 	control_warmup_report(control->warmup, report);
+	control_janitor_report(control->janitor, report);
 	digest_report(server->load->digest, report);
 }
 
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -174,6 +174,28 @@
 	       remote_member(members->remote, vm_id);
 }
 
+/* Tells the janitor which processes hold streams. */
+static void tell_janitor(const control_members_t *members)
+{
+	control_janitor_t *janitor = members->control->janitor;
+	const remote_site_t *site;
+	const member_t *member;
+	size_t i, m;
+
+	control_janitor_holder(janitor, members->control->settings.vm_id,
+			       members->control->incarnation, false);
+	for (i = 0; (member = member_at(members->members, i)); i++)
+		if (member->state != MEMBER_SEEDED)
+			control_janitor_holder(janitor, member->vm_id,
+					       member->incarnation,
+					       member->state == MEMBER_DEAD);
+	for (i = 0; (site = remote_at(members->remote, i)); i++)
+		for (m = 0; m < site->count; m++)
+			control_janitor_holder(janitor, site->members[m].vm_id,
+					       site->members[m].incarnation,
+					       false);
+}
+
 static void refresh(control_members_t *members)
 {
 	members->changed = false;
@@ -183,6 +205,7 @@
 				  members->candidates, CANDIDATES_MAX);
 	members->view = member_view(members->members, members->leaving);
 	metrics_set(METRIC_MEMBERS_LIVE, (int64_t)members->candidate_count);
+	tell_janitor(members);
 	control_members_changed(members->control);
 }
 
@@ -282,14 +305,29 @@
 	return count;
 }
 
+/* Whether all other members are dead, and no engine hears of them either. */
+static bool all_gone(const control_members_t *members)
+{
+	const member_t *member;
+	size_t i;
+
+	for (i = 0; (member = member_at(members->members, i)); i++)
+		if (member->state != MEMBER_DEAD ||
+		    !control_janitor_quiet(members->control->janitor,
+					   member->vm_id, member->changed_us))
+			return false;
+	return true;
+}
+
 void control_members_view(const control_members_t *members, credit_view_t *view,
 			  char (*names)[NAME_SIZE_BYTES], size_t capacity)
 {
 	const member_t *member;
 	size_t count = 0, i;
 
-	view->agreed = !member_isolated(members->members) &&
-		       member_agreed(members->members, members->leaving);
+	view->agreed =
+		(!member_isolated(members->members) || all_gone(members)) &&
+		member_agreed(members->members, members->leaving);
 	view->listed_vms = members->listed;
 	mem_strlcpy(names[count++], members->control->settings.vm_id,
 		    NAME_SIZE_BYTES);
@@ -300,7 +338,8 @@
 			mem_strlcpy(names[count++], member->vm_id,
 				    NAME_SIZE_BYTES);
 	view->counted_vms = (int32_t)count;
-	if (view->counted_vms > view->listed_vms)
+	if (view->counted_vms > view->listed_vms ||
+	    (count == 1 && view->agreed))
 		view->listed_vms = view->counted_vms;
 	view->member_count =
 		add_remote_holders(members, names, count, capacity);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -132,6 +132,7 @@
 	control_members_tick(control->members, now_us);
 	control_credits_tick(control->credits, now_us);
 	control_progress_tick(control->progress, now_us);
+	control_janitor_tick(control->janitor, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -219,6 +220,7 @@
 	control->actions = control_actions_create(control);
 	control->warmup = control_warmup_create(control);
 	control->progress = control_progress_create(control);
+	control->janitor = control_janitor_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -299,6 +301,7 @@
 	control_credits_destroy(control->credits);
 	control_warmup_destroy(control->warmup);
 	control_progress_destroy(control->progress);
+	control_janitor_destroy(control->janitor);
 	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
 	credit_owner_destroy(control->owner);
