--- a/src/process/control.h
+++ b/src/process/control.h
@@ -28,6 +28,7 @@
 typedef struct control_warmup control_warmup_t;
 typedef struct control_progress control_progress_t;
 typedef struct control_janitor control_janitor_t;
+typedef struct control_orders control_orders_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -51,6 +52,7 @@
 	control_warmup_t *warmup;
 	control_progress_t *progress;
 	control_janitor_t *janitor;
+	control_orders_t *orders;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -106,6 +108,9 @@
 /** Whether this node holds the watch of the configuration. */
 bool control_members_watches(const control_members_t *members);
 
+/** Whether this node should give orders to the engines. */
+bool control_members_reconciles(const control_members_t *members);
+
 /** Finds the node that owns a resource; false if none can be reached. */
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
@@ -227,6 +232,17 @@
 /** @return streams whose holder is gone and that are being cancelled. */
 size_t control_janitor_count(const control_janitor_t *janitor);
 
+/* control_orders.c: the lease of the reconciler, and its orders. */
+control_orders_t *control_orders_create(control_t *control);
+void control_orders_destroy(control_orders_t *orders);
+void control_orders_configure(control_orders_t *orders, document_t *document);
+void control_orders_report(control_orders_t *orders,
+			   const load_report_t *report);
+void control_orders_tick(control_orders_t *orders, int64_t now_us);
+
+/** Whether this node holds the lease. */
+bool control_orders_held(const control_orders_t *orders);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- a/src/process/control_config.c
+++ b/src/process/control_config.c
@@ -60,6 +60,7 @@
 	dispatch_configure(control->dispatch, document, clock_monotonic_us());
 	control_load_configure(control->load, document);
 	control_janitor_configure(control->janitor, document);
+	control_orders_configure(control->orders, document);
 	control_credits_configure(control->credits, document);
 	tell_tasks(control, document);
 	control_members_push_config(control->members);
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -252,6 +252,11 @@
 	return members_chosen(members, "configuration", CONFIG_WATCHERS);
 }
 
+bool control_members_reconciles(const control_members_t *members)
+{
+	return members_chosen(members, "reconciler", 1);
+}
+
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
 			   char owner[NAME_SIZE_BYTES])
--- a/src/process/control_status.c
+++ b/src/process/control_status.c
@@ -48,16 +48,20 @@
 	const control_t *control = status->control;
 	bool ready = is_ready(control);
 	json_t *json = json_pack(
-		"{s:s,s:s,s:I,s:s,s:b,s:o,s:o,s:o,s:o,s:{s:i,s:i}}", "vm",
-		control->settings.vm_id, "data_centre",
+		"{s:s,s:s,s:I,s:s,s:b,s:b,s:i,s:i,s:o,s:o,s:o,s:o,s:{s:i,s:i}}",
+		"vm", control->settings.vm_id, "data_centre",
 		control->settings.data_centre, "incarnation",
 		(json_int_t)control->incarnation, "phase",
 		drain_phase_text(control_shutdown_phase(control->shutdown)),
-		"ready", ready, "configuration", configuration(control),
-		"members", control_members_status(control->members),
-		"data_centres", control_members_sites(control->members),
-		"servers", control_load_status(control->load, now_us), "queue",
-		"waiting", dispatch_waiting(control->dispatch), "in_flight",
+		"ready", ready, "reconciler",
+		control_orders_held(control->orders), "actions",
+		control_actions_count(control->actions), "lost_streams",
+		(int)control_janitor_count(control->janitor), "configuration",
+		configuration(control), "members",
+		control_members_status(control->members), "data_centres",
+		control_members_sites(control->members), "servers",
+		control_load_status(control->load, now_us), "queue", "waiting",
+		dispatch_waiting(control->dispatch), "in_flight",
 		dispatch_in_flight(control->dispatch));
 
 	status_publish(json_dumps(json, JSON_COMPACT), ready);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -133,6 +133,7 @@
 	control_credits_tick(control->credits, now_us);
 	control_progress_tick(control->progress, now_us);
 	control_janitor_tick(control->janitor, now_us);
+	control_orders_tick(control->orders, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -221,6 +222,7 @@
 	control->warmup = control_warmup_create(control);
 	control->progress = control_progress_create(control);
 	control->janitor = control_janitor_create(control);
+	control->orders = control_orders_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -302,6 +304,7 @@
 	control_warmup_destroy(control->warmup);
 	control_progress_destroy(control->progress);
 	control_janitor_destroy(control->janitor);
+	control_orders_destroy(control->orders);
 	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
 	credit_owner_destroy(control->owner);
