--- a/src/connection/platform_codec.c
+++ b/src/connection/platform_codec.c
@@ -146,7 +146,10 @@
 	*root = event;
 	if (!type)
 		return status;
-	if (!strcmp(type, "ERROR"))
+	memset(object, 0, sizeof(*object));
+	if (!strcmp(type, "BOOKMARK"))
+		status = PLATFORM_OK;
+	else if (!strcmp(type, "ERROR"))
 		status = PLATFORM_CONFLICT;
 	else if (!strcmp(type, "DELETED"))
 		status = PLATFORM_NOT_FOUND;
--- a/src/connection/platform_codec.h
+++ b/src/connection/platform_codec.h
@@ -45,7 +45,10 @@
 json_t *platform_parse_object(const char *text, size_t size,
 			      platform_object_t *object, err_t *err);
 
-/** Reads one line of a watch; PLATFORM_UNKNOWN if it is malformed. */
+/**
+ * Reads one line of a watch; PLATFORM_UNKNOWN if it is malformed. A bookmark
+ * has version 0.
+ */
 platform_status_t platform_parse_event(const char *line, size_t size,
 				       json_t **root,
 				       platform_object_t *object);
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,430 @@
+/**
+ * The platform client against a scripted server: statuses, lost and slow
+ * answers, malformed answers, watches and the request budget.
+ */
+#include <arpa/inet.h>
+#include <ev.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "cases.h"
+#include "connection/platform.h"
+
+/* What the server does with a connection once the request is complete. */
+typedef enum { REPLY, REPLY_AND_CLOSE, CLOSE, SILENT } behaviour_t;
+
+typedef struct {
+	struct ev_loop *loop;
+	ev_io listener, connection;
+	int connections, requests;
+	behaviour_t behaviour;
+	int status;
+	const char *body;
+	char request[4096];
+	size_t size;
+	client_t *client;
+	platform_t *platform;
+	/* the result */
+	bool done;
+	int done_count;
+	platform_status_t got;
+	bool has_object;
+	platform_object_t object;
+	size_t vm_count;
+	platform_vm_t vms[4];
+} fake_t;
+
+static bool is_whole(const fake_t *fake)
+{
+	const char *body = strstr(fake->request, "\r\n\r\n");
+	const char *length = strstr(fake->request, "Content-Length: ");
+
+	return body &&
+	       (!length || strlen(body + 4) >= strtoul(length + 16, NULL, 10));
+}
+
+/* A watch has no length: it ends with the connection. */
+static void send_reply(const fake_t *fake, int fd)
+{
+	char reply[4096], length[64] = "";
+
+	if (!strstr(fake->request, "watch=true"))
+		snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+			 strlen(fake->body));
+	snprintf(reply, sizeof(reply), "HTTP/1.1 %d X\r\n%s\r\n%s",
+		 fake->status, length, fake->body);
+	assert_int_equal(write(fd, reply, strlen(reply)), strlen(reply));
+}
+
+static void on_request(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	fake_t *fake = watcher->data;
+	ssize_t size = read(watcher->fd, fake->request + fake->size,
+			    sizeof(fake->request) - 1 - fake->size);
+
+	if (size > 0) {
+		fake->size += (size_t)size;
+		fake->request[fake->size] = '\0';
+		if (!is_whole(fake))
+			return;
+		fake->requests++;
+		fake->size = 0;
+		if (fake->behaviour == REPLY ||
+		    fake->behaviour == REPLY_AND_CLOSE)
+			send_reply(fake, watcher->fd);
+		if (fake->behaviour == REPLY || fake->behaviour == SILENT)
+			return;
+	}
+	ev_io_stop(loop, watcher);
+	close(watcher->fd);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	fake_t *fake = watcher->data;
+	int fd = accept(watcher->fd, NULL, NULL);
+
+	assert_true(fd >= 0);
+	fake->connections++;
+	fake->size = 0;
+	if (ev_is_active(&fake->connection)) {
+		ev_io_stop(loop, &fake->connection);
+		close(fake->connection.fd);
+	}
+	ev_io_init(&fake->connection, on_request, fd, EV_READ);
+	fake->connection.data = fake;
+	ev_io_start(loop, &fake->connection);
+}
+
+static int listen_locally(int *port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+	assert_int_equal(listen(fd, 8), 0);
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	*port = ntohs(address.sin_port);
+	return fd;
+}
+
+static void start(fake_t *fake, int32_t calls_per_s)
+{
+	platform_conf_t conf = { .namespace_name = "ns",
+				 .token = "secret",
+				 .timeout_ms = 200,
+				 .calls_per_s = calls_per_s };
+	int port, fd = listen_locally(&port);
+
+	memset(fake, 0, sizeof(*fake));
+	fake->body = "";
+	fake->loop = ev_loop_new(EVFLAG_AUTO);
+	ev_io_init(&fake->listener, on_accept, fd, EV_READ);
+	fake->listener.data = fake;
+	ev_io_start(fake->loop, &fake->listener);
+	snprintf(conf.url, sizeof(conf.url), "http://127.0.0.1:%d", port);
+	fake->client = client_create(fake->loop, NULL);
+	fake->platform = platform_create(fake->client, &conf);
+}
+
+static void stop_listening(fake_t *fake)
+{
+	if (!ev_is_active(&fake->listener))
+		return;
+	ev_io_stop(fake->loop, &fake->listener);
+	close(fake->listener.fd);
+}
+
+static void stop(fake_t *fake)
+{
+	platform_destroy(fake->platform);
+	client_destroy(fake->client);
+	stop_listening(fake);
+	if (ev_is_active(&fake->connection)) {
+		ev_io_stop(fake->loop, &fake->connection);
+		close(fake->connection.fd);
+	}
+	ev_loop_destroy(fake->loop);
+}
+
+static void on_done(void *context, platform_status_t status,
+		    const platform_object_t *object)
+{
+	fake_t *fake = context;
+
+	fake->done = true;
+	fake->done_count++;
+	fake->got = status;
+	fake->has_object = object;
+	if (object)
+		fake->object = *object;
+}
+
+static void on_vms(void *context, platform_status_t status,
+		   const platform_vm_t *vms, size_t count)
+{
+	fake_t *fake = context;
+
+	assert_true(count <= COUNT_OF(fake->vms));
+	on_done(context, status, NULL);
+	fake->vm_count = count;
+	if (count)
+		memcpy(fake->vms, vms, count * sizeof(*vms));
+}
+
+static void run(fake_t *fake, int64_t limit_ms)
+{
+	int64_t end_us = clock_monotonic_us() + limit_ms * US_PER_MS;
+
+	while (!fake->done && clock_monotonic_us() < end_us) {
+		ev_run(fake->loop, EVRUN_NOWAIT);
+		usleep(500);
+	}
+}
+
+typedef enum { GET, CREATE, PUT, DELETE, WATCH, VMS } call_t;
+
+static void call(fake_t *fake, call_t type)
+{
+	platform_t *platform = fake->platform;
+
+	fake->done = false;
+	switch (type) {
+	case GET:
+		platform_get(platform, PLATFORM_CLAIMS, "a/b", on_done, fake);
+		break;
+	case CREATE:
+		platform_create_object(platform, PLATFORM_CLAIMS, "n",
+				       json_pack("{s:i}", "k", 1), on_done,
+				       fake);
+		break;
+	case PUT:
+		platform_put(platform, PLATFORM_LEASES, "n", 7,
+			     json_pack("{s:i}", "k", 1), on_done, fake);
+		break;
+	case DELETE:
+		platform_delete(platform, PLATFORM_CLAIMS, "n", 7, on_done,
+				fake);
+		break;
+	case WATCH:
+		platform_watch(platform, PLATFORM_CONFIGURATIONS, "fleet", 7,
+			       1000, on_done, fake);
+		break;
+	case VMS:
+		platform_list_vms(platform, on_vms, fake);
+		break;
+	}
+}
+
+#define OBJECT                                                      \
+	"{\"metadata\":{\"name\":\"n\",\"resourceVersion\":\"8\"}," \
+	"\"spec\":{\"k\":1}}"
+#define LINE(type, version)                                          \
+	"{\"type\":\"" type "\",\"object\":{\"metadata\":{\"name\":" \
+	"\"fleet\",\"resourceVersion\":\"" version "\"},\"spec\":{}}}\n"
+
+static const struct {
+	const char *guards_against;
+	call_t type;
+	behaviour_t behaviour;
+	int status;
+	const char *body;
+	platform_status_t expected;
+	int64_t version; /* 0: no object */
+	const char *sent; /* part of the request */
+} cases[] = {
+	{ "a name that changes the path", GET, REPLY, 200, OBJECT, PLATFORM_OK,
+	  8, "GET /apis/chivestage.dev/v1/namespaces/ns/claims/a%2Fb HTTP" },
+	{ "a missing token", GET, REPLY, 200, OBJECT, PLATFORM_OK, 8,
+	  "Authorization: Bearer secret" },
+	{ "a missing object taken for an outage", GET, REPLY, 404, "{}",
+	  PLATFORM_NOT_FOUND, 0, "" },
+	{ "an error page taken for an object", GET, REPLY, 200, "<html>",
+	  PLATFORM_UNKNOWN, 0, "" },
+	{ "an object without a version", GET, REPLY, 200,
+	  "{\"metadata\":{\"name\":\"n\"},\"spec\":{}}", PLATFORM_UNKNOWN, 0,
+	  "" },
+	{ "a version that is no number", GET, REPLY, 200,
+	  "{\"metadata\":{\"name\":\"n\",\"resourceVersion\":\"8x\"},"
+	  "\"spec\":{}}",
+	  PLATFORM_UNKNOWN, 0, "" },
+	{ "a refusal taken for a lost answer", GET, REPLY, 403, "{}",
+	  PLATFORM_REFUSED, 0, "" },
+	{ "throttling taken for a lost answer", PUT, REPLY, 429, "{}",
+	  PLATFORM_BUDGET, 0, "" },
+	{ "a second owner of a name", CREATE, REPLY, 409, "{}", PLATFORM_EXISTS,
+	  0, "\"spec\":{\"k\":1}" },
+	{ "a lost update that overwrites", PUT, REPLY, 409, "{}",
+	  PLATFORM_CONFLICT, 0, "\"resourceVersion\":\"7\"" },
+	{ "a write that went through", PUT, REPLY, 200, OBJECT, PLATFORM_OK, 8,
+	  "PUT " },
+	{ "a write whose answer is lost taken for one that failed", PUT, CLOSE,
+	  0, "", PLATFORM_UNKNOWN, 0, "PUT " },
+	{ "a create whose answer is lost taken for one that failed", CREATE,
+	  CLOSE, 0, "", PLATFORM_UNKNOWN, 0, "POST " },
+	{ "a slow answer that holds the caller", CREATE, SILENT, 0, "",
+	  PLATFORM_UNKNOWN, 0, "POST " },
+	{ "a failing platform taken for a refusal", CREATE, REPLY, 503, "{}",
+	  PLATFORM_UNKNOWN, 0, "" },
+	{ "a create that succeeded with an unreadable answer", CREATE, REPLY,
+	  201, "{\"metadata\":", PLATFORM_UNKNOWN, 0, "" },
+	{ "a delete of a version that is not current", DELETE, REPLY, 409, "{}",
+	  PLATFORM_CONFLICT, 0, "/claims/n?resourceVersion=7" },
+	{ "a status object taken for a malformed answer", DELETE, REPLY, 200,
+	  "{\"kind\":\"Status\"}", PLATFORM_OK, 0, "DELETE " },
+	{ "a change that is missed", WATCH, REPLY, 200, LINE("MODIFIED", "9"),
+	  PLATFORM_OK, 9,
+	  "/configurations/fleet?watch=true&resourceVersion=7"
+	  "&timeoutSeconds=1" },
+	{ "an old event taken for a change", WATCH, REPLY, 200,
+	  LINE("MODIFIED", "7") LINE("MODIFIED", "8"), PLATFORM_OK, 8, "" },
+	{ "changes that the platform has forgotten", WATCH, REPLY, 200,
+	  "{\"type\":\"ERROR\",\"object\":{\"code\":410}}\n", PLATFORM_CONFLICT,
+	  0, "" },
+	{ "a watch without changes taken for an outage", WATCH, REPLY_AND_CLOSE,
+	  200, "\n{\"type\":\"BOOKMARK\"}\n", PLATFORM_OK, 0, "" },
+	{ "a malformed event that is passed over", WATCH, REPLY, 200,
+	  "{\"type\":\"MODIFIED\",\"object\":{}}\n", PLATFORM_UNKNOWN, 0, "" },
+	{ "a deleted object", WATCH, REPLY, 200, LINE("DELETED", "9"),
+	  PLATFORM_NOT_FOUND, 0, "" },
+	{ "a malformed list", VMS, REPLY, 200, "{\"items\":[{}]}",
+	  PLATFORM_UNKNOWN, 0, "/namespaces/ns/vms" },
+};
+
+static void maps_answers(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		fake_t fake;
+
+		start(&fake, 100);
+		fake.behaviour = cases[i].behaviour;
+		fake.status = cases[i].status;
+		fake.body = cases[i].body;
+		call(&fake, cases[i].type);
+		run(&fake, 3000);
+		if (!fake.done || fake.got != cases[i].expected ||
+		    (fake.has_object ? fake.object.version : 0) !=
+			    cases[i].version ||
+		    !strstr(fake.request, cases[i].sent))
+			fail_msg("case \"%s\": done %d status %d version %d, "
+				 "sent %s",
+				 cases[i].guards_against, fake.done, fake.got,
+				 (int)fake.object.version, fake.request);
+		assert_int_equal(fake.done_count, 1);
+		stop(&fake);
+	}
+}
+
+/* Guards against a write that libcurl sends again by itself. */
+static void sends_writes_once(void **state)
+{
+	static const call_t writes[] = { CREATE, PUT, DELETE };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(writes); i++) {
+		fake_t fake;
+
+		start(&fake, 100);
+		fake.behaviour = REPLY;
+		fake.status = 200;
+		fake.body = OBJECT;
+		call(&fake, GET);
+		run(&fake, 3000);
+		assert_int_equal(fake.got, PLATFORM_OK);
+		fake.behaviour = CLOSE;
+		call(&fake, writes[i]);
+		run(&fake, 3000);
+		assert_int_equal(fake.got, PLATFORM_UNKNOWN);
+		assert_int_equal(fake.requests, 2);
+		assert_int_equal(fake.connections, 2);
+		stop(&fake);
+	}
+}
+
+static void reads_the_vm_list(void **state)
+{
+	fake_t fake;
+
+	start(&fake, 100);
+	fake.status = 200;
+	fake.body = "{\"items\":[{\"metadata\":{\"name\":\"a1\"},\"spec\":"
+		    "{\"data_centre\":\"a\",\"address\":\"10.0.0.1:1\","
+		    "\"leaving\":true}}]}";
+	call(&fake, VMS);
+	run(&fake, 3000);
+	assert_int_equal(fake.got, PLATFORM_OK);
+	assert_int_equal(fake.vm_count, 1);
+	assert_string_equal(fake.vms[0].id, "a1");
+	assert_string_equal(fake.vms[0].data_centre, "a");
+	assert_true(fake.vms[0].leaving);
+	stop(&fake);
+}
+
+/* Guards against a node that floods the platform when something loops. */
+static void keeps_the_request_budget(void **state)
+{
+	fake_t fake;
+	int i, refused = 0;
+
+	start(&fake, 5);
+	fake.status = 404;
+	for (i = 0; i < 10; i++) {
+		call(&fake, GET);
+		if (fake.done && fake.got == PLATFORM_BUDGET)
+			refused++;
+		run(&fake, 3000);
+	}
+	assert_in_range(refused, 4, 5);
+	stop(&fake);
+}
+
+/* Guards against not-run claims for calls that reached the platform. */
+static void tells_unsent_from_unknown(void **state)
+{
+	fake_t fake;
+
+	start(&fake, 100);
+	assert_true(platform_available(fake.platform));
+	stop_listening(&fake);
+	call(&fake, CREATE);
+	run(&fake, 3000);
+	assert_int_equal(fake.got, PLATFORM_UNSENT);
+	assert_false(platform_available(fake.platform));
+	stop(&fake);
+}
+
+/* Guards against callbacks into memory that is gone. */
+static void destroys_with_calls_open(void **state)
+{
+	fake_t fake;
+
+	start(&fake, 100);
+	fake.behaviour = SILENT;
+	call(&fake, GET);
+	call(&fake, WATCH);
+	run(&fake, 50);
+	stop(&fake);
+	assert_int_equal(fake.done_count, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(maps_answers),
+		cmocka_unit_test(sends_writes_once),
+		cmocka_unit_test(reads_the_vm_list),
+		cmocka_unit_test(keeps_the_request_budget),
+		cmocka_unit_test(tells_unsent_from_unknown),
+		cmocka_unit_test(destroys_with_calls_open),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
