--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -19,7 +19,7 @@
 
 typedef struct {
 	struct ev_loop *loop;
-	ev_io listener, connection;
+	ev_io listener, open[8];
 	int connections, requests;
 	behaviour_t behaviour;
 	int status;
@@ -87,17 +87,14 @@
 {
 	fake_t *fake = watcher->data;
 	int fd = accept(watcher->fd, NULL, NULL);
+	ev_io *connection = &fake->open[fake->connections++];
 
 	assert_true(fd >= 0);
-	fake->connections++;
+	assert_true(fake->connections <= (int)COUNT_OF(fake->open));
 	fake->size = 0;
-	if (ev_is_active(&fake->connection)) {
-		ev_io_stop(loop, &fake->connection);
-		close(fake->connection.fd);
-	}
-	ev_io_init(&fake->connection, on_request, fd, EV_READ);
-	fake->connection.data = fake;
-	ev_io_start(loop, &fake->connection);
+	ev_io_init(connection, on_request, fd, EV_READ);
+	connection->data = fake;
+	ev_io_start(loop, connection);
 }
 
 static int listen_locally(int *port)
@@ -143,12 +140,16 @@
 
 static void stop(fake_t *fake)
 {
+	int i;
+
 	platform_destroy(fake->platform);
 	client_destroy(fake->client);
 	stop_listening(fake);
-	if (ev_is_active(&fake->connection)) {
-		ev_io_stop(fake->loop, &fake->connection);
-		close(fake->connection.fd);
+	for (i = 0; i < fake->connections; i++) {
+		if (!ev_is_active(&fake->open[i]))
+			continue;
+		ev_io_stop(fake->loop, &fake->open[i]);
+		close(fake->open[i].fd);
 	}
 	ev_loop_destroy(fake->loop);
 }
