--- a/Makefile
+++ b/Makefile
@@ -59,11 +59,16 @@
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) \
+# An archive, so that a test links only the fixtures that it uses.
+$(BUILD)/libtest.a: $(TEST_LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/tests/test_%: $(BUILD)/tests/test_%.o $(BUILD)/libtest.a \
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
-$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(TEST_LIB_OBJ) \
+$(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(BUILD)/libtest.a \
 		$(BUILD)/libchivestage.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
