--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -81,7 +81,7 @@
 	/* The brace of the attempt's object becomes the comma. */
 	if (size)
 		body[++size] = ',';
-	memcpy(body + size + 1, own + 1, own_size - 1);
+	memcpy(body + size + 1, own + 1, own_size);
 	call->body = body;
 	call->body_size_bytes = size + own_size;
 	free(own);
