--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -73,17 +73,12 @@
 static void join_body(engine_call_t *call, const char *fields, json_t *attempt)
 {
 	char *own = json_dumps(attempt, JSON_COMPACT);
-	size_t own_size = strlen(own), size = strlen(fields);
-	char *body = mem_calloc(size + own_size + 2, 1);
-
-	body[0] = '{';
-	memcpy(body + 1, fields, size);
-	/* The brace of the attempt's object becomes the comma. */
-	if (size)
-		body[++size] = ',';
-	memcpy(body + size + 1, own + 1, own_size);
-	call->body = body;
-	call->body_size_bytes = size + own_size;
+	size_t size = strlen(fields) + strlen(own) + 2;
+
+	call->body = mem_calloc(size, 1);
+	call->body_size_bytes = (size_t)snprintf(call->body, size, "{%s%s%s",
+						 fields, *fields ? "," : "",
+						 own + 1);
 	free(own);
 	json_decref(attempt);
 }
