--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -59,5 +59,6 @@
 exit_code_t command_class_remove(const invocation_t *invocation);
 exit_code_t command_status(const invocation_t *invocation);
 exit_code_t command_member_list(const invocation_t *invocation);
+exit_code_t command_keys(const invocation_t *invocation);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -51,6 +51,8 @@
 	{ NULL, "status", "", 0, 0, command_status, "print a node's status" },
 	{ "member", "list", "", 0, 0, command_member_list,
 	  "print the members that a node sees" },
+	{ NULL, "keys", "", 0, 0, command_keys,
+	  "make a key pair for the links between nodes" },
 };
 
 enum { COMMAND_COUNT = sizeof(commands) / sizeof(commands[0]) };
@@ -135,10 +137,21 @@
 	return command->run(invocation);
 }
 
+/* Reads the options; false with a printed error. */
+static bool read_options(poptContext context)
+{
+	int status = poptGetNextOpt(context);
+
+	if (status >= -1)
+		return true;
+	ctl_complain("%s: %s", poptBadOption(context, 0), poptStrerror(status));
+	return false;
+}
+
 int main(int argc, const char **argv)
 {
 	char *settings_path = NULL;
-	int json = 0, help = 0, status, count = 0;
+	int json = 0, help = 0, count = 0;
 	const struct poptOption options[] = {
 		{ "settings", 'c', POPT_ARG_STRING, &settings_path, 0, NULL,
 		  NULL },
@@ -149,33 +162,24 @@
 	invocation_t invocation = { 0 };
 	poptContext context =
 		poptGetContext("chivestage", argc, argv, options, 0);
+	exit_code_t code = EXIT_USAGE;
 	const char **words;
 
-	status = poptGetNextOpt(context);
-	if (status < -1) {
-		ctl_complain("%s: %s", poptBadOption(context, 0),
-			     poptStrerror(status));
-		poptFreeContext(context);
-		return EXIT_USAGE;
-	}
 	if (sodium_init() < 0) {
 		ctl_complain("libsodium cannot be initialised");
-		poptFreeContext(context);
-		return EXIT_FAILED;
-	}
-	words = poptGetArgs(context);
-	while (words && words[count])
-		count++;
-	invocation.settings_path = settings_path ? settings_path
-						 : default_settings_path;
-	invocation.json = json;
-	if (help) {
-		print_help(stdout);
-		status = EXIT_OK;
-	} else {
-		status = run(&invocation, words, count);
+		code = EXIT_FAILED;
+	} else if (read_options(context)) {
+		words = poptGetArgs(context);
+		while (words && words[count])
+			count++;
+		invocation.settings_path =
+			settings_path ? settings_path : default_settings_path;
+		invocation.json = json;
+		if (help)
+			print_help(stdout);
+		code = help ? EXIT_OK : run(&invocation, words, count);
 	}
 	poptFreeContext(context);
 	free(settings_path);
-	return status;
+	return code;
 }
