--- a/tests/fuzz/fuzz_credits.c
+++ b/tests/fuzz/fuzz_credits.c
@@ -117,7 +117,7 @@
 	credit_sim_t sim;
 	size_t i;
 
-	if (size < 2 || size > 400)
+	if (size < 2 || size > 600)
 		return 0;
 	credit_sim_start(&sim, limit, block, data[0] * 256U + data[1]);
 	sim.report_lag_us = (data[0] & 1 ? 500 : 100) * US_PER_MS;
