--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -235,7 +235,7 @@
 	same = object->version == lease->version;
 	see(lease, object, now_us);
 	lease->unsettled = false;
-	if (strcmp(lease->holder, lease->self)) {
+	if (strcmp(lease->holder, lease->self) != 0) {
 		lease->held = false;
 		if (!same)
 			lease->pending_us = 0;
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/mem.h"
 #include "cases.h"
 #include "request/claim.h"
 
@@ -115,8 +116,8 @@
 				  .created_us = WALL_US,
 				  .deadline_us = WALL_US + DEADLINE_US };
 
-	strcpy(record.account, conf.account);
-	strcpy(record.key, conf.key);
+	mem_strlcpy(record.account, conf.account, sizeof(record.account));
+	mem_strlcpy(record.key, conf.key, sizeof(record.key));
 	if (input == 'l')
 		record.deadline_us = WALL_US - 60 * US_PER_S;
 	if (input == 'd' || input == 'M')
@@ -127,7 +128,8 @@
 	record.status = 201;
 	record.answer = "done";
 	record.answer_size_bytes = 4;
-	strcpy(record.content_type, "text/plain");
+	mem_strlcpy(record.content_type, "text/plain",
+		    sizeof(record.content_type));
 	return record;
 }
 
--- a/tests/test_credit_owner.c
+++ b/tests/test_credit_owner.c
@@ -1,6 +1,7 @@
 /** Credit owner: each case names the failure that it guards against. */
 #include <string.h>
 
+#include "base/mem.h"
 #include "cases.h"
 #include "process/credit_owner.h"
 
@@ -69,7 +70,7 @@
 				 .minimum = { minimum, minimum > 0 },
 				 .holder_incarnation = 7 };
 
-	strcpy(message.holder, holder);
+	mem_strlcpy(message.holder, holder, sizeof(message.holder));
 	collect(f);
 	credit_owner_receive(f->owner, &message, f->now_us);
 	collect(f);
@@ -198,10 +199,10 @@
 			 CREDIT_REFUSAL);
 	assert_int_equal(send(&f, CREDIT_PRESENT, "b", 2, 700, 0),
 			 CREDIT_GRANT);
-	strcpy(list.holder, "a");
+	mem_strlcpy(list.holder, "a", sizeof(list.holder));
 	list.sequence = number;
 	credit_owner_receive(f.owner, &list, f.now_us);
-	strcpy(list.holder, "b");
+	mem_strlcpy(list.holder, "b", sizeof(list.holder));
 	list.holder_incarnation = 7;
 	list.minimum = credit_digest(list.minimum, 2);
 	list.sequence = number - 1;
--- a/tests/test_reconcile.c
+++ b/tests/test_reconcile.c
@@ -1,6 +1,7 @@
 /** Orders to engines: each case names the failure that it guards against. */
 #include <string.h>
 
+#include "base/mem.h"
 #include "cases.h"
 #include "process/reconcile.h"
 
@@ -43,7 +44,7 @@
 				  .model_count = loaded,
 				  .models = { "m" } };
 
-	strcpy(figures.server, server);
+	mem_strlcpy(figures.server, server, sizeof(figures.server));
 	reconcile_report(reconcile, &figures);
 }
 
