--- a/tests/bench/load.c
+++ b/tests/bench/load.c
@@ -92,7 +92,6 @@
 static void start_call(caller_t *caller)
 {
 	kind_t kind = choose_kind();
-	char action[64];
 	call_spec_t spec = {
 		.address = targets[next_random((uint64_t)target_count)],
 		.key = key,
@@ -117,10 +116,10 @@
 		if (spec.read_mode != READ_ALL)
 			spec.deadline_ms = 0;
 	} else {
-		choose_action(action);
 		spec.kind = kind == KIND_LOOKUP ? CALL_LOOKUP : CALL_ACTION;
 		spec.service = kind == KIND_LOOKUP ? "status" : "orders";
-		spec.action = kind == KIND_LOOKUP ? NULL : action;
+		if (kind == KIND_ACTION)
+			choose_action(spec.action);
 		spec.class_name = NULL;
 	}
 	caller_start(caller, &spec);
@@ -150,7 +149,7 @@
 
 	sum->tokens += result->tokens;
 	sum->wrong += result->wrong > 0 ||
-		      (spec->action && !is_recorded_answer(spec, result));
+		      (*spec->action && !is_recorded_answer(spec, result));
 	if (result->complete) {
 		sum->ttft_us[sum->complete] = result->ttft_us;
 		sum->total_us[sum->complete++] = result->total_us;
--- a/tests/lib/client.c
+++ b/tests/lib/client.c
@@ -253,9 +253,8 @@
 		      "call=%s kind=%s service=%s action=\"%s\" "
 		      "tokens=%" PRId64 " max_tokens=%" PRId64
 		      " deadline_ms=%" PRId64,
-		      spec->id, kinds[spec->kind], spec->service,
-		      spec->action ? spec->action : "", spec->prompt_tokens,
-		      spec->max_tokens, spec->deadline_ms);
+		      spec->id, kinds[spec->kind], spec->service, spec->action,
+		      spec->prompt_tokens, spec->max_tokens, spec->deadline_ms);
 }
 
 void caller_start(caller_t *caller, const call_spec_t *spec)
@@ -295,7 +294,7 @@
 /* Whether the answer of a plain service names this call. */
 static bool names_call(const call_t *call)
 {
-	char expected[64];
+	char expected[96];
 
 	if (call->spec.kind == CALL_ACTION)
 		snprintf(expected, sizeof(expected), "\"action\":\"%s\"",
--- a/tests/lib/client.h
+++ b/tests/lib/client.h
@@ -19,7 +19,7 @@
 	READ_NOTHING /**< stops reading after the first bytes */
 } read_mode_t;
 
-/** What to call. Strings have to live until caller_start() returns. */
+/** What to call. Strings have to live until the call has ended. */
 typedef struct {
 	call_kind_t kind;
 	char id[48]; /**< unique; for actions that of the action */
@@ -27,7 +27,7 @@
 	const char *key; /**< bearer key; NULL for an engine called directly */
 	const char *service; /**< model name or plain service */
 	const char *class_name; /**< NULL: the service's own */
-	const char *action; /**< actions: number, also the Idempotency-Key */
+	char action[64]; /**< actions: number, also the Idempotency-Key */
 	int64_t prompt_tokens;
 	int64_t max_tokens;
 	uint64_t seed; /**< of the prompt text */
