--- a/tests/bench/load.c
+++ b/tests/bench/load.c
@@ -304,6 +304,10 @@
 	parse_targets();
 	if (!name)
 		name = mem_strdup("load");
+	if (key && !*key) {
+		free(key);
+		key = NULL;
+	}
 	if (!service)
 		service = mem_strdup("m");
 	return 0;
