--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -30,7 +30,7 @@
 	"server_idle_ms":20000}'
 FLEET_RATE=0
 # The fleet's key pair for tests, from the manual page zmq_curve(7).
-FLEET_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLW{hID'
+FLEET_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID'
 FLEET_SECRET='D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs'
 
 fleet_fail() {
@@ -175,6 +175,9 @@
 		"\"spec\":{\"data_centre\":\"$centre\"," \
 		"\"address\":\"127.0.0.1:$PORT\",\"leaving\":false}}" \
 		>>"$RUN/vms"
+	curl -sf "http://$PLATFORM/standin/vms" -o "$RUN/answer" \
+		-d "{\"items\":[$(fleet_join "$RUN/vms")]}" ||
+		fleet_fail "cannot set the VM list"
 	[ -n "$DAEMONS" ] || SETTINGS=$RUN/$name.yaml
 	DAEMONS="$DAEMONS $name"
 	fleet_start "$name" "$BUILD/chivestaged" -c "$RUN/$name.yaml"
@@ -206,20 +209,21 @@
 		\"class\":\"quick\",\"servers\":[$(fleet_names $PLAIN)]},
 		{\"name\":\"orders\",\"kind\":\"plain\",\"class\":\"quick\",
 		\"repeatable\":false,\"servers\":[$(fleet_names $PLAIN)]}"
+	distances=$(sed 's/.*/"&"/' "$RUN/centres" | awk '
+		{ for (i = 1; i < NR; i++) printf "%s{\"from\":%s,\"to\":%s," \
+			"\"rtt_us\":500}", n++ ? "," : "", seen[i], $0
+		  seen[NR] = $0 }')
 	cat >"$RUN/configuration.json" <<-END
 		{"version":1,"limits":$FLEET_LIMITS,
 		"classes":[$FLEET_CLASSES],
 		"data_centres":[$(sed 's/.*/{"name":"&"}/' "$RUN/centres" |
-		paste -sd,)],
+		paste -sd,)],"distances":[$distances],
 		"servers":[$(fleet_join "$RUN/servers")],
 		"services":[{"name":"m","kind":"model","model":"m",
 		"class":"quick"}$plain],
 		"accounts":[{"name":"acme","key_hash":"$hash",
 		"requests_per_s":$FLEET_RATE,"classes":["quick","slow"]}]}
 	END
-	curl -sf "http://$PLATFORM/standin/vms" -o "$RUN/answer" \
-		-d "{\"items\":[$(fleet_join "$RUN/vms")]}" ||
-		fleet_fail "cannot set the VM list"
 	fleet_tool config apply "$RUN/configuration.json" >>"$RUN/tool.log" \
 		2>&1 || fleet_fail "config apply: $(cat "$RUN/tool.log")"
 }
