--- a/tests/lib/figures.sh
+++ b/tests/lib/figures.sh
@@ -3,7 +3,7 @@
 # figure NAME KEY FILE: the value of KEY=VALUE in the line of a load client
 # that starts with NAME.
 figure() {
-	value=$(sed -n "s/^$1 .*[[:space:]]$2=\\([0-9]*\\).*/\\1/p" "$3")
+	value=$(sed -n "s/^$1.*[[:space:]]$2=\\([0-9]*\\).*/\\1/p" "$3")
 	[ -n "$value" ] || fleet_fail "no $2 of $1 in $3: $(cat "$3")"
 	echo "$value"
 }
