--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -92,11 +92,18 @@
   uint64_t sequence;
   int64_t config_version;
   protobuf_c_boolean leaving;
+  /*
+   * empty once the receiver is known to have it
+   */
   char *address;
+  /*
+   * hash of the members that the sender sees
+   */
+  uint32_t view;
 };
 #define PEER__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__heartbeat__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -229,12 +236,19 @@
 {
   ProtobufCMessage base;
   int64_t config_version;
+  /*
+   * empty: unchanged
+   */
   size_t n_members;
   Peer__Member **members;
+  /*
+   * empty: that of the sender
+   */
+  char *data_centre;
 };
 #define PEER__SUMMARY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__summary__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Peer__Member
