--- a/tests/bench/route.c
+++ b/tests/bench/route.c
@@ -90,7 +90,9 @@
 static double percentile_us(int64_t *times_ns, size_t count, int percent)
 {
 	qsort(times_ns, count, sizeof(*times_ns), ascending);
-	return (double)times_ns[count * (size_t)percent / 100] / 1000;
+	size_t place = count * (size_t)percent / 100;
+
+	return (double)times_ns[place] / 1000;
 }
 
 static void fill_index(prefix_t *prefix, server_t *servers, size_t count,
