--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -46,6 +46,14 @@
 void credit_holder_release(credit_holder_t *holder, const resource_t *resource,
 			   uint64_t use, int64_t now_us);
 
+/**
+ * Counts a request that the server completed, or that failed on it: refused
+ * connection, broken stream or silence. The owner learns of it with the next
+ * message about the resource; of a failure at once.
+ */
+void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
+			 bool completed);
+
 /** @return what can be drawn now without a message. */
 credit_amount_t credit_holder_available(const credit_holder_t *holder,
 					const resource_t *resource,
@@ -56,11 +64,19 @@
 			 const resource_t *resource, uint64_t use,
 			 int64_t now_us);
 
-/** Handles a grant or a refusal of the owner. */
+/**
+ * Handles a grant or a refusal of the owner. Messages of a node that this
+ * node does not regard as the owner must not be passed in.
+ */
 void credit_holder_receive(credit_holder_t *holder, const credit_msg_t *message,
 			   int64_t now_us);
 
-/** The owner of a resource changed: presents the grants to the new one. */
+/**
+ * The owner of a resource changed: presents the grants to the new one. Call
+ * it also when the owner has a new incarnation, and when this node learns
+ * the owner of a server or of weight loads for the first time, since a new
+ * owner waits for every member.
+ */
 void credit_holder_owner_changed(credit_holder_t *holder,
 				 const resource_t *resource, int64_t now_us);
 
