--- a/src/connection/platform_codec.c
+++ b/src/connection/platform_codec.c
@@ -147,14 +147,13 @@
 	if (!type)
 		return status;
 	memset(object, 0, sizeof(*object));
-	if (!strcmp(type, "BOOKMARK"))
-		status = PLATFORM_OK;
-	else if (!strcmp(type, "ERROR"))
+	if (!strcmp(type, "ERROR"))
 		status = PLATFORM_CONFLICT;
 	else if (!strcmp(type, "DELETED"))
 		status = PLATFORM_NOT_FOUND;
-	else if ((!strcmp(type, "ADDED") || !strcmp(type, "MODIFIED")) &&
-		 read_object(json_object_get(event, "object"), object))
+	else if (!strcmp(type, "BOOKMARK") ||
+		 ((!strcmp(type, "ADDED") || !strcmp(type, "MODIFIED")) &&
+		  read_object(json_object_get(event, "object"), object)))
 		status = PLATFORM_OK;
 	return status;
 }
--- a/src/process/control_remote.c
+++ b/src/process/control_remote.c
@@ -202,6 +202,8 @@
 		 const peer_summary_t *summary, bool direct)
 {
 	remote_member_t *list = mem_calloc(summary->count, sizeof(*list));
+	const remote_site_t *site = remote_find(members->remote, data_centre);
+	bool was_reachable = site && site->reachable;
 	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
@@ -216,8 +218,9 @@
 	if (remote_summary(members->remote, data_centre,
 			   summary->config_version, list, summary->count,
 			   direct, now_us)) {
-		log_event(EVENT_DATA_CENTRE_REACHABLE, "data_centre=%s",
-			  data_centre);
+		if (!was_reachable)
+			log_event(EVENT_DATA_CENTRE_REACHABLE, "data_centre=%s",
+				  data_centre);
 		tell_dispatcher(members, now_us);
 		connect_members(members, data_centre);
 		if (direct)
