--- a/src/process/dispatch.c
+++ b/src/process/dispatch.c
@@ -151,12 +151,23 @@
 			  now_us);
 }
 
+/* Evidence for the ramp of a server that may be cold. */
+static void report_ended(dispatch_t *dispatch, const server_t *server,
+			 bool completed)
+{
+	resource_t name = place_resource(RESOURCE_SERVER, server->name);
+
+	credit_holder_ended(dispatch->holder, &name, completed);
+}
+
 static void attempt_failed(dispatch_t *dispatch, request_t *request,
-			   bool may_have_run, int64_t now_us)
+			   attempt_end_t end, int64_t now_us)
 {
 	bool action = request->submit.kind == REQUEST_ACTION;
 
-	request->ran |= may_have_run;
+	request->ran |= end == ATTEMPT_BROKEN || end == ATTEMPT_TIMED_OUT;
+	if (end != ATTEMPT_REFUSED)
+		report_ended(dispatch, request->sends[0].server, false);
 	server_failed(request->sends[0].server, now_us);
 	if (!may_retry(dispatch, request, now_us)) {
 		dispatch_refuse(
@@ -178,8 +189,10 @@
 {
 	size_t i;
 
-	for (i = 0; i < request->send_count; i++)
+	for (i = 0; i < request->send_count; i++) {
 		server_succeeded(request->sends[i].server);
+		report_ended(dispatch, request->sends[i].server, true);
+	}
 	if (request->first_token_us)
 		service_answer(request->service, tokens,
 			       now_us - request->first_token_us);
@@ -203,13 +216,10 @@
 		break;
 	case ATTEMPT_CONNECT_FAILED:
 	case ATTEMPT_REFUSED:
-		if (current)
-			attempt_failed(dispatch, request, false, now_us);
-		break;
 	case ATTEMPT_BROKEN:
 	case ATTEMPT_TIMED_OUT:
 		if (current)
-			attempt_failed(dispatch, request, true, now_us);
+			attempt_failed(dispatch, request, message->end, now_us);
 		break;
 	case ATTEMPT_DEADLINE:
 		/* The request task ended the request, whatever the attempt
--- a/tests/bench/model.h
+++ b/tests/bench/model.h
@@ -171,6 +171,11 @@
 	       holder->count;
 }
 
+void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
+			 bool completed)
+{
+}
+
 static void start_chunk(size_t index)
 {
 	engine_t *engine = &engines[index];
--- a/tests/fake_credit.h
+++ b/tests/fake_credit.h
@@ -19,6 +19,7 @@
 	const char *pending_server; /* answers pending, if not NULL */
 	const char *refusing_server; /* refuses, if not NULL */
 	int64_t kv_limit; /* per server, pending beyond it; 0: no limit */
+	int completed, failed; /* attempts that ended */
 	size_t count; /* draws, pending or drawn */
 	struct {
 		resource_t resource;
@@ -105,4 +106,11 @@
 		holder->draws[i] = holder->draws[--holder->count];
 }
 
+void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
+			 bool completed)
+{
+	holder->completed += completed;
+	holder->failed += !completed;
+}
+
 #endif
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -241,6 +241,9 @@
 	expect_nothing(&world);
 	assert_int_equal(dispatch_in_flight(world.dispatch), 1);
 	finish(&world, 1, 2, ATTEMPT_COMPLETE, 20);
+	/* Each attempt counts once for the ramp of its server. */
+	assert_int_equal(world.holder.failed, 1);
+	assert_int_equal(world.holder.completed, 1);
 	stop(&world);
 }
 
