--- a/src/connection/platform.c
+++ b/src/connection/platform.c
@@ -23,7 +23,6 @@
 	int64_t version; /* watch: only a higher one counts */
 	char *data;
 	size_t size_bytes;
-	bool settled; /* watch: an event ended it */
 	bool overflow;
 	platform_done_t done;
 	platform_vms_done_t vms_done;
@@ -52,6 +51,7 @@
 
 static void free_call(call_t *call)
 {
+	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): utlist */
 	DL_DELETE(call->platform->calls, call);
 	free(call->data);
 	free(call);
@@ -63,8 +63,7 @@
 
 	if (!platform)
 		return;
-	DL_FOREACH_SAFE(platform->calls, call, next)
-	{
+	DL_FOREACH_SAFE (platform->calls, call, next) {
 		client_call_cancel(call->handle);
 		free_call(call);
 	}
@@ -150,13 +149,11 @@
 	call->handle = NULL;
 	if (status == PLATFORM_OK && call->overflow)
 		status = PLATFORM_UNKNOWN;
-	if (!call->settled) {
-		log_reachability(call->platform, status);
-		if (call->type == PLATFORM_CALL_VMS)
-			finish_vms(call, status);
-		else
-			finish_object(call, status);
-	}
+	log_reachability(call->platform, status);
+	if (call->type == PLATFORM_CALL_VMS)
+		finish_vms(call, status);
+	else
+		finish_object(call, status);
 	free_call(call);
 }
 
@@ -177,32 +174,31 @@
 		json_decref(root);
 		return false;
 	}
-	call->settled = true;
 	call->done(call->context, status,
 		   status == PLATFORM_OK ? &object : NULL);
 	json_decref(root);
 	return true;
 }
 
-static void handle_lines(call_t *call)
+/* @return whether a line ended the watch. */
+static bool handle_lines(call_t *call)
 {
 	char *line = call->data, *end = line + call->size_bytes, *newline;
 
 	while ((newline = memchr(line, '\n', (size_t)(end - line)))) {
 		if (handle_line(call, line, (size_t)(newline - line)))
-			return;
+			return true;
 		line = newline + 1;
 	}
 	call->size_bytes = (size_t)(end - line);
 	memmove(call->data, line, call->size_bytes);
+	return false;
 }
 
 static client_flow_t on_data(void *context, const void *data, size_t size)
 {
 	call_t *call = context;
 
-	if (call->settled)
-		return CLIENT_CONTINUE;
 	if (call->overflow || size > ANSWER_MAX_BYTES - call->size_bytes) {
 		call->overflow = true;
 		return CLIENT_CONTINUE;
@@ -210,26 +206,11 @@
 	call->data = mem_realloc(call->data, call->size_bytes + size, 1);
 	memcpy(call->data + call->size_bytes, data, size);
 	call->size_bytes += size;
-	if (call->type == PLATFORM_CALL_WATCH)
-		handle_lines(call);
-	return call->settled ? CLIENT_PAUSE : CLIENT_CONTINUE;
-}
-
-/*
- * Cancels watches that an event ended. They cannot be cancelled in on_data,
- * because libcurl forbids removing a transfer from within its callback.
- */
-static void cancel_settled(platform_t *platform)
-{
-	call_t *call, *next;
-
-	DL_FOREACH_SAFE(platform->calls, call, next)
-	{
-		if (!call->settled)
-			continue;
+	if (call->type == PLATFORM_CALL_WATCH && handle_lines(call)) {
 		client_call_cancel(call->handle);
 		free_call(call);
 	}
+	return CLIENT_CONTINUE;
 }
 
 static call_t *new_call(platform_t *platform, platform_call_type_t type,
@@ -284,7 +265,6 @@
 				call->type == PLATFORM_CALL_DELETE,
 	};
 
-	cancel_settled(platform);
 	if (*platform->conf.token)
 		snprintf(authorization, sizeof(authorization),
 			 "Authorization: Bearer %s", platform->conf.token);
