--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -120,7 +120,6 @@
 
 static enum MHD_Result submit(http_request_t *request)
 {
-	bool chat = !strcmp(request->path, "/v1/chat/completions");
 	json_t *body = http_body_json(request);
 	const char *reason;
 	stream_t *stream;
@@ -129,6 +128,7 @@
 
 	pthread_mutex_lock(&batch_lock);
 	stream = new_stream(body, &cached);
+	stream->chat = !strcmp(request->path, "/v1/chat/completions");
 	reason = why_not_run(body, stream);
 	json_decref(body);
 	if (reason) {
@@ -148,7 +148,7 @@
 	if (!taken)
 		batch_release(stream);
 	pthread_mutex_unlock(&batch_lock);
-	return taken ? sse_start(request, stream, stream->first, chat) : MHD_NO;
+	return taken ? sse_start(request, stream, stream->first) : MHD_NO;
 }
 
 static enum MHD_Result on_stream(http_request_t *request, const char *id)
--- a/tests/standin/lib_batch.h
+++ b/tests/standin/lib_batch.h
@@ -27,6 +27,7 @@
 typedef struct stream {
 	struct stream *next;
 	char *id;
+	bool chat; /**< chat completion */
 	char *call; /**< number that the test client gave the call */
 	stream_state_t state;
 	int32_t readers;
--- a/tests/standin/lib_sse.c
+++ b/tests/standin/lib_sse.c
@@ -17,7 +17,6 @@
 	stream_t *stream;
 	int64_t position; /**< index of the next token to send */
 	int64_t cut_at; /**< index at which the connection is cut; -1: none */
-	bool chat;
 	bool end_sent;
 } reader_t;
 
@@ -49,14 +48,14 @@
 
 	if (http_take(&sse_faults.crossed))
 		size += format_chunk(buffer, "other.1.1.1", reader->position,
-				     "crossed ", reader->chat, false);
+				     "crossed ", stream->chat, false);
 	if (http_take(&sse_faults.wrong_offset))
 		size += format_chunk(buffer + size, stream->id,
 				     reader->position + 1, "shifted ",
-				     reader->chat, false);
+				     stream->chat, false);
 	token_text(stream->seed, reader->position, text);
 	size += format_chunk(buffer + size, stream->id, reader->position, text,
-			     reader->chat,
+			     stream->chat,
 			     reader->position + 1 == stream->max_tokens);
 	reader->position++;
 	return size;
@@ -102,13 +101,12 @@
 }
 
 enum MHD_Result sse_start(http_request_t *request, stream_t *stream,
-			  int64_t position, bool chat)
+			  int64_t position)
 {
 	reader_t *reader = mem_calloc(1, sizeof(*reader));
 
 	reader->stream = stream;
 	reader->position = position;
-	reader->chat = chat;
 	reader->cut_at = http_take(&sse_faults.cut_count)
 				 ? position + sse_faults.cut_after
 				 : -1;
--- a/tests/standin/lib_sse.h
+++ b/tests/standin/lib_sse.h
@@ -20,6 +20,6 @@
 
 /** Sends a stream from a token on; the caller's hold of it passes over. */
 enum MHD_Result sse_start(http_request_t *request, stream_t *stream,
-			  int64_t position, bool chat);
+			  int64_t position);
 
 #endif
