--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -166,9 +166,9 @@
 		return http_reply(request, 404, "{}");
 	if (!strcmp(request->method, "DELETE"))
 		return http_reply(request, 200, "{}");
-	return sse_start(
-		request, stream,
-		http_argument_integer(request, "offset", stream->first), false);
+	return sse_start(request, stream,
+			 http_argument_integer(request, "offset",
+					       stream->first));
 }
 
 static enum MHD_Result on_order(http_request_t *request, const json_t *body)
