--- a/src/process/credit_grant.h
+++ b/src/process/credit_grant.h
@@ -10,8 +10,10 @@
 
 #include "process/credit.h"
 
-/** A message without an answer is sent again after this time. */
-#define CREDIT_REPEAT_US (250 * US_PER_MS)
+/** A message without an answer is sent again after this time: a hundred round
+ * trips within a data centre, so the message was lost or its receiver is
+ * paused. */
+#define CREDIT_REPEAT_US (100 * US_PER_MS)
 
 /** Half the lifetime leaves room for three repetitions of a lost renewal. */
 #define CREDIT_RENEW_US (CREDIT_LIFETIME_US / 2)
--- a/src/process/credit_owner.c
+++ b/src/process/credit_owner.c
@@ -14,13 +14,6 @@
  * side without agreement waits for the other one to stop. */
 #define CUT_SKEW_US US_PER_S
 
-/* A member whose list is missing is asked again after this time. */
-#define SOLICIT_US (250 * US_PER_MS)
-
-/* Streams whose grant expired count by the server's report for at most this
- * long: an engine that counts cached prefixes as used never reports less. */
-#define LAPSED_MAX_US (30 * US_PER_S)
-
 credit_owner_t *credit_owner_create(const char *vm_id)
 {
 	credit_owner_t *owner = mem_calloc(1, sizeof(*owner));
@@ -31,7 +24,7 @@
 	return owner;
 }
 
-static void clear_declared(owned_t *owned)
+void owned_clear_declared(owned_t *owned)
 {
 	owner_declared_t *declared, *next;
 
@@ -47,9 +40,11 @@
 
 	DL_FOREACH_SAFE (owned->grants, grant, next)
 		free(grant);
+	DL_FOREACH_SAFE (owned->lapsed, grant, next)
+		free(grant);
 	LL_FOREACH_SAFE (owned->work, work, next_work)
 		free(work);
-	clear_declared(owned);
+	owned_clear_declared(owned);
 	HASH_DEL(owner->owned, owned);
 	free(owned);
 }
@@ -86,25 +81,45 @@
 	return owned->resource.kind == RESOURCE_ACCOUNT;
 }
 
+static owner_member_t *get_member(credit_owner_t *owner, const char *vm_id)
+{
+	owner_member_t *member;
+
+	HASH_FIND_STR(owner->members, vm_id, member);
+	if (member)
+		return member;
+	member = mem_calloc(1, sizeof(*member));
+	mem_strlcpy(member->vm_id, vm_id, sizeof(member->vm_id));
+	HASH_ADD_STR(owner->members, vm_id, member);
+	return member;
+}
+
 /* Members that left are remembered for as long as they may hold grants. */
 static void set_members(credit_owner_t *owner, const credit_view_t *view,
 			int64_t now_us)
 {
+	/* With every VM accounted for, those that left hold nothing. */
+	bool accounted = view->agreed && view->counted_vms >= view->listed_vms;
 	owner_member_t *member, *next;
 	size_t i;
 
-	HASH_ITER (hh, owner->members, member, next)
-		if (member->left_us == INT64_MAX)
+	/* A new process does not know which VMs were lost before. */
+	if (!owner->members)
+		owner->lost_us = now_us;
+	HASH_ITER (hh, owner->members, member, next) {
+		member->was_in_view = member->left_us == INT64_MAX;
+		if (member->was_in_view)
 			member->left_us = now_us;
-	for (i = 0; i < view->member_count; i++) {
-		HASH_FIND_STR(owner->members, view->members[i], member);
-		if (!member) {
-			member = mem_calloc(1, sizeof(*member));
-			mem_strlcpy(member->vm_id, view->members[i],
-				    sizeof(member->vm_id));
-			HASH_ADD_STR(owner->members, vm_id, member);
-		}
-		member->left_us = INT64_MAX;
+	}
+	for (i = 0; i < view->member_count; i++)
+		get_member(owner, view->members[i])->left_us = INT64_MAX;
+	HASH_ITER (hh, owner->members, member, next) {
+		if (member->left_us == INT64_MAX)
+			continue;
+		if (member->was_in_view)
+			owner->lost_us = now_us;
+		if (accounted)
+			member->left_us = now_us - QUARANTINE_US;
 	}
 }
 
@@ -112,6 +127,8 @@
 		       int64_t now_us)
 {
 	owner_share_t now = owner_share_at(owner, now_us), share;
+	bool was_partial = owner_is_partial(owner, now_us);
+	owned_t *owned, *next;
 
 	share.listed = view->listed_vms > 0 ? view->listed_vms : 1;
 	share.units = view->agreed ? view->counted_vms : 1;
@@ -120,6 +137,8 @@
 	set_members(owner, view, now_us);
 	owner->agreed = view->agreed;
 	owner->share = share;
+	HASH_ITER (hh, owner->owned, owned, next)
+		owned_note_outside(owner, owned, was_partial);
 	if (!owner_share_less(now, share)) {
 		owner->share_from_us = 0;
 		return;
@@ -142,7 +161,7 @@
 	 * process of this VM, have another number. */
 	owned->quarantine = (uint64_t)now_us;
 	owned->solicit_us = now_us;
-	clear_declared(owned);
+	owned_clear_declared(owned);
 }
 
 void credit_owner_own(credit_owner_t *owner, const resource_t *resource,
@@ -203,18 +222,14 @@
 
 void owned_expire(owned_t *owned, int64_t now_us)
 {
-	credit_amount_t nothing = { 0 };
 	owner_grant_t *grant, *next;
 
 	DL_FOREACH_SAFE (owned->grants, grant, next) {
 		if (grant->expires_us > now_us)
 			continue;
-		owned_set_amount(owned, grant, nothing);
-		if (owned->resource.kind == RESOURCE_SERVER)
-			owned->lapsed_us = now_us;
+		owned_lapse(owned, grant, now_us);
 	}
-	if (owned->lapsed_us && now_us - owned->lapsed_us >= LAPSED_MAX_US)
-		owned->lapsed_us = 0;
+	owned_forget_lapsed(owned, now_us);
 }
 
 void owner_check_pause(credit_owner_t *owner, int64_t now_us)
@@ -275,10 +290,8 @@
 	     !all_declared(owner, owned, now_us)))
 		return;
 	owned->quarantine_until_us = 0;
-	/* Streams of holders that are gone show in the server's report. */
-	if (owned->resource.kind == RESOURCE_SERVER)
-		owned->lapsed_us = now_us;
-	clear_declared(owned);
+	owned_lose_sight(owner, owned, now_us);
+	owned_clear_declared(owned);
 }
 
 static void forget_members(credit_owner_t *owner, int64_t now_us)
@@ -303,6 +316,8 @@
 	HASH_ITER (hh, owner->owned, owned, next) {
 		owned_expire(owned, now_us);
 		owned_check_quarantine(owner, owned, now_us);
+		if (!owned->quarantine_until_us)
+			owned_solicit_lapsed(owner, owned, now_us);
 		if (owned_is_rate(owned))
 			owned_refill(owner, owned, now_us);
 		else if (owned->grants &&
--- a/src/process/credit_owner_limits.c
+++ b/src/process/credit_owner_limits.c
@@ -5,10 +5,8 @@
 
 /* With a part of the VMs out of sight, both sides of a cut grant what a report
  * shows as free. A side takes one report per REPORT_PERIOD_US, uses it until
- * it is REPORT_AGE_US old, and takes the third of its share of the memory that
- * is free: all that is granted by reports that overlap is then free in each of
- * them. Slots are too few to divide; both sides may take the same ones within
- * one age of a report, when one of them had more than its share in use. */
+ * it is REPORT_AGE_US old, and takes the third of its share of what is free:
+ * all that is granted by reports that overlap is then free in each of them. */
 #define REPORT_PERIOD_US (500 * US_PER_MS)
 #define REPORT_AGE_US (3 * REPORT_PERIOD_US)
 #define REPORT_ROUNDS (REPORT_AGE_US / REPORT_PERIOD_US)
@@ -31,7 +29,7 @@
 	return amount / share.listed * share.units;
 }
 
-static credit_amount_t full_limit(const owned_t *owned)
+credit_amount_t owned_full_limit(const owned_t *owned)
 {
 	credit_amount_t limit = owned->limit.amount;
 
@@ -47,7 +45,7 @@
 			    int64_t now_us)
 {
 	owner_share_t share = owner_share_at(owner, now_us);
-	credit_amount_t limit = full_limit(owned);
+	credit_amount_t limit = owned_full_limit(owned);
 
 	limit.kv_tokens = share_of(limit.kv_tokens, share);
 	limit.slots = (int32_t)share_of(limit.slots, share);
@@ -70,9 +68,11 @@
 	return sum;
 }
 
-bool owner_is_partial(const credit_owner_t *owner)
+bool owner_is_partial(const credit_owner_t *owner, int64_t now_us)
 {
-	return !owner->agreed || owner->share.units < owner->share.listed;
+	owner_share_t share = owner_share_at(owner, now_us);
+
+	return !owner->agreed || share.units < share.listed;
 }
 
 /* What is free by the server's report. */
@@ -82,36 +82,59 @@
 	owner_share_t share = owner_share_at(owner, now_us);
 	credit_amount_t nothing = { 0 }, room;
 
-	room = credit_sub(full_limit(owned), owned->report_used);
-	if (!owner_is_partial(owner))
+	if (!owned->reported || owned->report_taken_us <= owned->lapsed_us)
+		return nothing;
+	room = credit_sub(owned_full_limit(owned), owned->report_used);
+	if (!owner_is_partial(owner, now_us))
 		return credit_sub(room, unreported(owned));
 	if (now_us - owned->report_taken_us >= REPORT_AGE_US)
 		return nothing;
 	room.kv_tokens = share_of(room.kv_tokens, share) / REPORT_ROUNDS;
+	room.slots = (int32_t)(share_of(room.slots, share) / REPORT_ROUNDS);
 	return credit_sub(room, unreported(owned));
 }
 
+/* With VMs out of sight: what they cannot have in use is free in any case,
+ * the rest of this side's share by the server's report. */
+static credit_amount_t partial_free(const credit_owner_t *owner,
+				    const owned_t *owned,
+				    credit_amount_t share_free, int64_t now_us)
+{
+	credit_amount_t known, reported = { 0 };
+
+	known = credit_sub(owned_full_limit(owned), owned->outside);
+	known = credit_sub(known, owned->granted);
+	known = credit_sub(known, owned_lapsed(owner, owned, true, now_us));
+	if (owned->resource.kind == RESOURCE_SERVER)
+		reported = reported_free(owner, owned, now_us);
+	return credit_min(share_free, credit_max(known, reported));
+}
+
 credit_amount_t owned_free(const credit_owner_t *owner, const owned_t *owned,
 			   int64_t now_us)
 {
-	bool partial = owner_is_partial(owner);
-	credit_amount_t nothing = { 0 }, free_amount;
+	credit_amount_t nothing = { 0 }, free_amount = { 0 };
+	credit_amount_t lapsed, by_report;
 
 	if (owned->retired || owned->quarantine_until_us)
 		return nothing;
 	if (owned_is_rate(owned)) {
-		free_amount = nothing;
 		free_amount.slots = (int32_t)(owned->rate_tokens_us / US_PER_S);
 		return free_amount;
 	}
 	free_amount =
 		credit_sub(owned_limit(owner, owned, now_us), owned->granted);
-	if (owned->resource.kind != RESOURCE_SERVER ||
-	    (!partial && (!owned->lapsed_us || !owned->reported)))
+	if (owner_is_partial(owner, now_us))
+		return partial_free(owner, owned, free_amount, now_us);
+	lapsed = owned_lapsed(owner, owned, false, now_us);
+	if (credit_is_zero(lapsed))
 		return free_amount;
-	if (!owned->reported)
-		return nothing;
-	return credit_min(free_amount, reported_free(owner, owned, now_us));
+	/* Either bound holds: all that lapsed still runs, or the report shows
+	 * what runs. */
+	by_report = reported_free(owner, owned, now_us);
+	return credit_min(free_amount,
+			  credit_max(credit_sub(free_amount, lapsed),
+				     by_report));
 }
 
 bool owned_over_limit(const credit_owner_t *owner, const owned_t *owned,
@@ -171,7 +194,7 @@
 	if (!owned)
 		return;
 	earliest_us = owned->report_taken_us +
-		      (owner_is_partial(owner) ? REPORT_PERIOD_US : 0);
+		      (owner_is_partial(owner, now_us) ? REPORT_PERIOD_US : 0);
 	if (owned->reported && report->taken_us < earliest_us)
 		return;
 	owned->reported = true;
@@ -179,9 +202,6 @@
 	owned->report_used.kv_tokens = report->kv_used_tokens;
 	owned->report_used.slots = report->running + report->queued;
 	owned->report_taken_us = report->taken_us;
-	if (report->taken_us > owned->lapsed_us &&
-	    credit_fits(owned->report_used, owned->granted))
-		owned->lapsed_us = 0;
 	if (owned_over_limit(owner, owned, now_us))
 		owned_recall(owner, owned, now_us);
 }
--- a/src/process/credit_owner_messages.c
+++ b/src/process/credit_owner_messages.c
@@ -37,15 +37,21 @@
 	answer(owner, message, CREDIT_REFUSAL, message->amount, retry_after_us);
 }
 
+bool owner_grant_matches(const owner_grant_t *grant,
+			 const credit_msg_t *message)
+{
+	return grant->id == message->id &&
+	       grant->incarnation == message->holder_incarnation &&
+	       !strcmp(grant->holder, message->holder);
+}
+
 static owner_grant_t *find_grant(const owned_t *owned,
 				 const credit_msg_t *message)
 {
 	owner_grant_t *grant;
 
 	DL_FOREACH (owned->grants, grant)
-		if (grant->id == message->id &&
-		    grant->incarnation == message->holder_incarnation &&
-		    !strcmp(grant->holder, message->holder))
+		if (owner_grant_matches(grant, message))
 			return grant;
 	return NULL;
 }
@@ -71,7 +77,7 @@
 {
 	bool close = grant->recalled || owned_over_limit(owner, owned, now_us);
 
-	if (owner_is_partial(owner) && !owned_is_rate(owned) &&
+	if (owner_is_partial(owner, now_us) && !owned_is_rate(owned) &&
 	    message->type != CREDIT_REQUEST)
 		close = true;
 
@@ -83,14 +89,13 @@
 
 /* A share of what is free, so that a scarce resource is not held by one node
  * as an idle block; always enough for the use that asks. */
-static credit_amount_t grant_size(const credit_owner_t *owner,
-				  credit_amount_t free_amount,
+static credit_amount_t grant_size(bool partial, credit_amount_t free_amount,
 				  credit_amount_t amount,
 				  credit_amount_t minimum)
 {
 	/* Work on the other side of a cut is counted by reports, which do not
 	 * show the unused part of blocks. */
-	if (owner_is_partial(owner))
+	if (partial)
 		return minimum;
 	free_amount.kv_tokens /= 4;
 	free_amount.slots /= 4;
@@ -202,8 +207,8 @@
 	}
 	if (is_waiter(&owned->waiter, message))
 		owned->waiter.set = false;
-	size = grant_size(owner, free_amount, message->amount,
-			  message->minimum);
+	size = grant_size(owner_is_partial(owner, now_us), free_amount,
+			  message->amount, message->minimum);
 	if (owned_is_rate(owned))
 		owned->rate_tokens_us -= size.slots * US_PER_S;
 	grant = add_grant(owned, message, size, now_us);
@@ -214,9 +219,11 @@
 		    const credit_msg_t *message, int64_t now_us)
 {
 	owner_grant_t *grant = find_grant(owned, message);
+	credit_amount_t nothing = { 0 };
 
 	if (credit_is_zero(message->amount))
 		return;
+	owned_lapsed_kept(owned, message, nothing);
 	if (!grant)
 		grant = add_grant(owned, message, message->amount, now_us);
 	else
@@ -250,6 +257,7 @@
 
 	if (is_waiter(&owned->waiter, message))
 		owned->waiter.set = false;
+	owned_lapsed_kept(owned, message, message->minimum);
 	if (!grant)
 		return;
 	kept = credit_min(grant->amount, message->minimum);
@@ -288,9 +296,12 @@
 			if (grant->incarnation == declared->incarnation &&
 			    !strcmp(grant->holder, declared->holder))
 				digest = credit_digest(digest, grant->id);
-		if (digest.slots == declared->digest.slots &&
-		    digest.kv_tokens == declared->digest.kv_tokens)
-			declared->complete = true;
+		if (digest.slots != declared->digest.slots ||
+		    digest.kv_tokens != declared->digest.kv_tokens)
+			continue;
+		declared->complete = true;
+		owned_drop_lapsed(owned, declared->holder,
+				  declared->incarnation);
 	}
 }
 
@@ -303,8 +314,7 @@
 		return;
 	if (message->id) {
 		present(owner, owned, message, now_us);
-	} else if (owned->quarantine_until_us &&
-		   message->sequence == owned->quarantine) {
+	} else if (message->sequence == owned->quarantine) {
 		declared = get_declared(owned, message);
 		declared->incarnation = message->holder_incarnation;
 		declared->digest = message->minimum;
@@ -312,6 +322,8 @@
 		owned_solicit(owner, owned, message->holder);
 	}
 	check_declared(owned);
+	if (!owned->quarantine_until_us)
+		owned_clear_declared(owned);
 	owned_check_quarantine(owner, owned, now_us);
 }
 
--- a/src/process/credit_owner_state.h
+++ b/src/process/credit_owner_state.h
@@ -14,6 +14,9 @@
 /** Time after which no grant of an earlier owner can be in use. */
 #define QUARANTINE_US (CREDIT_LIFETIME_US + CREDIT_MARGIN_US)
 
+/** A member whose list is missing is asked again after this time. */
+#define SOLICIT_US (250 * US_PER_MS)
+
 /** Recalls of one resource are at least this far apart. */
 #define RECALL_RETRY_US (100 * US_PER_MS)
 
@@ -70,6 +73,9 @@
 	credit_amount_t granted; /**< sum of the grants */
 	owner_grant_t *grants;
 
+	/** What VMs out of sight may use, from the time they were lost. */
+	credit_amount_t outside;
+
 	int64_t quarantine_until_us; /**< 0: not in quarantine */
 	uint64_t quarantine; /**< number that ends a holder's list */
 	int64_t solicit_us; /**< when to ask holders for their lists again */
@@ -79,7 +85,10 @@
 	int64_t report_kv_total;
 	credit_amount_t report_used;
 	int64_t report_taken_us;
-	int64_t lapsed_us; /**< a grant expired in use then; 0: settled */
+	owner_grant_t *lapsed; /**< expired, perhaps in use */
+	int64_t lapsed_us; /**< reports taken after it show lapsed use */
+	int64_t unknown_until_us; /**< `outside` may be in use till then */
+	int64_t first_report_us; /**< a report is expected by then */
 
 	owner_waiter_t waiter;
 	int64_t recall_us; /**< next recall at the earliest */
@@ -97,6 +106,7 @@
 typedef struct {
 	char vm_id[NAME_SIZE_BYTES];
 	int64_t left_us; /**< when it left the view; INT64_MAX: in it */
+	bool was_in_view;
 	UT_hash_handle hh;
 } owner_member_t;
 
@@ -112,6 +122,7 @@
 	owner_share_t share;
 	owner_share_t share_before; /**< in force until share_from_us */
 	int64_t share_from_us;
+	int64_t lost_us; /**< when a member last left the view */
 	owner_member_t *members;
 	owned_t *owned;
 	credit_queue_t queue;
@@ -119,7 +130,7 @@
 };
 
 /** Whether VMs that may use the servers are out of sight. */
-bool owner_is_partial(const credit_owner_t *owner);
+bool owner_is_partial(const credit_owner_t *owner, int64_t now_us);
 
 /** @return the share in force. */
 owner_share_t owner_share_at(const credit_owner_t *owner, int64_t now_us);
@@ -127,6 +138,44 @@
 
 owned_t *owned_find(const credit_owner_t *owner, const resource_t *resource);
 
+/** @return the limit without shares: memory, slots and ramp. */
+credit_amount_t owned_full_limit(const owned_t *owned);
+
+/** Moves an expired grant to the lapsed ones. */
+void owned_lapse(owned_t *owned, owner_grant_t *grant, int64_t now_us);
+void owned_forget_lapsed(owned_t *owned, int64_t now_us);
+
+/** Asks the holders of lapsed grants what they still use. */
+void owned_solicit_lapsed(credit_owner_t *owner, owned_t *owned,
+			  int64_t now_us);
+
+/** The holder presented all that it uses: the rest is free. */
+void owned_drop_lapsed(owned_t *owned, const char *holder,
+		       uint64_t incarnation);
+
+/** The holder says how much of a lapsed grant it still uses. */
+void owned_lapsed_kept(owned_t *owned, const credit_msg_t *message,
+		       credit_amount_t kept);
+
+/** @return what lapsed and may be in use. */
+credit_amount_t owned_lapsed(const credit_owner_t *owner, const owned_t *owned,
+			     bool members_only, int64_t now_us);
+
+/** A quarantine ended: all that was not presented may be with VMs out of
+ * sight, or running for VMs that are gone. */
+void owned_lose_sight(const credit_owner_t *owner, owned_t *owned,
+		      int64_t now_us);
+
+/** Whether a message is about this grant. */
+bool owner_grant_matches(const owner_grant_t *grant,
+			 const credit_msg_t *message);
+
+/**
+ * Notes what the holders that are not in the view may use.
+ * @param add keep what was noted before
+ */
+void owned_note_outside(const credit_owner_t *owner, owned_t *owned, bool add);
+
 /** @return the limit in force of a server or of weight loads. */
 credit_amount_t owned_limit(const credit_owner_t *owner, const owned_t *owned,
 			    int64_t now_us);
@@ -170,6 +219,9 @@
 /** Counts the work that a holder's message tells of. */
 void owned_count_work(owned_t *owned, const credit_msg_t *message);
 
+/** Forgets the lists of holders. */
+void owned_clear_declared(owned_t *owned);
+
 /** Asks a member to present what it holds. */
 void owned_solicit(credit_owner_t *owner, const owned_t *owned,
 		   const char *vm_id);
