--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -69,33 +69,40 @@
 	}
 }
 
-bool engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
-		   bool chat, const char *body, size_t body_size_bytes,
-		   const char *delivered, int64_t delivered_tokens,
-		   int64_t now_us, err_t *err)
+/* Joins the caller's members and those of the attempt to one object. */
+static void join_body(engine_call_t *call, const char *fields, json_t *attempt)
 {
-	json_t *json = json_loadb(body, body_size_bytes, 0, NULL);
+	char *own = json_dumps(attempt, JSON_COMPACT);
+	size_t size = strlen(fields) + strlen(own) + 2;
+
+	call->body = mem_calloc(size, 1);
+	call->body_size_bytes = (size_t)snprintf(call->body, size, "{%s%s%s",
+						 fields, *fields ? "," : "",
+						 own + 1);
+	free(own);
+	json_decref(attempt);
+}
+
+void engine_submit(engine_call_t *call, const dispatch_msg_t *dispatch,
+		   const engine_request_t *request, const char *delivered,
+		   int64_t delivered_tokens, int64_t now_us)
+{
+	json_t *json = json_object();
 
-	if (!json_is_object(json)) {
-		json_decref(json);
-		return err_set(err, ERR_LAYER_ENGINE, ENGINE_ERR_MALFORMED,
-			       "request body: not a JSON object");
-	}
 	set_call(call, "POST", "%s/v1/%s", dispatch->url,
-		 chat ? "chat/completions" : "completions");
-	/* Fields of the attempt are not the caller's to choose. */
-	json_object_del(json, "peers");
-	json_object_del(json, "resume_tokens");
-	json_object_del(json, "resume_text");
+		 request->chat ? "chat/completions" : "completions");
 	set_attempt(json, dispatch, now_us);
+	json_object_set_new(json, "model", json_string(request->model));
+	json_object_set_new(json, "cache_salt", json_string(request->account));
+	json_object_set_new(json, "max_tokens",
+			    json_integer(request->max_tokens));
 	if (delivered_tokens > 0) {
 		json_object_set_new(json, "resume_tokens",
 				    json_integer(delivered_tokens));
 		json_object_set_new(json, "resume_text",
 				    json_string(delivered ? delivered : ""));
 	}
-	set_body(call, json);
-	return true;
+	join_body(call, request->fields, json);
 }
 
 void engine_resume(engine_call_t *call, const char *url, const stream_id_t *id,
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -226,7 +226,7 @@
 		goto done;
 	started = start_daemon(listener, conf, fd, certificate, key, err);
 	if (started) {
-		struct sockaddr_in address;
+		struct sockaddr_in address = { 0 };
 		socklen_t size = sizeof(address);
 
 		getsockname(fd, (struct sockaddr *)&address, &size);
@@ -265,8 +265,8 @@
 	if (!listener)
 		return;
 	/* The library does not stop while connections are suspended. */
-	DL_FOREACH_SAFE(listener->exchanges, exchange, next)
-	exchange_abort(exchange);
+	DL_FOREACH_SAFE (listener->exchanges, exchange, next)
+		exchange_abort(exchange);
 	run_daemon(listener);
 	ev_io_stop(listener->loop, &listener->readable);
 	ev_timer_stop(listener->loop, &listener->timeout);
