--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,7 @@
 
 $(BUILD)/tests/bench/%: $(BUILD)/tests/bench/%.o $(BUILD)/libtests.a \
 		$(BUILD)/libchivestage.a
-	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
 $(BUILD)/tests/standin/%: $(BUILD)/tests/standin/%.o \
 		$(STANDIN_LIB:%.c=$(BUILD)/%.o) $(BUILD)/libchivestage.a
