--- a/tests/lib/fixture.c
+++ b/tests/lib/fixture.c
@@ -209,6 +209,9 @@
 	};
 	err_t err = { 0 };
 
+	if (conf->traced)
+		mem_strlcpy(settings.trace_url, "http://127.0.0.1:1",
+			    sizeof(settings.trace_url));
 	fixture->task = request_task_create(&settings, 0, fixture->zmq, &err);
 	assert_string_equal(err.message, "");
 	snprintf(fixture->task_url, sizeof(fixture->task_url),
--- a/tests/lib/fixture.h
+++ b/tests/lib/fixture.h
@@ -57,7 +57,7 @@
 typedef struct {
 	int64_t memory_bytes, body_max_bytes;
 	int32_t deadline_ms, stall_ms, idle_ms, max_in_flight;
-	bool no_document;
+	bool no_document, traced;
 } fixture_conf_t;
 
 void fixture_start(fixture_t *fixture, const fixture_conf_t *conf);
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/mem.h"
+#include "base/trace.h"
 #include "cases.h"
 #include "lib/fixture.h"
 
@@ -215,6 +216,50 @@
 	fixture_stop(&fixture);
 }
 
+static void serve_refusal_then_three(server_call_t *call, size_t index)
+{
+	if (!index)
+		serve_reply(call, 503, "X-Not-Run", "1", "{}");
+	else
+		serve_three(call, index);
+}
+
+/* Guards against a hop that is missing in a trace, or is in another trace. */
+static void records_a_span_for_each_hop(void **state)
+{
+	static const char *const names[] = { "accept",	"admit", "credit wait",
+					     "connect", "retry", "first token",
+					     "stream",	"end",	 "request" };
+	static const char parent[] =
+		"00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+	span_t spans[32];
+	size_t count, i, j;
+
+	fixture_start(&fixture, &(fixture_conf_t){ .traced = true });
+	fixture.attempts_max = 2;
+	fixture.serve = serve_refusal_then_three;
+	fixture_call(&fixture, &answer, "POST", "/v1/completions",
+		     "traceparent: 00-0af7651916cd43dd8448eb211c80319c-"
+		     "b7ad6b7169203331-01",
+		     prompt);
+	fixture_wait(&fixture, &answer);
+	fixture_stop(&fixture);
+	count = trace_take(spans, COUNT_OF(spans));
+	for (i = 0; i < COUNT_OF(names); i++) {
+		for (j = 0; j < count && strcmp(spans[j].name, names[i]); j++)
+			;
+		if (j == count)
+			fail_msg("no span %s", names[i]);
+	}
+	for (i = 0; i < count; i++) {
+		char text[TRACE_PARENT_SIZE_BYTES];
+
+		trace_context_format(&spans[i].context, text);
+		assert_memory_equal(text, parent, 36);
+		assert_true(spans[i].start_us <= spans[i].end_us);
+	}
+}
+
 static void serve_cut_then_rest(server_call_t *call, size_t index)
 {
 	if (!strcmp(call->method, "GET"))
@@ -441,6 +486,7 @@
 		cmocka_unit_test(collects_an_answer_that_is_not_streamed),
 		cmocka_unit_test(delivers_each_token_once_in_order),
 		cmocka_unit_test(reads_a_large_body),
+		cmocka_unit_test(records_a_span_for_each_hop),
 		cmocka_unit_test(continues_after_the_delivered_tokens),
 		cmocka_unit_test(ends_a_failed_stream_with_an_event),
 		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
