--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -130,7 +130,7 @@
 	fleet_standin engine "$name" --name "$name" --kv-tokens "$kv" "$@"
 	echo "{\"name\":\"$name\",\"data_centre\":\"$centre\"," \
 		"\"url\":\"http://127.0.0.1:$PORT\",\"kind\":\"engine\"," \
-		"\"kv_tokens\":$kv,\"model\":\"m\",\"max_requests\":64}" \
+		"\"kv_tokens\":$kv,\"model\":\"m\",\"max_requests\":64,\"cold_requests\":2}" \
 		>>"$RUN/servers"
 }
 
