--- a/src/process/control_janitor.c
+++ b/src/process/control_janitor.c
@@ -28,6 +28,7 @@
 	char name[NAME_SIZE_BYTES];
 	char url[URL_SIZE_BYTES];
 	client_call_t *call;
+	int64_t due_us;
 	int64_t sent_us; /* of the present list */
 	int64_t listed_us; /* when the last complete list was asked for */
 	uint64_t incarnation; /* of the last load report */
@@ -252,11 +253,13 @@
 	janitor_cancel_t order;
 	engine_t *engine;
 
-	for (engine = janitor->engines; engine; engine = engine->hh.next)
-		if (!engine->call &&
-		    now_us - engine->sent_us >= LIST_INTERVAL_MS * US_PER_MS &&
-		    control_credits_owns(credits, engine->name))
+	for (engine = janitor->engines; engine; engine = engine->hh.next) {
+		if (engine->call || now_us < engine->due_us)
+			continue;
+		engine->due_us = now_us + LIST_INTERVAL_MS * US_PER_MS;
+		if (control_credits_owns(credits, engine->name))
 			list(engine, now_us);
+	}
 	while (janitor_next(janitor->janitor, &order, now_us))
 		cancel(janitor, &order);
 }
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -230,16 +230,17 @@
 void control_load_tick(control_load_t *load, int64_t now_us)
 {
 	const control_credits_t *credits = load->control->credits;
-	server_t *server, *next;
+	server_t *server;
 
-	for (server = load->servers; server; server = next) {
-		next = server->hh.next;
-		if (!control_credits_owns(credits, server->name)) {
-			digest_drop(load->digest, server->name);
+	for (server = load->servers; server; server = server->hh.next) {
+		if (server->call || now_us < server->due_us)
 			continue;
-		}
-		if (!server->call && server->due_us <= now_us)
+		if (control_credits_owns(credits, server->name)) {
 			poll_server(server, now_us);
+			continue;
+		}
+		digest_drop(load->digest, server->name);
+		server->due_us = now_us + POLL_INTERVAL_MS * US_PER_MS;
 	}
 	send_digest(load, now_us);
 }
