Do not take a planned stop of all other members for a cut

Cause: after the other node of a data centre had left, this node saw itself as isolated, granted only its static share and no blocks until the VM list dropped the other one. Ruled out: quarantine of moved resources, which ends when members present their grants.

--- a/src/process/member.h
+++ b/src/process/member.h
@@ -150,7 +150,10 @@
 /** Whether every reachable member has the same view as this node. */
 bool member_agreed(const member_table_t *table, bool self_leaving);
 
-/** Whether other VMs are known and no message arrives from any of them. */
+/**
+ * Whether other VMs are known and no message arrives from any of them. Those
+ * that announced that they leave are expected to fall silent.
+ */
 bool member_isolated(const member_table_t *table);
 
 #endif
--- a/src/process/member_view.c
+++ b/src/process/member_view.c
@@ -104,10 +104,15 @@
 
 bool member_isolated(const member_table_t *table)
 {
+	bool others = false;
 	size_t i;
 
-	for (i = 0; i < table->count; i++)
-		if (!table->entries[i]->public.unreachable)
+	for (i = 0; i < table->count; i++) {
+		const member_t *member = &table->entries[i]->public;
+
+		if (!member->unreachable)
 			return false;
-	return table->count > 0;
+		others |= !member->leaving;
+	}
+	return others;
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -436,6 +436,24 @@
 	destroy_fleet(fleet);
 }
 
+/* Guards against a node that takes a planned stop of the others for a cut. */
+static void expects_silence_after_leaving(void **state)
+{
+	member_table_t *table = member_create("vm-0", 1);
+	member_sender_t one = { "vm-1", 5 }, two = { "vm-2", 6 };
+	member_heartbeat_t beat = { .sequence = 1, .address = "10.0.0.1:1" };
+
+	assert_false(member_isolated(table));
+	assert_true(member_heartbeat(table, &one, &beat, 0));
+	assert_true(member_heartbeat(table, &two, &beat, 0));
+	member_left(table, &one, 0);
+	member_tick(table, 2 * US_PER_S);
+	assert_true(member_isolated(table));
+	member_left(table, &two, 2 * US_PER_S);
+	assert_false(member_isolated(table));
+	member_destroy(table);
+}
+
 /* Guards against owners that move without need, or differ between nodes. */
 static void rendezvous_moves_only_what_it_must(void **state)
 {
@@ -480,6 +498,7 @@
 		cmocka_unit_test(ignores_an_overtaken_heartbeat),
 		cmocka_unit_test(vm_list_does_not_decide),
 		cmocka_unit_test(agreement_needs_equal_views),
+		cmocka_unit_test(expects_silence_after_leaving),
 		cmocka_unit_test(rendezvous_moves_only_what_it_must),
 	};
 
