--- a/src/process/control.h
+++ b/src/process/control.h
@@ -29,6 +29,7 @@
 typedef struct control_progress control_progress_t;
 typedef struct control_janitor control_janitor_t;
 typedef struct control_orders control_orders_t;
+typedef struct control_cache control_cache_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -53,6 +54,7 @@
 	control_progress_t *progress;
 	control_janitor_t *janitor;
 	control_orders_t *orders;
+	control_cache_t *cache;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -243,6 +245,12 @@
 /** Whether this node holds the lease. */
 bool control_orders_held(const control_orders_t *orders);
 
+/* control_cache.c: reads the cache events of engines. */
+control_cache_t *control_cache_create(control_t *control);
+void control_cache_destroy(control_cache_t *cache);
+void control_cache_configure(control_cache_t *cache, document_t *document);
+void control_cache_tick(control_cache_t *cache, int64_t now_us);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- a/src/process/control_config.c
+++ b/src/process/control_config.c
@@ -61,6 +61,7 @@
 	control_load_configure(control->load, document);
 	control_janitor_configure(control->janitor, document);
 	control_orders_configure(control->orders, document);
+	control_cache_configure(control->cache, document);
 	control_credits_configure(control->credits, document);
 	tell_tasks(control, document);
 	control_members_push_config(control->members);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -134,6 +134,7 @@
 	control_progress_tick(control->progress, now_us);
 	control_janitor_tick(control->janitor, now_us);
 	control_orders_tick(control->orders, now_us);
+	control_cache_tick(control->cache, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -223,6 +224,7 @@
 	control->progress = control_progress_create(control);
 	control->janitor = control_janitor_create(control);
 	control->orders = control_orders_create(control);
+	control->cache = control_cache_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -305,6 +307,7 @@
 	control_progress_destroy(control->progress);
 	control_janitor_destroy(control->janitor);
 	control_orders_destroy(control->orders);
+	control_cache_destroy(control->cache);
 	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
 	credit_owner_destroy(control->owner);
