Remove claims 24 h after their end; add platform_list() to platform.h

One node of the fleet reads the claims in small pages and deletes the old ones by version. The stand-in of the engine names cache events as the adapter reads them (sequence, type).

--- a/src/connection/platform.h
+++ b/src/connection/platform.h
@@ -93,6 +93,23 @@
 		    const char *name, int64_t version, int64_t wait_ms,
 		    platform_done_t done, void *context);
 
+/**
+ * @param objects borrowed for the duration of the callback
+ * @param next    where the next page starts; empty after the last
+ */
+typedef void (*platform_list_done_t)(void *context, platform_status_t status,
+				     const platform_object_t *objects,
+				     size_t count, const char *next);
+
+enum { PLATFORM_NEXT_SIZE_BYTES = 512 };
+
+/**
+ * Reads a page of the objects of a kind, sent as ?limit=N&continue=FROM.
+ * @param from `next` of the page before; empty for the first
+ */
+void platform_list(platform_t *platform, platform_kind_t kind, int32_t limit,
+		   const char *from, platform_list_done_t done, void *context);
+
 /** One VM of the platform's list. */
 typedef struct {
 	char id[NAME_SIZE_BYTES];
--- a/src/connection/platform_codec.c
+++ b/src/connection/platform_codec.c
@@ -158,6 +158,33 @@
 	return status;
 }
 
+platform_object_t *platform_parse_list(const char *text, size_t size,
+				       json_t **root, size_t *count, char *next,
+				       err_t *err)
+{
+	json_t *list = json_loadb(text, size, JSON_REJECT_DUPLICATES, NULL);
+	json_t *items = json_object_get(list, "items");
+	const char *from = json_string_value(
+		json_object_get(json_object_get(list, "metadata"), "continue"));
+	platform_object_t *objects =
+		mem_calloc(json_array_size(items), sizeof(*objects));
+	bool valid =
+		json_is_array(items) &&
+		!mem_strlcpy(next, from ? from : "", PLATFORM_NEXT_SIZE_BYTES);
+	size_t i;
+
+	*root = list;
+	*count = json_array_size(items);
+	for (i = 0; valid && i < *count; i++)
+		valid = read_object(json_array_get(items, i), &objects[i]);
+	if (valid)
+		return objects;
+	err_set(err, ERR_LAYER_PLATFORM, PLATFORM_ERR_MALFORMED,
+		"list: expected an array \"items\" of objects");
+	free(objects);
+	return NULL;
+}
+
 static bool read_vm(const json_t *item, platform_vm_t *vm)
 {
 	const json_t *spec = json_object_get(item, "spec");
--- a/src/connection/platform_codec.h
+++ b/src/connection/platform_codec.h
@@ -21,10 +21,11 @@
 	PLATFORM_CALL_WRITE,
 	PLATFORM_CALL_DELETE, /**< answered without an object */
 	PLATFORM_CALL_WATCH,
+	PLATFORM_CALL_LIST,
 	PLATFORM_CALL_VMS
 } platform_call_type_t;
 
-enum { PLATFORM_URL_SIZE_BYTES = 1536 };
+enum { PLATFORM_URL_SIZE_BYTES = 3072 };
 
 /** Writes the URL of an object; false if it does not fit. */
 bool platform_url(char url[PLATFORM_URL_SIZE_BYTES],
@@ -53,6 +54,15 @@
 				       json_t **root,
 				       platform_object_t *object);
 
+/**
+ * Reads a page of a list; the caller frees the result.
+ * @param root what the objects borrow from
+ * @param next where the next page starts, of PLATFORM_NEXT_SIZE_BYTES
+ */
+platform_object_t *platform_parse_list(const char *text, size_t size,
+				       json_t **root, size_t *count, char *next,
+				       err_t *err);
+
 /** Reads the VM list; the caller frees the result. NULL with @p err. */
 platform_vm_t *platform_parse_vms(const char *text, size_t size, size_t *count,
 				  err_t *err);
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -30,6 +30,7 @@
 typedef struct control_janitor control_janitor_t;
 typedef struct control_orders control_orders_t;
 typedef struct control_cache control_cache_t;
+typedef struct control_sweep control_sweep_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -55,6 +56,7 @@
 	control_janitor_t *janitor;
 	control_orders_t *orders;
 	control_cache_t *cache;
+	control_sweep_t *sweep;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -113,6 +115,9 @@
 /** Whether this node should give orders to the engines. */
 bool control_members_reconciles(const control_members_t *members);
 
+/** Whether this node removes old claims for the fleet. */
+bool control_members_sweeps(const control_members_t *members);
+
 /** Finds the node that owns a resource; false if none can be reached. */
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
@@ -251,6 +256,11 @@
 void control_cache_configure(control_cache_t *cache, document_t *document);
 void control_cache_tick(control_cache_t *cache, int64_t now_us);
 
+/* control_sweep.c: removes claims 24 h after their end. */
+control_sweep_t *control_sweep_create(control_t *control);
+void control_sweep_destroy(control_sweep_t *sweep);
+void control_sweep_tick(control_sweep_t *sweep, int64_t now_us);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- /dev/null
+++ b/src/process/control_duties.c
@@ -0,0 +1,69 @@
+#include <string.h>
+
+#include "base/mem.h"
+#include "process/control_members.h"
+#include "process/rendezvous.h"
+
+bool members_chosen(const control_members_t *members, const char *duty,
+		    size_t wanted)
+{
+	int32_t chosen[CONFIG_WATCHERS > RELAYS ? CONFIG_WATCHERS : RELAYS];
+	const char *self = members->control->settings.vm_id;
+	size_t count, i;
+
+	count = rendezvous_top(
+		duty, (const char(*)[NAME_SIZE_BYTES])members->candidates,
+		members->candidate_count, wanted, chosen);
+	for (i = 0; i < count; i++)
+		if (!strcmp(members->candidates[chosen[i]], self))
+			return true;
+	return false;
+}
+
+bool control_members_watches(const control_members_t *members)
+{
+	return members_chosen(members, "configuration", CONFIG_WATCHERS);
+}
+
+bool control_members_reconciles(const control_members_t *members)
+{
+	return members_chosen(members, "reconciler", 1);
+}
+
+/* Of the data centres that this one reaches, the first by name sweeps. */
+bool control_members_sweeps(const control_members_t *members)
+{
+	const char *local = members->control->settings.data_centre;
+	const remote_site_t *site;
+	size_t i;
+
+	for (i = 0; (site = remote_at(members->remote, i)); i++)
+		if (site->reachable && strcmp(site->name, local) < 0)
+			return false;
+	return members_chosen(members, "sweep", 1);
+}
+
+bool control_members_owner(const control_members_t *members,
+			   const char *data_centre, const char *key,
+			   char owner[NAME_SIZE_BYTES])
+{
+	const remote_site_t *site;
+	char names[CANDIDATES_MAX][NAME_SIZE_BYTES];
+	const char(*list)[NAME_SIZE_BYTES];
+	size_t count = members->candidate_count;
+	int32_t index;
+
+	list = (const char(*)[NAME_SIZE_BYTES])members->candidates;
+	if (strcmp(data_centre, members->control->settings.data_centre) != 0) {
+		site = remote_find(members->remote, data_centre);
+		if (!site || !site->reachable)
+			return false;
+		count = remote_candidates(site, names, CANDIDATES_MAX);
+		list = (const char(*)[NAME_SIZE_BYTES])names;
+	}
+	index = rendezvous_owner(key, list, count);
+	if (index == RENDEZVOUS_NONE)
+		return false;
+	mem_strlcpy(owner, list[index], NAME_SIZE_BYTES);
+	return true;
+}
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -135,6 +135,7 @@
 	control_janitor_tick(control->janitor, now_us);
 	control_orders_tick(control->orders, now_us);
 	control_cache_tick(control->cache, now_us);
+	control_sweep_tick(control->sweep, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -225,6 +226,7 @@
 	control->janitor = control_janitor_create(control);
 	control->orders = control_orders_create(control);
 	control->cache = control_cache_create(control);
+	control->sweep = control_sweep_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -315,6 +317,7 @@
 	inforce_destroy(control->inforce);
 	platform_destroy(control->platform);
 	control_actions_destroy(control->actions);
+	control_sweep_destroy(control->sweep);
 	client_destroy(control->client);
 	close_mailboxes(control);
 	if (control->loop)
--- a/tests/standin/lib_report.c
+++ b/tests/standin/lib_report.c
@@ -89,10 +89,11 @@
 		    sequence % batch_conf.event_gap == 0)
 			continue;
 		snprintf(block, sizeof(block), "%016" PRIx64, event->block);
-		json_array_append_new(list,
-				      json_pack("{s:I,s:b,s:s}", "seq",
-						sequence, "stored",
-						event->stored, "block", block));
+		json_array_append_new(
+			list,
+			json_pack("{s:I,s:s,s:s}", "sequence", sequence, "type",
+				  event->stored ? "stored" : "evicted", "block",
+				  block));
 	}
 	return json_pack("{s:I,s:o}", "incarnation", batch.incarnation,
 			 "events", list);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -179,6 +179,15 @@
 		memcpy(fake->vms, vms, count * sizeof(*vms));
 }
 
+static void on_list(void *context, platform_status_t status,
+		    const platform_object_t *objects, size_t count,
+		    const char *next)
+{
+	on_done(context, status, count ? &objects[count - 1] : NULL);
+	if (count)
+		assert_string_equal(next, "c d");
+}
+
 static void run(fake_t *fake, int64_t limit_ms)
 {
 	int64_t end_us = clock_monotonic_us() + limit_ms * US_PER_MS;
@@ -189,7 +198,7 @@
 	}
 }
 
-typedef enum { GET, CREATE, PUT, DELETE, WATCH, VMS } call_t;
+typedef enum { GET, CREATE, PUT, DELETE, WATCH, LIST, VMS } call_t;
 
 static void call(fake_t *fake, call_t type)
 {
@@ -217,6 +226,10 @@
 		platform_watch(platform, PLATFORM_CONFIGURATIONS, "fleet", 7,
 			       1000, on_done, fake);
 		break;
+	case LIST:
+		platform_list(platform, PLATFORM_CLAIMS, 20, "a b", on_list,
+			      fake);
+		break;
 	case VMS:
 		platform_list_vms(platform, on_vms, fake);
 		break;
@@ -294,6 +307,14 @@
 	  "{\"type\":\"MODIFIED\",\"object\":{}}\n", PLATFORM_UNKNOWN, 0, "" },
 	{ "a deleted object", WATCH, REPLY, 200, LINE("DELETED", "9"),
 	  PLATFORM_NOT_FOUND, 0, "" },
+	{ "objects beyond the first page that are never seen", LIST, REPLY, 200,
+	  "{\"metadata\":{\"continue\":\"c d\"},\"items\":[" OBJECT "," OBJECT
+	  "]}",
+	  PLATFORM_OK, 8, "/namespaces/ns/claims?limit=20&continue=a%20b " },
+	{ "a list with a malformed object", LIST, REPLY, 200,
+	  "{\"items\":[" OBJECT ",{}]}", PLATFORM_UNKNOWN, 0, "" },
+	{ "a page that the platform has forgotten", LIST, REPLY, 410, "{}",
+	  PLATFORM_CONFLICT, 0, "" },
 	{ "a malformed list", VMS, REPLY, 200, "{\"items\":[{}]}",
 	  PLATFORM_UNKNOWN, 0, "/namespaces/ns/vms" },
 };
