Let a ramp grow only on reports that are not cold; use the counts of credit.h

Cause: in a run of three nodes with an engine that bears 2 requests while cold, two requests that ended between two load reports raised its limit to 3, and it failed once. Change: completed requests count only while the newest report is not cold and was taken after the last failure. The Progress message is removed again, since credit messages carry the same counts.

--- a/src/connection/peer_codec.c
+++ b/src/connection/peer_codec.c
@@ -68,6 +68,8 @@
 	credit->minimum.slots = body->minimum_slots;
 	credit->lifetime_us = body->lifetime_us;
 	credit->retry_after_us = body->retry_after_us;
+	credit->completed = body->completed;
+	credit->failed = body->failed;
 	if (!read_name(credit->resource.name, body->resource, "resource", err))
 		return false;
 	return credit_msg_valid(credit) || malformed(err, "credit amount");
@@ -97,7 +99,6 @@
 	report->shares_kv = body->shares_kv;
 	report->model_count = (int32_t)body->n_models;
 	load->age_us = body->age_us;
-	load->warm = body->warm;
 	for (i = 0; i < body->n_models; i++)
 		if (!read_name(report->models[i], body->models[i], "model",
 			       err))
@@ -148,32 +149,6 @@
 	return true;
 }
 
-static bool read_server_progress(const Peer__ServerProgress *body,
-				 server_progress_t *progress, err_t *err)
-{
-	if (body->completed < 0 || body->failed < 0 || body->refused < 0)
-		return malformed(err, "progress");
-	progress->completed = body->completed;
-	progress->failed = body->failed;
-	progress->refused = body->refused;
-	return read_name(progress->server, body->server, "server", err);
-}
-
-static bool read_progress(const Peer__Progress *body, peer_progress_t *progress,
-			  err_t *err)
-{
-	size_t i;
-
-	progress->count = body->n_servers;
-	progress->servers =
-		mem_calloc(progress->count, sizeof(*progress->servers));
-	for (i = 0; i < progress->count; i++)
-		if (!read_server_progress(body->servers[i],
-					  &progress->servers[i], err))
-			return false;
-	return true;
-}
-
 static bool read_config(const Peer__ConfigPush *body, peer_config_t *config,
 			err_t *err)
 {
@@ -234,10 +209,6 @@
 		message->type = PEER_SUMMARY;
 		return read_summary(envelope->summary, &message->as.summary,
 				    err);
-	case PEER__ENVELOPE__BODY_PROGRESS:
-		message->type = PEER_PROGRESS;
-		return read_progress(envelope->progress, &message->as.progress,
-				     err);
 	case PEER__ENVELOPE__BODY__NOT_SET:
 	default:
 		/* A type of a later version is an unknown field to this one. */
@@ -295,10 +266,6 @@
 		free(message->as.summary.members);
 		message->as.summary.members = NULL;
 		break;
-	case PEER_PROGRESS:
-		free(message->as.progress.servers);
-		message->as.progress.servers = NULL;
-		break;
 	case PEER_HELLO:
 	case PEER_HEARTBEAT:
 	case PEER_PROBE_REQUEST:
--- a/src/connection/peer_codec.h
+++ b/src/connection/peer_codec.h
@@ -38,8 +38,7 @@
 	PEER_CREDIT,
 	PEER_LOAD_DIGEST,
 	PEER_LEAVING,
-	PEER_SUMMARY,
-	PEER_PROGRESS
+	PEER_SUMMARY
 } peer_msg_type_t;
 
 typedef struct {
@@ -66,21 +65,8 @@
 typedef struct {
 	load_report_t report; /**< without its times */
 	int64_t age_us; /**< time since the server took the figures */
-	bool warm; /**< its ramp is over */
 } peer_load_t;
 
-typedef struct {
-	char server[NAME_SIZE_BYTES];
-	int32_t completed;
-	int32_t failed; /**< streams that broke or fell silent */
-	int32_t refused; /**< connections that failed */
-} server_progress_t;
-
-typedef struct {
-	size_t count;
-	server_progress_t *servers; /**< owned after decoding */
-} peer_progress_t;
-
 typedef struct {
 	size_t count;
 	peer_load_t *servers; /**< owned after decoding */
@@ -114,7 +100,6 @@
 		credit_msg_t credit; /**< without the holder */
 		peer_digest_t digest;
 		peer_summary_t summary;
-		peer_progress_t progress;
 	} as;
 } peer_msg_t;
 
--- a/src/connection/peer_encode.c
+++ b/src/connection/peer_encode.c
@@ -60,6 +60,8 @@
 	body->minimum_slots = credit->minimum.slots;
 	body->lifetime_us = credit->lifetime_us;
 	body->retry_after_us = credit->retry_after_us;
+	body->completed = credit->completed;
+	body->failed = credit->failed;
 }
 
 static void fill_load(const peer_load_t *load, Peer__ServerLoad *body,
@@ -81,7 +83,6 @@
 	body->role = report->role;
 	body->shares_kv = report->shares_kv;
 	body->age_us = load->age_us;
-	body->warm = load->warm;
 	for (i = 0; i < report->model_count; i++)
 		models[i] = (char *)report->models[i];
 	body->n_models = (size_t)report->model_count;
@@ -157,37 +158,6 @@
 	return data;
 }
 
-static uint8_t *pack_progress(Peer__Envelope *envelope,
-			      const peer_progress_t *progress, size_t *size)
-{
-	Peer__Progress body = PEER__PROGRESS__INIT;
-	Peer__ServerProgress *servers =
-		mem_calloc(progress->count, sizeof(*servers));
-	Peer__ServerProgress **list =
-		mem_calloc(progress->count, sizeof(Peer__ServerProgress *));
-	uint8_t *data;
-	size_t i;
-
-	for (i = 0; i < progress->count; i++) {
-		const server_progress_t *server = &progress->servers[i];
-
-		peer__server_progress__init(&servers[i]);
-		servers[i].server = (char *)server->server;
-		servers[i].completed = server->completed;
-		servers[i].failed = server->failed;
-		servers[i].refused = server->refused;
-		list[i] = &servers[i];
-	}
-	body.n_servers = progress->count;
-	body.servers = list;
-	envelope->progress = &body;
-	data = pack(envelope, size);
-	envelope->progress = NULL;
-	free(list);
-	free(servers);
-	return data;
-}
-
 /* All members of the envelope's union are pointers to the body. */
 static void fill_body(const peer_msg_t *message, body_t *body)
 {
@@ -224,7 +194,6 @@
 		break;
 	case PEER_LOAD_DIGEST:
 	case PEER_SUMMARY:
-	case PEER_PROGRESS:
 		break;
 	}
 }
@@ -242,7 +211,6 @@
 		[PEER_LOAD_DIGEST] = PEER__ENVELOPE__BODY_LOAD_DIGEST,
 		[PEER_LEAVING] = PEER__ENVELOPE__BODY_LEAVING,
 		[PEER_SUMMARY] = PEER__ENVELOPE__BODY_SUMMARY,
-		[PEER_PROGRESS] = PEER__ENVELOPE__BODY_PROGRESS,
 	};
 
 	return cases[type];
@@ -262,8 +230,6 @@
 		return pack_digest(&envelope, &message->as.digest, size);
 	if (message->type == PEER_SUMMARY)
 		return pack_summary(&envelope, &message->as.summary, size);
-	if (message->type == PEER_PROGRESS)
-		return pack_progress(&envelope, &message->as.progress, size);
 	fill_body(message, &body);
 	envelope.hello = &body.hello;
 	return pack(&envelope, size);
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -26,7 +26,7 @@
 typedef struct control_credits control_credits_t;
 typedef struct control_actions control_actions_t;
 typedef struct control_warmup control_warmup_t;
-typedef struct control_progress control_progress_t;
+typedef struct control_flights control_flights_t;
 typedef struct control_janitor control_janitor_t;
 typedef struct control_orders control_orders_t;
 typedef struct control_cache control_cache_t;
@@ -52,7 +52,7 @@
 	control_credits_t *credits;
 	control_actions_t *actions;
 	control_warmup_t *warmup;
-	control_progress_t *progress;
+	control_flights_t *flights;
 	control_janitor_t *janitor;
 	control_orders_t *orders;
 	control_cache_t *cache;
@@ -144,11 +144,6 @@
 void control_members_send_digest(control_members_t *members,
 				 peer_load_t *servers, size_t count);
 
-/** Tells the owner of a server what became of requests on it. */
-void control_members_send_progress(control_members_t *members,
-				   const char *vm_id,
-				   const server_progress_t *progress);
-
 /** Sends the document in force to members that have an older one. */
 void control_members_push_config(control_members_t *members);
 
@@ -198,24 +193,9 @@
 void control_warmup_disown(control_warmup_t *warmup, const char *server);
 void control_warmup_report(control_warmup_t *warmup,
 			   const load_report_t *report);
-void control_warmup_progress(control_warmup_t *warmup,
-			     const server_progress_t *progress);
-
-/** Whether the ramp of an owned server is over. */
-bool control_warmup_is_warm(const control_warmup_t *warmup, const char *server);
 
-/* control_progress.c: counts the ends of requests for the servers' owners. */
-control_progress_t *control_progress_create(control_t *control);
-void control_progress_destroy(control_progress_t *progress);
-void control_progress_dispatched(control_progress_t *progress, uint64_t request,
-				 const char *server);
-void control_progress_finished(control_progress_t *progress, uint64_t request,
-			       attempt_end_t end);
-
-/** What the owner of a server says of its ramp. */
-void control_progress_warm(control_progress_t *progress, const char *server,
-			   bool warm);
-void control_progress_tick(control_progress_t *progress, int64_t now_us);
+/** Takes in what became of requests on the servers. */
+void control_warmup_tick(control_warmup_t *warmup, int64_t now_us);
 
 /* control_janitor.c: streams on engines whose holder is gone. */
 control_janitor_t *control_janitor_create(control_t *control);
@@ -250,6 +230,14 @@
 /** Whether this node holds the lease. */
 bool control_orders_held(const control_orders_t *orders);
 
+/* control_flights.c: which server each request is on. */
+control_flights_t *control_flights_create(control_t *control);
+void control_flights_destroy(control_flights_t *flights);
+void control_flights_dispatched(control_flights_t *flights, uint64_t request,
+				const char *server);
+void control_flights_finished(control_flights_t *flights, uint64_t request,
+			      attempt_end_t end);
+
 /* control_cache.c: reads the cache events of engines. */
 control_cache_t *control_cache_create(control_t *control);
 void control_cache_destroy(control_cache_t *cache);
--- a/src/process/control_cache.c
+++ b/src/process/control_cache.c
@@ -11,10 +11,10 @@
 /*
  * Every node reads the events of its data centre's engines itself: a digest
  * of them for all nodes would exceed 8 KB/s. The engines take turns, so at
- * the target (440 engines) each is read every 27 s and in a small data centre
- * every second.
+ * the target (440 engines) each is read every 110 s and in a small data centre
+ * every second or two.
  */
-enum { READS_PER_S = 16, CALL_TIMEOUT_MS = 1000, EVENTS_MAX_BYTES = 1 << 20 };
+enum { READS_PER_S = 4, CALL_TIMEOUT_MS = 1000, EVENTS_MAX_BYTES = 1 << 20 };
 #define ENGINE_INTERVAL_US US_PER_S
 
 typedef struct {
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -220,8 +220,6 @@
 	for (i = 0; i < count; i++) {
 		entries[i].report = reports[i];
 		entries[i].age_us = now_us - reports[i].taken_us;
-		entries[i].warm = control_warmup_is_warm(load->control->warmup,
-							 reports[i].server);
 	}
 	if (count)
 		control_members_send_digest(members, entries, count);
@@ -258,8 +256,6 @@
 	/* This node reads what it owns itself. */
 	if (control_credits_owns(load->control->credits, report.server))
 		return;
-	control_progress_warm(load->control->progress, report.server,
-			      entry->warm);
 	report.received_us = clock_monotonic_us();
 	report.taken_us = report.received_us - entry->age_us;
 	dispatch_load(load->control->dispatch, &report, report.received_us);
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -307,17 +307,6 @@
 	members_send(members, vm_id, &message);
 }
 
-void control_members_send_progress(control_members_t *members,
-				   const char *vm_id,
-				   const server_progress_t *progress)
-{
-	server_progress_t copy = *progress;
-	peer_msg_t message = { .type = PEER_PROGRESS,
-			       .as.progress = { 1, &copy } };
-
-	members_send(members, vm_id, &message);
-}
-
 /* In a small fleet load figures go to the other data centres as well. */
 static size_t remote_receivers(const control_members_t *members)
 {
--- a/src/process/control_receive.c
+++ b/src/process/control_receive.c
@@ -106,17 +106,6 @@
 				    &digest->servers[i]);
 }
 
-static void receive_progress(control_members_t *members,
-			     const peer_msg_t *message)
-{
-	const peer_progress_t *progress = &message->as.progress;
-	size_t i;
-
-	for (i = 0; i < progress->count; i++)
-		control_warmup_progress(members->control->warmup,
-					&progress->servers[i]);
-}
-
 /* Heartbeats and probes count within the data centre only. */
 static void handle_local(control_members_t *members, const peer_msg_t *message)
 {
@@ -175,9 +164,6 @@
 	case PEER_SUMMARY:
 		members_receive_summary(members, message);
 		break;
-	case PEER_PROGRESS:
-		receive_progress(members, message);
-		break;
 	case PEER_HELLO:
 		break;
 	}
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -60,8 +60,8 @@
 		/* First the claim: the dispatcher may refuse the caller. */
 		control_actions_finished(control->actions, message->request,
 					 &message->as.finished);
-		control_progress_finished(control->progress, message->request,
-					  message->as.finished.end);
+		control_flights_finished(control->flights, message->request,
+					 message->as.finished.end);
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
@@ -88,8 +88,8 @@
 {
 	if (message->type == TASK_MSG_DISPATCH) {
 		control_actions_dispatched(control->actions, message->request);
-		control_progress_dispatched(control->progress, message->request,
-					    message->as.dispatch.server);
+		control_flights_dispatched(control->flights, message->request,
+					   message->as.dispatch.server);
 	}
 	return message->type != TASK_MSG_REFUSE ||
 	       !control_actions_refused(control->actions, message->request,
@@ -131,7 +131,7 @@
 
 	control_members_tick(control->members, now_us);
 	control_credits_tick(control->credits, now_us);
-	control_progress_tick(control->progress, now_us);
+	control_warmup_tick(control->warmup, now_us);
 	control_janitor_tick(control->janitor, now_us);
 	control_orders_tick(control->orders, now_us);
 	control_cache_tick(control->cache, now_us);
@@ -222,7 +222,7 @@
 	control->credits = control_credits_create(control);
 	control->actions = control_actions_create(control);
 	control->warmup = control_warmup_create(control);
-	control->progress = control_progress_create(control);
+	control->flights = control_flights_create(control);
 	control->janitor = control_janitor_create(control);
 	control->orders = control_orders_create(control);
 	control->cache = control_cache_create(control);
@@ -306,7 +306,7 @@
 	control_config_destroy(control->config);
 	control_credits_destroy(control->credits);
 	control_warmup_destroy(control->warmup);
-	control_progress_destroy(control->progress);
+	control_flights_destroy(control->flights);
 	control_janitor_destroy(control->janitor);
 	control_orders_destroy(control->orders);
 	control_cache_destroy(control->cache);
--- a/src/process/control_warmup.c
+++ b/src/process/control_warmup.c
@@ -11,6 +11,9 @@
 	char server[NAME_SIZE_BYTES];
 	warmup_t ramp;
 	bool retired;
+	bool cold; /* as the newest report says */
+	int64_t report_us; /* when its figures were taken; 0: none */
+	int64_t failed_us; /* last failure of a request */
 } entry_t;
 
 struct control_warmup {
@@ -110,33 +113,53 @@
 {
 	entry_t *entry = find(warmup, report->server);
 
-	if (!entry)
+	if (!entry || report->taken_us < entry->report_us)
 		return;
+	entry->report_us = report->taken_us;
+	entry->cold = report->cold;
 	warmup_report(&entry->ramp, report, in_flight(warmup, entry));
 	limit(warmup, entry);
 }
 
-void control_warmup_progress(control_warmup_t *warmup,
-			     const server_progress_t *progress)
+/*
+ * Completed requests let the ramp grow only while the newest report says that
+ * the server is not cold, and was taken after the last failure. A run with
+ * three nodes showed why: two requests that ended between two reports raised
+ * the limit of a cold server from 2 to 3, and it failed.
+ */
+static bool is_evidence(const entry_t *entry)
 {
-	entry_t *entry = find(warmup, progress->server);
+	return entry->report_us > entry->failed_us && !entry->cold;
+}
+
+static void take_work(control_warmup_t *warmup, entry_t *entry, int64_t now_us)
+{
+	resource_t resource;
+	uint64_t completed, failed;
 	int32_t running;
 
-	if (!entry)
+	set_resource(&resource, entry);
+	credit_owner_work(warmup->control->owner, &resource, &completed,
+			  &failed);
+	if (!completed && !failed)
 		return;
 	running = in_flight(warmup, entry);
-	if (progress->refused)
-		warmup_reset(&entry->ramp, WARMUP_CONNECTION_REFUSED, running);
-	if (progress->failed)
+	if (failed) {
+		entry->failed_us = now_us;
 		warmup_reset(&entry->ramp, WARMUP_STREAM_FAILED, running);
-	if (progress->completed)
-		warmup_completed(&entry->ramp, progress->completed, running);
+	}
+	if (is_evidence(entry))
+		warmup_completed(&entry->ramp,
+				 completed < INT32_MAX ? (int32_t)completed
+						       : INT32_MAX,
+				 running);
 	limit(warmup, entry);
 }
 
-bool control_warmup_is_warm(const control_warmup_t *warmup, const char *server)
+void control_warmup_tick(control_warmup_t *warmup, int64_t now_us)
 {
-	const entry_t *entry = find(warmup, server);
+	entry_t *entry;
 
-	return entry && warmup_limit(&entry->ramp) >= entry->ramp.max_requests;
+	for (entry = warmup->entries; entry; entry = entry->hh.next)
+		take_work(warmup, entry, now_us);
 }
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -25,8 +25,6 @@
 typedef struct Peer__Credit Peer__Credit;
 typedef struct Peer__ServerLoad Peer__ServerLoad;
 typedef struct Peer__LoadDigest Peer__LoadDigest;
-typedef struct Peer__Progress Peer__Progress;
-typedef struct Peer__ServerProgress Peer__ServerProgress;
 typedef struct Peer__Leaving Peer__Leaving;
 typedef struct Peer__Summary Peer__Summary;
 typedef struct Peer__Member Peer__Member;
@@ -48,8 +46,7 @@
   PEER__ENVELOPE__BODY_CREDIT = 16,
   PEER__ENVELOPE__BODY_LOAD_DIGEST = 17,
   PEER__ENVELOPE__BODY_LEAVING = 18,
-  PEER__ENVELOPE__BODY_SUMMARY = 19,
-  PEER__ENVELOPE__BODY_PROGRESS = 20
+  PEER__ENVELOPE__BODY_SUMMARY = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PEER__ENVELOPE__BODY__CASE)
 } Peer__Envelope__BodyCase;
 
@@ -72,7 +69,6 @@
     Peer__LoadDigest *load_digest;
     Peer__Leaving *leaving;
     Peer__Summary *summary;
-    Peer__Progress *progress;
   };
 };
 #define PEER__ENVELOPE__INIT \
@@ -206,14 +202,10 @@
    * time since the server took the figures
    */
   int64_t age_us;
-  /*
-   * its ramp is over: no progress is needed
-   */
-  protobuf_c_boolean warm;
 };
 #define PEER__SERVER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__server_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -230,39 +222,6 @@
     , 0,NULL }
 
 
-/*
- * What became of requests on servers that the receiver owns.
- */
-struct  Peer__Progress
-{
-  ProtobufCMessage base;
-  size_t n_servers;
-  Peer__ServerProgress **servers;
-};
-#define PEER__PROGRESS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__progress__descriptor) \
-    , 0,NULL }
-
-
-struct  Peer__ServerProgress
-{
-  ProtobufCMessage base;
-  char *server;
-  int32_t completed;
-  /*
-   * streams that broke or fell silent
-   */
-  int32_t failed;
-  /*
-   * connections that failed
-   */
-  int32_t refused;
-};
-#define PEER__SERVER_PROGRESS__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer__server_progress__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
-
-
 struct  Peer__Leaving
 {
   ProtobufCMessage base;
@@ -497,44 +456,6 @@
 void   peer__load_digest__free_unpacked
                      (Peer__LoadDigest *message,
                       ProtobufCAllocator *allocator);
-/* Peer__Progress methods */
-void   peer__progress__init
-                     (Peer__Progress         *message);
-size_t peer__progress__get_packed_size
-                     (const Peer__Progress   *message);
-size_t peer__progress__pack
-                     (const Peer__Progress   *message,
-                      uint8_t             *out);
-size_t peer__progress__pack_to_buffer
-                     (const Peer__Progress   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__Progress *
-       peer__progress__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__progress__free_unpacked
-                     (Peer__Progress *message,
-                      ProtobufCAllocator *allocator);
-/* Peer__ServerProgress methods */
-void   peer__server_progress__init
-                     (Peer__ServerProgress         *message);
-size_t peer__server_progress__get_packed_size
-                     (const Peer__ServerProgress   *message);
-size_t peer__server_progress__pack
-                     (const Peer__ServerProgress   *message,
-                      uint8_t             *out);
-size_t peer__server_progress__pack_to_buffer
-                     (const Peer__ServerProgress   *message,
-                      ProtobufCBuffer     *buffer);
-Peer__ServerProgress *
-       peer__server_progress__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   peer__server_progress__free_unpacked
-                     (Peer__ServerProgress *message,
-                      ProtobufCAllocator *allocator);
 /* Peer__Leaving methods */
 void   peer__leaving__init
                      (Peer__Leaving         *message);
@@ -624,12 +545,6 @@
 typedef void (*Peer__LoadDigest_Closure)
                  (const Peer__LoadDigest *message,
                   void *closure_data);
-typedef void (*Peer__Progress_Closure)
-                 (const Peer__Progress *message,
-                  void *closure_data);
-typedef void (*Peer__ServerProgress_Closure)
-                 (const Peer__ServerProgress *message,
-                  void *closure_data);
 typedef void (*Peer__Leaving_Closure)
                  (const Peer__Leaving *message,
                   void *closure_data);
@@ -655,8 +570,6 @@
 extern const ProtobufCMessageDescriptor peer__credit__descriptor;
 extern const ProtobufCMessageDescriptor peer__server_load__descriptor;
 extern const ProtobufCMessageDescriptor peer__load_digest__descriptor;
-extern const ProtobufCMessageDescriptor peer__progress__descriptor;
-extern const ProtobufCMessageDescriptor peer__server_progress__descriptor;
 extern const ProtobufCMessageDescriptor peer__leaving__descriptor;
 extern const ProtobufCMessageDescriptor peer__summary__descriptor;
 extern const ProtobufCMessageDescriptor peer__member__descriptor;
