--- a/src/process/control.h
+++ b/src/process/control.h
@@ -153,6 +153,9 @@
 /** @return the other data centres, for the status. */
 json_t *control_members_sites(const control_members_t *members);
 
+/* Requests of a block: a few, so that one node does not hold a small server. */
+enum { CREDIT_BLOCK_SLOTS = 4 };
+
 /* control_credits.c: both sides of the credit protocol. */
 control_credits_t *control_credits_create(control_t *control);
 void control_credits_destroy(control_credits_t *credits);
--- a/src/process/control_credits.c
+++ b/src/process/control_credits.c
@@ -130,6 +130,10 @@
 
 void control_credits_configure(control_credits_t *credits, document_t *document)
 {
+	const credit_amount_t block = {
+		.kv_tokens = document_limits(document)->credit_block_tokens,
+		.slots = CREDIT_BLOCK_SLOTS,
+	};
 	int64_t now_us = clock_monotonic_us();
 	credit_resource_t *entry, *next;
 
@@ -137,6 +141,7 @@
 		next = entry->hh.next;
 		entry->listed = false;
 	}
+	credit_holder_set_block(credits->control->holder, block);
 	credit_resources_list(credits, document);
 	for (entry = credits->entries; entry; entry = next) {
 		next = entry->hh.next;
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -153,8 +153,8 @@
 	const settings_t *settings = &control->settings;
 	credit_holder_conf_t holder = {
 		.incarnation = control->incarnation,
-		/* Replaced by the limits of the configuration. */
-		.server_block = { .kv_tokens = 16000, .slots = 4 },
+		/* The configuration sets the size of server blocks. */
+		.server_block = { .slots = CREDIT_BLOCK_SLOTS },
 		.account_block = 10,
 	};
 	dispatch_conf_t dispatch = {
--- a/src/process/credit_holder.c
+++ b/src/process/credit_holder.c
@@ -34,6 +34,11 @@
 	free(entry);
 }
 
+void credit_holder_set_block(credit_holder_t *holder, credit_amount_t block)
+{
+	holder->conf.server_block = block;
+}
+
 void credit_holder_destroy(credit_holder_t *holder)
 {
 	credit_entry_t *entry, *next;
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -33,6 +33,9 @@
 credit_holder_t *credit_holder_create(const credit_holder_conf_t *conf);
 void credit_holder_destroy(credit_holder_t *holder);
 
+/** Changes the size of server blocks; blocks that are held keep theirs. */
+void credit_holder_set_block(credit_holder_t *holder, credit_amount_t block);
+
 /**
  * Takes @p amount of a resource for one use, or asks the owner for it.
  * @param use identifies the use (request number and attempt); a second call
