--- a/src/process/control_shutdown.c
+++ b/src/process/control_shutdown.c
@@ -63,10 +63,11 @@
 {
 	control_t *control = shutdown->control;
 
-	log_event(EVENT_SHUTDOWN_PHASE, "phase=%s in_flight=%d waiting=%d",
+	log_event(EVENT_SHUTDOWN_PHASE,
+		  "phase=%s in_flight=%d waiting=%d cut_off=%d",
 		  drain_phase_text(shutdown->drain.phase),
 		  dispatch_in_flight(control->dispatch),
-		  dispatch_waiting(control->dispatch));
+		  dispatch_waiting(control->dispatch), shutdown->drain.cut_off);
 	control_status_publish(control->status, now_us);
 	switch (shutdown->drain.phase) {
 	case DRAIN_NOTICE:
