--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -12,6 +12,9 @@
 # fleet_signal SIGNAL NAME    sends a signal to one process
 # fleet_load NAME OPTION...   runs the load client in the background
 # fleet_wait NAME             waits for a background process, fails with it
+# fleet_standard [OPTION...]  two data centres, four engines with the options,
+#                             two services, three daemons, configured, ready
+# fleet_idle                  waits until no engine holds memory
 # fleet_stop                  SIGTERM to all, expects exit 0 of each
 # fleet_check                 decides the invariants over the histories
 #
@@ -27,7 +30,7 @@
 	"server_idle_ms":20000}'
 FLEET_RATE=0
 # The fleet's key pair for tests, from the manual page zmq_curve(7).
-FLEET_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLW{hID'
+FLEET_PUBLIC='Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID'
 FLEET_SECRET='D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs'
 
 fleet_fail() {
@@ -172,6 +175,9 @@
 		"\"spec\":{\"data_centre\":\"$centre\"," \
 		"\"address\":\"127.0.0.1:$PORT\",\"leaving\":false}}" \
 		>>"$RUN/vms"
+	curl -sf "http://$PLATFORM/standin/vms" -o "$RUN/answer" \
+		-d "{\"items\":[$(fleet_join "$RUN/vms")]}" ||
+		fleet_fail "cannot set the VM list"
 	[ -n "$DAEMONS" ] || SETTINGS=$RUN/$name.yaml
 	DAEMONS="$DAEMONS $name"
 	fleet_start "$name" "$BUILD/chivestaged" -c "$RUN/$name.yaml"
@@ -203,20 +209,21 @@
 		\"class\":\"quick\",\"servers\":[$(fleet_names $PLAIN)]},
 		{\"name\":\"orders\",\"kind\":\"plain\",\"class\":\"quick\",
 		\"repeatable\":false,\"servers\":[$(fleet_names $PLAIN)]}"
+	distances=$(sed 's/.*/"&"/' "$RUN/centres" | awk '
+		{ for (i = 1; i < NR; i++) printf "%s{\"from\":%s,\"to\":%s," \
+			"\"rtt_us\":500}", n++ ? "," : "", seen[i], $0
+		  seen[NR] = $0 }')
 	cat >"$RUN/configuration.json" <<-END
 		{"version":1,"limits":$FLEET_LIMITS,
 		"classes":[$FLEET_CLASSES],
 		"data_centres":[$(sed 's/.*/{"name":"&"}/' "$RUN/centres" |
-		paste -sd,)],
+		paste -sd,)],"distances":[$distances],
 		"servers":[$(fleet_join "$RUN/servers")],
 		"services":[{"name":"m","kind":"model","model":"m",
 		"class":"quick"}$plain],
 		"accounts":[{"name":"acme","key_hash":"$hash",
 		"requests_per_s":$FLEET_RATE,"classes":["quick","slow"]}]}
 	END
-	curl -sf "http://$PLATFORM/standin/vms" -o "$RUN/answer" \
-		-d "{\"items\":[$(fleet_join "$RUN/vms")]}" ||
-		fleet_fail "cannot set the VM list"
 	fleet_tool config apply "$RUN/configuration.json" >>"$RUN/tool.log" \
 		2>&1 || fleet_fail "config apply: $(cat "$RUN/tool.log")"
 }
@@ -274,6 +281,48 @@
 		--key "$FLEET_KEY" "$@"
 }
 
+# Starts a load of all kinds on every daemon, with further options.
+fleet_mixed_load() {
+	mixed_name=$1
+	shift
+	fleet_load "$mixed_name" --targets "$(fleet_callers)" --short 8 \
+		--long 1 --lookup 3 --action 2 --chat-percent 20 \
+		--concurrency 12 --long-tokens 50000 --long-class slow \
+		--deadline-ms 10000 --long-deadline-ms 60000 "$@"
+}
+
+fleet_standard() {
+	fleet_platform
+	for name in e1:a e2:a e3:b e4:b; do
+		fleet_engine "${name%:*}" "${name#*:}" 400000 --cold-limit 2 \
+			--cold-until 4 "$@"
+	done
+	fleet_service r1 a
+	fleet_service r2 b
+	fleet_daemon n1 a
+	fleet_daemon n2 a
+	fleet_daemon n3 b
+	fleet_configure
+	fleet_ready
+}
+
+# Every engine has to give back the memory of streams that ended or whose
+# caller or daemon is gone.
+fleet_idle() {
+	tries=0
+	for name in $STANDINS; do
+		case $name in e[0-9]*) ;; *) continue ;; esac
+		[ -f "$RUN/pid.$name" ] || continue
+		until curl -sf "http://127.0.0.1:$(cat "$RUN/port.$name")/v1/load" |
+			grep -q '"kv_used":0,'; do
+			tries=$((tries + 1))
+			[ $tries -lt 150 ] ||
+				fleet_fail "$name still holds memory"
+			sleep 0.1
+		done
+	done
+}
+
 fleet_wait() {
 	wait "$(cat "$RUN/pid.$1")" ||
 		fleet_fail "$1 ended with status $?: $(tail -n 5 "$RUN/$1.log")"
