--- a/src/process/request.h
+++ b/src/process/request.h
@@ -141,6 +141,7 @@
 	size_t reply_header_count;
 	bool headers_sent;
 	bool first_token_seen;
+	bool drop_logged; /* of this attempt */
 
 	trace_context_t trace;
 	uint8_t trace_parent[8];
@@ -200,6 +201,9 @@
 void request_refuse(request_t *request, refusal_t refusal, outcome_t outcome,
 		    int32_t retry_after_s, const char *message);
 
+/** @return the Retry-After of a refusal by this task; 0: none. */
+int32_t refusal_retry_after_s(refusal_t refusal);
+
 /** Refuses a call for which no request exists. */
 void exchange_refuse(const request_task_t *task, exchange_t *exchange,
 		     const char *id, refusal_t refusal, const char *message);
--- a/src/process/request_admit.c
+++ b/src/process/request_admit.c
@@ -18,8 +18,7 @@
 	refusal_t refusal = (refusal_t)err->code;
 
 	request_refuse(request, refusal, OUTCOME_NOT_RUN,
-		       refusal_status(refusal) == 503 ? RETRY_AFTER_S : 0,
-		       err->message);
+		       refusal_retry_after_s(refusal), err->message);
 }
 
 static void read_trace(request_t *request)
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -123,6 +123,21 @@
 	}
 }
 
+/* Counts all; logs the first of an attempt, so that the log is not flooded. */
+static void note_drop(request_t *request, const engine_chunk_t *chunk,
+		      stream_result_t result)
+{
+	metrics_add(METRIC_CHUNKS_DROPPED, 1);
+	if (request->drop_logged)
+		return;
+	request->drop_logged = true;
+	log_event(EVENT_CHUNK_DROPPED,
+		  "request=%s server=%s reason=%d offset=%" PRId64
+		  " expected=%" PRId64,
+		  request->id, request->dispatch.server, (int)result,
+		  chunk->offset_tokens, request->stream.next_tokens);
+}
+
 static bool on_chunk(request_t *request, const sse_event_t *event,
 		     const engine_chunk_t *chunk)
 {
@@ -134,12 +149,7 @@
 		deliver(request, event, chunk);
 		return true;
 	}
-	metrics_add(METRIC_CHUNKS_DROPPED, 1);
-	log_event(EVENT_CHUNK_DROPPED,
-		  "request=%s server=%s reason=%d offset=%" PRId64
-		  " expected=%" PRId64,
-		  request->id, request->dispatch.server, (int)result,
-		  chunk->offset_tokens, request->stream.next_tokens);
+	note_drop(request, chunk, result);
 	if (result != STREAM_LOST)
 		return true;
 	lost(request);
@@ -307,6 +317,7 @@
 	stream_attempt(stream, &request->dispatch.stream_id);
 	sse_reset(&request->sse);
 	request->attempt_token_seen = false;
+	request->drop_logged = false;
 	request->attempt_sent = true;
 	if (!stream->next_tokens)
 		request->answer.size = 0; /* body of a refusal */
--- a/src/process/request_reply.c
+++ b/src/process/request_reply.c
@@ -66,6 +66,18 @@
 	metrics_add(metrics[outcome], 1);
 }
 
+int32_t refusal_retry_after_s(refusal_t refusal)
+{
+	switch (refusal_status(refusal)) {
+	case 429:
+	case 503:
+	case 504:
+		return RETRY_AFTER_S;
+	default:
+		return 0; /* the same request would be refused again */
+	}
+}
+
 void exchange_refuse(const request_task_t *task, exchange_t *exchange,
 		     const char *id, refusal_t refusal, const char *message)
 {
@@ -73,8 +85,7 @@
 	history_event("refuse", "request=%s outcome=%s code=%s", id,
 		      outcome_text(OUTCOME_NOT_RUN), refusal_code(refusal));
 	send_refusal(exchange, id, refusal, OUTCOME_NOT_RUN,
-		     refusal_status(refusal) == 503 ? RETRY_AFTER_S : 0,
-		     message);
+		     refusal_retry_after_s(refusal), message);
 }
 
 /*
--- /dev/null
+++ b/tests/fuzz/fuzz_request.c
@@ -0,0 +1,111 @@
+/**
+ * Fuzzes what callers and engines send: bodies, paths, keys, event streams.
+ * The first byte chooses the reader.
+ */
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "connection/engine.h"
+#include "request/parse.h"
+#include "request/sse.h"
+#include "request/stream.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static bool on_event(void *context, const sse_event_t *event)
+{
+	stream_t *stream = context;
+	int64_t before = stream->next_tokens;
+	engine_chunk_t chunk;
+	char text[256];
+	err_t err;
+
+	if (!engine_parse_event(event->data, event->data_size, text,
+				sizeof(text), &chunk, &err))
+		return true;
+	if (chunk.type == ENGINE_EVENT_DONE) {
+		stream_end_marker(stream);
+		return !stream->complete;
+	}
+	if (chunk.text_size_bytes > sizeof(text))
+		abort();
+	if (chunk.type == ENGINE_EVENT_CHUNK)
+		stream_chunk(stream, &chunk.stream_id, chunk.offset_tokens,
+			     chunk.tokens, chunk.finish_reason[0]);
+	if (stream->next_tokens < before)
+		abort();
+	return true;
+}
+
+/* The events must be the same wherever the input is cut. */
+static void feed_stream(const char *text, size_t size, size_t cut)
+{
+	sse_t sse = { .held = NULL };
+	stream_t stream;
+
+	stream_init(&stream);
+	mem_strlcpy(stream.id.vm_id, "vm", sizeof(stream.id.vm_id));
+	if (sse_feed(&sse, text, cut, on_event, &stream) == SSE_OK)
+		sse_feed(&sse, text + cut, size - cut, on_event, &stream);
+	sse_clear(&sse);
+}
+
+static void read_body(const char *text, size_t size, bool chat)
+{
+	completion_t completion;
+	err_t err;
+
+	if (!parse_completion(text, size, chat, "acme", &completion, &err))
+		return;
+	if (completion.prompt_tokens < 0 || completion.max_tokens < 1)
+		abort();
+	completion_clear(&completion);
+}
+
+static void read_headers(const char *text)
+{
+	char key[IDEMPOTENCY_KEY_SIZE_BYTES];
+	endpoint_t endpoint;
+	err_t err;
+
+	parse_endpoint("POST", text, &endpoint, &err);
+	parse_bearer(text);
+	if (parse_idempotency_key(text, true, key, &err) &&
+	    strcmp(key, text) != 0)
+		abort();
+}
+
+static void read_reports(const char *text, size_t size)
+{
+	load_report_t report;
+	err_t err;
+
+	engine_parse_load(text, size, &report, &err);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	char *text;
+
+	if (size < 2)
+		return 0;
+	text = mem_copy(data + 2, size - 2);
+	size -= 2;
+	switch (data[0] % 4) {
+	case 0:
+		feed_stream(text, size, size ? data[1] % size : 0);
+		break;
+	case 1:
+		read_body(text, size, data[1] & 1);
+		break;
+	case 2:
+		read_headers(text);
+		break;
+	default:
+		read_reports(text, size);
+	}
+	free(text);
+	return 0;
+}
--- a/tests/test_request_limits.c
+++ b/tests/test_request_limits.c
@@ -298,6 +298,7 @@
 		     prompt);
 	fixture_wait(&fixture, &second);
 	assert_int_equal(second.status, 429);
+	assert_string_equal(second.retry_after, "1");
 	client_call_cancel(answer.call);
 	assert_int_equal(finished(0)->end, ATTEMPT_CALLER_GONE);
 	fixture_call(&fixture, &second, "POST", "/v1/completions", NULL,
