--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -246,7 +246,8 @@
 	fixture_stop(&fixture);
 	count = trace_take(spans, COUNT_OF(spans));
 	for (i = 0; i < COUNT_OF(names); i++) {
-		for (j = 0; j < count && strcmp(spans[j].name, names[i]); j++)
+		for (j = 0; j < count && strcmp(spans[j].name, names[i]) != 0;
+		     j++)
 			;
 		if (j == count)
 			fail_msg("no span %s", names[i]);
