Hand the whole answer of an action to control; raise the file limit

Answers above 64 KiB were reported without their body, and the claim recorded an empty answer, which a repeat of the action would have received as complete. The claim decides now what it keeps. An answer above the body limit or the memory budget is reported as broken: its outcome is unknown.

--- a/src/process/main.c
+++ b/src/process/main.c
@@ -6,6 +6,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <zmq.h>
 
@@ -229,6 +230,17 @@
 	return valid;
 }
 
+/* Each stream takes two sockets; the usual soft limit is 1024. */
+static void raise_file_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 int main(int argc, const char **argv)
 {
 	daemon_t process = { .zmq = NULL };
@@ -251,6 +263,7 @@
 		fprintf(stderr, "chivestaged: %s\n", err.message);
 		return EXIT_FAILURE;
 	}
+	raise_file_limit();
 	/* A caller or server that closes its connection is no error here. */
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -106,11 +106,9 @@
 				mem_strlcpy(finished->content_type,
 					    request->reply_headers[i].value,
 					    sizeof(finished->content_type));
-		if (request->answer.size <= RECORD_MAX_BYTES) {
-			finished->answer = mem_copy(request->answer.data,
-						    request->answer.size);
-			finished->answer_size_bytes = request->answer.size;
-		}
+		finished->answer =
+			mem_copy(request->answer.data, request->answer.size);
+		finished->answer_size_bytes = request->answer.size;
 	}
 	if (!mailbox_send(request->task->control, message))
 		task_msg_destroy(message);
@@ -322,7 +320,7 @@
 
 	if (request->state != REQUEST_WAITING)
 		return;
-	/* The own answer is whole; the recorded one may have no body. */
+	/* The own answer has all of the server's headers. */
 	if (action_is_done(request) && answer->outcome == OUTCOME_COMPLETE) {
 		reply_own_answer(request);
 		return;
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -38,8 +38,6 @@
 	CONNECT_TIMEOUT_MS = 1000,
 	/* Resumptions of one attempt without a new token in between. */
 	RESUMES_MAX = 3,
-	/* Above this size an answer of an action is not recorded. */
-	RECORD_MAX_BYTES = 64 * 1024,
 	/* A lookup's answer up to this size is collected before it is sent. */
 	COLLECT_MAX_BYTES = 64 * 1024,
 	RETRY_AFTER_S = 1,
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -142,6 +142,11 @@
 		return;
 	switch (end) {
 	case CLIENT_OK:
+		if (request->answer.overflow) {
+			/* It ran, but there is no answer to give. */
+			fail(request, ATTEMPT_BROKEN);
+			break;
+		}
 		if (status != 503 || !request->not_run) {
 			complete(request);
 			break;
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -480,6 +480,49 @@
 	fixture_stop(&fixture);
 }
 
+static void serve_large(server_call_t *call, size_t index)
+{
+	static char body[100 * 1024 + 1];
+
+	memset(body, 'y', sizeof(body) - 1);
+	serve_reply(call, 200, NULL, NULL, body);
+}
+
+/*
+ * Guards against a long answer that is recorded cut or empty, so that a
+ * repeat would receive a wrong one.
+ */
+static void hands_the_whole_answer_of_an_action_over(void **state)
+{
+	static const struct {
+		int64_t body_max_bytes;
+		attempt_end_t end;
+		size_t size;
+		const char *outcome;
+	} cases[] = {
+		{ 0, ATTEMPT_COMPLETE, 100 * 1024, "complete" },
+		{ 16 * 1024, ATTEMPT_BROKEN, 0, "unknown" },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		fixture_start(
+			&fixture,
+			&(fixture_conf_t){ .body_max_bytes =
+						   cases[i].body_max_bytes });
+		fixture.serve = serve_large;
+		fixture_call(&fixture, &answer, "POST", "/services/orders/x",
+			     "Idempotency-Key: k", "{}");
+		fixture_wait(&fixture, &answer);
+		assert_string_equal(answer.outcome, cases[i].outcome);
+		assert_int_equal(finished(0)->end, cases[i].end);
+		assert_int_equal(finished(0)->answer_size_bytes, cases[i].size);
+		if (cases[i].size)
+			assert_int_equal(answer.size, cases[i].size);
+		fixture_stop(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -494,6 +537,7 @@
 		cmocka_unit_test(refuses_wrong_requests),
 		cmocka_unit_test(passes_a_lookup_through),
 		cmocka_unit_test(answers_an_action_when_control_says_so),
+		cmocka_unit_test(hands_the_whole_answer_of_an_action_over),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
