--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -186,12 +186,15 @@
 	if (listener->daemon)
 		return true;
 	return err_set(err, ERR_LAYER_CONNECTION, LISTENER_ERR_START,
-		       "listen on %s%s%s%s%s: %s", conf->address,
+		       "listen on %s%s%s%s%s: %s%s", conf->address,
 		       certificate ? " with certificate " : "",
 		       certificate ? conf->certificate : "",
 		       certificate ? " and key " : "",
 		       certificate ? conf->key : "",
-		       listener->error[0] ? listener->error : "cannot start");
+		       listener->error[0] ? listener->error : "cannot start",
+		       certificate ? " Both must be PEM, and the key must "
+				     "match the certificate."
+				   : "");
 }
 
 static void start_watchers(listener_t *listener)
