--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -70,8 +70,10 @@
 
 	if (!load)
 		return;
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		remove_server(load, server);
+	}
 	digest_destroy(load->digest);
 	free(load);
 }
@@ -99,15 +101,19 @@
 	server_t *server, *next;
 	size_t i;
 
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		server->listed = false;
+	}
 	/* Retired servers too: they finish the work they have. */
 	for (i = 0; (conf = document_server_at(document, i)); i++)
 		if (!strcmp(conf->data_centre, data_centre))
 			follow(load, conf);
-	HASH_ITER (hh, load->servers, server, next)
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		if (!server->listed)
 			remove_server(load, server);
+	}
 }
 
 static void on_silent(server_t *server)
@@ -155,6 +161,9 @@
 	server->report = *report;
 	dispatch_load(control->dispatch, report, report->received_us);
 	control_credits_report(control->credits, report);
+	control_warmup_report(control->warmup, report);
+	control_janitor_report(control->janitor, report);
+	control_orders_report(control->orders, report);
 	digest_report(server->load->digest, report);
 }
 
@@ -211,6 +220,8 @@
 	for (i = 0; i < count; i++) {
 		entries[i].report = reports[i];
 		entries[i].age_us = now_us - reports[i].taken_us;
+		entries[i].warm = control_warmup_is_warm(load->control->warmup,
+							 reports[i].server);
 	}
 	if (count)
 		control_members_send_digest(members, entries, count);
@@ -221,7 +232,8 @@
 	const control_credits_t *credits = load->control->credits;
 	server_t *server, *next;
 
-	HASH_ITER (hh, load->servers, server, next) {
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		if (!control_credits_owns(credits, server->name)) {
 			digest_drop(load->digest, server->name);
 			continue;
@@ -245,9 +257,12 @@
 	/* This node reads what it owns itself. */
 	if (control_credits_owns(load->control->credits, report.server))
 		return;
+	control_progress_warm(load->control->progress, report.server,
+			      entry->warm);
 	report.received_us = clock_monotonic_us();
 	report.taken_us = report.received_us - entry->age_us;
 	dispatch_load(load->control->dispatch, &report, report.received_us);
+	control_orders_report(load->control->orders, &report);
 	HASH_FIND_STR(load->servers, report.server, server);
 	if (server)
 		server->report = report;
@@ -259,7 +274,8 @@
 	json_t *list = json_array();
 	server_t *server, *next;
 
-	HASH_ITER (hh, load->servers, server, next) {
+	for (server = load->servers; server; server = next) {
+		next = server->hh.next;
 		const load_report_t *report = &server->report;
 
 		json_array_append_new(
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -44,14 +44,24 @@
 	}
 	switch (message->type) {
 	case TASK_MSG_SUBMIT:
-		dispatch_submit(control->dispatch, message->request,
-				&message->as.submit, now_us);
+		if (message->as.submit.kind == REQUEST_ACTION)
+			control_actions_submit(control->actions,
+					       message->request,
+					       &message->as.submit);
+		else
+			dispatch_submit(control->dispatch, message->request,
+					&message->as.submit, now_us);
 		break;
 	case TASK_MSG_FIRST_TOKEN:
 		dispatch_first_token(control->dispatch, message->request,
 				     &message->as.first_token, now_us);
 		break;
 	case TASK_MSG_FINISHED:
+		/* First the claim: the dispatcher may refuse the caller. */
+		control_actions_finished(control->actions, message->request,
+					 &message->as.finished);
+		control_progress_finished(control->progress, message->request,
+					  message->as.finished.end);
 		dispatch_finished(control->dispatch, message->request,
 				  &message->as.finished, now_us);
 		break;
@@ -73,14 +83,30 @@
 	task_msg_destroy(message);
 }
 
+/* Whether the request task is told; claims refuse their callers themselves. */
+static bool is_for_task(control_t *control, const task_msg_t *message)
+{
+	if (message->type == TASK_MSG_DISPATCH) {
+		control_actions_dispatched(control->actions, message->request);
+		control_progress_dispatched(control->progress, message->request,
+					    message->as.dispatch.server);
+	}
+	return message->type != TASK_MSG_REFUSE ||
+	       !control_actions_refused(control->actions, message->request,
+					&message->as.refuse);
+}
+
 static void pump_decisions(control_t *control)
 {
 	dispatch_action_t action;
 
 	while (dispatch_next(control->dispatch, &action)) {
-		task_msg_t *message = task_msg_create(action.message.type,
-						      action.message.request);
+		task_msg_t *message;
 
+		if (!is_for_task(control, &action.message))
+			continue;
+		message = task_msg_create(action.message.type,
+					  action.message.request);
 		*message = action.message;
 		control_send(control, action.task, message);
 	}
@@ -91,8 +117,10 @@
 {
 	control_t *control = watcher->data;
 
+	control_actions_pump(control->actions);
 	control_credits_pump(control->credits);
 	pump_decisions(control);
+	control_actions_pump(control->actions);
 	control_credits_pump(control->credits);
 }
 
@@ -103,6 +131,9 @@
 
 	control_members_tick(control->members, now_us);
 	control_credits_tick(control->credits, now_us);
+	control_progress_tick(control->progress, now_us);
+	control_janitor_tick(control->janitor, now_us);
+	control_orders_tick(control->orders, now_us);
 	dispatch_tick(control->dispatch, now_us);
 	control_load_tick(control->load, now_us);
 	control_status_tick(control->status, now_us);
@@ -151,7 +182,7 @@
 		return false;
 	control->request_tasks =
 		mem_calloc((size_t)control->settings.request_tasks,
-			   sizeof(*control->request_tasks));
+			   sizeof(mailbox_sender_t *));
 	for (i = 0; i < control->settings.request_tasks; i++) {
 		snprintf(name, sizeof(name), "request-%d", i);
 		control->request_tasks[i] =
@@ -187,6 +218,11 @@
 	control->config = control_config_create(control);
 	control->load = control_load_create(control);
 	control->credits = control_credits_create(control);
+	control->actions = control_actions_create(control);
+	control->warmup = control_warmup_create(control);
+	control->progress = control_progress_create(control);
+	control->janitor = control_janitor_create(control);
+	control->orders = control_orders_create(control);
 	control->status = control_status_create(control);
 }
 
@@ -265,12 +301,17 @@
 	control_load_destroy(control->load);
 	control_config_destroy(control->config);
 	control_credits_destroy(control->credits);
+	control_warmup_destroy(control->warmup);
+	control_progress_destroy(control->progress);
+	control_janitor_destroy(control->janitor);
+	control_orders_destroy(control->orders);
 	control_members_destroy(control->members);
 	dispatch_destroy(control->dispatch);
 	credit_owner_destroy(control->owner);
 	credit_holder_destroy(control->holder);
 	inforce_destroy(control->inforce);
 	platform_destroy(control->platform);
+	control_actions_destroy(control->actions);
 	client_destroy(control->client);
 	close_mailboxes(control);
 	if (control->loop)
