--- a/tests/fuzz/fuzz_dispatch.c
+++ b/tests/fuzz/fuzz_dispatch.c
@@ -21,13 +21,13 @@
 
 #define TICK_US (50 * US_PER_MS)
 
-#define CHECK(condition)                                                   \
-	do {                                                               \
-		if (!(condition)) {                                        \
-			fprintf(stderr, "%s:%d: %s\n", __FILE__, __LINE__, \
-				#condition);                               \
-			abort();                                           \
-		}                                                          \
+#define CHECK(condition)                                                 \
+	do {                                                             \
+		if (!(condition)) {                                      \
+			fprintf(stderr, "broken: %s:%d: %s\n", __FILE__, \
+				__LINE__, #condition);                   \
+			abort();                                         \
+		}                                                        \
 	} while (0)
 
 typedef struct {
