Keep servers free for a long prompt that is due instead of stopping its lane

Cause: a long prompt that was due and did not fit let nothing pass in its lane, so prompts of 32,000 to 100,000 tokens waited minutes for memory that they did not need. Without this rule the largest ones starve. Change: a due prompt reserves the servers it asked for, or the first in rank; others use the rest. Short requests keep the rule.

The new test was seen to fail without reservations.

--- a/src/process/dispatch_place.c
+++ b/src/process/dispatch_place.c
@@ -167,7 +167,8 @@
 		const server_t *server = request->set.servers[i];
 
 		if (!server->in_service || !server->usable ||
-		    !server->site->reachable || !server_may_try(server, now_us))
+		    server->reserved || !server->site->reachable ||
+		    !server_may_try(server, now_us))
 			return false;
 	}
 	return !overdue(request, now_us);
@@ -306,6 +307,11 @@
 	       service_answer_us(request->service, request->submit.max_tokens);
 }
 
+static bool is_due(const entry_t *request, int64_t now_us)
+{
+	return request->is_long && request->item.due_us <= now_us;
+}
+
 static void mark_blocked(entry_t *request, int64_t now_us)
 {
 	service_t *service = request->service;
@@ -319,8 +325,8 @@
 		service->blocked[request->is_long].kv_tokens = kv_tokens;
 	service->blocked[request->is_long].set = true;
 	/* Smaller requests pass one that does not fit until it is due. */
-	if (request->item.due_us <= now_us)
-		service->blocked[request->is_long].all = true;
+	if (!request->is_long && request->item.due_us <= now_us)
+		service->blocked[0].all = true;
 }
 
 void place_request(dispatch_t *dispatch, entry_t *request, int64_t now_us)
@@ -344,6 +350,8 @@
 			send_attempt(dispatch, request, now_us);
 			return;
 		case DRAW_PENDING:
+			if (is_due(request, now_us))
+				reserve_for(dispatch, request);
 			return;
 		case DRAW_REFUSED:
 			place_drop(dispatch, request, now_us);
@@ -351,4 +359,6 @@
 		}
 	}
 	mark_blocked(request, now_us);
+	if (is_due(request, now_us))
+		reserve_for(dispatch, request);
 }
--- a/src/process/dispatch_service.c
+++ b/src/process/dispatch_service.c
@@ -47,6 +47,7 @@
 	service_t *service, *next;
 	size_t i;
 
+	reserve_clear(dispatch);
 	for (service = dispatch->services; service;
 	     service = service->hh.next) {
 		groups_free(service->groups, service->group_count);
--- a/src/process/dispatch_state.h
+++ b/src/process/dispatch_state.h
@@ -16,7 +16,9 @@
 	/** Attempts of one request, whatever the retry budget allows. */
 	ATTEMPTS_MAX = 8,
 	/** Blocks of the prefix index: about 6 MB. */
-	PREFIX_CAPACITY = 131072
+	PREFIX_CAPACITY = 131072,
+	/** Servers reserved at the same time. */
+	RESERVED_MAX = 16
 };
 
 /** A service of the configuration, and what was measured of it. */
@@ -100,6 +102,8 @@
 	entry_t *requests;
 	entry_t *ended; /**< to be freed after the list walks are over */
 	int32_t in_flight;
+	size_t reserved_count;
+	server_t *reserved[RESERVED_MAX];
 	action_t *actions;
 	action_t *last_action;
 };
@@ -146,6 +150,12 @@
 resource_t place_resource(resource_kind_t kind, const char *name);
 uint64_t place_use(const entry_t *request, uint32_t attempt);
 
+/* dispatch_reserve.c */
+/** Keeps servers free of further work until a long prompt that is due fits. */
+void reserve_for(dispatch_t *dispatch, const entry_t *request);
+/** Ends the reservations of the last pass. */
+void reserve_clear(dispatch_t *dispatch);
+
 /* dispatch_service.c */
 service_t *service_find(const dispatch_t *dispatch, const char *name);
 void services_configure(dispatch_t *dispatch);
--- a/src/process/dispatch_wait.c
+++ b/src/process/dispatch_wait.c
@@ -90,6 +90,7 @@
 	service_t *service;
 	size_t place;
 
+	reserve_clear(dispatch);
 	for (service = dispatch->services; service;
 	     service = service->hh.next) {
 		service->long_held = 0;
--- a/src/process/gang.c
+++ b/src/process/gang.c
@@ -35,7 +35,7 @@
 static bool may_join(const server_t *server, int64_t kv_tokens, int64_t now_us)
 {
 	return can_share(server, kv_tokens) && server->usable &&
-	       server_may_try(server, now_us) &&
+	       !server->reserved && server_may_try(server, now_us) &&
 	       (now_us >= server->refused_until_us ||
 		kv_tokens < server->refused_tokens);
 }
--- a/src/process/route.c
+++ b/src/process/route.c
@@ -67,7 +67,7 @@
 
 static bool can_take(const server_t *server, const route_query_t *query)
 {
-	return server->in_service && server->usable &&
+	return server->in_service && server->usable && !server->reserved &&
 	       has_memory(server, query->kv_tokens) &&
 	       server_may_try(server, query->now_us) &&
 	       (query->now_us >= server->refused_until_us ||
--- a/src/process/servers.h
+++ b/src/process/servers.h
@@ -47,6 +47,7 @@
 		      */
 	bool reported; /**< a report of this incarnation arrived */
 	bool shares_kv;
+	bool reserved; /**< kept for a long prompt that is due, in this pass */
 	int32_t in_flight; /**< attempts of this node */
 	int32_t long_prefills; /**< long prompts without a first token */
 	int32_t failures; /**< consecutive failed attempts */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -602,6 +602,38 @@
 	dispatch_destroy(world.dispatch);
 }
 
+/* Guards against a prompt that needs most of a server's memory and never
+ * finds it free, because smaller long prompts take every part that is. */
+static void finishes_the_largest_under_a_stream_of_long(void **state)
+{
+	world_t world;
+	uint64_t running[1000] = { 0 }, number;
+	size_t sent = 0, ended = 0;
+	int64_t now_us = 0;
+
+	start(&world, two_servers);
+	world.holder.kv_limit = 100000;
+	for (number = 2; number < 60 && running[sent] != 1; number++) {
+		dispatch_action_t action = { 0 };
+		size_t before = sent;
+
+		now_us += 10 * US_PER_S;
+		submit_prompt(&world, number, 40000, now_us);
+		if (number == 10)
+			submit_prompt(&world, 1, 90000, now_us);
+		while (dispatch_next(world.dispatch, &action))
+			if (action.message.type == TASK_MSG_DISPATCH)
+				running[++sent] = action.message.request;
+		/* Two fit together and end in turn: one runs as long as new
+		 * ones are sent. */
+		if (ended + 1 < sent || (sent == before && ended < sent))
+			finish(&world, running[++ended], 1, ATTEMPT_COMPLETE,
+			       now_us + 5 * US_PER_S);
+	}
+	assert_int_equal(running[sent], 1);
+	dispatch_destroy(world.dispatch);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -625,6 +657,7 @@
 		cmocka_unit_test(limits_accounts),
 		cmocka_unit_test(separates_long_prompts),
 		cmocka_unit_test(finishes_long_work_under_a_stream_of_short),
+		cmocka_unit_test(finishes_the_largest_under_a_stream_of_long),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
