Let the long lane grow to two thirds of the servers

Cause: the memory of half of the servers does not hold the long prompts of the model's load; the rest is nearly unused.

--- a/src/process/route.c
+++ b/src/process/route.c
@@ -31,8 +31,8 @@
 
 	if (available < 2)
 		return available;
-	if (size > available / 2)
-		size = available / 2;
+	if (size > available * 2 / 3)
+		size = available * 2 / 3;
 	if (size < minimum)
 		size = minimum < available ? minimum : available - 1;
 	return size ? size : 1;
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -5,8 +5,8 @@
  * hit, over the measured prefill rate, plus the network distance.
  *
  * Lanes: prompts of the long lane go to a subset of the servers that adapts to
- * their share of the load and never exceeds half of the servers. Other prompts
- * go to the rest, and to servers of the lane that are idle.
+ * their share of the load and never exceeds two thirds of the servers. Other
+ * prompts go to the rest, and to servers of the lane that are idle.
  */
 #ifndef PROCESS_ROUTE_H
 #define PROCESS_ROUTE_H
