Fill the long lane from both ends, so that large prompts find room

Cause: long prompts were spread evenly over the lane, so every server held some, and none had the memory for a prompt that needs much of one; reports and credits cannot tell other nodes that it waits. Change: while prompts above a third of a server's memory are at least 1% of the load, these go to the first servers in rank and other long ones to the last; either accepts up to 10 s of prefill queue for it.

The test was seen to fail without the rule.

--- a/src/process/dispatch_place.c
+++ b/src/process/dispatch_place.c
@@ -96,6 +96,7 @@
 		.long_prompt_tokens =
 			document_limits(dispatch->document)->long_prompt_tokens,
 		.lane_share = service_lane_share(service),
+		.pack = service_packs(service),
 		.lane_min = service->lane_min,
 		.salt = dispatch->salt ^ place_use(request, request->attempt),
 		.matches = matches,
--- a/src/process/dispatch_service.c
+++ b/src/process/dispatch_service.c
@@ -8,6 +8,9 @@
  * is long: a node with one request per second sees two of them in it. */
 #define LANE_TIME_US (120.0 * US_PER_S)
 
+/* Below this part of the load, no room is kept for large prompts. */
+#define LARGE_SHARE_MIN 0.01
+
 /* Answers to see before their average is used to refuse requests. */
 enum { ANSWERS_MIN = 20 };
 #define ANSWER_GAIN 0.05
@@ -86,9 +89,19 @@
 	retry_request(&service->retries, now_us);
 	service->decayed_us = now_us;
 	service->long_tokens *= decay;
+	service->large_tokens *= decay;
 	service->all_tokens = service->all_tokens * decay + tokens;
 	if (request->is_long)
 		service->long_tokens += tokens;
+	if (request->is_long && service->group_count &&
+	    route_is_large(service->groups[0].servers[0],
+			   place_kv_tokens(request)))
+		service->large_tokens += tokens;
+}
+
+bool service_packs(const service_t *service)
+{
+	return service->large_tokens > LARGE_SHARE_MIN * service->all_tokens;
 }
 
 double service_lane_share(const service_t *service)
--- a/src/process/dispatch_state.h
+++ b/src/process/dispatch_state.h
@@ -31,6 +31,7 @@
 	retry_budget_t retries;
 	/* prompt tokens, decayed over time: load of the long lane and of all */
 	double long_tokens;
+	double large_tokens; /**< of prompts that need much of a server */
 	double all_tokens;
 	int64_t decayed_us;
 	/* averages over complete answers */
@@ -169,6 +170,8 @@
 int64_t service_answer_us(const service_t *service, int64_t max_tokens);
 /** @return part of the servers that the long lane needs. */
 double service_lane_share(const service_t *service);
+/** Whether large prompts were a part of the recent load. */
+bool service_packs(const service_t *service);
 account_t *account_find(dispatch_t *dispatch, const char *name);
 /** Drops a reference; frees the account with the last one. */
 void account_unref(dispatch_t *dispatch, account_t *account);
--- a/src/process/route.c
+++ b/src/process/route.c
@@ -4,6 +4,13 @@
  * between servers whose prefill ahead is nearly the same. */
 #define IN_FLIGHT_US 200
 
+/* A prompt is large if a server holds fewer than this many of it. */
+enum { LARGE_DIVISOR = 3 };
+
+/* Longest prefill queue, in time, that a long prompt accepts so that the other
+ * end of the lane stays free. */
+#define PACK_US (10 * US_PER_S)
+
 /* Servers of a large group that one request looks at. All nodes see the same
  * late reports; if each took the best of all, they would choose the same one
  * until the next report. */
@@ -103,15 +110,34 @@
 	       (uint64_t)number * group->count < (uint64_t)SAMPLE << 32;
 }
 
+bool route_is_large(const server_t *server, int64_t kv_tokens)
+{
+	return kv_tokens > server->kv_tokens / LARGE_DIVISOR;
+}
+
+/* Fills the lane from both ends: large prompts from the first server, others
+ * from the last. Spread evenly, the others would leave no server with enough
+ * free memory for a large one. All nodes agree on the order. */
+static int64_t pack_cost_us(const server_t *server, const route_query_t *query,
+			    size_t place, size_t lane)
+{
+	size_t steps;
+
+	if (!query->pack || !query->is_long || place >= lane)
+		return 0;
+	steps = route_is_large(server, query->kv_tokens) ? place : lane - place;
+	return PACK_US * (int64_t)steps / (int64_t)lane;
+}
+
 static void consider(server_t *server, const route_query_t *query,
-		     uint32_t number, int64_t *best_cost_us,
+		     uint32_t number, int64_t extra_us, int64_t *best_cost_us,
 		     route_choice_t *choice)
 {
 	int64_t ttft_us =
 		route_ttft_us(server, query->prompt_tokens - server->hit_tokens,
 			      query->now_us);
 	int64_t cost_us = ttft_us + server->in_flight * IN_FLIGHT_US +
-			  number % IN_FLIGHT_US;
+			  number % IN_FLIGHT_US + extra_us;
 
 	if (choice->server && cost_us >= *best_cost_us)
 		return;
@@ -133,20 +159,23 @@
 		found = survey(group, query);
 	for (i = 0; i < group->count; i++) {
 		server_t *server = group->servers[i];
-		bool in_lane = false;
+		size_t place = SIZE_MAX;
 		uint32_t number;
 
 		if (lanes && server_available(server))
-			in_lane = available++ < found.lane;
+			place = available++;
 		if (!can_take(server, query) ||
-		    (lanes && !lane_allows(server, in_lane, &found, query)))
+		    (lanes &&
+		     !lane_allows(server, place < found.lane, &found, query)))
 			continue;
 		number = mix(server, query->salt);
 		/* The lane is small, and its prompts are the costly ones. */
 		if (sampled && !query->is_long &&
 		    !in_sample(group, server, number))
 			continue;
-		consider(server, query, number, best_cost_us, choice);
+		consider(server, query, number,
+			 pack_cost_us(server, query, place, found.lane),
+			 best_cost_us, choice);
 	}
 }
 
--- a/src/process/route.h
+++ b/src/process/route.h
@@ -28,6 +28,7 @@
 	bool long_waiting; /**< a long prompt waits for the lane to drain */
 	int64_t long_prompt_tokens; /**< threshold of the long lane */
 	double lane_share; /**< part of the servers for the long lane */
+	bool pack; /**< keep room for prompts that need much of a server */
 	size_t lane_min; /**< servers that a waiting set needs */
 	uint64_t salt; /**< differs between requests and between nodes */
 	const prefix_match_t *matches;
@@ -56,6 +57,9 @@
 /** @return servers of the lane among @p available ones. */
 size_t route_lane_size(size_t available, double share, size_t minimum);
 
+/** Whether a prompt needs much of a server's memory. */
+bool route_is_large(const server_t *server, int64_t kv_tokens);
+
 /** Whether a server in service and in reach has this much memory. */
 bool route_fits(const group_t *groups, size_t count, int64_t kv_tokens);
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -147,6 +147,34 @@
 	}
 }
 
+/* Guards against a large prompt that finds every server of the lane partly
+ * full, and against a long one that waits too long at the full end. */
+static void keeps_one_end_of_the_lane_for_large_prompts(void **state)
+{
+	static const struct {
+		int64_t prompt_tokens, last_backlog_tokens;
+		bool pack;
+		size_t place; /* in the lane of three */
+	} cases[] = {
+		{ 40000, 1000, true, 2 },
+		{ 40000, 200000, true, 1 },
+		{ 900000, 0, true, 0 },
+		{ 40000, 1000, false, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		route_query_t query =
+			query_of(ROUTE_COST_LANES, cases[i].prompt_tokens, i);
+
+		build(6, 0);
+		query.pack = cases[i].pack;
+		servers[0][1].backlog_tokens = 100;
+		servers[0][2].backlog_tokens = cases[i].last_backlog_tokens;
+		assert_ptr_equal(choose(&query), &servers[0][cases[i].place]);
+	}
+}
+
 /* Guards against requests sent away for nothing, against requests that stay
  * although another data centre answers sooner, and against unreachable and
  * retired servers. */
@@ -301,6 +329,7 @@
 		cmocka_unit_test(bounds_the_lane),
 		cmocka_unit_test(keeps_short_prompts_away_from_long_prefill),
 		cmocka_unit_test(uses_idle_servers_of_the_lane),
+		cmocka_unit_test(keeps_one_end_of_the_lane_for_large_prompts),
 		cmocka_unit_test(prefers_the_local_data_centre),
 		cmocka_unit_test(weighs_a_cache_hit_against_the_queue),
 		cmocka_unit_test(spreads_requests_between_reports),
