--- a/src/connection/platform.c
+++ b/src/connection/platform.c
@@ -16,7 +16,7 @@
 enum { ANSWER_MAX_BYTES = 2 * 1024 * 1024 };
 
 typedef struct call {
-	struct call *prev, *next;
+	struct call *next;
 	platform_t *platform;
 	client_call_t *handle;
 	platform_call_type_t type;
@@ -35,6 +35,7 @@
 	call_t *calls;
 	int64_t budget_us; /* unused budget as time at calls_per_s */
 	int64_t refilled_us;
+	int32_t failures; /* calls without an answer since the last answer */
 	bool failing;
 };
 
@@ -51,19 +52,23 @@
 
 static void free_call(call_t *call)
 {
-	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): utlist */
-	DL_DELETE(call->platform->calls, call);
 	free(call->data);
 	free(call);
 }
 
+static void remove_call(call_t *call)
+{
+	LL_DELETE(call->platform->calls, call);
+	free_call(call);
+}
+
 void platform_destroy(platform_t *platform)
 {
 	call_t *call, *next;
 
 	if (!platform)
 		return;
-	DL_FOREACH_SAFE (platform->calls, call, next) {
+	LL_FOREACH_SAFE (platform->calls, call, next) {
 		client_call_cancel(call->handle);
 		free_call(call);
 	}
@@ -88,12 +93,26 @@
 	return true;
 }
 
-static void log_reachability(platform_t *platform, platform_status_t status)
+bool platform_available(const platform_t *platform)
 {
-	bool failing = status == PLATFORM_UNSENT || status == PLATFORM_UNKNOWN;
+	return !platform->failing;
+}
 
-	if (failing)
+/*
+ * One lost answer says little. Calls that could not be sent, or two lost ones
+ * in a row, count as an outage until the next answer.
+ */
+static void note_status(platform_t *platform, platform_status_t status)
+{
+	bool failing;
+
+	if (status == PLATFORM_UNSENT || status == PLATFORM_UNKNOWN) {
 		metrics_add(METRIC_PLATFORM_FAILURES, 1);
+		platform->failures += status == PLATFORM_UNSENT ? 2 : 1;
+	} else {
+		platform->failures = 0;
+	}
+	failing = platform->failures >= 2;
 	if (failing == platform->failing)
 		return;
 	platform->failing = failing;
@@ -149,12 +168,12 @@
 	call->handle = NULL;
 	if (status == PLATFORM_OK && call->overflow)
 		status = PLATFORM_UNKNOWN;
-	log_reachability(call->platform, status);
+	note_status(call->platform, status);
 	if (call->type == PLATFORM_CALL_VMS)
 		finish_vms(call, status);
 	else
 		finish_object(call, status);
-	free_call(call);
+	remove_call(call);
 }
 
 /* @return whether the line ended the watch. */
@@ -208,7 +227,7 @@
 	call->size_bytes += size;
 	if (call->type == PLATFORM_CALL_WATCH && handle_lines(call)) {
 		client_call_cancel(call->handle);
-		free_call(call);
+		remove_call(call);
 	}
 	return CLIENT_CONTINUE;
 }
@@ -222,7 +241,7 @@
 	call->type = type;
 	call->done = done;
 	call->context = context;
-	DL_APPEND(platform->calls, call);
+	LL_PREPEND(platform->calls, call);
 	return call;
 }
 
@@ -232,7 +251,7 @@
 		call->vms_done(call->context, status, NULL, 0);
 	else
 		call->done(call->context, status, NULL);
-	free_call(call);
+	remove_call(call);
 }
 
 /* Sends a call; @p text is its body or NULL and is freed. */
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -24,6 +24,11 @@
 typedef struct control_load control_load_t;
 typedef struct control_members control_members_t;
 typedef struct control_credits control_credits_t;
+typedef struct control_actions control_actions_t;
+typedef struct control_warmup control_warmup_t;
+typedef struct control_progress control_progress_t;
+typedef struct control_janitor control_janitor_t;
+typedef struct control_orders control_orders_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -43,6 +48,11 @@
 	control_load_t *load;
 	control_members_t *members;
 	control_credits_t *credits;
+	control_actions_t *actions;
+	control_warmup_t *warmup;
+	control_progress_t *progress;
+	control_janitor_t *janitor;
+	control_orders_t *orders;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -98,6 +108,9 @@
 /** Whether this node holds the watch of the configuration. */
 bool control_members_watches(const control_members_t *members);
 
+/** Whether this node should give orders to the engines. */
+bool control_members_reconciles(const control_members_t *members);
+
 /** Finds the node that owns a resource; false if none can be reached. */
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
@@ -124,6 +137,11 @@
 void control_members_send_digest(control_members_t *members,
 				 peer_load_t *servers, size_t count);
 
+/** Tells the owner of a server what became of requests on it. */
+void control_members_send_progress(control_members_t *members,
+				   const char *vm_id,
+				   const server_progress_t *progress);
+
 /** Sends the document in force to members that have an older one. */
 void control_members_push_config(control_members_t *members);
 
@@ -154,11 +172,99 @@
 /** Whether this node owns the credits of a server. */
 bool control_credits_owns(const control_credits_t *credits, const char *server);
 
+/** @return the VM id of a server's owner; empty if none can be reached. */
+const char *control_credits_owner(const control_credits_t *credits,
+				  const char *server);
+
 void control_credits_tick(control_credits_t *credits, int64_t now_us);
 
 /** Carries messages between holder, owner and peers until there are none. */
 void control_credits_pump(control_credits_t *credits);
 
+/* control_warmup.c: ramps of the servers that this node owns. */
+control_warmup_t *control_warmup_create(control_t *control);
+void control_warmup_destroy(control_warmup_t *warmup);
+
+/** This node owns a server, newly or with changed limits. */
+void control_warmup_own(control_warmup_t *warmup, const server_conf_t *conf,
+			bool retired);
+void control_warmup_disown(control_warmup_t *warmup, const char *server);
+void control_warmup_report(control_warmup_t *warmup,
+			   const load_report_t *report);
+void control_warmup_progress(control_warmup_t *warmup,
+			     const server_progress_t *progress);
+
+/** Whether the ramp of an owned server is over. */
+bool control_warmup_is_warm(const control_warmup_t *warmup, const char *server);
+
+/* control_progress.c: counts the ends of requests for the servers' owners. */
+control_progress_t *control_progress_create(control_t *control);
+void control_progress_destroy(control_progress_t *progress);
+void control_progress_dispatched(control_progress_t *progress, uint64_t request,
+				 const char *server);
+void control_progress_finished(control_progress_t *progress, uint64_t request,
+			       attempt_end_t end);
+
+/** What the owner of a server says of its ramp. */
+void control_progress_warm(control_progress_t *progress, const char *server,
+			   bool warm);
+void control_progress_tick(control_progress_t *progress, int64_t now_us);
+
+/* control_janitor.c: streams on engines whose holder is gone. */
+control_janitor_t *control_janitor_create(control_t *control);
+void control_janitor_destroy(control_janitor_t *janitor);
+void control_janitor_configure(control_janitor_t *janitor,
+			       document_t *document);
+void control_janitor_report(control_janitor_t *janitor,
+			    const load_report_t *report);
+void control_janitor_tick(control_janitor_t *janitor, int64_t now_us);
+
+/** What is known of the process of a VM. */
+void control_janitor_holder(control_janitor_t *janitor, const char *vm_id,
+			    uint64_t incarnation, bool dead);
+void control_janitor_vms(control_janitor_t *janitor, const platform_vm_t *vms,
+			 size_t count);
+
+/** Whether no engine got a new stream of a member since it died. */
+bool control_janitor_quiet(const control_janitor_t *janitor, const char *vm_id,
+			   int64_t dead_us);
+
+/** @return streams whose holder is gone and that are being cancelled. */
+size_t control_janitor_count(const control_janitor_t *janitor);
+
+/* control_orders.c: the lease of the reconciler, and its orders. */
+control_orders_t *control_orders_create(control_t *control);
+void control_orders_destroy(control_orders_t *orders);
+void control_orders_configure(control_orders_t *orders, document_t *document);
+void control_orders_report(control_orders_t *orders,
+			   const load_report_t *report);
+void control_orders_tick(control_orders_t *orders, int64_t now_us);
+
+/** Whether this node holds the lease. */
+bool control_orders_held(const control_orders_t *orders);
+
+/* control_actions.c: claims of calls that run at most once. */
+control_actions_t *control_actions_create(control_t *control);
+void control_actions_destroy(control_actions_t *actions);
+
+/** Claims an action; refuses it at once without the platform. */
+void control_actions_submit(control_actions_t *actions, uint64_t request,
+			    const submit_msg_t *submit);
+
+/** Carries out what the claims want now. */
+void control_actions_pump(control_actions_t *actions);
+
+/** A decision of the dispatcher; false if the request is no action. */
+bool control_actions_dispatched(control_actions_t *actions, uint64_t request);
+bool control_actions_refused(control_actions_t *actions, uint64_t request,
+			     const refuse_msg_t *message);
+
+void control_actions_finished(control_actions_t *actions, uint64_t request,
+			      const finished_msg_t *message);
+
+/** @return the actions whose claims are not settled. */
+int32_t control_actions_count(const control_actions_t *actions);
+
 /* control_shutdown.c: carries out the phases of drain.h. */
 control_shutdown_t *control_shutdown_create(control_t *control, void *zmq,
 					    err_t *err);
