--- a/src/process/control.h
+++ b/src/process/control.h
@@ -26,9 +26,11 @@
 typedef struct control_credits control_credits_t;
 typedef struct control_actions control_actions_t;
 typedef struct control_warmup control_warmup_t;
-typedef struct control_progress control_progress_t;
+typedef struct control_flights control_flights_t;
 typedef struct control_janitor control_janitor_t;
 typedef struct control_orders control_orders_t;
+typedef struct control_cache control_cache_t;
+typedef struct control_sweep control_sweep_t;
 typedef struct control_shutdown control_shutdown_t;
 typedef struct control_status control_status_t;
 
@@ -50,9 +52,11 @@
 	control_credits_t *credits;
 	control_actions_t *actions;
 	control_warmup_t *warmup;
-	control_progress_t *progress;
+	control_flights_t *flights;
 	control_janitor_t *janitor;
 	control_orders_t *orders;
+	control_cache_t *cache;
+	control_sweep_t *sweep;
 	control_shutdown_t *shutdown;
 	control_status_t *status;
 	ev_timer tick;
@@ -111,6 +115,9 @@
 /** Whether this node should give orders to the engines. */
 bool control_members_reconciles(const control_members_t *members);
 
+/** Whether this node removes old claims for the fleet. */
+bool control_members_sweeps(const control_members_t *members);
+
 /** Finds the node that owns a resource; false if none can be reached. */
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
@@ -137,11 +144,6 @@
 void control_members_send_digest(control_members_t *members,
 				 peer_load_t *servers, size_t count);
 
-/** Tells the owner of a server what became of requests on it. */
-void control_members_send_progress(control_members_t *members,
-				   const char *vm_id,
-				   const server_progress_t *progress);
-
 /** Sends the document in force to members that have an older one. */
 void control_members_push_config(control_members_t *members);
 
@@ -151,6 +153,9 @@
 /** @return the other data centres, for the status. */
 json_t *control_members_sites(const control_members_t *members);
 
+/* Requests of a block: a few, so that one node does not hold a small server. */
+enum { CREDIT_BLOCK_SLOTS = 4 };
+
 /* control_credits.c: both sides of the credit protocol. */
 control_credits_t *control_credits_create(control_t *control);
 void control_credits_destroy(control_credits_t *credits);
@@ -191,24 +196,9 @@
 void control_warmup_disown(control_warmup_t *warmup, const char *server);
 void control_warmup_report(control_warmup_t *warmup,
 			   const load_report_t *report);
-void control_warmup_progress(control_warmup_t *warmup,
-			     const server_progress_t *progress);
 
-/** Whether the ramp of an owned server is over. */
-bool control_warmup_is_warm(const control_warmup_t *warmup, const char *server);
-
-/* control_progress.c: counts the ends of requests for the servers' owners. */
-control_progress_t *control_progress_create(control_t *control);
-void control_progress_destroy(control_progress_t *progress);
-void control_progress_dispatched(control_progress_t *progress, uint64_t request,
-				 const char *server);
-void control_progress_finished(control_progress_t *progress, uint64_t request,
-			       attempt_end_t end);
-
-/** What the owner of a server says of its ramp. */
-void control_progress_warm(control_progress_t *progress, const char *server,
-			   bool warm);
-void control_progress_tick(control_progress_t *progress, int64_t now_us);
+/** Takes in what became of requests on the servers. */
+void control_warmup_tick(control_warmup_t *warmup, int64_t now_us);
 
 /* control_janitor.c: streams on engines whose holder is gone. */
 control_janitor_t *control_janitor_create(control_t *control);
@@ -243,6 +233,25 @@
 /** Whether this node holds the lease. */
 bool control_orders_held(const control_orders_t *orders);
 
+/* control_flights.c: which server each request is on. */
+control_flights_t *control_flights_create(control_t *control);
+void control_flights_destroy(control_flights_t *flights);
+void control_flights_dispatched(control_flights_t *flights, uint64_t request,
+				const char *server);
+void control_flights_finished(control_flights_t *flights, uint64_t request,
+			      attempt_end_t end);
+
+/* control_cache.c: reads the cache events of engines. */
+control_cache_t *control_cache_create(control_t *control);
+void control_cache_destroy(control_cache_t *cache);
+void control_cache_configure(control_cache_t *cache, document_t *document);
+void control_cache_tick(control_cache_t *cache, int64_t now_us);
+
+/* control_sweep.c: removes claims 24 h after their end. */
+control_sweep_t *control_sweep_create(control_t *control);
+void control_sweep_destroy(control_sweep_t *sweep);
+void control_sweep_tick(control_sweep_t *sweep, int64_t now_us);
+
 /* control_actions.c: claims of calls that run at most once. */
 control_actions_t *control_actions_create(control_t *control);
 void control_actions_destroy(control_actions_t *actions);
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -220,8 +220,6 @@
 	for (i = 0; i < count; i++) {
 		entries[i].report = reports[i];
 		entries[i].age_us = now_us - reports[i].taken_us;
-		entries[i].warm = control_warmup_is_warm(load->control->warmup,
-							 reports[i].server);
 	}
 	if (count)
 		control_members_send_digest(members, entries, count);
@@ -230,16 +228,17 @@
 void control_load_tick(control_load_t *load, int64_t now_us)
 {
 	const control_credits_t *credits = load->control->credits;
-	server_t *server, *next;
+	server_t *server;
 
-	for (server = load->servers; server; server = next) {
-		next = server->hh.next;
-		if (!control_credits_owns(credits, server->name)) {
-			digest_drop(load->digest, server->name);
+	for (server = load->servers; server; server = server->hh.next) {
+		if (server->call || now_us < server->due_us)
 			continue;
-		}
-		if (!server->call && server->due_us <= now_us)
+		if (control_credits_owns(credits, server->name)) {
 			poll_server(server, now_us);
+			continue;
+		}
+		digest_drop(load->digest, server->name);
+		server->due_us = now_us + POLL_INTERVAL_MS * US_PER_MS;
 	}
 	send_digest(load, now_us);
 }
@@ -257,8 +256,6 @@
 	/* This node reads what it owns itself. */
 	if (control_credits_owns(load->control->credits, report.server))
 		return;
-	control_progress_warm(load->control->progress, report.server,
-			      entry->warm);
 	report.received_us = clock_monotonic_us();
 	report.taken_us = report.received_us - entry->age_us;
 	dispatch_load(load->control->dispatch, &report, report.received_us);
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -38,8 +38,6 @@
 	CONNECT_TIMEOUT_MS = 1000,
 	/* Resumptions of one attempt without a new token in between. */
 	RESUMES_MAX = 3,
-	/* Above this size an answer of an action is not recorded. */
-	RECORD_MAX_BYTES = 64 * 1024,
 	/* A lookup's answer up to this size is collected before it is sent. */
 	COLLECT_MAX_BYTES = 64 * 1024,
 	RETRY_AFTER_S = 1,
@@ -141,6 +139,7 @@
 	size_t reply_header_count;
 	bool headers_sent;
 	bool first_token_seen;
+	bool drop_logged; /* of this attempt */
 
 	trace_context_t trace;
 	uint8_t trace_parent[8];
@@ -200,6 +199,9 @@
 void request_refuse(request_t *request, refusal_t refusal, outcome_t outcome,
 		    int32_t retry_after_s, const char *message);
 
+/** @return the Retry-After of a refusal by this task; 0: none. */
+int32_t refusal_retry_after_s(refusal_t refusal);
+
 /** Refuses a call for which no request exists. */
 void exchange_refuse(const request_task_t *task, exchange_t *exchange,
 		     const char *id, refusal_t refusal, const char *message);
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -19,7 +19,8 @@
 # fleet_check                 decides the invariants over the histories
 #
 # Variables to set before fleet_configure: FLEET_LIMITS, FLEET_CLASSES
-# (JSON), FLEET_RATE (requests_per_s of an account).
+# (JSON), FLEET_RATE (requests_per_s of an account). FLEET_COLD_UNTIL: completed
+# requests until which an engine of fleet_standard is cold after its start.
 
 FLEET_KEY=test-key-of-account-acme
 FLEET_TOKEN=test-operator-token
@@ -130,7 +131,7 @@
 	fleet_standin engine "$name" --name "$name" --kv-tokens "$kv" "$@"
 	echo "{\"name\":\"$name\",\"data_centre\":\"$centre\"," \
 		"\"url\":\"http://127.0.0.1:$PORT\",\"kind\":\"engine\"," \
-		"\"kv_tokens\":$kv,\"model\":\"m\",\"max_requests\":64}" \
+		"\"kv_tokens\":$kv,\"model\":\"m\",\"max_requests\":64,\"cold_requests\":2}" \
 		>>"$RUN/servers"
 }
 
@@ -281,12 +282,14 @@
 		--key "$FLEET_KEY" "$@"
 }
 
-# Starts a load of all kinds on every daemon, with further options.
+# Starts a load of all kinds on every daemon, or those of FLEET_TARGETS, with
+# further options.
 fleet_mixed_load() {
 	mixed_name=$1
 	shift
-	fleet_load "$mixed_name" --targets "$(fleet_callers)" --short 8 \
-		--long 1 --lookup 3 --action "${FLEET_ACTIONS:-2}" --chat-percent 20 \
+	fleet_load "$mixed_name" \
+		--targets "${FLEET_TARGETS:-$(fleet_callers)}" --short 8 \
+		--long 1 --lookup 3 --action 2 --chat-percent 20 \
 		--concurrency 12 --long-tokens 50000 --long-class slow \
 		--deadline-ms 10000 --long-deadline-ms 60000 "$@"
 }
@@ -295,7 +298,7 @@
 	fleet_platform
 	for name in e1:a e2:a e3:b e4:b; do
 		fleet_engine "${name%:*}" "${name#*:}" 400000 --cold-limit 2 \
-			--cold-until 4 "$@"
+			--cold-until "${FLEET_COLD_UNTIL:-0}" "$@"
 	done
 	fleet_service r1 a
 	fleet_service r2 b
