Bound the number of claims; answer at once when a create is lost

Cause: claim_admit() had no caller, so nothing bounded the claims. An action whose create was not answered was read back for up to SETTLE_US before its caller was refused: 2002 ms in tests/check_actions against a platform that hangs.

Ruled out: sending the number of claims to all nodes, which needs a field in two messages. A shorter SETTLE_US: it would also shorten the reads of claims that are known to exist.

Change: request/claim_count counts claims; control_actions refuses beyond platform.claims_max, or beyond 4096 open actions, as not-run with Retry-After, metric chivestage_claims_refused_total and event CLAIMS_FULL. A lost create refuses the caller at once; its claim is looked up and released in the background for up to 60 s.

Before and after: tests/check_actions failed with "refused late: 503 not-run 2002" and now passes. fuzz_claims checks that a lost create has its reply, is never sent, and that its claim does not stay.

Conclusion: a single lost answer now costs the caller a retry, where it used to be hidden by the read.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -118,6 +118,9 @@
 /** Whether this node removes old claims for the fleet. */
 bool control_members_sweeps(const control_members_t *members);
 
+/** @return VMs that are listed in all data centres, at least this one. */
+int32_t control_members_vms(const control_members_t *members);
+
 /** Finds the node that owns a resource; false if none can be reached. */
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
@@ -274,6 +277,9 @@
 /** @return the actions whose claims are not settled. */
 int32_t control_actions_count(const control_actions_t *actions);
 
+/** A sweep is complete: the platform holds @p claims claims. */
+void control_actions_swept(control_actions_t *actions, int64_t claims);
+
 /* control_shutdown.c: carries out the phases of drain.h. */
 control_shutdown_t *control_shutdown_create(control_t *control, void *zmq,
 					    err_t *err);
--- a/src/process/control_actions.c
+++ b/src/process/control_actions.c
@@ -1,15 +1,28 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "process/control.h"
 #include "request/claim.h"
+#include "request/claim_count.h"
 
 /* Without the platform: the VM list is tried once a second. */
 enum { OUTAGE_RETRY_AFTER_S = 2 };
 
+/* Claims become removable hourly at best; a sweep starts every 10 min. */
+enum { CLAIMS_RETRY_AFTER_S = 600 };
+
+/*
+ * Open actions of a node, with those that are released or recorded in the
+ * background for up to 60 s: 68 requests/s for 60 s are 4080.
+ */
+enum { ACTIONS_MAX = 4096 };
+
 /** One non-repeatable call, until its claim is settled. */
 typedef struct {
 	UT_hash_handle hh;
@@ -24,6 +37,8 @@
 struct control_actions {
 	control_t *control;
 	action_t *actions;
+	claim_count_t count;
+	bool full; /* the last action was refused for the bound */
 };
 
 control_actions_t *control_actions_create(control_t *control)
@@ -76,17 +91,42 @@
 	control_send(action->control, action->submit.task, message);
 }
 
-static void refuse_in_outage(control_t *control, uint64_t request,
-			     const submit_msg_t *submit)
+static void refuse_new(control_t *control, uint64_t request,
+		       const submit_msg_t *submit, refusal_t refusal,
+		       int32_t retry_after_s)
 {
 	task_msg_t *message = task_msg_create(TASK_MSG_REFUSE, request);
 
-	message->as.refuse.refusal = REFUSAL_PLATFORM_UNAVAILABLE;
+	message->as.refuse.refusal = refusal;
 	message->as.refuse.outcome = OUTCOME_NOT_RUN;
-	message->as.refuse.retry_after_s = OUTAGE_RETRY_AFTER_S;
+	message->as.refuse.retry_after_s = retry_after_s;
 	control_send(control, submit->task, message);
 }
 
+/* Whether the claims of the fleet are below their bound; logs a change. */
+static bool admit(control_actions_t *actions)
+{
+	control_t *control = actions->control;
+	int32_t nodes = control_members_vms(control->members);
+	int64_t max = control->settings.platform_claims_max;
+	bool full = !claim_count_admit(&actions->count,
+				       HASH_COUNT(actions->actions), nodes, max,
+				       clock_monotonic_us());
+
+	if (full)
+		metrics_add(METRIC_CLAIMS_REFUSED, 1);
+	if (full && !actions->full)
+		log_event(EVENT_CLAIMS_FULL, "max=%" PRId64 " nodes=%" PRId32,
+			  max, nodes);
+	actions->full = full;
+	return !full;
+}
+
+void control_actions_swept(control_actions_t *actions, int64_t claims)
+{
+	claim_count_swept(&actions->count, claims, clock_monotonic_us());
+}
+
 void control_actions_submit(control_actions_t *actions, uint64_t request,
 			    const submit_msg_t *submit)
 {
@@ -101,7 +141,19 @@
 	action_t *action;
 
 	if (!platform_available(control->platform)) {
-		refuse_in_outage(control, request, submit);
+		refuse_new(control, request, submit,
+			   REFUSAL_PLATFORM_UNAVAILABLE, OUTAGE_RETRY_AFTER_S);
+		return;
+	}
+	if (HASH_COUNT(actions->actions) >= ACTIONS_MAX) {
+		metrics_add(METRIC_CLAIMS_REFUSED, 1);
+		refuse_new(control, request, submit, REFUSAL_OVERLOADED,
+			   OUTAGE_RETRY_AFTER_S);
+		return;
+	}
+	if (!admit(actions)) {
+		refuse_new(control, request, submit, REFUSAL_OVERLOADED,
+			   CLAIMS_RETRY_AFTER_S);
 		return;
 	}
 	mem_strlcpy(conf.claimant.vm_id, control->settings.vm_id,
@@ -171,6 +223,7 @@
 		break;
 	case CLAIM_ACTION_SEND:
 		action->submitted = true;
+		claim_count_add(&action->control->actions->count, now_us);
 		dispatch_submit(action->control->dispatch, action->request,
 				&action->submit, now_us);
 		break;
--- a/src/process/control_duties.c
+++ b/src/process/control_duties.c
@@ -43,6 +43,17 @@
 	return members_chosen(members, "sweep", 1);
 }
 
+int32_t control_members_vms(const control_members_t *members)
+{
+	const remote_site_t *site;
+	int32_t count = members->listed > 0 ? members->listed : 1;
+	size_t i;
+
+	for (i = 0; (site = remote_at(members->remote, i)); i++)
+		count += (int32_t)site->count;
+	return count;
+}
+
 bool control_members_owner(const control_members_t *members,
 			   const char *data_centre, const char *key,
 			   char owner[NAME_SIZE_BYTES])
--- a/src/process/control_sweep.c
+++ b/src/process/control_sweep.c
@@ -21,6 +21,7 @@
 	bool reading;
 	int64_t due_us;
 	int32_t page_objects;
+	int64_t found; /* claims that stay, in the pages of this sweep */
 	char next[PLATFORM_NEXT_SIZE_BYTES];
 };
 
@@ -44,6 +45,7 @@
 {
 }
 
+/* Removes the claim of @p object if it is old; counts it otherwise. */
 static void remove_old(control_sweep_t *sweep, const platform_object_t *object)
 {
 	claim_record_t record;
@@ -53,6 +55,7 @@
 	if (!claim_record_decode(object->spec, &record, &err)) {
 		log_event(EVENT_CLAIM_MALFORMED, "name=%s problem=\"%s\"",
 			  object->name, err.message);
+		sweep->found++;
 		return;
 	}
 	removable = claim_removable(&record, clock_wall_us());
@@ -61,6 +64,8 @@
 		platform_delete(sweep->control->platform, PLATFORM_CLAIMS,
 				object->name, object->version, on_deleted,
 				NULL);
+	else
+		sweep->found++;
 }
 
 static void on_page(void *context, platform_status_t status,
@@ -76,16 +81,21 @@
 		if (status == PLATFORM_UNKNOWN && sweep->page_objects > 1)
 			sweep->page_objects /= 2;
 		/* The platform forgets where a page starts after a while. */
-		if (status == PLATFORM_CONFLICT)
+		if (status == PLATFORM_CONFLICT) {
 			*sweep->next = '\0';
+			sweep->found = 0;
+		}
 		return;
 	}
 	sweep->page_objects = PAGE_OBJECTS;
 	for (i = 0; i < count; i++)
 		remove_old(sweep, &objects[i]);
 	mem_strlcpy(sweep->next, next, sizeof(sweep->next));
-	if (!*next)
-		sweep->due_us = clock_monotonic_us() + SWEEP_INTERVAL_US;
+	if (*next)
+		return;
+	control_actions_swept(sweep->control->actions, sweep->found);
+	sweep->found = 0;
+	sweep->due_us = clock_monotonic_us() + SWEEP_INTERVAL_US;
 }
 
 void control_sweep_tick(control_sweep_t *sweep, int64_t now_us)
--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -90,6 +90,9 @@
 	  PLACE(platform_timeout_ms), 10, 60000, "1s", NULL },
 	{ "platform", "calls_per_s", SETTING_INT32, PLACE(platform_calls_per_s),
 	  1, 10000, "100", NULL },
+	/* Two days of one order a second, of which a day is kept. */
+	{ "platform", "claims_max", SETTING_INT32, PLACE(platform_claims_max),
+	  1, 100000000, "200000", NULL },
 	{ "traces", "url", SETTING_TEXT, PLACE(trace_url), 0, 0, "", NULL },
 	{ "log", "level", SETTING_ENUM, PLACE(log_level), 0, 0, "info",
 	  levels },
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -51,6 +51,7 @@
 	char platform_token[NAME_SIZE_BYTES]; /**< platform.token */
 	int64_t platform_timeout_ms; /**< platform.timeout */
 	int32_t platform_calls_per_s; /**< platform.calls_per_s */
+	int32_t platform_claims_max; /**< platform.claims_max */
 
 	char trace_url[URL_SIZE_BYTES]; /**< traces.url; empty: no export */
 	log_level_t log_level; /**< log.level */
--- a/src/request/claim_platform.c
+++ b/src/request/claim_platform.c
@@ -68,6 +68,16 @@
 	claim_record_clear(&record);
 }
 
+/*
+ * The caller has its answer at once, because nothing was sent and the platform
+ * may be silent for long; what was created is looked up and released later.
+ */
+static void lost_create(claim_t *claim, int64_t now_us)
+{
+	claim->maybe_created = true;
+	claim_refuse_unsettled(claim, REFUSAL_PLATFORM_UNAVAILABLE, now_us);
+}
+
 static void created(claim_t *claim, platform_status_t status,
 		    const platform_object_t *object, int64_t now_us)
 {
@@ -77,16 +87,14 @@
 			own(claim, object->version, now_us);
 			return;
 		}
-		claim->maybe_created = true;
-		claim_go(claim, STEP_READ, now_us);
+		lost_create(claim, now_us);
 		break;
 	case PLATFORM_EXISTS:
 		claim->other_seen = true;
 		claim_go(claim, STEP_READ, now_us);
 		break;
 	case PLATFORM_UNKNOWN:
-		claim->maybe_created = true;
-		claim_go(claim, STEP_READ, now_us);
+		lost_create(claim, now_us);
 		break;
 	case PLATFORM_NOT_FOUND:
 	case PLATFORM_CONFLICT:
