Try waiting requests again when a credit arrives

Cause: a prompt above the block size asks the owner for a reservation, and the grant was only seen by the next 20 ms tick. Ruled out: a shorter tick, which costs processor time on an idle node. Change: the control task tries waiting requests after each answer of an owner.

--- a/src/process/control.h
+++ b/src/process/control.h
@@ -186,8 +186,12 @@
 
 void control_credits_tick(control_credits_t *credits, int64_t now_us);
 
-/** Carries messages between holder, owner and peers until there are none. */
-void control_credits_pump(control_credits_t *credits);
+/**
+ * Carries messages between holder, owner and peers until there are none.
+ * @return whether the holder got an answer since the last call, so that
+ *         waiting requests may be tried again
+ */
+bool control_credits_pump(control_credits_t *credits);
 
 /* control_warmup.c: ramps of the servers that this node owns. */
 control_warmup_t *control_warmup_create(control_t *control);
--- a/src/process/control_credits.c
+++ b/src/process/control_credits.c
@@ -216,6 +216,7 @@
 		    sizeof(message->holder));
 	message->holder_incarnation = control->incarnation;
 	credit_holder_receive(control->holder, message, now_us);
+	credits->answered = true;
 }
 
 static void send_to_owner(control_credits_t *credits,
@@ -238,19 +239,21 @@
 {
 	control_t *control = credits->control;
 
-	if (!strcmp(message->holder, control->settings.vm_id))
-		credit_holder_receive(control->holder, message, now_us);
-	else
+	if (strcmp(message->holder, control->settings.vm_id) != 0) {
 		control_members_send_credit(control->members, message->holder,
 					    message);
+		return;
+	}
+	credit_holder_receive(control->holder, message, now_us);
+	credits->answered = true;
 }
 
-void control_credits_pump(control_credits_t *credits)
+bool control_credits_pump(control_credits_t *credits)
 {
 	control_t *control = credits->control;
 	int64_t now_us = clock_monotonic_us();
 	credit_msg_t message;
-	bool moved = true;
+	bool moved = true, answered;
 
 	while (moved) {
 		moved = false;
@@ -263,6 +266,9 @@
 			moved = true;
 		}
 	}
+	answered = credits->answered;
+	credits->answered = false;
+	return answered;
 }
 
 void control_credits_report(control_credits_t *credits,
--- a/src/process/control_credits.h
+++ b/src/process/control_credits.h
@@ -33,6 +33,7 @@
 	int64_t tick_us;
 	credit_view_t view;
 	char (*names)[NAME_SIZE_BYTES], (*next_names)[NAME_SIZE_BYTES];
+	bool answered; /* the holder got an answer since the last pump */
 };
 
 void credit_resource_key(char key[KEY_SIZE_BYTES], const resource_t *resource);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -118,7 +118,9 @@
 	control_t *control = watcher->data;
 
 	control_actions_pump(control->actions);
-	control_credits_pump(control->credits);
+	/* Waiting for the next tick would add up to 20 ms to a first token. */
+	if (control_credits_pump(control->credits))
+		dispatch_tick(control->dispatch, clock_monotonic_us());
 	pump_decisions(control);
 	control_actions_pump(control->actions);
 	control_credits_pump(control->credits);
