Pass over configuration watchers that are cut off from the platform

Cause: the two watchers of a data centre kept the duty while their links were down, so no node learned of a change; tests/check_watchers_cut: "n1 has version 1 4 s later".

Ruled out: a shorter interval of the VM list as a probe (810 calls a second at the target); all nodes watching.

Change: Heartbeat.platform_cut is set when calls for the configuration have failed for over 1 s; member_watchers() leaves such nodes out unless all are cut. A watch lasts 1 s instead of 10 s, so that a silent link shows within 2 s. The platform stand-in cuts callers off by their bearer tokens.

Conclusion: two cut watchers are covered; each further pair takes as long again.

--- a/src/connection/peer_codec.c
+++ b/src/connection/peer_codec.c
@@ -46,6 +46,7 @@
 	heartbeat->config_version = body->config_version;
 	heartbeat->leaving = body->leaving;
 	heartbeat->view = body->view;
+	heartbeat->platform_cut = body->platform_cut;
 	if (!body->sequence || body->config_version < 0)
 		return malformed(err, "heartbeat");
 	return read_address(heartbeat->address, body->address, err);
--- a/src/connection/peer_codec.h
+++ b/src/connection/peer_codec.h
@@ -47,6 +47,7 @@
 	bool leaving;
 	char address[URL_SIZE_BYTES]; /**< empty if unchanged */
 	uint32_t view;
+	bool platform_cut;
 } peer_heartbeat_t;
 
 typedef struct {
--- a/src/connection/peer_encode.c
+++ b/src/connection/peer_encode.c
@@ -27,6 +27,7 @@
 	body->leaving = heartbeat->leaving;
 	body->address = (char *)heartbeat->address;
 	body->view = heartbeat->view;
+	body->platform_cut = heartbeat->platform_cut;
 }
 
 static void fill_probe_request(const peer_probe_t *probe,
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -75,6 +75,9 @@
 void control_config_offer(control_config_t *config, const char *text,
 			  size_t size_bytes, const char *source);
 
+/** Whether the calls for the configuration have failed for over 1 s. */
+bool control_config_cut(const control_config_t *config, int64_t now_us);
+
 /** Starts or ends the watch when the members change. */
 void control_config_members(control_config_t *config);
 
--- a/src/process/control_config.c
+++ b/src/process/control_config.c
@@ -13,7 +13,21 @@
  * A configuration must be in force everywhere within 4 s, so a failed read
  * is repeated well within that time.
  */
-enum { RETRY_MS = 500, WATCH_MS = 10000 };
+enum { RETRY_MS = 500 };
+
+/*
+ * A link that turned silent shows when a watch overruns its time. With the
+ * call's time-out of 1 s it is announced 2 s after the cut at the latest; two
+ * watchers in each of 25 data centres are 50 calls a second.
+ */
+enum { WATCH_MS = 1000 };
+
+/* A node that is passed over asks this often whether its link works again;
+ * 810 nodes in an outage are 162 calls a second. */
+enum { CUT_RETRY_MS = 5000 };
+
+/* A platform that fails for longer is announced. */
+#define CUT_US US_PER_S
 
 struct control_config {
 	control_t *control;
@@ -23,6 +37,8 @@
 	bool missing; /* the platform has no such object */
 	bool watching; /* this node holds the watch */
 	int64_t object_version;
+	int64_t called_us; /* start of the last call */
+	int64_t failing_us; /* start of the first failed one; 0: none */
 };
 
 static void schedule(control_config_t *config, int64_t delay_ms)
@@ -116,12 +132,34 @@
 	free(text);
 }
 
+static void note_link(control_config_t *config, platform_status_t status)
+{
+	if (status == PLATFORM_OK || status == PLATFORM_NOT_FOUND)
+		config->failing_us = 0;
+	else if (status != PLATFORM_BUDGET && !config->failing_us)
+		config->failing_us = config->called_us;
+}
+
+bool control_config_cut(const control_config_t *config, int64_t now_us)
+{
+	return config->failing_us && now_us - config->failing_us >= CUT_US;
+}
+
+static int64_t retry_ms(const control_config_t *config)
+{
+	bool urgent = config->watching ||
+		      !inforce_document(config->control->inforce);
+
+	return urgent ? RETRY_MS : CUT_RETRY_MS;
+}
+
 static void on_answer(void *context, platform_status_t status,
 		      const platform_object_t *object)
 {
 	control_config_t *config = context;
 
 	config->calling = false;
+	note_link(config, status);
 	if (status == PLATFORM_OK && object) {
 		config->known = true;
 		config->object_version = object->version;
@@ -133,13 +171,15 @@
 		log_event(EVENT_CONFIG_MISSING, "name=%s",
 			  PLATFORM_CONFIGURATION_NAME);
 	config->missing = status == PLATFORM_NOT_FOUND;
-	schedule(config, status == PLATFORM_OK ? 0 : RETRY_MS);
+	schedule(config, status == PLATFORM_OK ? 0 : retry_ms(config));
 }
 
-/* Without a document every node reads; later two nodes hold the watch. */
+/* Without a document every node reads; later two nodes hold the watch. One
+ * whose calls failed goes on until it knows that its link works. */
 static bool must_call(const control_config_t *config)
 {
-	return config->watching || !inforce_document(config->control->inforce);
+	return config->watching || config->failing_us ||
+	       !inforce_document(config->control->inforce);
 }
 
 static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
@@ -150,6 +190,7 @@
 	if (config->calling || !must_call(config))
 		return;
 	config->calling = true;
+	config->called_us = clock_monotonic_us();
 	if (config->known)
 		platform_watch(platform, PLATFORM_CONFIGURATIONS,
 			       PLATFORM_CONFIGURATION_NAME,
--- a/src/process/control_duties.c
+++ b/src/process/control_duties.c
@@ -4,25 +4,39 @@
 #include "process/control_members.h"
 #include "process/rendezvous.h"
 
-bool members_chosen(const control_members_t *members, const char *duty,
-		    size_t wanted)
+static bool is_chosen(const control_members_t *members, const char *duty,
+		      const char (*names)[NAME_SIZE_BYTES], size_t count,
+		      size_t wanted)
 {
 	int32_t chosen[CONFIG_WATCHERS > RELAYS ? CONFIG_WATCHERS : RELAYS];
-	const char *self = members->control->settings.vm_id;
-	size_t count, i;
+	size_t i;
 
-	count = rendezvous_top(
-		duty, (const char(*)[NAME_SIZE_BYTES])members->candidates,
-		members->candidate_count, wanted, chosen);
+	count = rendezvous_top(duty, names, count, wanted, chosen);
 	for (i = 0; i < count; i++)
-		if (!strcmp(members->candidates[chosen[i]], self))
+		if (!strcmp(names[chosen[i]], members->control->settings.vm_id))
 			return true;
 	return false;
 }
 
+bool members_chosen(const control_members_t *members, const char *duty,
+		    size_t wanted)
+{
+	return is_chosen(members, duty,
+			 (const char(*)[NAME_SIZE_BYTES])members->candidates,
+			 members->candidate_count, wanted);
+}
+
 bool control_members_watches(const control_members_t *members)
 {
-	return members_chosen(members, "configuration", CONFIG_WATCHERS);
+	char names[CANDIDATES_MAX][NAME_SIZE_BYTES];
+	size_t count = member_watchers(
+		members->members, members->platform_cut,
+		(const char(*)[NAME_SIZE_BYTES])members->candidates,
+		members->candidate_count, names);
+
+	return is_chosen(members, "configuration",
+			 (const char(*)[NAME_SIZE_BYTES])names, count,
+			 CONFIG_WATCHERS);
 }
 
 bool control_members_reconciles(const control_members_t *members)
--- a/src/process/control_members.c
+++ b/src/process/control_members.c
@@ -96,6 +96,7 @@
 	heartbeat->config_version = inforce_version(control->inforce);
 	heartbeat->leaving = members->leaving;
 	heartbeat->view = members->view;
+	heartbeat->platform_cut = members->platform_cut;
 	if (action->with_address)
 		mem_strlcpy(heartbeat->address, control->settings.peer_address,
 			    sizeof(heartbeat->address));
@@ -210,8 +211,12 @@
 
 void control_members_tick(control_members_t *members, int64_t now_us)
 {
+	bool cut = control_config_cut(members->control->config, now_us);
 	member_action_t action;
 
+	if (cut != members->platform_cut)
+		members->changed = true;
+	members->platform_cut = cut;
 	members_tick_vms(members, now_us);
 	members_tick_remote(members, now_us);
 	member_tick(members->members, now_us);
--- a/src/process/control_members.h
+++ b/src/process/control_members.h
@@ -30,6 +30,7 @@
 	member_table_t *members;
 	remote_table_t *remote;
 	bool leaving;
+	bool platform_cut; /* this node cannot watch the configuration */
 	/* Candidates for ownership in this data centre, sorted. */
 	char (*candidates)[NAME_SIZE_BYTES];
 	size_t candidate_count;
--- a/src/process/control_receive.c
+++ b/src/process/control_receive.c
@@ -68,12 +68,20 @@
 		.leaving = body->leaving,
 		.address = body->address,
 		.view = body->view,
+		.platform_cut = body->platform_cut,
 	};
 	member_sender_t sender = { .incarnation = message->incarnation };
+	const member_t *member;
+	bool was_cut;
 
 	mem_strlcpy(sender.vm_id, message->vm_id, sizeof(sender.vm_id));
+	member = member_find(members->members, message->vm_id);
+	was_cut = member && member->platform_cut;
 	member_heartbeat(members->members, &sender, &heartbeat,
 			 clock_monotonic_us());
+	member = member_find(members->members, message->vm_id);
+	if (member && member->platform_cut != was_cut)
+		members->changed = true;
 	members_request_config(members, message->vm_id, body->config_version);
 }
 
--- a/src/process/member.c
+++ b/src/process/member.c
@@ -238,6 +238,7 @@
 	entry->sequence = heartbeat->sequence;
 	entry->public.config_version = heartbeat->config_version;
 	entry->public.view = heartbeat->view;
+	entry->public.platform_cut = heartbeat->platform_cut;
 	if (heartbeat->leaving)
 		set_leaving(table, entry, now_us);
 	return true;
--- a/src/process/member.h
+++ b/src/process/member.h
@@ -42,6 +42,7 @@
 	bool listed; /**< in the platform's VM list */
 	int64_t config_version;
 	uint32_t view; /**< hash of the members that it sees */
+	bool platform_cut; /**< as announced: it cannot watch */
 	int64_t changed_us; /**< last change of state */
 } member_t;
 
@@ -63,6 +64,7 @@
 	bool leaving;
 	const char *address; /**< empty if unchanged */
 	uint32_t view;
+	bool platform_cut;
 } member_heartbeat_t;
 
 typedef enum {
@@ -135,6 +137,15 @@
 const member_t *member_at(const member_table_t *table, size_t index);
 const member_t *member_find(const member_table_t *table, const char *vm_id);
 
+/**
+ * Lists those of @p candidates that can watch the platform, or all of them if
+ * none can.
+ * @return their number; @p names has room for all candidates
+ */
+size_t member_watchers(const member_table_t *table, bool self_cut,
+		       const char (*candidates)[NAME_SIZE_BYTES], size_t count,
+		       char (*names)[NAME_SIZE_BYTES]);
+
 /**
  * Lists the candidates for ownership, sorted by name: this node unless it is
  * leaving, and every member that is alive or suspect and not leaving. When
--- a/src/process/member_view.c
+++ b/src/process/member_view.c
@@ -64,6 +64,24 @@
 	return count;
 }
 
+size_t member_watchers(const member_table_t *table, bool self_cut,
+		       const char (*candidates)[NAME_SIZE_BYTES], size_t count,
+		       char (*names)[NAME_SIZE_BYTES])
+{
+	size_t found = 0, i;
+
+	for (i = 0; i < count; i++) {
+		const entry_t *entry = member_entry(table, candidates[i]);
+		bool cut = entry ? entry->public.platform_cut : self_cut;
+
+		if (!cut)
+			memcpy(names[found++], candidates[i], NAME_SIZE_BYTES);
+	}
+	if (!found && count)
+		memcpy(names, candidates, count * NAME_SIZE_BYTES);
+	return found ? found : count;
+}
+
 static uint64_t hash_of(const char *vm_id, uint64_t incarnation)
 {
 	return XXH3_64bits_withSeed(vm_id, strlen(vm_id), incarnation);
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -838,7 +838,7 @@
   (ProtobufCMessageInit) peer__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__heartbeat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer__heartbeat__field_descriptors[6] =
 {
   {
     "sequence",
@@ -900,18 +900,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_cut",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Heartbeat, platform_cut),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__heartbeat__field_indices_by_name[] = {
   3,   /* field[3] = address */
   1,   /* field[1] = config_version */
   2,   /* field[2] = leaving */
+  5,   /* field[5] = platform_cut */
   0,   /* field[0] = sequence */
   4,   /* field[4] = view */
 };
 static const ProtobufCIntRange peer__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer__heartbeat__descriptor =
 {
@@ -921,7 +934,7 @@
   "Peer__Heartbeat",
   "peer",
   sizeof(Peer__Heartbeat),
-  5,
+  6,
   peer__heartbeat__field_descriptors,
   peer__heartbeat__field_indices_by_name,
   1,  peer__heartbeat__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -100,10 +100,14 @@
    * hash of the members that the sender sees
    */
   uint32_t view;
+  /*
+   * the sender cannot watch the configuration
+   */
+  protobuf_c_boolean platform_cut;
 };
 #define PEER__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__heartbeat__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -167,6 +167,7 @@
 		  secret_key: '$FLEET_SECRET'
 		platform:
 		  url: 'http://$PLATFORM'
+		  token: $name
 		  claims_max: ${FLEET_CLAIMS_MAX:-200000}
 		history: {path: $RUN/history/$name}
 		shutdown: {notice: ${FLEET_NOTICE:-500ms}, limit: 30s}
--- a/tests/standin/lib_http.c
+++ b/tests/standin/lib_http.c
@@ -197,6 +197,14 @@
 		     type);
 }
 
+const char *http_bearer(http_request_t *request)
+{
+	const char *value = MHD_lookup_connection_value(
+		request->connection, MHD_HEADER_KIND, "Authorization");
+
+	return value && !strncmp(value, "Bearer ", 7) ? value + 7 : "";
+}
+
 const char *http_argument(http_request_t *request, const char *name)
 {
 	return MHD_lookup_connection_value(request->connection,
--- a/tests/standin/lib_http.h
+++ b/tests/standin/lib_http.h
@@ -61,6 +61,9 @@
 			    MHD_ContentReaderCallback reader, void *context,
 			    MHD_ContentReaderFreeCallback release);
 
+/** @return the bearer token, empty without one. */
+const char *http_bearer(http_request_t *request);
+
 /** @return a query argument or NULL; @p otherwise if it is not a number. */
 const char *http_argument(http_request_t *request, const char *name);
 int64_t http_argument_integer(http_request_t *request, const char *name,
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -3,7 +3,8 @@
  * versions, conditional updates, watches of one object, and the VM list.
  * POST /standin/vms {"items":[...]} sets the VM list, which shows after a lag.
  * Faults: down (no answer to any call), slow_ms, lose_answers (of the next N
- * writes, after they took effect).
+ * writes, after they took effect), cut (names of callers, by their bearer
+ * tokens, that get no answer; their watches hang).
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -20,7 +21,7 @@
 #include "lib_http.h"
 
 #define PREFIX "/apis/chivestage.dev/v1/namespaces/"
-enum { POLL_MS = 200, WATCH_MAX_S = 60 };
+enum { POLL_MS = 200, WATCH_MAX_S = 60, CUT_MS = 3000 };
 
 /** One object; a deleted one stays, so that watches see the deletion. */
 typedef struct object {
@@ -33,6 +34,7 @@
 
 typedef struct {
 	char *path;
+	char *token;
 	int64_t version;
 	int64_t end_us;
 	char *line; /* being sent */
@@ -44,6 +46,7 @@
 static object_t *objects;
 static int64_t last_version, vms_since_us;
 static json_t *vms, *vms_before;
+static json_t *cut; /* tokens of callers that get no answer */
 static int64_t lag_ms, down, slow_ms, lose_answers;
 
 static object_t *find(const char *path)
@@ -220,6 +223,40 @@
 	return true;
 }
 
+static bool is_cut(const char *token)
+{
+	const json_t *name;
+	size_t i;
+
+	json_array_foreach(cut, i, name)
+	{
+		if (!strcmp(json_string_value(name), token))
+			return true;
+	}
+	return false;
+}
+
+/* Waits a little; whether the watch has a line that may be sent. */
+static bool is_due(watch_t *watch)
+{
+	bool found = watch->line || next_event(watch);
+
+	if (!is_cut(watch->token))
+		return found;
+	pthread_mutex_unlock(&lock);
+	http_sleep_ms(POLL_MS);
+	pthread_mutex_lock(&lock);
+	return false;
+}
+
+/* A caller that is cut off does not see the end either. */
+static bool is_over(const watch_t *watch)
+{
+	int64_t late_us = is_cut(watch->token) ? CUT_MS * US_PER_MS : 0;
+
+	return clock_monotonic_us() > watch->end_us + late_us;
+}
+
 static ssize_t read_watch(void *context, uint64_t position, char *buffer,
 			  size_t size)
 {
@@ -227,12 +264,12 @@
 	size_t length;
 
 	pthread_mutex_lock(&lock);
-	while (!watch->line && !next_event(watch))
-		if (http_stopping || down ||
-		    clock_monotonic_us() > watch->end_us) {
+	while (!is_due(watch))
+		if (http_stopping || down || is_over(watch)) {
 			pthread_mutex_unlock(&lock);
-			return down ? MHD_CONTENT_READER_END_WITH_ERROR
-				    : MHD_CONTENT_READER_END_OF_STREAM;
+			return down || is_cut(watch->token)
+				       ? MHD_CONTENT_READER_END_WITH_ERROR
+				       : MHD_CONTENT_READER_END_OF_STREAM;
 		}
 	pthread_mutex_unlock(&lock);
 	length = strlen(watch->line) - watch->sent;
@@ -254,6 +291,7 @@
 
 	free(watch->line);
 	free(watch->path);
+	free(watch->token);
 	free(watch);
 }
 
@@ -262,6 +300,7 @@
 	watch_t *watch = mem_calloc(1, sizeof(*watch));
 
 	watch->path = mem_strdup(path);
+	watch->token = mem_strdup(http_bearer(request));
 	watch->version = http_argument_integer(request, "resourceVersion", 0);
 	watch->end_us = clock_monotonic_us() +
 			US_PER_S * http_argument_integer(request,
@@ -334,6 +373,10 @@
 		vms_since_us = clock_monotonic_us();
 	}
 	http_fault(body, "down", &down);
+	if (json_is_array(json_object_get(body, "cut"))) {
+		json_decref(cut);
+		cut = json_incref(json_object_get(body, "cut"));
+	}
 	if (down != was_down)
 		history_event(down ? "paused" : "resumed", "node=platform");
 	http_fault(body, "slow_ms", &slow_ms);
@@ -351,6 +394,12 @@
 		http_sleep_ms(slow_ms);
 	pthread_mutex_lock(&lock);
 	body = http_body_json(request);
+	if (!control && is_cut(http_bearer(request))) {
+		json_decref(body);
+		pthread_mutex_unlock(&lock);
+		http_sleep_ms(CUT_MS);
+		return MHD_NO;
+	}
 	if (control)
 		result = on_control(request, body);
 	else if (!down && strncmp(request->path, PREFIX, strlen(PREFIX)) != 0)
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -488,6 +488,41 @@
 	assert_int_equal(rendezvous_top("x", members, 2, 3, top), 2);
 }
 
+/* Guards against a watch that stays with a node without a link, and against no
+ * watch at all when no node has one. */
+static void passes_over_cut_members(void **state)
+{
+	static const char candidates[3][NAME_SIZE_BYTES] = { "a", "b", "c" };
+	static const struct {
+		bool self_cut, b_cut, c_cut;
+		const char *watchers;
+	} cuts[] = {
+		{ false, false, false, "abc" }, { true, false, false, "bc" },
+		{ true, true, false, "c" },	{ false, true, true, "a" },
+		{ true, true, true, "abc" },	{ false, false, true, "ab" },
+	};
+	size_t i, n;
+
+	for (i = 0; i < COUNT_OF(cuts); i++) {
+		member_table_t *table = member_create("a", 1);
+		member_sender_t b = { "b", 2 }, c = { "c", 3 };
+		member_heartbeat_t heartbeat = { .sequence = 1,
+						 .address = "127.0.0.1:1" };
+		char names[3][NAME_SIZE_BYTES], found[4] = "";
+
+		heartbeat.platform_cut = cuts[i].b_cut;
+		assert_true(member_heartbeat(table, &b, &heartbeat, 1));
+		heartbeat.platform_cut = cuts[i].c_cut;
+		assert_true(member_heartbeat(table, &c, &heartbeat, 1));
+		n = member_watchers(table, cuts[i].self_cut, candidates, 3,
+				    names);
+		while (n--)
+			found[n] = *names[n];
+		assert_string_equal(found, cuts[i].watchers);
+		member_destroy(table);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -500,6 +535,7 @@
 		cmocka_unit_test(agreement_needs_equal_views),
 		cmocka_unit_test(expects_silence_after_leaving),
 		cmocka_unit_test(rendezvous_moves_only_what_it_must),
+		cmocka_unit_test(passes_over_cut_members),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
