Hash prompts in the engine stand-in as the daemon does

Cause: the stand-in chained blocks of 4096 bytes from a seed of its own, the daemon blocks of 1024 bytes, so no cache event matched a prompt.

Ruled out: a larger block in the daemon, whose index is sized for 1024 bytes.

Change: the stand-in uses request/prefix_hash; its cache and event ring hold four times the blocks, the same bytes as before.

Before and after: tests/check_prefix_events, which repeats eight prompts through another node, fails with the old engine stand-in ("n2 sent to e1 e1 e2 e3 e3 e3 e2 e1, cached on e1 e3 e1 e3 e2 e3 e2 e3") and passes with the new one.

Conclusion: repeats are routed by events alone.

--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -101,8 +101,7 @@
 		stream->peers[i] = mem_strdup(peer ? peer : "");
 		stream->peer_count++;
 	}
-	*cached = batch_cache_prompt(prompt, size,
-				     tokens_seed(salt, strlen(salt)));
+	*cached = batch_cache_prompt(prompt, size, salt);
 	free(prompt);
 	return stream;
 }
--- a/tests/standin/lib_batch.h
+++ b/tests/standin/lib_batch.h
@@ -112,7 +112,7 @@
 /* lib_report.c */
 
 /** @return tokens of @p prompt that are in the prefix cache; adds the rest. */
-int64_t batch_cache_prompt(const char *prompt, size_t size, uint64_t salt);
+int64_t batch_cache_prompt(const char *prompt, size_t size, const char *salt);
 void batch_clear_cache(void);
 
 json_t *batch_list(void);
--- a/tests/standin/lib_report.c
+++ b/tests/standin/lib_report.c
@@ -5,20 +5,19 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
 #include "base/units.h"
 #include "lib/tokens.h"
 #include "lib_http.h"
+#include "request/prefix_hash.h"
 
 enum {
 	REPORTS = 64,
 	PEER_TIMEOUT_MS = 500,
-	BLOCK_SIZE_BYTES = 4096,
-	BLOCKS_MAX = 4096,
-	EVENTS_MAX = 4096
+	BLOCKS_MAX = 16384,
+	EVENTS_MAX = 16384
 };
 
 typedef struct {
@@ -51,26 +50,34 @@
 	event->stored = stored;
 }
 
-int64_t batch_cache_prompt(const char *prompt, size_t size, uint64_t salt)
+static void store(uint64_t block)
 {
-	uint64_t block = salt, *place;
+	uint64_t *place = &blocks[block_count % BLOCKS_MAX];
+
+	if (block_count++ >= BLOCKS_MAX)
+		publish(*place, false);
+	*place = block;
+	publish(block, true);
+}
+
+int64_t batch_cache_prompt(const char *prompt, size_t size, const char *salt)
+{
+	prefix_hash_t hash;
 	int64_t cached = 0;
 	bool hit = true;
-	size_t at;
-
-	for (at = 0; at + BLOCK_SIZE_BYTES <= size; at += BLOCK_SIZE_BYTES) {
-		block = XXH64(prompt + at, BLOCK_SIZE_BYTES, block);
-		hit = hit && is_cached(block);
-		if (hit) {
-			cached += BLOCK_SIZE_BYTES / PROMPT_BYTES_PER_TOKEN;
-			continue;
-		}
-		place = &blocks[block_count % BLOCKS_MAX];
-		if (block_count++ >= BLOCKS_MAX)
-			publish(*place, false);
-		*place = block;
-		publish(block, true);
+	size_t i;
+
+	prefix_hash_init(&hash, salt, BLOCKS_MAX);
+	prefix_hash_add(&hash, prompt, size);
+	for (i = 0; i < hash.count; i++) {
+		hit = hit && is_cached(hash.blocks[i]);
+		if (hit)
+			cached += PREFIX_BLOCK_SIZE_BYTES /
+				  PROMPT_BYTES_PER_TOKEN;
+		else
+			store(hash.blocks[i]);
 	}
+	prefix_hash_clear(&hash);
 	return cached;
 }
 
