Walk over servers and engines only when one is due

Cause: control_load_tick and control_janitor_tick went through the 440 servers of the data centre on each 20 ms tick (perf: 9.2% and 6.2% of the samples of an idle node; control thread 2.45% of a core, ZeroMQ I/O thread 0.65%).

--- a/src/process/control_janitor.c
+++ b/src/process/control_janitor.c
@@ -48,6 +48,7 @@
 	control_t *control;
 	janitor_t *janitor;
 	engine_t *engines;
+	int64_t next_us; /* no engine is due before */
 	holder_t *holders;
 	const char **ids; /* of the list that is read */
 	size_t count, capacity;
@@ -126,6 +127,7 @@
 		if (!engine->followed)
 			remove_engine(janitor, engine);
 	}
+	janitor->next_us = 0;
 }
 
 void control_janitor_report(control_janitor_t *janitor,
@@ -247,19 +249,37 @@
 	fetch(janitor, &call, on_cancelled, NULL);
 }
 
-void control_janitor_tick(control_janitor_t *janitor, int64_t now_us)
+static void visit(engine_t *engine, int64_t now_us)
+{
+	const control_credits_t *credits = engine->owner->control->credits;
+
+	if (engine->call || now_us < engine->due_us)
+		return;
+	engine->due_us = now_us + LIST_INTERVAL_MS * US_PER_MS;
+	if (control_credits_owns(credits, engine->name))
+		list(engine, now_us);
+}
+
+/* Walks over all engines only when one is due, as control_load.c does. */
+static void visit_due(control_janitor_t *janitor, int64_t now_us)
 {
-	const control_credits_t *credits = janitor->control->credits;
-	janitor_cancel_t order;
 	engine_t *engine;
 
+	if (now_us < janitor->next_us)
+		return;
+	janitor->next_us = INT64_MAX;
 	for (engine = janitor->engines; engine; engine = engine->hh.next) {
-		if (engine->call || now_us < engine->due_us)
-			continue;
-		engine->due_us = now_us + LIST_INTERVAL_MS * US_PER_MS;
-		if (control_credits_owns(credits, engine->name))
-			list(engine, now_us);
+		visit(engine, now_us);
+		if (engine->due_us < janitor->next_us)
+			janitor->next_us = engine->due_us;
 	}
+}
+
+void control_janitor_tick(control_janitor_t *janitor, int64_t now_us)
+{
+	janitor_cancel_t order;
+
+	visit_due(janitor, now_us);
 	while (janitor_next(janitor->janitor, &order, now_us))
 		cancel(janitor, &order);
 }
--- a/src/process/control_load.c
+++ b/src/process/control_load.c
@@ -44,6 +44,7 @@
 	control_t *control;
 	server_t *servers;
 	digest_t *digest;
+	int64_t next_us; /* no server is due before */
 };
 
 control_load_t *control_load_create(control_t *control)
@@ -114,6 +115,7 @@
 		if (!server->listed)
 			remove_server(load, server);
 	}
+	load->next_us = 0;
 }
 
 static void on_silent(server_t *server)
@@ -225,21 +227,41 @@
 		control_members_send_digest(members, entries, count);
 }
 
-void control_load_tick(control_load_t *load, int64_t now_us)
+static void visit(server_t *server, int64_t now_us)
+{
+	control_load_t *load = server->load;
+
+	if (server->call || now_us < server->due_us)
+		return;
+	if (control_credits_owns(load->control->credits, server->name)) {
+		poll_server(server, now_us);
+		return;
+	}
+	digest_drop(load->digest, server->name);
+	server->due_us = now_us + POLL_INTERVAL_MS * US_PER_MS;
+}
+
+/*
+ * A walk over the 440 servers of a data centre on each tick took a tenth of
+ * the processor time of an idle node, so it waits for the first due server.
+ */
+static void visit_due(control_load_t *load, int64_t now_us)
 {
-	const control_credits_t *credits = load->control->credits;
 	server_t *server;
 
+	if (now_us < load->next_us)
+		return;
+	load->next_us = INT64_MAX;
 	for (server = load->servers; server; server = server->hh.next) {
-		if (server->call || now_us < server->due_us)
-			continue;
-		if (control_credits_owns(credits, server->name)) {
-			poll_server(server, now_us);
-			continue;
-		}
-		digest_drop(load->digest, server->name);
-		server->due_us = now_us + POLL_INTERVAL_MS * US_PER_MS;
+		visit(server, now_us);
+		if (server->due_us < load->next_us)
+			load->next_us = server->due_us;
 	}
+}
+
+void control_load_tick(control_load_t *load, int64_t now_us)
+{
+	visit_due(load, now_us);
 	send_digest(load, now_us);
 }
 
