bench relay: print user and system time

Cause: half of the time of a relayed chunk is spent in the kernel, and the bench showed only the sum. Ruled out: the figure already counts the processor clock of the relaying thread, so wall time is not the cause of its spread. Change: print user and system time of all threads but the main one, which in this bench are the request task and the idle threads of ZeroMQ.

--- a/tests/bench/relay.c
+++ b/tests/bench/relay.c
@@ -1,13 +1,16 @@
 /**
  * Measures the processor time that the request task takes for each relayed
- * chunk. Every stream gets one chunk in each round; a round starts when the
- * callers have all chunks of the last one.
+ * chunk, in all (the processor clock of its thread) and divided into user and
+ * system time (getrusage of the process less that of the main thread, so it
+ * includes the idle threads of ZeroMQ). Every stream gets one chunk in each
+ * round; a round starts when the callers have all chunks of the last one.
  * usage: relay [STREAMS [ROUNDS]]
  */
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "base/clock.h"
@@ -65,6 +68,22 @@
 	return used.tv_sec * US_PER_S + used.tv_nsec / 1000;
 }
 
+static int64_t to_us(struct timeval time)
+{
+	return time.tv_sec * US_PER_S + time.tv_usec;
+}
+
+/* User and system time of all threads but this one. */
+static void other_threads_us(int64_t *user_us, int64_t *system_us)
+{
+	struct rusage all, own;
+
+	getrusage(RUSAGE_SELF, &all);
+	getrusage(RUSAGE_THREAD, &own);
+	*user_us = to_us(all.ru_utime) - to_us(own.ru_utime);
+	*system_us = to_us(all.ru_stime) - to_us(own.ru_stime);
+}
+
 static void run_until_relayed(int64_t chunks)
 {
 	int64_t end_us = clock_monotonic_us() + 20 * US_PER_S;
@@ -82,6 +101,7 @@
 	int64_t count = argc > 1 ? strtol(argv[1], NULL, 10) : 100;
 	int64_t rounds = argc > 2 ? strtol(argv[2], NULL, 10) : 500;
 	int64_t i, round, cpu_us, start_us, chunks;
+	int64_t user_us, system_us, user_end_us, system_end_us;
 
 	if (count < 1 || count > STREAMS_MAX || rounds < 1) {
 		fprintf(stderr, "usage: relay [STREAMS [ROUNDS]]\n");
@@ -97,6 +117,7 @@
 	while (stream_count < count)
 		fixture_step(&fixture);
 	cpu_us = task_cpu_us();
+	other_threads_us(&user_us, &system_us);
 	start_us = clock_monotonic_us();
 	for (round = 0; round < rounds; round++) {
 		for (i = 0; i < count; i++)
@@ -106,15 +127,19 @@
 	}
 	chunks = count * rounds;
 	cpu_us = task_cpu_us() - cpu_us;
+	other_threads_us(&user_end_us, &system_end_us);
 	start_us = clock_monotonic_us() - start_us;
 	for (i = 0; i < count; i++)
 		serve_done(streams[i]);
 	while (ended < count)
 		fixture_step(&fixture);
 	printf("{\"streams\":%" PRId64 ",\"chunks\":%" PRId64
-	       ",\"cpu_us_per_chunk\":%.2f,\"chunks_per_core_s\":%.0f,"
+	       ",\"cpu_us_per_chunk\":%.2f,\"user_us_per_chunk\":%.2f,"
+	       "\"system_us_per_chunk\":%.2f,\"chunks_per_core_s\":%.0f,"
 	       "\"wall_s\":%.2f}\n",
 	       count, chunks, (double)cpu_us / (double)chunks,
+	       (double)(user_end_us - user_us) / (double)chunks,
+	       (double)(system_end_us - system_us) / (double)chunks,
 	       (double)chunks * US_PER_S / (double)cpu_us,
 	       (double)start_us / US_PER_S);
 	fixture_stop(&fixture);
