--- a/tests/test_operator.c
+++ b/tests/test_operator.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <sodium.h>
@@ -102,6 +103,38 @@
 	status_publish(NULL, false);
 }
 
+static void *publish_when_wanted(void *context)
+{
+	int tries;
+
+	for (tries = 0; !status_wanted() && tries < 5000; tries++)
+		usleep(1000);
+	status_publish(mem_strdup("{\"phase\":\"new\"}"), true);
+	return NULL;
+}
+
+/* A reader must not be shown the status of the last reader. */
+static void renews_the_status_for_a_reader(void **state)
+{
+	pthread_t thread;
+	char *copy;
+
+	status_publish(mem_strdup("{\"phase\":\"old\"}"), true);
+	assert_false(status_wanted());
+	assert_int_equal(
+		pthread_create(&thread, NULL, publish_when_wanted, NULL), 0);
+	copy = status_copy();
+	pthread_join(thread, NULL);
+	assert_string_equal(copy, "{\"phase\":\"new\"}");
+	assert_false(status_wanted());
+	free(copy);
+	/* Without a control task that answers, the last one is shown. */
+	copy = status_copy();
+	assert_string_equal(copy, "{\"phase\":\"new\"}");
+	free(copy);
+	status_publish(NULL, false);
+}
+
 /* A daemon whose operators cannot reach it must not start. */
 static void refuses_an_address_in_use(void **state)
 {
@@ -124,6 +157,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(serves_operators_only),
+		cmocka_unit_test(renews_the_status_for_a_reader),
 		cmocka_unit_test(refuses_an_address_in_use),
 	};
 
