--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "base/units.h"
 #include "connection/listener_private.h"
 
@@ -78,6 +79,20 @@
 	ev_io_start(exchange->listener->loop, &exchange->leaving);
 }
 
+/* Resizes the reply buffer; 0 frees it. */
+static void set_capacity(exchange_t *exchange, size_t capacity)
+{
+	metrics_add(METRIC_REPLY_BUFFER_BYTES,
+		    (int64_t)capacity - (int64_t)exchange->capacity);
+	exchange->capacity = capacity;
+	if (capacity) {
+		exchange->data = mem_realloc(exchange->data, capacity, 1);
+		return;
+	}
+	free(exchange->data);
+	exchange->data = NULL;
+}
+
 static void suspend(exchange_t *exchange)
 {
 	exchange->suspended = true;
@@ -199,7 +214,7 @@
 	DL_DELETE(listener->exchanges, exchange);
 	if (exchange->reply)
 		MHD_destroy_response(exchange->reply);
-	free(exchange->data);
+	set_capacity(exchange, 0);
 	free(exchange->method);
 	free(exchange->path);
 	free(exchange);
@@ -230,9 +245,7 @@
 	exchange->size -= size;
 	exchange->progress_us = clock_monotonic_us();
 	if (!exchange->size && exchange->capacity > BUFFER_KEEP_BYTES) {
-		free(exchange->data);
-		exchange->data = NULL;
-		exchange->capacity = 0;
+		set_capacity(exchange, 0);
 	}
 	return (ssize_t)size;
 }
@@ -323,8 +336,7 @@
 	capacity = capacity ? capacity : REPLY_BLOCK_SIZE_BYTES;
 	while (capacity < needed)
 		capacity *= 2;
-	exchange->data = mem_realloc(exchange->data, capacity, 1);
-	exchange->capacity = capacity;
+	set_capacity(exchange, capacity);
 }
 
 void exchange_write(exchange_t *exchange, const void *data, size_t size)
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -52,7 +52,8 @@
 /**
  * Counts a request that the server completed, or that failed on it: refused
  * connection, broken stream or silence. The owner learns of it with the next
- * message about the resource; of a failure at once.
+ * message about the resource; of a failure at once, and nothing more is drawn
+ * from the grants held until then.
  */
 void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
 			 bool completed);
--- a/src/process/credit_holder_messages.c
+++ b/src/process/credit_holder_messages.c
@@ -271,6 +271,7 @@
 {
 	credit_amount_t nothing = { 0 };
 	credit_entry_t *entry = credit_entry_get(holder, resource);
+	credit_grant_t *grant, *next;
 
 	if (completed) {
 		entry->completed++;
@@ -279,6 +280,13 @@
 	entry->failed++;
 	/* Returns no grant, but carries the counts. */
 	grant_return(0, resource, nothing, nothing, &holder->sender);
+	/*
+	 * The server may have restarted cold: what was granted before is no
+	 * longer what it bears.
+	 */
+	LL_FOREACH_SAFE (entry->grants, grant, next)
+		if (grant->state == GRANT_HELD)
+			close_grant(holder, entry, grant);
 }
 
 bool credit_holder_next(credit_holder_t *holder, credit_msg_t *message)
