Refuse a peer key pair whose halves do not match; split the settings table

Cause: with a wrong half the links between nodes fail without a message at either end; seen by a test author who mistyped one character. Before: accepted. After: the start fails and names the keys; test_settings has the case.

--- a/src/process/settings.c
+++ b/src/process/settings.c
@@ -7,30 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include <yaml.h>
+#include <zmq.h>
 
 #include "base/mem.h"
-
-typedef enum {
-	SETTING_TEXT,
-	SETTING_ADDRESS, /* ADDRESS:PORT */
-	SETTING_INT32,
-	SETTING_DURATION_MS,
-	SETTING_SIZE_BYTES,
-	SETTING_ENUM
-} setting_type_t;
-
-/* One key; `initial` is read like a given value, NULL means required. */
-typedef struct {
-	const char *section;
-	const char *key;
-	setting_type_t type;
-	size_t offset_bytes;
-	size_t size_bytes;
-	int64_t min;
-	int64_t max;
-	const char *initial;
-	const char *const *values; /* SETTING_ENUM, NULL-terminated */
-} setting_t;
+#include "process/settings_table.h"
 
 /* Where a value stands, for errors. */
 typedef struct {
@@ -39,79 +19,6 @@
 	const setting_t *setting;
 } place_t;
 
-static const char *const levels[] = { "error", "warn", "info", "debug", NULL };
-static const char *const formats[] = { "key-value", "json", NULL };
-static const char *const policies[] = { "round-robin", "least-outstanding",
-					"cost", "cost-lanes", NULL };
-
-#define KIB INT64_C(1024)
-#define MIB (1024 * KIB)
-#define GIB (1024 * MIB)
-#define DAY_MS INT64_C(86400000)
-#define PLACE(member) \
-	offsetof(settings_t, member), sizeof(((settings_t *)NULL)->member)
-
-static const setting_t table[] = {
-	{ "vm", "id", SETTING_TEXT, PLACE(vm_id), 1, 0, NULL, NULL },
-	{ "vm", "data_centre", SETTING_TEXT, PLACE(data_centre), 1, 0, NULL,
-	  NULL },
-	{ "callers", "address", SETTING_ADDRESS, PLACE(caller_address), 0, 0,
-	  NULL, NULL },
-	{ "callers", "certificate", SETTING_TEXT, PLACE(caller_certificate), 0,
-	  0, "", NULL },
-	{ "callers", "key", SETTING_TEXT, PLACE(caller_key), 0, 0, "", NULL },
-	{ "callers", "tasks", SETTING_INT32, PLACE(request_tasks), 1, 64, "1",
-	  NULL },
-	{ "callers", "memory", SETTING_SIZE_BYTES, PLACE(memory_budget_bytes),
-	  MIB, 64 * GIB, "256MiB", NULL },
-	{ "callers", "body_max", SETTING_SIZE_BYTES, PLACE(body_max_bytes), KIB,
-	  GIB, "16MiB", NULL },
-	{ "operators", "address", SETTING_ADDRESS, PLACE(operator_address), 0,
-	  0, NULL, NULL },
-	{ "operators", "certificate", SETTING_TEXT, PLACE(operator_certificate),
-	  0, 0, "", NULL },
-	{ "operators", "key", SETTING_TEXT, PLACE(operator_key), 0, 0, "",
-	  NULL },
-	{ "operators", "token", SETTING_TEXT, PLACE(operator_token), 8, 0, NULL,
-	  NULL },
-	{ "peers", "address", SETTING_ADDRESS, PLACE(peer_address), 0, 0, NULL,
-	  NULL },
-	{ "peers", "public_key", SETTING_TEXT, PLACE(peer_public_key), 40, 0,
-	  NULL, NULL },
-	{ "peers", "secret_key", SETTING_TEXT, PLACE(peer_secret_key), 40, 0,
-	  NULL, NULL },
-	{ "platform", "url", SETTING_TEXT, PLACE(platform_url), 1, 0, NULL,
-	  NULL },
-	{ "platform", "namespace", SETTING_TEXT, PLACE(platform_namespace), 1,
-	  0, "default", NULL },
-	{ "platform", "token", SETTING_TEXT, PLACE(platform_token), 0, 0, "",
-	  NULL },
-	{ "platform", "timeout", SETTING_DURATION_MS,
-	  PLACE(platform_timeout_ms), 10, 60000, "1s", NULL },
-	{ "platform", "calls_per_s", SETTING_INT32, PLACE(platform_calls_per_s),
-	  1, 10000, "100", NULL },
-	/* Two days of one order a second, of which a day is kept. */
-	{ "platform", "claims_max", SETTING_INT32, PLACE(platform_claims_max),
-	  1, 100000000, "200000", NULL },
-	{ "traces", "url", SETTING_TEXT, PLACE(trace_url), 0, 0, "", NULL },
-	{ "log", "level", SETTING_ENUM, PLACE(log_level), 0, 0, "info",
-	  levels },
-	{ "log", "format", SETTING_ENUM, PLACE(log_format), 0, 0, "key-value",
-	  formats },
-	{ "history", "path", SETTING_TEXT, PLACE(history_path), 0, 0, "",
-	  NULL },
-	{ "routing", "policy", SETTING_ENUM, PLACE(route_policy), 0, 0,
-	  "cost-lanes", policies },
-	{ "routing", "queue_max", SETTING_INT32, PLACE(queue_max), 1, 1000000,
-	  "10000", NULL },
-	{ "shutdown", "notice", SETTING_DURATION_MS, PLACE(drain_notice_ms), 0,
-	  DAY_MS, "5s", NULL },
-	{ "shutdown", "limit", SETTING_DURATION_MS, PLACE(drain_max_ms), 0,
-	  DAY_MS, "1h", NULL },
-};
-
-enum { SETTING_COUNT = sizeof(table) / sizeof(table[0]) };
-
 static bool value_error(const place_t *place, const char *problem, err_t *err)
 {
 	return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_VALUE,
@@ -275,9 +182,9 @@
 {
 	int i;
 
-	for (i = 0; i < SETTING_COUNT; i++)
-		if (!strcmp(table[i].section, section) &&
-		    (!key || !strcmp(table[i].key, key)))
+	for (i = 0; (size_t)i < settings_table_count; i++)
+		if (!strcmp(settings_table[i].section, section) &&
+		    (!key || !strcmp(settings_table[i].key, key)))
 			return i;
 	return -1;
 }
@@ -302,7 +209,7 @@
 		return key_error(path, key_node, section, key,
 				 "stands more than once", err);
 	seen[i] = true;
-	place.setting = &table[i];
+	place.setting = &settings_table[i];
 	place.line = value_node->start_mark.line + 1;
 	if (!text)
 		return value_error(&place, "expected a single value", err);
@@ -367,20 +274,37 @@
 	place_t place = { .path = path };
 	int i;
 
-	for (i = 0; i < SETTING_COUNT; i++) {
-		place.setting = &table[i];
-		if (seen[i] || !is_needed(reader, &table[i]))
+	for (i = 0; (size_t)i < settings_table_count; i++) {
+		place.setting = &settings_table[i];
+		if (seen[i] || !is_needed(reader, &settings_table[i]))
 			continue;
-		if (!table[i].initial)
+		if (!settings_table[i].initial)
 			return err_set(err, ERR_LAYER_SETTINGS,
 				       SETTINGS_ERR_KEY, "%s: %s.%s: missing",
-				       path, table[i].section, table[i].key);
-		if (!read_value(table[i].initial, &place, settings, err))
+				       path, settings_table[i].section,
+				       settings_table[i].key);
+		if (!read_value(settings_table[i].initial, &place, settings,
+				err))
 			return false;
 	}
 	return true;
 }
 
+/* Links between nodes would fail without a message at either end. */
+static bool check_peer_keys(const char *path, const settings_t *settings,
+			    err_t *err)
+{
+	char public_key[CURVE_KEY_SIZE_BYTES];
+
+	if (!zmq_curve_public(public_key, settings->peer_secret_key) &&
+	    !strcmp(public_key, settings->peer_public_key))
+		return true;
+	return err_set(err, ERR_LAYER_SETTINGS, SETTINGS_ERR_VALUE,
+		       "%s: peers: public_key does not belong to secret_key; "
+		       "make a pair with chivestage keys",
+		       path);
+}
+
 static bool check_pairs(const char *path, const settings_t *settings,
 			err_t *err)
 {
@@ -404,7 +328,7 @@
 static bool load(const char *path, reader_t reader, settings_t *settings,
 		 err_t *err)
 {
-	bool seen[SETTING_COUNT] = { false }, loaded;
+	bool seen[SETTINGS_MAX] = { false }, loaded;
 	yaml_document_t document;
 	yaml_parser_t parser;
 	FILE *file = fopen(path, "r");
@@ -437,7 +361,8 @@
 
 bool settings_load(const char *path, settings_t *settings, err_t *err)
 {
-	return load(path, READER_DAEMON, settings, err);
+	return load(path, READER_DAEMON, settings, err) &&
+	       check_peer_keys(path, settings, err);
 }
 
 bool settings_load_tool(const char *path, settings_t *settings, err_t *err)
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -7,13 +7,15 @@
 #include "cases.h"
 #include "process/settings.h"
 
-#define KEY40 "0123456789012345678901234567890123456789"
-#define REQUIRED                                                        \
-	"vm: {id: a1, data_centre: a}\n"                                \
-	"callers: {address: '127.0.0.1:8080'}\n"                        \
-	"operators: {address: '127.0.0.1:8081', token: secret-token}\n" \
-	"peers: {address: '127.0.0.1:8082', public_key: '" KEY40 "',\n" \
-	"  secret_key: '" KEY40 "'}\n"                                  \
+/* The key pair of the examples, from zmq_curve(7). */
+#define PUBLIC "Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hID"
+#define SECRET "D:)Q[IlAW!ahhC2ac:9*A}h:p?([4%wOTJ%JR%cs"
+#define REQUIRED                                                         \
+	"vm: {id: a1, data_centre: a}\n"                                 \
+	"callers: {address: '127.0.0.1:8080'}\n"                         \
+	"operators: {address: '127.0.0.1:8081', token: secret-token}\n"  \
+	"peers: {address: '127.0.0.1:8082', public_key: '" PUBLIC "',\n" \
+	"  secret_key: '" SECRET "'}\n"                                  \
 	"platform: {url: 'http://127.0.0.1:8083'}\n"
 
 static bool load(const char *text, settings_t *settings, err_t *err)
@@ -79,6 +81,13 @@
 	  SETTINGS_ERR_VALUE },
 	{ "vm: {id: a1, data_centre: a}\ncallers: {address: localhost}\n",
 	  ":2: callers.address: expected ADDRESS:PORT", SETTINGS_ERR_VALUE },
+	{ "vm: {id: a1, data_centre: a}\n"
+	  "callers: {address: '127.0.0.1:8080'}\n"
+	  "operators: {address: '127.0.0.1:8081', token: secret-token}\n"
+	  "peers: {address: '127.0.0.1:8082', public_key: '" SECRET "',\n"
+	  "  secret_key: '" SECRET "'}\n"
+	  "platform: {url: 'http://127.0.0.1:8083'}\n",
+	  "public_key does not belong to secret_key", SETTINGS_ERR_VALUE },
 	{ "operators: {token: short}\n",
 	  ":1: operators.token: expected 8 to 63 characters",
 	  SETTINGS_ERR_VALUE },
