Share the item lookup and the line printer in the tool

item.c searched a section for a named item as edit.c does, and two files printed difference lines with their own function; edit_find() and ctl_print_line() serve both. A comment named a parameter that does not exist. Behaviour is unchanged.

--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -31,11 +31,6 @@
 	return json_integer_value(json_object_get(root, "version"));
 }
 
-static void print_line(void *context, const char *text)
-{
-	fprintf(context, "%s\n", text);
-}
-
 static exit_code_t report_success(const change_t *change)
 {
 	if (change->json) {
@@ -50,7 +45,7 @@
 	}
 	printf("version %" PRId64 " accepted, change %s\n",
 	       version_of(change->after), change->id);
-	diff_documents(change->before, change->after, print_line, stdout);
+	diff_documents(change->before, change->after, ctl_print_line, stdout);
 	return EXIT_OK;
 }
 
@@ -72,7 +67,7 @@
 	ctl_complain("not applied: version %" PRId64 ", change %s, was "
 		     "accepted first; it made these changes:",
 		     version_of(winner), id ? id : "(none)");
-	diff_documents(change->before, winner, print_line, stderr);
+	diff_documents(change->before, winner, ctl_print_line, stderr);
 	return EXIT_LOST_RACE;
 }
 
--- a/src/ctl/change.h
+++ b/src/ctl/change.h
@@ -10,8 +10,7 @@
 
 /**
  * Edits the JSON form of the document in force.
- * @param root        the document; an empty object if there is none yet
- * @param new_version set to 0 to take the next version
+ * @param root the document; an empty object if there is none yet
  */
 typedef bool (*change_edit_t)(void *context, json_t *root, err_t *err);
 
--- a/src/ctl/config.c
+++ b/src/ctl/config.c
@@ -130,11 +130,6 @@
 	return EXIT_OK;
 }
 
-static void print_line(void *context, const char *text)
-{
-	printf("%s\n", text);
-}
-
 static void append_line(void *context, const char *text)
 {
 	json_array_append_new(context, json_string(text));
@@ -159,7 +154,7 @@
 		ctl_print_json(lines);
 		json_decref(lines);
 	} else {
-		diff_documents(spec, json, print_line, NULL);
+		diff_documents(spec, json, ctl_print_line, stdout);
 	}
 	json_decref(json);
 	json_decref(spec);
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -36,6 +36,9 @@
 void ctl_complain(const char *format, ...)
 	__attribute__((format(printf, 1, 2)));
 
+/** Prints a line of a difference; the context is a FILE. */
+void ctl_print_line(void *file, const char *text);
+
 /** Prints a JSON value on one line. */
 void ctl_print_json(const json_t *json);
 
--- a/src/ctl/item.c
+++ b/src/ctl/item.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "ctl/change.h"
 #include "version/assign.h"
 #include "version/edit.h"
@@ -28,28 +26,13 @@
 	return edit_remove(root, sections[edit->section].key, edit->name, err);
 }
 
-/* @return a copy of the item of that name, or a new item. */
-static json_t *copy_item(const json_t *root, const item_edit_t *edit)
-{
-	const json_t *array =
-		json_object_get(root, sections[edit->section].key);
-	size_t i;
-
-	for (i = 0; i < json_array_size(array); i++) {
-		const json_t *item = json_array_get(array, i);
-		const char *name =
-			json_string_value(json_object_get(item, "name"));
-
-		if (name && !strcmp(name, edit->name))
-			return json_deep_copy(item);
-	}
-	return json_pack("{s:s}", "name", edit->name);
-}
-
 static bool set_item(void *context, json_t *root, err_t *err)
 {
 	const item_edit_t *edit = context;
-	json_t *item = copy_item(root, edit);
+	const json_t *found =
+		edit_find(root, sections[edit->section].key, edit->name);
+	json_t *item = found ? json_deep_copy(found)
+			     : json_pack("{s:s}", "name", edit->name);
 	bool set = true;
 	int i;
 
--- a/src/ctl/util.c
+++ b/src/ctl/util.c
@@ -16,6 +16,11 @@
 	return false;
 }
 
+void ctl_print_line(void *file, const char *text)
+{
+	fprintf(file, "%s\n", text);
+}
+
 void ctl_print_json(const json_t *json)
 {
 	json_dumpf(json, stdout, JSON_COMPACT | JSON_ENCODE_ANY);
--- a/src/version/edit.c
+++ b/src/version/edit.c
@@ -15,7 +15,7 @@
 	return json_object_get(root, section);
 }
 
-static bool find_item(json_t *array, const char *name, size_t *index)
+static bool find_item(const json_t *array, const char *name, size_t *index)
 {
 	for (*index = 0; *index < json_array_size(array); (*index)++) {
 		const char *found = json_string_value(
@@ -27,6 +27,16 @@
 	return false;
 }
 
+const json_t *edit_find(const json_t *root, const char *section,
+			const char *name)
+{
+	const json_t *array = json_object_get(root, section);
+	size_t index;
+
+	return find_item(array, name, &index) ? json_array_get(array, index)
+					      : NULL;
+}
+
 static bool no_item(err_t *err, const char *section, const char *name)
 {
 	return err_set(err, ERR_LAYER_DOCUMENT, DOCUMENT_ERR_REFERENCE,
--- a/src/version/edit.h
+++ b/src/version/edit.h
@@ -13,6 +13,10 @@
 
 enum { EDIT_RECENT_CHANGES_MAX = 32 };
 
+/** @return the item called @p name in @p section, or NULL. */
+const json_t *edit_find(const json_t *root, const char *section,
+			const char *name);
+
 /** Sets `retired` of the item called @p name in @p section. */
 bool edit_retire(json_t *root, const char *section, const char *name,
 		 bool retired, err_t *err);
