--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -21,3 +21,8 @@
 {
 	return read_us(CLOCK_REALTIME);
 }
+
+int64_t clock_boot_us(void)
+{
+	return read_us(CLOCK_BOOTTIME);
+}
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -10,6 +10,12 @@
 /** @return microseconds of CLOCK_MONOTONIC. */
 int64_t clock_monotonic_us(void);
 
+/**
+ * @return microseconds of CLOCK_BOOTTIME, which counts the time in which the
+ * VM was suspended; for bounds that hold whatever happens to the VM.
+ */
+int64_t clock_boot_us(void);
+
 /** @return microseconds since the Unix epoch. */
 int64_t clock_wall_us(void);
 
--- /dev/null
+++ b/src/connection/address.c
@@ -0,0 +1,27 @@
+#include "connection/address.h"
+
+#include <arpa/inet.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+bool address_parse(const char *text, struct sockaddr_in *address)
+{
+	char host[INET_ADDRSTRLEN];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	unsigned long port;
+
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	port = strtoul(colon + 1, &end, 10);
+	if (!colon[1] || *end || port > UINT16_MAX ||
+	    inet_pton(AF_INET, host, &address->sin_addr) != 1)
+		return false;
+	address->sin_port = htons((uint16_t)port);
+	return true;
+}
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -19,6 +19,7 @@
 typedef struct {
 	const char *method;
 	const char *url;
+	const char *target; /**< path and query as sent; NULL: those of url */
 	const char *const *headers; /**< "Name: value", NULL-terminated */
 	const void *body; /**< NULL: no body */
 	size_t body_size_bytes;
--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -24,6 +24,8 @@
 			const char *body, struct curl_slist *headers)
 {
 	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	if (request->target)
+		curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, request->target);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	if (request->ca_file)
 		curl_easy_setopt(easy, CURLOPT_CAINFO, request->ca_file);
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -271,6 +271,29 @@
 					   MHD_HEADER_KIND, name);
 }
 
+typedef struct {
+	exchange_each_header_t each;
+	void *context;
+} walk_t;
+
+static enum MHD_Result on_header(void *context, enum MHD_ValueKind kind,
+				 const char *name, const char *value)
+{
+	const walk_t *walk = context;
+
+	return walk->each(walk->context, name, value ? value : "") ? MHD_YES
+								   : MHD_NO;
+}
+
+void exchange_headers(const exchange_t *exchange, exchange_each_header_t each,
+		      void *context)
+{
+	walk_t walk = { each, context };
+
+	MHD_get_connection_values(exchange->connection, MHD_HEADER_KIND,
+				  on_header, &walk);
+}
+
 int64_t exchange_body_bytes(const exchange_t *exchange)
 {
 	const char *length = exchange_header(exchange, "Content-Length");
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -1,6 +1,5 @@
 #include "connection/listener.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +12,7 @@
 
 #include "base/mem.h"
 #include "base/units.h"
+#include "connection/address.h"
 #include "connection/listener_private.h"
 
 enum {
@@ -63,39 +63,16 @@
 		run_daemon(listener);
 }
 
-static bool parse_address(const char *text, struct sockaddr_in *address,
-			  err_t *err)
-{
-	char host[INET_ADDRSTRLEN];
-	const char *colon = strrchr(text, ':');
-	char *end;
-	unsigned long port;
-
-	memset(address, 0, sizeof(*address));
-	address->sin_family = AF_INET;
-	if (!colon || (size_t)(colon - text) >= sizeof(host))
-		goto malformed;
-	memcpy(host, text, (size_t)(colon - text));
-	host[colon - text] = '\0';
-	port = strtoul(colon + 1, &end, 10);
-	if (!colon[1] || *end || port > UINT16_MAX ||
-	    inet_pton(AF_INET, host, &address->sin_addr) != 1)
-		goto malformed;
-	address->sin_port = htons((uint16_t)port);
-	return true;
-
-malformed:
-	return err_set(err, ERR_LAYER_CONNECTION, LISTENER_ERR_ADDRESS,
-		       "listen on %s: expected IPV4:PORT", text);
-}
-
 static int open_socket(const listener_conf_t *conf, err_t *err)
 {
 	struct sockaddr_in address;
 	int on = 1, send_buffer = SEND_BUFFER_SIZE_BYTES, fd;
 
-	if (!parse_address(conf->address, &address, err))
+	if (!address_parse(conf->address, &address)) {
+		err_set(err, ERR_LAYER_CONNECTION, LISTENER_ERR_ADDRESS,
+			"listen on %s: expected IPV4:PORT", conf->address);
 		return -1;
+	}
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		goto failed;
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -84,6 +84,12 @@
 /** @return the value of a request header, or NULL. */
 const char *exchange_header(const exchange_t *exchange, const char *name);
 
+/** Handles one header; false ends the walk. */
+typedef bool (*exchange_each_header_t)(void *context, const char *name,
+				       const char *value);
+/** Walks over the request headers in the order in which they were sent. */
+void exchange_headers(const exchange_t *exchange, exchange_each_header_t each,
+		      void *context);
 /** @return Content-Length; 0 if there is no body, -1 if it is not stated. */
 int64_t exchange_body_bytes(const exchange_t *exchange);
 
--- a/src/ctl/store.h
+++ b/src/ctl/store.h
@@ -7,7 +7,7 @@
 
 #include <jansson.h>
 
-#include "connection/platform.h"
+#include "platform/client.h"
 #include "ctl/ctl.h"
 
 typedef struct store store_t;
--- /dev/null
+++ b/src/process/backends.h
@@ -0,0 +1,129 @@
+/**
+ * @file backends.h
+ * The backend servers that this node knows: their entries in the platform,
+ * the work on them, and the evidence about their health. Pure: time is an
+ * argument.
+ *
+ * A server that left the table while requests run on it stays allocated until
+ * the last of them ends.
+ */
+#ifndef PROCESS_BACKENDS_H
+#define PROCESS_BACKENDS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/units.h"
+#include "process/placement.h"
+#include "process/work_share.h"
+#include "version/routing.h"
+
+typedef struct backends backends_t;
+typedef struct backend backend_t;
+
+typedef enum { BACKEND_READY, BACKEND_DRAINING } backend_state_t;
+
+/** What the platform says of a server. */
+typedef struct {
+	char id[NAME_SIZE_BYTES]; /**< of one start, or of several */
+	char service[NAME_SIZE_BYTES];
+	char address[URL_SIZE_BYTES]; /**< IP:PORT */
+	char data_centre[NAME_SIZE_BYTES];
+	int32_t slots;
+	backend_state_t state;
+	int64_t cold_left_ms; /**< when the entry was read */
+	int64_t born_ms; /**< wall clock of its start; 0: not stated */
+} backend_entry_t;
+
+/** What one node has on one server. */
+typedef struct {
+	int32_t readers;
+	int32_t writers;
+	int64_t kv_tokens;
+	int64_t busy_until_us;
+} backend_work_t;
+
+/** How an attempt on a server ended, as evidence of its health. */
+typedef enum {
+	EVIDENCE_GOOD,
+	EVIDENCE_UNREACHABLE, /**< no connection from this node */
+	EVIDENCE_BROKEN, /**< reset, cut off or malformed answer */
+	EVIDENCE_SILENT, /**< no answer in the time that was expected */
+	EVIDENCE_FULL /**< refused for lack of room */
+} evidence_t;
+
+typedef struct {
+	char data_centre[NAME_SIZE_BYTES]; /**< of this node */
+	double cold_factor; /**< on the stated rate of a cold server */
+} backends_conf_t;
+
+backends_t *backends_create(const backends_conf_t *conf);
+void backends_destroy(backends_t *backends);
+
+/** Adds or updates a server. @return whether anything but load changed */
+bool backends_update(backends_t *backends, const backend_entry_t *entry,
+		     int64_t now_us);
+/**
+ * Removes a server.
+ * @param keep_until_us the server stays in use until then, unless it is updated
+ *                      before; 0: it is removed now. After an outage of the
+ *                      platform, entries that expired meanwhile come back.
+ * @return whether it was there
+ */
+bool backends_remove(backends_t *backends, const char *id,
+		     int64_t keep_until_us);
+/** Starts a full listing; servers not updated before the end are removed. */
+void backends_begin_listing(backends_t *backends);
+/** @return how many servers were removed, or are to be */
+size_t backends_end_listing(backends_t *backends, int64_t keep_until_us);
+/** Removes the servers whose time is over. @return how many */
+size_t backends_expire(backends_t *backends, int64_t now_us);
+
+/** Takes a data centre out of service or back. */
+void backends_evacuate(backends_t *backends, const char *data_centre,
+		       bool evacuated);
+void backends_clear_evacuations(backends_t *backends);
+
+/** Number of nodes that share the limits of cold servers. */
+void backends_set_nodes(backends_t *backends, int32_t nodes);
+
+size_t backends_count(const backends_t *backends);
+/** Walks over the table: NULL gives the first server, and ends the walk. */
+backend_t *backends_next(backends_t *backends, const backend_t *server);
+backend_t *backends_find(backends_t *backends, const char *id);
+
+backend_t *backend_ref(backend_t *backend);
+void backend_unref(backend_t *backend);
+const backend_entry_t *backend_entry(const backend_t *backend);
+/** Whether new requests may be sent to it now. */
+bool backend_usable(const backend_t *backend);
+
+/** Takes one request from the limit of a cold server; true if it is warm. */
+bool backend_take_cold(backend_t *backend, const service_conf_t *service,
+		       int64_t now_us);
+bool backend_is_cold(const backend_t *backend, int64_t now_us);
+
+/** The work of this node on the server; the user keeps it up to date. */
+backend_work_t *backend_work(backend_t *backend);
+
+void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
+/** An event came @p actual_us after the one before; @p expected_us by model. */
+void backend_note_gap(backend_t *backend, double actual_us, double expected_us);
+
+typedef struct {
+	const service_conf_t *service;
+	const work_share_t *share; /**< work of the other nodes; or NULL */
+	backend_t *const *except; /**< servers not to be used */
+	size_t except_count;
+	int64_t now_us;
+} backends_query_t;
+
+/**
+ * Lists the servers of a service that may take a request now.
+ * @param candidates the caller frees it
+ */
+size_t backends_candidates(backends_t *backends, const backends_query_t *query,
+			   candidate_t **candidates);
+
+#endif
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -11,7 +11,7 @@
 #include "base/mailbox.h"
 #include "connection/client.h"
 #include "connection/peer_codec.h"
-#include "connection/platform.h"
+#include "platform/client.h"
 #include "process/credit_holder.h"
 #include "process/credit_owner.h"
 #include "process/dispatch.h"
--- a/src/process/control_sweep.c
+++ b/src/process/control_sweep.c
@@ -8,11 +8,9 @@
 #include "request/claim.h"
 
 /*
- * Pages are small because a claim may hold an answer of 700 kB; a page that
- * is too large for one answer is read again in halves. At a page a second a
- * day's claims of one order a second are swept in 72 minutes.
+ * The platform sizes the pages, by about 1 MB; a claim may hold an answer of
+ * 700 kB. At a page a second a sweep reads at most 1 MB a second.
  */
-enum { PAGE_OBJECTS = 20 };
 #define PAGE_INTERVAL_US US_PER_S
 #define SWEEP_INTERVAL_US (600 * US_PER_S)
 
@@ -20,7 +18,6 @@
 	control_t *control;
 	bool reading;
 	int64_t due_us;
-	int32_t page_objects;
 	int64_t found; /* claims that stay, in the pages of this sweep */
 	char next[PLATFORM_NEXT_SIZE_BYTES];
 };
@@ -30,7 +27,6 @@
 	control_sweep_t *sweep = mem_calloc(1, sizeof(*sweep));
 
 	sweep->control = control;
-	sweep->page_objects = PAGE_OBJECTS;
 	return sweep;
 }
 
@@ -69,8 +65,7 @@
 }
 
 static void on_page(void *context, platform_status_t status,
-		    const platform_object_t *objects, size_t count,
-		    const char *next)
+		    const platform_page_t *page)
 {
 	control_sweep_t *sweep = context;
 	size_t i;
@@ -78,8 +73,6 @@
 	sweep->reading = false;
 	sweep->due_us = clock_monotonic_us() + PAGE_INTERVAL_US;
 	if (status != PLATFORM_OK) {
-		if (status == PLATFORM_UNKNOWN && sweep->page_objects > 1)
-			sweep->page_objects /= 2;
 		/* The platform forgets where a page starts after a while. */
 		if (status == PLATFORM_CONFLICT) {
 			*sweep->next = '\0';
@@ -87,11 +80,10 @@
 		}
 		return;
 	}
-	sweep->page_objects = PAGE_OBJECTS;
-	for (i = 0; i < count; i++)
-		remove_old(sweep, &objects[i]);
-	mem_strlcpy(sweep->next, next, sizeof(sweep->next));
-	if (*next)
+	for (i = 0; i < page->count; i++)
+		remove_old(sweep, &page->objects[i]);
+	mem_strlcpy(sweep->next, page->next, sizeof(sweep->next));
+	if (*page->next)
 		return;
 	control_actions_swept(sweep->control->actions, sweep->found);
 	sweep->found = 0;
@@ -106,6 +98,6 @@
 	if (!control_members_sweeps(sweep->control->members))
 		return;
 	sweep->reading = true;
-	platform_list(sweep->control->platform, PLATFORM_CLAIMS,
-		      sweep->page_objects, sweep->next, on_page, sweep);
+	platform_list(sweep->control->platform, PLATFORM_CLAIMS, sweep->next,
+		      false, on_page, sweep);
 }
--- /dev/null
+++ b/src/process/gateway.c
@@ -0,0 +1,218 @@
+#include "process/gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "process/gateway_state.h"
+#include "request/forward.h"
+
+enum {
+	/* A call to the store takes some ms; it counts as lost after this. */
+	PLATFORM_TIMEOUT_MS = 1000,
+	/* Bounds a node that calls the store in a loop. */
+	PLATFORM_CALLS_PER_S = 40,
+	/* Descriptors beside those of callers and servers. */
+	DESCRIPTORS_RESERVED = 400,
+	/* Nodes that are assumed to share the limits until they are listed. */
+	NODES_ASSUMED = 16,
+	PERCENT = 100,
+	STOP_POLL_MS = 50,
+	/* The load balancer probes each second and takes a node out after two
+	 * misses; requests that are on their way then still arrive. */
+	STOP_NOTICE_MS = 3200,
+	/* What is left is ended this long before the process is killed. */
+	STOP_MARGIN_MS = 250,
+	SERVER_EXPIRY_MS = 100
+};
+
+/* Part of the shared budget of second sends that is used; the rest covers
+ * nodes that count differently. */
+#define RETRY_BUDGET_SHARE 0.8
+/* Name of our kinds of objects in the store. */
+#define PLATFORM_NAMESPACE "chivestage"
+
+uint64_t gateway_random(gateway_t *gateway)
+{
+	/* xorshift64 */
+	gateway->random ^= gateway->random << 13;
+	gateway->random ^= gateway->random >> 7;
+	gateway->random ^= gateway->random << 17;
+	return gateway->random;
+}
+
+static retry_budget_t *find_budget(gateway_t *gateway, const char *service)
+{
+	service_budget_t *entry;
+	size_t i;
+
+	for (i = 0; i < gateway->budget_count; i++)
+		if (!strcmp(gateway->budgets[i].service, service))
+			return &gateway->budgets[i].budget;
+	/* Services beyond the table share the last entry. */
+	if (gateway->budget_count == SERVICES_MAX)
+		return &gateway->budgets[SERVICES_MAX - 1].budget;
+	entry = &gateway->budgets[gateway->budget_count++];
+	mem_strlcpy(entry->service, service, sizeof(entry->service));
+	return &entry->budget;
+}
+
+void gateway_count_request(gateway_t *gateway, const char *service)
+{
+	retry_request(find_budget(gateway, service), clock_monotonic_us());
+}
+
+bool gateway_take_retry(gateway_t *gateway, const char *service)
+{
+	const node_settings_t *settings = &gateway->settings;
+	double percent = settings->retry_ratio * PERCENT * RETRY_BUDGET_SHARE;
+	double floor = settings->retry_slack * RETRY_BUDGET_SHARE /
+		       (gateway->nodes > 0 ? gateway->nodes : NODES_ASSUMED);
+
+	return retry_take_above(find_budget(gateway, service), (int32_t)percent,
+				(int32_t)floor, clock_monotonic_us());
+}
+
+static bool open_callers(gateway_t *gateway, err_t *err)
+{
+	listener_handler_t handler = forward_handler;
+	listener_conf_t conf = {
+		.address = gateway->settings.caller_address,
+		.connections_max = (gateway->settings.descriptors_max -
+				    DESCRIPTORS_RESERVED) /
+				   2,
+	};
+
+	handler.context = gateway;
+	gateway->callers = listener_create(gateway->loop, &conf, &handler, err);
+	return gateway->callers;
+}
+
+static void on_expiry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+	size_t removed =
+		backends_expire(gateway->backends, clock_monotonic_us());
+
+	if (removed)
+		log_event(EVENT_SERVER_REMOVED, "count=%zu reason=not-returned",
+			  removed);
+}
+
+static bool start(gateway_t *gateway, err_t *err)
+{
+	platform_conf_t platform = { .timeout_ms = PLATFORM_TIMEOUT_MS,
+				     .calls_per_s = PLATFORM_CALLS_PER_S };
+	backends_conf_t backends = { .cold_factor =
+					     gateway->settings.cold_factor };
+
+	mem_strlcpy(platform.url, gateway->settings.platform_url,
+		    sizeof(platform.url));
+	mem_strlcpy(platform.namespace_name, PLATFORM_NAMESPACE,
+		    sizeof(platform.namespace_name));
+	mem_strlcpy(backends.data_centre, gateway->settings.data_centre,
+		    sizeof(backends.data_centre));
+	gateway->backends = backends_create(&backends);
+	backends_set_nodes(gateway->backends, NODES_ASSUMED);
+	gateway->client = client_create(gateway->loop, err);
+	if (!gateway->client)
+		return false;
+	gateway->platform = platform_create(gateway->client, &platform);
+	if (!gateway_probes_start(gateway, err) ||
+	    !open_callers(gateway, err) || !gateway_peers_start(gateway, err))
+		return false;
+	gateway_views_start(gateway);
+	ev_timer_init(&gateway->expiry, on_expiry,
+		      (double)SERVER_EXPIRY_MS / MS_PER_S,
+		      (double)SERVER_EXPIRY_MS / MS_PER_S);
+	gateway->expiry.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->expiry);
+	return true;
+}
+
+gateway_t *gateway_create(struct ev_loop *loop, const node_settings_t *settings,
+			  err_t *err)
+{
+	gateway_t *gateway = mem_calloc(1, sizeof(*gateway));
+
+	gateway->loop = loop;
+	gateway->settings = *settings;
+	gateway->random = ((uint64_t)clock_wall_us() << 16) ^
+			  work_share_hash(settings->node_id) ^
+			  (uint64_t)getpid();
+	ev_init(&gateway->stop_timer, NULL);
+	if (start(gateway, err))
+		return gateway;
+	gateway_destroy(gateway);
+	return NULL;
+}
+
+void gateway_destroy(gateway_t *gateway)
+{
+	if (!gateway)
+		return;
+	forward_abort_all(gateway);
+	ev_timer_stop(gateway->loop, &gateway->stop_timer);
+	ev_timer_stop(gateway->loop, &gateway->expiry);
+	gateway_views_stop(gateway);
+	listener_destroy(gateway->callers);
+	gateway_probes_stop(gateway);
+	gateway_peers_stop(gateway);
+	platform_destroy(gateway->platform);
+	client_destroy(gateway->client);
+	backends_destroy(gateway->backends);
+	routing_unref(gateway->routing);
+	free(gateway);
+}
+
+static void set_phase(gateway_t *gateway, stop_phase_t phase, const char *name)
+{
+	gateway->stop = phase;
+	log_event(EVENT_SHUTDOWN_PHASE, "phase=%s requests=%zu", name,
+		  gateway->forward_count);
+}
+
+static void on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+	int64_t passed_ms =
+		(clock_monotonic_us() - gateway->stop_started_us) / US_PER_MS;
+
+	if (gateway->stop == STOP_NOTICE && passed_ms >= STOP_NOTICE_MS)
+		set_phase(gateway, STOP_FINISHING, "finishing");
+	if (passed_ms >= gateway->settings.stop_ms - STOP_MARGIN_MS)
+		forward_abort_all(gateway);
+	else if (gateway->stop == STOP_NOTICE || gateway->forward_count)
+		return;
+	ev_break(loop, EVBREAK_ALL);
+}
+
+void gateway_stop(gateway_t *gateway)
+{
+	if (gateway->stop != STOP_NONE)
+		return;
+	set_phase(gateway, STOP_NOTICE, "notice");
+	gateway->stop_started_us = clock_monotonic_us();
+	ev_timer_init(&gateway->stop_timer, on_stop_timer,
+		      (double)STOP_POLL_MS / MS_PER_S,
+		      (double)STOP_POLL_MS / MS_PER_S);
+	gateway->stop_timer.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->stop_timer);
+}
+
+void gateway_reload(gateway_t *gateway, const node_settings_t *settings)
+{
+	node_settings_t *current = &gateway->settings;
+
+	/* Addresses hold for the life of a process. */
+	current->memory_limit_bytes = settings->memory_limit_bytes;
+	current->stop_ms = settings->stop_ms;
+	current->key_revoke_ms = settings->key_revoke_ms;
+	current->keys_expire = settings->keys_expire;
+	current->retry_ratio = settings->retry_ratio;
+	current->retry_slack = settings->retry_slack;
+	log_event(EVENT_SETTINGS_RELOADED, "node=%s", current->node_id);
+}
--- /dev/null
+++ b/src/process/gateway_peers.c
@@ -0,0 +1,243 @@
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "process/gateway_state.h"
+
+/* Announcements that one node sends in a second at most, to all peers
+ * together; bounds the processor time of a large fleet. */
+enum { DATAGRAMS_PER_S = 250 };
+/* Shortest pause between two announcements. */
+#define ANNOUNCE_MIN_S 0.02
+/* Repeats an unchanged announcement before it expires at the peers. */
+#define ANNOUNCE_IDLE_US (600 * US_PER_MS)
+
+/* The list of nodes is read often while the fleet starts. */
+#define REGISTRY_FIRST_S 0.7
+#define REGISTRY_S 5.0
+enum { REGISTRY_FIRST_READS = 4 };
+
+static double announce_pause_s(const gateway_t *gateway)
+{
+	double pause_s = (double)gateway->peer_count / DATAGRAMS_PER_S;
+
+	return pause_s > ANNOUNCE_MIN_S ? pause_s : ANNOUNCE_MIN_S;
+}
+
+static size_t list_work(gateway_t *gateway, work_item_t *items, size_t max,
+			int64_t now_us)
+{
+	backend_t *server = NULL;
+	size_t count = 0;
+
+	while (count < max &&
+	       (server = backends_next(gateway->backends, server))) {
+		const backend_work_t *work = backend_work(server);
+
+		if (!work->readers && !work->writers)
+			continue;
+		items[count++] = (work_item_t){
+			.server_hash =
+				work_share_hash(backend_entry(server)->id),
+			.readers = work->readers,
+			.writers = work->writers,
+			.kv_tokens = work->kv_tokens,
+			.busy_for_us = work->busy_until_us > now_us
+					       ? work->busy_until_us - now_us
+					       : 0,
+		};
+	}
+	return count;
+}
+
+static void announce(gateway_t *gateway, int64_t now_us)
+{
+	work_item_t items[256];
+	work_message_t message = {
+		.node = XXH64(gateway->settings.node_id,
+			      strlen(gateway->settings.node_id), 0),
+		.incarnation = gateway->incarnation,
+		.sequence = ++gateway->sequence,
+		.items = items,
+		.item_count = list_work(gateway, items,
+					sizeof(items) / sizeof(items[0]),
+					now_us),
+	};
+	uint8_t data[WORK_MESSAGE_MAX_BYTES];
+	size_t size, i;
+
+	gateway->announced_us = now_us;
+	gateway->announce_due = false;
+	size = work_message_encode(&message, data, sizeof(data));
+	for (i = 0; size && i < gateway->peer_count; i++)
+		datagram_send(gateway->datagram, gateway->peers[i].address,
+			      data, size);
+	metrics_add(METRIC_PEER_SENT, (int64_t)gateway->peer_count);
+	metrics_add(METRIC_PEER_SENT_BYTES,
+		    (int64_t)(size * gateway->peer_count));
+}
+
+static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	work_share_expire(gateway->share, now_us);
+	if (gateway->announce_due ||
+	    now_us - gateway->announced_us >= ANNOUNCE_IDLE_US)
+		announce(gateway, now_us);
+	ev_timer_set(timer,
+		     gateway->announce_due
+			     ? announce_pause_s(gateway)
+			     : (double)ANNOUNCE_IDLE_US / (double)US_PER_S,
+		     0.);
+	ev_timer_start(loop, timer);
+}
+
+void gateway_work_changed(gateway_t *gateway)
+{
+	int64_t now_us = clock_monotonic_us();
+	double pause_s =
+		announce_pause_s(gateway) -
+		(double)(now_us - gateway->announced_us) / (double)US_PER_S;
+
+	if (gateway->announce_due)
+		return;
+	gateway->announce_due = true;
+	ev_timer_stop(gateway->loop, &gateway->announce);
+	ev_timer_set(&gateway->announce, pause_s > 0 ? pause_s : 0, 0.);
+	ev_timer_start(gateway->loop, &gateway->announce);
+}
+
+static void on_datagram(void *context, const uint8_t *data, size_t size)
+{
+	gateway_t *gateway = context;
+	work_message_t message;
+
+	if (!work_message_decode(&message, data, size)) {
+		metrics_add(METRIC_PEER_MALFORMED, 1);
+		return;
+	}
+	metrics_add(METRIC_PEER_RECEIVED_BYTES, (int64_t)size);
+	if (!work_share_receive(gateway->share, &message, clock_monotonic_us()))
+		metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
+	free(message.items);
+}
+
+static bool is_own(const gateway_t *gateway, const platform_vm_t *vm)
+{
+	return !strcmp(vm->id, gateway->settings.node_id);
+}
+
+static void on_list(void *context, platform_status_t status,
+		    const platform_vm_t *vms, size_t count)
+{
+	gateway_t *gateway = context;
+	size_t i, before = gateway->peer_count;
+
+	if (status != PLATFORM_OK)
+		return;
+	gateway->peers =
+		mem_realloc(gateway->peers, count + 1, sizeof(*gateway->peers));
+	gateway->peer_count = 0;
+	for (i = 0; i < count; i++)
+		if (!is_own(gateway, &vms[i]))
+			mem_strlcpy(
+				gateway->peers[gateway->peer_count++].address,
+				vms[i].address, URL_SIZE_BYTES);
+	gateway->nodes = (int32_t)gateway->peer_count + 1;
+	backends_set_nodes(gateway->backends, gateway->nodes);
+	if (before != gateway->peer_count)
+		log_event(EVENT_PEERS_CHANGED, "nodes=%d before=%zu",
+			  gateway->nodes, before + 1);
+}
+
+static json_t *own_entry(const gateway_t *gateway)
+{
+	return json_pack("{s:s,s:s,s:b}", "data_centre",
+			 gateway->settings.data_centre, "address",
+			 gateway->settings.peer_address, "leaving", 0);
+}
+
+static void on_registered(void *context, platform_status_t status,
+			  const platform_object_t *object)
+{
+	gateway_t *gateway = context;
+
+	gateway->registered = status == PLATFORM_OK;
+}
+
+/* The entry of an earlier start may hold another address. */
+static void on_own_entry(void *context, platform_status_t status,
+			 const platform_object_t *object)
+{
+	gateway_t *gateway = context;
+	json_t *entry = own_entry(gateway);
+
+	if (status == PLATFORM_OK && json_equal(entry, object->spec))
+		gateway->registered = true;
+	else if (status == PLATFORM_OK)
+		platform_put(gateway->platform, PLATFORM_VMS,
+			     gateway->settings.node_id, object->version,
+			     json_incref(entry), on_registered, gateway);
+	json_decref(entry);
+}
+
+static void on_created(void *context, platform_status_t status,
+		       const platform_object_t *object)
+{
+	gateway_t *gateway = context;
+
+	gateway->registered = status == PLATFORM_OK;
+	if (status == PLATFORM_EXISTS)
+		platform_get(gateway->platform, PLATFORM_VMS,
+			     gateway->settings.node_id, on_own_entry, gateway);
+}
+
+static void on_registry(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_t *gateway = timer->data;
+
+	if (!gateway->registered)
+		platform_create_object(gateway->platform, PLATFORM_VMS,
+				       gateway->settings.node_id,
+				       own_entry(gateway), on_created, gateway);
+	platform_list_vms(gateway->platform, on_list, gateway);
+	ev_timer_set(timer,
+		     gateway->registry_reads++ < REGISTRY_FIRST_READS
+			     ? REGISTRY_FIRST_S
+			     : REGISTRY_S,
+		     0.);
+	ev_timer_start(loop, timer);
+}
+
+bool gateway_peers_start(gateway_t *gateway, err_t *err)
+{
+	gateway->share = work_share_create();
+	gateway->datagram = datagram_create(gateway->loop,
+					    gateway->settings.peer_address,
+					    on_datagram, gateway, err);
+	if (!gateway->datagram)
+		return false;
+	gateway->incarnation = (uint64_t)clock_wall_us();
+	ev_timer_init(&gateway->announce, on_announce, ANNOUNCE_MIN_S, 0.);
+	gateway->announce.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->announce);
+	ev_timer_init(&gateway->registry, on_registry, 0., 0.);
+	gateway->registry.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->registry);
+	return true;
+}
+
+void gateway_peers_stop(gateway_t *gateway)
+{
+	ev_timer_stop(gateway->loop, &gateway->announce);
+	ev_timer_stop(gateway->loop, &gateway->registry);
+	datagram_destroy(gateway->datagram);
+	work_share_destroy(gateway->share);
+	free(gateway->peers);
+}
--- /dev/null
+++ b/src/process/gateway_run.c
@@ -0,0 +1,71 @@
+#include "process/gateway_run.h"
+
+#include <ev.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/log.h"
+#include "platform/settings.h"
+#include "process/gateway.h"
+
+static void on_stop(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	gateway_stop(watcher->data);
+}
+
+static void on_reload(struct ev_loop *loop, ev_signal *watcher, int events)
+{
+	node_settings_t settings;
+	err_t err = { 0 };
+
+	if (platform_settings_load(getenv(PLATFORM_SETTINGS_VARIABLE),
+				   &settings, &err))
+		gateway_reload(watcher->data, &settings);
+	else
+		log_event(EVENT_SETTINGS_REFUSED, "error=\"%s\"", err.message);
+}
+
+static void watch(struct ev_loop *loop, ev_signal *watcher, int number,
+		  void (*handler)(struct ev_loop *, ev_signal *, int),
+		  gateway_t *gateway)
+{
+	ev_signal_init(watcher, handler, number);
+	watcher->data = gateway;
+	ev_signal_start(loop, watcher);
+}
+
+static int fail(const char *message)
+{
+	log_event(EVENT_START_FAILED, "error=\"%s\"", message);
+	fprintf(stderr, "chivestaged: %s\n", message);
+	return EXIT_FAILURE;
+}
+
+int gateway_run(void)
+{
+	const char *path = getenv(PLATFORM_SETTINGS_VARIABLE);
+	struct ev_loop *loop = ev_default_loop(0);
+	ev_signal term, interrupt, hang_up;
+	node_settings_t settings;
+	gateway_t *gateway;
+	err_t err = { 0 };
+
+	if (!path)
+		return fail("$" PLATFORM_SETTINGS_VARIABLE " is not set");
+	if (!platform_settings_load(path, &settings, &err))
+		return fail(err.message);
+	gateway = gateway_create(loop, &settings, &err);
+	if (!gateway)
+		return fail(err.message);
+	watch(loop, &term, SIGTERM, on_stop, gateway);
+	watch(loop, &interrupt, SIGINT, on_stop, gateway);
+	watch(loop, &hang_up, SIGHUP, on_reload, gateway);
+	log_event(EVENT_PROCESS_STARTED, "vm=%s data_centre=%s callers=%s",
+		  settings.node_id, settings.data_centre,
+		  settings.caller_address);
+	ev_run(loop, 0);
+	gateway_destroy(gateway);
+	log_event(EVENT_PROCESS_STOPPED, "vm=%s", settings.node_id);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/process/gateway_state.h
@@ -0,0 +1,115 @@
+/**
+ * @file gateway_state.h
+ * State of the gateway. Private to src/process/gateway*.c and
+ * src/request/forward*.c.
+ */
+#ifndef PROCESS_GATEWAY_STATE_H
+#define PROCESS_GATEWAY_STATE_H
+
+#include "connection/client.h"
+#include "connection/datagram.h"
+#include "connection/listener.h"
+#include "platform/client.h"
+#include "process/backends.h"
+#include "process/gateway.h"
+#include "process/work_share.h"
+#include "request/retry.h"
+#include "version/routing.h"
+
+enum { KINDS_WATCHED = 3, SERVICES_MAX = 64 };
+
+/** Follows one kind of objects in the platform's store. */
+typedef struct {
+	gateway_t *gateway;
+	platform_kind_t kind;
+	ev_timer next; /**< starts the next call outside of callbacks */
+	bool calling;
+	bool listed; /**< a full listing was read; now the changes are watched
+		      */
+	bool first_page; /**< of the listing that is being read */
+	char after[PLATFORM_NEXT_SIZE_BYTES];
+	int64_t revision;
+	int64_t called_boot_us; /**< start of the last call */
+	int64_t confirmed_boot_us; /**< the view was complete then; 0: never */
+	int32_t failures; /**< in a row */
+	int64_t returned_us; /**< first answer after the last failures */
+} view_t;
+
+/** Second sends to one service. */
+typedef struct {
+	char service[NAME_SIZE_BYTES];
+	retry_budget_t budget;
+} service_budget_t;
+
+typedef struct {
+	char address[URL_SIZE_BYTES];
+} peer_t;
+
+/** Where a graceful stop stands. */
+typedef enum { STOP_NONE, STOP_NOTICE, STOP_FINISHING } stop_phase_t;
+
+struct gateway {
+	node_settings_t settings;
+	struct ev_loop *loop;
+	client_t *client;
+	platform_t *platform;
+	listener_t *callers, *ready, *metrics;
+	datagram_t *datagram;
+
+	routing_t *routing; /**< NULL: none known yet */
+	backends_t *backends;
+	work_share_t *share;
+	view_t views[KINDS_WATCHED];
+
+	service_budget_t budgets[SERVICES_MAX];
+	size_t budget_count;
+	int32_t nodes; /**< that share the limits */
+	uint64_t random;
+
+	struct forward *forwards; /**< requests in progress */
+	size_t forward_count;
+	int64_t body_bytes; /**< of all requests in progress */
+
+	peer_t *peers;
+	size_t peer_count;
+	ev_timer announce, registry;
+	bool announce_due; /**< the work changed since the last announcement */
+	int64_t announced_us;
+	uint64_t incarnation, sequence;
+	bool registered; /**< the own entry in the list of nodes is there */
+	int32_t registry_reads;
+
+	stop_phase_t stop;
+	int64_t stop_started_us;
+	ev_timer stop_timer;
+	ev_timer expiry; /**< removes servers that did not return */
+	bool was_ready;
+};
+
+/* gateway_views.c */
+void gateway_views_start(gateway_t *gateway);
+void gateway_views_stop(gateway_t *gateway);
+/** Whether routes and servers are known. */
+bool gateway_has_views(const gateway_t *gateway);
+/** Whether the keys of accounts were confirmed lately enough. */
+bool gateway_keys_valid(const gateway_t *gateway);
+
+/* gateway_peers.c */
+bool gateway_peers_start(gateway_t *gateway, err_t *err);
+void gateway_peers_stop(gateway_t *gateway);
+/** The work of this node changed. */
+void gateway_work_changed(gateway_t *gateway);
+
+/* gateway_probes.c */
+bool gateway_probes_start(gateway_t *gateway, err_t *err);
+void gateway_probes_stop(gateway_t *gateway);
+bool gateway_is_ready(gateway_t *gateway);
+
+/* gateway.c */
+/** Counts a request to a service. */
+void gateway_count_request(gateway_t *gateway, const char *service);
+/** Takes one second send to a service; false if the share is used up. */
+bool gateway_take_retry(gateway_t *gateway, const char *service);
+uint64_t gateway_random(gateway_t *gateway);
+
+#endif
--- /dev/null
+++ b/src/process/gateway_views.c
@@ -0,0 +1,304 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "platform/config.h"
+#include "process/gateway_state.h"
+
+/* Pause after a failed call; doubled up to the longest. */
+enum { RETRY_FIRST_MS = 100, RETRY_MAX_MS = 800, RETRY_DOUBLINGS_MAX = 3 };
+
+/* Share of the bound for removed keys that one watch may take: a watch that
+ * hangs is noticed, and another one answered, within the bound. */
+#define ROUTING_WAIT_SHARE 0.3
+/* Time before the bound for removed keys at which keys are refused: a request
+ * on its way to a server, and timers that fire late. */
+enum { KEY_MARGIN_MS = 600 };
+
+/* Bounds how long a watch that hangs hides a server that leaves, or a data
+ * centre that is taken out of service. */
+enum { SERVERS_WAIT_MS = 3000, EVACUATIONS_WAIT_MS = 4000 };
+
+/* After an outage of the store, entries that expired meanwhile are written
+ * again within 2 s; those of servers that left are usable for as long. */
+#define RETURN_US (1800 * US_PER_MS)
+
+static void schedule(view_t *view, int64_t delay_ms)
+{
+	ev_timer_stop(view->gateway->loop, &view->next);
+	ev_timer_set(&view->next, (double)delay_ms / MS_PER_S, 0.);
+	ev_timer_start(view->gateway->loop, &view->next);
+}
+
+static int64_t wait_ms(const view_t *view)
+{
+	switch (view->kind) {
+	case PLATFORM_ROUTING:
+		return (int64_t)((double)view->gateway->settings.key_revoke_ms *
+				 ROUTING_WAIT_SHARE);
+	case PLATFORM_SERVERS:
+		return SERVERS_WAIT_MS;
+	case PLATFORM_EVACUATIONS:
+	default:
+		return EVACUATIONS_WAIT_MS;
+	}
+}
+
+static void apply_routing(gateway_t *gateway, const platform_object_t *object)
+{
+	int64_t current = gateway->routing ? routing_version(gateway->routing)
+					   : -1;
+	routing_t *routing;
+	err_t err;
+
+	if (strcmp(object->name, PLATFORM_ROUTING_NAME) != 0 || object->deleted)
+		return;
+	routing = platform_decode_routing(object->spec, &err);
+	if (!routing) {
+		log_event(EVENT_CONFIG_REFUSED,
+			  "source=platform revision=%" PRId64 " problem=\"%s\"",
+			  object->version, err.message);
+		return;
+	}
+	if (routing_version(routing) <= current) {
+		if (routing_version(routing) < current)
+			log_event(EVENT_CONFIG_STALE,
+				  "version=%" PRId64 " in_force=%" PRId64
+				  " source=platform",
+				  routing_version(routing), current);
+		routing_unref(routing);
+		return;
+	}
+	log_event(EVENT_CONFIG_APPLIED,
+		  "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+		  " source=platform",
+		  routing_version(routing), current, object->version);
+	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
+	routing_unref(gateway->routing);
+	gateway->routing = routing;
+}
+
+/* Until when a server whose entry is missing is kept; 0: not at all. */
+static int64_t keep_until_us(const view_t *view)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	return now_us < view->returned_us + RETURN_US
+		       ? view->returned_us + RETURN_US
+		       : 0;
+}
+
+static void apply_server(view_t *view, const platform_object_t *object)
+{
+	gateway_t *gateway = view->gateway;
+	int64_t now_us = clock_monotonic_us();
+	backend_entry_t entry;
+
+	if (object->deleted || !platform_decode_server(object, &entry)) {
+		if (backends_remove(gateway->backends, object->name,
+				    keep_until_us(view)))
+			log_event(EVENT_SERVER_REMOVED,
+				  "server=%s revision=%" PRId64 " reason=%s",
+				  object->name, object->version,
+				  object->deleted ? "deleted" : "malformed");
+		return;
+	}
+	if (backends_update(gateway->backends, &entry, now_us))
+		log_event(EVENT_SERVER_CHANGED,
+			  "server=%s service=%s address=%s data_centre=%s "
+			  "state=%s cold_ms=%" PRId64 " born_ms=%" PRId64
+			  " revision=%" PRId64,
+			  entry.id, entry.service, entry.address,
+			  entry.data_centre,
+			  entry.state == BACKEND_READY ? "ready" : "draining",
+			  entry.cold_left_ms, entry.born_ms, object->version);
+}
+
+static void apply_evacuation(gateway_t *gateway,
+			     const platform_object_t *object)
+{
+	log_event(object->deleted ? EVENT_DATA_CENTRE_RESTORED
+				  : EVENT_DATA_CENTRE_RETIRED,
+		  "data_centre=%s revision=%" PRId64, object->name,
+		  object->version);
+	backends_evacuate(gateway->backends, object->name, !object->deleted);
+}
+
+static void apply(view_t *view, const platform_object_t *object)
+{
+	switch (view->kind) {
+	case PLATFORM_ROUTING:
+		apply_routing(view->gateway, object);
+		break;
+	case PLATFORM_SERVERS:
+		apply_server(view, object);
+		break;
+	case PLATFORM_EVACUATIONS:
+		apply_evacuation(view->gateway, object);
+		break;
+	default:
+		break;
+	}
+}
+
+/* A listing replaces what was known; a watch adds changes to it. */
+static void begin_listing(view_t *view)
+{
+	if (view->kind == PLATFORM_SERVERS)
+		backends_begin_listing(view->gateway->backends);
+	if (view->kind == PLATFORM_EVACUATIONS)
+		backends_clear_evacuations(view->gateway->backends);
+}
+
+static void end_listing(view_t *view)
+{
+	size_t removed;
+
+	view->listed = true;
+	if (view->kind != PLATFORM_SERVERS)
+		return;
+	removed = backends_end_listing(view->gateway->backends,
+				       keep_until_us(view));
+	if (removed)
+		log_event(EVENT_SERVER_REMOVED, "count=%zu reason=unlisted",
+			  removed);
+}
+
+/*
+ * An answer without changes was given when the wait was over, and any answer
+ * after its call was sent; the view was complete then.
+ */
+static void confirm(view_t *view, bool quiet)
+{
+	int64_t at_us = view->called_boot_us;
+
+	if (quiet)
+		at_us += wait_ms(view) * US_PER_MS;
+	if (at_us > clock_boot_us())
+		at_us = view->called_boot_us;
+	if (view->confirmed_boot_us < at_us)
+		view->confirmed_boot_us = at_us;
+}
+
+static void on_answer_failed(view_t *view, platform_status_t status)
+{
+	int32_t doublings = view->failures < RETRY_DOUBLINGS_MAX
+				    ? view->failures
+				    : RETRY_DOUBLINGS_MAX;
+	int64_t delay_ms = RETRY_FIRST_MS << doublings;
+
+	view->failures++;
+	/* History that is gone is read again as a whole, at once. */
+	if (status == PLATFORM_CONFLICT) {
+		view->listed = false;
+		*view->after = '\0';
+		delay_ms = 0;
+		log_event(EVENT_VIEW_RELISTED, "kind=%d revision=%" PRId64,
+			  (int)view->kind, view->revision);
+	}
+	if (delay_ms > RETRY_MAX_MS)
+		delay_ms = RETRY_MAX_MS;
+	/* Nodes that failed together must not come back together. */
+	if (delay_ms)
+		delay_ms += (int64_t)(gateway_random(view->gateway) %
+				      (uint64_t)delay_ms);
+	schedule(view, delay_ms);
+}
+
+static void on_page(void *context, platform_status_t status,
+		    const platform_page_t *page)
+{
+	view_t *view = context;
+	size_t i;
+
+	view->calling = false;
+	if (status != PLATFORM_OK) {
+		on_answer_failed(view, status);
+		return;
+	}
+	if (view->failures && view->confirmed_boot_us)
+		view->returned_us = clock_monotonic_us();
+	view->failures = 0;
+	if (!view->listed && !*view->after) {
+		begin_listing(view);
+		view->revision = page->revision;
+	}
+	for (i = 0; i < page->count; i++)
+		apply(view, &page->objects[i]);
+	if (view->listed) {
+		view->revision = page->revision;
+		confirm(view, !page->count);
+	} else {
+		strcpy(view->after, page->next);
+		if (!*page->next) {
+			end_listing(view);
+			confirm(view, false);
+		}
+	}
+	schedule(view, 0);
+}
+
+static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	view_t *view = timer->data;
+	platform_t *platform = view->gateway->platform;
+
+	if (view->calling)
+		return;
+	view->calling = true;
+	view->called_boot_us = clock_boot_us();
+	if (view->listed)
+		platform_watch_kind(platform, view->kind, view->revision,
+				    wait_ms(view), on_page, view);
+	else
+		platform_list(platform, view->kind, view->after, false, on_page,
+			      view);
+}
+
+void gateway_views_start(gateway_t *gateway)
+{
+	static const platform_kind_t kinds[KINDS_WATCHED] = {
+		PLATFORM_ROUTING, PLATFORM_SERVERS, PLATFORM_EVACUATIONS
+	};
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++) {
+		view_t *view = &gateway->views[i];
+
+		view->gateway = gateway;
+		view->kind = kinds[i];
+		ev_timer_init(&view->next, on_next, 0., 0.);
+		view->next.data = view;
+		ev_timer_start(gateway->loop, &view->next);
+	}
+}
+
+void gateway_views_stop(gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		ev_timer_stop(gateway->loop, &gateway->views[i].next);
+}
+
+bool gateway_has_views(const gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		if (!gateway->views[i].confirmed_boot_us)
+			return false;
+	return gateway->routing;
+}
+
+bool gateway_keys_valid(const gateway_t *gateway)
+{
+	const node_settings_t *settings = &gateway->settings;
+	int64_t age_us = clock_boot_us() - gateway->views[0].confirmed_boot_us;
+
+	if (!settings->keys_expire)
+		return true;
+	return age_us < (settings->key_revoke_ms - KEY_MARGIN_MS) * US_PER_MS;
+}
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -12,7 +12,7 @@
 #ifndef PROCESS_LEASE_H
 #define PROCESS_LEASE_H
 
-#include "connection/platform.h"
+#include "platform/client.h"
 
 /** A reconciler that died is replaced within two of these. */
 #define LEASE_DURATION_US (10 * US_PER_S)
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -14,7 +14,9 @@
 #include "base/log.h"
 #include "base/mailbox.h"
 #include "base/mem.h"
+#include "platform/settings.h"
 #include "process/control_task.h"
+#include "process/gateway_run.h"
 #include "process/request_task.h"
 #include "process/settings.h"
 #include "process/task_msg.h"
@@ -210,16 +212,27 @@
 	return started ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
-static bool read_options(int argc, const char **argv, char **path)
+typedef struct {
+	char *settings; /* path; NULL with platform */
+	int platform; /* serve the routes of the platform */
+} options_t;
+
+static bool read_options(int argc, const char **argv, options_t *chosen)
 {
-	struct poptOption options[] = { { "config", 'c', POPT_ARG_STRING, path,
-					  0, "settings of this process",
-					  "SETTINGS.yaml" },
-					POPT_AUTOHELP POPT_TABLEEND };
+	struct poptOption options[] = {
+		{ "config", 'c', POPT_ARG_STRING, &chosen->settings, 0,
+		  "settings of this process", "SETTINGS.yaml" },
+		{ "platform", 'p', POPT_ARG_NONE, &chosen->platform, 0,
+		  "serve the routes of the platform; its settings file is "
+		  "named by $" PLATFORM_SETTINGS_VARIABLE,
+		  NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
 	poptContext context =
 		poptGetContext("chivestaged", argc, argv, options, 0);
 	int result = poptGetNextOpt(context);
-	bool valid = result == -1 && !poptPeekArg(context) && *path;
+	bool valid = result == -1 && !poptPeekArg(context) &&
+		     !chosen->settings == !!chosen->platform;
 
 	if (result < -1)
 		fprintf(stderr, "chivestaged: %s: %s\n",
@@ -241,37 +254,60 @@
 	setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-int main(int argc, const char **argv)
+static bool start_libraries(void)
+{
+	raise_file_limit();
+	/* A caller or server that closes its connection is no error here. */
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() >= 0 && !curl_global_init(CURL_GLOBAL_DEFAULT))
+		return true;
+	fprintf(stderr, "chivestaged: a library cannot start\n");
+	return false;
+}
+
+static int run_fleet(const char *path)
 {
 	daemon_t process = { .zmq = NULL };
-	char *path = NULL;
 	err_t err = { 0 };
-	bool valid;
 	int status;
 
-	if (!read_options(argc, argv, &path)) {
-		free(path);
-		return EXIT_USAGE;
-	}
-	valid = settings_load(path, &process.settings, &err) &&
-		log_open(process.settings.log_level,
-			 process.settings.log_format, &err) &&
-		history_open(process.settings.history_path,
-			     process.settings.vm_id, &err);
-	free(path);
-	if (!valid) {
+	if (!settings_load(path, &process.settings, &err) ||
+	    !log_open(process.settings.log_level, process.settings.log_format,
+		      &err) ||
+	    !history_open(process.settings.history_path, process.settings.vm_id,
+			  &err)) {
 		fprintf(stderr, "chivestaged: %s\n", err.message);
 		return EXIT_FAILURE;
 	}
-	raise_file_limit();
-	/* A caller or server that closes its connection is no error here. */
-	signal(SIGPIPE, SIG_IGN);
-	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT)) {
-		fprintf(stderr, "chivestaged: a library cannot start\n");
+	if (!start_libraries())
 		return EXIT_FAILURE;
-	}
 	status = run(&process);
 	history_close();
+	return status;
+}
+
+static int run_routes(void)
+{
+	err_t err = { 0 };
+
+	if (!log_open(LOG_INFO, LOG_FORMAT_KEY_VALUE, &err)) {
+		fprintf(stderr, "chivestaged: %s\n", err.message);
+		return EXIT_FAILURE;
+	}
+	return start_libraries() ? gateway_run() : EXIT_FAILURE;
+}
+
+int main(int argc, const char **argv)
+{
+	options_t options = { 0 };
+	int status;
+
+	if (!read_options(argc, argv, &options)) {
+		free(options.settings);
+		return EXIT_USAGE;
+	}
+	status = options.platform ? run_routes() : run_fleet(options.settings);
+	free(options.settings);
 	log_close();
 	curl_global_cleanup();
 	return status;
--- /dev/null
+++ b/src/process/node_settings.h
@@ -0,0 +1,50 @@
+/**
+ * @file node_settings.h
+ * Settings of an entry node that serves routes of the platform.
+ *
+ * Filled in by platform/settings.c. Bounds are those that the platform states
+ * for the deployment; times that this program derives from them are in the
+ * modules that use them.
+ */
+#ifndef PROCESS_NODE_SETTINGS_H
+#define PROCESS_NODE_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/units.h"
+
+typedef struct {
+	char node_id[NAME_SIZE_BYTES];
+	char data_centre[NAME_SIZE_BYTES];
+	char caller_address[URL_SIZE_BYTES]; /**< IP:PORT for callers */
+	char ready_address[URL_SIZE_BYTES]; /**< IP:PORT of the readiness probe
+					     */
+	char peer_address[URL_SIZE_BYTES]; /**< IP:PORT between nodes, UDP */
+	char metrics_address[URL_SIZE_BYTES]; /**< IP:PORT; empty: none */
+	char platform_url[URL_SIZE_BYTES];
+
+	int64_t memory_limit_bytes; /**< the process is killed above it */
+	int32_t descriptors_max;
+	int32_t platform_reads_per_s; /**< of all nodes together */
+
+	int64_t stop_ms; /**< from SIGTERM until the process is killed */
+	int64_t key_revoke_ms; /**< until a removed key must be refused */
+	bool keys_expire; /**< refuse keys that cannot be confirmed in time */
+
+	double retry_ratio; /**< second sends of a request, of all requests */
+	int32_t retry_slack; /**< second sends beyond the ratio, in a window */
+	int64_t retry_window_ms;
+
+	double cold_factor; /**< tolerated over the rate of a cold server */
+	int32_t cold_slack; /**< requests in a second beyond that */
+
+	int64_t stall_ms; /**< engines notice a lost helper after this time */
+	int64_t reservation_max_ms; /**< longest lease of engine memory */
+	int64_t reservation_idle_ms; /**< longest time that one may lie unused
+				      */
+	int64_t reservation_free_ms; /**< until one must be released after use
+				      */
+} node_settings_t;
+
+#endif
--- /dev/null
+++ b/src/process/placement.h
@@ -0,0 +1,64 @@
+/**
+ * @file placement.h
+ * Chooses the servers for one request by predicted latency. Pure.
+ *
+ * Answers two loads that share one fleet: many short prompts with a tight
+ * objective, and few prompts that take seconds to prefill. Short prompts are
+ * packed onto servers that already write, as long as the objective is met, so
+ * that other servers stay free of writers and prefill at full speed. A prompt
+ * that one server cannot prefill within its objective is split over the
+ * smallest set of servers that can.
+ */
+#ifndef PROCESS_PLACEMENT_H
+#define PROCESS_PLACEMENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/forecast.h"
+
+enum { PLACEMENT_PARTS_MAX = 16 };
+
+/** A server that may take the request. */
+typedef struct {
+	void *server; /**< the user's object */
+	server_load_t load;
+	int32_t slots; /**< requests that run at once */
+	int64_t kv_capacity_tokens; /**< 0: not limited */
+	double pace; /**< 1 is the stated speed, above it is slower */
+	int64_t distance_us; /**< round trip, and what a far server costs */
+	bool doubtful; /**< used only when no other server is left */
+} candidate_t;
+
+typedef struct {
+	const engine_profile_t *engine; /**< NULL: a plain service */
+	int64_t now_us;
+	int64_t prompt_tokens;
+	int64_t output_tokens; /**< expected */
+	int64_t target_us; /**< time left until the objective */
+	int64_t limit_us; /**< time left until the caller gives up */
+	uint64_t salt; /**< breaks ties, differs between requests */
+} placement_query_t;
+
+typedef enum {
+	PLACEMENT_CHOSEN,
+	PLACEMENT_NO_SERVER, /**< no candidate */
+	PLACEMENT_TOO_LONG, /**< no set of servers can hold the prompt */
+	PLACEMENT_LATE /**< the first answer would come after the limit */
+} placement_result_t;
+
+typedef struct {
+	size_t count;
+	const candidate_t *parts[PLACEMENT_PARTS_MAX]; /**< first: the writer */
+	bool shared_memory; /**< the prompt does not fit on the first alone */
+	int64_t first_event_us; /**< predicted, from now */
+	int64_t read_us[PLACEMENT_PARTS_MAX]; /**< that each part occupies */
+	int64_t room_in_us; /**< for PLACEMENT_LATE: when there is room */
+} placement_t;
+
+placement_result_t placement_choose(const candidate_t *candidates, size_t count,
+				    const placement_query_t *query,
+				    placement_t *placement);
+
+#endif
--- /dev/null
+++ b/src/process/work_share.c
@@ -0,0 +1,216 @@
+#include "process/work_share.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+#include "proto/work.pb-c.h"
+
+/* Announcements come several times a second; a node that is silent for this
+ * long has stopped or cannot be reached. */
+#define NODE_SILENT_US (2 * US_PER_S)
+
+enum { ITEMS_MAX = 256, KILO = 1000 };
+
+typedef struct node {
+	uint64_t id;
+	uint64_t incarnation;
+	uint64_t sequence;
+	int64_t received_us;
+	work_item_t *items;
+	size_t item_count;
+	struct node *next;
+} node_t;
+
+struct work_share {
+	node_t *nodes;
+};
+
+work_share_t *work_share_create(void)
+{
+	return mem_calloc(1, sizeof(work_share_t));
+}
+
+static void forget(work_share_t *share, node_t *node)
+{
+	LL_DELETE(share->nodes, node);
+	free(node->items);
+	free(node);
+}
+
+void work_share_destroy(work_share_t *share)
+{
+	if (!share)
+		return;
+	while (share->nodes)
+		forget(share, share->nodes);
+	free(share);
+}
+
+static node_t *find(work_share_t *share, uint64_t id)
+{
+	node_t *node;
+
+	LL_FOREACH (share->nodes, node)
+		if (node->id == id)
+			return node;
+	node = mem_calloc(1, sizeof(*node));
+	node->id = id;
+	LL_PREPEND(share->nodes, node);
+	return node;
+}
+
+static int compare_items(const void *left, const void *right)
+{
+	const work_item_t *a = left, *b = right;
+
+	if (a->server_hash == b->server_hash)
+		return 0;
+	return a->server_hash < b->server_hash ? -1 : 1;
+}
+
+bool work_share_receive(work_share_t *share, const work_message_t *message,
+			int64_t now_us)
+{
+	node_t *node = find(share, message->node);
+	size_t size = message->item_count * sizeof(*message->items);
+
+	if (message->incarnation < node->incarnation ||
+	    (message->incarnation == node->incarnation &&
+	     message->sequence <= node->sequence))
+		return false;
+	node->incarnation = message->incarnation;
+	node->sequence = message->sequence;
+	node->received_us = now_us;
+	free(node->items);
+	node->items = NULL;
+	node->item_count = message->item_count;
+	if (size) {
+		node->items = mem_calloc(1, size);
+		memcpy(node->items, message->items, size);
+		qsort(node->items, node->item_count, sizeof(*node->items),
+		      compare_items);
+	}
+	return true;
+}
+
+void work_share_expire(work_share_t *share, int64_t now_us)
+{
+	node_t *node, *next;
+
+	LL_FOREACH_SAFE (share->nodes, node, next)
+		if (now_us - node->received_us > NODE_SILENT_US)
+			forget(share, node);
+}
+
+void work_share_add(const work_share_t *share, uint32_t server_hash,
+		    server_load_t *load, int64_t now_us)
+{
+	work_item_t wanted = { .server_hash = server_hash };
+	const node_t *node;
+
+	LL_FOREACH (share->nodes, node) {
+		const work_item_t *item =
+			node->item_count
+				? bsearch(&wanted, node->items,
+					  node->item_count, sizeof(wanted),
+					  compare_items)
+				: NULL;
+
+		if (!item)
+			continue;
+		load->readers += item->readers;
+		load->writers += item->writers;
+		load->kv_tokens += item->kv_tokens;
+		if (load->busy_until_us < node->received_us + item->busy_for_us)
+			load->busy_until_us =
+				node->received_us + item->busy_for_us;
+	}
+}
+
+size_t work_share_nodes(const work_share_t *share)
+{
+	const node_t *node;
+	size_t count = 0;
+
+	LL_FOREACH (share->nodes, node)
+		count++;
+	return count;
+}
+
+uint32_t work_share_hash(const char *id)
+{
+	return (uint32_t)XXH64(id, strlen(id), 0);
+}
+
+static uint32_t to_unit(int64_t value, int64_t unit)
+{
+	int64_t units = (value + unit - 1) / unit;
+
+	if (units < 0)
+		return 0;
+	return units < UINT32_MAX ? (uint32_t)units : UINT32_MAX;
+}
+
+size_t work_message_encode(const work_message_t *message, uint8_t *data,
+			   size_t capacity)
+{
+	Work__Announcement announcement = WORK__ANNOUNCEMENT__INIT;
+	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
+	size_t i, count = message->item_count;
+
+	if (count > ITEMS_MAX)
+		count = ITEMS_MAX;
+	for (i = 0; i < count; i++) {
+		const work_item_t *item = &message->items[i];
+
+		work__item__init(&items[i]);
+		items[i].server = item->server_hash;
+		items[i].readers = to_unit(item->readers, 1);
+		items[i].writers = to_unit(item->writers, 1);
+		items[i].kv_kilotokens = to_unit(item->kv_tokens, KILO);
+		items[i].busy_for_ms = to_unit(item->busy_for_us, US_PER_MS);
+		pointers[i] = &items[i];
+	}
+	announcement.node = message->node;
+	announcement.incarnation = message->incarnation;
+	announcement.sequence = message->sequence;
+	announcement.n_items = count;
+	announcement.items = pointers;
+	if (work__announcement__get_packed_size(&announcement) > capacity)
+		return 0;
+	return work__announcement__pack(&announcement, data);
+}
+
+bool work_message_decode(work_message_t *message, const uint8_t *data,
+			 size_t size)
+{
+	Work__Announcement *announcement =
+		work__announcement__unpack(NULL, size, data);
+	size_t i;
+
+	if (!announcement)
+		return false;
+	message->node = announcement->node;
+	message->incarnation = announcement->incarnation;
+	message->sequence = announcement->sequence;
+	message->item_count = announcement->n_items;
+	message->items =
+		mem_calloc(announcement->n_items, sizeof(*message->items));
+	for (i = 0; i < announcement->n_items; i++) {
+		const Work__Item *item = announcement->items[i];
+
+		message->items[i] = (work_item_t){
+			.server_hash = item->server,
+			.readers = (int32_t)(item->readers & INT16_MAX),
+			.writers = (int32_t)(item->writers & INT16_MAX),
+			.kv_tokens = (int64_t)item->kv_kilotokens * KILO,
+			.busy_for_us = (int64_t)item->busy_for_ms * US_PER_MS,
+		};
+	}
+	work__announcement__free_unpacked(announcement, NULL);
+	return true;
+}
--- /dev/null
+++ b/src/process/work_share.h
@@ -0,0 +1,63 @@
+/**
+ * @file work_share.h
+ * What the other nodes have sent to each server. Pure.
+ *
+ * Each node announces its own work in datagrams (see connection/datagram.h).
+ * An announcement replaces the one before from the same node, and is forgotten
+ * when that node falls silent. Servers are named by a hash of their id.
+ */
+#ifndef PROCESS_WORK_SHARE_H
+#define PROCESS_WORK_SHARE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "process/forecast.h"
+
+typedef struct work_share work_share_t;
+
+/** Work of one node on one server. */
+typedef struct {
+	uint32_t server_hash;
+	int32_t readers;
+	int32_t writers;
+	int64_t kv_tokens;
+	int64_t busy_for_us; /**< until its prompts there are read */
+} work_item_t;
+
+/** One announcement. */
+typedef struct {
+	uint64_t node; /**< hash of the node's id */
+	uint64_t incarnation; /**< start of the process, grows */
+	uint64_t sequence; /**< grows within an incarnation */
+	work_item_t *items;
+	size_t item_count;
+} work_message_t;
+
+work_share_t *work_share_create(void);
+void work_share_destroy(work_share_t *share);
+
+/** Takes an announcement in. @return false if it is older than the last */
+bool work_share_receive(work_share_t *share, const work_message_t *message,
+			int64_t now_us);
+/** Forgets nodes that were silent for too long. */
+void work_share_expire(work_share_t *share, int64_t now_us);
+/** Adds the work of the other nodes on a server to @p load. */
+void work_share_add(const work_share_t *share, uint32_t server_hash,
+		    server_load_t *load, int64_t now_us);
+/** @return nodes that were heard of lately. */
+size_t work_share_nodes(const work_share_t *share);
+
+uint32_t work_share_hash(const char *id);
+
+enum { WORK_MESSAGE_MAX_BYTES = 1400 /**< fits one packet */ };
+
+/** @return the size, or 0 if it does not fit. */
+size_t work_message_encode(const work_message_t *message, uint8_t *data,
+			   size_t capacity);
+/** Fills in @p message; free its items. @return false if malformed */
+bool work_message_decode(work_message_t *message, const uint8_t *data,
+			 size_t size);
+
+#endif
--- a/src/request/claim.h
+++ b/src/request/claim.h
@@ -13,7 +13,7 @@
 #ifndef REQUEST_CLAIM_H
 #define REQUEST_CLAIM_H
 
-#include "connection/platform.h"
+#include "platform/client.h"
 #include "request/claim_record.h"
 
 typedef struct claim claim_t;
--- /dev/null
+++ b/src/request/forward_attempt.c
@@ -0,0 +1,407 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "platform/headers.h"
+#include "request/forward_state.h"
+#include "request/hop_headers.h"
+
+enum {
+	/* A connection takes a round trip of some ms; a lost first packet is
+	 * sent again after a second, which is too late to wait for. */
+	CONNECT_TIMEOUT_MS = 400,
+	/* Answers up to this size are held until they are whole, so that a
+	 * broken one can be asked for again. */
+	HOLD_MAX_BYTES = 256 * 1024,
+	/* The upstream is paused while the caller has this much to take. */
+	PENDING_MAX_BYTES = 64 * 1024,
+	HTTP_OK = 200,
+	HTTP_MULTIPLE_CHOICES = 300,
+	HTTP_MISDIRECTED = 421,
+	HTTP_SERVER_ERROR = 500
+};
+
+/* A first event counts as missing after this multiple of its prediction and
+ * at least the objective. */
+#define FIRST_EVENT_PATIENCE 2.5
+/* Callers leave a silent stream after 2 s at the earliest; a resumed one must
+ * speak before. */
+#define STREAM_PATIENCE_US (1000 * US_PER_MS)
+/* Multiple of the objective after which a lookup is asked for elsewhere. */
+enum { LOOKUP_PATIENCE_TARGETS = 3 };
+
+static void free_attempt(attempt_t *attempt)
+{
+	size_t i;
+
+	for (i = 0; i < attempt->headers.count; i++) {
+		free((char *)attempt->headers.items[i].name);
+		free((char *)attempt->headers.items[i].value);
+	}
+	free(attempt->body);
+	free(attempt);
+}
+
+static void end_work(forward_t *forward, attempt_t *attempt)
+{
+	server_work_end(&attempt->work, clock_monotonic_us());
+	gateway_work_changed(forward->gateway);
+}
+
+void attempt_cancel(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+
+	if (!attempt)
+		return;
+	forward->attempt = NULL;
+	if (attempt->call)
+		client_call_cancel(attempt->call);
+	end_work(forward, attempt);
+	free_attempt(attempt);
+	sse_reset(&forward->events);
+}
+
+void attempt_resume(forward_t *forward)
+{
+	if (forward->attempt && forward->attempt->call)
+		client_call_resume(forward->attempt->call);
+}
+
+static void note(const forward_t *forward, evidence_t evidence)
+{
+	backend_note(forward->attempt->work.parts[0], evidence,
+		     clock_monotonic_us());
+}
+
+static void fail(forward_t *forward, failure_t failure, evidence_t evidence)
+{
+	note(forward, evidence);
+	forward_attempt_failed(forward, failure);
+}
+
+static void on_header(void *context, const char *name, const char *value)
+{
+	forward_t *forward = context;
+	attempt_t *attempt = forward->attempt;
+	reply_headers_t *headers = &attempt->headers;
+
+	platform_read_reply_header(name, value, forward->request.id,
+				   &attempt->reply);
+	if (hop_header(name, NULL) || headers->count >= REPLY_HEADERS_MAX - 1)
+		return;
+	headers->items[headers->count++] =
+		(reply_header_t){ mem_strdup(name), mem_strdup(value) };
+}
+
+static bool is_success(const server_reply_t *reply)
+{
+	return reply->status >= HTTP_OK &&
+	       reply->status < HTTP_MULTIPLE_CHOICES;
+}
+
+static void on_status(void *context, int status)
+{
+	forward_t *forward = context;
+	attempt_t *attempt = forward->attempt;
+
+	attempt->reply.status = status;
+	attempt->head_done = true;
+	attempt->heard_us = clock_monotonic_us();
+	if (status == HTTP_MISDIRECTED)
+		attempt->reply.not_run = true;
+}
+
+/* An answer that cannot be the server's own to this request. */
+static bool is_strange(const server_reply_t *reply)
+{
+	return reply->foreign || (is_success(reply) && !reply->sealed) ||
+	       (!reply->sealed && !reply->not_run);
+}
+
+/* Pauses between events tell how fast the server is. */
+static void note_pace(forward_t *forward, int64_t before_us)
+{
+	attempt_t *attempt = forward->attempt;
+	backend_t *server = attempt->work.parts[0];
+	const backend_work_t *work = backend_work(server);
+	const engine_profile_t *engine = &forward->service->engine;
+	server_load_t load = { .writers = work->writers,
+			       .readers = work->readers,
+			       .kv_tokens = work->kv_tokens };
+	int32_t slots = backend_entry(server)->slots;
+	double expected_us;
+
+	if (!engine->present || !before_us)
+		return;
+	work_share_add(forward->gateway->share,
+		       work_share_hash(backend_entry(server)->id), &load,
+		       clock_monotonic_us());
+	if (load.writers > slots)
+		load.writers = slots;
+	expected_us =
+		forecast_pass_us(engine, load.writers + 1, load.kv_tokens) +
+		engine->chunk_tokens *
+			(engine->read_token_us +
+			 (load.readers > 0 ? engine->read_pair_us *
+						     (double)load.kv_tokens
+					   : 0));
+	backend_note_gap(server, (double)(attempt->event_us - before_us),
+			 expected_us);
+}
+
+static client_flow_t pass_events(forward_t *forward, const void *data,
+				 size_t size)
+{
+	attempt_t *attempt = forward->attempt;
+	int64_t before_us = attempt->event_us, events = forward->event_count;
+
+	if (!forward_reply_events(forward, data, size)) {
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return CLIENT_CONTINUE;
+	}
+	if (forward->event_count > events) {
+		if (!attempt->first_event) {
+			attempt->first_event = true;
+			server_work_first_event(&attempt->work,
+						attempt->event_us);
+			gateway_work_changed(forward->gateway);
+			if (attempt->patience_us)
+				attempt->patience_us = STREAM_PATIENCE_US;
+		} else if (forward->event_count == events + 1) {
+			note_pace(forward, before_us);
+		}
+	}
+	return exchange_pending_bytes(forward->exchange) > PENDING_MAX_BYTES
+		       ? CLIENT_PAUSE
+		       : CLIENT_CONTINUE;
+}
+
+/* A body beyond what is held is passed on as it arrives. */
+static client_flow_t pass_body(forward_t *forward, const void *data,
+			       size_t size)
+{
+	attempt_t *attempt = forward->attempt;
+
+	if (!attempt->overflow &&
+	    attempt->body_bytes + size <= HOLD_MAX_BYTES) {
+		attempt->body = mem_realloc(attempt->body,
+					    attempt->body_bytes + size, 1);
+		memcpy(attempt->body + attempt->body_bytes, data, size);
+		attempt->body_bytes += size;
+		return CLIENT_CONTINUE;
+	}
+	if (!attempt->overflow) {
+		attempt->overflow = true;
+		forward_reply_begin(forward);
+		exchange_write(forward->exchange, attempt->body,
+			       attempt->body_bytes);
+	}
+	exchange_write(forward->exchange, data, size);
+	return exchange_pending_bytes(forward->exchange) > PENDING_MAX_BYTES
+		       ? CLIENT_PAUSE
+		       : CLIENT_CONTINUE;
+}
+
+static bool passes_events(const forward_t *forward)
+{
+	const server_reply_t *reply = &forward->attempt->reply;
+
+	return is_success(reply) && forward->route->kind == CALL_STREAM;
+}
+
+static client_flow_t on_data(void *context, const void *data, size_t size)
+{
+	forward_t *forward = context;
+	attempt_t *attempt = forward->attempt;
+
+	attempt->heard_us = clock_monotonic_us();
+	if (attempt->reply.not_run || is_strange(&attempt->reply))
+		return CLIENT_CONTINUE;
+	return passes_events(forward) ? pass_events(forward, data, size)
+				      : pass_body(forward, data, size);
+}
+
+static void finish_stream(forward_t *forward)
+{
+	/* An event that was cut off shows that the stream is not complete. */
+	if (forward->events.held_size) {
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return;
+	}
+	note(forward, EVIDENCE_GOOD);
+	forward_reply_end(forward);
+}
+
+static void finish_body(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+
+	note(forward, EVIDENCE_GOOD);
+	if (attempt->overflow)
+		forward_reply_end(forward);
+	else
+		forward_reply_whole(forward);
+}
+
+/* Asks once more when the server itself failed and a second run is allowed. */
+static bool is_worth_repeating(const forward_t *forward)
+{
+	return forward->attempt->reply.status >= HTTP_SERVER_ERROR &&
+	       forward->route->kind == CALL_IDEMPOTENT &&
+	       forward->runs + 1 < forward->route->attempts_max;
+}
+
+static void on_whole_answer(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+
+	if (attempt->reply.not_run && !attempt->reply.foreign) {
+		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
+		return;
+	}
+	if (is_strange(&attempt->reply)) {
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return;
+	}
+	if (passes_events(forward))
+		finish_stream(forward);
+	else if (is_worth_repeating(forward))
+		forward_attempt_failed(forward, FAILURE_BROKEN);
+	else
+		finish_body(forward);
+}
+
+static void on_end(void *context, client_end_t end, int status)
+{
+	forward_t *forward = context;
+	attempt_t *attempt = forward->attempt;
+
+	attempt->call = NULL;
+	switch (end) {
+	case CLIENT_OK:
+		on_whole_answer(forward);
+		return;
+	case CLIENT_CONNECT_FAILED:
+		fail(forward, FAILURE_UNREACHABLE, EVIDENCE_UNREACHABLE);
+		return;
+	case CLIENT_TIMED_OUT:
+		fail(forward, FAILURE_SILENT, EVIDENCE_SILENT);
+		return;
+	case CLIENT_BROKEN:
+	case CLIENT_CANCELLED:
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return;
+	}
+}
+
+static void list_helpers(const placement_t *placement, char *text, size_t size)
+{
+	size_t i, used = 0;
+
+	*text = '\0';
+	for (i = 1; i < placement->count && used < size; i++) {
+		const backend_t *server = placement->parts[i]->server;
+
+		used += (size_t)snprintf(text + used, size - used, "%s%s",
+					 i > 1 ? "," : "",
+					 backend_entry(server)->address);
+	}
+}
+
+static int64_t patience_us(const forward_t *forward, int64_t predicted_us)
+{
+	int64_t target_us = forward->route->target_ms * US_PER_MS;
+	int64_t patience_us;
+
+	switch (forward->route->kind) {
+	case CALL_IDEMPOTENT:
+		return target_us * LOOKUP_PATIENCE_TARGETS;
+	case CALL_AT_MOST_ONCE:
+		return 0;
+	case CALL_STREAM:
+		if (!forward->route->is_resumable)
+			return 0;
+		patience_us =
+			(int64_t)((double)predicted_us * FIRST_EVENT_PATIENCE);
+		if (patience_us < target_us)
+			patience_us = target_us;
+		return patience_us > STREAM_PATIENCE_US ? patience_us
+							: STREAM_PATIENCE_US;
+	}
+	return 0;
+}
+
+static int32_t priority_of(const forward_t *forward)
+{
+	if (forward->account && forward->account->priority >= 0)
+		return forward->account->priority;
+	return forward->route->priority;
+}
+
+static void send_request(forward_t *forward, const placement_t *placement,
+			 int64_t kv_tokens)
+{
+	attempt_t *attempt = forward->attempt;
+	exchange_t *exchange = forward->exchange;
+	const backend_entry_t *entry =
+		backend_entry(placement->parts[0]->server);
+	char url[URL_SIZE_BYTES + 16], target[8192];
+	char helpers[PLACEMENT_PARTS_MAX * URL_SIZE_BYTES];
+	client_handler_t handler = { .on_header = on_header,
+				     .on_status = on_status,
+				     .on_data = on_data,
+				     .on_end = on_end,
+				     .context = forward };
+	server_request_t ours = {
+		.server_id = entry->id,
+		.account = forward->account ? forward->account->name : NULL,
+		.deadline_ms =
+			(forward->limit_us - attempt->sent_us) / US_PER_MS,
+		.priority = priority_of(forward),
+		.last_event_id = forward->last_event_id,
+		.helpers = helpers,
+	};
+	char **headers;
+	client_request_t request = { .method = exchange_method(exchange),
+				     .url = url,
+				     .target = target,
+				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+				     .at_most_once = true };
+
+	list_helpers(placement, helpers, sizeof(helpers));
+	headers = platform_server_headers(exchange, &ours);
+	snprintf(url, sizeof(url), "http://%s/", entry->address);
+	snprintf(target, sizeof(target), "%s%s%s", exchange_path(exchange),
+		 *exchange_query(exchange) ? "?" : "",
+		 exchange_query(exchange));
+	request.headers = (const char *const *)headers;
+	if (forward->body_bytes || !strcmp(request.method, "POST") ||
+	    !strcmp(request.method, "PUT")) {
+		request.body = forward->body ? forward->body : "";
+		request.body_size_bytes = forward->body_bytes;
+	}
+	attempt->call =
+		client_call(forward->gateway->client, &request, &handler);
+	platform_free_headers(headers);
+}
+
+void attempt_start(forward_t *forward, const placement_t *placement)
+{
+	attempt_t *attempt = mem_calloc(1, sizeof(*attempt));
+	int64_t now_us = clock_monotonic_us(), kv_tokens = 0;
+
+	if (forward->service->engine.present)
+		kv_tokens = forward->request.prompt_tokens +
+			    forward->service->engine.usual_output_tokens;
+	forward->attempt = attempt;
+	attempt->sent_us = attempt->heard_us = now_us;
+	attempt->predicted_us = placement->first_event_us;
+	attempt->patience_us = patience_us(forward, placement->first_event_us);
+	server_work_begin(&attempt->work, placement, kv_tokens, now_us);
+	gateway_work_changed(forward->gateway);
+	send_request(forward, placement, kv_tokens);
+}
--- /dev/null
+++ b/src/request/forward_place.c
@@ -0,0 +1,311 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "request/forward_state.h"
+
+enum {
+	HTTP_BAD_GATEWAY = 502,
+	HTTP_GATEWAY_TIMEOUT = 504,
+	/* A request without a server is tried again this often. */
+	PLACE_RETRY_MS = 20,
+	/* When servers are expected back that none can be found of now. */
+	NO_SERVER_RETRY_MS = 1000,
+	/* The whole fleet is busy: shortest useful pause. */
+	BUSY_RETRY_MS = 250,
+	/* No attempt is worth starting with less time than this. */
+	ATTEMPT_TIME_MIN_MS = 20
+};
+
+/* Part of the objective for which a request waits for a server to appear;
+ * after it the caller is better served by an answer. */
+#define WAIT_TARGET_SHARE 0.125
+
+static int64_t age_us(const forward_t *forward, int64_t now_us)
+{
+	return now_us - forward->received_us;
+}
+
+static bool is_repeatable(const forward_t *forward)
+{
+	switch (forward->route->kind) {
+	case CALL_IDEMPOTENT:
+		return true;
+	case CALL_AT_MOST_ONCE:
+		return false;
+	case CALL_STREAM:
+		return forward->route->is_resumable;
+	}
+	return false;
+}
+
+/* The caller's estimate is right on average only; the maximum bounds it. */
+static int64_t expected_output(const forward_t *forward)
+{
+	const caller_request_t *request = &forward->request;
+	int64_t expected = request->output_tokens_hint;
+
+	if (expected <= 0)
+		expected = forward->service->engine.usual_output_tokens;
+	if (request->output_tokens_max > 0 &&
+	    expected > request->output_tokens_max)
+		expected = request->output_tokens_max;
+	return expected;
+}
+
+static placement_query_t make_query(const forward_t *forward, int64_t now_us)
+{
+	const service_conf_t *service = forward->service;
+	placement_query_t query = {
+		.engine = service->engine.present ? &service->engine : NULL,
+		.now_us = now_us,
+		.prompt_tokens = forward->request.prompt_tokens,
+		.output_tokens = expected_output(forward),
+		.target_us = forward->route->target_ms * US_PER_MS -
+			     age_us(forward, now_us),
+		.limit_us = forward->limit_us - now_us,
+		.salt = gateway_random(forward->gateway),
+	};
+
+	if (query.prompt_tokens <= 0)
+		query.prompt_tokens = service->engine.usual_prompt_tokens;
+	if (query.target_us < 0)
+		query.target_us = 0;
+	return query;
+}
+
+static placement_result_t choose(forward_t *forward, candidate_t **candidates,
+				 placement_t *placement)
+{
+	gateway_t *gateway = forward->gateway;
+	int64_t now_us = clock_monotonic_us();
+	placement_query_t query = make_query(forward, now_us);
+	backends_query_t wanted = { .service = forward->service,
+				    .share = gateway->share,
+				    .except = forward->tried,
+				    .except_count = forward->tried_count,
+				    .now_us = now_us };
+	size_t count =
+		backends_candidates(gateway->backends, &wanted, candidates);
+
+	return placement_choose(*candidates, count, &query, placement);
+}
+
+static void wait_or_refuse(forward_t *forward)
+{
+	int64_t target_us = forward->route->target_ms * US_PER_MS;
+	int64_t now_us = clock_monotonic_us();
+
+	if (!forward->tried_count &&
+	    (double)age_us(forward, now_us) <
+		    (double)target_us * WAIT_TARGET_SHARE) {
+		forward->phase = FORWARD_WAITING;
+		forward_set_timer(forward);
+		return;
+	}
+	if (forward->runs || forward->head_sent)
+		forward_fail(forward, HTTP_BAD_GATEWAY, "no_server_left");
+	else
+		forward_refuse(forward, "no_server", NO_SERVER_RETRY_MS);
+}
+
+static bool take_cold(forward_t *forward, const placement_t *placement)
+{
+	int64_t now_us = clock_monotonic_us();
+	size_t i;
+
+	for (i = 0; i < placement->count; i++)
+		if (!backend_take_cold(placement->parts[i]->server,
+				       forward->service, now_us))
+			return false;
+	return true;
+}
+
+static void remember_tried(forward_t *forward, const placement_t *placement)
+{
+	if (forward->tried_count < SERVERS_TRIED_MAX)
+		forward->tried[forward->tried_count++] =
+			backend_ref(placement->parts[0]->server);
+}
+
+static void log_placed(const forward_t *forward, const placement_t *placement)
+{
+	const candidate_t *first = placement->parts[0];
+	const backend_entry_t *entry = backend_entry(first->server);
+
+	log_event(
+		EVENT_REQUEST_PLACED,
+		"request=%s server=%s data_centre=%s parts=%zu prompt=%" PRId64
+		" predicted_ms=%" PRId64 " readers=%d writers=%d"
+		" busy_ms=%" PRId64 " kv=%" PRId64 " pace=%.2f doubtful=%d"
+		" after_event=%s",
+		*forward->request.id ? forward->request.id : "-", entry->id,
+		entry->data_centre, placement->count,
+		forward->request.prompt_tokens,
+		placement->first_event_us / US_PER_MS, first->load.readers,
+		first->load.writers,
+		(first->load.busy_until_us - clock_monotonic_us()) / US_PER_MS,
+		first->load.kv_tokens, first->pace, first->doubtful,
+		*forward->last_event_id ? forward->last_event_id : "-");
+}
+
+void forward_place(forward_t *forward)
+{
+	candidate_t *candidates = NULL;
+	placement_t placement;
+
+	forward->phase = FORWARD_WAITING;
+	switch (choose(forward, &candidates, &placement)) {
+	case PLACEMENT_CHOSEN:
+		if (!take_cold(forward, &placement)) {
+			wait_or_refuse(forward);
+			break;
+		}
+		log_placed(forward, &placement);
+		remember_tried(forward, &placement);
+		forward->phase = FORWARD_SENT;
+		attempt_start(forward, &placement);
+		forward_set_timer(forward);
+		break;
+	case PLACEMENT_NO_SERVER:
+		wait_or_refuse(forward);
+		break;
+	case PLACEMENT_TOO_LONG:
+		forward_refuse(forward, "prompt_too_long", NO_SERVER_RETRY_MS);
+		break;
+	case PLACEMENT_LATE:
+		if (forward->runs || forward->head_sent)
+			forward_fail(forward, HTTP_BAD_GATEWAY, "too_late");
+		else
+			forward_refuse(forward, "busy",
+				       BUSY_RETRY_MS + placement.room_in_us /
+							       US_PER_MS);
+		break;
+	}
+	free(candidates);
+}
+
+static bool may_try_again(forward_t *forward, failure_t failure)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	if (forward->tried_count >= SERVERS_TRIED_MAX ||
+	    now_us + ATTEMPT_TIME_MIN_MS * US_PER_MS >= forward->limit_us)
+		return false;
+	if (forward->runs && (!is_repeatable(forward) ||
+			      forward->runs >= forward->route->attempts_max))
+		return false;
+	/* Only what reached a server counts against the budget. */
+	if (failure == FAILURE_UNREACHABLE)
+		return true;
+	if (!gateway_take_retry(forward->gateway, forward->service->name))
+		return false;
+	metrics_add(METRIC_ATTEMPTS_REPEATED, 1);
+	return true;
+}
+
+static void give_up(forward_t *forward, failure_t failure)
+{
+	if (!forward->runs) {
+		forward_refuse(forward, "not_served", BUSY_RETRY_MS);
+		return;
+	}
+	forward_fail(forward,
+		     failure == FAILURE_SILENT ? HTTP_GATEWAY_TIMEOUT
+					       : HTTP_BAD_GATEWAY,
+		     "attempt_failed");
+}
+
+void forward_attempt_failed(forward_t *forward, failure_t failure)
+{
+	static const char *const names[] = {
+		[FAILURE_UNREACHABLE] = "unreachable",
+		[FAILURE_NOT_RUN] = "not-run",
+		[FAILURE_BROKEN] = "broken",
+		[FAILURE_SILENT] = "silent",
+	};
+	const backend_t *server = forward->tried[forward->tried_count - 1];
+
+	metrics_add(METRIC_ATTEMPTS_FAILED, 1);
+	log_event(EVENT_ATTEMPT_FAILED,
+		  "request=%s server=%s end=%s events=%" PRId64
+		  " total_ms=%" PRId64,
+		  *forward->request.id ? forward->request.id : "-",
+		  backend_entry(server)->id, names[failure],
+		  forward->event_count,
+		  age_us(forward, clock_monotonic_us()) / US_PER_MS);
+	attempt_cancel(forward);
+	if (failure == FAILURE_BROKEN || failure == FAILURE_SILENT)
+		forward->runs++;
+	if (forward->phase == FORWARD_ENDED)
+		return;
+	if (may_try_again(forward, failure)) {
+		if (forward->event_count)
+			forward->resumed = true;
+		forward_place(forward);
+	} else {
+		give_up(forward, failure);
+	}
+}
+
+/* When the attempt counts as silent; INT64_MAX: it does not. */
+static int64_t silent_at_us(const forward_t *forward)
+{
+	const attempt_t *attempt = forward->attempt;
+
+	if (!attempt || !attempt->patience_us)
+		return INT64_MAX;
+	return attempt->heard_us + attempt->patience_us;
+}
+
+void forward_set_timer(forward_t *forward)
+{
+	struct ev_loop *loop = forward->gateway->loop;
+	int64_t now_us = clock_monotonic_us();
+	int64_t due_us = forward->limit_us, silent_us = silent_at_us(forward);
+
+	if (forward->phase == FORWARD_ENDED)
+		return;
+	if (silent_us < due_us)
+		due_us = silent_us;
+	if (forward->phase == FORWARD_WAITING &&
+	    now_us + PLACE_RETRY_MS * US_PER_MS < due_us)
+		due_us = now_us + PLACE_RETRY_MS * US_PER_MS;
+	ev_timer_stop(loop, &forward->timer);
+	ev_timer_set(&forward->timer,
+		     due_us > now_us
+			     ? (double)(due_us - now_us) / (double)US_PER_S
+			     : 0,
+		     0.);
+	ev_timer_start(loop, &forward->timer);
+}
+
+static void on_limit(forward_t *forward)
+{
+	if (forward->phase == FORWARD_SENT) {
+		forward->runs++;
+		forward_fail(forward, HTTP_GATEWAY_TIMEOUT, "time_limit");
+	} else if (forward->runs) {
+		forward_fail(forward, HTTP_GATEWAY_TIMEOUT, "time_limit");
+	} else {
+		forward_refuse(forward, "time_limit", BUSY_RETRY_MS);
+	}
+}
+
+void forward_on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	forward_t *forward = timer->data;
+	int64_t now_us = clock_monotonic_us();
+
+	if (now_us >= forward->limit_us)
+		on_limit(forward);
+	else if (forward->phase == FORWARD_WAITING)
+		forward_place(forward);
+	else if (now_us >= silent_at_us(forward))
+		forward_attempt_failed(forward, FAILURE_SILENT);
+	else
+		forward_set_timer(forward);
+}
--- /dev/null
+++ b/src/request/forward_reply.c
@@ -0,0 +1,179 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "request/forward_state.h"
+
+enum {
+	HTTP_UNAVAILABLE = 503,
+	EVENT_FIELD_ID_BYTES = 3 /* "id:" */
+};
+
+static void close_when_stopping(const forward_t *forward,
+				reply_headers_t *headers)
+{
+	if (forward->gateway->stop == STOP_NONE ||
+	    headers->count == REPLY_HEADERS_MAX)
+		return;
+	headers->items[headers->count++] =
+		(reply_header_t){ "Connection", "close" };
+}
+
+/* Borrows the strings of the attempt. */
+static reply_headers_t headers_of(const forward_t *forward)
+{
+	reply_headers_t headers = forward->attempt->headers;
+
+	close_when_stopping(forward, &headers);
+	return headers;
+}
+
+void forward_reply_whole(forward_t *forward)
+{
+	const attempt_t *attempt = forward->attempt;
+	reply_headers_t headers = headers_of(forward);
+
+	forward->head_sent = true;
+	metrics_add(METRIC_REQUESTS_COMPLETE, 1);
+	exchange_reply(forward->exchange, attempt->reply.status, headers.items,
+		       headers.count, attempt->body, attempt->body_bytes);
+	forward_ended(forward, attempt->reply.status, "complete");
+}
+
+void forward_reply_begin(forward_t *forward)
+{
+	reply_headers_t headers;
+
+	if (forward->head_sent)
+		return;
+	headers = headers_of(forward);
+	forward->head_sent = true;
+	exchange_stream(forward->exchange, forward->attempt->reply.status,
+			headers.items, headers.count);
+}
+
+/* Copies the value of the `id` field of an event; false if it has none. */
+static bool event_id(const sse_event_t *event, char *id, size_t size)
+{
+	const char *line = event->raw, *end = event->raw + event->raw_size;
+
+	while (line < end) {
+		const char *stop = memchr(line, '\n', (size_t)(end - line));
+		const char *value = line + EVENT_FIELD_ID_BYTES;
+		size_t length;
+
+		if (!stop)
+			return false;
+		if (value < stop &&
+		    !memcmp(line, "id:", EVENT_FIELD_ID_BYTES)) {
+			while (value < stop && *value == ' ')
+				value++;
+			length = (size_t)(stop - value);
+			if (length && value[length - 1] == '\r')
+				length--;
+			if (length >= size)
+				return false;
+			memcpy(id, value, length);
+			id[length] = '\0';
+			return true;
+		}
+		line = stop + 1;
+	}
+	return false;
+}
+
+static void note_event(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+	int64_t now_us = clock_monotonic_us();
+
+	if (!forward->first_event_us) {
+		forward->first_event_us = now_us;
+		metrics_ttft(forward->request.prompt_tokens,
+			     forward->route->name,
+			     now_us - forward->received_us);
+	}
+	attempt->event_us = now_us;
+	forward->event_count++;
+	metrics_add(METRIC_CHUNKS_RELAYED, 1);
+}
+
+/*
+ * Ids are numbers that grow. After a resumption the stream must go on behind
+ * the last event that the caller has.
+ */
+static bool on_event(void *context, const sse_event_t *event)
+{
+	forward_t *forward = context;
+	char id[EVENT_ID_SIZE_BYTES] = "";
+
+	if (event_id(event, id, sizeof(id))) {
+		if (*forward->last_event_id &&
+		    strtoll(id, NULL, 10) <=
+			    strtoll(forward->last_event_id, NULL, 10)) {
+			metrics_add(METRIC_CHUNKS_DROPPED, 1);
+			return true;
+		}
+		mem_strlcpy(forward->last_event_id, id,
+			    sizeof(forward->last_event_id));
+	}
+	forward_reply_begin(forward);
+	note_event(forward);
+	exchange_write(forward->exchange, event->raw, event->raw_size);
+	return true;
+}
+
+bool forward_reply_events(forward_t *forward, const void *data, size_t size)
+{
+	return sse_feed(&forward->events, data, size, on_event, forward) ==
+	       SSE_OK;
+}
+
+void forward_reply_end(forward_t *forward)
+{
+	forward_reply_begin(forward);
+	exchange_end(forward->exchange);
+	metrics_add(METRIC_REQUESTS_COMPLETE, 1);
+	forward_ended(forward, forward->attempt->reply.status, "complete");
+}
+
+static void reply_error(forward_t *forward, int status, const char *code,
+			reply_headers_t *headers)
+{
+	char body[160];
+
+	headers->items[headers->count++] =
+		(reply_header_t){ "Content-Type", "application/json" };
+	close_when_stopping(forward, headers);
+	snprintf(body, sizeof(body), "{\"error\":{\"code\":\"%s\"}}", code);
+	exchange_reply(forward->exchange, status, headers->items,
+		       headers->count, body, strlen(body));
+}
+
+void forward_refuse(forward_t *forward, const char *code,
+		    int64_t retry_after_ms)
+{
+	reply_headers_t headers = { .count = 1 };
+	char seconds[24];
+
+	metrics_add(METRIC_REQUESTS_REFUSED, 1);
+	snprintf(seconds, sizeof(seconds), "%.3f",
+		 (double)retry_after_ms / MS_PER_S);
+	headers.items[0] = (reply_header_t){ "Retry-After", seconds };
+	reply_error(forward, HTTP_UNAVAILABLE, code, &headers);
+	forward_ended(forward, HTTP_UNAVAILABLE, code);
+}
+
+void forward_fail(forward_t *forward, int status, const char *code)
+{
+	reply_headers_t headers = { .count = 0 };
+
+	metrics_add(METRIC_REQUESTS_FAILED, 1);
+	if (forward->head_sent)
+		exchange_abort(forward->exchange);
+	else
+		reply_error(forward, status, code, &headers);
+	forward_ended(forward, status, code);
+}
--- a/src/request/retry.c
+++ b/src/request/retry.c
@@ -27,18 +27,23 @@
 }
 
 bool retry_take(retry_budget_t *budget, int32_t percent, int64_t now_us)
+{
+	return percent > 0 &&
+	       retry_take_above(budget, percent, RETRY_FLOOR, now_us);
+}
+
+bool retry_take_above(retry_budget_t *budget, int32_t percent, int32_t floor,
+		      int64_t now_us)
 {
 	int place = advance(budget, now_us);
 	int64_t requests = 0, retries = 0;
 	int i;
 
-	if (percent <= 0)
-		return false;
 	for (i = 0; i < RETRY_WINDOW_S; i++) {
 		requests += budget->requests[i];
 		retries += budget->retries[i];
 	}
-	if (retries >= RETRY_FLOOR + requests * percent / 100)
+	if (retries >= floor + requests * percent / 100)
 		return false;
 	budget->retries[place]++;
 	return true;
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -32,4 +32,10 @@
  */
 bool retry_take(retry_budget_t *budget, int32_t percent, int64_t now_us);
 
+/**
+ * The same with a floor of the caller's choice instead of RETRY_FLOOR.
+ */
+bool retry_take_above(retry_budget_t *budget, int32_t percent, int32_t floor,
+		      int64_t now_us);
+
 #endif
