Place requests by the weight of what becomes late

The log of placed and ended requests showed predictions twice too high beside writers: a pass reads one chunk in each of its decode steps, so prefill is not throttled by writers, but delays every stream on its server. Ruled out: too few servers (prefill needs 5 of 14). Change: forecast of passes as they are; a placement costs the weight of the requests that become late by it, short prompts are packed, long ones split.

--- /dev/null
+++ b/src/process/attempt_work.h
@@ -0,0 +1,32 @@
+/**
+ * @file attempt_work.h
+ * Counts one attempt on the servers that take part in it. Pure.
+ */
+#ifndef PROCESS_ATTEMPT_WORK_H
+#define PROCESS_ATTEMPT_WORK_H
+
+#include "process/backends.h"
+
+typedef enum { WORK_NONE, WORK_READING, WORK_WRITING } work_phase_t;
+
+/** Servers of one attempt; the first of them writes. */
+typedef struct {
+	work_phase_t phase;
+	size_t part_count;
+	work_part_t parts[PLACEMENT_PARTS_MAX];
+	work_writer_t writer;
+} attempt_work_t;
+
+/**
+ * Counts an attempt that is about to be sent.
+ * @param kv_tokens prompt and expected output
+ * @param gap_us    longest pause that its stream allows; 0: any
+ */
+void attempt_work_begin(attempt_work_t *work, const placement_t *placement,
+			int64_t kv_tokens, int64_t gap_us, int64_t now_us);
+/** The first event came: the prompt is read, the first server writes. */
+void attempt_work_first_event(attempt_work_t *work);
+/** The attempt ended, however. */
+void attempt_work_end(attempt_work_t *work);
+
+#endif
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -12,12 +12,14 @@
 #define PAUSE_MAX_US (4 * US_PER_S)
 /* A server that was full is passed over for about the time of one pass. */
 #define FULL_PAUSE_US (100 * US_PER_MS)
-/* Weight of the newest pause between events in the moving average. */
-#define GAP_WEIGHT 0.15
+/* Weight of the newest pause between events in the moving average: a slow
+ * server shows within some ten events, one long prefill does not count. */
+#define PACE_WEIGHT_UP 0.1
+#define PACE_WEIGHT_DOWN 0.3
 /* A server counts as slow above this multiple of the stated time; below it
  * the difference is within what the model leaves out. */
-#define PACE_TOLERANCE 1.5
-#define PACE_MAX 20.0
+#define PACE_TOLERANCE 2.0
+#define PACE_MAX 6.0
 /* Cost of another data centre: its delay, and bytes between data centres. */
 #define FAR_COST_US (3 * US_PER_MS)
 
@@ -344,7 +346,19 @@
 		ratio = PACE_MAX;
 	if (ratio < 1)
 		ratio = 1;
-	backend->pace += (ratio - backend->pace) * GAP_WEIGHT;
+	backend->pace +=
+		(ratio - backend->pace) *
+		(ratio > backend->pace ? PACE_WEIGHT_UP : PACE_WEIGHT_DOWN);
+}
+
+server_load_t backend_load(const backend_t *backend, const work_share_t *share,
+			   int64_t now_us)
+{
+	server_load_t load = server_work_load(&backend->work, now_us);
+
+	if (share)
+		work_share_add(share, backend->hash, &load, now_us);
+	return load;
 }
 
 static candidate_t candidate_of(backend_t *server,
@@ -355,10 +369,7 @@
 			    server->table->conf.data_centre);
 	candidate_t candidate = {
 		.server = server,
-		.load = { .readers = server->work.readers,
-			  .writers = server->work.writers,
-			  .kv_tokens = server->work.kv_tokens,
-			  .busy_until_us = server->work.busy_until_us },
+		.load = backend_load(server, query->share, query->now_us),
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
 			engine->present ? engine->kv_capacity_tokens : 0,
@@ -367,9 +378,6 @@
 		.doubtful = query->now_us < server->paused_until_us,
 	};
 
-	if (query->share)
-		work_share_add(query->share, server->hash, &candidate.load,
-			       query->now_us);
 	return candidate;
 }
 
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -16,6 +16,7 @@
 
 #include "base/units.h"
 #include "process/placement.h"
+#include "process/server_work.h"
 #include "process/work_share.h"
 #include "version/routing.h"
 
@@ -36,14 +37,6 @@
 	int64_t born_ms; /**< wall clock of its start; 0: not stated */
 } backend_entry_t;
 
-/** What one node has on one server. */
-typedef struct {
-	int32_t readers;
-	int32_t writers;
-	int64_t kv_tokens;
-	int64_t busy_until_us;
-} backend_work_t;
-
 /** How an attempt on a server ended, as evidence of its health. */
 typedef enum {
 	EVIDENCE_GOOD,
@@ -104,9 +97,13 @@
 		       int64_t now_us);
 bool backend_is_cold(const backend_t *backend, int64_t now_us);
 
-/** The work of this node on the server; the user keeps it up to date. */
+/** The work of this node on the server; see attempt_work.h. */
 backend_work_t *backend_work(backend_t *backend);
 
+/** Work of all nodes on the server. @param share of the others; or NULL */
+server_load_t backend_load(const backend_t *backend, const work_share_t *share,
+			   int64_t now_us);
+
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
 /** An event came @p actual_us after the one before; @p expected_us by model. */
 void backend_note_gap(backend_t *backend, double actual_us, double expected_us);
--- a/src/process/forecast.c
+++ b/src/process/forecast.c
@@ -1,7 +1,7 @@
 #include "process/forecast.h"
 
-double forecast_pass_us(const engine_profile_t *engine, int32_t writers,
-			int64_t context_tokens)
+double forecast_decode_us(const engine_profile_t *engine, int32_t writers,
+			  int64_t context_tokens)
 {
 	double step_us =
 		engine->step_us + engine->step_per_writer_us * writers +
@@ -11,35 +11,43 @@
 }
 
 double forecast_read_us(const engine_profile_t *engine, int64_t prompt_tokens,
-			int32_t parts, const server_load_t *load)
+			int32_t parts)
 {
 	double tokens = (double)prompt_tokens / parts;
 	double pairs = (double)prompt_tokens * tokens / 2;
-	double chunks = tokens / engine->chunk_tokens + 1;
-	double pass_us =
-		forecast_pass_us(engine, load->writers, load->kv_tokens);
+	double steps = tokens / engine->chunk_tokens + 1;
 
-	if (pass_us < engine->step_us)
-		pass_us = engine->step_us;
-	return chunks * pass_us + tokens * engine->read_token_us +
+	return steps * engine->step_us + tokens * engine->read_token_us +
 	       pairs * engine->read_pair_us;
 }
 
+double forecast_pass_read_max_us(const engine_profile_t *engine, double read_us,
+				 int64_t tokens)
+{
+	double tokens_max =
+		(double)engine->steps_per_pass * engine->chunk_tokens;
+
+	if ((double)tokens <= tokens_max)
+		return read_us;
+	return read_us * tokens_max / (double)tokens;
+}
+
 double forecast_first_event_us(const engine_profile_t *engine,
-			       const server_load_t *load)
+			       const server_load_t *load, double read_us)
 {
-	return forecast_pass_us(engine, load->writers + 1, load->kv_tokens);
+	double decode_us =
+		forecast_decode_us(engine, load->writers, load->kv_tokens);
+
+	/* Half of the pass that runs, then the pass that reads the prompt. */
+	return decode_us * 3 / 2 + (double)load->pending_us + read_us;
 }
 
 double forecast_write_us(const engine_profile_t *engine, int64_t output_tokens,
 			 const server_load_t *load)
 {
 	double passes = (double)output_tokens / engine->steps_per_pass + 1;
-	double chunk_us = load->readers > 0
-				  ? engine->chunk_tokens * engine->read_token_us
-				  : 0;
 
-	return passes *
-	       (forecast_pass_us(engine, load->writers + 1, load->kv_tokens) +
-		chunk_us);
+	return passes * forecast_decode_us(engine, load->writers + 1,
+					   load->kv_tokens) +
+	       (double)load->pending_us;
 }
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -36,19 +36,18 @@
 
 	while (count < max &&
 	       (server = backends_next(gateway->backends, server))) {
-		const backend_work_t *work = backend_work(server);
+		server_load_t load = backend_load(server, NULL, now_us);
 
-		if (!work->readers && !work->writers)
+		if (!load.readers && !load.writers)
 			continue;
 		items[count++] = (work_item_t){
 			.server_hash =
 				work_share_hash(backend_entry(server)->id),
-			.readers = work->readers,
-			.writers = work->writers,
-			.kv_tokens = work->kv_tokens,
-			.busy_for_us = work->busy_until_us > now_us
-					       ? work->busy_until_us - now_us
-					       : 0,
+			.readers = load.readers,
+			.writers = load.writers,
+			.kv_tokens = load.kv_tokens,
+			.pending_us = load.pending_us,
+			.gap_us = load.gap_us,
 		};
 	}
 	return count;
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -2,29 +2,60 @@
 
 #include <stdlib.h>
 
-/* Share of the objective that a prediction may use when requests are packed;
- * the rest covers errors of the prediction. */
-#define PACK_TARGET_SHARE 0.5
-/* Above this share of the objective a prompt is split. */
-#define SPLIT_TARGET_SHARE 0.6
-/* A further part has to shorten the wait at least by this factor. */
-#define SPLIT_GAIN 0.93
+/* Part of an objective that a prediction may use up before the request counts
+ * as late; the rest covers errors of the prediction. */
+#define TARGET_SHARE 0.6
+/* The same for the pauses of streams. */
+#define GAP_SHARE 0.85
+/* Short prompts are packed while the prediction is below this share. */
+#define PACK_SHARE 0.45
+/* Part of its weight that a late request loses. */
+#define LATE_LOSS 0.75
+/* Cost of the time that an answer within its objective takes, as a part of
+ * the request's weight at the whole objective. */
+#define TIME_LOSS 0.1
+/* Cost of each further part: it can fail, and it delays others a little. */
+#define PART_LOSS 0.02
+/* Cost of an idle server for a short prompt, which takes it from long ones. */
+#define SPREAD_LOSS 0.1
+/* Weight of a request beside its prompt, in usual prompts. */
+#define WEIGHT_BASE 0.5
 /* Share of a server's KV cache that is planned; the rest covers outputs that
  * turn out longer than expected. */
 #define KV_PLANNED_SHARE 0.92
 
 enum {
-	CANDIDATES_MAX = 1024,
+	CANDIDATES_MAX = 512,
 	/* Plain services state no cost; the order of servers matters only. */
-	PLAIN_CALL_US = 15000
+	PLAIN_CALL_US = 15000,
+	/* Prompts below this many usual ones are short: they are packed. */
+	SHORT_PROMPTS = 2,
+	/* A short prompt gains nothing from more parts. */
+	SHORT_PARTS_MAX = 5
 };
 
+/** One server as a possible place of a part. */
 typedef struct {
 	const candidate_t *candidate;
-	double ready_us; /**< when its part is read, from now */
-	double read_us; /**< that its part takes there */
+	double read_us; /**< prefill of the part there */
+	double event_us; /**< when the part is read, from now */
+	double late_weight; /**< of streams there that it makes late */
+	double cost; /**< order of preference */
 } option_t;
 
+static double weight_of(const placement_query_t *query, int64_t prompt_tokens)
+{
+	double usual = (double)query->engine->usual_prompt_tokens;
+
+	return WEIGHT_BASE + (usual > 0 ? (double)prompt_tokens / usual : 1);
+}
+
+static bool is_short(const placement_query_t *query)
+{
+	return query->prompt_tokens <
+	       query->engine->usual_prompt_tokens * SHORT_PROMPTS;
+}
+
 static bool fits(const candidate_t *candidate, int64_t kv_tokens)
 {
 	return !candidate->kv_capacity_tokens ||
@@ -47,195 +78,187 @@
 	       over / candidate->slots;
 }
 
+/*
+ * Weight of the streams whose next pause becomes too long by this part. Those
+ * that are late anyway, because of prefill that is pending, lose nothing more.
+ */
+static double late_streams(const candidate_t *candidate,
+			   const placement_query_t *query, double read_us)
+{
+	const server_load_t *load = &candidate->load;
+	double limit_us = (double)load->gap_us * GAP_SHARE;
+	double before_us;
+
+	if (!load->writers || !load->gap_us)
+		return 0;
+	before_us = (forecast_decode_us(query->engine, load->writers,
+					load->kv_tokens) +
+		     (double)load->pending_us) *
+		    candidate->pace;
+	if (before_us > limit_us || before_us + read_us <= limit_us)
+		return 0;
+	return load->writers *
+	       weight_of(query,
+			 load->kv_tokens / (load->writers + load->readers));
+}
+
+/* Packing: an idle server is worth more to a long prompt. */
+static double spread_cost(const candidate_t *candidate,
+			  const placement_query_t *query, double event_us)
+{
+	const server_load_t *load = &candidate->load;
+	int32_t running = load->readers + load->writers;
+
+	if (!is_short(query) ||
+	    event_us > (double)query->target_us * PACK_SHARE)
+		return 0;
+	return -SPREAD_LOSS * running /
+	       (candidate->slots > 0 ? candidate->slots : 1);
+}
+
 static option_t option_of(const candidate_t *candidate,
 			  const placement_query_t *query, int32_t parts)
 {
 	option_t option = { .candidate = candidate };
-	double wait_us =
-		(double)(candidate->load.busy_until_us - query->now_us);
-
-	if (wait_us < 0)
-		wait_us = 0;
-	option.read_us = forecast_read_us(query->engine, query->prompt_tokens,
-					  parts, &candidate->load) *
-			 candidate->pace;
-	option.ready_us =
-		(double)candidate->distance_us + wait_us +
-		slot_wait_us(candidate, query) + option.read_us +
-		forecast_pass_us(query->engine, candidate->load.writers, 0) / 2;
+	double target_us = (double)query->target_us;
+	int64_t part_tokens = query->prompt_tokens / parts;
+	double pass_us;
+
+	option.read_us =
+		forecast_read_us(query->engine, query->prompt_tokens, parts) *
+		candidate->pace;
+	option.event_us = (double)candidate->distance_us +
+			  slot_wait_us(candidate, query) +
+			  forecast_first_event_us(query->engine,
+						  &candidate->load,
+						  option.read_us);
+	pass_us = forecast_pass_read_max_us(query->engine, option.read_us,
+					    part_tokens);
+	option.late_weight = late_streams(candidate, query, pass_us);
+	option.cost = option.late_weight * LATE_LOSS +
+		      weight_of(query, query->prompt_tokens) * TIME_LOSS *
+			      option.event_us / (target_us > 1 ? target_us : 1);
+	if (option.event_us > target_us * TARGET_SHARE)
+		option.cost +=
+			weight_of(query, query->prompt_tokens) * LATE_LOSS;
+	option.cost += spread_cost(candidate, query, option.event_us);
 	return option;
 }
 
-/* The salt decides between equal servers. */
 static int compare_options(const void *left, const void *right)
 {
 	const option_t *a = left, *b = right;
 
-	if (a->ready_us != b->ready_us)
-		return a->ready_us < b->ready_us ? -1 : 1;
+	if (a->cost != b->cost)
+		return a->cost < b->cost ? -1 : 1;
 	return 0;
 }
 
-static double first_event_us(const option_t *writer, double ready_us,
-			     const placement_query_t *query)
-{
-	return ready_us + forecast_first_event_us(query->engine,
-						  &writer->candidate->load) *
-				  writer->candidate->pace;
-}
-
-static void add_part(placement_t *placement, const option_t *option)
-{
-	placement->parts[placement->count] = option->candidate;
-	placement->read_us[placement->count] = (int64_t)option->read_us;
-	placement->count++;
-}
-
+/* Lists the servers, doubtful ones only if there are too few others. */
 static size_t list_options(const candidate_t *candidates, size_t count,
 			   const placement_query_t *query, int32_t parts,
 			   int64_t kv_tokens, option_t *options)
 {
-	size_t i, used = 0, offset = count ? query->salt % count : 0;
-	bool doubtful;
+	size_t i, used = 0, offset = (size_t)(query->salt % count);
+	int doubtful;
 
-	for (doubtful = false;; doubtful = true) {
+	for (doubtful = 0; doubtful < 2 && used < (size_t)parts; doubtful++) {
 		for (i = 0; i < count && used < CANDIDATES_MAX; i++) {
 			const candidate_t *candidate =
 				&candidates[(i + offset) % count];
 
-			if (candidate->doubtful == doubtful &&
+			if (candidate->doubtful == !!doubtful &&
 			    fits(candidate, kv_tokens))
 				options[used++] =
 					option_of(candidate, query, parts);
 		}
-		/* Several parts need several servers, doubtful or not. */
-		if (doubtful || used >= (size_t)parts)
-			return used;
 	}
+	return used;
 }
 
-/* The fullest server that still meets the objective, or the fastest. */
-static const option_t *choose_one(const option_t *options, size_t count,
-				  const placement_query_t *query)
+/* The server that keeps the KV cache and writes goes first: one with room,
+ * and with the most writers for a short prompt, the fewest for a long one. */
+static bool put_writer_first(option_t *options, size_t parts, int64_t kv_tokens,
+			     bool packs)
 {
-	const option_t *best = NULL, *fastest = NULL;
-	size_t i;
+	size_t i, writer = parts;
+	option_t first;
 
-	for (i = 0; i < count; i++) {
-		const option_t *option = &options[i];
-		double event_us =
-			first_event_us(option, option->ready_us, query);
+	for (i = 0; i < parts; i++) {
+		const server_load_t *load = &options[i].candidate->load;
+		int32_t more;
 
-		if (!fastest || option->ready_us < fastest->ready_us)
-			fastest = option;
-		if (event_us > (double)query->target_us * PACK_TARGET_SHARE)
+		if (!fits(options[i].candidate, kv_tokens))
+			continue;
+		if (writer == parts) {
+			writer = i;
 			continue;
-		if (!best || option->candidate->load.writers >
-				     best->candidate->load.writers)
-			best = option;
+		}
+		more = load->writers - options[writer].candidate->load.writers;
+		if (packs ? more > 0 : more < 0)
+			writer = i;
 	}
-	return best ? best : fastest;
-}
-
-static bool place_on_one(const candidate_t *candidates, size_t count,
-			 const placement_query_t *query, placement_t *placement)
-{
-	option_t options[CANDIDATES_MAX];
-	size_t used = list_options(candidates, count, query, 1,
-				   query->prompt_tokens + query->output_tokens,
-				   options);
-	const option_t *chosen = choose_one(options, used, query);
-
-	placement->count = 0;
-	if (!chosen)
+	if (writer == parts)
 		return false;
-	add_part(placement, chosen);
-	placement->first_event_us =
-		(int64_t)first_event_us(chosen, chosen->ready_us, query);
+	first = options[writer];
+	options[writer] = options[0];
+	options[0] = first;
 	return true;
 }
 
-/* The server that keeps the KV cache and writes goes first. */
-static void put_writer_first(option_t *options, size_t parts, int64_t kv_tokens)
+/* Fills in the placement on the first @p parts options; returns its cost. */
+static double evaluate(const option_t *options, size_t parts,
+		       const placement_query_t *query, placement_t *placement)
 {
-	size_t i, writer = parts;
+	double weight = weight_of(query, query->prompt_tokens);
+	double target_us = (double)query->target_us, event_us = 0, cost;
+	size_t i;
 
+	placement->count = parts;
+	placement->late_weight = 0;
 	for (i = 0; i < parts; i++) {
-		if (!fits(options[i].candidate, kv_tokens))
-			continue;
-		if (writer == parts ||
-		    options[i].candidate->load.writers >
-			    options[writer].candidate->load.writers)
-			writer = i;
+		placement->parts[i] = options[i].candidate;
+		placement->read_us[i] = (int64_t)options[i].read_us;
+		placement->late_weight += options[i].late_weight;
+		if (options[i].event_us > event_us)
+			event_us = options[i].event_us;
 	}
-	if (writer < parts) {
-		option_t first = options[writer];
-
-		options[writer] = options[0];
-		options[0] = first;
+	placement->first_event_us = (int64_t)event_us;
+	cost = placement->late_weight * LATE_LOSS +
+	       weight * TIME_LOSS * event_us / (target_us > 1 ? target_us : 1) +
+	       weight * PART_LOSS * (double)(parts - 1) +
+	       spread_cost(options[0].candidate, query, event_us);
+	if (event_us > target_us * TARGET_SHARE) {
+		placement->late_weight += weight;
+		cost += weight * LATE_LOSS;
 	}
+	return cost;
 }
 
-/* Splits the prompt evenly over the servers that are ready first. */
-static bool place_on_many(const candidate_t *candidates, size_t count,
-			  const placement_query_t *query, int32_t parts,
-			  bool shared_memory, placement_t *placement)
+static bool place(const candidate_t *candidates, size_t count,
+		  const placement_query_t *query, int32_t parts,
+		  bool shared_memory, placement_t *placement, double *cost)
 {
 	option_t options[CANDIDATES_MAX];
 	int64_t kv_tokens = query->prompt_tokens + query->output_tokens;
-	size_t used, i;
+	size_t used;
 
 	if (shared_memory)
 		kv_tokens = kv_tokens / parts + 1;
 	used = list_options(candidates, count, query, parts,
-			    shared_memory ? kv_tokens : 0, options);
-	placement->count = 0;
+			    shared_memory || parts == 1 ? kv_tokens : 0,
+			    options);
 	if (used < (size_t)parts)
 		return false;
 	qsort(options, used, sizeof(*options), compare_options);
-	put_writer_first(options, (size_t)parts, kv_tokens);
-	if (!fits(options[0].candidate, kv_tokens))
+	if (!put_writer_first(options, (size_t)parts, kv_tokens,
+			      is_short(query)))
 		return false;
-	placement->first_event_us = 0;
-	for (i = 0; i < (size_t)parts; i++) {
-		int64_t event_us = (int64_t)first_event_us(
-			&options[0], options[i].ready_us, query);
-
-		add_part(placement, &options[i]);
-		if (event_us > placement->first_event_us)
-			placement->first_event_us = event_us;
-	}
+	*cost = evaluate(options, (size_t)parts, query, placement);
 	placement->shared_memory = shared_memory;
 	return true;
 }
 
-/* Adds parts until the objective is met or a part gains too little. */
-static void split(const candidate_t *candidates, size_t count,
-		  const placement_query_t *query, placement_t *placement)
-{
-	double enough_us = (double)query->target_us * SPLIT_TARGET_SHARE;
-	int32_t parts;
-
-	for (parts = (int32_t)placement->count + 1;
-	     parts <= PLACEMENT_PARTS_MAX &&
-	     (double)placement->first_event_us > enough_us;
-	     parts++) {
-		placement_t wider = { .count = 0 };
-
-		if (!place_on_many(candidates, count, query, parts,
-				   placement->shared_memory, &wider))
-			return;
-		if ((double)wider.first_event_us >
-		    (double)placement->first_event_us * SPLIT_GAIN) {
-			/* Two parts more may still help a long prompt. */
-			if (parts > (int32_t)placement->count + 2)
-				return;
-			continue;
-		}
-		*placement = wider;
-	}
-}
-
 static placement_result_t place_plain(const candidate_t *candidates,
 				      size_t count,
 				      const placement_query_t *query,
@@ -289,31 +312,53 @@
 								      : 0;
 }
 
+/* Tries each number of parts and keeps the cheapest. */
+static bool place_cheapest(const candidate_t *candidates, size_t count,
+			   const placement_query_t *query, int32_t parts_min,
+			   placement_t *placement)
+{
+	int32_t parts, parts_max = PLACEMENT_PARTS_MAX;
+	double best = 0;
+	bool found = false;
+
+	if (is_short(query) && parts_min == 1)
+		parts_max = SHORT_PARTS_MAX;
+	for (parts = parts_min; parts <= parts_max && (size_t)parts <= count;
+	     parts++) {
+		placement_t tried = { .count = 0 };
+		double cost;
+
+		if (!place(candidates, count, query, parts, parts_min > 1,
+			   &tried, &cost))
+			continue;
+		if (found && cost >= best)
+			continue;
+		*placement = tried;
+		best = cost;
+		found = true;
+	}
+	return found;
+}
+
 placement_result_t placement_choose(const candidate_t *candidates, size_t count,
 				    const placement_query_t *query,
 				    placement_t *placement)
 {
-	int32_t parts;
-	bool found;
+	int32_t parts_min;
 
 	placement->count = 0;
 	placement->shared_memory = false;
 	placement->room_in_us = 0;
+	placement->late_weight = 0;
 	if (!count)
 		return PLACEMENT_NO_SERVER;
 	if (!query->engine)
 		return place_plain(candidates, count, query, placement);
-	parts = parts_for_memory(query, count);
-	if (!parts)
+	parts_min = parts_for_memory(query, count);
+	if (!parts_min)
 		return PLACEMENT_TOO_LONG;
-	if (parts == 1)
-		found = place_on_one(candidates, count, query, placement);
-	else
-		found = place_on_many(candidates, count, query, parts, true,
-				      placement);
-	if (!found)
+	if (!place_cheapest(candidates, count, query, parts_min, placement))
 		return PLACEMENT_NO_SERVER;
-	split(candidates, count, query, placement);
 	if (placement->first_event_us <= query->limit_us)
 		return PLACEMENT_CHOSEN;
 	placement->room_in_us = placement->first_event_us - query->limit_us;
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -1,13 +1,15 @@
 /**
  * @file placement.h
- * Chooses the servers for one request by predicted latency. Pure.
+ * Chooses the servers for one request. Pure.
  *
- * Answers two loads that share one fleet: many short prompts with a tight
- * objective, and few prompts that take seconds to prefill. Short prompts are
- * packed onto servers that already write, as long as the objective is met, so
- * that other servers stay free of writers and prefill at full speed. A prompt
- * that one server cannot prefill within its objective is split over the
- * smallest set of servers that can.
+ * Answers two loads that share one fleet: many short prompts whose streams
+ * allow short pauses only, and few prompts whose prefill takes seconds. The
+ * prefill of a long prompt delays every stream on its server, so what a choice
+ * costs is the weight of the requests that become late by it: the request
+ * itself, and the streams whose pauses grow too long. Among choices of equal
+ * cost, short prompts are packed onto servers that already write, so that
+ * other servers stay free for long ones, and a prompt is split over as few
+ * servers as meet its objective.
  */
 #ifndef PROCESS_PLACEMENT_H
 #define PROCESS_PLACEMENT_H
@@ -33,9 +35,9 @@
 
 typedef struct {
 	const engine_profile_t *engine; /**< NULL: a plain service */
-	int64_t now_us;
 	int64_t prompt_tokens;
 	int64_t output_tokens; /**< expected */
+	int64_t gap_target_us; /**< longest pause of its stream; 0: any */
 	int64_t target_us; /**< time left until the objective */
 	int64_t limit_us; /**< time left until the caller gives up */
 	uint64_t salt; /**< breaks ties, differs between requests */
@@ -43,9 +45,9 @@
 
 typedef enum {
 	PLACEMENT_CHOSEN,
-	PLACEMENT_NO_SERVER, /**< no candidate */
+	PLACEMENT_NO_SERVER, /**< no candidate, or none with room */
 	PLACEMENT_TOO_LONG, /**< no set of servers can hold the prompt */
-	PLACEMENT_LATE /**< the first answer would come after the limit */
+	PLACEMENT_LATE /**< the first event would come after the limit */
 } placement_result_t;
 
 typedef struct {
@@ -53,7 +55,8 @@
 	const candidate_t *parts[PLACEMENT_PARTS_MAX]; /**< first: the writer */
 	bool shared_memory; /**< the prompt does not fit on the first alone */
 	int64_t first_event_us; /**< predicted, from now */
-	int64_t read_us[PLACEMENT_PARTS_MAX]; /**< that each part occupies */
+	int64_t read_us[PLACEMENT_PARTS_MAX]; /**< prefill of each part */
+	double late_weight; /**< of the requests that become late by it */
 	int64_t room_in_us; /**< for PLACEMENT_LATE: when there is room */
 } placement_t;
 
--- a/src/process/server_work.h
+++ b/src/process/server_work.h
@@ -1,31 +1,40 @@
 /**
  * @file server_work.h
- * Counts the work of one attempt on the servers that take part in it. Pure.
+ * The work of this node on the backend servers. Pure.
+ *
+ * An attempt counts on each server that takes part in it: as a reader until
+ * its first event, then as a writer on the first server.
  */
 #ifndef PROCESS_SERVER_WORK_H
 #define PROCESS_SERVER_WORK_H
 
-#include "process/backends.h"
+#include "process/forecast.h"
 
-typedef enum { WORK_NONE, WORK_READING, WORK_WRITING } work_phase_t;
+struct backend;
 
-/** Servers of one attempt; the first of them writes. */
+/** One part of an attempt on one server. */
+typedef struct work_part {
+	struct backend *server;
+	int64_t kv_tokens;
+	int64_t read_us; /**< prefill by prediction */
+	int64_t read_at_us; /**< when it is done by prediction */
+	struct work_part *prev, *next;
+} work_part_t;
+
+/** A stream that writes. */
+typedef struct work_writer {
+	int64_t gap_us; /**< longest pause that it allows; 0: any */
+	struct work_writer *prev, *next;
+} work_writer_t;
+
+/** What this node has on one server. */
 typedef struct {
-	work_phase_t phase;
-	size_t part_count;
-	backend_t *parts[PLACEMENT_PARTS_MAX]; /**< one reference each */
-	int64_t kv_tokens[PLACEMENT_PARTS_MAX];
-} server_work_t;
+	work_part_t *parts;
+	work_writer_t *writers;
+	int64_t kv_tokens;
+} backend_work_t;
 
-/**
- * Counts an attempt that is about to be sent.
- * @param kv_tokens prompt and expected output
- */
-void server_work_begin(server_work_t *work, const placement_t *placement,
-		       int64_t kv_tokens, int64_t now_us);
-/** The first event came: the prompt is read, the first server writes. */
-void server_work_first_event(server_work_t *work, int64_t now_us);
-/** The attempt ended, however. */
-void server_work_end(server_work_t *work, int64_t now_us);
+/** Sums up the work on a server. */
+server_load_t server_work_load(const backend_work_t *work, int64_t now_us);
 
 #endif
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -106,6 +106,15 @@
 			forget(share, node);
 }
 
+/* The server went on reading since the announcement. */
+static int64_t pending_us(const node_t *node, const work_item_t *item,
+			  int64_t now_us)
+{
+	int64_t left_us = item->pending_us - (now_us - node->received_us);
+
+	return left_us > 0 ? left_us : 0;
+}
+
 void work_share_add(const work_share_t *share, uint32_t server_hash,
 		    server_load_t *load, int64_t now_us)
 {
@@ -125,9 +134,10 @@
 		load->readers += item->readers;
 		load->writers += item->writers;
 		load->kv_tokens += item->kv_tokens;
-		if (load->busy_until_us < node->received_us + item->busy_for_us)
-			load->busy_until_us =
-				node->received_us + item->busy_for_us;
+		load->pending_us += pending_us(node, item, now_us);
+		if (item->gap_us &&
+		    (!load->gap_us || item->gap_us < load->gap_us))
+			load->gap_us = item->gap_us;
 	}
 }
 
@@ -172,7 +182,8 @@
 		items[i].readers = to_unit(item->readers, 1);
 		items[i].writers = to_unit(item->writers, 1);
 		items[i].kv_kilotokens = to_unit(item->kv_tokens, KILO);
-		items[i].busy_for_ms = to_unit(item->busy_for_us, US_PER_MS);
+		items[i].pending_ms = to_unit(item->pending_us, US_PER_MS);
+		items[i].gap_ms = to_unit(item->gap_us, US_PER_MS);
 		pointers[i] = &items[i];
 	}
 	announcement.node = message->node;
@@ -208,7 +219,8 @@
 			.readers = (int32_t)(item->readers & INT16_MAX),
 			.writers = (int32_t)(item->writers & INT16_MAX),
 			.kv_tokens = (int64_t)item->kv_kilotokens * KILO,
-			.busy_for_us = (int64_t)item->busy_for_ms * US_PER_MS,
+			.pending_us = (int64_t)item->pending_ms * US_PER_MS,
+			.gap_us = (int64_t)item->gap_ms * US_PER_MS,
 		};
 	}
 	work__announcement__free_unpacked(announcement, NULL);
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -23,7 +23,8 @@
 	int32_t readers;
 	int32_t writers;
 	int64_t kv_tokens;
-	int64_t busy_for_us; /**< until its prompts there are read */
+	int64_t pending_us; /**< prefill that is not done yet */
+	int64_t gap_us; /**< shortest pause that a writer allows; 0: none */
 } work_item_t;
 
 /** One announcement. */
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -174,7 +174,7 @@
   (ProtobufCMessageInit) work__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__item__field_descriptors[5] =
+static const ProtobufCFieldDescriptor work__item__field_descriptors[6] =
 {
   {
     "server",
@@ -225,12 +225,24 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "busy_for_ms",
+    "pending_ms",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Work__Item, busy_for_ms),
+    offsetof(Work__Item, pending_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gap_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Item, gap_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -238,8 +250,9 @@
   },
 };
 static const unsigned work__item__field_indices_by_name[] = {
-  4,   /* field[4] = busy_for_ms */
+  5,   /* field[5] = gap_ms */
   3,   /* field[3] = kv_kilotokens */
+  4,   /* field[4] = pending_ms */
   1,   /* field[1] = readers */
   0,   /* field[0] = server */
   2,   /* field[2] = writers */
@@ -247,7 +260,7 @@
 static const ProtobufCIntRange work__item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor work__item__descriptor =
 {
@@ -257,7 +270,7 @@
   "Work__Item",
   "work",
   sizeof(Work__Item),
-  5,
+  6,
   work__item__field_descriptors,
   work__item__field_indices_by_name,
   1,  work__item__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -51,11 +51,18 @@
   uint32_t readers;
   uint32_t writers;
   uint32_t kv_kilotokens;
-  uint32_t busy_for_ms;
+  /*
+   * prefill that is not done yet
+   */
+  uint32_t pending_ms;
+  /*
+   * shortest pause that a writer allows
+   */
+  uint32_t gap_ms;
 };
 #define WORK__ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__item__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /* Work__Announcement methods */
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -47,7 +47,7 @@
 
 static void end_work(forward_t *forward, attempt_t *attempt)
 {
-	server_work_end(&attempt->work, clock_monotonic_us());
+	attempt_work_end(&attempt->work);
 	gateway_work_changed(forward->gateway);
 }
 
@@ -73,7 +73,7 @@
 
 static void note(const forward_t *forward, evidence_t evidence)
 {
-	backend_note(forward->attempt->work.parts[0], evidence,
+	backend_note(forward->attempt->work.parts[0].server, evidence,
 		     clock_monotonic_us());
 }
 
@@ -126,29 +126,16 @@
 static void note_pace(forward_t *forward, int64_t before_us)
 {
 	attempt_t *attempt = forward->attempt;
-	backend_t *server = attempt->work.parts[0];
-	const backend_work_t *work = backend_work(server);
+	backend_t *server = attempt->work.parts[0].server;
 	const engine_profile_t *engine = &forward->service->engine;
-	server_load_t load = { .writers = work->writers,
-			       .readers = work->readers,
-			       .kv_tokens = work->kv_tokens };
-	int32_t slots = backend_entry(server)->slots;
+	server_load_t load;
 	double expected_us;
 
 	if (!engine->present || !before_us)
 		return;
-	work_share_add(forward->gateway->share,
-		       work_share_hash(backend_entry(server)->id), &load,
-		       clock_monotonic_us());
-	if (load.writers > slots)
-		load.writers = slots;
-	expected_us =
-		forecast_pass_us(engine, load.writers + 1, load.kv_tokens) +
-		engine->chunk_tokens *
-			(engine->read_token_us +
-			 (load.readers > 0 ? engine->read_pair_us *
-						     (double)load.kv_tokens
-					   : 0));
+	load = backend_load(server, forward->gateway->share, attempt->event_us);
+	expected_us = forecast_decode_us(engine, load.writers, load.kv_tokens) +
+		      (double)load.pending_us;
 	backend_note_gap(server, (double)(attempt->event_us - before_us),
 			 expected_us);
 }
@@ -166,8 +153,7 @@
 	if (forward->event_count > events) {
 		if (!attempt->first_event) {
 			attempt->first_event = true;
-			server_work_first_event(&attempt->work,
-						attempt->event_us);
+			attempt_work_first_event(&attempt->work);
 			gateway_work_changed(forward->gateway);
 			if (attempt->patience_us)
 				attempt->patience_us = STREAM_PATIENCE_US;
@@ -401,7 +387,8 @@
 	attempt->sent_us = attempt->heard_us = now_us;
 	attempt->predicted_us = placement->first_event_us;
 	attempt->patience_us = patience_us(forward, placement->first_event_us);
-	server_work_begin(&attempt->work, placement, kv_tokens, now_us);
+	attempt_work_begin(&attempt->work, placement, kv_tokens,
+			   forward->route->gap_target_ms * US_PER_MS, now_us);
 	gateway_work_changed(forward->gateway);
 	send_request(forward, placement, kv_tokens);
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -61,9 +61,9 @@
 	const service_conf_t *service = forward->service;
 	placement_query_t query = {
 		.engine = service->engine.present ? &service->engine : NULL,
-		.now_us = now_us,
 		.prompt_tokens = forward->request.prompt_tokens,
 		.output_tokens = expected_output(forward),
+		.gap_target_us = forward->route->gap_target_ms * US_PER_MS,
 		.target_us = forward->route->target_ms * US_PER_MS -
 			     age_us(forward, now_us),
 		.limit_us = forward->limit_us - now_us,
@@ -136,20 +136,21 @@
 	const candidate_t *first = placement->parts[0];
 	const backend_entry_t *entry = backend_entry(first->server);
 
-	log_event(
-		EVENT_REQUEST_PLACED,
-		"request=%s server=%s data_centre=%s parts=%zu prompt=%" PRId64
-		" predicted_ms=%" PRId64 " readers=%d writers=%d"
-		" busy_ms=%" PRId64 " kv=%" PRId64 " pace=%.2f doubtful=%d"
-		" after_event=%s",
-		*forward->request.id ? forward->request.id : "-", entry->id,
-		entry->data_centre, placement->count,
-		forward->request.prompt_tokens,
-		placement->first_event_us / US_PER_MS, first->load.readers,
-		first->load.writers,
-		(first->load.busy_until_us - clock_monotonic_us()) / US_PER_MS,
-		first->load.kv_tokens, first->pace, first->doubtful,
-		*forward->last_event_id ? forward->last_event_id : "-");
+	log_event(EVENT_REQUEST_PLACED,
+		  "request=%s server=%s data_centre=%s parts=%zu"
+		  " prompt=%" PRId64 " predicted_ms=%" PRId64
+		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
+		  " pending_ms=%" PRId64 " kv=%" PRId64
+		  " pace=%.2f doubtful=%d after_event=%s",
+		  *forward->request.id ? forward->request.id : "-", entry->id,
+		  entry->data_centre, placement->count,
+		  forward->request.prompt_tokens,
+		  placement->first_event_us / US_PER_MS, placement->late_weight,
+		  first->load.readers, first->load.writers,
+		  first->load.gap_us / US_PER_MS,
+		  first->load.pending_us / US_PER_MS, first->load.kv_tokens,
+		  first->pace, first->doubtful,
+		  *forward->last_event_id ? forward->last_event_id : "-");
 }
 
 void forward_place(forward_t *forward)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -6,7 +6,7 @@
 #define REQUEST_FORWARD_STATE_H
 
 #include "process/gateway_state.h"
-#include "process/server_work.h"
+#include "process/attempt_work.h"
 #include "request/caller_request.h"
 #include "request/forward.h"
 #include "request/sse.h"
@@ -22,7 +22,7 @@
 /** One sending of a request to one server or a set of servers. */
 typedef struct {
 	client_call_t *call;
-	server_work_t work;
+	attempt_work_t work;
 	int64_t sent_us;
 	int64_t predicted_us; /**< first event, after it was sent */
 	int64_t patience_us; /**< silence after which it is given up; 0: none */
