Split long prompts wider, move silent streams only when it helps

The log showed streams that were moved after 1 s of silence on servers in a long pass, and long prompts in few parts that held their servers for seconds. Change: a further part costs little, so a long prompt is read by many servers for a short time; a silent stream moves only if another server can speak before the caller leaves.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -14,8 +14,10 @@
 /* Cost of the time that an answer within its objective takes, as a part of
  * the request's weight at the whole objective. */
 #define TIME_LOSS 0.1
-/* Cost of each further part: it can fail, and it delays others a little. */
-#define PART_LOSS 0.02
+/* Cost of each further part: it delays others a little. */
+#define PART_LOSS 0.03
+/* Part of its weight that a request risks with each further server. */
+#define PART_RISK 0.001
 /* Cost of an idle server for a short prompt, which takes it from long ones. */
 #define SPREAD_LOSS 0.1
 /* Weight of a request beside its prompt, in usual prompts. */
@@ -226,7 +228,7 @@
 	placement->first_event_us = (int64_t)event_us;
 	cost = placement->late_weight * LATE_LOSS +
 	       weight * TIME_LOSS * event_us / (target_us > 1 ? target_us : 1) +
-	       weight * PART_LOSS * (double)(parts - 1) +
+	       (PART_LOSS + weight * PART_RISK) * (double)(parts - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
 	if (event_us > target_us * TARGET_SHARE) {
 		placement->late_weight += weight;
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -24,12 +24,11 @@
 	HTTP_SERVER_ERROR = 500
 };
 
-/* A first event counts as missing after this multiple of its prediction and
- * at least the objective. */
-#define FIRST_EVENT_PATIENCE 2.5
-/* Callers leave a silent stream after 2 s at the earliest; a resumed one must
- * speak before. */
-#define STREAM_PATIENCE_US (1000 * US_PER_MS)
+/* A first event counts as missing after this multiple of its prediction. */
+#define FIRST_EVENT_PATIENCE 2
+/* Part of the caller's patience with a silent stream that one server gets;
+ * the rest is for another one. */
+#define STREAM_PATIENCE_SHARE 0.5
 /* Multiple of the objective after which a lookup is asked for elsewhere. */
 enum { LOOKUP_PATIENCE_TARGETS = 3 };
 
@@ -140,6 +139,12 @@
 			 expected_us);
 }
 
+static int64_t stream_patience_us(const forward_t *forward)
+{
+	return (int64_t)((double)forward_caller_patience_us(forward) *
+			 STREAM_PATIENCE_SHARE);
+}
+
 static client_flow_t pass_events(forward_t *forward, const void *data,
 				 size_t size)
 {
@@ -156,7 +161,8 @@
 			attempt_work_first_event(&attempt->work);
 			gateway_work_changed(forward->gateway);
 			if (attempt->patience_us)
-				attempt->patience_us = STREAM_PATIENCE_US;
+				attempt->patience_us =
+					stream_patience_us(forward);
 		} else if (forward->event_count == events + 1) {
 			note_pace(forward, before_us);
 		}
@@ -300,23 +306,20 @@
 
 static int64_t patience_us(const forward_t *forward, int64_t predicted_us)
 {
-	int64_t target_us = forward->route->target_ms * US_PER_MS;
-	int64_t patience_us;
+	int64_t patience_us = stream_patience_us(forward);
 
 	switch (forward->route->kind) {
 	case CALL_IDEMPOTENT:
-		return target_us * LOOKUP_PATIENCE_TARGETS;
+		return forward->route->target_ms * US_PER_MS *
+		       LOOKUP_PATIENCE_TARGETS;
 	case CALL_AT_MOST_ONCE:
 		return 0;
 	case CALL_STREAM:
 		if (!forward->route->is_resumable)
 			return 0;
-		patience_us =
-			(int64_t)((double)predicted_us * FIRST_EVENT_PATIENCE);
-		if (patience_us < target_us)
-			patience_us = target_us;
-		return patience_us > STREAM_PATIENCE_US ? patience_us
-							: STREAM_PATIENCE_US;
+		if (patience_us < predicted_us * FIRST_EVENT_PATIENCE)
+			patience_us = predicted_us * FIRST_EVENT_PATIENCE;
+		return patience_us;
 	}
 	return 0;
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -20,6 +20,14 @@
 	ATTEMPT_TIME_MIN_MS = 20
 };
 
+/* Callers leave a stream that is silent for this long, or for a multiple of
+ * its objective or of its longest pause, as the platform states. */
+#define CALLER_PATIENCE_US (2 * US_PER_S)
+enum { CALLER_PATIENCE_TARGETS = 4, CALLER_PATIENCE_GAPS = 8 };
+
+/* How often a silent attempt is compared with another server. */
+#define SILENCE_RECHECK_US (300 * US_PER_MS)
+
 /* Part of the objective for which a request waits for a server to appear;
  * after it the caller is better served by an answer. */
 #define WAIT_TARGET_SHARE 0.125
@@ -77,6 +85,22 @@
 	return query;
 }
 
+static int64_t longer(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+int64_t forward_caller_patience_us(const forward_t *forward)
+{
+	const route_conf_t *route = forward->route;
+	int64_t patience_us = CALLER_PATIENCE_US;
+
+	patience_us = longer(patience_us, route->target_ms * US_PER_MS *
+						  CALLER_PATIENCE_TARGETS);
+	return longer(patience_us,
+		      route->gap_target_ms * US_PER_MS * CALLER_PATIENCE_GAPS);
+}
+
 static placement_result_t choose(forward_t *forward, candidate_t **candidates,
 				 placement_t *placement)
 {
@@ -296,6 +320,39 @@
 	}
 }
 
+/*
+ * A stream that is silent on a busy server is often read again in vain. It is
+ * moved only if another server can speak before the caller leaves.
+ */
+static bool is_better_elsewhere(forward_t *forward)
+{
+	candidate_t *candidates = NULL;
+	placement_t placement;
+	placement_result_t result;
+	int64_t left_us;
+
+	if (forward->route->kind != CALL_STREAM)
+		return true;
+	left_us = forward->attempt->heard_us +
+		  forward_caller_patience_us(forward) - clock_monotonic_us();
+	result = choose(forward, &candidates, &placement);
+	free(candidates);
+	return result == PLACEMENT_CHOSEN && placement.first_event_us < left_us;
+}
+
+static void on_silence(forward_t *forward)
+{
+	if (forward->runs + 1 < forward->route->attempts_max &&
+	    is_better_elsewhere(forward)) {
+		backend_note(forward->attempt->work.parts[0].server,
+			     EVIDENCE_SILENT, clock_monotonic_us());
+		forward_attempt_failed(forward, FAILURE_SILENT);
+		return;
+	}
+	forward->attempt->patience_us += SILENCE_RECHECK_US;
+	forward_set_timer(forward);
+}
+
 void forward_on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	forward_t *forward = timer->data;
@@ -306,7 +363,7 @@
 	else if (forward->phase == FORWARD_WAITING)
 		forward_place(forward);
 	else if (now_us >= silent_at_us(forward))
-		forward_attempt_failed(forward, FAILURE_SILENT);
+		on_silence(forward);
 	else
 		forward_set_timer(forward);
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -25,7 +25,8 @@
 	attempt_work_t work;
 	int64_t sent_us;
 	int64_t predicted_us; /**< first event, after it was sent */
-	int64_t patience_us; /**< silence after which it is given up; 0: none */
+	int64_t patience_us; /**< silence after which another server is asked;
+			      * 0: never */
 	server_reply_t reply;
 	reply_headers_t headers;
 	char *body; /**< of an answer that is passed on as a whole */
@@ -110,6 +111,8 @@
 void forward_place(forward_t *forward);
 /** After a failed attempt: another one, or the final answer. */
 void forward_attempt_failed(forward_t *forward, failure_t failure);
+/** @return the silence after which the caller leaves a stream. */
+int64_t forward_caller_patience_us(const forward_t *forward);
 /** Sets the timer to what is due next. */
 void forward_set_timer(forward_t *forward);
 void forward_on_timer(struct ev_loop *loop, ev_timer *timer, int events);
