--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -39,7 +39,8 @@
 	log_event(EVENT_REQUEST_ENDED,
 		  "request=%s route=%s account=%s status=%d outcome=%s "
 		  "sends=%zu runs=%d events=%" PRId64 " first_event_ms=%" PRId64
-		  " total_ms=%" PRId64 " config=%" PRId64,
+		  " gap_max_ms=%" PRId64 " total_ms=%" PRId64
+		  " config=%" PRId64,
 		  *forward->request.id ? forward->request.id : "-",
 		  forward->route ? forward->route->name : "-",
 		  forward->account ? forward->account->name : "-", status,
@@ -49,6 +50,7 @@
 			  ? (forward->first_event_us - forward->received_us) /
 				    US_PER_MS
 			  : -1,
+		  forward->gap_max_us / US_PER_MS,
 		  (now_us - forward->received_us) / US_PER_MS,
 		  forward->routing ? routing_version(forward->routing) : -1);
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -69,6 +69,7 @@
 	char last_event_id[EVENT_ID_SIZE_BYTES];
 	int64_t event_count;
 	int64_t first_event_us;
+	int64_t last_event_us, gap_max_us; /**< longest pause between events */
 	ev_timer timer; /**< limit, silence, or the next try */
 	struct forward *prev, *next;
 } forward_t;
