--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -52,6 +52,15 @@
 	return WEIGHT_BASE + (usual > 0 ? (double)prompt_tokens / usual : 1);
 }
 
+/* Cost of the time until the first event, whether it is late or not. */
+static double time_cost(const placement_query_t *query, double event_us)
+{
+	double objective_us = (double)query->objective_us;
+
+	return weight_of(query, query->prompt_tokens) * TIME_LOSS * event_us /
+	       (objective_us > 1 ? objective_us : 1);
+}
+
 static bool is_short(const placement_query_t *query)
 {
 	return query->prompt_tokens <
@@ -138,8 +147,7 @@
 					    part_tokens);
 	option.late_weight = late_streams(candidate, query, pass_us);
 	option.cost = option.late_weight * LATE_LOSS +
-		      weight_of(query, query->prompt_tokens) * TIME_LOSS *
-			      option.event_us / (target_us > 1 ? target_us : 1);
+		      time_cost(query, option.event_us);
 	if (option.event_us > target_us * TARGET_SHARE)
 		option.cost +=
 			weight_of(query, query->prompt_tokens) * LATE_LOSS;
@@ -227,7 +235,7 @@
 	}
 	placement->first_event_us = (int64_t)event_us;
 	cost = placement->late_weight * LATE_LOSS +
-	       weight * TIME_LOSS * event_us / (target_us > 1 ? target_us : 1) +
+	       time_cost(query, event_us) +
 	       (PART_LOSS + weight * PART_RISK) * (double)(parts - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
 	if (event_us > target_us * TARGET_SHARE) {
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -38,7 +38,8 @@
 	int64_t prompt_tokens;
 	int64_t output_tokens; /**< expected */
 	int64_t gap_target_us; /**< longest pause of its stream; 0: any */
-	int64_t target_us; /**< time left until the objective */
+	int64_t objective_us; /**< latency objective of the request */
+	int64_t target_us; /**< time left until then; 0: it is late */
 	int64_t limit_us; /**< time left until the caller gives up */
 	uint64_t salt; /**< breaks ties, differs between requests */
 } placement_query_t;
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -72,6 +72,7 @@
 		.prompt_tokens = forward->request.prompt_tokens,
 		.output_tokens = expected_output(forward),
 		.gap_target_us = forward->route->gap_target_ms * US_PER_MS,
+		.objective_us = forward->route->target_ms * US_PER_MS,
 		.target_us = forward->route->target_ms * US_PER_MS -
 			     age_us(forward, now_us),
 		.limit_us = forward->limit_us - now_us,
