Lease engine memory for prompts beyond one engine, refuse what costs others more

Change: tickets (pure), reservations, and a price of server time that grows with the backlog; a long prompt is refused at once when others would lose more than it gains, with when to come back.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -1,5 +1,7 @@
 #include "process/gateway.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -143,6 +145,9 @@
 	gateway->random = ((uint64_t)clock_wall_us() << 16) ^
 			  work_share_hash(settings->node_id) ^
 			  (uint64_t)getpid();
+	snprintf(gateway->ticket_prefix, sizeof(gateway->ticket_prefix),
+		 "%08x-%" PRIx64, work_share_hash(settings->node_id),
+		 gateway->random);
 	ev_init(&gateway->stop_timer, NULL);
 	if (start(gateway, err))
 		return gateway;
@@ -185,7 +190,8 @@
 		set_phase(gateway, STOP_FINISHING, "finishing");
 	if (passed_ms >= gateway->settings.stop_ms - STOP_MARGIN_MS)
 		forward_abort_all(gateway);
-	else if (gateway->stop == STOP_NOTICE || gateway->forward_count)
+	else if (gateway->stop == STOP_NOTICE || gateway->forward_count ||
+		 gateway->reservations)
 		return;
 	ev_break(loop, EVBREAK_ALL);
 }
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -68,6 +68,8 @@
 
 	struct forward *forwards; /**< requests in progress */
 	size_t forward_count;
+	int32_t reservations; /**< of engine memory that exist */
+	char ticket_prefix[NAME_SIZE_BYTES]; /**< unique to this process */
 	int64_t body_bytes; /**< of all requests in progress */
 
 	peer_t *peers;
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -11,6 +11,12 @@
 #define PACK_SHARE 0.45
 /* Part of its weight that a late request loses. */
 #define LATE_LOSS 0.75
+/* Value of a late answer, as a part of the request's weight. */
+#define LATE_VALUE 0.25
+/* Backlog of a server, on average, at which its time has its full price. */
+#define BACKLOG_FULL_US (500 * US_PER_MS)
+/* Shortest pause before a refused prompt is worth sending again. */
+#define REFUSED_PAUSE_US (US_PER_S)
 /* Cost of the time that an answer within its objective takes, as a part of
  * the request's weight at the whole objective. */
 #define TIME_LOSS 0.1
@@ -238,10 +244,8 @@
 	       time_cost(query, event_us) +
 	       (PART_LOSS + weight * PART_RISK) * (double)(parts - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
-	if (event_us > target_us * TARGET_SHARE) {
-		placement->late_weight += weight;
+	if (event_us > target_us * TARGET_SHARE)
 		cost += weight * LATE_LOSS;
-	}
 	return cost;
 }
 
@@ -322,23 +326,68 @@
 								      : 0;
 }
 
+/* Prefill that waits on a server, on average. */
+static double mean_backlog_us(const candidate_t *candidates, size_t count)
+{
+	double sum_us = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		sum_us += (double)candidates[i].load.pending_us;
+	return sum_us / (double)count;
+}
+
+/*
+ * Weight that a second of a server's time serves when long prompts wait for
+ * it: that of a prompt that fills half of its memory, for its prefill. Prefill
+ * grows with the square of a prompt, so a longer one serves less.
+ */
+static double price_per_us(const placement_query_t *query, double backlog_us)
+{
+	int64_t tokens = query->engine->kv_capacity_tokens / 2;
+	double full = weight_of(query, tokens) * LATE_LOSS /
+		      forecast_read_us(query->engine, tokens, 1);
+
+	return backlog_us < BACKLOG_FULL_US ? full * backlog_us / BACKLOG_FULL_US
+					    : full;
+}
+
+/* Whether others lose more by a long prompt than it gains. */
+static bool costs_too_much(const candidate_t *candidates, size_t count,
+			   const placement_query_t *query,
+			   const placement_t *placement)
+{
+	double weight = weight_of(query, query->prompt_tokens);
+	double backlog_us = mean_backlog_us(candidates, count), read_us = 0;
+	bool late = placement->first_event_us > query->target_us;
+	double others = placement->late_weight;
+	size_t i;
+
+	if (is_short(query) || !query->may_refuse)
+		return false;
+	for (i = 0; i < placement->count; i++)
+		read_us += (double)placement->read_us[i];
+	return others * LATE_LOSS + read_us * price_per_us(query, backlog_us) >
+	       weight * (late ? LATE_VALUE : 1);
+}
+
 /* Tries each number of parts and keeps the cheapest. */
 static bool place_cheapest(const candidate_t *candidates, size_t count,
 			   const placement_query_t *query, int32_t parts_min,
-			   placement_t *placement)
+			   bool shared_memory, placement_t *placement)
 {
 	int32_t parts, parts_max = PLACEMENT_PARTS_MAX;
 	double best = 0;
 	bool found = false;
 
-	if (is_short(query) && parts_min == 1)
+	if (is_short(query) && !shared_memory)
 		parts_max = SHORT_PARTS_MAX;
 	for (parts = parts_min; parts <= parts_max && (size_t)parts <= count;
 	     parts++) {
 		placement_t tried = { .count = 0 };
 		double cost;
 
-		if (!place(candidates, count, query, parts, parts_min > 1,
+		if (!place(candidates, count, query, parts, shared_memory,
 			   &tried, &cost))
 			continue;
 		if (found && cost >= best)
@@ -355,6 +404,7 @@
 				    placement_t *placement)
 {
 	int32_t parts_min;
+	bool found = false;
 
 	placement->count = 0;
 	placement->shared_memory = false;
@@ -367,8 +417,21 @@
 	parts_min = parts_for_memory(query, count);
 	if (!parts_min)
 		return PLACEMENT_TOO_LONG;
-	if (!place_cheapest(candidates, count, query, parts_min, placement))
+	if (parts_min == 1)
+		found = place_cheapest(candidates, count, query, 1, false,
+				       placement);
+	if (!found)
+		found = place_cheapest(candidates, count, query,
+				       parts_min > 1 ? parts_min : 2, true,
+				       placement);
+	if (!found)
 		return PLACEMENT_NO_SERVER;
+	if (costs_too_much(candidates, count, query, placement)) {
+		placement->room_in_us =
+			(int64_t)mean_backlog_us(candidates, count) +
+			REFUSED_PAUSE_US;
+		return PLACEMENT_BUSY;
+	}
 	if (placement->first_event_us <= query->limit_us)
 		return PLACEMENT_CHOSEN;
 	placement->room_in_us = placement->first_event_us - query->limit_us;
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -41,12 +41,14 @@
 	int64_t objective_us; /**< latency objective of the request */
 	int64_t target_us; /**< time left until then; 0: it is late */
 	int64_t limit_us; /**< time left until the caller gives up */
+	bool may_refuse; /**< the caller has nothing of the answer yet */
 	uint64_t salt; /**< breaks ties, differs between requests */
 } placement_query_t;
 
 typedef enum {
 	PLACEMENT_CHOSEN,
 	PLACEMENT_NO_SERVER, /**< no candidate, or none with room */
+	PLACEMENT_BUSY, /**< others would lose more than the request gains */
 	PLACEMENT_TOO_LONG, /**< no set of servers can hold the prompt */
 	PLACEMENT_LATE /**< the first event would come after the limit */
 } placement_result_t;
@@ -57,8 +59,8 @@
 	bool shared_memory; /**< the prompt does not fit on the first alone */
 	int64_t first_event_us; /**< predicted, from now */
 	int64_t read_us[PLACEMENT_PARTS_MAX]; /**< prefill of each part */
-	double late_weight; /**< of the requests that become late by it */
-	int64_t room_in_us; /**< for PLACEMENT_LATE: when there is room */
+	double late_weight; /**< of other requests that become late by it */
+	int64_t room_in_us; /**< if it is refused: when there is room */
 } placement_t;
 
 placement_result_t placement_choose(const candidate_t *candidates, size_t count,
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -6,6 +6,7 @@
 #include "base/mem.h"
 #include "base/metrics.h"
 #include "platform/headers.h"
+#include "platform/orders.h"
 #include "request/forward_state.h"
 #include "request/hop_headers.h"
 
@@ -54,11 +55,14 @@
 {
 	attempt_t *attempt = forward->attempt;
 
+	if (attempt && attempt->call)
+		client_call_cancel(attempt->call);
+	if (forward->reservation)
+		reservation_release(forward->reservation);
+	forward->reservation = NULL;
+	forward->attempt = NULL;
 	if (!attempt)
 		return;
-	forward->attempt = NULL;
-	if (attempt->call)
-		client_call_cancel(attempt->call);
 	end_work(forward, attempt);
 	free_attempt(attempt);
 	sse_reset(&forward->events);
@@ -290,17 +294,24 @@
 	}
 }
 
-static void list_helpers(const placement_t *placement, char *text, size_t size)
+static void list_helpers(const forward_t *forward, char *text, size_t size)
 {
+	const placement_t *placement = &forward->placement;
 	size_t i, used = 0;
 
 	*text = '\0';
-	for (i = 1; i < placement->count && used < size; i++) {
+	for (i = 1; i < placement->count && used + 1 < size; i++) {
 		const backend_t *server = placement->parts[i]->server;
-
-		used += (size_t)snprintf(text + used, size - used, "%s%s",
-					 i > 1 ? "," : "",
-					 backend_entry(server)->address);
+		const char *ticket = NULL;
+
+		if (forward->reservation)
+			ticket = reservation_ticket(forward->reservation,
+						    server);
+		if (i > 1)
+			text[used++] = ',';
+		platform_format_helper(text + used, size - used,
+				       backend_entry(server)->address, ticket);
+		used += strlen(text + used);
 	}
 }
 
@@ -331,15 +342,15 @@
 	return forward->route->priority;
 }
 
-static void send_request(forward_t *forward, const placement_t *placement,
-			 int64_t kv_tokens)
+static void send_request(forward_t *forward)
 {
+	const placement_t *placement = &forward->placement;
 	attempt_t *attempt = forward->attempt;
 	exchange_t *exchange = forward->exchange;
 	const backend_entry_t *entry =
 		backend_entry(placement->parts[0]->server);
 	char url[URL_SIZE_BYTES + 16], target[8192];
-	char helpers[PLACEMENT_PARTS_MAX * URL_SIZE_BYTES];
+	char helpers[PLACEMENT_PARTS_MAX * (URL_SIZE_BYTES + NAME_SIZE_BYTES)];
 	client_handler_t handler = { .on_header = on_header,
 				     .on_status = on_status,
 				     .on_data = on_data,
@@ -361,7 +372,7 @@
 				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 				     .at_most_once = true };
 
-	list_helpers(placement, helpers, sizeof(helpers));
+	list_helpers(forward, helpers, sizeof(helpers));
 	headers = platform_server_headers(exchange, &ours);
 	snprintf(url, sizeof(url), "http://%s/", entry->address);
 	snprintf(target, sizeof(target), "%s%s%s", exchange_path(exchange),
@@ -378,8 +389,9 @@
 	platform_free_headers(headers);
 }
 
-void attempt_start(forward_t *forward, const placement_t *placement)
+void attempt_start(forward_t *forward)
 {
+	const placement_t *placement = &forward->placement;
 	attempt_t *attempt = mem_calloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us(), kv_tokens = 0;
 
@@ -393,5 +405,5 @@
 	attempt_work_begin(&attempt->work, placement, kv_tokens,
 			   forward->route->gap_target_ms * US_PER_MS, now_us);
 	gateway_work_changed(forward->gateway);
-	send_request(forward, placement, kv_tokens);
+	send_request(forward);
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -16,10 +16,20 @@
 	NO_SERVER_RETRY_MS = 1000,
 	/* The whole fleet is busy: shortest useful pause. */
 	BUSY_RETRY_MS = 250,
+	/* Rounds of leases on other servers before a request is refused. */
+	RESERVATIONS_MAX = 3,
+	/* When engines that are full have memory again. */
+	MEMORY_RETRY_MS = 1000,
+	/* Added to each lease, for rounding to blocks by the engine. */
+	RESERVED_TOKENS_MARGIN = 64,
 	/* No attempt is worth starting with less time than this. */
 	ATTEMPT_TIME_MIN_MS = 20
 };
 
+/* A lease ends within this part of the time in which memory must be free, so
+ * that what a lost node held is free in time. */
+#define LEASE_SHARE 0.85
+
 /* Callers leave a stream that is silent for this long, or for a multiple of
  * its objective or of its longest pause, as the platform states. */
 #define CALLER_PATIENCE_US (2 * US_PER_S)
@@ -76,6 +86,7 @@
 		.target_us = forward->route->target_ms * US_PER_MS -
 			     age_us(forward, now_us),
 		.limit_us = forward->limit_us - now_us,
+		.may_refuse = !forward->runs && !forward->head_sent,
 		.salt = gateway_random(forward->gateway),
 	};
 
@@ -110,7 +121,7 @@
 	placement_query_t query = make_query(forward, now_us);
 	backends_query_t wanted = { .service = forward->service,
 				    .share = gateway->share,
-				    .except = forward->tried,
+				    .except = (backend_t *const *)forward->tried,
 				    .except_count = forward->tried_count,
 				    .now_us = now_us };
 	size_t count =
@@ -137,8 +148,9 @@
 		forward_refuse(forward, "no_server", NO_SERVER_RETRY_MS);
 }
 
-static bool take_cold(forward_t *forward, const placement_t *placement)
+static bool take_cold(const forward_t *forward)
 {
+	const placement_t *placement = &forward->placement;
 	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
@@ -149,15 +161,15 @@
 	return true;
 }
 
-static void remember_tried(forward_t *forward, const placement_t *placement)
+static void remember_tried(forward_t *forward, backend_t *server)
 {
 	if (forward->tried_count < SERVERS_TRIED_MAX)
-		forward->tried[forward->tried_count++] =
-			backend_ref(placement->parts[0]->server);
+		forward->tried[forward->tried_count++] = backend_ref(server);
 }
 
-static void log_placed(const forward_t *forward, const placement_t *placement)
+static void log_placed(const forward_t *forward)
 {
+	const placement_t *placement = &forward->placement;
 	const candidate_t *first = placement->parts[0];
 	const backend_entry_t *entry = backend_entry(first->server);
 
@@ -178,23 +190,76 @@
 		  *forward->last_event_id ? forward->last_event_id : "-");
 }
 
+static void send(forward_t *forward)
+{
+	log_placed(forward);
+	remember_tried(forward, forward->placement.parts[0]->server);
+	forward->phase = FORWARD_SENT;
+	attempt_start(forward);
+	forward_set_timer(forward);
+}
+
+static void on_reserved(void *context, bool granted)
+{
+	forward_t *forward = context;
+
+	if (granted) {
+		send(forward);
+		return;
+	}
+	attempt_cancel(forward);
+	if (++forward->reservations_failed < RESERVATIONS_MAX)
+		forward_place(forward);
+	else if (forward->runs)
+		forward_fail(forward, HTTP_BAD_GATEWAY, "no_engine_memory");
+	else
+		forward_refuse(forward, "no_engine_memory",
+			       MEMORY_RETRY_MS);
+}
+
+/* The first server keeps its part, and what is written, without a lease. */
+static void reserve(forward_t *forward)
+{
+	const placement_t *placement = &forward->placement;
+	gateway_t *gateway = forward->gateway;
+	reservation_conf_t conf = {
+		.loop = gateway->loop,
+		.client = gateway->client,
+		.owner = gateway->ticket_prefix,
+		.tokens = forward->request.prompt_tokens /
+				  (int64_t)placement->count +
+			  RESERVED_TOKENS_MARGIN,
+		.lease_us = (int64_t)((double)gateway->settings
+					      .reservation_free_ms *
+				      US_PER_MS * LEASE_SHARE),
+		.alive = &gateway->reservations,
+	};
+	backend_t *servers[PLACEMENT_PARTS_MAX];
+	size_t i;
+
+	for (i = 1; i < placement->count; i++)
+		servers[i - 1] = placement->parts[i]->server;
+	forward->phase = FORWARD_RESERVING;
+	forward->reservation = reservation_create(
+		&conf, servers, placement->count - 1, on_reserved, forward);
+	forward_set_timer(forward);
+}
+
 void forward_place(forward_t *forward)
 {
-	candidate_t *candidates = NULL;
-	placement_t placement;
+	placement_t *placement = &forward->placement;
 
 	forward->phase = FORWARD_WAITING;
-	switch (choose(forward, &candidates, &placement)) {
+	free(forward->candidates);
+	forward->candidates = NULL;
+	switch (choose(forward, &forward->candidates, placement)) {
 	case PLACEMENT_CHOSEN:
-		if (!take_cold(forward, &placement)) {
+		if (!take_cold(forward))
 			wait_or_refuse(forward);
-			break;
-		}
-		log_placed(forward, &placement);
-		remember_tried(forward, &placement);
-		forward->phase = FORWARD_SENT;
-		attempt_start(forward, &placement);
-		forward_set_timer(forward);
+		else if (placement->shared_memory)
+			reserve(forward);
+		else
+			send(forward);
 		break;
 	case PLACEMENT_NO_SERVER:
 		wait_or_refuse(forward);
@@ -202,16 +267,19 @@
 	case PLACEMENT_TOO_LONG:
 		forward_refuse(forward, "prompt_too_long", NO_SERVER_RETRY_MS);
 		break;
+	case PLACEMENT_BUSY:
+		forward_refuse(forward, "busy", placement->room_in_us /
+							US_PER_MS);
+		break;
 	case PLACEMENT_LATE:
 		if (forward->runs || forward->head_sent)
 			forward_fail(forward, HTTP_BAD_GATEWAY, "too_late");
 		else
 			forward_refuse(forward, "busy",
-				       BUSY_RETRY_MS + placement.room_in_us /
+				       BUSY_RETRY_MS + placement->room_in_us /
 							       US_PER_MS);
 		break;
 	}
-	free(candidates);
 }
 
 static bool may_try_again(forward_t *forward, failure_t failure)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -9,6 +9,7 @@
 #include "process/attempt_work.h"
 #include "request/caller_request.h"
 #include "request/forward.h"
+#include "request/reservation.h"
 #include "request/sse.h"
 
 enum { SERVERS_TRIED_MAX = 8, REPLY_HEADERS_MAX = 48 };
@@ -41,6 +42,7 @@
 typedef enum {
 	FORWARD_READING, /**< the body is on its way */
 	FORWARD_WAITING, /**< for a server */
+	FORWARD_RESERVING, /**< memory on several servers */
 	FORWARD_SENT,
 	FORWARD_ENDED /**< the final answer was given */
 } forward_phase_t;
@@ -61,6 +63,10 @@
 	backend_t *tried[SERVERS_TRIED_MAX];
 	size_t tried_count;
 	int32_t runs; /**< servers that ran it, or may have */
+	candidate_t *candidates; /**< that the placement points at */
+	placement_t placement; /**< of the present attempt */
+	reservation_t *reservation; /**< memory for it; or NULL */
+	int32_t reservations_failed;
 	attempt_t *attempt; /**< NULL: none under way */
 	bool head_sent; /**< the caller got status and headers */
 	bool resumed;
@@ -83,8 +89,8 @@
 } failure_t;
 
 /* forward_attempt.c */
-/** Sends the request to the chosen servers. */
-void attempt_start(forward_t *forward, const placement_t *placement);
+/** Sends the request to the servers of its placement. */
+void attempt_start(forward_t *forward);
 /** Stops an attempt; its server notices that the connection closes. */
 void attempt_cancel(forward_t *forward);
 void attempt_resume(forward_t *forward);
