Notice data centres that are cut off; full price of server time at 0.25 s of backlog

Change: connections that fail in a row, or one while the nodes of the data centre are silent, put off all its servers; its streams move after 400 ms; connections are given up after 200 ms, since nothing was sent.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -23,14 +23,35 @@
 /* Cost of another data centre: its delay, and bytes between data centres. */
 #define FAR_COST_US (3 * US_PER_MS)
 
-enum { PAUSE_DOUBLINGS_MAX = 4 };
+enum {
+	PAUSE_DOUBLINGS_MAX = 4,
+	/* Connections of a data centre that fail in a row, within the window,
+	 * before all of its servers are avoided. One is enough while its nodes
+	 * are silent, too. */
+	UNREACHABLE_MIN = 3
+};
+
+#define UNREACHABLE_WINDOW_US US_PER_S
+/* How long a data centre is avoided before a request tries it again. */
+#define CUT_OFF_US (700 * US_PER_MS)
+
+/* What is known of a data centre. */
+typedef struct centre {
+	char name[NAME_SIZE_BYTES];
+	bool evacuated;
+	bool peers_silent; /* its nodes are not heard of */
+	int32_t unreachable; /* connections that failed since one was good */
+	int64_t unreachable_us; /* the last of them */
+	int64_t cut_off_until_us;
+	UT_hash_handle hh;
+} centre_t;
 
 struct backend {
 	backend_entry_t entry;
 	backends_t *table; /* NULL after it was removed */
 	int references;
 	uint32_t hash;
-	bool evacuated;
+	centre_t *centre;
 	uint64_t listing; /* in which it was last seen */
 	int64_t removed_at_us; /* 0: its entry is there */
 	int64_t cold_until_us;
@@ -43,15 +64,10 @@
 	UT_hash_handle hh;
 };
 
-typedef struct evacuation {
-	char data_centre[NAME_SIZE_BYTES];
-	UT_hash_handle hh;
-} evacuation_t;
-
 struct backends {
 	backends_conf_t conf;
 	backend_t *servers;
-	evacuation_t *evacuations;
+	centre_t *centres;
 	uint64_t listing;
 	int32_t nodes;
 };
@@ -75,21 +91,30 @@
 void backends_destroy(backends_t *backends)
 {
 	backend_t *server, *next;
+	centre_t *centre, *next_centre;
 
 	if (!backends)
 		return;
 	HASH_ITER (hh, backends->servers, server, next)
 		drop(backends, server);
-	backends_clear_evacuations(backends);
+	HASH_ITER (hh, backends->centres, centre, next_centre) {
+		HASH_DEL(backends->centres, centre);
+		free(centre);
+	}
 	free(backends);
 }
 
-static bool is_evacuated(const backends_t *backends, const char *data_centre)
+static centre_t *find_centre(backends_t *backends, const char *name)
 {
-	evacuation_t *found;
+	centre_t *centre;
 
-	HASH_FIND_STR(backends->evacuations, data_centre, found);
-	return found;
+	HASH_FIND_STR(backends->centres, name, centre);
+	if (centre)
+		return centre;
+	centre = mem_calloc(1, sizeof(*centre));
+	mem_strlcpy(centre->name, name, sizeof(centre->name));
+	HASH_ADD_STR(backends->centres, name, centre);
+	return centre;
 }
 
 /* A server may start again under its id: nothing known of it holds then. */
@@ -126,7 +151,7 @@
 	server->entry = *entry;
 	server->listing = backends->listing;
 	server->removed_at_us = 0;
-	server->evacuated = is_evacuated(backends, entry->data_centre);
+	server->centre = find_centre(backends, entry->data_centre);
 	server->cold_until_us = now_us + entry->cold_left_ms * US_PER_MS;
 	return changed;
 }
@@ -183,43 +208,18 @@
 	return removed;
 }
 
-static void mark_evacuated(backends_t *backends, const char *data_centre,
-			   bool evacuated)
-{
-	backend_t *server, *next;
-
-	HASH_ITER (hh, backends->servers, server, next)
-		if (!strcmp(server->entry.data_centre, data_centre))
-			server->evacuated = evacuated;
-}
-
 void backends_evacuate(backends_t *backends, const char *data_centre,
 		       bool evacuated)
 {
-	evacuation_t *found;
-
-	HASH_FIND_STR(backends->evacuations, data_centre, found);
-	if (evacuated && !found) {
-		found = mem_calloc(1, sizeof(*found));
-		mem_strlcpy(found->data_centre, data_centre,
-			    sizeof(found->data_centre));
-		HASH_ADD_STR(backends->evacuations, data_centre, found);
-	} else if (!evacuated && found) {
-		HASH_DEL(backends->evacuations, found);
-		free(found);
-	}
-	mark_evacuated(backends, data_centre, evacuated);
+	find_centre(backends, data_centre)->evacuated = evacuated;
 }
 
 void backends_clear_evacuations(backends_t *backends)
 {
-	evacuation_t *evacuation, *next;
+	centre_t *centre, *next;
 
-	HASH_ITER (hh, backends->evacuations, evacuation, next) {
-		mark_evacuated(backends, evacuation->data_centre, false);
-		HASH_DEL(backends->evacuations, evacuation);
-		free(evacuation);
-	}
+	HASH_ITER (hh, backends->centres, centre, next)
+		centre->evacuated = false;
 }
 
 void backends_set_nodes(backends_t *backends, int32_t nodes)
@@ -265,7 +265,7 @@
 bool backend_usable(const backend_t *backend)
 {
 	return backend->table && backend->entry.state == BACKEND_READY &&
-	       !backend->evacuated;
+	       !backend->centre->evacuated;
 }
 
 bool backend_is_cold(const backend_t *backend, int64_t now_us)
@@ -318,14 +318,35 @@
 		now_us + (pause_us < PAUSE_MAX_US ? pause_us : PAUSE_MAX_US);
 }
 
+static void note_unreachable(centre_t *centre, int64_t now_us)
+{
+	if (now_us - centre->unreachable_us > UNREACHABLE_WINDOW_US)
+		centre->unreachable = 0;
+	centre->unreachable++;
+	centre->unreachable_us = now_us;
+	if (centre->unreachable >= (centre->peers_silent ? 1 : UNREACHABLE_MIN))
+		centre->cut_off_until_us = now_us + CUT_OFF_US;
+}
+
+void backend_note_heard(backend_t *backend)
+{
+	backend->centre->unreachable = 0;
+	backend->centre->cut_off_until_us = 0;
+}
+
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us)
 {
 	switch (evidence) {
 	case EVIDENCE_GOOD:
 		backend->failures = 0;
 		backend->paused_until_us = 0;
+		backend_note_heard(backend);
 		return;
 	case EVIDENCE_UNREACHABLE:
+		note_unreachable(backend->centre, now_us);
+		backend->failures++;
+		pause(backend, now_us);
+		return;
 	case EVIDENCE_BROKEN:
 	case EVIDENCE_SILENT:
 		backend->failures++;
@@ -338,6 +359,17 @@
 	}
 }
 
+void backends_note_peers(backends_t *backends, const char *data_centre,
+			 bool silent)
+{
+	find_centre(backends, data_centre)->peers_silent = silent;
+}
+
+bool backend_is_cut_off(const backend_t *backend, int64_t now_us)
+{
+	return now_us < backend->centre->cut_off_until_us;
+}
+
 void backend_note_gap(backend_t *backend, double actual_us, double expected_us)
 {
 	double ratio = expected_us > 0 ? actual_us / expected_us : 1;
@@ -375,7 +407,8 @@
 			engine->present ? engine->kv_capacity_tokens : 0,
 		.pace = server->pace > PACE_TOLERANCE ? server->pace : 1,
 		.distance_us = near ? 0 : FAR_COST_US,
-		.doubtful = query->now_us < server->paused_until_us,
+		.doubtful = query->now_us < server->paused_until_us ||
+			    backend_is_cut_off(server, query->now_us),
 	};
 
 	return candidate;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -105,6 +105,14 @@
 			   int64_t now_us);
 
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
+
+/** Data came from the server: its data centre can be reached. */
+void backend_note_heard(backend_t *backend);
+/** The nodes of a data centre went silent, or are heard of again. */
+void backends_note_peers(backends_t *backends, const char *data_centre,
+			 bool silent);
+/** Whether the data centre of the server seems to be cut off from here. */
+bool backend_is_cut_off(const backend_t *backend, int64_t now_us);
 /** An event came @p actual_us after the one before; @p expected_us by model. */
 void backend_note_gap(backend_t *backend, double actual_us, double expected_us);
 
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -102,6 +102,7 @@
 	if (removed)
 		log_event(EVENT_SERVER_REMOVED, "count=%zu reason=not-returned",
 			  removed);
+	forward_check_cut_off(gateway);
 }
 
 static bool start(gateway_t *gateway, err_t *err)
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -13,8 +13,11 @@
 enum { DATAGRAMS_PER_S = 250 };
 /* Shortest pause between two announcements. */
 #define ANNOUNCE_MIN_S 0.02
-/* Repeats an unchanged announcement before it expires at the peers. */
-#define ANNOUNCE_IDLE_US (600 * US_PER_MS)
+/* An unchanged announcement is repeated after this time: silence shows that a
+ * node, or its data centre, cannot be reached. */
+#define ANNOUNCE_IDLE_US (200 * US_PER_MS)
+/* Announcements that may be lost before a node counts as silent. */
+enum { ANNOUNCEMENTS_LOST_MAX = 3 };
 
 /* The list of nodes is read often while the fleet starts. */
 #define REGISTRY_FIRST_S 0.7
@@ -28,6 +31,28 @@
 	return pause_s > ANNOUNCE_MIN_S ? pause_s : ANNOUNCE_MIN_S;
 }
 
+static int64_t idle_pause_us(const gateway_t *gateway)
+{
+	int64_t pause_us = (int64_t)(announce_pause_s(gateway) * US_PER_S);
+
+	return pause_us > ANNOUNCE_IDLE_US ? pause_us : ANNOUNCE_IDLE_US;
+}
+
+/* Tells the server table which data centres are silent. */
+static void note_silence(gateway_t *gateway, int64_t now_us)
+{
+	int64_t silence_us = idle_pause_us(gateway) * ANNOUNCEMENTS_LOST_MAX;
+	backend_t *server = NULL;
+
+	while ((server = backends_next(gateway->backends, server))) {
+		const char *centre = backend_entry(server)->data_centre;
+
+		backends_note_peers(gateway->backends, centre,
+				    work_share_silent(gateway->share, centre,
+						      silence_us, now_us));
+	}
+}
+
 static size_t list_work(gateway_t *gateway, work_item_t *items, size_t max,
 			int64_t now_us)
 {
@@ -69,6 +94,8 @@
 	uint8_t data[WORK_MESSAGE_MAX_BYTES];
 	size_t size, i;
 
+	mem_strlcpy(message.data_centre, gateway->settings.data_centre,
+		    sizeof(message.data_centre));
 	gateway->announced_us = now_us;
 	gateway->announce_due = false;
 	size = work_message_encode(&message, data, sizeof(data));
@@ -86,13 +113,14 @@
 	int64_t now_us = clock_monotonic_us();
 
 	work_share_expire(gateway->share, now_us);
+	note_silence(gateway, now_us);
 	if (gateway->announce_due ||
-	    now_us - gateway->announced_us >= ANNOUNCE_IDLE_US)
+	    now_us - gateway->announced_us >= idle_pause_us(gateway))
 		announce(gateway, now_us);
 	ev_timer_set(timer,
-		     gateway->announce_due
-			     ? announce_pause_s(gateway)
-			     : (double)ANNOUNCE_IDLE_US / (double)US_PER_S,
+		     gateway->announce_due ? announce_pause_s(gateway)
+					   : (double)idle_pause_us(gateway) /
+						     (double)US_PER_S,
 		     0.);
 	ev_timer_start(loop, timer);
 }
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -14,7 +14,7 @@
 /* Value of a late answer, as a part of the request's weight. */
 #define LATE_VALUE 0.25
 /* Backlog of a server, on average, at which its time has its full price. */
-#define BACKLOG_FULL_US (500 * US_PER_MS)
+#define BACKLOG_FULL_US (250 * US_PER_MS)
 /* Shortest pause before a refused prompt is worth sending again. */
 #define REFUSED_PAUSE_US (US_PER_S)
 /* Cost of the time that an answer within its objective takes, as a part of
@@ -240,8 +240,7 @@
 			event_us = options[i].event_us;
 	}
 	placement->first_event_us = (int64_t)event_us;
-	cost = placement->late_weight * LATE_LOSS +
-	       time_cost(query, event_us) +
+	cost = placement->late_weight * LATE_LOSS + time_cost(query, event_us) +
 	       (PART_LOSS + weight * PART_RISK) * (double)(parts - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
 	if (event_us > target_us * TARGET_SHARE)
@@ -348,8 +347,9 @@
 	double full = weight_of(query, tokens) * LATE_LOSS /
 		      forecast_read_us(query->engine, tokens, 1);
 
-	return backlog_us < BACKLOG_FULL_US ? full * backlog_us / BACKLOG_FULL_US
-					    : full;
+	return backlog_us < BACKLOG_FULL_US
+		       ? full * backlog_us / BACKLOG_FULL_US
+		       : full;
 }
 
 /* Whether others lose more by a long prompt than it gains. */
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -9,9 +9,11 @@
 #include "base/units.h"
 #include "proto/work.pb-c.h"
 
-/* Announcements come several times a second; a node that is silent for this
- * long has stopped or cannot be reached. */
+/* Announcements come several times a second; the work of a node that is silent
+ * for this long has ended, or ends unseen. */
 #define NODE_SILENT_US (2 * US_PER_S)
+/* A node that is silent for this long is forgotten. */
+#define NODE_GONE_US (10 * US_PER_S)
 
 enum { ITEMS_MAX = 256, KILO = 1000 };
 
@@ -19,6 +21,7 @@
 	uint64_t id;
 	uint64_t incarnation;
 	uint64_t sequence;
+	char data_centre[NAME_SIZE_BYTES];
 	int64_t received_us;
 	work_item_t *items;
 	size_t item_count;
@@ -72,12 +75,20 @@
 	return a->server_hash < b->server_hash ? -1 : 1;
 }
 
+static bool is_live(const node_t *node, int64_t now_us)
+{
+	return now_us - node->received_us <= NODE_SILENT_US;
+}
+
 bool work_share_receive(work_share_t *share, const work_message_t *message,
 			int64_t now_us)
 {
 	node_t *node = find(share, message->node);
 	size_t size = message->item_count * sizeof(*message->items);
 
+	/* A clock that was set back must not hide a node that starts again. */
+	if (!is_live(node, now_us))
+		node->incarnation = node->sequence = 0;
 	if (message->incarnation < node->incarnation ||
 	    (message->incarnation == node->incarnation &&
 	     message->sequence <= node->sequence))
@@ -85,6 +96,8 @@
 	node->incarnation = message->incarnation;
 	node->sequence = message->sequence;
 	node->received_us = now_us;
+	mem_strlcpy(node->data_centre, message->data_centre,
+		    sizeof(node->data_centre));
 	free(node->items);
 	node->items = NULL;
 	node->item_count = message->item_count;
@@ -102,10 +115,26 @@
 	node_t *node, *next;
 
 	LL_FOREACH_SAFE (share->nodes, node, next)
-		if (now_us - node->received_us > NODE_SILENT_US)
+		if (now_us - node->received_us > NODE_GONE_US)
 			forget(share, node);
 }
 
+bool work_share_silent(const work_share_t *share, const char *data_centre,
+		       int64_t silence_us, int64_t now_us)
+{
+	const node_t *node;
+	bool any = false;
+
+	LL_FOREACH (share->nodes, node) {
+		if (strcmp(node->data_centre, data_centre) != 0)
+			continue;
+		if (now_us - node->received_us < silence_us)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
 /* The server went on reading since the announcement. */
 static int64_t pending_us(const node_t *node, const work_item_t *item,
 			  int64_t now_us)
@@ -129,7 +158,7 @@
 					  compare_items)
 				: NULL;
 
-		if (!item)
+		if (!item || !is_live(node, now_us))
 			continue;
 		load->readers += item->readers;
 		load->writers += item->writers;
@@ -189,6 +218,7 @@
 	announcement.node = message->node;
 	announcement.incarnation = message->incarnation;
 	announcement.sequence = message->sequence;
+	announcement.data_centre = (char *)message->data_centre;
 	announcement.n_items = count;
 	announcement.items = pointers;
 	if (work__announcement__get_packed_size(&announcement) > capacity)
@@ -208,6 +238,8 @@
 	message->node = announcement->node;
 	message->incarnation = announcement->incarnation;
 	message->sequence = announcement->sequence;
+	mem_strlcpy(message->data_centre, announcement->data_centre,
+		    sizeof(message->data_centre));
 	message->item_count = announcement->n_items;
 	message->items =
 		mem_calloc(announcement->n_items, sizeof(*message->items));
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -13,6 +13,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/units.h"
 #include "process/forecast.h"
 
 typedef struct work_share work_share_t;
@@ -32,6 +33,7 @@
 	uint64_t node; /**< hash of the node's id */
 	uint64_t incarnation; /**< start of the process, grows */
 	uint64_t sequence; /**< grows within an incarnation */
+	char data_centre[NAME_SIZE_BYTES]; /**< of the node */
 	work_item_t *items;
 	size_t item_count;
 } work_message_t;
@@ -49,6 +51,12 @@
 		    server_load_t *load, int64_t now_us);
 /** @return nodes that were heard of lately. */
 size_t work_share_nodes(const work_share_t *share);
+/**
+ * Whether every node of a data centre has been silent for @p silence_us, of
+ * those that were heard of in the last seconds. False if there is none.
+ */
+bool work_share_silent(const work_share_t *share, const char *data_centre,
+		       int64_t silence_us, int64_t now_us);
 
 uint32_t work_share_hash(const char *id);
 
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &work__item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[4] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[5] =
 {
   {
     "node",
@@ -147,8 +147,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
+  4,   /* field[4] = data_centre */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = items */
   0,   /* field[0] = node */
@@ -157,7 +170,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -167,7 +180,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  4,
+  5,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -35,10 +35,14 @@
   uint64_t sequence;
   size_t n_items;
   Work__Item **items;
+  /*
+   * of the node
+   */
+  char *data_centre;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Work__Item
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -304,6 +304,18 @@
 			forward_place(forward);
 }
 
+void forward_check_cut_off(gateway_t *gateway)
+{
+	int64_t now_us = clock_monotonic_us();
+	forward_t *forward, *next;
+
+	DL_FOREACH_SAFE (gateway->forwards, forward, next)
+		if (forward->attempt &&
+		    backend_is_cut_off(forward->attempt->work.parts[0].server,
+				       now_us))
+			forward_set_timer(forward);
+}
+
 void forward_abort_all(gateway_t *gateway)
 {
 	forward_t *forward, *next;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -15,6 +15,9 @@
 /** Tries requests again that wait for a server. */
 void forward_retry_waiting(struct gateway *gateway);
 
+/** Looks after requests on servers that seem to be cut off. */
+void forward_check_cut_off(struct gateway *gateway);
+
 /** Ends every request without an answer; for the end of the process. */
 void forward_abort_all(struct gateway *gateway);
 
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -13,7 +13,7 @@
 enum {
 	/* A connection takes a round trip of some ms; a lost first packet is
 	 * sent again after a second, which is too late to wait for. */
-	CONNECT_TIMEOUT_MS = 400,
+	CONNECT_TIMEOUT_MS = 200,
 	/* Answers up to this size are held until they are whole, so that a
 	 * broken one can be asked for again. */
 	HOLD_MAX_BYTES = 256 * 1024,
@@ -114,6 +114,7 @@
 	attempt->reply.status = status;
 	attempt->head_done = true;
 	attempt->heard_us = clock_monotonic_us();
+	backend_note_heard(attempt->work.parts[0].server);
 	if (status == HTTP_MISDIRECTED)
 		attempt->reply.not_run = true;
 }
@@ -215,6 +216,7 @@
 	attempt_t *attempt = forward->attempt;
 
 	attempt->heard_us = clock_monotonic_us();
+	backend_note_heard(attempt->work.parts[0].server);
 	if (attempt->reply.not_run || is_strange(&attempt->reply))
 		return CLIENT_CONTINUE;
 	return passes_events(forward) ? pass_events(forward, data, size)
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -35,6 +35,10 @@
 #define CALLER_PATIENCE_US (2 * US_PER_S)
 enum { CALLER_PATIENCE_TARGETS = 4, CALLER_PATIENCE_GAPS = 8 };
 
+/* Silence after which an attempt is moved while the data centre of its server
+ * seems to be cut off: several passes of an engine. */
+#define CUT_OFF_PATIENCE_US (400 * US_PER_MS)
+
 /* How often a silent attempt is compared with another server. */
 #define SILENCE_RECHECK_US (300 * US_PER_MS)
 
@@ -121,7 +125,8 @@
 	placement_query_t query = make_query(forward, now_us);
 	backends_query_t wanted = { .service = forward->service,
 				    .share = gateway->share,
-				    .except = (backend_t *const *)forward->tried,
+				    .except =
+					    (backend_t *const *)forward->tried,
 				    .except_count = forward->tried_count,
 				    .now_us = now_us };
 	size_t count =
@@ -213,8 +218,7 @@
 	else if (forward->runs)
 		forward_fail(forward, HTTP_BAD_GATEWAY, "no_engine_memory");
 	else
-		forward_refuse(forward, "no_engine_memory",
-			       MEMORY_RETRY_MS);
+		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
 }
 
 /* The first server keeps its part, and what is written, without a lease. */
@@ -268,8 +272,8 @@
 		forward_refuse(forward, "prompt_too_long", NO_SERVER_RETRY_MS);
 		break;
 	case PLACEMENT_BUSY:
-		forward_refuse(forward, "busy", placement->room_in_us /
-							US_PER_MS);
+		forward_refuse(forward, "busy",
+			       placement->room_in_us / US_PER_MS);
 		break;
 	case PLACEMENT_LATE:
 		if (forward->runs || forward->head_sent)
@@ -349,10 +353,16 @@
 static int64_t silent_at_us(const forward_t *forward)
 {
 	const attempt_t *attempt = forward->attempt;
+	int64_t patience_us;
 
 	if (!attempt || !attempt->patience_us)
 		return INT64_MAX;
-	return attempt->heard_us + attempt->patience_us;
+	patience_us = attempt->patience_us;
+	if (patience_us > CUT_OFF_PATIENCE_US &&
+	    backend_is_cut_off(attempt->work.parts[0].server,
+			       clock_monotonic_us()))
+		patience_us = CUT_OFF_PATIENCE_US;
+	return attempt->heard_us + patience_us;
 }
 
 void forward_set_timer(forward_t *forward)
--- a/src/request/ticket.c
+++ b/src/request/ticket.c
@@ -53,8 +53,8 @@
 	switch (answer) {
 	case TICKET_DONE:
 		ticket->held_until_us = now_us + ticket->lease_us;
-		ticket->due_us = ticket->sent_us +
-				 ticket->lease_us / RENEWALS_PER_LEASE;
+		ticket->due_us =
+			ticket->sent_us + ticket->lease_us / RENEWALS_PER_LEASE;
 		if (ticket->state == TICKET_ASKED)
 			ticket->state = TICKET_HELD;
 		return;
