--- /dev/null
+++ b/src/process/gateway_follow.c
@@ -0,0 +1,217 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "process/gateway_state.h"
+#include "process/packet.h"
+
+/* Nodes of a data centre that watch the platform for the others; two, so that
+ * the loss of one is not noticed. */
+enum { WATCHERS = 2 };
+/* A node watches itself when it has heard no news for this long: several
+ * announcements of a large fleet. */
+#define NEWS_SILENT_US (1300 * US_PER_MS)
+/* Part of the bound for removed keys after which a node watches itself. */
+#define NEWS_AGE_SHARE 0.55
+/* Bytes of a datagram that changes may take. */
+enum { CHANGES_SIZE_MAX_BYTES = 1000 };
+/* Says that a part of the changes confirms nothing. */
+#define AGE_UNKNOWN_US (INT64_C(1) << 60)
+
+static uint64_t own_hash(const gateway_t *gateway)
+{
+	return work_share_node_hash(gateway->settings.node_id);
+}
+
+static bool is_watcher(const gateway_t *gateway)
+{
+	return platform_available(gateway->platform) &&
+	       work_share_sound_before(gateway->share,
+				       gateway->settings.data_centre,
+				       own_hash(gateway),
+				       clock_monotonic_us()) < WATCHERS;
+}
+
+bool gateway_follows(const gateway_t *gateway)
+{
+	int64_t age_us = clock_boot_us() - gateway->views[0].confirmed_boot_us;
+	double age_max_us = (double)gateway->settings.key_revoke_ms *
+			    US_PER_MS * NEWS_AGE_SHARE;
+
+	return gateway->news_us &&
+	       clock_monotonic_us() - gateway->news_us < NEWS_SILENT_US &&
+	       (double)age_us < age_max_us && !is_watcher(gateway);
+}
+
+void gateway_log_change(view_t *view, const platform_object_t *object,
+			news_position_t position, int64_t keep_until_us)
+{
+	int64_t now_us = clock_monotonic_us();
+	char *spec;
+	news_change_t change = {
+		.name = (char *)object->name,
+		.position = position,
+		.deleted = object->deleted,
+		.keep_ms = keep_until_us > now_us
+				   ? (keep_until_us - now_us) / US_PER_MS
+				   : 0,
+	};
+
+	/* The routing configuration is too large: its version is told. */
+	if (view->kind == PLATFORM_ROUTING)
+		return;
+	spec = json_dumps(object->spec, JSON_COMPACT | JSON_ENCODE_ANY);
+	change.spec = spec ? spec : "null";
+	news_log_add(view->log, &change, now_us);
+	free(spec);
+}
+
+static void send_views(gateway_t *gateway, const peer_t *peer, news_t *news)
+{
+	packet_t packet = { .type = PACKET_NEWS, .as.news = *news };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size = packet_encode(&packet, data, sizeof(data));
+
+	if (size)
+		datagram_send(gateway->datagram, peer->address, data, size);
+	news->view_count = 0;
+}
+
+/* Sends the changes of a view, in as many datagrams as they need. */
+static void send_view(gateway_t *gateway, const view_t *view,
+		      const peer_t *peer, news_t *news, int64_t age_us)
+{
+	size_t next = 0, count = news_log_count(view->log);
+
+	do {
+		news_view_t *sent = &news->views[news->view_count++];
+
+		*sent = (news_view_t){ .kind = (uint32_t)view->kind,
+				       .age_us = age_us };
+		next = news_log_fill(view->log, next, CHANGES_SIZE_MAX_BYTES,
+				     view->position, sent);
+		if (next < count)
+			sent->age_us = AGE_UNKNOWN_US;
+		if (view->kind == PLATFORM_ROUTING && gateway->routing)
+			sent->version = routing_version(gateway->routing);
+		if (sent->change_count || news->view_count == NEWS_VIEWS_MAX)
+			send_views(gateway, peer, news);
+	} while (next < count);
+}
+
+static void send_news_to(gateway_t *gateway, const peer_t *peer)
+{
+	int64_t sent_boot_us, received_boot_us;
+	news_t news = { .node = own_hash(gateway) };
+	size_t i;
+
+	if (!work_share_heard(gateway->share, peer->hash, clock_monotonic_us(),
+			      &sent_boot_us, &received_boot_us))
+		return;
+	news.echo_boot_us = sent_boot_us;
+	for (i = 0; i < KINDS_WATCHED; i++) {
+		const view_t *view = &gateway->views[i];
+
+		send_view(gateway, view, peer, &news,
+			  received_boot_us - view->confirmed_boot_us);
+	}
+	if (news.view_count)
+		send_views(gateway, peer, &news);
+}
+
+/* Only a node whose own watches are answered tells others. */
+static bool has_news(const gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		if (!gateway->views[i].listed || gateway->views[i].following ||
+		    gateway->views[i].failures)
+			return false;
+	return is_watcher(gateway);
+}
+
+void gateway_send_news(gateway_t *gateway)
+{
+	int64_t now_us = clock_monotonic_us();
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		news_log_prune(gateway->views[i].log, now_us);
+	if (!has_news(gateway))
+		return;
+	for (i = 0; i < gateway->peer_count; i++)
+		if (!strcmp(gateway->peers[i].data_centre,
+			    gateway->settings.data_centre))
+			send_news_to(gateway, &gateway->peers[i]);
+}
+
+static void apply_changes(view_t *view, const news_view_t *news)
+{
+	int64_t now_us = clock_monotonic_us();
+	size_t i;
+
+	for (i = 0; i < news->change_count; i++) {
+		const news_change_t *change = &news->changes[i];
+		platform_object_t object = { .version = news_position_revision(
+						     change->position),
+					     .deleted = change->deleted };
+		int64_t keep_us = change->keep_ms
+					  ? now_us + change->keep_ms * US_PER_MS
+					  : 0;
+
+		if (change->position <= view->position)
+			continue;
+		mem_strlcpy(object.name, change->name, sizeof(object.name));
+		object.spec = json_loads(change->spec, JSON_DECODE_ANY, NULL);
+		gateway_apply(view, &object, keep_us);
+		json_decref(object.spec);
+	}
+	view->position = news->position;
+	view->revision = news_position_revision(view->position);
+	news_log_reset(view->log, view->position);
+}
+
+static void receive_view(gateway_t *gateway, view_t *view, const news_t *news,
+			 const news_view_t *received)
+{
+	int64_t version = gateway->routing ? routing_version(gateway->routing)
+					   : -1;
+
+	/* What is not read, or watched, is more recent. */
+	if (!view->listed || !view->following)
+		return;
+	if (view->kind == PLATFORM_ROUTING) {
+		if (received->version > version) {
+			gateway_relist(view);
+			return;
+		}
+	} else {
+		switch (news_compare(received, view->position)) {
+		case NEWS_CURRENT:
+			break;
+		case NEWS_CHANGES:
+			apply_changes(view, received);
+			break;
+		case NEWS_GAP:
+			gateway_relist(view);
+			return;
+		}
+	}
+	gateway_confirm(view, news_confirmed_boot_us(news, received,
+						     clock_boot_us()));
+}
+
+void gateway_receive_news(gateway_t *gateway, const news_t *news)
+{
+	size_t i, j;
+
+	gateway->news_us = clock_monotonic_us();
+	for (i = 0; i < news->view_count; i++)
+		for (j = 0; j < KINDS_WATCHED; j++)
+			if (gateway->views[j].kind == news->views[i].kind)
+				receive_view(gateway, &gateway->views[j], news,
+					     &news->views[i]);
+}
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -1,15 +1,15 @@
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/mem.h"
 #include "base/metrics.h"
 #include "process/gateway_state.h"
+#include "process/packet.h"
 
-/* Announcements that one node sends in a second at most, to all peers
- * together; bounds the processor time of a large fleet. */
+/* Datagrams that one node sends in a second, to all peers together, unless its
+ * work grows; bounds the processor time of a large fleet. */
 enum { DATAGRAMS_PER_S = 250 };
 /* Shortest pause between two announcements. */
 #define ANNOUNCE_MIN_S 0.02
@@ -81,30 +81,34 @@
 static void announce(gateway_t *gateway, int64_t now_us)
 {
 	work_item_t items[256];
-	work_message_t message = {
-		.node = XXH64(gateway->settings.node_id,
-			      strlen(gateway->settings.node_id), 0),
+	packet_t packet = { .type = PACKET_WORK };
+	work_message_t *message = &packet.as.work;
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size, i;
+
+	*message = (work_message_t){
+		.node = work_share_node_hash(gateway->settings.node_id),
 		.incarnation = gateway->incarnation,
 		.sequence = ++gateway->sequence,
+		.sent_boot_us = clock_boot_us(),
+		.sound = platform_available(gateway->platform),
 		.items = items,
 		.item_count = list_work(gateway, items,
 					sizeof(items) / sizeof(items[0]),
 					now_us),
 	};
-	uint8_t data[WORK_MESSAGE_MAX_BYTES];
-	size_t size, i;
-
-	mem_strlcpy(message.data_centre, gateway->settings.data_centre,
-		    sizeof(message.data_centre));
+	mem_strlcpy(message->data_centre, gateway->settings.data_centre,
+		    sizeof(message->data_centre));
 	gateway->announced_us = now_us;
 	gateway->announce_due = false;
-	size = work_message_encode(&message, data, sizeof(data));
+	size = packet_encode(&packet, data, sizeof(data));
 	for (i = 0; size && i < gateway->peer_count; i++)
 		datagram_send(gateway->datagram, gateway->peers[i].address,
 			      data, size);
 	metrics_add(METRIC_PEER_SENT, (int64_t)gateway->peer_count);
 	metrics_add(METRIC_PEER_SENT_BYTES,
 		    (int64_t)(size * gateway->peer_count));
+	gateway_send_news(gateway);
 }
 
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
@@ -125,34 +129,44 @@
 	ev_timer_start(loop, timer);
 }
 
-void gateway_work_changed(gateway_t *gateway)
+void gateway_work_changed(gateway_t *gateway, bool urgent)
 {
 	int64_t now_us = clock_monotonic_us();
-	double pause_s =
-		announce_pause_s(gateway) -
-		(double)(now_us - gateway->announced_us) / (double)US_PER_S;
+	double pause_s = urgent ? ANNOUNCE_MIN_S : announce_pause_s(gateway);
 
-	if (gateway->announce_due)
+	pause_s -= (double)(now_us - gateway->announced_us) / (double)US_PER_S;
+	if (pause_s < 0)
+		pause_s = 0;
+	if (gateway->announce_due &&
+	    ev_timer_remaining(gateway->loop, &gateway->announce) <= pause_s)
 		return;
 	gateway->announce_due = true;
 	ev_timer_stop(gateway->loop, &gateway->announce);
-	ev_timer_set(&gateway->announce, pause_s > 0 ? pause_s : 0, 0.);
+	ev_timer_set(&gateway->announce, pause_s, 0.);
 	ev_timer_start(gateway->loop, &gateway->announce);
 }
 
 static void on_datagram(void *context, const uint8_t *data, size_t size)
 {
 	gateway_t *gateway = context;
-	work_message_t message;
+	packet_t packet;
 
-	if (!work_message_decode(&message, data, size)) {
+	if (!packet_decode(&packet, data, size)) {
 		metrics_add(METRIC_PEER_MALFORMED, 1);
 		return;
 	}
 	metrics_add(METRIC_PEER_RECEIVED_BYTES, (int64_t)size);
-	if (!work_share_receive(gateway->share, &message, clock_monotonic_us()))
-		metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
-	free(message.items);
+	switch (packet.type) {
+	case PACKET_WORK:
+		if (!work_share_receive(gateway->share, &packet.as.work,
+					clock_monotonic_us(), clock_boot_us()))
+			metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
+		break;
+	case PACKET_NEWS:
+		gateway_receive_news(gateway, &packet.as.news);
+		break;
+	}
+	packet_clear(&packet);
 }
 
 static bool is_own(const gateway_t *gateway, const platform_vm_t *vm)
@@ -160,6 +174,14 @@
 	return !strcmp(vm->id, gateway->settings.node_id);
 }
 
+static void set_peer(peer_t *peer, const platform_vm_t *vm)
+{
+	peer->hash = work_share_node_hash(vm->id);
+	mem_strlcpy(peer->address, vm->address, sizeof(peer->address));
+	mem_strlcpy(peer->data_centre, vm->data_centre,
+		    sizeof(peer->data_centre));
+}
+
 static void on_list(void *context, platform_status_t status,
 		    const platform_vm_t *vms, size_t count)
 {
@@ -173,9 +195,8 @@
 	gateway->peer_count = 0;
 	for (i = 0; i < count; i++)
 		if (!is_own(gateway, &vms[i]))
-			mem_strlcpy(
-				gateway->peers[gateway->peer_count++].address,
-				vms[i].address, URL_SIZE_BYTES);
+			set_peer(&gateway->peers[gateway->peer_count++],
+				 &vms[i]);
 	gateway->nodes = (int32_t)gateway->peer_count + 1;
 	backends_set_nodes(gateway->backends, gateway->nodes);
 	if (before != gateway->peer_count)
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -12,6 +12,7 @@
 #include "platform/client.h"
 #include "process/backends.h"
 #include "process/gateway.h"
+#include "process/news.h"
 #include "process/work_share.h"
 #include "request/retry.h"
 #include "version/routing.h"
@@ -28,11 +29,14 @@
 		      */
 	bool first_page; /**< of the listing that is being read */
 	char after[PLATFORM_NEXT_SIZE_BYTES];
-	int64_t revision;
+	int64_t revision; /**< of the store, where the next watch goes on */
+	news_position_t position; /**< to which the view is complete */
 	int64_t called_boot_us; /**< start of the last call */
 	int64_t confirmed_boot_us; /**< the view was complete then; 0: never */
 	int32_t failures; /**< in a row */
 	int64_t returned_us; /**< first answer after the last failures */
+	news_log_t *log; /**< recent changes, for the nodes that follow */
+	bool following; /**< the last check found no need to watch */
 } view_t;
 
 /** Second sends to one service. */
@@ -41,8 +45,11 @@
 	retry_budget_t budget;
 } service_budget_t;
 
+/** Another node. */
 typedef struct {
 	char address[URL_SIZE_BYTES];
+	char data_centre[NAME_SIZE_BYTES];
+	uint64_t hash;
 } peer_t;
 
 /** Where a graceful stop stands. */
@@ -82,6 +89,7 @@
 	bool announce_due; /**< the work changed since the last announcement */
 	int64_t announced_us;
 	uint64_t incarnation, sequence;
+	int64_t news_us; /**< when news were last received; 0: never */
 	bool registered; /**< the own entry in the list of nodes is there */
 	int32_t registry_reads;
 
@@ -100,11 +108,32 @@
 /** Whether the keys of accounts were confirmed lately enough. */
 bool gateway_keys_valid(const gateway_t *gateway);
 
+/** Applies one object of a view. @param keep_until_us see backends_remove() */
+void gateway_apply(view_t *view, const platform_object_t *object,
+		   int64_t keep_until_us);
+/** Reads the objects of a view anew, soon. */
+void gateway_relist(view_t *view);
+/** The view was complete at this time. */
+void gateway_confirm(view_t *view, int64_t boot_us);
+
+/* gateway_follow.c */
+/** Whether other nodes of the data centre watch the platform for this one. */
+bool gateway_follows(const gateway_t *gateway);
+/** Tells the nodes that follow. */
+void gateway_send_news(gateway_t *gateway);
+void gateway_receive_news(gateway_t *gateway, const news_t *news);
+/** Notes an object that a watch returned, for the nodes that follow. */
+void gateway_log_change(view_t *view, const platform_object_t *object,
+			news_position_t position, int64_t keep_until_us);
+
 /* gateway_peers.c */
 bool gateway_peers_start(gateway_t *gateway, err_t *err);
 void gateway_peers_stop(gateway_t *gateway);
-/** The work of this node changed. */
-void gateway_work_changed(gateway_t *gateway);
+/**
+ * The work of this node changed, or it has news.
+ * @param urgent others must know before they choose servers: it grew
+ */
+void gateway_work_changed(gateway_t *gateway, bool urgent);
 
 /* gateway_probes.c */
 bool gateway_probes_start(gateway_t *gateway, err_t *err);
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -21,6 +21,9 @@
  * centre that is taken out of service. */
 enum { SERVERS_WAIT_MS = 3000, EVACUATIONS_WAIT_MS = 4000 };
 
+/* How often a node that follows checks whether it must watch itself. */
+enum { FOLLOW_CHECK_MS = 200 };
+
 /* After an outage of the store, entries that expired meanwhile are written
  * again within 2 s; those of servers that left are usable for as long. */
 #define RETURN_US (1800 * US_PER_MS)
@@ -90,15 +93,15 @@
 		       : 0;
 }
 
-static void apply_server(view_t *view, const platform_object_t *object)
+static void apply_server(gateway_t *gateway, const platform_object_t *object,
+			 int64_t keep_until_us)
 {
-	gateway_t *gateway = view->gateway;
 	int64_t now_us = clock_monotonic_us();
 	backend_entry_t entry;
 
 	if (object->deleted || !platform_decode_server(object, &entry)) {
 		if (backends_remove(gateway->backends, object->name,
-				    keep_until_us(view)))
+				    keep_until_us))
 			log_event(EVENT_SERVER_REMOVED,
 				  "server=%s revision=%" PRId64 " reason=%s",
 				  object->name, object->version,
@@ -126,14 +129,15 @@
 	backends_evacuate(gateway->backends, object->name, !object->deleted);
 }
 
-static void apply(view_t *view, const platform_object_t *object)
+void gateway_apply(view_t *view, const platform_object_t *object,
+		   int64_t keep_until_us)
 {
 	switch (view->kind) {
 	case PLATFORM_ROUTING:
 		apply_routing(view->gateway, object);
 		break;
 	case PLATFORM_SERVERS:
-		apply_server(view, object);
+		apply_server(view->gateway, object, keep_until_us);
 		break;
 	case PLATFORM_EVACUATIONS:
 		apply_evacuation(view->gateway, object);
@@ -157,6 +161,8 @@
 	size_t removed;
 
 	view->listed = true;
+	view->position = news_position_after(view->revision);
+	news_log_reset(view->log, view->position);
 	if (view->kind != PLATFORM_SERVERS)
 		return;
 	removed = backends_end_listing(view->gateway->backends,
@@ -166,20 +172,32 @@
 			  removed);
 }
 
+void gateway_confirm(view_t *view, int64_t boot_us)
+{
+	if (view->confirmed_boot_us < boot_us)
+		view->confirmed_boot_us = boot_us;
+}
+
 /*
  * An answer without changes was given when the wait was over, and any answer
  * after its call was sent; the view was complete then.
  */
-static void confirm(view_t *view, bool quiet)
+static void confirm_answer(view_t *view, bool quiet)
 {
 	int64_t at_us = view->called_boot_us;
 
 	if (quiet)
 		at_us += wait_ms(view) * US_PER_MS;
-	if (at_us > clock_boot_us())
-		at_us = view->called_boot_us;
-	if (view->confirmed_boot_us < at_us)
-		view->confirmed_boot_us = at_us;
+	gateway_confirm(view,
+			at_us > clock_boot_us() ? view->called_boot_us : at_us);
+}
+
+void gateway_relist(view_t *view)
+{
+	view->listed = false;
+	*view->after = '\0';
+	if (!view->calling)
+		schedule(view, 0);
 }
 
 static void on_answer_failed(view_t *view, platform_status_t status)
@@ -211,6 +229,7 @@
 		    const platform_page_t *page)
 {
 	view_t *view = context;
+	int64_t keep_us;
 	size_t i;
 
 	view->calling = false;
@@ -221,20 +240,31 @@
 	if (view->failures && view->confirmed_boot_us)
 		view->returned_us = clock_monotonic_us();
 	view->failures = 0;
+	keep_us = keep_until_us(view);
 	if (!view->listed && !*view->after) {
 		begin_listing(view);
 		view->revision = page->revision;
 	}
-	for (i = 0; i < page->count; i++)
-		apply(view, &page->objects[i]);
+	for (i = 0; i < page->count; i++) {
+		gateway_apply(view, &page->objects[i], keep_us);
+		if (view->listed)
+			gateway_log_change(view, &page->objects[i],
+					   news_position(page->revision, i),
+					   keep_us);
+	}
 	if (view->listed) {
 		view->revision = page->revision;
-		confirm(view, !page->count);
+		view->position = news_position_after(page->revision);
+		if (page->count > NEWS_CHANGES_PER_REVISION_MAX)
+			news_log_reset(view->log, view->position);
+		confirm_answer(view, !page->count);
+		if (page->count)
+			gateway_work_changed(view->gateway, true);
 	} else {
 		strcpy(view->after, page->next);
 		if (!*page->next) {
 			end_listing(view);
-			confirm(view, false);
+			confirm_answer(view, false);
 		}
 	}
 	schedule(view, 0);
@@ -247,6 +277,11 @@
 
 	if (view->calling)
 		return;
+	view->following = view->listed && gateway_follows(view->gateway);
+	if (view->following) {
+		schedule(view, FOLLOW_CHECK_MS);
+		return;
+	}
 	view->calling = true;
 	view->called_boot_us = clock_boot_us();
 	if (view->listed)
@@ -269,6 +304,7 @@
 
 		view->gateway = gateway;
 		view->kind = kinds[i];
+		view->log = news_log_create();
 		ev_timer_init(&view->next, on_next, 0., 0.);
 		view->next.data = view;
 		ev_timer_start(gateway->loop, &view->next);
@@ -279,8 +315,10 @@
 {
 	size_t i;
 
-	for (i = 0; i < KINDS_WATCHED; i++)
+	for (i = 0; i < KINDS_WATCHED; i++) {
 		ev_timer_stop(gateway->loop, &gateway->views[i].next);
+		news_log_destroy(gateway->views[i].log);
+	}
 }
 
 bool gateway_has_views(const gateway_t *gateway)
--- /dev/null
+++ b/src/process/news.c
@@ -0,0 +1,138 @@
+#include "process/news.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+
+/* Announcements repeat a change until it is this old; a receiver that missed
+ * them all reads the objects anew. */
+#define KEPT_US (3 * US_PER_S)
+
+enum { CHANGES_MAX = 24, CHANGE_FRAME_BYTES = 24 };
+
+struct news_log {
+	news_change_t changes[CHANGES_MAX]; /* oldest first */
+	int64_t added_us[CHANGES_MAX];
+	size_t count;
+	news_position_t from;
+};
+
+news_position_t news_position(int64_t revision, size_t index)
+{
+	return revision * (NEWS_CHANGES_PER_REVISION_MAX + 1) + (int64_t)index;
+}
+
+news_position_t news_position_after(int64_t revision)
+{
+	return news_position(revision, NEWS_CHANGES_PER_REVISION_MAX);
+}
+
+int64_t news_position_revision(news_position_t position)
+{
+	return (position + 1) / (NEWS_CHANGES_PER_REVISION_MAX + 1) - 1;
+}
+
+news_log_t *news_log_create(void)
+{
+	return mem_calloc(1, sizeof(news_log_t));
+}
+
+static void drop_oldest(news_log_t *log)
+{
+	log->from = log->changes[0].position;
+	free(log->changes[0].name);
+	free(log->changes[0].spec);
+	log->count--;
+	memmove(log->changes, log->changes + 1,
+		log->count * sizeof(*log->changes));
+	memmove(log->added_us, log->added_us + 1,
+		log->count * sizeof(*log->added_us));
+}
+
+void news_log_destroy(news_log_t *log)
+{
+	while (log && log->count)
+		drop_oldest(log);
+	free(log);
+}
+
+void news_log_reset(news_log_t *log, news_position_t position)
+{
+	while (log->count)
+		drop_oldest(log);
+	log->from = position;
+}
+
+void news_log_add(news_log_t *log, const news_change_t *change, int64_t now_us)
+{
+	news_change_t *added;
+
+	if (log->count == CHANGES_MAX)
+		drop_oldest(log);
+	log->added_us[log->count] = now_us;
+	added = &log->changes[log->count++];
+	*added = *change;
+	added->name = mem_strdup(change->name);
+	added->spec = mem_strdup(change->spec);
+}
+
+void news_log_prune(news_log_t *log, int64_t now_us)
+{
+	while (log->count && now_us - log->added_us[0] > KEPT_US)
+		drop_oldest(log);
+}
+
+size_t news_log_fill(news_log_t *log, size_t first, size_t size_max,
+		     news_position_t position, news_view_t *view)
+{
+	size_t size = 0, i = first;
+
+	view->from = first ? log->changes[first - 1].position : log->from;
+	view->changes = &log->changes[first];
+	for (; i < log->count; i++) {
+		size += strlen(log->changes[i].name) +
+			strlen(log->changes[i].spec) + CHANGE_FRAME_BYTES;
+		if (size > size_max && i > first)
+			break;
+	}
+	view->change_count = i - first;
+	view->position = i < log->count ? log->changes[i - 1].position
+					: position;
+	return i;
+}
+
+size_t news_log_count(const news_log_t *log)
+{
+	return log->count;
+}
+
+news_result_t news_compare(const news_view_t *view, news_position_t own)
+{
+	if (own >= view->position)
+		return NEWS_CURRENT;
+	return own >= view->from ? NEWS_CHANGES : NEWS_GAP;
+}
+
+int64_t news_confirmed_boot_us(const news_t *news, const news_view_t *view,
+			       int64_t now_boot_us)
+{
+	int64_t at_us = news->echo_boot_us - view->age_us;
+
+	return at_us < now_boot_us ? at_us : now_boot_us;
+}
+
+void news_clear(news_t *news)
+{
+	size_t i, j;
+
+	for (i = 0; i < news->view_count; i++) {
+		for (j = 0; j < news->views[i].change_count; j++) {
+			free(news->views[i].changes[j].name);
+			free(news->views[i].changes[j].spec);
+		}
+		free(news->views[i].changes);
+	}
+	memset(news, 0, sizeof(*news));
+}
--- /dev/null
+++ b/src/process/packet.c
@@ -0,0 +1,219 @@
+#include "process/packet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+#include "proto/work.pb-c.h"
+
+enum { ITEMS_MAX = 256, CHANGES_MAX = 64, KILO = 1000 };
+
+static uint32_t to_unit(int64_t value, int64_t unit)
+{
+	int64_t units = (value + unit - 1) / unit;
+
+	if (units < 0)
+		return 0;
+	return units < UINT32_MAX ? (uint32_t)units : UINT32_MAX;
+}
+
+static size_t pack(const Work__Packet *packet, uint8_t *data, size_t capacity)
+{
+	if (work__packet__get_packed_size(packet) > capacity)
+		return 0;
+	return work__packet__pack(packet, data);
+}
+
+static size_t encode_work(const work_message_t *message, uint8_t *data,
+			  size_t capacity)
+{
+	Work__Packet packet = WORK__PACKET__INIT;
+	Work__Announcement announcement = WORK__ANNOUNCEMENT__INIT;
+	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
+	size_t i, count = message->item_count;
+
+	if (count > ITEMS_MAX)
+		count = ITEMS_MAX;
+	for (i = 0; i < count; i++) {
+		const work_item_t *item = &message->items[i];
+
+		work__item__init(&items[i]);
+		items[i].server = item->server_hash;
+		items[i].readers = to_unit(item->readers, 1);
+		items[i].writers = to_unit(item->writers, 1);
+		items[i].kv_kilotokens = to_unit(item->kv_tokens, KILO);
+		items[i].pending_ms = to_unit(item->pending_us, US_PER_MS);
+		items[i].gap_ms = to_unit(item->gap_us, US_PER_MS);
+		pointers[i] = &items[i];
+	}
+	announcement.node = message->node;
+	announcement.incarnation = message->incarnation;
+	announcement.sequence = message->sequence;
+	announcement.data_centre = (char *)message->data_centre;
+	announcement.sent_boot_us = message->sent_boot_us;
+	announcement.sound = message->sound;
+	announcement.n_items = count;
+	announcement.items = pointers;
+	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
+	packet.announcement = &announcement;
+	return pack(&packet, data, capacity);
+}
+
+static void pack_view(Work__View *packed, const news_view_t *view,
+		      Work__Change *changes, Work__Change **pointers)
+{
+	size_t i, count = view->change_count;
+
+	work__view__init(packed);
+	packed->kind = view->kind;
+	packed->position = view->position;
+	packed->from = view->from;
+	packed->version = view->version;
+	packed->age_us = view->age_us;
+	for (i = 0; i < count && i < CHANGES_MAX; i++) {
+		work__change__init(&changes[i]);
+		changes[i].name = view->changes[i].name;
+		changes[i].position = view->changes[i].position;
+		changes[i].deleted = view->changes[i].deleted;
+		changes[i].spec = view->changes[i].spec;
+		changes[i].keep_ms = to_unit(view->changes[i].keep_ms, 1);
+		pointers[i] = &changes[i];
+	}
+	packed->n_changes = i;
+	packed->changes = pointers;
+}
+
+static size_t encode_news(const news_t *news, uint8_t *data, size_t capacity)
+{
+	Work__Packet packet = WORK__PACKET__INIT;
+	Work__News packed = WORK__NEWS__INIT;
+	Work__View views[NEWS_VIEWS_MAX], *view_pointers[NEWS_VIEWS_MAX];
+	Work__Change changes[NEWS_VIEWS_MAX][CHANGES_MAX];
+	Work__Change *pointers[NEWS_VIEWS_MAX][CHANGES_MAX];
+	size_t i;
+
+	for (i = 0; i < news->view_count; i++) {
+		pack_view(&views[i], &news->views[i], changes[i], pointers[i]);
+		view_pointers[i] = &views[i];
+	}
+	packed.node = news->node;
+	packed.echo_boot_us = news->echo_boot_us;
+	packed.n_views = news->view_count;
+	packed.views = view_pointers;
+	packet.body_case = WORK__PACKET__BODY_NEWS;
+	packet.news = &packed;
+	return pack(&packet, data, capacity);
+}
+
+size_t packet_encode(const packet_t *packet, uint8_t *data, size_t capacity)
+{
+	switch (packet->type) {
+	case PACKET_WORK:
+		return encode_work(&packet->as.work, data, capacity);
+	case PACKET_NEWS:
+		return encode_news(&packet->as.news, data, capacity);
+	}
+	return 0;
+}
+
+static void decode_work(const Work__Announcement *announcement,
+			work_message_t *message)
+{
+	size_t i;
+
+	message->node = announcement->node;
+	message->incarnation = announcement->incarnation;
+	message->sequence = announcement->sequence;
+	message->sent_boot_us = announcement->sent_boot_us;
+	message->sound = announcement->sound;
+	mem_strlcpy(message->data_centre, announcement->data_centre,
+		    sizeof(message->data_centre));
+	message->item_count = announcement->n_items;
+	message->items =
+		mem_calloc(announcement->n_items + 1, sizeof(*message->items));
+	for (i = 0; i < announcement->n_items; i++) {
+		const Work__Item *item = announcement->items[i];
+
+		message->items[i] = (work_item_t){
+			.server_hash = item->server,
+			.readers = (int32_t)(item->readers & INT16_MAX),
+			.writers = (int32_t)(item->writers & INT16_MAX),
+			.kv_tokens = (int64_t)item->kv_kilotokens * KILO,
+			.pending_us = (int64_t)item->pending_ms * US_PER_MS,
+			.gap_us = (int64_t)item->gap_ms * US_PER_MS,
+		};
+	}
+}
+
+static void decode_view(const Work__View *packed, news_view_t *view)
+{
+	size_t i;
+
+	view->kind = packed->kind;
+	view->position = packed->position;
+	view->from = packed->from;
+	view->version = packed->version;
+	view->age_us = packed->age_us;
+	view->change_count = packed->n_changes;
+	view->changes =
+		mem_calloc(packed->n_changes + 1, sizeof(*view->changes));
+	for (i = 0; i < packed->n_changes; i++) {
+		const Work__Change *change = packed->changes[i];
+
+		view->changes[i] = (news_change_t){
+			.name = mem_strdup(change->name),
+			.position = change->position,
+			.deleted = change->deleted,
+			.spec = mem_strdup(change->spec),
+			.keep_ms = change->keep_ms,
+		};
+	}
+}
+
+static void decode_news(const Work__News *packed, news_t *news)
+{
+	size_t i;
+
+	news->node = packed->node;
+	news->echo_boot_us = packed->echo_boot_us;
+	for (i = 0; i < packed->n_views && i < NEWS_VIEWS_MAX; i++)
+		decode_view(packed->views[i], &news->views[i]);
+	news->view_count = i;
+}
+
+bool packet_decode(packet_t *packet, const uint8_t *data, size_t size)
+{
+	Work__Packet *packed = work__packet__unpack(NULL, size, data);
+	bool valid = true;
+
+	memset(packet, 0, sizeof(*packet));
+	if (!packed)
+		return false;
+	switch (packed->body_case) {
+	case WORK__PACKET__BODY_ANNOUNCEMENT:
+		packet->type = PACKET_WORK;
+		decode_work(packed->announcement, &packet->as.work);
+		break;
+	case WORK__PACKET__BODY_NEWS:
+		packet->type = PACKET_NEWS;
+		decode_news(packed->news, &packet->as.news);
+		break;
+	default:
+		valid = false;
+	}
+	work__packet__free_unpacked(packed, NULL);
+	return valid;
+}
+
+void packet_clear(packet_t *packet)
+{
+	switch (packet->type) {
+	case PACKET_WORK:
+		free(packet->as.work.items);
+		break;
+	case PACKET_NEWS:
+		news_clear(&packet->as.news);
+		break;
+	}
+}
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -7,7 +7,6 @@
 
 #include "base/mem.h"
 #include "base/units.h"
-#include "proto/work.pb-c.h"
 
 /* Announcements come several times a second; the work of a node that is silent
  * for this long has ended, or ends unseen. */
@@ -15,14 +14,14 @@
 /* A node that is silent for this long is forgotten. */
 #define NODE_GONE_US (10 * US_PER_S)
 
-enum { ITEMS_MAX = 256, KILO = 1000 };
-
 typedef struct node {
 	uint64_t id;
 	uint64_t incarnation;
 	uint64_t sequence;
 	char data_centre[NAME_SIZE_BYTES];
 	int64_t received_us;
+	int64_t received_boot_us, sent_boot_us;
+	bool sound;
 	work_item_t *items;
 	size_t item_count;
 	struct node *next;
@@ -81,7 +80,7 @@
 }
 
 bool work_share_receive(work_share_t *share, const work_message_t *message,
-			int64_t now_us)
+			int64_t now_us, int64_t boot_us)
 {
 	node_t *node = find(share, message->node);
 	size_t size = message->item_count * sizeof(*message->items);
@@ -96,6 +95,9 @@
 	node->incarnation = message->incarnation;
 	node->sequence = message->sequence;
 	node->received_us = now_us;
+	node->received_boot_us = boot_us;
+	node->sent_boot_us = message->sent_boot_us;
+	node->sound = message->sound;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
 	free(node->items);
@@ -185,76 +187,36 @@
 	return (uint32_t)XXH64(id, strlen(id), 0);
 }
 
-static uint32_t to_unit(int64_t value, int64_t unit)
+uint64_t work_share_node_hash(const char *id)
 {
-	int64_t units = (value + unit - 1) / unit;
-
-	if (units < 0)
-		return 0;
-	return units < UINT32_MAX ? (uint32_t)units : UINT32_MAX;
+	return XXH64(id, strlen(id), 0);
 }
 
-size_t work_message_encode(const work_message_t *message, uint8_t *data,
-			   size_t capacity)
+size_t work_share_sound_before(const work_share_t *share,
+			       const char *data_centre, uint64_t node,
+			       int64_t now_us)
 {
-	Work__Announcement announcement = WORK__ANNOUNCEMENT__INIT;
-	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
-	size_t i, count = message->item_count;
-
-	if (count > ITEMS_MAX)
-		count = ITEMS_MAX;
-	for (i = 0; i < count; i++) {
-		const work_item_t *item = &message->items[i];
-
-		work__item__init(&items[i]);
-		items[i].server = item->server_hash;
-		items[i].readers = to_unit(item->readers, 1);
-		items[i].writers = to_unit(item->writers, 1);
-		items[i].kv_kilotokens = to_unit(item->kv_tokens, KILO);
-		items[i].pending_ms = to_unit(item->pending_us, US_PER_MS);
-		items[i].gap_ms = to_unit(item->gap_us, US_PER_MS);
-		pointers[i] = &items[i];
-	}
-	announcement.node = message->node;
-	announcement.incarnation = message->incarnation;
-	announcement.sequence = message->sequence;
-	announcement.data_centre = (char *)message->data_centre;
-	announcement.n_items = count;
-	announcement.items = pointers;
-	if (work__announcement__get_packed_size(&announcement) > capacity)
-		return 0;
-	return work__announcement__pack(&announcement, data);
+	const node_t *other;
+	size_t count = 0;
+
+	LL_FOREACH (share->nodes, other)
+		count += other->sound && other->id < node &&
+			 is_live(other, now_us) &&
+			 !strcmp(other->data_centre, data_centre);
+	return count;
 }
 
-bool work_message_decode(work_message_t *message, const uint8_t *data,
-			 size_t size)
+bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
+		      int64_t *sent_boot_us, int64_t *received_boot_us)
 {
-	Work__Announcement *announcement =
-		work__announcement__unpack(NULL, size, data);
-	size_t i;
+	const node_t *other;
 
-	if (!announcement)
-		return false;
-	message->node = announcement->node;
-	message->incarnation = announcement->incarnation;
-	message->sequence = announcement->sequence;
-	mem_strlcpy(message->data_centre, announcement->data_centre,
-		    sizeof(message->data_centre));
-	message->item_count = announcement->n_items;
-	message->items =
-		mem_calloc(announcement->n_items, sizeof(*message->items));
-	for (i = 0; i < announcement->n_items; i++) {
-		const Work__Item *item = announcement->items[i];
-
-		message->items[i] = (work_item_t){
-			.server_hash = item->server,
-			.readers = (int32_t)(item->readers & INT16_MAX),
-			.writers = (int32_t)(item->writers & INT16_MAX),
-			.kv_tokens = (int64_t)item->kv_kilotokens * KILO,
-			.pending_us = (int64_t)item->pending_ms * US_PER_MS,
-			.gap_us = (int64_t)item->gap_ms * US_PER_MS,
-		};
+	LL_FOREACH (share->nodes, other) {
+		if (other->id != node || !is_live(other, now_us))
+			continue;
+		*sent_boot_us = other->sent_boot_us;
+		*received_boot_us = other->received_boot_us;
+		return true;
 	}
-	work__announcement__free_unpacked(announcement, NULL);
-	return true;
+	return false;
 }
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -34,6 +34,8 @@
 	uint64_t incarnation; /**< start of the process, grows */
 	uint64_t sequence; /**< grows within an incarnation */
 	char data_centre[NAME_SIZE_BYTES]; /**< of the node */
+	int64_t sent_boot_us; /**< the node's CLOCK_BOOTTIME */
+	bool sound; /**< the platform's store answers it */
 	work_item_t *items;
 	size_t item_count;
 } work_message_t;
@@ -41,9 +43,13 @@
 work_share_t *work_share_create(void);
 void work_share_destroy(work_share_t *share);
 
-/** Takes an announcement in. @return false if it is older than the last */
+/**
+ * Takes an announcement in.
+ * @param boot_us CLOCK_BOOTTIME of this node
+ * @return false if it is older than the last
+ */
 bool work_share_receive(work_share_t *share, const work_message_t *message,
-			int64_t now_us);
+			int64_t now_us, int64_t boot_us);
 /** Forgets nodes that were silent for too long. */
 void work_share_expire(work_share_t *share, int64_t now_us);
 /** Adds the work of the other nodes on a server to @p load. */
@@ -58,15 +64,17 @@
 bool work_share_silent(const work_share_t *share, const char *data_centre,
 		       int64_t silence_us, int64_t now_us);
 
-uint32_t work_share_hash(const char *id);
+/** @return live nodes of a data centre, before @p node in the order of their
+ * hashes, that the platform answers. */
+size_t work_share_sound_before(const work_share_t *share,
+			       const char *data_centre, uint64_t node,
+			       int64_t now_us);
+/** When the last announcement of a node was sent, on its clock, and received.
+ * @return false if the node is not live */
+bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
+		      int64_t *sent_boot_us, int64_t *received_boot_us);
 
-enum { WORK_MESSAGE_MAX_BYTES = 1400 /**< fits one packet */ };
-
-/** @return the size, or 0 if it does not fit. */
-size_t work_message_encode(const work_message_t *message, uint8_t *data,
-			   size_t capacity);
-/** Fills in @p message; free its items. @return false if malformed */
-bool work_message_decode(work_message_t *message, const uint8_t *data,
-			 size_t size);
+uint32_t work_share_hash(const char *id);
+uint64_t work_share_node_hash(const char *id);
 
 #endif
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "work.pb-c.h"
+void   work__packet__init
+                     (Work__Packet         *message)
+{
+  static const Work__Packet init_value = WORK__PACKET__INIT;
+  *message = init_value;
+}
+size_t work__packet__get_packed_size
+                     (const Work__Packet *message)
+{
+  assert(message->base.descriptor == &work__packet__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__packet__pack
+                     (const Work__Packet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__packet__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__packet__pack_to_buffer
+                     (const Work__Packet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__packet__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Packet *
+       work__packet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Packet *)
+     protobuf_c_message_unpack (&work__packet__descriptor,
+                                allocator, len, data);
+}
+void   work__packet__free_unpacked
+                     (Work__Packet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__packet__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   work__announcement__init
                      (Work__Announcement         *message)
 {
@@ -97,7 +142,193 @@
   assert(message->base.descriptor == &work__item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[5] =
+void   work__news__init
+                     (Work__News         *message)
+{
+  static const Work__News init_value = WORK__NEWS__INIT;
+  *message = init_value;
+}
+size_t work__news__get_packed_size
+                     (const Work__News *message)
+{
+  assert(message->base.descriptor == &work__news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__news__pack
+                     (const Work__News *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__news__pack_to_buffer
+                     (const Work__News *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__News *
+       work__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__News *)
+     protobuf_c_message_unpack (&work__news__descriptor,
+                                allocator, len, data);
+}
+void   work__news__free_unpacked
+                     (Work__News *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   work__view__init
+                     (Work__View         *message)
+{
+  static const Work__View init_value = WORK__VIEW__INIT;
+  *message = init_value;
+}
+size_t work__view__get_packed_size
+                     (const Work__View *message)
+{
+  assert(message->base.descriptor == &work__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__view__pack
+                     (const Work__View *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__view__pack_to_buffer
+                     (const Work__View *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__View *
+       work__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__View *)
+     protobuf_c_message_unpack (&work__view__descriptor,
+                                allocator, len, data);
+}
+void   work__view__free_unpacked
+                     (Work__View *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   work__change__init
+                     (Work__Change         *message)
+{
+  static const Work__Change init_value = WORK__CHANGE__INIT;
+  *message = init_value;
+}
+size_t work__change__get_packed_size
+                     (const Work__Change *message)
+{
+  assert(message->base.descriptor == &work__change__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__change__pack
+                     (const Work__Change *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__change__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__change__pack_to_buffer
+                     (const Work__Change *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__change__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Change *
+       work__change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Change *)
+     protobuf_c_message_unpack (&work__change__descriptor,
+                                allocator, len, data);
+}
+void   work__change__free_unpacked
+                     (Work__Change *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__change__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor work__packet__field_descriptors[2] =
+{
+  {
+    "announcement",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Packet, body_case),
+    offsetof(Work__Packet, announcement),
+    &work__announcement__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "news",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Packet, body_case),
+    offsetof(Work__Packet, news),
+    &work__news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__packet__field_indices_by_name[] = {
+  0,   /* field[0] = announcement */
+  1,   /* field[1] = news */
+};
+static const ProtobufCIntRange work__packet__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor work__packet__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Packet",
+  "Packet",
+  "Work__Packet",
+  "work",
+  sizeof(Work__Packet),
+  2,
+  work__packet__field_descriptors,
+  work__packet__field_indices_by_name,
+  1,  work__packet__number_ranges,
+  (ProtobufCMessageInit) work__packet__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[7] =
 {
   {
     "node",
@@ -159,18 +390,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_boot_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, sent_boot_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sound",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, sound),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = items */
   0,   /* field[0] = node */
+  5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
+  6,   /* field[6] = sound */
 };
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -180,7 +437,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  5,
+  7,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
@@ -290,3 +547,260 @@
   (ProtobufCMessageInit) work__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor work__news__field_descriptors[3] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Work__News, node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_boot_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__News, echo_boot_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "views",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__News, n_views),
+    offsetof(Work__News, views),
+    &work__view__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__news__field_indices_by_name[] = {
+  1,   /* field[1] = echo_boot_us */
+  0,   /* field[0] = node */
+  2,   /* field[2] = views */
+};
+static const ProtobufCIntRange work__news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor work__news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.News",
+  "News",
+  "Work__News",
+  "work",
+  sizeof(Work__News),
+  3,
+  work__news__field_descriptors,
+  work__news__field_indices_by_name,
+  1,  work__news__number_ranges,
+  (ProtobufCMessageInit) work__news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor work__view__field_descriptors[6] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__View, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__View, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__View, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__View, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__View, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changes",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__View, n_changes),
+    offsetof(Work__View, changes),
+    &work__change__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__view__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
+  5,   /* field[5] = changes */
+  2,   /* field[2] = from */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = position */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange work__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor work__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.View",
+  "View",
+  "Work__View",
+  "work",
+  sizeof(Work__View),
+  6,
+  work__view__field_descriptors,
+  work__view__field_indices_by_name,
+  1,  work__view__number_ranges,
+  (ProtobufCMessageInit) work__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor work__change__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Work__Change, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Change, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Work__Change, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Work__Change, spec),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keep_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Change, keep_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__change__field_indices_by_name[] = {
+  2,   /* field[2] = deleted */
+  4,   /* field[4] = keep_ms */
+  0,   /* field[0] = name */
+  1,   /* field[1] = position */
+  3,   /* field[3] = spec */
+};
+static const ProtobufCIntRange work__change__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor work__change__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Change",
+  "Change",
+  "Work__Change",
+  "work",
+  sizeof(Work__Change),
+  5,
+  work__change__field_descriptors,
+  work__change__field_indices_by_name,
+  1,  work__change__number_ranges,
+  (ProtobufCMessageInit) work__change__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -15,8 +15,12 @@
 #endif
 
 
+typedef struct Work__Packet Work__Packet;
 typedef struct Work__Announcement Work__Announcement;
 typedef struct Work__Item Work__Item;
+typedef struct Work__News Work__News;
+typedef struct Work__View Work__View;
+typedef struct Work__Change Work__Change;
 
 
 /* --- enums --- */
@@ -24,6 +28,30 @@
 
 /* --- messages --- */
 
+typedef enum {
+  WORK__PACKET__BODY__NOT_SET = 0,
+  WORK__PACKET__BODY_ANNOUNCEMENT = 1,
+  WORK__PACKET__BODY_NEWS = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WORK__PACKET__BODY__CASE)
+} Work__Packet__BodyCase;
+
+struct  Work__Packet
+{
+  ProtobufCMessage base;
+  Work__Packet__BodyCase body_case;
+  union {
+    Work__Announcement *announcement;
+    Work__News *news;
+  };
+};
+#define WORK__PACKET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__packet__descriptor) \
+    , WORK__PACKET__BODY__NOT_SET, {0} }
+
+
+/*
+ * A node's work on the backend servers, to all nodes.
+ */
 struct  Work__Announcement
 {
   ProtobufCMessage base;
@@ -39,10 +67,18 @@
    * of the node
    */
   char *data_centre;
+  /*
+   * the node's CLOCK_BOOTTIME
+   */
+  int64_t sent_boot_us;
+  /*
+   * the platform's store answers it
+   */
+  protobuf_c_boolean sound;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Work__Item
@@ -69,6 +105,99 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a node that watches the platform knows, to one node of its data centre.
+ */
+struct  Work__News
+{
+  ProtobufCMessage base;
+  /*
+   * the sender
+   */
+  uint64_t node;
+  /*
+   * of the receiver's last announcement
+   */
+  int64_t echo_boot_us;
+  size_t n_views;
+  Work__View **views;
+};
+#define WORK__NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__news__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Work__View
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  /*
+   * to which the view is complete
+   */
+  int64_t position;
+  /*
+   * all changes after it are listed
+   */
+  int64_t from;
+  /*
+   * of the routing configuration
+   */
+  int64_t version;
+  /*
+   * From the time at which the view was complete until the announcement that
+   * is echoed arrived; negative if it was complete later.
+   */
+  int64_t age_us;
+  size_t n_changes;
+  Work__Change **changes;
+};
+#define WORK__VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__view__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Work__Change
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * in the order of all changes of the kind
+   */
+  int64_t position;
+  protobuf_c_boolean deleted;
+  /*
+   * JSON
+   */
+  char *spec;
+  /*
+   * a deleted server stays in use for this time
+   */
+  uint32_t keep_ms;
+};
+#define WORK__CHANGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__change__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/* Work__Packet methods */
+void   work__packet__init
+                     (Work__Packet         *message);
+size_t work__packet__get_packed_size
+                     (const Work__Packet   *message);
+size_t work__packet__pack
+                     (const Work__Packet   *message,
+                      uint8_t             *out);
+size_t work__packet__pack_to_buffer
+                     (const Work__Packet   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Packet *
+       work__packet__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__packet__free_unpacked
+                     (Work__Packet *message,
+                      ProtobufCAllocator *allocator);
 /* Work__Announcement methods */
 void   work__announcement__init
                      (Work__Announcement         *message);
@@ -107,22 +236,95 @@
 void   work__item__free_unpacked
                      (Work__Item *message,
                       ProtobufCAllocator *allocator);
+/* Work__News methods */
+void   work__news__init
+                     (Work__News         *message);
+size_t work__news__get_packed_size
+                     (const Work__News   *message);
+size_t work__news__pack
+                     (const Work__News   *message,
+                      uint8_t             *out);
+size_t work__news__pack_to_buffer
+                     (const Work__News   *message,
+                      ProtobufCBuffer     *buffer);
+Work__News *
+       work__news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__news__free_unpacked
+                     (Work__News *message,
+                      ProtobufCAllocator *allocator);
+/* Work__View methods */
+void   work__view__init
+                     (Work__View         *message);
+size_t work__view__get_packed_size
+                     (const Work__View   *message);
+size_t work__view__pack
+                     (const Work__View   *message,
+                      uint8_t             *out);
+size_t work__view__pack_to_buffer
+                     (const Work__View   *message,
+                      ProtobufCBuffer     *buffer);
+Work__View *
+       work__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__view__free_unpacked
+                     (Work__View *message,
+                      ProtobufCAllocator *allocator);
+/* Work__Change methods */
+void   work__change__init
+                     (Work__Change         *message);
+size_t work__change__get_packed_size
+                     (const Work__Change   *message);
+size_t work__change__pack
+                     (const Work__Change   *message,
+                      uint8_t             *out);
+size_t work__change__pack_to_buffer
+                     (const Work__Change   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Change *
+       work__change__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__change__free_unpacked
+                     (Work__Change *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Work__Packet_Closure)
+                 (const Work__Packet *message,
+                  void *closure_data);
 typedef void (*Work__Announcement_Closure)
                  (const Work__Announcement *message,
                   void *closure_data);
 typedef void (*Work__Item_Closure)
                  (const Work__Item *message,
                   void *closure_data);
+typedef void (*Work__News_Closure)
+                 (const Work__News *message,
+                  void *closure_data);
+typedef void (*Work__View_Closure)
+                 (const Work__View *message,
+                  void *closure_data);
+typedef void (*Work__Change_Closure)
+                 (const Work__Change *message,
+                  void *closure_data);
 
 /* --- services --- */
 
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor work__packet__descriptor;
 extern const ProtobufCMessageDescriptor work__announcement__descriptor;
 extern const ProtobufCMessageDescriptor work__item__descriptor;
+extern const ProtobufCMessageDescriptor work__news__descriptor;
+extern const ProtobufCMessageDescriptor work__view__descriptor;
+extern const ProtobufCMessageDescriptor work__change__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -48,7 +48,7 @@
 static void end_work(forward_t *forward, attempt_t *attempt)
 {
 	attempt_work_end(&attempt->work);
-	gateway_work_changed(forward->gateway);
+	gateway_work_changed(forward->gateway, false);
 }
 
 void attempt_cancel(forward_t *forward)
@@ -164,7 +164,7 @@
 		if (!attempt->first_event) {
 			attempt->first_event = true;
 			attempt_work_first_event(&attempt->work);
-			gateway_work_changed(forward->gateway);
+			gateway_work_changed(forward->gateway, false);
 			if (attempt->patience_us)
 				attempt->patience_us =
 					stream_patience_us(forward);
@@ -249,8 +249,7 @@
 static bool is_worth_repeating(const forward_t *forward)
 {
 	return forward->attempt->reply.status >= HTTP_SERVER_ERROR &&
-	       forward->route->kind == CALL_IDEMPOTENT &&
-	       forward->runs + 1 < forward->route->attempts_max;
+	       forward->route->kind == CALL_IDEMPOTENT;
 }
 
 static void on_whole_answer(forward_t *forward)
@@ -267,9 +266,8 @@
 	}
 	if (passes_events(forward))
 		finish_stream(forward);
-	else if (is_worth_repeating(forward))
-		forward_attempt_failed(forward, FAILURE_BROKEN);
-	else
+	else if (!is_worth_repeating(forward) ||
+		 !forward_move(forward, FAILURE_SERVER_ERROR))
 		finish_body(forward);
 }
 
@@ -406,6 +404,6 @@
 	attempt->patience_us = patience_us(forward, placement->first_event_us);
 	attempt_work_begin(&attempt->work, placement, kv_tokens,
 			   forward->route->gap_target_ms * US_PER_MS, now_us);
-	gateway_work_changed(forward->gateway);
+	gateway_work_changed(forward->gateway, true);
 	send_request(forward);
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -317,13 +317,14 @@
 		     "attempt_failed");
 }
 
-void forward_attempt_failed(forward_t *forward, failure_t failure)
+static void log_failed(const forward_t *forward, failure_t failure)
 {
 	static const char *const names[] = {
 		[FAILURE_UNREACHABLE] = "unreachable",
 		[FAILURE_NOT_RUN] = "not-run",
 		[FAILURE_BROKEN] = "broken",
 		[FAILURE_SILENT] = "silent",
+		[FAILURE_SERVER_ERROR] = "server-error",
 	};
 	const backend_t *server = forward->tried[forward->tried_count - 1];
 
@@ -335,18 +336,40 @@
 		  backend_entry(server)->id, names[failure],
 		  forward->event_count,
 		  age_us(forward, clock_monotonic_us()) / US_PER_MS);
+}
+
+static void try_again(forward_t *forward)
+{
+	if (forward->event_count)
+		forward->resumed = true;
+	forward_place(forward);
+}
+
+void forward_attempt_failed(forward_t *forward, failure_t failure)
+{
+	log_failed(forward, failure);
 	attempt_cancel(forward);
-	if (failure == FAILURE_BROKEN || failure == FAILURE_SILENT)
+	if (failure != FAILURE_UNREACHABLE && failure != FAILURE_NOT_RUN)
 		forward->runs++;
 	if (forward->phase == FORWARD_ENDED)
 		return;
-	if (may_try_again(forward, failure)) {
-		if (forward->event_count)
-			forward->resumed = true;
-		forward_place(forward);
-	} else {
+	if (may_try_again(forward, failure))
+		try_again(forward);
+	else
 		give_up(forward, failure);
+}
+
+bool forward_move(forward_t *forward, failure_t failure)
+{
+	forward->runs++;
+	if (!may_try_again(forward, failure)) {
+		forward->runs--;
+		return false;
 	}
+	log_failed(forward, failure);
+	attempt_cancel(forward);
+	try_again(forward);
+	return true;
 }
 
 /* When the attempt counts as silent; INT64_MAX: it does not. */
@@ -421,15 +444,16 @@
 
 static void on_silence(forward_t *forward)
 {
-	if (forward->runs + 1 < forward->route->attempts_max &&
-	    is_better_elsewhere(forward)) {
-		backend_note(forward->attempt->work.parts[0].server,
-			     EVIDENCE_SILENT, clock_monotonic_us());
-		forward_attempt_failed(forward, FAILURE_SILENT);
-		return;
+	backend_t *server = backend_ref(forward->attempt->work.parts[0].server);
+
+	if (is_better_elsewhere(forward) &&
+	    forward_move(forward, FAILURE_SILENT)) {
+		backend_note(server, EVIDENCE_SILENT, clock_monotonic_us());
+	} else {
+		forward->attempt->patience_us += SILENCE_RECHECK_US;
+		forward_set_timer(forward);
 	}
-	forward->attempt->patience_us += SILENCE_RECHECK_US;
-	forward_set_timer(forward);
+	backend_unref(server);
 }
 
 void forward_on_timer(struct ev_loop *loop, ev_timer *timer, int events)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -85,7 +85,8 @@
 	FAILURE_UNREACHABLE, /**< nothing was sent */
 	FAILURE_NOT_RUN, /**< the server refused it before it ran */
 	FAILURE_BROKEN, /**< it may have run */
-	FAILURE_SILENT /**< no answer in time; it may have run */
+	FAILURE_SILENT, /**< no answer in time; it may have run */
+	FAILURE_SERVER_ERROR /**< the server's own; it ran */
 } failure_t;
 
 /* forward_attempt.c */
@@ -118,6 +119,11 @@
 void forward_place(forward_t *forward);
 /** After a failed attempt: another one, or the final answer. */
 void forward_attempt_failed(forward_t *forward, failure_t failure);
+/**
+ * Gives the present attempt up for another one, if that is allowed.
+ * @return false if the attempt goes on
+ */
+bool forward_move(forward_t *forward, failure_t failure);
 /** @return the silence after which the caller leaves a stream. */
 int64_t forward_caller_patience_us(const forward_t *forward);
 /** Sets the timer to what is due next. */
--- /dev/null
+++ b/tests/test_news.c
@@ -0,0 +1,196 @@
+/** Datagrams between nodes, and what news of the platform are worth. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/units.h"
+#include "cases.h"
+#include "process/packet.h"
+
+#define MS(count) ((int64_t)(count)*US_PER_MS)
+
+static void encodes_work(void **state)
+{
+	work_item_t item = { .server_hash = 7,
+			     .readers = 3,
+			     .writers = 12,
+			     .kv_tokens = 181000,
+			     .pending_us = MS(44),
+			     .gap_us = MS(600) };
+	packet_t sent = { .type = PACKET_WORK,
+			  .as.work = { .node = 3,
+				       .sequence = 8,
+				       .data_centre = "north",
+				       .sent_boot_us = 77,
+				       .sound = true,
+				       .items = &item,
+				       .item_count = 1 } };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size = packet_encode(&sent, data, sizeof(data)), i;
+	packet_t got;
+
+	assert_true(size > 0);
+	assert_true(packet_decode(&got, data, size));
+	assert_int_equal(got.type, PACKET_WORK);
+	assert_int_equal(got.as.work.node, 3);
+	assert_int_equal(got.as.work.sequence, 8);
+	assert_int_equal(got.as.work.sent_boot_us, 77);
+	assert_true(got.as.work.sound);
+	assert_string_equal(got.as.work.data_centre, "north");
+	assert_int_equal(got.as.work.item_count, 1);
+	assert_int_equal(got.as.work.items[0].server_hash, 7);
+	assert_int_equal(got.as.work.items[0].readers, 3);
+	assert_int_equal(got.as.work.items[0].writers, 12);
+	assert_int_equal(got.as.work.items[0].kv_tokens, 181000);
+	assert_int_equal(got.as.work.items[0].pending_us, MS(44));
+	assert_int_equal(got.as.work.items[0].gap_us, MS(600));
+	packet_clear(&got);
+	/* A datagram that was cut must not crash the node. */
+	for (i = 0; i < size; i++)
+		if (packet_decode(&got, data, i))
+			packet_clear(&got);
+	assert_int_equal(packet_encode(&sent, data, 4), 0);
+}
+
+static void add(news_log_t *log, const char *name, int64_t revision,
+		size_t index, int64_t at_ms)
+{
+	news_change_t change = { .name = (char *)name,
+				 .position = news_position(revision, index),
+				 .spec = "{\"state\":\"ready\"}" };
+
+	news_log_add(log, &change, MS(at_ms));
+}
+
+static void encodes_news(void **state)
+{
+	news_log_t *log = news_log_create();
+	packet_t sent = { .type = PACKET_NEWS }, got;
+	news_t *news = &sent.as.news;
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size;
+
+	news_log_reset(log, news_position_after(10));
+	add(log, "s1", 12, 0, 0);
+	news->node = 5;
+	news->echo_boot_us = 900;
+	news->view_count = 1;
+	news->views[0] = (news_view_t){ .kind = 2, .age_us = -40 };
+	news_log_fill(log, 0, 1000, news_position_after(14), &news->views[0]);
+	size = packet_encode(&sent, data, sizeof(data));
+	assert_true(packet_decode(&got, data, size));
+	assert_int_equal(got.type, PACKET_NEWS);
+	assert_int_equal(got.as.news.echo_boot_us, 900);
+	assert_int_equal(got.as.news.views[0].age_us, -40);
+	assert_int_equal(got.as.news.views[0].position,
+			 news_position_after(14));
+	assert_int_equal(got.as.news.views[0].from, news_position_after(10));
+	assert_string_equal(got.as.news.views[0].changes[0].name, "s1");
+	assert_string_equal(got.as.news.views[0].changes[0].spec,
+			    "{\"state\":\"ready\"}");
+	packet_clear(&got);
+	news_log_destroy(log);
+}
+
+/* A receiver at a revision, against a log whose changes are 12, 14 and 14. */
+static void compares_revisions(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		int64_t own_revision;
+		int64_t pruned_at_ms; /* of the sender's log */
+		news_result_t expected;
+	} cases[] = {
+		{ "changes applied twice", 20, 0, NEWS_CURRENT },
+		{ "an older view that goes backwards", 25, 0, NEWS_CURRENT },
+		{ "changes that are passed over", 13, 0, NEWS_CHANGES },
+		{ "a receiver that misses nothing", 10, 0, NEWS_CHANGES },
+		{ "changes that are no longer told", 11, 3500, NEWS_GAP },
+		{ "a receiver that was away", 5, 0, NEWS_GAP },
+		{ "a gap that is not one", 14, 9000, NEWS_CHANGES },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		news_log_t *log = news_log_create();
+		news_view_t view = { .kind = 1 };
+
+		news_log_reset(log, news_position_after(10));
+		add(log, "a", 12, 0, 0);
+		add(log, "b", 14, 0, 1000);
+		add(log, "c", 14, 1, 1000);
+		news_log_prune(log, MS(cases[i].pruned_at_ms));
+		news_log_fill(log, 0, 1000, news_position_after(20), &view);
+		if (news_compare(&view,
+				 news_position_after(cases[i].own_revision)) !=
+		    cases[i].expected)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+		news_log_destroy(log);
+	}
+}
+
+/* Guards against changes of one answer of which a receiver gets a part. */
+static void splits_changes(void **state)
+{
+	news_log_t *log = news_log_create();
+	news_position_t own = news_position_after(10);
+	size_t next = 0, got = 0, parts = 0, i;
+
+	news_log_reset(log, news_position_after(10));
+	for (i = 0; i < 9; i++)
+		add(log, "name", 14, i, 0);
+	do {
+		news_view_t view = { .kind = 1 };
+
+		next = news_log_fill(log, next, 150, news_position_after(16),
+				     &view);
+		assert_int_equal(news_compare(&view, own), NEWS_CHANGES);
+		for (i = 0; i < view.change_count; i++)
+			got += view.changes[i].position > own;
+		own = view.position;
+		parts++;
+	} while (next < news_log_count(log));
+	assert_true(parts > 1);
+	assert_int_equal(got, 9);
+	assert_int_equal(own, news_position_after(16));
+	assert_int_equal(news_position_revision(own), 16);
+	/* Some changes of a revision are not all of them. */
+	assert_int_equal(news_position_revision(news_position(16, 3)), 15);
+	news_log_destroy(log);
+}
+
+/* Guards against news that look fresher than they are. */
+static void dates_views(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		int64_t echo_ms, age_ms, now_ms, expected_ms;
+	} cases[] = {
+		{ "a view older than the echo", 5000, 300, 5100, 4700 },
+		{ "news that waited in a socket", 5000, 300, 60000, 4700 },
+		{ "a view completed after the echo", 5000, -200, 5300, 5200 },
+		{ "a view from the future", 5000, -900, 5300, 5300 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		news_t news = { .echo_boot_us = MS(cases[i].echo_ms) };
+		news_view_t view = { .age_us = MS(cases[i].age_ms) };
+
+		if (news_confirmed_boot_us(&news, &view, MS(cases[i].now_ms)) !=
+		    MS(cases[i].expected_ms))
+			fail_msg("case \"%s\"", cases[i].guards_against);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(encodes_work),
+		cmocka_unit_test(encodes_news),
+		cmocka_unit_test(compares_revisions),
+		cmocka_unit_test(splits_changes),
+		cmocka_unit_test(dates_views),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
