Spread choices with the number of nodes

Change: fullness is told apart by quarters, and a random part of the cost grows with the number of nodes.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -1,6 +1,7 @@
 #include "process/placement.h"
 
 #include <stdlib.h>
+#include <xxhash.h>
 
 /* Part of an objective that a prediction may use up before the request counts
  * as late; the rest covers errors of the prediction. */
@@ -26,6 +27,9 @@
 #define PART_RISK 0.001
 /* Cost of an idle server for a short prompt, which takes it from long ones. */
 #define SPREAD_LOSS 0.1
+/* Random part of the cost of a server, for each node: the more nodes choose at
+ * once, the wider they must spread. */
+#define JITTER_LOSS 0.0015
 /* Weight of a request beside its prompt, in usual prompts. */
 #define WEIGHT_BASE 0.5
 /* Share of a server's KV cache that is planned; the rest covers outputs that
@@ -38,6 +42,9 @@
 	PLAIN_CALL_US = 15000,
 	/* Prompts below this many usual ones are short: they are packed. */
 	SHORT_PROMPTS = 2,
+	/* Packing tells servers apart by this many steps of fullness. Within a
+	 * step nodes choose at random, since what they know is a little old. */
+	FILL_STEPS = 4,
 	/* A short prompt gains nothing from more parts. */
 	SHORT_PARTS_MAX = 5
 };
@@ -129,8 +136,19 @@
 	if (!is_short(query) ||
 	    event_us > (double)query->target_us * PACK_SHARE)
 		return 0;
-	return -SPREAD_LOSS * running /
-	       (candidate->slots > 0 ? candidate->slots : 1);
+	return -SPREAD_LOSS *
+	       (double)(running * FILL_STEPS /
+			(candidate->slots > 0 ? candidate->slots : 1)) /
+	       FILL_STEPS;
+}
+
+static double jitter(const placement_query_t *query,
+		     const candidate_t *candidate)
+{
+	uint64_t key = query->salt ^ (uint64_t)(uintptr_t)candidate->server;
+
+	return JITTER_LOSS * query->nodes *
+	       (double)(XXH64(&key, sizeof(key), 0) >> 40) / (1 << 24);
 }
 
 static option_t option_of(const candidate_t *candidate,
@@ -157,7 +175,8 @@
 	if (option.event_us > target_us * TARGET_SHARE)
 		option.cost +=
 			weight_of(query, query->prompt_tokens) * LATE_LOSS;
-	option.cost += spread_cost(candidate, query, option.event_us);
+	option.cost += spread_cost(candidate, query, option.event_us) +
+		       jitter(query, candidate);
 	return option;
 }
 
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -42,6 +42,7 @@
 	int64_t target_us; /**< time left until then; 0: it is late */
 	int64_t limit_us; /**< time left until the caller gives up */
 	bool may_refuse; /**< the caller has nothing of the answer yet */
+	int32_t nodes; /**< that choose servers at the same time */
 	uint64_t salt; /**< breaks ties, differs between requests */
 } placement_query_t;
 
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -91,6 +91,7 @@
 			     age_us(forward, now_us),
 		.limit_us = forward->limit_us - now_us,
 		.may_refuse = !forward->runs && !forward->head_sent,
+		.nodes = forward->gateway->nodes,
 		.salt = gateway_random(forward->gateway),
 	};
 
