Add a randomized soak with faults from outside

Real daemons as separate processes; store, servers and callers are played on one loop behind proxies that delay, mute, silence or reset. Daemons are killed, stopped, paused and told to reload; the store goes down; servers fail, leave and come back; keys are removed. Checked from what callers and servers see: at most once, refusals that are true, whole answers, streams without gaps, removed keys, leaving servers, time limits, recovery.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 PROGRAMS = $(if $(wildcard src/process/main.c),$(BUILD)/chivestaged) \
 	$(if $(wildcard src/ctl/main.c),$(BUILD)/chivestage)
 BENCHES = $(patsubst %.c,$(BUILD)/%,$(wildcard tests/bench/*.c))
+SOAK_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
 FUZZ_SRC = $(wildcard tests/fuzz/fuzz_*.c)
 FUZZERS = $(FUZZ_SRC:tests/fuzz/%.c=build/fuzz/%)
 
@@ -81,6 +82,9 @@
 		$(STANDIN_LIB:%.c=$(BUILD)/%.o) $(BUILD)/libchivestage.a
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/tests/soak/soak: $(SOAK_OBJ) $(BUILD)/libchivestage.a
+	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS)
+
 FUZZ_LIB = tests/lib/credit_sim.c
 # The fuzzers link a library of their own, built once with clang.
 FUZZ_CFLAGS = -std=c11 -O1 -g -w -fsanitize=address,undefined \
@@ -111,7 +115,7 @@
 	$(MAKE) SANITIZE=1 check-built
 
 .PHONY: check-built fuzzers
-check-built: all $(TESTS) $(BENCHES) $(FUZZERS)
+check-built: all $(TESTS) $(BENCHES) $(BUILD)/tests/soak/soak $(FUZZERS)
 	tests/run $(BUILD)
 
 fuzzers: $(FUZZERS)
--- /dev/null
+++ b/tests/soak/faults.c
@@ -0,0 +1,222 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "soak/soak.h"
+
+/* Faults begin at random times and last some seconds; several overlap. */
+enum { GAP_MIN_MS = 150, GAP_MAX_MS = 1500, LAST_MIN_MS = 500,
+       LAST_MAX_MS = 5000 };
+
+typedef enum {
+	FAULT_KILL,
+	FAULT_TERM,
+	FAULT_PAUSE,
+	FAULT_HANG_UP,
+	FAULT_STORE_LINK,
+	FAULT_STORE_DOWN,
+	FAULT_SERVER_LINK,
+	FAULT_SERVER_RESET,
+	FAULT_SERVER_FAILS,
+	FAULT_SERVER_LEAVES,
+	FAULT_REVOKE,
+	FAULT_CONFIGURE,
+	FAULT_COUNT
+} fault_type_t;
+
+static const char *const names[FAULT_COUNT] = {
+	"kill",	       "term",	       "pause",	       "hang-up",
+	"store-link",  "store-down",   "server-link",  "server-reset",
+	"server-fails", "server-leaves", "revoke",      "configure",
+};
+
+/** A fault that ends. */
+typedef struct {
+	soak_t *soak;
+	fault_type_t type;
+	int target;
+	ev_timer end;
+} fault_t;
+
+static void disturb_all(soak_t *soak)
+{
+	int i;
+
+	for (i = 0; i < soak->node_count; i++)
+		soak->nodes[i].disturbed_us = clock_monotonic_us();
+}
+
+static void end(soak_t *soak, fault_type_t type, int target)
+{
+	server_t *server = &soak->servers[target % SERVERS];
+	node_t *node = &soak->nodes[target % soak->node_count];
+
+	switch (type) {
+	case FAULT_PAUSE:
+		node_signal(node, SIGCONT);
+		break;
+	case FAULT_STORE_LINK:
+		proxy_set(node->store_link, LINK_GOOD);
+		node->disturbed_us = clock_monotonic_us();
+		break;
+	case FAULT_STORE_DOWN:
+		store_set_down(false);
+		disturb_all(soak);
+		break;
+	case FAULT_SERVER_LINK:
+		proxy_set(server->link, LINK_GOOD);
+		break;
+	case FAULT_SERVER_FAILS:
+		server->fail_share = 0;
+		break;
+	case FAULT_SERVER_LEAVES:
+		server->draining = false;
+		server->listed = true;
+		server_announce(server);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_end(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	fault_t *fault = timer->data;
+
+	if (!fault->soak->calm) {
+		soak_note(fault->soak, "end %s %d", names[fault->type],
+			  fault->target);
+		end(fault->soak, fault->type, fault->target);
+	}
+	free(fault);
+}
+
+static void remove_key(soak_t *soak, int key)
+{
+	/* One key stays, so that callers go on. */
+	if (key == 0 || soak->key_revoked_us[key])
+		return;
+	soak->key_revoked_us[key] = clock_monotonic_us();
+	store_configure(soak);
+}
+
+/* One server of each service stays. */
+static bool leaves(soak_t *soak, server_t *server, bool draining)
+{
+	int i, others = 0;
+
+	for (i = 0; i < SERVERS; i++)
+		others += &soak->servers[i] != server &&
+			  soak->servers[i].plain == server->plain &&
+			  soak->servers[i].listed && !soak->servers[i].draining;
+	if (!others || server->draining || !server->listed)
+		return false;
+	server->draining = true;
+	server->listed = draining;
+	server->draining_us = clock_monotonic_us();
+	server_announce(server);
+	return true;
+}
+
+static bool begin(soak_t *soak, fault_type_t type, int target)
+{
+	static const link_t links[] = { LINK_SLOW, LINK_MUTE, LINK_SILENT,
+					LINK_REFUSED };
+	link_t link = links[soak_random(soak, 4)];
+	server_t *server = &soak->servers[target % SERVERS];
+	node_t *node = &soak->nodes[target % soak->node_count];
+
+	switch (type) {
+	case FAULT_KILL:
+		node_signal(node, SIGKILL);
+		return true;
+	case FAULT_TERM:
+		node_signal(node, SIGTERM);
+		return true;
+	case FAULT_PAUSE:
+		node_signal(node, SIGSTOP);
+		return true;
+	case FAULT_HANG_UP:
+		node_signal(node, SIGHUP);
+		return true;
+	case FAULT_STORE_LINK:
+		proxy_set(node->store_link, link);
+		node->disturbed_us = clock_monotonic_us();
+		return true;
+	case FAULT_STORE_DOWN:
+		store_set_down(true);
+		disturb_all(soak);
+		return true;
+	case FAULT_SERVER_LINK:
+		proxy_set(server->link, link);
+		return true;
+	case FAULT_SERVER_RESET:
+		proxy_reset(server->link);
+		return true;
+	case FAULT_SERVER_FAILS:
+		server->fail_share = 0.1 + (double)soak_random(soak, 50) / 100;
+		return true;
+	case FAULT_SERVER_LEAVES:
+		return leaves(soak, server, soak_chance(soak, 0.7));
+	case FAULT_REVOKE:
+		remove_key(soak, target % KEYS);
+		return true;
+	case FAULT_CONFIGURE:
+		store_configure(soak);
+		return true;
+	case FAULT_COUNT:
+		break;
+	}
+	return false;
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	soak_t *soak = timer->data;
+	fault_type_t type = (fault_type_t)soak_random(soak, FAULT_COUNT);
+	int target = (int)soak_random(soak, 1000);
+	double lasts_s =
+		(double)(LAST_MIN_MS +
+			 (int)soak_random(soak, LAST_MAX_MS - LAST_MIN_MS)) /
+		(double)MS_PER_S;
+
+	if (begin(soak, type, target)) {
+		fault_t *fault = mem_calloc(1, sizeof(*fault));
+
+		soak_note(soak, "begin %s %d", names[type], target);
+		fault->soak = soak;
+		fault->type = type;
+		fault->target = target;
+		ev_timer_init(&fault->end, on_end, lasts_s, 0.);
+		fault->end.data = fault;
+		ev_timer_start(loop, &fault->end);
+	}
+	ev_timer_set(timer,
+		     (double)(GAP_MIN_MS +
+			      (int)soak_random(soak, GAP_MAX_MS - GAP_MIN_MS)) /
+			     (double)MS_PER_S,
+		     0.);
+	ev_timer_start(loop, timer);
+}
+
+void faults_start(soak_t *soak)
+{
+	ev_timer_init(&soak->fault_timer, on_timer, 2., 0.);
+	soak->fault_timer.data = soak;
+	ev_timer_start(soak->loop, &soak->fault_timer);
+}
+
+/* All is well from now on. */
+void faults_end(soak_t *soak)
+{
+	int i, type;
+
+	ev_timer_stop(soak->loop, &soak->fault_timer);
+	for (type = 0; type < FAULT_COUNT; type++)
+		for (i = 0; i < SERVERS * NODES_MAX; i++)
+			end(soak, (fault_type_t)type, i);
+	soak->calm = true;
+}
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,173 @@
+#include <curl/curl.h>
+#include <popt.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/units.h"
+#include "soak/soak.h"
+
+enum {
+	/* Stops and restarts of the last faults, then the time in which the
+	 * fleet must serve again. */
+	RECOVERY_S = 12,
+	CALM_S = 4,
+	ID_FIRST = 1
+};
+
+uint64_t soak_random(soak_t *soak, uint64_t below)
+{
+	/* splitmix64 */
+	uint64_t z = soak->random += 0x9e3779b97f4a7c15;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+	return (z ^ (z >> 31)) % below;
+}
+
+bool soak_chance(soak_t *soak, double share)
+{
+	return (double)soak_random(soak, 1000000) < share * 1000000;
+}
+
+static void print(const soak_t *soak, const char *kind, const char *format,
+		  va_list args)
+{
+	double passed_s = (double)(clock_monotonic_us() - soak->start_us) /
+			  (double)US_PER_S;
+
+	printf("%8.3f %s ", passed_s, kind);
+	vprintf(format, args);
+	printf("\n");
+	fflush(stdout);
+}
+
+void soak_violation(soak_t *soak, const char *format, ...)
+{
+	va_list args;
+
+	soak->violations++;
+	va_start(args, format);
+	print(soak, "VIOLATION", format, args);
+	va_end(args);
+}
+
+void soak_note(soak_t *soak, const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	print(soak, "note", format, args);
+	va_end(args);
+}
+
+static void on_end(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	soak_t *soak = timer->data;
+
+	if (!soak->calm) {
+		faults_end(soak);
+		soak_note(soak, "faults ended");
+		ev_timer_set(timer, RECOVERY_S, 0.);
+	} else if (!soak->calm_us) {
+		soak->calm_us = clock_monotonic_us();
+		ev_timer_set(timer, CALM_S, 0.);
+	} else if (ev_is_active(&soak->caller_timer)) {
+		/* What is under way gets its answer. */
+		ev_timer_stop(loop, &soak->caller_timer);
+		ev_timer_set(timer, (double)(DEADLINE_MS + 2000) / MS_PER_S,
+			     0.);
+	} else {
+		ev_break(loop, EVBREAK_ALL);
+		return;
+	}
+	ev_timer_start(loop, timer);
+}
+
+static int report(const soak_t *soak, uint64_t seed)
+{
+	const counts_t *counts = &soak->counts;
+
+	printf("seed %llu: %d sent, %d complete, %d refused, %d failed, "
+	       "%d cut; after faults %d of %d complete; %d violations\n",
+	       (unsigned long long)seed, (int)counts->sent,
+	       (int)counts->complete, (int)counts->refused,
+	       (int)counts->failed, (int)counts->cut,
+	       (int)counts->calm_complete, (int)counts->calm_sent,
+	       soak->violations);
+	return soak->violations || !counts->complete ? EXIT_FAILURE
+						     : EXIT_SUCCESS;
+}
+
+static void run(soak_t *soak)
+{
+	soak->loop = ev_default_loop(0);
+	soak->client = client_create(soak->loop, NULL);
+	store_start(soak);
+	store_configure(soak);
+	servers_start(soak);
+	nodes_start(soak);
+	callers_start(soak);
+	faults_start(soak);
+	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
+	soak->end_timer.data = soak;
+	ev_timer_start(soak->loop, &soak->end_timer);
+	ev_run(soak->loop, 0);
+	nodes_stop(soak);
+	client_destroy(soak->client);
+	servers_stop(soak);
+	store_stop();
+	callers_check(soak);
+}
+
+int main(int argc, const char **argv)
+{
+	static soak_t soak = { .next_id = ID_FIRST,
+			       .node_count = 4,
+			       .rate_per_s = 40,
+			       .seconds = 20,
+			       .build = "build/release",
+			       .directory = "/tmp" };
+	long long seed = 1;
+	int seconds = 20;
+	struct poptOption options[] = {
+		{ "seed", 0, POPT_ARG_LONGLONG, &seed, 0, "of the faults",
+		  "N" },
+		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "with faults",
+		  "S" },
+		{ "nodes", 0, POPT_ARG_INT, &soak.node_count, 0,
+		  "daemons, at most 8", "N" },
+		{ "rate", 0, POPT_ARG_DOUBLE, &soak.rate_per_s, 0,
+		  "requests a second", "R" },
+		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
+		  "directory of chivestaged", "DIR" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext context = poptGetContext("soak", argc, argv, options, 0);
+	int status;
+
+	if (poptGetNextOpt(context) != -1 || soak.node_count < 1 ||
+	    soak.node_count > NODES_MAX) {
+		poptPrintUsage(context, stderr, 0);
+		return 2;
+	}
+	soak.random = (uint64_t)seed;
+	soak.seconds = seconds;
+	snprintf(soak.directory, sizeof(soak.directory),
+		 "/tmp/chivestage-soak.%d", (int)getpid());
+	if (mkdtemp(strcat(soak.directory, ".XXXXXX")) == NULL)
+		return 2;
+	signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	soak.start_us = clock_monotonic_us();
+	printf("logs in %s\n", soak.directory);
+	run(&soak);
+	status = report(&soak, (uint64_t)seed);
+	poptFreeContext(context);
+	curl_global_cleanup();
+	return status;
+}
--- /dev/null
+++ b/tests/soak/nodes.c
@@ -0,0 +1,191 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "soak/soak.h"
+
+enum { PORTS_FROM = 21000, PORTS_PER_NODE = 4, PROBE_MS = 1000, MISSES = 2 };
+#define RESTART_S 0.3
+
+static void write_settings(node_t *node)
+{
+	FILE *file = fopen(node->settings, "we");
+
+	if (!file)
+		abort();
+	fprintf(file,
+		"node=%s\nrole=gateway\nip=127.0.0.1\nzone=a\n"
+		"bind.front=127.0.0.1:%d\nbind.ready=127.0.0.1:%d\n"
+		"portRange=%d,%d\nplatform.address=127.0.0.1:%d\n"
+		"limits.memoryMb=260\nlimits.maxFds=1024\n"
+		"contractParams.graceS=%d\ncontractParams.revokeMs=%d\n"
+		"contractParams.strictRevoke=true\n"
+		"contractParams.budgetRatio=0.5\n"
+		"contractParams.retrySlack=100\n",
+		node->name, node->port, node->ready_port, node->peer_port,
+		node->peer_port, proxy_port(node->store_link),
+		STOP_MS / (int)MS_PER_S, REVOKE_MS);
+	fclose(file);
+}
+
+static void run_daemon(const node_t *node)
+{
+	char program[256], log[256];
+	int fd;
+
+	snprintf(program, sizeof(program), "%s/chivestaged", node->soak->build);
+	snprintf(log, sizeof(log), "%s/%s.log", node->soak->directory,
+		 node->name);
+	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	dup2(fd, STDOUT_FILENO);
+	dup2(fd, STDERR_FILENO);
+	setenv("CHIVESTAGE_SETTINGS", node->settings, 1);
+	execl(program, program, "--platform", NULL);
+	_exit(127);
+}
+
+static void on_exit_of(struct ev_loop *loop, ev_child *watcher, int events)
+{
+	node_t *node = watcher->data;
+
+	ev_child_stop(loop, watcher);
+	/* Only signals of the soak may end a daemon. */
+	if (!node->stopping)
+		soak_violation(node->soak, "FAULT %s ended by itself: %d",
+			       node->name, watcher->rstatus);
+	else if (WIFEXITED(watcher->rstatus) && WEXITSTATUS(watcher->rstatus))
+		soak_violation(node->soak, "FAULT %s stopped with status %d",
+			       node->name, WEXITSTATUS(watcher->rstatus));
+	node->pid = 0;
+	node->ready = node->paused = false;
+	ev_timer_start(loop, &node->restart);
+}
+
+static void start(node_t *node)
+{
+	struct ev_loop *loop = node->soak->loop;
+
+	node->stopping = false;
+	node->disturbed_us = clock_monotonic_us();
+	node->pid = fork();
+	if (node->pid < 0)
+		abort();
+	if (!node->pid)
+		run_daemon(node);
+	ev_child_init(&node->child, on_exit_of, node->pid, 0);
+	node->child.data = node;
+	ev_child_start(loop, &node->child);
+}
+
+static void on_restart(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	ev_timer_stop(loop, timer);
+	start(timer->data);
+}
+
+void node_signal(node_t *node, int number)
+{
+	if (!node->pid)
+		return;
+	node->disturbed_us = clock_monotonic_us();
+	if (number == SIGTERM || number == SIGKILL)
+		node->stopping = true;
+	if (number == SIGSTOP)
+		node->paused = true;
+	if (number == SIGCONT)
+		node->paused = false;
+	kill(node->pid, number);
+}
+
+bool node_in_touch(const node_t *node)
+{
+	return node->pid && !node->paused && !node->stopping &&
+	       clock_monotonic_us() - node->disturbed_us >
+		       CALM_MS * US_PER_MS;
+}
+
+/* The load balancer of the platform: two misses take a node out. */
+static void on_probed(void *context, client_end_t end, int status,
+		      const char *body, size_t size)
+{
+	node_t *node = context;
+
+	node->misses = end == CLIENT_OK && status == 200 ? 0 : node->misses + 1;
+	if (!node->misses)
+		node->ready = true;
+	if (node->misses >= MISSES)
+		node->ready = false;
+}
+
+static void on_probe(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	soak_t *soak = timer->data;
+	char url[64];
+	client_request_t request = { .method = "GET",
+				     .url = url,
+				     .connect_timeout_ms = PROBE_MS / 2,
+				     .total_timeout_ms = PROBE_MS / 2,
+				     .at_most_once = true };
+	int i;
+
+	for (i = 0; i < soak->node_count; i++) {
+		snprintf(url, sizeof(url), "http://127.0.0.1:%d/ready",
+			 soak->nodes[i].ready_port);
+		client_fetch(soak->client, &request, 1024, on_probed,
+			     &soak->nodes[i]);
+	}
+}
+
+void nodes_start(soak_t *soak)
+{
+	int base = PORTS_FROM + (int)(getpid() % 1000) * NODES_MAX *
+					PORTS_PER_NODE;
+	int i;
+
+	for (i = 0; i < soak->node_count; i++) {
+		node_t *node = &soak->nodes[i];
+
+		node->soak = soak;
+		snprintf(node->name, sizeof(node->name), "n%d", i);
+		node->port = base + i * PORTS_PER_NODE;
+		node->ready_port = node->port + 1;
+		node->peer_port = node->port + 2;
+		node->store_link = proxy_create(soak->loop, store_port());
+		snprintf(node->settings, sizeof(node->settings), "%s/%s.conf",
+			 soak->directory, node->name);
+		write_settings(node);
+		ev_timer_init(&node->restart, on_restart, RESTART_S, RESTART_S);
+		node->restart.data = node;
+		start(node);
+	}
+	ev_timer_init(&soak->probe_timer, on_probe,
+		      (double)PROBE_MS / MS_PER_S, (double)PROBE_MS / MS_PER_S);
+	soak->probe_timer.data = soak;
+	ev_timer_start(soak->loop, &soak->probe_timer);
+}
+
+void nodes_stop(soak_t *soak)
+{
+	int i;
+
+	ev_timer_stop(soak->loop, &soak->probe_timer);
+	for (i = 0; i < soak->node_count; i++) {
+		node_t *node = &soak->nodes[i];
+
+		ev_timer_stop(soak->loop, &node->restart);
+		ev_child_stop(soak->loop, &node->child);
+		if (node->pid) {
+			kill(node->pid, SIGCONT);
+			kill(node->pid, SIGKILL);
+			waitpid(node->pid, NULL, 0);
+		}
+		proxy_destroy(node->store_link);
+	}
+}
--- /dev/null
+++ b/tests/soak/proxy.c
@@ -0,0 +1,209 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#include "base/mem.h"
+#include "soak/soak.h"
+
+enum { BUFFER_SIZE_BYTES = 16 * 1024 };
+#define SLOW_S 0.15
+
+typedef struct pair pair_t;
+
+/* One direction of a connection. */
+typedef struct {
+	pair_t *pair;
+	int from, to;
+	bool back; /* from the target */
+	ev_io readable;
+	ev_timer slow;
+	char data[BUFFER_SIZE_BYTES];
+	size_t size;
+} flow_t;
+
+struct pair {
+	proxy_t *proxy;
+	flow_t out, back;
+	pair_t *prev, *next;
+};
+
+struct proxy {
+	struct ev_loop *loop;
+	ev_io accepting;
+	int port, target_port;
+	link_t link;
+	pair_t *pairs;
+};
+
+static void close_pair(pair_t *pair, bool reset)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+	proxy_t *proxy = pair->proxy;
+
+	if (reset) {
+		setsockopt(pair->out.from, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+		setsockopt(pair->out.to, SOL_SOCKET, SO_LINGER, &linger,
+			   sizeof(linger));
+	}
+	ev_io_stop(proxy->loop, &pair->out.readable);
+	ev_io_stop(proxy->loop, &pair->back.readable);
+	ev_timer_stop(proxy->loop, &pair->out.slow);
+	ev_timer_stop(proxy->loop, &pair->back.slow);
+	close(pair->out.from);
+	close(pair->out.to);
+	DL_DELETE(proxy->pairs, pair);
+	free(pair);
+}
+
+static bool swallows(const flow_t *flow)
+{
+	link_t link = flow->pair->proxy->link;
+
+	return link == LINK_SILENT || (link == LINK_MUTE && flow->back);
+}
+
+/* Loopback buffers take what a proxy of small messages passes on. */
+static bool pass_on(flow_t *flow)
+{
+	size_t sent = 0;
+
+	while (sent < flow->size) {
+		ssize_t count = write(flow->to, flow->data + sent,
+				      flow->size - sent);
+
+		if (count <= 0)
+			return false;
+		sent += (size_t)count;
+	}
+	flow->size = 0;
+	return true;
+}
+
+static void on_slow(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	flow_t *flow = timer->data;
+
+	if (pass_on(flow))
+		ev_io_start(loop, &flow->readable);
+	else
+		close_pair(flow->pair, false);
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	flow_t *flow = watcher->data;
+	ssize_t size = read(flow->from, flow->data, sizeof(flow->data));
+
+	if (size <= 0) {
+		/* A peer behind a cut does not hear of the end. */
+		if (swallows(flow))
+			ev_io_stop(loop, watcher);
+		else
+			close_pair(flow->pair, size < 0);
+		return;
+	}
+	if (swallows(flow))
+		return;
+	flow->size = (size_t)size;
+	if (flow->back && flow->pair->proxy->link == LINK_SLOW) {
+		ev_io_stop(loop, watcher);
+		ev_timer_set(&flow->slow, SLOW_S, 0.);
+		ev_timer_start(loop, &flow->slow);
+	} else if (!pass_on(flow)) {
+		close_pair(flow->pair, false);
+	}
+}
+
+static void start_flow(pair_t *pair, flow_t *flow, int from, int to, bool back)
+{
+	flow->pair = pair;
+	flow->from = from;
+	flow->to = to;
+	flow->back = back;
+	ev_io_init(&flow->readable, on_readable, from, EV_READ);
+	flow->readable.data = flow;
+	ev_init(&flow->slow, on_slow);
+	flow->slow.data = flow;
+	ev_io_start(pair->proxy->loop, &flow->readable);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
+{
+	proxy_t *proxy = watcher->data;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int from = accept(watcher->fd, NULL, NULL), to;
+	pair_t *pair;
+
+	if (from < 0)
+		return;
+	to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	fcntl(from, F_SETFD, FD_CLOEXEC);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)proxy->target_port);
+	if (proxy->link == LINK_REFUSED ||
+	    connect(to, (struct sockaddr *)&address, sizeof(address))) {
+		close(from);
+		close(to);
+		return;
+	}
+	pair = mem_calloc(1, sizeof(*pair));
+	pair->proxy = proxy;
+	DL_APPEND(proxy->pairs, pair);
+	start_flow(pair, &pair->out, from, to, false);
+	start_flow(pair, &pair->back, to, from, true);
+}
+
+proxy_t *proxy_create(struct ev_loop *loop, int target_port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	proxy_t *proxy = mem_calloc(1, sizeof(*proxy));
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (struct sockaddr *)&address, size) || listen(fd, 128))
+		abort();
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	proxy->loop = loop;
+	proxy->port = ntohs(address.sin_port);
+	proxy->target_port = target_port;
+	ev_io_init(&proxy->accepting, on_accept, fd, EV_READ);
+	proxy->accepting.data = proxy;
+	ev_io_start(loop, &proxy->accepting);
+	return proxy;
+}
+
+int proxy_port(const proxy_t *proxy)
+{
+	return proxy->port;
+}
+
+void proxy_reset(proxy_t *proxy)
+{
+	while (proxy->pairs)
+		close_pair(proxy->pairs, true);
+}
+
+void proxy_set(proxy_t *proxy, link_t link)
+{
+	/* What was swallowed is gone: its connections cannot go on. */
+	if (link == LINK_REFUSED ||
+	    (link == LINK_GOOD &&
+	     (proxy->link == LINK_SILENT || proxy->link == LINK_MUTE)))
+		proxy_reset(proxy);
+	proxy->link = link;
+}
+
+void proxy_destroy(proxy_t *proxy)
+{
+	proxy_reset(proxy);
+	ev_io_stop(proxy->loop, &proxy->accepting);
+	close(proxy->accepting.fd);
+	free(proxy);
+}
--- /dev/null
+++ b/tests/soak/server.c
@@ -0,0 +1,253 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "soak/soak.h"
+
+enum { SLOTS = 8, QUEUE = 8, PLAIN_MS = 15, EVENT_MS = 40, HTTP_FULL = 503 };
+
+/* Late arrivals at a leaving server that the checks allow for: the bound, and
+ * the time on the way. */
+enum { DRAIN_SLACK_MS = 400 };
+
+typedef enum { COMPLETE, BREAK_OFF, LOSE } outcome_t;
+
+/** One request that a server has. */
+typedef struct {
+	server_t *server;
+	exchange_t *exchange;
+	char id[24];
+	ev_timer timer;
+	outcome_t outcome;
+	int next_event, break_at;
+	bool running;
+} run_t;
+
+static void finish(run_t *run)
+{
+	if (run->running)
+		run->server->running--;
+	run->running = false;
+	ev_timer_stop(run->server->soak->loop, &run->timer);
+}
+
+static const char *header(const exchange_t *exchange, const char *name)
+{
+	const char *value = exchange_header(exchange, name);
+
+	return value ? value : "";
+}
+
+static void send_plain(run_t *run)
+{
+	char body[64];
+	reply_header_t headers[] = { { "X-Server-Seal", "1" },
+				     { "X-Request-Id", run->id } };
+
+	snprintf(body, sizeof(body), "answer to %s", run->id);
+	finish(run);
+	if (run->outcome == COMPLETE)
+		exchange_reply(run->exchange, 200, headers, 2, body,
+			       strlen(body));
+	else
+		exchange_abort(run->exchange);
+}
+
+static void send_event(run_t *run)
+{
+	char event[96];
+	int size = snprintf(event, sizeof(event), "id: %d\ndata: %s %d\n\n",
+			    run->next_event, run->id, run->next_event);
+
+	if (run->next_event == run->break_at) {
+		exchange_write(run->exchange, event, (size_t)size / 2);
+		finish(run);
+		exchange_abort(run->exchange);
+		return;
+	}
+	exchange_write(run->exchange, event, (size_t)size);
+	if (run->next_event++ < STREAM_EVENTS)
+		return;
+	finish(run);
+	exchange_end(run->exchange);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	run_t *run = timer->data;
+
+	if (run->server->plain)
+		send_plain(run);
+	else
+		send_event(run);
+}
+
+/* What a request that begins to run shows about the promises. */
+static void check_run(const run_t *run)
+{
+	soak_t *soak = run->server->soak;
+	request_record_t *record = callers_find(soak, run->id);
+	int64_t now_us = clock_monotonic_us();
+
+	if (!record) {
+		soak_violation(soak, "UNASKED %s ran at %s", run->id,
+			       run->server->id);
+		return;
+	}
+	record->runs++;
+	if (record->path == 'o' && record->runs > 1)
+		soak_violation(soak, "TWICE %s ran again at %s", run->id,
+			       run->server->id);
+	if (record->path == 'o' && record->refused)
+		soak_violation(soak, "REFUSED %s runs after its refusal",
+			       run->id);
+	if ((record->path == 't') == run->server->plain)
+		soak_violation(soak, "ROUTE %s ran at %s", run->id,
+			       run->server->id);
+	if (strcmp(header(run->exchange, "X-Tenant"), "acme") != 0 ||
+	    exchange_header(run->exchange, "Authorization"))
+		soak_violation(soak, "UNASKED %s with the wrong account",
+			       run->id);
+	if (record->key >= 0 && soak->key_revoked_us[record->key] &&
+	    record->sent_us > soak->key_revoked_us[record->key] +
+				      REVOKE_MS * US_PER_MS)
+		soak_violation(soak, "CONFIG %s ran with a removed key",
+			       run->id);
+	if (run->server->draining &&
+	    record->sent_us > run->server->draining_us +
+				      (DRAIN_MS + DRAIN_SLACK_MS) * US_PER_MS) {
+		int i;
+
+		/* A node that was disturbed may not know yet. */
+		for (i = 0; i < soak->node_count; i++)
+			if (!node_in_touch(&soak->nodes[i]))
+				return;
+		soak_violation(soak, "DRAIN %s at %s %d ms after it left",
+			       run->id, run->server->id,
+			       (int)((now_us - run->server->draining_us) /
+				     US_PER_MS));
+	}
+}
+
+static void refuse(run_t *run, int status)
+{
+	reply_header_t headers[] = { { "X-Not-Run", "1" },
+				     { "X-Request-Id", run->id } };
+
+	exchange_reply(run->exchange, status, headers, 2, NULL, 0);
+}
+
+static void begin(run_t *run)
+{
+	server_t *server = run->server;
+	soak_t *soak = server->soak;
+	reply_header_t headers[] = { { "X-Server-Seal", "1" },
+				     { "X-Request-Id", run->id },
+				     { "Content-Type", "text/event-stream" } };
+	double delay_s = (double)(server->plain ? PLAIN_MS : EVENT_MS) /
+			 (double)MS_PER_S;
+
+	run->running = true;
+	server->running++;
+	check_run(run);
+	if (soak_chance(soak, server->fail_share))
+		run->outcome = soak_chance(soak, 0.5) ? BREAK_OFF : LOSE;
+	run->next_event =
+		atoi(header(run->exchange, "Last-Event-Id")) + 1;
+	if (run->outcome != COMPLETE)
+		run->break_at = run->next_event +
+				(int)soak_random(soak, STREAM_EVENTS);
+	if (!server->plain)
+		exchange_stream(run->exchange, 200, headers, 3);
+	ev_timer_set(&run->timer, delay_s, server->plain ? 0. : delay_s);
+	ev_timer_start(soak->loop, &run->timer);
+}
+
+static void *on_request(void *context, exchange_t *exchange)
+{
+	run_t *run = mem_calloc(1, sizeof(*run));
+
+	run->server = context;
+	run->exchange = exchange;
+	ev_init(&run->timer, on_timer);
+	run->timer.data = run;
+	mem_strlcpy(run->id, header(exchange, "X-Request-Id"), sizeof(run->id));
+	return run;
+}
+
+static void on_complete(void *user)
+{
+	run_t *run = user;
+	server_t *server = run->server;
+
+	server->arrivals++;
+	if (strcmp(header(run->exchange, "X-Expect-Instance"), server->id) != 0)
+		refuse(run, 421);
+	else if (server->running >= SLOTS + QUEUE)
+		refuse(run, HTTP_FULL);
+	else
+		begin(run);
+}
+
+static void on_close(void *user, bool sent)
+{
+	run_t *run = user;
+
+	finish(run);
+	free(run);
+}
+
+void server_announce(server_t *server)
+{
+	char address[32];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+		 proxy_port(server->link));
+	store_write("servers", server->id,
+		    server->listed
+			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i}", "service",
+					server->plain ? "plain" : "model",
+					"address", address, "zone", "a",
+					"concurrencyLimit", SLOTS, "state",
+					server->draining ? "draining" : "ready",
+					"coldLeftMs", 0)
+			    : NULL);
+}
+
+void servers_start(soak_t *soak)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++) {
+		server_t *server = &soak->servers[i];
+		listener_conf_t conf = { .address = "127.0.0.1:0",
+					 .connections_max = 300 };
+		listener_handler_t handler = { .on_request = on_request,
+					       .on_complete = on_complete,
+					       .on_close = on_close,
+					       .context = server };
+
+		server->soak = soak;
+		server->plain = i >= SERVERS - PLAIN_SERVERS;
+		server->listed = true;
+		snprintf(server->id, sizeof(server->id), "s-%d", i);
+		server->listener =
+			listener_create(soak->loop, &conf, &handler, NULL);
+		server->link = proxy_create(soak->loop,
+					    listener_port(server->listener));
+		server_announce(server);
+	}
+}
+
+void servers_stop(soak_t *soak)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++) {
+		proxy_destroy(soak->servers[i].link);
+		listener_destroy(soak->servers[i].listener);
+	}
+}
--- /dev/null
+++ b/tests/soak/store.c
@@ -0,0 +1,300 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "base/clock.h"
+#include "base/mem.h"
+#include "base/units.h"
+#include "soak/soak.h"
+
+enum { CONNECTIONS_MAX = 200 };
+
+typedef struct object {
+	char kind[32], name[64];
+	int64_t revision;
+	json_t *spec; /* NULL: deleted */
+	struct object *next;
+} object_t;
+
+/* A call; a watch waits for a change. */
+typedef struct call {
+	exchange_t *exchange;
+	char *body;
+	size_t size;
+	bool waiting;
+	char kind[32];
+	int64_t since;
+	int64_t until_us;
+	struct call *prev, *next;
+} call_t;
+
+static struct {
+	struct ev_loop *loop;
+	listener_t *listener;
+	object_t *objects;
+	call_t *calls;
+	int64_t revision;
+	bool down;
+	ev_timer timer;
+} store = { .revision = 10 };
+
+static json_t *object_json(const object_t *object)
+{
+	return json_pack("{s:{s:s,s:I},s:O?}", "meta", "name", object->name,
+			 "revision", (json_int_t)object->revision, "spec",
+			 object->spec);
+}
+
+static void reply(call_t *call, int status, json_t *json)
+{
+	char *text = json ? json_dumps(json, JSON_COMPACT) : mem_strdup("{}");
+
+	call->waiting = false;
+	exchange_reply(call->exchange, status, NULL, 0, text, strlen(text));
+	free(text);
+	json_decref(json);
+}
+
+static json_t *changes(const char *kind, int64_t since)
+{
+	json_t *events = json_array();
+	const object_t *object, *next;
+
+	do {
+		next = NULL;
+		LL_FOREACH (store.objects, object)
+			if (!strcmp(object->kind, kind) &&
+			    object->revision > since &&
+			    (!next || object->revision < next->revision))
+				next = object;
+		if (!next)
+			break;
+		since = next->revision;
+		json_array_append_new(events, json_pack("{s:o,s:b}", "object",
+							object_json(next),
+							"deleted",
+							!next->spec));
+	} while (next);
+	return events;
+}
+
+static void answer_watch(call_t *call, bool over)
+{
+	json_t *events = changes(call->kind, call->since);
+
+	if (!json_array_size(events) && !over) {
+		json_decref(events);
+		return;
+	}
+	reply(call, 200,
+	      json_pack("{s:o,s:I}", "events", events, "storeRevision",
+			(json_int_t)store.revision));
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	int64_t now_us = clock_monotonic_us();
+	call_t *call, *next;
+
+	DL_FOREACH_SAFE (store.calls, call, next)
+		if (call->waiting && !store.down)
+			answer_watch(call, now_us > call->until_us);
+}
+
+static object_t *find(const char *kind, const char *name)
+{
+	object_t *object;
+
+	LL_FOREACH (store.objects, object)
+		if (!strcmp(object->kind, kind) && !strcmp(object->name, name))
+			return object;
+	return NULL;
+}
+
+void store_write(const char *kind, const char *name, json_t *spec)
+{
+	object_t *object = find(kind, name);
+
+	if (!object) {
+		object = mem_calloc(1, sizeof(*object));
+		mem_strlcpy(object->kind, kind, sizeof(object->kind));
+		mem_strlcpy(object->name, name, sizeof(object->name));
+		LL_PREPEND(store.objects, object);
+	}
+	json_decref(object->spec);
+	object->spec = spec;
+	object->revision = ++store.revision;
+}
+
+static void list(call_t *call, const char *kind)
+{
+	json_t *items = json_array();
+	const object_t *object;
+
+	LL_FOREACH (store.objects, object)
+		if (!strcmp(object->kind, kind) && object->spec)
+			json_array_append_new(items, object_json(object));
+	reply(call, 200,
+	      json_pack("{s:o,s:b,s:I}", "items", items, "morePages", 0,
+			"storeRevision", (json_int_t)store.revision));
+}
+
+static void create(call_t *call, const char *kind)
+{
+	json_t *body = json_loadb(call->body, call->size, 0, NULL);
+	const char *name = json_string_value(
+		json_object_get(json_object_get(body, "meta"), "name"));
+	object_t *object = name ? find(kind, name) : NULL;
+
+	if (!name) {
+		reply(call, 400, NULL);
+	} else if (object && object->spec) {
+		reply(call, 409, object_json(object));
+	} else {
+		store_write(kind, name,
+			    json_incref(json_object_get(body, "spec")));
+		reply(call, 200, object_json(find(kind, name)));
+	}
+	json_decref(body);
+}
+
+static int64_t argument(const char *query, const char *name, int64_t standard)
+{
+	const char *at = strstr(query, name);
+
+	return at ? strtoll(at + strlen(name), NULL, 10) : standard;
+}
+
+static void on_complete(void *user)
+{
+	call_t *call = user;
+	const char *path = exchange_path(call->exchange);
+	const char *query = exchange_query(call->exchange);
+	char kind[32] = "", name[64] = "";
+	object_t *object;
+
+	sscanf(path, "/objects/%31[^/]/%63s", kind, name);
+	if (store.down) {
+		call->waiting = false; /* never answered */
+	} else if (strstr(query, "watch=")) {
+		mem_strlcpy(call->kind, kind, sizeof(call->kind));
+		call->since = argument(query, "watch=", 0);
+		call->until_us = clock_monotonic_us() +
+				 argument(query, "waitMs=", 1000) * US_PER_MS;
+		call->waiting = true;
+		answer_watch(call, false);
+	} else if (!strcmp(exchange_method(call->exchange), "POST")) {
+		create(call, kind);
+	} else if (!*name) {
+		list(call, kind);
+	} else {
+		object = find(kind, name);
+		reply(call, object && object->spec ? 200 : 404,
+		      object && object->spec ? object_json(object) : NULL);
+	}
+}
+
+static void *on_request(void *context, exchange_t *exchange)
+{
+	call_t *call = mem_calloc(1, sizeof(*call));
+
+	call->exchange = exchange;
+	DL_APPEND(store.calls, call);
+	return call;
+}
+
+static void on_body(void *user, const void *data, size_t size)
+{
+	call_t *call = user;
+
+	call->body = mem_realloc(call->body, call->size + size, 1);
+	memcpy(call->body + call->size, data, size);
+	call->size += size;
+}
+
+static void on_close(void *user, bool sent)
+{
+	call_t *call = user;
+
+	DL_DELETE(store.calls, call);
+	free(call->body);
+	free(call);
+}
+
+void store_start(soak_t *soak)
+{
+	listener_conf_t conf = { .address = "127.0.0.1:0",
+				 .connections_max = CONNECTIONS_MAX };
+	listener_handler_t handler = { .on_request = on_request,
+				       .on_body = on_body,
+				       .on_complete = on_complete,
+				       .on_close = on_close };
+
+	store.loop = soak->loop;
+	store.listener = listener_create(soak->loop, &conf, &handler, NULL);
+	ev_timer_init(&store.timer, on_timer, 0.01, 0.01);
+	ev_timer_start(soak->loop, &store.timer);
+}
+
+int store_port(void)
+{
+	return listener_port(store.listener);
+}
+
+void store_set_down(bool down)
+{
+	store.down = down;
+}
+
+void store_stop(void)
+{
+	object_t *object, *next;
+
+	ev_timer_stop(store.loop, &store.timer);
+	listener_destroy(store.listener);
+	LL_FOREACH_SAFE (store.objects, object, next) {
+		json_decref(object->spec);
+		free(object);
+	}
+}
+
+static json_t *route(const char *path, const char *kind, const char *service)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:b,s:i}", "name",
+			 kind, "host", "soak", "pathPrefix", path, "kind", kind,
+			 "timeoutMs", DEADLINE_MS, "targetLatencyMs", 300,
+			 "attempts", 2, "service", service, "resumable", 1,
+			 "gapAimMs", 250);
+}
+
+static json_t *engine_json(void)
+{
+	return json_pack("{s:i,s:i,s:i,s:f,s:f,s:i,s:f,s:{s:i,s:i}}",
+			 "concurrencyLimit", 8, "kvCapacity", 400000, "stride",
+			 34, "step_ms", 1.0, "read_per_s", 150000.0, "chunk",
+			 2048, "pairs_per_m", 0.16, "usual", "prompt", 5000,
+			 "answer", 400);
+}
+
+void store_configure(soak_t *soak)
+{
+	json_t *keys = json_array(), *routes = json_array(), *spec;
+	char key[16];
+	int i;
+
+	for (i = 0; i < KEYS; i++) {
+		snprintf(key, sizeof(key), "key-%d", i);
+		if (!soak->key_revoked_us[i])
+			json_array_append_new(keys, json_string(key));
+	}
+	json_array_append_new(routes, route("/s/", "idempotent", "plain"));
+	json_array_append_new(routes, route("/o/", "non_idempotent", "plain"));
+	json_array_append_new(routes, route("/t/", "stream", "model"));
+	spec = json_pack("{s:I,s:o,s:[{s:s},{s:s,s:o}],s:[{s:s,s:o}]}",
+			 "version", (json_int_t)(soak->version += 3), "routes",
+			 routes, "services", "name", "plain", "name", "model",
+			 "engine", engine_json(), "tenants", "name", "acme",
+			 "keys", keys);
+	store_write("config", "main", spec);
+}
