--- a/src/base/log.c
+++ b/src/base/log.c
@@ -2,15 +2,24 @@
 
 #include <inttypes.h>
 #include <log4c.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/units.h"
 
-enum { FIELDS_SIZE_BYTES = 1024, LINE_SIZE_BYTES = 2560 };
+enum {
+	FIELDS_SIZE_BYTES = 1024,
+	LINE_SIZE_BYTES = 2560,
+	/* Three lines for each request of a node at 68 requests a second, and
+	 * as much again; beyond it lines are dropped and counted. */
+	LINES_PER_S = 400,
+	LINES_BURST = 2000
+};
 
 typedef struct {
 	event_t event;
@@ -33,11 +42,60 @@
 static log4c_category_t *category;
 static log_format_t line_format;
 
-static int append_to_stderr(log4c_appender_t *appender,
+/* Lines that may be written now, refilled with time. */
+static double lines_left = LINES_BURST;
+static int64_t refilled_us;
+static int64_t dropped;
+
+static bool take_line(void)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	lines_left +=
+		(double)(now_us - refilled_us) * LINES_PER_S / (double)US_PER_S;
+	refilled_us = now_us;
+	if (lines_left > LINES_BURST)
+		lines_left = LINES_BURST;
+	if (lines_left < 1)
+		return false;
+	lines_left--;
+	return true;
+}
+
+/* A pipe that reports room takes a line of this size without blocking. */
+static bool write_line(const char *line)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	char text[LINE_SIZE_BYTES + 1];
+	int size = snprintf(text, sizeof(text), "%s\n", line);
+
+	if (size >= (int)sizeof(text))
+		size = sizeof(text) - 1;
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) &&
+	       write(STDOUT_FILENO, text, (size_t)size) == size;
+}
+
+static int append_to_stdout(log4c_appender_t *appender,
 			    const log4c_logging_event_t *event)
 {
+	char note[128];
+
 	(void)appender;
-	return fprintf(stderr, "%s\n", event->evt_rendered_msg);
+	if (!take_line()) {
+		dropped++;
+		return 0;
+	}
+	if (dropped) {
+		snprintf(note, sizeof(note),
+			 "level=warn event=%d message=\"log lines dropped\" "
+			 "count=%" PRId64,
+			 (int)EVENT_LOG_DROPPED, dropped);
+		if (write_line(note))
+			dropped = 0;
+	}
+	if (!write_line(event->evt_rendered_msg))
+		dropped++;
+	return 0;
 }
 
 static const char *message_only(const log4c_layout_t *layout,
@@ -48,7 +106,7 @@
 }
 
 static const log4c_appender_type_t appender_type = {
-	.name = "chivestage_stderr", .append = append_to_stderr
+	.name = "chivestage_stdout", .append = append_to_stdout
 };
 
 static const log4c_layout_type_t layout_type = { .name = "chivestage_message",
@@ -87,6 +145,7 @@
 	log4c_category_set_appender(category, appender);
 	log4c_category_set_priority(category, priority_of(level));
 	line_format = format;
+	refilled_us = clock_monotonic_us();
 	return true;
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -22,7 +22,11 @@
 
 typedef enum { LOG_FORMAT_KEY_VALUE, LOG_FORMAT_JSON } log_format_t;
 
-/** Opens the log on standard error. Call once, before the first event. */
+/**
+ * Opens the log on standard output. Call once, before the first event. Writing
+ * never blocks: lines beyond a rate, or that nobody reads, are dropped and
+ * counted.
+ */
 bool log_open(log_level_t level, log_format_t format, err_t *err);
 
 /** Closes the log. */
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -77,8 +77,8 @@
 	whole = flight->record->path == 't' ? is_whole_stream(flight)
 					    : !strcmp(flight->body, expected);
 	if (!flight->sealed || !whole)
-		soak_violation(flight->soak, "MIXED %s: %s",
-			       flight->record->id, flight->body);
+		soak_violation(flight->soak, "MIXED %s: %s", flight->record->id,
+			       flight->body);
 }
 
 static void check_refusal(const flight_t *flight, int status)
@@ -96,8 +96,8 @@
 
 static void check_time(const flight_t *flight, client_end_t end)
 {
-	int64_t took_ms = (clock_monotonic_us() - flight->record->sent_us) /
-			  US_PER_MS;
+	int64_t took_ms =
+		(clock_monotonic_us() - flight->record->sent_us) / US_PER_MS;
 
 	if (took_ms > DEADLINE_MS + ANSWER_SLACK_MS &&
 	    flight->node->disturbed_us == flight->node_disturbed_us &&
@@ -179,8 +179,9 @@
 	request_record_t *record = new_record(soak);
 	flight_t *flight = mem_calloc(1, sizeof(*flight));
 	char url[96], id[64], key[64], deadline[48], tokens[48];
-	const char *headers[] = { "Host: soak", id, key, deadline, tokens,
-				  NULL };
+	const char *headers[] = {
+		"Host: soak", id, key, deadline, tokens, NULL
+	};
 	client_handler_t handler = { .on_header = on_header,
 				     .on_data = on_data,
 				     .on_end = on_end,
@@ -204,8 +205,7 @@
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/%c/x", node->port,
 		 record->path);
 	snprintf(id, sizeof(id), "X-Request-Id: %s", record->id);
-	snprintf(key, sizeof(key), "Authorization: Bearer key-%d",
-		 record->key);
+	snprintf(key, sizeof(key), "Authorization: Bearer key-%d", record->key);
 	snprintf(deadline, sizeof(deadline), "X-Deadline-Ms: %d", DEADLINE_MS);
 	snprintf(tokens, sizeof(tokens), "X-Token-Counts: %d,400",
 		 1000 + (int)soak_random(soak, 8000));
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -8,8 +8,12 @@
 #include "soak/soak.h"
 
 /* Faults begin at random times and last some seconds; several overlap. */
-enum { GAP_MIN_MS = 150, GAP_MAX_MS = 1500, LAST_MIN_MS = 500,
-       LAST_MAX_MS = 5000 };
+enum {
+	GAP_MIN_MS = 150,
+	GAP_MAX_MS = 1500,
+	LAST_MIN_MS = 500,
+	LAST_MAX_MS = 5000
+};
 
 typedef enum {
 	FAULT_KILL,
@@ -28,9 +32,9 @@
 } fault_type_t;
 
 static const char *const names[FAULT_COUNT] = {
-	"kill",	       "term",	       "pause",	       "hang-up",
-	"store-link",  "store-down",   "server-link",  "server-reset",
-	"server-fails", "server-leaves", "revoke",      "configure",
+	"kill",		"term",		 "pause",	"hang-up",
+	"store-link",	"store-down",	 "server-link", "server-reset",
+	"server-fails", "server-leaves", "revoke",	"configure",
 };
 
 /** A fault that ends. */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -95,10 +95,9 @@
 	printf("seed %llu: %d sent, %d complete, %d refused, %d failed, "
 	       "%d cut; after faults %d of %d complete; %d violations\n",
 	       (unsigned long long)seed, (int)counts->sent,
-	       (int)counts->complete, (int)counts->refused,
-	       (int)counts->failed, (int)counts->cut,
-	       (int)counts->calm_complete, (int)counts->calm_sent,
-	       soak->violations);
+	       (int)counts->complete, (int)counts->refused, (int)counts->failed,
+	       (int)counts->cut, (int)counts->calm_complete,
+	       (int)counts->calm_sent, soak->violations);
 	return soak->violations || !counts->complete ? EXIT_FAILURE
 						     : EXIT_SUCCESS;
 }
@@ -137,8 +136,7 @@
 	struct poptOption options[] = {
 		{ "seed", 0, POPT_ARG_LONGLONG, &seed, 0, "of the faults",
 		  "N" },
-		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "with faults",
-		  "S" },
+		{ "seconds", 0, POPT_ARG_INT, &seconds, 0, "with faults", "S" },
 		{ "nodes", 0, POPT_ARG_INT, &soak.node_count, 0,
 		  "daemons, at most 8", "N" },
 		{ "rate", 0, POPT_ARG_DOUBLE, &soak.rate_per_s, 0,
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -1,8 +1,10 @@
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,9 +13,43 @@
 #include "base/units.h"
 #include "soak/soak.h"
 
-enum { PORTS_FROM = 21000, PORTS_PER_NODE = 4, PROBE_MS = 1000, MISSES = 2 };
+enum {
+	/* Below the range that the kernel uses for outgoing connections. */
+	PORTS_FROM = 12000,
+	PORTS_TO = 30000,
+	PORTS_STEP = 97, /* soaks that run at once start apart */
+	PROBE_MS = 1000,
+	MISSES = 2
+};
 #define RESTART_S 0.3
 
+static bool is_free(int port, int type)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	bool bound;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
+	bound = !bind(fd, (struct sockaddr *)&address, sizeof(address));
+	close(fd);
+	return bound;
+}
+
+static int free_port(void)
+{
+	static int port;
+
+	if (!port)
+		port = PORTS_FROM +
+		       (int)getpid() * PORTS_STEP % (PORTS_TO - PORTS_FROM);
+	do {
+		if (++port >= PORTS_TO)
+			port = PORTS_FROM;
+	} while (!is_free(port, SOCK_STREAM) || !is_free(port, SOCK_DGRAM));
+	return port;
+}
+
 static void write_settings(node_t *node)
 {
 	FILE *file = fopen(node->settings, "we");
@@ -107,8 +143,7 @@
 bool node_in_touch(const node_t *node)
 {
 	return node->pid && !node->paused && !node->stopping &&
-	       clock_monotonic_us() - node->disturbed_us >
-		       CALM_MS * US_PER_MS;
+	       clock_monotonic_us() - node->disturbed_us > CALM_MS * US_PER_MS;
 }
 
 /* The load balancer of the platform: two misses take a node out. */
@@ -145,8 +180,6 @@
 
 void nodes_start(soak_t *soak)
 {
-	int base = PORTS_FROM + (int)(getpid() % 1000) * NODES_MAX *
-					PORTS_PER_NODE;
 	int i;
 
 	for (i = 0; i < soak->node_count; i++) {
@@ -154,9 +187,9 @@
 
 		node->soak = soak;
 		snprintf(node->name, sizeof(node->name), "n%d", i);
-		node->port = base + i * PORTS_PER_NODE;
-		node->ready_port = node->port + 1;
-		node->peer_port = node->port + 2;
+		node->port = free_port();
+		node->ready_port = free_port();
+		node->peer_port = free_port();
 		node->store_link = proxy_create(soak->loop, store_port());
 		snprintf(node->settings, sizeof(node->settings), "%s/%s.conf",
 			 soak->directory, node->name);
@@ -165,8 +198,8 @@
 		node->restart.data = node;
 		start(node);
 	}
-	ev_timer_init(&soak->probe_timer, on_probe,
-		      (double)PROBE_MS / MS_PER_S, (double)PROBE_MS / MS_PER_S);
+	ev_timer_init(&soak->probe_timer, on_probe, (double)PROBE_MS / MS_PER_S,
+		      (double)PROBE_MS / MS_PER_S);
 	soak->probe_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->probe_timer);
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -74,8 +74,8 @@
 	size_t sent = 0;
 
 	while (sent < flow->size) {
-		ssize_t count = write(flow->to, flow->data + sent,
-				      flow->size - sent);
+		ssize_t count =
+			write(flow->to, flow->data + sent, flow->size - sent);
 
 		if (count <= 0)
 			return false;
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -112,8 +112,8 @@
 		soak_violation(soak, "UNASKED %s with the wrong account",
 			       run->id);
 	if (record->key >= 0 && soak->key_revoked_us[record->key] &&
-	    record->sent_us > soak->key_revoked_us[record->key] +
-				      REVOKE_MS * US_PER_MS)
+	    record->sent_us >
+		    soak->key_revoked_us[record->key] + REVOKE_MS * US_PER_MS)
 		soak_violation(soak, "CONFIG %s ran with a removed key",
 			       run->id);
 	if (run->server->draining &&
@@ -125,10 +125,10 @@
 		for (i = 0; i < soak->node_count; i++)
 			if (!node_in_touch(&soak->nodes[i]))
 				return;
-		soak_violation(soak, "DRAIN %s at %s %d ms after it left",
-			       run->id, run->server->id,
-			       (int)((now_us - run->server->draining_us) /
-				     US_PER_MS));
+		soak_violation(
+			soak, "DRAIN %s at %s %d ms after it left", run->id,
+			run->server->id,
+			(int)((now_us - run->server->draining_us) / US_PER_MS));
 	}
 }
 
@@ -155,11 +155,10 @@
 	check_run(run);
 	if (soak_chance(soak, server->fail_share))
 		run->outcome = soak_chance(soak, 0.5) ? BREAK_OFF : LOSE;
-	run->next_event =
-		atoi(header(run->exchange, "Last-Event-Id")) + 1;
+	run->next_event = atoi(header(run->exchange, "Last-Event-Id")) + 1;
 	if (run->outcome != COMPLETE)
-		run->break_at = run->next_event +
-				(int)soak_random(soak, STREAM_EVENTS);
+		run->break_at =
+			run->next_event + (int)soak_random(soak, STREAM_EVENTS);
 	if (!server->plain)
 		exchange_stream(run->exchange, 200, headers, 3);
 	ev_timer_set(&run->timer, delay_s, server->plain ? 0. : delay_s);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -77,7 +77,7 @@
 /** One request of a caller, for the checks. */
 typedef struct {
 	char id[24];
-	char path;  /* s: safe, o: once, t: stream */
+	char path; /* s: safe, o: once, t: stream */
 	int key; /* index, or -1 */
 	int64_t sent_us;
 	int32_t runs;
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -71,10 +71,10 @@
 		if (!next)
 			break;
 		since = next->revision;
-		json_array_append_new(events, json_pack("{s:o,s:b}", "object",
-							object_json(next),
-							"deleted",
-							!next->spec));
+		json_array_append_new(events,
+				      json_pack("{s:o,s:b}", "object",
+						object_json(next), "deleted",
+						!next->spec));
 	} while (next);
 	return events;
 }
