Follow other nodes only while each view is fresh

Only the age of the configuration was checked, and a watch of servers may hang for 4 s. Ruled out: lost datagrams (news repeat a change for 3 s). Change: each view has its own bound; a node goes on without a watch while the view's age is under 0.6 of it, and who is followed watches for 0.3 of it. Data centres of fewer than ten nodes watch as before.

--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -13,8 +13,12 @@
 /* A node watches itself when it has heard no news for this long: several
  * announcements of a large fleet. */
 #define NEWS_SILENT_US (1300 * US_PER_MS)
-/* Part of the bound for removed keys after which a node watches itself. */
-#define NEWS_AGE_SHARE 0.55
+/* Fewer nodes in a data centre cost the platform less when each watches with
+ * long calls than when two watch with short ones. */
+enum { NODES_MIN = 10 };
+/* Part of the bound for the configuration that a node waits for further
+ * versions before it fetches one. */
+#define FETCH_DELAY_SHARE 0.2
 /* Bytes of a datagram that changes may take. */
 enum { CHANGES_SIZE_MAX_BYTES = 1000 };
 /* Says that a part of the changes confirms nothing. */
@@ -34,15 +38,43 @@
 				       clock_monotonic_us()) < WATCHERS;
 }
 
-bool gateway_follows(const gateway_t *gateway)
+static bool are_many(const gateway_t *gateway)
 {
-	int64_t age_us = clock_boot_us() - gateway->views[0].confirmed_boot_us;
-	double age_max_us = (double)gateway->settings.key_revoke_ms *
-			    US_PER_MS * NEWS_AGE_SHARE;
+	return work_share_live(gateway->share, gateway->settings.data_centre,
+			       clock_monotonic_us()) +
+		       1 >=
+	       NODES_MIN;
+}
+
+bool gateway_is_followed(const gateway_t *gateway)
+{
+	return are_many(gateway) && is_watcher(gateway);
+}
+
+int64_t gateway_bound_us(const view_t *view)
+{
+	const node_settings_t *settings = &view->gateway->settings;
+
+	switch (view->kind) {
+	case PLATFORM_ROUTING:
+		return settings->config_apply_ms * US_PER_MS;
+	case PLATFORM_SERVERS:
+		return settings->drain_ms * US_PER_MS;
+	case PLATFORM_EVACUATIONS:
+	default:
+		return settings->evacuate_ms * US_PER_MS;
+	}
+}
+
+bool gateway_follows(const view_t *view)
+{
+	const gateway_t *gateway = view->gateway;
 
 	return gateway->news_us &&
 	       clock_monotonic_us() - gateway->news_us < NEWS_SILENT_US &&
-	       (double)age_us < age_max_us && !is_watcher(gateway);
+	       news_is_fresh(clock_boot_us() - view->confirmed_boot_us,
+			     gateway_bound_us(view)) &&
+	       are_many(gateway) && !is_watcher(gateway);
 }
 
 void gateway_log_change(view_t *view, const platform_object_t *object,
@@ -130,7 +162,7 @@
 		if (!gateway->views[i].listed || gateway->views[i].following ||
 		    gateway->views[i].failures)
 			return false;
-	return is_watcher(gateway);
+	return gateway_is_followed(gateway);
 }
 
 void gateway_send_news(gateway_t *gateway)
@@ -174,6 +206,17 @@
 	news_log_reset(view->log, view->position);
 }
 
+/* Versions that follow each other are fetched once, and not by all nodes at the
+ * same moment. */
+static int64_t fetch_delay_ms(const view_t *view)
+{
+	int64_t most_ms = (int64_t)((double)gateway_bound_us(view) / US_PER_MS *
+				    FETCH_DELAY_SHARE);
+
+	return most_ms / 2 + (int64_t)(gateway_random(view->gateway) %
+				       (uint64_t)(most_ms / 2 + 1));
+}
+
 static void receive_view(gateway_t *gateway, view_t *view, const news_t *news,
 			 const news_view_t *received)
 {
@@ -185,7 +228,7 @@
 		return;
 	if (view->kind == PLATFORM_ROUTING) {
 		if (received->version > version) {
-			gateway_relist(view);
+			gateway_relist(view, fetch_delay_ms(view));
 			return;
 		}
 	} else {
@@ -196,7 +239,7 @@
 			apply_changes(view, received);
 			break;
 		case NEWS_GAP:
-			gateway_relist(view);
+			gateway_relist(view, 0);
 			return;
 		}
 	}
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -32,6 +32,7 @@
 	int64_t revision; /**< of the store, where the next watch goes on */
 	news_position_t position; /**< to which the view is complete */
 	int64_t called_boot_us; /**< start of the last call */
+	int64_t wait_ms; /**< of the last watch */
 	int64_t confirmed_boot_us; /**< the view was complete then; 0: never */
 	int32_t failures; /**< in a row */
 	int64_t returned_us; /**< first answer after the last failures */
@@ -111,14 +112,18 @@
 /** Applies one object of a view. @param keep_until_us see backends_remove() */
 void gateway_apply(view_t *view, const platform_object_t *object,
 		   int64_t keep_until_us);
-/** Reads the objects of a view anew, soon. */
-void gateway_relist(view_t *view);
+/** Reads the objects of a view anew, after a pause. */
+void gateway_relist(view_t *view, int64_t delay_ms);
 /** The view was complete at this time. */
 void gateway_confirm(view_t *view, int64_t boot_us);
 
 /* gateway_follow.c */
-/** Whether other nodes of the data centre watch the platform for this one. */
-bool gateway_follows(const gateway_t *gateway);
+/** Whether other nodes of the data centre watch a kind for this one. */
+bool gateway_follows(const view_t *view);
+/** Whether this node watches for others. */
+bool gateway_is_followed(const gateway_t *gateway);
+/** Within this time a change of the kind must be in force. */
+int64_t gateway_bound_us(const view_t *view);
 /** Tells the nodes that follow. */
 void gateway_send_news(gateway_t *gateway);
 void gateway_receive_news(gateway_t *gateway, const news_t *news);
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -37,6 +37,8 @@
 
 static int64_t wait_ms(const view_t *view)
 {
+	if (gateway_is_followed(view->gateway))
+		return news_watch_us(gateway_bound_us(view)) / US_PER_MS;
 	switch (view->kind) {
 	case PLATFORM_ROUTING:
 		return (int64_t)((double)view->gateway->settings.key_revoke_ms *
@@ -187,17 +189,17 @@
 	int64_t at_us = view->called_boot_us;
 
 	if (quiet)
-		at_us += wait_ms(view) * US_PER_MS;
+		at_us += view->wait_ms * US_PER_MS;
 	gateway_confirm(view,
 			at_us > clock_boot_us() ? view->called_boot_us : at_us);
 }
 
-void gateway_relist(view_t *view)
+void gateway_relist(view_t *view, int64_t delay_ms)
 {
 	view->listed = false;
 	*view->after = '\0';
 	if (!view->calling)
-		schedule(view, 0);
+		schedule(view, delay_ms);
 }
 
 static void on_answer_failed(view_t *view, platform_status_t status)
@@ -277,16 +279,17 @@
 
 	if (view->calling)
 		return;
-	view->following = view->listed && gateway_follows(view->gateway);
+	view->following = view->listed && gateway_follows(view);
 	if (view->following) {
 		schedule(view, FOLLOW_CHECK_MS);
 		return;
 	}
 	view->calling = true;
 	view->called_boot_us = clock_boot_us();
+	view->wait_ms = wait_ms(view);
 	if (view->listed)
 		platform_watch_kind(platform, view->kind, view->revision,
-				    wait_ms(view), on_page, view);
+				    view->wait_ms, on_page, view);
 	else
 		platform_list(platform, view->kind, view->after, false, on_page,
 			      view);
--- a/src/process/news.c
+++ b/src/process/news.c
@@ -115,6 +115,23 @@
 	return own >= view->from ? NEWS_CHANGES : NEWS_GAP;
 }
 
+/*
+ * A watch and two announcements fit into the age of a fresh view; the rest of
+ * the bound is for a watch of the node's own when the view is not fresh.
+ */
+#define FRESH_SHARE 0.6
+#define WATCH_SHARE 0.3
+
+bool news_is_fresh(int64_t age_us, int64_t bound_us)
+{
+	return (double)age_us < (double)bound_us * FRESH_SHARE;
+}
+
+int64_t news_watch_us(int64_t bound_us)
+{
+	return (int64_t)((double)bound_us * WATCH_SHARE);
+}
+
 int64_t news_confirmed_boot_us(const news_t *news, const news_view_t *view,
 			       int64_t now_boot_us)
 {
--- a/src/process/news.h
+++ b/src/process/news.h
@@ -91,6 +91,16 @@
 /** Compares a view with the position that the receiver has. */
 news_result_t news_compare(const news_view_t *view, news_position_t own);
 
+/**
+ * Whether a view that others watch is fresh enough to go on without a watch.
+ * @param age_us   since it was complete
+ * @param bound_us within which a change must be in force
+ */
+bool news_is_fresh(int64_t age_us, int64_t bound_us);
+
+/** @return the longest watch of a node that others follow. */
+int64_t news_watch_us(int64_t bound_us);
+
 /** @return when the view was complete, on the receiver's clock. */
 int64_t news_confirmed_boot_us(const news_t *news, const news_view_t *view,
 			       int64_t now_boot_us);
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -29,6 +29,11 @@
 	int32_t platform_reads_per_s; /**< of all nodes together */
 
 	int64_t stop_ms; /**< from SIGTERM until the process is killed */
+	/* Within these times of the store's acknowledgement a change is in
+	 * force. */
+	int64_t config_apply_ms; /**< the routing configuration */
+	int64_t drain_ms; /**< a server that leaves */
+	int64_t evacuate_ms; /**< a data centre out of service */
 	int64_t key_revoke_ms; /**< until a removed key must be refused */
 	bool keys_expire; /**< refuse keys that cannot be confirmed in time */
 
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -206,6 +206,18 @@
 	return count;
 }
 
+size_t work_share_live(const work_share_t *share, const char *data_centre,
+		       int64_t now_us)
+{
+	const node_t *node;
+	size_t count = 0;
+
+	LL_FOREACH (share->nodes, node)
+		count += is_live(node, now_us) &&
+			 !strcmp(node->data_centre, data_centre);
+	return count;
+}
+
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
 		      int64_t *sent_boot_us, int64_t *received_boot_us)
 {
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -69,6 +69,9 @@
 size_t work_share_sound_before(const work_share_t *share,
 			       const char *data_centre, uint64_t node,
 			       int64_t now_us);
+/** @return live nodes of a data centre. */
+size_t work_share_live(const work_share_t *share, const char *data_centre,
+		       int64_t now_us);
 /** When the last announcement of a node was sent, on its clock, and received.
  * @return false if the node is not live */
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -182,6 +182,33 @@
 	}
 }
 
+/*
+ * Guards against a node that goes on with a view that nobody watches: a change
+ * must be in force within the bound, with a watch of the node's own in it.
+ */
+static void tells_fresh_views(void **state)
+{
+	static const struct {
+		int64_t age_ms, bound_ms;
+		bool fresh;
+	} cases[] = {
+		{ 0, 3000, true },     { 1700, 3000, true },
+		{ 1900, 3000, false }, { 3399, 3000, false },
+		{ 1300, 2000, false }, { 1100, 2000, true },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		int64_t bound_us = MS(cases[i].bound_ms);
+
+		assert_int_equal(news_is_fresh(MS(cases[i].age_ms), bound_us),
+				 cases[i].fresh);
+		/* The age of a view just before its next confirmation. */
+		assert_true(news_is_fresh(news_watch_us(bound_us) * 3 / 2,
+					  bound_us));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -190,6 +217,7 @@
 		cmocka_unit_test(compares_revisions),
 		cmocka_unit_test(splits_changes),
 		cmocka_unit_test(dates_views),
+		cmocka_unit_test(tells_fresh_views),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
