--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -16,6 +16,9 @@
 /* Fewer nodes in a data centre cost the platform less when each watches with
  * long calls than when two watch with short ones. */
 enum { NODES_MIN = 10 };
+/* Changes wait this long for further ones, so that each follower gets few
+ * datagrams. */
+#define NEWS_PAUSE_S 0.05
 /* Part of the bound for the configuration that a node waits for further
  * versions before it fetches one. */
 #define FETCH_DELAY_SHARE 0.2
@@ -180,6 +183,20 @@
 			send_news_to(gateway, &gateway->peers[i]);
 }
 
+static void on_news(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_send_news(timer->data);
+}
+
+void gateway_news_due(gateway_t *gateway)
+{
+	if (ev_is_active(&gateway->news) || !gateway_is_followed(gateway))
+		return;
+	ev_timer_init(&gateway->news, on_news, NEWS_PAUSE_S, 0.);
+	gateway->news.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->news);
+}
+
 static void apply_changes(view_t *view, const news_view_t *news)
 {
 	int64_t now_us = clock_monotonic_us();
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -285,6 +285,7 @@
 {
 	ev_timer_stop(gateway->loop, &gateway->announce);
 	ev_timer_stop(gateway->loop, &gateway->registry);
+	ev_timer_stop(gateway->loop, &gateway->news);
 	datagram_destroy(gateway->datagram);
 	work_share_destroy(gateway->share);
 	free(gateway->peers);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -90,6 +90,7 @@
 	bool announce_due; /**< the work changed since the last announcement */
 	int64_t announced_us;
 	uint64_t incarnation, sequence;
+	ev_timer news; /**< sends changes to the nodes that follow */
 	int64_t news_us; /**< when news were last received; 0: never */
 	bool registered; /**< the own entry in the list of nodes is there */
 	int32_t registry_reads;
@@ -124,8 +125,10 @@
 bool gateway_is_followed(const gateway_t *gateway);
 /** Within this time a change of the kind must be in force. */
 int64_t gateway_bound_us(const view_t *view);
-/** Tells the nodes that follow. */
+/** Tells the nodes that follow, now. */
 void gateway_send_news(gateway_t *gateway);
+/** There are changes to tell, soon. */
+void gateway_news_due(gateway_t *gateway);
 void gateway_receive_news(gateway_t *gateway, const news_t *news);
 /** Notes an object that a watch returned, for the nodes that follow. */
 void gateway_log_change(view_t *view, const platform_object_t *object,
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -21,6 +21,10 @@
  * centre that is taken out of service. */
 enum { SERVERS_WAIT_MS = 3000, EVACUATIONS_WAIT_MS = 4000 };
 
+/* Pause after an answer with changes: changes often come in groups, and each
+ * call is priced. */
+enum { COLLECT_MS = 120 };
+
 /* How often a node that follows checks whether it must watch itself. */
 enum { FOLLOW_CHECK_MS = 200 };
 
@@ -261,7 +265,7 @@
 			news_log_reset(view->log, view->position);
 		confirm_answer(view, !page->count);
 		if (page->count)
-			gateway_work_changed(view->gateway, true);
+			gateway_news_due(view->gateway);
 	} else {
 		strcpy(view->after, page->next);
 		if (!*page->next) {
@@ -269,7 +273,7 @@
 			confirm_answer(view, false);
 		}
 	}
-	schedule(view, 0);
+	schedule(view, view->listed && page->count ? COLLECT_MS : 0);
 }
 
 static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
