--- a/src/process/main.c
+++ b/src/process/main.c
@@ -302,6 +302,10 @@
 	options_t options = { 0 };
 	int status;
 
+	/* The platform sends it for changed settings, also during the start;
+	 * what is read then is the changed file. */
+	signal(SIGHUP, SIG_IGN);
+
 	if (!read_options(argc, argv, &options)) {
 		free(options.settings);
 		return EXIT_USAGE;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -15,6 +15,8 @@
 	LAST_MAX_MS = 5000
 };
 
+#define START_US (200 * US_PER_MS)
+
 typedef enum {
 	FAULT_KILL,
 	FAULT_TERM,
@@ -144,6 +146,9 @@
 		node_signal(node, SIGSTOP);
 		return true;
 	case FAULT_HANG_UP:
+		/* Before main() nothing can catch it. */
+		if (clock_monotonic_us() - node->started_us < START_US)
+			return false;
 		node_signal(node, SIGHUP);
 		return true;
 	case FAULT_STORE_LINK:
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -53,6 +53,7 @@
 	pid_t pid; /* 0: not running */
 	bool paused, stopping, ready;
 	int32_t misses; /* readiness probes in a row without a 200 */
+	int64_t started_us;
 	int64_t disturbed_us; /* last fault of the process or of its links */
 	int port, ready_port, peer_port;
 	proxy_t *store_link;
