--- a/src/base/log.c
+++ b/src/base/log.c
@@ -42,76 +42,6 @@
 static log4c_category_t *category;
 static log_format_t line_format;
 
-/* Lines that may be written now, refilled with time. */
-static double lines_left = LINES_BURST;
-static int64_t refilled_us;
-static int64_t dropped;
-
-static bool take_line(void)
-{
-	int64_t now_us = clock_monotonic_us();
-
-	lines_left +=
-		(double)(now_us - refilled_us) * LINES_PER_S / (double)US_PER_S;
-	refilled_us = now_us;
-	if (lines_left > LINES_BURST)
-		lines_left = LINES_BURST;
-	if (lines_left < 1)
-		return false;
-	lines_left--;
-	return true;
-}
-
-/* A pipe that reports room takes a line of this size without blocking. */
-static bool write_line(const char *line)
-{
-	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
-	char text[LINE_SIZE_BYTES + 1];
-	int size = snprintf(text, sizeof(text), "%s\n", line);
-
-	if (size >= (int)sizeof(text))
-		size = sizeof(text) - 1;
-	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) &&
-	       write(STDOUT_FILENO, text, (size_t)size) == size;
-}
-
-static int append_to_stdout(log4c_appender_t *appender,
-			    const log4c_logging_event_t *event)
-{
-	char note[128];
-
-	(void)appender;
-	if (!take_line()) {
-		dropped++;
-		return 0;
-	}
-	if (dropped) {
-		snprintf(note, sizeof(note),
-			 "level=warn event=%d message=\"log lines dropped\" "
-			 "count=%" PRId64,
-			 (int)EVENT_LOG_DROPPED, dropped);
-		if (write_line(note))
-			dropped = 0;
-	}
-	if (!write_line(event->evt_rendered_msg))
-		dropped++;
-	return 0;
-}
-
-static const char *message_only(const log4c_layout_t *layout,
-				const log4c_logging_event_t *event)
-{
-	(void)layout;
-	return event->evt_msg;
-}
-
-static const log4c_appender_type_t appender_type = {
-	.name = "chivestage_stdout", .append = append_to_stdout
-};
-
-static const log4c_layout_type_t layout_type = { .name = "chivestage_message",
-						 .format = message_only };
-
 static int priority_of(log_level_t level)
 {
 	switch (level) {
@@ -127,35 +57,6 @@
 	return LOG4C_PRIORITY_ERROR;
 }
 
-bool log_open(log_level_t level, log_format_t format, err_t *err)
-{
-	log4c_appender_t *appender;
-	log4c_layout_t *layout;
-
-	log4c_appender_type_set(&appender_type);
-	log4c_layout_type_set(&layout_type);
-	category = log4c_category_get("chivestage");
-	appender = log4c_appender_get("chivestage");
-	layout = log4c_layout_get("chivestage");
-	if (!category || !appender || !layout)
-		return err_set(err, ERR_LAYER_BASE, 0, "log4c: cannot open");
-	log4c_layout_set_type(layout, &layout_type);
-	log4c_appender_set_type(appender, &appender_type);
-	log4c_appender_set_layout(appender, layout);
-	log4c_category_set_appender(category, appender);
-	log4c_category_set_priority(category, priority_of(level));
-	line_format = format;
-	refilled_us = clock_monotonic_us();
-	return true;
-}
-
-void log_close(void)
-{
-	pthread_mutex_lock(&lock);
-	category = NULL;
-	pthread_mutex_unlock(&lock);
-}
-
 static const event_info_t *find(event_t event)
 {
 	size_t i;
@@ -251,6 +152,107 @@
 	append_fields(line + length, line + LINE_SIZE_BYTES, fields);
 }
 
+/* Lines that may be written now, refilled with time. */
+static double lines_left = LINES_BURST;
+static int64_t refilled_us;
+static int64_t dropped;
+
+static bool take_line(void)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	lines_left +=
+		(double)(now_us - refilled_us) * LINES_PER_S / (double)US_PER_S;
+	refilled_us = now_us;
+	if (lines_left > LINES_BURST)
+		lines_left = LINES_BURST;
+	if (lines_left < 1)
+		return false;
+	lines_left--;
+	return true;
+}
+
+/* A pipe that reports room takes a line of this size without blocking. */
+static bool write_line(const char *line)
+{
+	struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+	char text[LINE_SIZE_BYTES + 1];
+	int size = snprintf(text, sizeof(text), "%s\n", line);
+
+	if (size >= (int)sizeof(text))
+		size = sizeof(text) - 1;
+	return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) &&
+	       write(STDOUT_FILENO, text, (size_t)size) == size;
+}
+
+static void note_dropped(void)
+{
+	char fields[32], line[LINE_SIZE_BYTES];
+
+	snprintf(fields, sizeof(fields), "count=%" PRId64, dropped);
+	format_line(line, find(EVENT_LOG_DROPPED), fields);
+	if (write_line(line))
+		dropped = 0;
+}
+
+static int append_to_stdout(log4c_appender_t *appender,
+			    const log4c_logging_event_t *event)
+{
+	(void)appender;
+	if (!take_line()) {
+		dropped++;
+		return 0;
+	}
+	if (dropped)
+		note_dropped();
+	if (!write_line(event->evt_rendered_msg))
+		dropped++;
+	return 0;
+}
+
+static const char *message_only(const log4c_layout_t *layout,
+				const log4c_logging_event_t *event)
+{
+	(void)layout;
+	return event->evt_msg;
+}
+
+static const log4c_appender_type_t appender_type = {
+	.name = "chivestage_stdout", .append = append_to_stdout
+};
+
+static const log4c_layout_type_t layout_type = { .name = "chivestage_message",
+						 .format = message_only };
+
+bool log_open(log_level_t level, log_format_t format, err_t *err)
+{
+	log4c_appender_t *appender;
+	log4c_layout_t *layout;
+
+	log4c_appender_type_set(&appender_type);
+	log4c_layout_type_set(&layout_type);
+	category = log4c_category_get("chivestage");
+	appender = log4c_appender_get("chivestage");
+	layout = log4c_layout_get("chivestage");
+	if (!category || !appender || !layout)
+		return err_set(err, ERR_LAYER_BASE, 0, "log4c: cannot open");
+	log4c_layout_set_type(layout, &layout_type);
+	log4c_appender_set_type(appender, &appender_type);
+	log4c_appender_set_layout(appender, layout);
+	log4c_category_set_appender(category, appender);
+	log4c_category_set_priority(category, priority_of(level));
+	line_format = format;
+	refilled_us = clock_monotonic_us();
+	return true;
+}
+
+void log_close(void)
+{
+	pthread_mutex_lock(&lock);
+	category = NULL;
+	pthread_mutex_unlock(&lock);
+}
+
 void log_event(event_t event, const char *format, ...)
 {
 	const event_info_t *info = find(event);
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -10,8 +10,11 @@
 enum {
 	HTTP_BAD_GATEWAY = 502,
 	HTTP_GATEWAY_TIMEOUT = 504,
-	/* When servers are expected back that none can be found of now. */
+	/* When servers are expected back that none can be found of now, if the
+	 * caller has the time. */
 	NO_SERVER_RETRY_MS = 1000,
+	/* Part of the time left after which a caller can still be served. */
+	RETRY_TIME_DIVISOR = 4,
 	/* The whole fleet is busy: shortest useful pause. */
 	BUSY_RETRY_MS = 250,
 	/* Rounds of leases on other servers before a request is refused. */
@@ -106,6 +109,17 @@
 	return placement_choose(*candidates, count, &query, placement);
 }
 
+/* A caller that comes back after its time is not served at all. */
+static int64_t no_server_retry_ms(const forward_t *forward)
+{
+	int64_t left_ms = (forward->limit_us - clock_monotonic_us()) /
+			  US_PER_MS / RETRY_TIME_DIVISOR;
+
+	if (left_ms < BUSY_RETRY_MS / RETRY_TIME_DIVISOR)
+		left_ms = BUSY_RETRY_MS / RETRY_TIME_DIVISOR;
+	return left_ms < NO_SERVER_RETRY_MS ? left_ms : NO_SERVER_RETRY_MS;
+}
+
 static void wait_or_refuse(forward_t *forward)
 {
 	int64_t target_us = forward->route->target_ms * US_PER_MS;
@@ -121,7 +135,8 @@
 	if (forward->runs || forward->head_sent)
 		forward_fail(forward, HTTP_BAD_GATEWAY, "no_server_left");
 	else
-		forward_refuse(forward, "no_server", NO_SERVER_RETRY_MS);
+		forward_refuse(forward, "no_server",
+			       no_server_retry_ms(forward));
 }
 
 static bool take_cold(const forward_t *forward)
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -4,6 +4,7 @@
  */
 #include <curl/curl.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "cases.h"
@@ -225,6 +226,26 @@
 	}
 }
 
+/* Guards against a caller that is told to come back after its time. */
+static void refuses_with_a_useful_time(void **state)
+{
+	gateway_fixture_t fixture;
+	reply_t reply;
+	const char *after;
+
+	start(&fixture);
+	fixture.acts[0] = fixture.acts[1] = NOT_RUN;
+	gateway_fixture_call(&fixture, &reply, "POST", "/once/x", with_key,
+			     "body");
+	assert_true(gateway_fixture_wait(&fixture, &reply, 1000));
+	assert_int_equal(reply.status, 503);
+	after = strstr(reply.headers, "Retry-After: ");
+	assert_non_null(after);
+	/* The time limit is 1.4 s. */
+	assert_true(strtod(after + strlen("Retry-After: "), NULL) < 0.4);
+	gateway_fixture_stop(&fixture);
+}
+
 /* Guards against headers that tell a server too much, or too little. */
 static void sends_headers(void **state)
 {
@@ -437,6 +458,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(answers),
+		cmocka_unit_test(refuses_with_a_useful_time),
 		cmocka_unit_test(sends_headers),
 		cmocka_unit_test(checks_keys),
 		cmocka_unit_test(starts_without_configuration),
