Remove what the gateway does not use; follow the platform's retry window

Fields of settings, replies and engine profiles that nothing reads are gone. The budget of second sends is scaled to the platform's window, and leases stay under its longest one, for deployments with other figures.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -167,11 +167,6 @@
 	backends->nodes = nodes > 0 ? nodes : 1;
 }
 
-size_t backends_count(const backends_t *backends)
-{
-	return HASH_COUNT(backends->servers);
-}
-
 backend_t *backends_next(backends_t *backends, const backend_t *server)
 {
 	return server ? server->hh.next : backends->servers;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -81,7 +81,6 @@
 /** Number of nodes that share the limits of cold servers. */
 void backends_set_nodes(backends_t *backends, int32_t nodes);
 
-size_t backends_count(const backends_t *backends);
 /** Walks over the table: NULL gives the first server, and ends the walk. */
 backend_t *backends_next(backends_t *backends, const backend_t *server);
 backend_t *backends_find(backends_t *backends, const char *id);
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -72,10 +72,18 @@
 bool gateway_take_retry(gateway_t *gateway, const char *service)
 {
 	const node_settings_t *settings = &gateway->settings;
+	/* The platform's window in units of that of the budget. */
+	double window = (double)settings->retry_window_ms /
+			(double)(RETRY_WINDOW_S * MS_PER_S);
 	double percent = settings->retry_ratio * PERCENT * RETRY_BUDGET_SHARE;
 	double floor = settings->retry_slack * RETRY_BUDGET_SHARE /
 		       (gateway->nodes > 0 ? gateway->nodes : NODES_ASSUMED);
 
+	if (window < 1)
+		percent *= window;
+	else
+		floor /= window;
+
 	return retry_take_above(find_budget(gateway, service), (int32_t)percent,
 				(int32_t)floor, clock_monotonic_us());
 }
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -26,7 +26,6 @@
 
 	int64_t memory_limit_bytes; /**< the process is killed above it */
 	int32_t descriptors_max;
-	int32_t platform_reads_per_s; /**< of all nodes together */
 
 	int64_t stop_ms; /**< from SIGTERM until the process is killed */
 	/* Within these times of the store's acknowledgement a change is in
@@ -42,12 +41,8 @@
 	int64_t retry_window_ms;
 
 	double cold_factor; /**< tolerated over the rate of a cold server */
-	int32_t cold_slack; /**< requests in a second beyond that */
 
-	int64_t stall_ms; /**< engines notice a lost helper after this time */
 	int64_t reservation_max_ms; /**< longest lease of engine memory */
-	int64_t reservation_idle_ms; /**< longest time that one may lie unused
-				      */
 	int64_t reservation_free_ms; /**< until one must be released after use
 				      */
 } node_settings_t;
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -41,9 +41,7 @@
 	int status;
 	bool not_run; /**< states that the request did not execute */
 	bool sealed; /**< carries the server's digest of its answer */
-	bool is_stream;
-	bool named; /**< carries a request id */
-	bool foreign; /**< that id is another request's */
+	bool foreign; /**< carries the id of another request */
 } server_reply_t;
 
 #endif
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -207,6 +207,14 @@
 		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
 }
 
+static int64_t lease_us(const node_settings_t *settings)
+{
+	double free_ms = (double)settings->reservation_free_ms * LEASE_SHARE;
+	double most_ms = (double)settings->reservation_max_ms;
+
+	return (int64_t)(free_ms < most_ms ? free_ms : most_ms) * US_PER_MS;
+}
+
 /* The first server keeps its part, and what is written, without a lease. */
 static void reserve(forward_t *forward)
 {
@@ -219,9 +227,7 @@
 		.tokens = forward->request.prompt_tokens /
 				  (int64_t)placement->count +
 			  RESERVED_TOKENS_MARGIN,
-		.lease_us = (int64_t)((double)gateway->settings
-					      .reservation_free_ms *
-				      US_PER_MS * LEASE_SHARE),
+		.lease_us = lease_us(&gateway->settings),
 		.alive = &gateway->reservations,
 	};
 	backend_t *servers[PLACEMENT_PARTS_MAX];
@@ -326,8 +332,12 @@
 
 static void try_again(forward_t *forward)
 {
-	if (forward->event_count)
-		forward->resumed = true;
+	if (forward->event_count) {
+		metrics_add(METRIC_STREAMS_RESUMED, 1);
+		log_event(EVENT_STREAM_RESUMED, "request=%s after_event=%s",
+			  *forward->request.id ? forward->request.id : "-",
+			  forward->last_event_id);
+	}
 	forward_place(forward);
 }
 
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -69,8 +69,6 @@
 	int32_t reservations_failed;
 	attempt_t *attempt; /**< NULL: none under way */
 	bool head_sent; /**< the caller got status and headers */
-	bool resumed;
-	int last_status; /**< of a failure that is passed on if nothing helps */
 	sse_t events;
 	char last_event_id[EVENT_ID_SIZE_BYTES];
 	int64_t event_count;
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -54,7 +54,6 @@
 /** Timing of the model engines of a service, as the operator states it. */
 typedef struct {
 	bool present; /**< false: a plain service */
-	int32_t batch_max; /**< requests that run at once */
 	int64_t kv_capacity_tokens; /**< KV cache of one server */
 	int32_t steps_per_pass; /**< steps of a pass that has writers */
 	double step_us;
@@ -63,7 +62,6 @@
 	double read_token_us; /**< prefill of one prompt token */
 	double read_pair_us; /**< prefill, for each pair of tokens */
 	int32_t chunk_tokens; /**< prefill in one step */
-	double hop_us; /**< cost of a step that has parts on other servers */
 	int64_t usual_prompt_tokens;
 	int64_t usual_output_tokens;
 } engine_profile_t;
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -168,6 +168,7 @@
 				     .retry_slack = 100,
 				     .retry_window_ms = 10000,
 				     .cold_factor = 1,
+				     .reservation_max_ms = 20000,
 				     .reservation_free_ms = 4000 };
 	err_t err = { 0 };
 
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -248,11 +248,8 @@
 	} cases[] = {
 		{ "X-Not-Run", "1", { .not_run = true } },
 		{ "x-server-seal", "1.2", { .sealed = true } },
-		{ "X-Request-Id", "r1", { .named = true } },
-		{ "X-Request-Id", "r2", { .named = true, .foreign = true } },
-		{ "Content-Type",
-		  "text/event-stream; charset=utf-8",
-		  { .is_stream = true } },
+		{ "X-Request-Id", "r1", { 0 } },
+		{ "X-Request-Id", "r2", { .foreign = true } },
 		{ "Content-Type", "text/plain", { 0 } },
 	};
 	size_t i;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -8,7 +8,6 @@
 /* An engine of round figures: 100 prompt tokens a ms, passes of 50 ms. */
 static const engine_profile_t engine = {
 	.present = true,
-	.batch_max = 16,
 	.kv_capacity_tokens = 400000,
 	.steps_per_pass = 50,
 	.step_us = 1000,
