Never refuse what may have run, whatever the reason

Cause (read in the code, then shown by a test that failed first): a stream that broke off on a set of servers found no set for its second attempt; it was refused as not run, and its caller, who had events already, got no end. Change: forward_refuse() itself ends such a request as failed.

--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -132,11 +132,7 @@
 		forward_set_timer(forward);
 		return;
 	}
-	if (forward->runs || forward->head_sent)
-		forward_fail(forward, HTTP_BAD_GATEWAY, "no_server_left");
-	else
-		forward_refuse(forward, "no_server",
-			       no_server_retry_ms(forward));
+	forward_refuse(forward, "no_server", no_server_retry_ms(forward));
 }
 
 static bool take_cold(const forward_t *forward)
@@ -201,8 +197,6 @@
 	attempt_cancel(forward);
 	if (++forward->reservations_failed < RESERVATIONS_MAX)
 		forward_place(forward);
-	else if (forward->runs)
-		forward_fail(forward, HTTP_BAD_GATEWAY, "no_engine_memory");
 	else
 		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
 }
@@ -268,12 +262,9 @@
 			       placement->room_in_us / US_PER_MS);
 		break;
 	case PLACEMENT_LATE:
-		if (forward->runs || forward->head_sent)
-			forward_fail(forward, HTTP_BAD_GATEWAY, "too_late");
-		else
-			forward_refuse(forward, "busy",
-				       BUSY_RETRY_MS + placement->room_in_us /
-							       US_PER_MS);
+		forward_refuse(forward, "busy",
+			       BUSY_RETRY_MS +
+				       placement->room_in_us / US_PER_MS);
 		break;
 	}
 }
--- a/src/request/forward_reply.c
+++ b/src/request/forward_reply.c
@@ -7,6 +7,7 @@
 #include "request/forward_state.h"
 
 enum {
+	HTTP_BAD_GATEWAY = 502,
 	HTTP_UNAVAILABLE = 503,
 	EVENT_FIELD_ID_BYTES = 3 /* "id:" */
 };
@@ -162,6 +163,11 @@
 	reply_headers_t headers = { .count = 1 };
 	char seconds[24];
 
+	/* Whatever the reason: what may have run is never refused. */
+	if (forward->runs || forward->head_sent) {
+		forward_fail(forward, HTTP_BAD_GATEWAY, code);
+		return;
+	}
 	metrics_add(METRIC_REQUESTS_REFUSED, 1);
 	snprintf(seconds, sizeof(seconds), "%.3f",
 		 (double)retry_after_ms / MS_PER_S);
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -110,7 +110,8 @@
 /** Ends a streamed answer. */
 void forward_reply_end(forward_t *forward);
 /**
- * Refuses a request that has not run and will not run.
+ * Refuses a request that has not run and will not run; one that may have run
+ * gets forward_fail() instead.
  * @param retry_after_ms when to come back
  */
 void forward_refuse(forward_t *forward, const char *code,
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -14,35 +14,47 @@
 
 enum { WATCH_MS = 150, WATCH_POLL_MS = 30 };
 
-#define ROUTE(path, kind, extra)                                       \
-	"{\"name\":\"" kind "\",\"host\":\"h\",\"pathPrefix\":\"" path \
-	"\",\"kind\":\"" kind "\",\"timeoutMs\":1500,"                 \
-	"\"targetLatencyMs\":100,\"attempts\":2,\"service\":\"s\"" extra "}"
+#define ROUTE(name, path, kind, service, extra)                         \
+	"{\"name\":\"" name "\",\"host\":\"h\",\"pathPrefix\":\"" path  \
+	"\",\"kind\":\"" kind "\",\"timeoutMs\":1500,"                  \
+	"\"targetLatencyMs\":100,\"attempts\":2,\"service\":\"" service \
+	"\"" extra "}"
+#define SAFE ROUTE("safe", "/safe/", "idempotent", "s", "")
+#define ONCE ROUTE("once", "/once/", "non_idempotent", "s", "")
+#define OPEN ROUTE("open", "/open/", "idempotent", "s", ",\"public\":true")
+#define STREAM                                     \
+	ROUTE("stream", "/stream/", "stream", "s", \
+	      ",\"resumable\":true,\"gapAimMs\":50")
+#define SINGLE ROUTE("single", "/single/", "stream", "s", "")
+#define LONG \
+	ROUTE("long", "/stream/long/", "stream", "m", ",\"resumable\":true")
+/* Two servers together hold a prompt of 15,000 tokens, one does not. */
+#define ENGINE                                                 \
+	"{\"kvCapacity\":10000,\"stride\":10,\"step_ms\":1.0," \
+	"\"chunk\":2048,\"read_per_s\":1000000.0,"             \
+	"\"usual\":{\"prompt\":5000,\"answer\":100}}"
+#define ACCOUNTS "[{\"name\":\"acme\",\"keys\":[\"" FIXTURE_KEY "\"]}]"
 
 static const char configuration[] =
-	"{\"version\":3,\"routes\":[" ROUTE("/safe/", "idempotent", "") "," ROUTE(
-		"/once/", "non_idempotent",
-		"") "," ROUTE("/open/", "idempotent",
-			      ",\"public\":true") "," ROUTE("/stream/",
-							    "stream",
-							    ",\"resumable\":true,\"gapAimMs\":50") "," ROUTE("/single/",
-													     "stream",
-													     "") "],"
-														 "\"services\":[{\"name\":\"s\"}],\"limits\":{\"bodyBytes\":4000},"
-														 "\"tenants\":[{\"name\":\"acme\",\"keys\":[\"" FIXTURE_KEY
-														 "\"]}]}";
-
-static json_t *server_entry(const gateway_fixture_t *fixture, int i)
+	"{\"version\":3,\"routes\":[" SAFE "," ONCE "," OPEN "," STREAM
+	"," SINGLE "," LONG "],\"services\":[{\"name\":\"s\"},"
+	"{\"name\":\"m\",\"engine\":" ENGINE "}],"
+	"\"limits\":{\"bodyBytes\":4000},\"tenants\":" ACCOUNTS "}";
+
+/* Both servers serve the plain service and, under other ids, the model. */
+static json_t *server_entry(const gateway_fixture_t *fixture,
+			    const char *service, int i)
 {
 	char address[64], name[8];
 
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 		 fixture->servers[i].port);
-	snprintf(name, sizeof(name), "i-%d", i);
+	snprintf(name, sizeof(name), "i-%s%d", service, i);
 	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:s,s:i,s:s,s:i}}", "meta",
-			 "name", name, "revision", 5, "spec", "service", "s",
-			 "address", address, "zone", "a", "concurrencyLimit", 8,
-			 "state", "ready", "coldLeftMs", 0);
+			 "name", name, "revision", 5, "spec", "service",
+			 service, "address", address, "zone", "a",
+			 "concurrencyLimit", 8, "state", "ready", "coldLeftMs",
+			 0);
 }
 
 static json_t *items_of(const gateway_fixture_t *fixture, const char *path)
@@ -55,8 +67,10 @@
 					 "main", "revision", 4, "spec",
 					 json_loads(configuration, 0, NULL)));
 	if (!strcmp(path, "/objects/servers")) {
-		json_array_append_new(items, server_entry(fixture, 0));
-		json_array_append_new(items, server_entry(fixture, 1));
+		json_array_append_new(items, server_entry(fixture, "s", 0));
+		json_array_append_new(items, server_entry(fixture, "s", 1));
+		json_array_append_new(items, server_entry(fixture, "m", 0));
+		json_array_append_new(items, server_entry(fixture, "m", 1));
 	}
 	return items;
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -226,6 +226,33 @@
 	}
 }
 
+/*
+ * Guards against a refusal, or silence, for a stream that has begun: its second
+ * attempt finds no servers that could hold the prompt together.
+ */
+static void ends_a_stream_that_cannot_go_on(void **state)
+{
+	static const char *const headers[] = { "Host: h",
+					       "X-Request-Id: r1",
+					       "X-Deadline-Ms: 1400",
+					       FIXTURE_AUTHORIZATION,
+					       "X-Token-Counts: 15000,100",
+					       NULL };
+	gateway_fixture_t fixture;
+	reply_t reply;
+
+	start(&fixture);
+	/* The lease on the helper, then the stream. */
+	fixture.acts[0] = SERVES;
+	fixture.acts[1] = HALF;
+	gateway_fixture_call(&fixture, &reply, "GET", "/stream/long/x", headers,
+			     NULL);
+	assert_true(gateway_fixture_wait(&fixture, &reply, 1000));
+	assert_int_not_equal(reply.end, CLIENT_OK);
+	assert_non_null(strstr(fixture.arrivals[1].text, "X-Helpers: "));
+	gateway_fixture_stop(&fixture);
+}
+
 /* Guards against a caller that is told to come back after its time. */
 static void refuses_with_a_useful_time(void **state)
 {
@@ -458,6 +485,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(answers),
+		cmocka_unit_test(ends_a_stream_that_cannot_go_on),
 		cmocka_unit_test(refuses_with_a_useful_time),
 		cmocka_unit_test(sends_headers),
 		cmocka_unit_test(checks_keys),
