--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -11,6 +11,7 @@
 #include "base/mem.h"
 #include "process/gateway_state.h"
 #include "request/forward.h"
+#include "request/reservation.h"
 
 enum {
 	/* A call to the store takes some ms; it counts as lost after this. */
@@ -179,6 +180,7 @@
 	gateway_peers_stop(gateway);
 	platform_destroy(gateway->platform);
 	client_destroy(gateway->client);
+	reservations_destroy(&gateway->reservations);
 	backends_destroy(gateway->backends);
 	routing_unref(gateway->routing);
 	free(gateway);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -80,7 +80,7 @@
 
 	struct forward *forwards; /**< requests in progress */
 	size_t forward_count;
-	int32_t reservations; /**< of engine memory that exist */
+	struct reservation *reservations; /**< of engine memory */
 	char ticket_prefix[NAME_SIZE_BYTES]; /**< unique to this process */
 	int64_t body_bytes; /**< of all requests in progress */
 
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -222,7 +222,7 @@
 				  (int64_t)placement->count +
 			  RESERVED_TOKENS_MARGIN,
 		.lease_us = lease_us(&gateway->settings),
-		.alive = &gateway->reservations,
+		.list = &gateway->reservations,
 	};
 	backend_t *servers[PLACEMENT_PARTS_MAX];
 	size_t i;
--- a/src/request/reservation.c
+++ b/src/request/reservation.c
@@ -3,6 +3,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <utlist.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -27,13 +28,16 @@
 	reservation_done_t done; /* NULL once it was called, or released */
 	void *context;
 	bool releasing;
+	reservation_t *prev, *next;
 };
 
-static void on_answer(void *context, ticket_answer_t answer)
+static void on_answer(void *context, client_end_t end, int status,
+		      const char *body, size_t size)
 {
 	lease_part_t *part = context;
 
-	ticket_answered(&part->ticket, answer, clock_monotonic_us());
+	ticket_answered(&part->ticket, platform_order_answer(end, status),
+			clock_monotonic_us());
 	/* The tick looks at all parts, outside of the HTTP client. */
 	ev_feed_event(part->reservation->conf.loop, &part->reservation->tick,
 		      EV_TIMER);
@@ -91,7 +95,7 @@
 	ev_timer_stop(reservation->conf.loop, &reservation->tick);
 	for (i = 0; i < reservation->count; i++)
 		backend_unref(reservation->parts[i].server);
-	(*reservation->conf.alive)--;
+	DL_DELETE(*reservation->conf.list, reservation);
 	free(reservation->parts);
 	free(reservation);
 }
@@ -122,7 +126,7 @@
 	reservation_t *reservation = mem_calloc(1, sizeof(*reservation));
 	size_t i;
 
-	(*conf->alive)++;
+	DL_APPEND(*conf->list, reservation);
 	reservation->conf = *conf;
 	reservation->done = done;
 	reservation->context = context;
@@ -168,3 +172,9 @@
 		ticket_release(&reservation->parts[i].ticket, now_us);
 	ev_feed_event(reservation->conf.loop, &reservation->tick, EV_TIMER);
 }
+
+void reservations_destroy(reservation_t **list)
+{
+	while (*list)
+		destroy(*list);
+}
--- a/src/request/reservation.h
+++ b/src/request/reservation.h
@@ -21,7 +21,7 @@
 	const char *owner; /**< prefix of the ids, unique to this process */
 	int64_t tokens; /**< on each engine */
 	int64_t lease_us;
-	int32_t *alive; /**< counts the reservations that exist */
+	reservation_t **list; /**< the reservations that exist */
 } reservation_conf_t;
 
 /** @param granted whether all engines gave the memory */
@@ -42,4 +42,8 @@
  */
 void reservation_release(reservation_t *reservation);
 
+/** Frees all of a list; their leases expire. For the end of the process, when
+ * the HTTP client is gone. */
+void reservations_destroy(reservation_t **list);
+
 #endif
