Order changes by their own revision, so that two watchers agree

Two watchers get the same changes in different answers; a follower with a part of one answer passed over changes of the other and took its view as complete. Ruled out: slow nodes, lost datagrams, the store away. Change: a change's place is its own revision.

--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -232,6 +232,23 @@
 	schedule(view, delay_ms);
 }
 
+/*
+ * The place of a change is its own revision, not that of the answer: watchers
+ * get the same changes in different answers, and a node hears of them from
+ * several.
+ */
+static news_position_t position_of(const platform_page_t *page, size_t index)
+{
+	int64_t revision = 0;
+	size_t i;
+
+	for (i = 0; i <= index; i++)
+		if (page->objects[i].version > revision)
+			revision = page->objects[i].version;
+	return news_position_after(revision < page->revision ? revision
+							     : page->revision);
+}
+
 static void on_page(void *context, platform_status_t status,
 		    const platform_page_t *page)
 {
@@ -256,8 +273,7 @@
 		gateway_apply(view, &page->objects[i], keep_us);
 		if (view->listed)
 			gateway_log_change(view, &page->objects[i],
-					   news_position(page->revision, i),
-					   keep_us);
+					   position_of(page, i), keep_us);
 	}
 	if (view->listed) {
 		view->revision = page->revision;
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -158,6 +158,42 @@
 	news_log_destroy(log);
 }
 
+/*
+ * Guards against changes that are lost between two watchers that got them in
+ * different answers: the first part of one, then all of the other.
+ */
+static void joins_two_watchers(void **state)
+{
+	news_log_t *one = news_log_create(), *other = news_log_create();
+	news_position_t own = news_position_after(10);
+	news_view_t view = { .kind = 1 };
+	size_t got = 0, i;
+
+	news_log_reset(one, own);
+	news_log_reset(other, own);
+	for (i = 0; i < 9; i++) {
+		news_change_t change = { .name = "name",
+					 .position = news_position_after(
+						 11 + (int64_t)i),
+					 .spec = "{\"state\":\"ready\"}" };
+
+		news_log_add(one, &change, 0);
+		news_log_add(other, &change, 0);
+	}
+	assert_true(news_log_fill(one, 0, 150, news_position_after(19), &view) <
+		    9);
+	for (i = 0; i < view.change_count; i++)
+		got += view.changes[i].position > own;
+	own = view.position;
+	news_log_fill(other, 0, 5000, news_position_after(25), &view);
+	assert_int_equal(news_compare(&view, own), NEWS_CHANGES);
+	for (i = 0; i < view.change_count; i++)
+		got += view.changes[i].position > own;
+	assert_int_equal(got, 9);
+	news_log_destroy(one);
+	news_log_destroy(other);
+}
+
 /* Guards against news that look fresher than they are. */
 static void dates_views(void **state)
 {
@@ -216,6 +252,7 @@
 		cmocka_unit_test(encodes_news),
 		cmocka_unit_test(compares_revisions),
 		cmocka_unit_test(splits_changes),
+		cmocka_unit_test(joins_two_watchers),
 		cmocka_unit_test(dates_views),
 		cmocka_unit_test(tells_fresh_views),
 	};
