Bind credits to the incarnation of their server

Cause: an engine that crashed came back cold while three nodes still held unused slots of blocks granted before; within 26 ms of the crash, before any load report, they sent three requests to an engine that bears two. Change: a grant carries the incarnation that the owner's ramp is for, the submission names it, and an engine in another incarnation refuses before running. Grants for an earlier incarnation are recalled. The stand-in refuses as the interface now says.

--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -60,6 +60,10 @@
 	json_object_set_new(json, "deadline_ms",
 			    json_integer(left_us > 0 ? left_us / US_PER_MS
 						     : 0));
+	if (dispatch->server_incarnation)
+		json_object_set_new(
+			json, "incarnation",
+			json_integer((json_int_t)dispatch->server_incarnation));
 	if (dispatch->peer_count) {
 		json_t *peers = json_array();
 
--- a/src/connection/engine.h
+++ b/src/connection/engine.h
@@ -6,6 +6,8 @@
  * Beyond design.md section 4.4 the adapter uses these forms:
  * - submission: `resume_text` (text of the tokens counted by resume_tokens;
  *   `max_tokens` counts them too), `cache_salt` (the client account);
+ * - submission: `incarnation` (optional): an engine in another incarnation
+ *   refuses before running;
  * - a resumed stream has the form of its submission (completion or chat);
  * - chunk: `tokens` (default 1 if it has text), `choices[0].text` or
  *   `choices[0].delta.content`, `choices[0].finish_reason`;
--- a/src/connection/peer_codec.c
+++ b/src/connection/peer_codec.c
@@ -71,6 +71,7 @@
 	credit->retry_after_us = body->retry_after_us;
 	credit->completed = body->completed;
 	credit->failed = body->failed;
+	credit->server_incarnation = body->server_incarnation;
 	if (!read_name(credit->resource.name, body->resource, "resource", err))
 		return false;
 	return credit_msg_valid(credit) || malformed(err, "credit amount");
--- a/src/connection/peer_encode.c
+++ b/src/connection/peer_encode.c
@@ -63,6 +63,7 @@
 	body->retry_after_us = credit->retry_after_us;
 	body->completed = credit->completed;
 	body->failed = credit->failed;
+	body->server_incarnation = credit->server_incarnation;
 }
 
 static void fill_load(const peer_load_t *load, Peer__ServerLoad *body,
--- a/src/process/control_warmup.c
+++ b/src/process/control_warmup.c
@@ -73,7 +73,8 @@
 
 	set_resource(&resource, entry);
 	credit_owner_ramp(warmup->control->owner, &resource,
-			  warmup_limit(&entry->ramp), clock_monotonic_us());
+			  warmup_limit(&entry->ramp), entry->ramp.incarnation,
+			  clock_monotonic_us());
 }
 
 void control_warmup_own(control_warmup_t *warmup, const server_conf_t *conf,
--- a/src/process/credit.h
+++ b/src/process/credit.h
@@ -88,6 +88,11 @@
 	 */
 	uint64_t completed;
 	uint64_t failed;
+	/**
+	 * Incarnation of the server that the grant is for; 0 if its owner knew
+	 * none. A server in another incarnation bears less.
+	 */
+	uint64_t server_incarnation;
 } credit_msg_t;
 
 #define CREDIT_LIFETIME_US (2 * US_PER_S)
--- a/src/process/credit_grant.c
+++ b/src/process/credit_grant.c
@@ -37,6 +37,7 @@
 	message->minimum = type == CREDIT_REQUEST ? grant->minimum
 						  : grant->used;
 	message->sequence = grant->ask_sequence;
+	message->server_incarnation = grant->server_incarnation;
 	grant->repeat_us = now_us + CREDIT_REPEAT_US;
 }
 
--- a/src/process/credit_grant.h
+++ b/src/process/credit_grant.h
@@ -32,6 +32,7 @@
 	bool closed; /**< recalled: what becomes unused is returned */
 	uint64_t use; /**< reservations */
 	credit_amount_t amount;
+	uint64_t server_incarnation; /**< that it is for; 0: unknown */
 	credit_amount_t used;
 	credit_amount_t minimum; /**< GRANT_ASKED */
 	uint64_t ask_sequence; /**< unanswered message, 0: none */
--- a/src/process/credit_holder.c
+++ b/src/process/credit_holder.c
@@ -331,3 +331,15 @@
 	return use->grant && use->grant->state == GRANT_HELD &&
 	       use->grant->expires_us > now_us;
 }
+
+uint64_t credit_holder_server_incarnation(const credit_holder_t *holder,
+					  const resource_t *resource,
+					  uint64_t use_id)
+{
+	const credit_entry_t *entry = credit_entry_find(holder, resource);
+	const credit_use_t *use = entry ? use_find(entry, use_id) : NULL;
+
+	if (!use || !use->drawn || !use->grant)
+		return 0;
+	return use->grant->server_incarnation;
+}
--- a/src/process/credit_holder.h
+++ b/src/process/credit_holder.h
@@ -45,6 +45,14 @@
 				 const resource_t *resource, uint64_t use,
 				 credit_amount_t amount, int64_t now_us);
 
+/**
+ * @return the incarnation of the server that a drawn use may be sent to; 0 if
+ *         the owner knew none, or without such a use
+ */
+uint64_t credit_holder_server_incarnation(const credit_holder_t *holder,
+					  const resource_t *resource,
+					  uint64_t use);
+
 /** Ends a use, pending or drawn; unknown uses are ignored. */
 void credit_holder_release(credit_holder_t *holder, const resource_t *resource,
 			   uint64_t use, int64_t now_us);
--- a/src/process/credit_holder_messages.c
+++ b/src/process/credit_holder_messages.c
@@ -55,8 +55,10 @@
 		return;
 	}
 	grant->renew_us = grant->ask_sent_us + lifetime_us / 2;
-	if (grant->state == GRANT_ASKED)
+	if (grant->state == GRANT_ASKED) {
 		grant->amount = credit_min(grant->amount, message->amount);
+		grant->server_incarnation = message->server_incarnation;
+	}
 	grant->state = GRANT_HELD;
 	credit_entry_expire(holder, entry, now_us);
 	if (message->retry_after_us && find(entry, message->id))
--- a/src/process/credit_owner.h
+++ b/src/process/credit_owner.h
@@ -78,9 +78,13 @@
 void credit_owner_retire(credit_owner_t *owner, const resource_t *resource,
 			 bool retired, int64_t now_us);
 
-/** Limits the request slots of a server by its ramp (warmup_limit()). */
+/**
+ * Limits the request slots of a server by its ramp (warmup_limit()). Grants
+ * for another incarnation of the server are recalled.
+ * @param incarnation that the ramp is for; 0: not known yet
+ */
 void credit_owner_ramp(credit_owner_t *owner, const resource_t *resource,
-		       int32_t slots, int64_t now_us);
+		       int32_t slots, uint64_t incarnation, int64_t now_us);
 
 /** Takes in a server's report: its memory, and what is in use. */
 void credit_owner_report(credit_owner_t *owner, const load_report_t *report,
--- a/src/process/credit_owner_limits.c
+++ b/src/process/credit_owner_limits.c
@@ -169,16 +169,19 @@
 }
 
 void credit_owner_ramp(credit_owner_t *owner, const resource_t *resource,
-		       int32_t slots, int64_t now_us)
+		       int32_t slots, uint64_t incarnation, int64_t now_us)
 {
 	owned_t *owned = owned_find(owner, resource);
+	bool restarted;
 
 	if (!owned)
 		return;
-	if (slots < owned->ramp_slots)
+	restarted = incarnation != owned->server_incarnation;
+	if (restarted || slots < owned->ramp_slots)
 		owned->recall_us = 0;
 	owned->ramp_slots = slots;
-	if (owned_over_limit(owner, owned, now_us))
+	owned->server_incarnation = incarnation;
+	if (restarted || owned_over_limit(owner, owned, now_us))
 		owned_recall(owner, owned, now_us);
 }
 
@@ -206,6 +209,11 @@
 		owned_recall(owner, owned, now_us);
 }
 
+bool owned_is_outdated(const owned_t *owned, const owner_grant_t *grant)
+{
+	return grant->server_incarnation != owned->server_incarnation;
+}
+
 void owned_recall(credit_owner_t *owner, owned_t *owned, int64_t now_us)
 {
 	credit_msg_t message = { .type = CREDIT_REFUSAL };
@@ -220,7 +228,8 @@
 	DL_FOREACH (owned->grants, grant) {
 		/* The use that asked for a new grant may not have drawn yet. */
 		if (grant->recalled ||
-		    (!over && now_us - grant->granted_us < RECALL_RETRY_US))
+		    (!over && !owned_is_outdated(owned, grant) &&
+		     now_us - grant->granted_us < RECALL_RETRY_US))
 			continue;
 		grant->recalled = true;
 		message.id = grant->id;
--- a/src/process/credit_owner_messages.c
+++ b/src/process/credit_owner_messages.c
@@ -18,9 +18,9 @@
 /* A waiting request blocks the others for at most this long at a time. */
 #define WAIT_HOLD_US (5 * US_PER_S)
 
-static void answer(credit_owner_t *owner, const credit_msg_t *message,
-		   credit_msg_type_t type, credit_amount_t amount,
-		   int64_t retry_after_us)
+static credit_msg_t *answer(credit_owner_t *owner, const credit_msg_t *message,
+			    credit_msg_type_t type, credit_amount_t amount,
+			    int64_t retry_after_us)
 {
 	credit_msg_t reply = *message;
 
@@ -28,7 +28,7 @@
 	reply.amount = amount;
 	reply.lifetime_us = type == CREDIT_GRANT ? CREDIT_LIFETIME_US : 0;
 	reply.retry_after_us = retry_after_us;
-	credit_queue_add(&owner->queue, &reply);
+	return credit_queue_add(&owner->queue, &reply);
 }
 
 static void refuse(credit_owner_t *owner, const credit_msg_t *message,
@@ -65,6 +65,9 @@
 	grant->incarnation = message->holder_incarnation;
 	grant->id = message->id;
 	grant->amount = amount;
+	grant->server_incarnation = message->type == CREDIT_REQUEST
+					    ? owned->server_incarnation
+					    : message->server_incarnation;
 	grant->granted_us = now_us;
 	owned->granted = credit_add(owned->granted, amount);
 	DL_APPEND(owned->grants, grant);
@@ -75,7 +78,8 @@
 static void extend(credit_owner_t *owner, owned_t *owned, owner_grant_t *grant,
 		   const credit_msg_t *message, int64_t now_us)
 {
-	bool close = grant->recalled || owned_over_limit(owner, owned, now_us);
+	bool close = grant->recalled || owned_is_outdated(owned, grant) ||
+		     owned_over_limit(owner, owned, now_us);
 
 	if (owner_is_partial(owner, now_us) && !owned_is_rate(owned) &&
 	    message->type != CREDIT_REQUEST)
@@ -84,7 +88,8 @@
 	grant->recalled = close;
 	grant->expires_us = now_us + CREDIT_LIFETIME_US + CREDIT_MARGIN_US;
 	answer(owner, message, CREDIT_GRANT, grant->amount,
-	       close ? RECALL_RETRY_US : 0);
+	       close ? RECALL_RETRY_US : 0)
+		->server_incarnation = grant->server_incarnation;
 }
 
 /* A share of what is free, so that a scarce resource is not held by one node
--- a/src/process/credit_owner_state.h
+++ b/src/process/credit_owner_state.h
@@ -26,6 +26,7 @@
 	uint64_t incarnation;
 	uint64_t id;
 	credit_amount_t amount;
+	uint64_t server_incarnation; /**< 0: was not known */
 	int64_t granted_us;
 	credit_amount_t used; /**< as the holder last said */
 	int64_t used_us; /**< when it said so; 0: never */
@@ -69,6 +70,7 @@
 	credit_limit_t limit;
 	bool retired;
 	int32_t ramp_slots; /**< INT32_MAX: no ramp */
+	uint64_t server_incarnation; /**< that the ramp is for; 0: unknown */
 
 	credit_amount_t granted; /**< sum of the grants */
 	owner_grant_t *grants;
@@ -203,6 +205,9 @@
  */
 void owned_recall(credit_owner_t *owner, owned_t *owned, int64_t now_us);
 
+/** Whether a grant is for an incarnation of the server that has ended. */
+bool owned_is_outdated(const owned_t *owned, const owner_grant_t *grant);
+
 /** Sets what a grant holds; removes it at zero. */
 void owned_set_amount(owned_t *owned, owner_grant_t *grant,
 		      credit_amount_t amount);
--- a/src/process/dispatch_place.c
+++ b/src/process/dispatch_place.c
@@ -239,6 +239,7 @@
 			  dispatch_msg_t *out)
 {
 	const server_t *server = request->set.servers[0];
+	resource_t name = place_resource(RESOURCE_SERVER, server->name);
 	size_t i;
 
 	mem_strlcpy(out->stream_id.vm_id, dispatch->conf.vm_id,
@@ -248,6 +249,8 @@
 	out->stream_id.attempt = request->attempt;
 	mem_strlcpy(out->server, server->name, NAME_SIZE_BYTES);
 	mem_strlcpy(out->url, server->url, URL_SIZE_BYTES);
+	out->server_incarnation = credit_holder_server_incarnation(
+		dispatch->holder, &name, place_use(request, request->attempt));
 	for (i = 1; i < request->set.count; i++)
 		mem_strlcpy(out->peers[out->peer_count++],
 			    request->set.servers[i]->url, URL_SIZE_BYTES);
--- a/src/process/task_msg.h
+++ b/src/process/task_msg.h
@@ -81,6 +81,7 @@
 	stream_id_t stream_id;
 	char server[NAME_SIZE_BYTES];
 	char url[URL_SIZE_BYTES];
+	uint64_t server_incarnation; /**< that may run it; 0: any */
 	size_t peer_count; /**< other servers of a set */
 	char peers[SERVER_SET_MAX][URL_SIZE_BYTES];
 	int32_t priority;
--- a/src/proto/peer.pb-c.c
+++ b/src/proto/peer.pb-c.c
@@ -1158,7 +1158,7 @@
   (ProtobufCMessageInit) peer__config_push__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer__credit__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer__credit__field_descriptors[14] =
 {
   {
     "type",
@@ -1316,6 +1316,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "server_incarnation",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Peer__Credit, server_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer__credit__field_indices_by_name[] = {
   11,   /* field[11] = completed */
@@ -1329,13 +1341,14 @@
   1,   /* field[1] = resource_kind */
   9,   /* field[9] = retry_after_us */
   10,   /* field[10] = sequence */
+  13,   /* field[13] = server_incarnation */
   5,   /* field[5] = slots */
   0,   /* field[0] = type */
 };
 static const ProtobufCIntRange peer__credit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer__credit__descriptor =
 {
@@ -1345,7 +1358,7 @@
   "Peer__Credit",
   "peer",
   sizeof(Peer__Credit),
-  13,
+  14,
   peer__credit__field_descriptors,
   peer__credit__field_indices_by_name,
   1,  peer__credit__number_ranges,
--- a/src/proto/peer.pb-c.h
+++ b/src/proto/peer.pb-c.h
@@ -180,10 +180,11 @@
   uint64_t sequence;
   uint64_t completed;
   uint64_t failed;
+  uint64_t server_incarnation;
 };
 #define PEER__CREDIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer__credit__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Peer__ServerLoad
--- a/tests/bench/model.h
+++ b/tests/bench/model.h
@@ -171,6 +171,14 @@
 	       holder->count;
 }
 
+/* The modelled engines do not restart. */
+uint64_t credit_holder_server_incarnation(const credit_holder_t *holder,
+					  const resource_t *resource,
+					  uint64_t use)
+{
+	return 0;
+}
+
 void credit_holder_ended(credit_holder_t *holder, const resource_t *resource,
 			 bool completed)
 {
--- a/tests/fake_credit.h
+++ b/tests/fake_credit.h
@@ -19,6 +19,7 @@
 	const char *pending_server; /* answers pending, if not NULL */
 	const char *refusing_server; /* refuses, if not NULL */
 	int64_t kv_limit; /* per server, pending beyond it; 0: no limit */
+	uint64_t server_incarnation; /* of every grant */
 	int completed, failed; /* attempts that ended */
 	size_t count; /* draws, pending or drawn */
 	struct {
@@ -97,6 +98,15 @@
 	return i < holder->count && holder->draws[i].drawn;
 }
 
+uint64_t credit_holder_server_incarnation(const credit_holder_t *holder,
+					  const resource_t *resource,
+					  uint64_t use)
+{
+	return credit_holder_valid(holder, resource, use, 0)
+		       ? holder->server_incarnation
+		       : 0;
+}
+
 void credit_holder_release(credit_holder_t *holder, const resource_t *resource,
 			   uint64_t use, int64_t now_us)
 {
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -112,6 +112,9 @@
 		return "fault";
 	if (strcmp(http_json_string(body, "model", ""), batch_conf.model) != 0)
 		return "model";
+	if (http_json_integer(body, "incarnation", batch.incarnation) !=
+	    batch.incarnation)
+		return "incarnation";
 	if (!is_continuation(stream, http_json_string(body, "resume_text", "")))
 		return "resume_text";
 	return NULL;
--- a/tests/test_credit_holder.c
+++ b/tests/test_credit_holder.c
@@ -66,6 +66,34 @@
 	credit_holder_receive(f->holder, &message, f->now_us);
 }
 
+/* Guards against a renewal that makes a grant valid for a server that has
+ * restarted since. */
+static void keeps_the_incarnation_of_a_grant(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+	credit_amount_t block = { 100, 4 };
+
+	draw(&f, 1, small);
+	collect(&f);
+	f.sent.server_incarnation = 41;
+	reply(&f, CREDIT_GRANT, block, 0);
+	assert_int_equal(draw(&f, 1, small), DRAW_OK);
+	assert_int_equal(
+		credit_holder_server_incarnation(f.holder, &f.resource, 1), 41);
+	assert_int_equal(
+		credit_holder_server_incarnation(f.holder, &f.resource, 2), 0);
+	f.now_us += CREDIT_RENEW_US;
+	credit_holder_tick(f.holder, f.now_us);
+	collect(&f);
+	assert_int_equal(f.sent.type, CREDIT_RENEW);
+	assert_int_equal(f.sent.server_incarnation, 41);
+	f.sent.server_incarnation = 42;
+	reply(&f, CREDIT_GRANT, block, 0);
+	assert_int_equal(
+		credit_holder_server_incarnation(f.holder, &f.resource, 1), 41);
+	credit_holder_destroy(f.holder);
+}
+
 static void tick(fixture_t *f, int64_t time_us)
 {
 	f->now_us += time_us;
@@ -358,6 +386,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(draws_from_a_block),
+		cmocka_unit_test(keeps_the_incarnation_of_a_grant),
 		cmocka_unit_test(reserves_large_amounts),
 		cmocka_unit_test(never_uses_an_expired_grant),
 		cmocka_unit_test(ignores_answers_to_earlier_messages),
--- a/tests/test_credit_owner.c
+++ b/tests/test_credit_owner.c
@@ -249,7 +249,7 @@
 			credit_owner_retire(f.owner, &f.resource, true,
 					    f.now_us);
 		else
-			credit_owner_ramp(f.owner, &f.resource, 1, f.now_us);
+			credit_owner_ramp(f.owner, &f.resource, 1, 0, f.now_us);
 		collect(&f);
 		assert_int_equal(f.answers, 2);
 		assert_int_equal(f.answer.type, CREDIT_REFUSAL);
@@ -267,6 +267,30 @@
 	}
 }
 
+/* Guards against requests that a server gets after a restart from blocks that
+ * were granted before it. */
+static void grants_for_one_incarnation_of_a_server(void **state)
+{
+	fixture_t f = start(RESOURCE_SERVER);
+
+	credit_owner_ramp(f.owner, &f.resource, 10, 41, f.now_us);
+	send(&f, CREDIT_REQUEST, "b", 1, 100, 10);
+	assert_int_equal(f.answer.server_incarnation, 41);
+	pass(&f, 200 * US_PER_MS);
+	credit_owner_ramp(f.owner, &f.resource, 10, 42, f.now_us);
+	collect(&f);
+	assert_int_equal(f.answers, 1);
+	assert_int_equal(f.answer.type, CREDIT_REFUSAL);
+	assert_int_equal(f.answer.id, 1);
+	assert_int_equal(send(&f, CREDIT_RENEW, "b", 1, 100, 10), CREDIT_GRANT);
+	assert_int_equal(f.answer.server_incarnation, 41);
+	assert_true(f.answer.retry_after_us > 0);
+	send(&f, CREDIT_REQUEST, "b", 2, 100, 10);
+	assert_int_equal(f.answer.server_incarnation, 42);
+	assert_int_equal(f.answer.retry_after_us, 0);
+	credit_owner_destroy(f.owner);
+}
+
 static const struct {
 	const char *guards;
 	bool agreed;
@@ -462,6 +486,7 @@
 		cmocka_unit_test(waits_for_what_is_outstanding),
 		cmocka_unit_test(starts_again_after_a_pause),
 		cmocka_unit_test(recalls_blocks),
+		cmocka_unit_test(grants_for_one_incarnation_of_a_server),
 		cmocka_unit_test(grants_shares),
 		cmocka_unit_test(delays_a_larger_share),
 		cmocka_unit_test(counts_lapsed_use),
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -226,6 +226,22 @@
 	stop(&world);
 }
 
+/* Guards against requests to a server that restarted after its grant. */
+static void names_the_incarnation_that_may_run_it(void **state)
+{
+	world_t world;
+
+	start(&world, two_servers);
+	world.holder.server_incarnation = 41;
+	submit(&world, 1, REQUEST_MODEL, 0);
+	assert_int_equal(expect_dispatch(&world, 1, 1).server_incarnation, 41);
+	finish(&world, 1, 1, ATTEMPT_REFUSED, 10);
+	assert_int_equal(world.holder.failed, 0);
+	assert_int_equal(expect_dispatch(&world, 1, 2).server_incarnation, 41);
+	finish(&world, 1, 2, ATTEMPT_COMPLETE, 20);
+	stop(&world);
+}
+
 /* Guards against a late message of attempt 1 that ends attempt 2. */
 static void ignores_crossed_messages_of_an_earlier_attempt(void **state)
 {
@@ -640,6 +656,7 @@
 		cmocka_unit_test(spreads_requests_over_the_servers),
 		cmocka_unit_test(sends_an_action_once),
 		cmocka_unit_test(tries_another_server_after_a_failure),
+		cmocka_unit_test(names_the_incarnation_that_may_run_it),
 		cmocka_unit_test(
 			ignores_crossed_messages_of_an_earlier_attempt),
 		cmocka_unit_test(ends_the_request_when_the_caller_left),
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -48,6 +48,7 @@
 			 .minimum = { 1, 2 },
 			 .lifetime_us = 3,
 			 .retry_after_us = 4,
+			 .server_incarnation = 41,
 			 .completed = 9,
 			 .failed = 10 } },
 	{ .type = PEER_LOAD_DIGEST, .as.digest = { 2, loads } },
