Watch the store with two nodes a region, and retry it seldom in an outage

Change: two watchers a region, in different data centres (settings name the region). Announcements carry the revision of each view, so news hold what the receiver lacks; sending all of the last 3 s to 88 nodes filled a link of 20 Mbit/s and left followers without news. A gap is not listed anew: the node watches from its own revision if news do not close it. The first watch waits for news. After two failures a node that is not among the first two retries as seldom as 20 calls/s of the fleet allow; one kind finds out; the first news end the outage for all. A node whose views fail is not sound. Positions of news are plain revisions.

--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -7,13 +7,16 @@
 #include "process/gateway_state.h"
 #include "process/packet.h"
 
-/* Nodes of a data centre that watch the platform for the others; two, so that
- * the loss of one is not noticed. */
+/* Nodes of a region that watch the platform for the others; two in different
+ * data centres, so that the loss of one is not noticed. */
 enum { WATCHERS = 2 };
+/* One lost answer says little; a node that fails more often in a row does not
+ * watch for others. */
+enum { FAILURES_MAX = 2 };
 /* A node watches itself when it has heard no news for this long: several
  * announcements of a large fleet. */
 #define NEWS_SILENT_US (1300 * US_PER_MS)
-/* Fewer nodes in a data centre cost the platform less when each watches with
+/* Fewer nodes in a region cost the platform less when each watches with
  * long calls than when two watch with short ones. */
 enum { NODES_MIN = 10 };
 /* Changes wait this long for further ones, so that each follower gets few
@@ -22,6 +25,9 @@
 /* Part of the bound for the configuration that a node waits for further
  * versions before it fetches one. */
 #define FETCH_DELAY_SHARE 0.2
+/* What was sent and is not yet acknowledged by an announcement is sent again
+ * after this time. */
+#define RESEND_US (500 * US_PER_MS)
 /* Bytes of a datagram that changes may take. */
 enum { CHANGES_SIZE_MAX_BYTES = 1000 };
 /* Says that a part of the changes confirms nothing. */
@@ -32,23 +38,41 @@
 	return work_share_node_hash(gateway->settings.node_id);
 }
 
+static size_t rank(const gateway_t *gateway, bool sound)
+{
+	return work_share_rank(gateway->share, &gateway->settings.region,
+			       gateway->settings.data_centre, own_hash(gateway),
+			       sound, clock_monotonic_us());
+}
+
+bool gateway_is_sound(const gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		if (gateway->views[i].failures >= FAILURES_MAX)
+			return false;
+	return platform_available(gateway->platform);
+}
+
 static bool is_watcher(const gateway_t *gateway)
 {
-	return platform_available(gateway->platform) &&
-	       work_share_sound_before(gateway->share,
-				       gateway->settings.data_centre,
-				       own_hash(gateway),
-				       clock_monotonic_us()) < WATCHERS;
+	return gateway_is_sound(gateway) && rank(gateway, true) < WATCHERS;
 }
 
 static bool are_many(const gateway_t *gateway)
 {
-	return work_share_live(gateway->share, gateway->settings.data_centre,
+	return work_share_live(gateway->share, &gateway->settings.region,
 			       clock_monotonic_us()) +
 		       1 >=
 	       NODES_MIN;
 }
 
+bool gateway_asks_for_others(const gateway_t *gateway)
+{
+	return !are_many(gateway) || rank(gateway, false) < WATCHERS;
+}
+
 bool gateway_is_followed(const gateway_t *gateway)
 {
 	return are_many(gateway) && is_watcher(gateway);
@@ -69,25 +93,30 @@
 	}
 }
 
+bool gateway_hears_news(const gateway_t *gateway)
+{
+	return gateway->news_us &&
+	       clock_monotonic_us() - gateway->news_us < NEWS_SILENT_US;
+}
+
 bool gateway_follows(const view_t *view)
 {
 	const gateway_t *gateway = view->gateway;
 
-	return gateway->news_us &&
-	       clock_monotonic_us() - gateway->news_us < NEWS_SILENT_US &&
+	return gateway_hears_news(gateway) &&
 	       news_is_fresh(clock_boot_us() - view->confirmed_boot_us,
 			     gateway_bound_us(view)) &&
 	       are_many(gateway) && !is_watcher(gateway);
 }
 
 void gateway_log_change(view_t *view, const platform_object_t *object,
-			news_position_t position, int64_t keep_until_us)
+			int64_t revision, int64_t keep_until_us)
 {
 	int64_t now_us = clock_monotonic_us();
 	char *spec;
 	news_change_t change = {
 		.name = (char *)object->name,
-		.position = position,
+		.revision = revision,
 		.deleted = object->deleted,
 		.keep_ms = keep_until_us > now_us
 				   ? (keep_until_us - now_us) / US_PER_MS
@@ -114,19 +143,39 @@
 	news->view_count = 0;
 }
 
-/* Sends the changes of a view, in as many datagrams as they need. */
-static void send_view(gateway_t *gateway, const view_t *view,
-		      const peer_t *peer, news_t *news, int64_t age_us)
+/* The revision from which a receiver needs changes; 0: it has no view. */
+static int64_t known_revision(const peer_t *peer, const work_echo_t *echo,
+			      size_t index)
 {
-	size_t next = 0, count = news_log_count(view->log);
+	int64_t known = echo->known_revisions[index];
+
+	if (known && peer->told_revisions[index] > known &&
+	    clock_monotonic_us() - peer->told_us < RESEND_US)
+		return peer->told_revisions[index];
+	return known;
+}
 
+/* Sends what the receiver lacks of a view, in as many datagrams as it needs. */
+static void send_view(gateway_t *gateway, size_t index, peer_t *peer,
+		      const work_echo_t *echo, news_t *news)
+{
+	const view_t *view = &gateway->views[index];
+	int64_t known = known_revision(peer, echo, index);
+	size_t count = news_log_count(view->log);
+	size_t next = known ? news_log_find(view->log, known) : count;
+
+	if (next < count) {
+		peer->told_revisions[index] = view->revision;
+		peer->told_us = clock_monotonic_us();
+	}
 	do {
 		news_view_t *sent = &news->views[news->view_count++];
 
 		*sent = (news_view_t){ .kind = (uint32_t)view->kind,
-				       .age_us = age_us };
+				       .age_us = echo->received_boot_us -
+						 view->confirmed_boot_us };
 		next = news_log_fill(view->log, next, CHANGES_SIZE_MAX_BYTES,
-				     view->position, sent);
+				     view->revision, sent);
 		if (next < count)
 			sent->age_us = AGE_UNKNOWN_US;
 		if (view->kind == PLATFORM_ROUTING && gateway->routing)
@@ -136,22 +185,18 @@
 	} while (next < count);
 }
 
-static void send_news_to(gateway_t *gateway, const peer_t *peer)
+static void send_news_to(gateway_t *gateway, peer_t *peer)
 {
-	int64_t sent_boot_us, received_boot_us;
 	news_t news = { .node = own_hash(gateway) };
+	work_echo_t echo;
 	size_t i;
 
 	if (!work_share_heard(gateway->share, peer->hash, clock_monotonic_us(),
-			      &sent_boot_us, &received_boot_us))
+			      &echo))
 		return;
-	news.echo_boot_us = sent_boot_us;
-	for (i = 0; i < KINDS_WATCHED; i++) {
-		const view_t *view = &gateway->views[i];
-
-		send_view(gateway, view, peer, &news,
-			  received_boot_us - view->confirmed_boot_us);
-	}
+	news.echo_boot_us = echo.sent_boot_us;
+	for (i = 0; i < KINDS_WATCHED; i++)
+		send_view(gateway, i, peer, &echo, &news);
 	if (news.view_count)
 		send_views(gateway, peer, &news);
 }
@@ -178,8 +223,9 @@
 	if (!has_news(gateway))
 		return;
 	for (i = 0; i < gateway->peer_count; i++)
-		if (!strcmp(gateway->peers[i].data_centre,
-			    gateway->settings.data_centre))
+		if (region_find(&gateway->settings.region,
+				gateway->peers[i].data_centre) <
+		    gateway->settings.region.count)
 			send_news_to(gateway, &gateway->peers[i]);
 }
 
@@ -204,23 +250,21 @@
 
 	for (i = 0; i < news->change_count; i++) {
 		const news_change_t *change = &news->changes[i];
-		platform_object_t object = { .version = news_position_revision(
-						     change->position),
+		platform_object_t object = { .version = change->revision,
 					     .deleted = change->deleted };
 		int64_t keep_us = change->keep_ms
 					  ? now_us + change->keep_ms * US_PER_MS
 					  : 0;
 
-		if (change->position <= view->position)
+		if (change->revision <= view->revision)
 			continue;
 		mem_strlcpy(object.name, change->name, sizeof(object.name));
 		object.spec = json_loads(change->spec, JSON_DECODE_ANY, NULL);
 		gateway_apply(view, &object, keep_us);
 		json_decref(object.spec);
 	}
-	view->position = news->position;
-	view->revision = news_position_revision(view->position);
-	news_log_reset(view->log, view->position);
+	view->revision = news->revision;
+	news_log_reset(view->log, view->revision);
 }
 
 /* Versions that follow each other are fetched once, and not by all nodes at the
@@ -241,7 +285,8 @@
 					   : -1;
 
 	/* What is not read, or watched, is more recent. */
-	if (!view->listed || !view->following)
+	if (!view->listed || view->calling ||
+	    (!view->following && !view->failures))
 		return;
 	if (view->kind == PLATFORM_ROUTING) {
 		if (received->version > version) {
@@ -249,25 +294,30 @@
 			return;
 		}
 	} else {
-		switch (news_compare(received, view->position)) {
+		switch (news_compare(received, view->revision)) {
 		case NEWS_CURRENT:
 			break;
 		case NEWS_CHANGES:
 			apply_changes(view, received);
 			break;
 		case NEWS_GAP:
-			gateway_relist(view, 0);
+			/* What is between comes again, or is watched for. */
 			return;
 		}
 	}
 	gateway_confirm(view, news_confirmed_boot_us(news, received,
 						     clock_boot_us()));
+	if (view->failures)
+		gateway_end_outage(view);
 }
 
 void gateway_receive_news(gateway_t *gateway, const news_t *news)
 {
 	size_t i, j;
 
+	/* Others reach the platform: no need to wait any longer. */
+	if (!gateway_hears_news(gateway))
+		gateway_retry_views(gateway);
 	gateway->news_us = clock_monotonic_us();
 	for (i = 0; i < news->view_count; i++)
 		for (j = 0; j < KINDS_WATCHED; j++)
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -91,12 +91,16 @@
 		.incarnation = gateway->incarnation,
 		.sequence = ++gateway->sequence,
 		.sent_boot_us = clock_boot_us(),
-		.sound = platform_available(gateway->platform),
+		.sound = gateway_is_sound(gateway),
 		.items = items,
 		.item_count = list_work(gateway, items,
 					sizeof(items) / sizeof(items[0]),
 					now_us),
 	};
+	for (i = 0; i < KINDS_WATCHED; i++)
+		if (gateway->views[i].listed)
+			message->known_revisions[i] =
+				gateway->views[i].revision;
 	mem_strlcpy(message->data_centre, gateway->settings.data_centre,
 		    sizeof(message->data_centre));
 	gateway->announced_us = now_us;
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -17,7 +17,7 @@
 #include "request/retry.h"
 #include "version/routing.h"
 
-enum { KINDS_WATCHED = 3, SERVICES_MAX = 64 };
+enum { KINDS_WATCHED = WORK_VIEWS, SERVICES_MAX = 64 };
 
 /** Follows one kind of objects in the platform's store. */
 typedef struct {
@@ -27,10 +27,10 @@
 	bool calling;
 	bool listed; /**< a full listing was read; now the changes are watched
 		      */
-	bool first_page; /**< of the listing that is being read */
+	int64_t listed_us; /**< when the listing was complete */
+	bool watched; /**< a watch was answered since the start */
 	char after[PLATFORM_NEXT_SIZE_BYTES];
-	int64_t revision; /**< of the store, where the next watch goes on */
-	news_position_t position; /**< to which the view is complete */
+	int64_t revision; /**< of the store, to which the view is complete */
 	int64_t called_boot_us; /**< start of the last call */
 	int64_t wait_ms; /**< of the last watch */
 	int64_t confirmed_boot_us; /**< the view was complete then; 0: never */
@@ -51,6 +51,9 @@
 	char address[URL_SIZE_BYTES];
 	char data_centre[NAME_SIZE_BYTES];
 	uint64_t hash;
+	/* Revisions of the views that were last sent, and when. */
+	int64_t told_revisions[KINDS_WATCHED];
+	int64_t told_us;
 } peer_t;
 
 /** Where a graceful stop stands. */
@@ -118,11 +121,22 @@
 /** The view was complete at this time. */
 void gateway_confirm(view_t *view, int64_t boot_us);
 
+/** The platform can be reached again: views that failed try it soon. */
+void gateway_retry_views(gateway_t *gateway);
+/** Another node reaches the platform, which this one did not. */
+void gateway_end_outage(view_t *view);
+
 /* gateway_follow.c */
-/** Whether other nodes of the data centre watch a kind for this one. */
+/** Whether other nodes of the region watch a kind for this one. */
 bool gateway_follows(const view_t *view);
 /** Whether this node watches for others. */
 bool gateway_is_followed(const gateway_t *gateway);
+/** Whether the platform answers this node. */
+bool gateway_is_sound(const gateway_t *gateway);
+/** Whether another node told news lately: the platform answers some nodes. */
+bool gateway_hears_news(const gateway_t *gateway);
+/** Whether this node is among those that try a platform that fails. */
+bool gateway_asks_for_others(const gateway_t *gateway);
 /** Within this time a change of the kind must be in force. */
 int64_t gateway_bound_us(const view_t *view);
 /** Tells the nodes that follow, now. */
@@ -132,7 +146,7 @@
 void gateway_receive_news(gateway_t *gateway, const news_t *news);
 /** Notes an object that a watch returned, for the nodes that follow. */
 void gateway_log_change(view_t *view, const platform_object_t *object,
-			news_position_t position, int64_t keep_until_us);
+			int64_t revision, int64_t keep_until_us);
 
 /* gateway_peers.c */
 bool gateway_peers_start(gateway_t *gateway, err_t *err);
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -11,6 +11,11 @@
 /* Pause after a failed call; doubled up to the longest. */
 enum { RETRY_FIRST_MS = 100, RETRY_MAX_MS = 800, RETRY_DOUBLINGS_MAX = 3 };
 
+/* The first failure may be a lost answer; later ones show an outage, which the
+ * nodes that watch for others end for all. The calls that the others make then
+ * are a hundredth of what the platform allows. */
+enum { FAILURES_BEFORE_IDLE = 2, IDLE_CALLS_PER_S = 20 };
+
 /* Share of the bound for removed keys that one watch may take: a watch that
  * hangs is noticed, and another one answered, within the bound. */
 #define ROUTING_WAIT_SHARE 0.3
@@ -168,8 +173,8 @@
 	size_t removed;
 
 	view->listed = true;
-	view->position = news_position_after(view->revision);
-	news_log_reset(view->log, view->position);
+	view->listed_us = clock_monotonic_us();
+	news_log_reset(view->log, view->revision);
 	if (view->kind != PLATFORM_SERVERS)
 		return;
 	removed = backends_end_listing(view->gateway->backends,
@@ -207,6 +212,33 @@
 		schedule(view, delay_ms);
 }
 
+/* Nodes that wait for others to reach the platform again try it seldom. */
+static int64_t idle_retry_ms(const view_t *view)
+{
+	const gateway_t *gateway = view->gateway;
+
+	if (view->failures < FAILURES_BEFORE_IDLE ||
+	    gateway_hears_news(gateway) || gateway_asks_for_others(gateway))
+		return 0;
+	return (int64_t)gateway->nodes * MS_PER_S / IDLE_CALLS_PER_S;
+}
+
+void gateway_retry_views(gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++) {
+		view_t *view = &gateway->views[i];
+		ev_tstamp pause_s =
+			(double)(gateway_random(gateway) % RETRY_MAX_MS) /
+			MS_PER_S;
+
+		if (view->failures && !view->calling &&
+		    ev_timer_remaining(gateway->loop, &view->next) > pause_s)
+			schedule(view, (int64_t)(pause_s * MS_PER_S));
+	}
+}
+
 static void on_answer_failed(view_t *view, platform_status_t status)
 {
 	int32_t doublings = view->failures < RETRY_DOUBLINGS_MAX
@@ -225,6 +257,8 @@
 	}
 	if (delay_ms > RETRY_MAX_MS)
 		delay_ms = RETRY_MAX_MS;
+	if (delay_ms && delay_ms < idle_retry_ms(view))
+		delay_ms = idle_retry_ms(view);
 	/* Nodes that failed together must not come back together. */
 	if (delay_ms)
 		delay_ms += (int64_t)(gateway_random(view->gateway) %
@@ -233,28 +267,38 @@
 }
 
 /*
- * The place of a change is its own revision, not that of the answer: watchers
+ * Changes are told by their own revision, not by that of the answer: watchers
  * get the same changes in different answers, and a node hears of them from
- * several.
+ * several. One that shows no revision of its own is told with the last.
  */
-static news_position_t position_of(const platform_page_t *page, size_t index)
+static int64_t next_revision(const view_t *view, const platform_page_t *page,
+			     size_t index, int64_t before)
+{
+	int64_t revision = page->objects[index].version;
+
+	if (revision <= view->revision || revision > page->revision)
+		revision = page->revision;
+	return revision > before ? revision : before;
+}
+
+static void apply_page(view_t *view, const platform_page_t *page)
 {
-	int64_t revision = 0;
+	int64_t keep_us = keep_until_us(view), revision = 0;
 	size_t i;
 
-	for (i = 0; i <= index; i++)
-		if (page->objects[i].version > revision)
-			revision = page->objects[i].version;
-	return news_position_after(revision < page->revision ? revision
-							     : page->revision);
+	for (i = 0; i < page->count; i++) {
+		gateway_apply(view, &page->objects[i], keep_us);
+		revision = next_revision(view, page, i, revision);
+		if (view->listed)
+			gateway_log_change(view, &page->objects[i], revision,
+					   keep_us);
+	}
 }
 
 static void on_page(void *context, platform_status_t status,
 		    const platform_page_t *page)
 {
 	view_t *view = context;
-	int64_t keep_us;
-	size_t i;
 
 	view->calling = false;
 	if (status != PLATFORM_OK) {
@@ -263,23 +307,18 @@
 	}
 	if (view->failures && view->confirmed_boot_us)
 		view->returned_us = clock_monotonic_us();
-	view->failures = 0;
-	keep_us = keep_until_us(view);
+	if (view->failures) {
+		view->failures = 0;
+		gateway_retry_views(view->gateway);
+	}
 	if (!view->listed && !*view->after) {
 		begin_listing(view);
 		view->revision = page->revision;
 	}
-	for (i = 0; i < page->count; i++) {
-		gateway_apply(view, &page->objects[i], keep_us);
-		if (view->listed)
-			gateway_log_change(view, &page->objects[i],
-					   position_of(page, i), keep_us);
-	}
+	apply_page(view, page);
 	if (view->listed) {
+		view->watched = true;
 		view->revision = page->revision;
-		view->position = news_position_after(page->revision);
-		if (page->count > NEWS_CHANGES_PER_REVISION_MAX)
-			news_log_reset(view->log, view->position);
 		confirm_answer(view, !page->count);
 		if (page->count)
 			gateway_news_due(view->gateway);
@@ -293,6 +332,30 @@
 	schedule(view, view->listed && page->count ? COLLECT_MS : 0);
 }
 
+void gateway_end_outage(view_t *view)
+{
+	view->failures = 0;
+	view->returned_us = clock_monotonic_us();
+	schedule(view, FOLLOW_CHECK_MS);
+}
+
+/* The first watch waits for what other nodes tell: with their news it is not
+ * needed. */
+static bool waits_for_news(const view_t *view)
+{
+	return view->listed && !view->watched &&
+	       news_is_fresh(clock_monotonic_us() - view->listed_us,
+			     gateway_bound_us(view));
+}
+
+/* One kind finds out when a platform that fails answers again. */
+static bool is_spared(const view_t *view)
+{
+	const view_t *first = &view->gateway->views[0];
+
+	return view != first && first->failures;
+}
+
 static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	view_t *view = timer->data;
@@ -301,7 +364,7 @@
 	if (view->calling)
 		return;
 	view->following = view->listed && gateway_follows(view);
-	if (view->following) {
+	if (view->following || waits_for_news(view) || is_spared(view)) {
 		schedule(view, FOLLOW_CHECK_MS);
 		return;
 	}
--- a/src/process/news.c
+++ b/src/process/news.c
@@ -6,34 +6,23 @@
 #include "base/mem.h"
 #include "base/units.h"
 
-/* Announcements repeat a change until it is this old; a receiver that missed
- * them all reads the objects anew. */
+/* A change is told until it is this old; a receiver that missed it reads the
+ * objects anew. */
 #define KEPT_US (3 * US_PER_S)
 
-enum { CHANGES_MAX = 24, CHANGE_FRAME_BYTES = 24 };
+enum {
+	/* All servers of a large data centre may change at once. */
+	CHANGES_MAX = 256,
+	CHANGE_FRAME_BYTES = 24
+};
 
 struct news_log {
 	news_change_t changes[CHANGES_MAX]; /* oldest first */
 	int64_t added_us[CHANGES_MAX];
 	size_t count;
-	news_position_t from;
+	int64_t from; /* all changes after this revision are here */
 };
 
-news_position_t news_position(int64_t revision, size_t index)
-{
-	return revision * (NEWS_CHANGES_PER_REVISION_MAX + 1) + (int64_t)index;
-}
-
-news_position_t news_position_after(int64_t revision)
-{
-	return news_position(revision, NEWS_CHANGES_PER_REVISION_MAX);
-}
-
-int64_t news_position_revision(news_position_t position)
-{
-	return (position + 1) / (NEWS_CHANGES_PER_REVISION_MAX + 1) - 1;
-}
-
 news_log_t *news_log_create(void)
 {
 	return mem_calloc(1, sizeof(news_log_t));
@@ -41,7 +30,7 @@
 
 static void drop_oldest(news_log_t *log)
 {
-	log->from = log->changes[0].position;
+	log->from = log->changes[0].revision;
 	free(log->changes[0].name);
 	free(log->changes[0].spec);
 	log->count--;
@@ -58,11 +47,11 @@
 	free(log);
 }
 
-void news_log_reset(news_log_t *log, news_position_t position)
+void news_log_reset(news_log_t *log, int64_t revision)
 {
 	while (log->count)
 		drop_oldest(log);
-	log->from = position;
+	log->from = revision;
 }
 
 void news_log_add(news_log_t *log, const news_change_t *change, int64_t now_us)
@@ -84,22 +73,43 @@
 		drop_oldest(log);
 }
 
+size_t news_log_find(const news_log_t *log, int64_t known_revision)
+{
+	size_t i = 0;
+
+	while (i < log->count && log->changes[i].revision <= known_revision)
+		i++;
+	return i;
+}
+
+static size_t size_of(const news_change_t *change)
+{
+	return strlen(change->name) + strlen(change->spec) + CHANGE_FRAME_BYTES;
+}
+
+/* Changes of one revision are told together: a receiver that has the revision
+ * passes over the rest of it. */
+static bool may_end_before(const news_log_t *log, size_t i)
+{
+	return i == 0 ||
+	       log->changes[i].revision != log->changes[i - 1].revision;
+}
+
 size_t news_log_fill(news_log_t *log, size_t first, size_t size_max,
-		     news_position_t position, news_view_t *view)
+		     int64_t revision, news_view_t *view)
 {
-	size_t size = 0, i = first;
+	size_t size = 0, i;
 
-	view->from = first ? log->changes[first - 1].position : log->from;
+	view->from = first ? log->changes[first - 1].revision : log->from;
 	view->changes = &log->changes[first];
-	for (; i < log->count; i++) {
-		size += strlen(log->changes[i].name) +
-			strlen(log->changes[i].spec) + CHANGE_FRAME_BYTES;
-		if (size > size_max && i > first)
+	for (i = first; i < log->count; i++) {
+		size += size_of(&log->changes[i]);
+		if (size > size_max && i > first && may_end_before(log, i))
 			break;
 	}
 	view->change_count = i - first;
-	view->position = i < log->count ? log->changes[i - 1].position
-					: position;
+	view->revision = i < log->count ? log->changes[i - 1].revision
+					: revision;
 	return i;
 }
 
@@ -108,11 +118,11 @@
 	return log->count;
 }
 
-news_result_t news_compare(const news_view_t *view, news_position_t own)
+news_result_t news_compare(const news_view_t *view, int64_t own_revision)
 {
-	if (own >= view->position)
+	if (own_revision >= view->revision)
 		return NEWS_CURRENT;
-	return own >= view->from ? NEWS_CHANGES : NEWS_GAP;
+	return own_revision >= view->from ? NEWS_CHANGES : NEWS_GAP;
 }
 
 /*
--- a/src/process/news.h
+++ b/src/process/news.h
@@ -17,25 +17,10 @@
 
 typedef struct news_log news_log_t;
 
-/**
- * Place of a change in the order of all changes of a kind. Changes that the
- * platform tells together have one revision; they are counted within it.
- */
-typedef int64_t news_position_t;
-
-enum { NEWS_CHANGES_PER_REVISION_MAX = 255 };
-
-/** @return the place of the change @p index of a revision. */
-news_position_t news_position(int64_t revision, size_t index);
-/** @return the place after all changes of a revision. */
-news_position_t news_position_after(int64_t revision);
-/** @return the revision whose changes are all before a place. */
-int64_t news_position_revision(news_position_t position);
-
 /** One change of an object; strings are owned by the holder. */
 typedef struct {
 	char *name;
-	news_position_t position;
+	int64_t revision; /**< of the store, by the change */
 	bool deleted;
 	char *spec; /**< JSON text */
 	int64_t keep_ms; /**< a deleted server stays in use for this time */
@@ -44,8 +29,8 @@
 /** View of one kind of objects. */
 typedef struct {
 	uint32_t kind;
-	news_position_t position; /**< to which the view is complete */
-	news_position_t from; /**< all changes after it are in the list */
+	int64_t revision; /**< of the store, to which the view is complete */
+	int64_t from; /**< all changes after this revision are in the list */
 	int64_t version; /**< of the routing configuration; else 0 */
 	int64_t age_us; /**< see the wire format */
 	news_change_t *changes;
@@ -68,28 +53,31 @@
 news_log_t *news_log_create(void);
 void news_log_destroy(news_log_t *log);
 /** The view was read as a whole: what came before is not in the log. */
-void news_log_reset(news_log_t *log, news_position_t position);
+void news_log_reset(news_log_t *log, int64_t revision);
 /** Copies the strings. */
 void news_log_add(news_log_t *log, const news_change_t *change, int64_t now_us);
 /** Drops changes that every receiver has had the time to get. */
 void news_log_prune(news_log_t *log, int64_t now_us);
 size_t news_log_count(const news_log_t *log);
+/** @return the place in the log of the first change that a receiver with this
+ * revision lacks. */
+size_t news_log_find(const news_log_t *log, int64_t known_revision);
 /**
  * Borrows changes into a view, from place @p first on, as many as fit.
- * @param position to which the sender's view is complete
+ * @param revision to which the sender's view is complete
  * @return the place in the log of the next change
  */
 size_t news_log_fill(news_log_t *log, size_t first, size_t size_max,
-		     news_position_t position, news_view_t *view);
+		     int64_t revision, news_view_t *view);
 
 typedef enum {
 	NEWS_CURRENT, /**< nothing new */
-	NEWS_CHANGES, /**< apply those after the own position */
+	NEWS_CHANGES, /**< apply those after the own revision */
 	NEWS_GAP /**< changes are missing: read the objects anew */
 } news_result_t;
 
-/** Compares a view with the position that the receiver has. */
-news_result_t news_compare(const news_view_t *view, news_position_t own);
+/** Compares a view with the revision that the receiver has. */
+news_result_t news_compare(const news_view_t *view, int64_t own_revision);
 
 /**
  * Whether a view that others watch is fresh enough to go on without a watch.
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -13,10 +13,12 @@
 #include <stdint.h>
 
 #include "base/units.h"
+#include "process/region.h"
 
 typedef struct {
 	char node_id[NAME_SIZE_BYTES];
 	char data_centre[NAME_SIZE_BYTES];
+	region_t region; /**< with the own data centre */
 	char caller_address[URL_SIZE_BYTES]; /**< IP:PORT for callers */
 	char ready_address[URL_SIZE_BYTES]; /**< IP:PORT of the readiness probe
 					     */
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -53,6 +53,8 @@
 	announcement.data_centre = (char *)message->data_centre;
 	announcement.sent_boot_us = message->sent_boot_us;
 	announcement.sound = message->sound;
+	announcement.n_known = WORK_VIEWS;
+	announcement.known = (int64_t *)message->known_revisions;
 	announcement.n_items = count;
 	announcement.items = pointers;
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
@@ -67,14 +69,14 @@
 
 	work__view__init(packed);
 	packed->kind = view->kind;
-	packed->position = view->position;
+	packed->revision = view->revision;
 	packed->from = view->from;
 	packed->version = view->version;
 	packed->age_us = view->age_us;
 	for (i = 0; i < count && i < CHANGES_MAX; i++) {
 		work__change__init(&changes[i]);
 		changes[i].name = view->changes[i].name;
-		changes[i].position = view->changes[i].position;
+		changes[i].revision = view->changes[i].revision;
 		changes[i].deleted = view->changes[i].deleted;
 		changes[i].spec = view->changes[i].spec;
 		changes[i].keep_ms = to_unit(view->changes[i].keep_ms, 1);
@@ -129,6 +131,8 @@
 	message->sound = announcement->sound;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
+	for (i = 0; i < announcement->n_known && i < WORK_VIEWS; i++)
+		message->known_revisions[i] = announcement->known[i];
 	message->item_count = announcement->n_items;
 	message->items =
 		mem_calloc(announcement->n_items + 1, sizeof(*message->items));
@@ -151,7 +155,7 @@
 	size_t i;
 
 	view->kind = packed->kind;
-	view->position = packed->position;
+	view->revision = packed->revision;
 	view->from = packed->from;
 	view->version = packed->version;
 	view->age_us = packed->age_us;
@@ -163,7 +167,7 @@
 
 		view->changes[i] = (news_change_t){
 			.name = mem_strdup(change->name),
-			.position = change->position,
+			.revision = change->revision,
 			.deleted = change->deleted,
 			.spec = mem_strdup(change->spec),
 			.keep_ms = change->keep_ms,
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -20,7 +20,7 @@
 	uint64_t sequence;
 	char data_centre[NAME_SIZE_BYTES];
 	int64_t received_us;
-	int64_t received_boot_us, sent_boot_us;
+	work_echo_t echo;
 	bool sound;
 	work_item_t *items;
 	size_t item_count;
@@ -95,8 +95,10 @@
 	node->incarnation = message->incarnation;
 	node->sequence = message->sequence;
 	node->received_us = now_us;
-	node->received_boot_us = boot_us;
-	node->sent_boot_us = message->sent_boot_us;
+	node->echo.received_boot_us = boot_us;
+	node->echo.sent_boot_us = message->sent_boot_us;
+	memcpy(node->echo.known_revisions, message->known_revisions,
+	       sizeof(node->echo.known_revisions));
 	node->sound = message->sound;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
@@ -192,21 +194,49 @@
 	return XXH64(id, strlen(id), 0);
 }
 
-size_t work_share_sound_before(const work_share_t *share,
-			       const char *data_centre, uint64_t node,
-			       int64_t now_us)
+/* Counts nodes in each data centre of a region; those of the own one only if
+ * they are before @p own in the order of their hashes. */
+static void count_nodes(const work_share_t *share, const region_t *region,
+			size_t own_centre, uint64_t own, bool sound,
+			int64_t now_us, size_t *counts)
 {
-	const node_t *other;
-	size_t count = 0;
+	const node_t *node;
 
-	LL_FOREACH (share->nodes, other)
-		count += other->sound && other->id < node &&
-			 is_live(other, now_us) &&
-			 !strcmp(other->data_centre, data_centre);
-	return count;
+	LL_FOREACH (share->nodes, node) {
+		size_t centre = region_find(region, node->data_centre);
+
+		if (centre < region->count && is_live(node, now_us) &&
+		    (node->sound || !sound) &&
+		    (centre != own_centre || node->id < own))
+			counts[centre]++;
+	}
+}
+
+size_t work_share_rank(const work_share_t *share, const region_t *region,
+		       const char *data_centre, uint64_t own, bool sound,
+		       int64_t now_us)
+{
+	size_t counts[REGION_DATA_CENTRES_MAX] = { 0 };
+	size_t own_centre = region_find(region, data_centre), rank = 0, i;
+	uint64_t own_hash = work_share_node_hash(data_centre);
+
+	if (own_centre == region->count)
+		return 0;
+	count_nodes(share, region, own_centre, own, sound, now_us, counts);
+	for (i = 0; i < region->count; i++) {
+		size_t round = counts[own_centre];
+
+		if (counts[i] < round)
+			round = counts[i];
+		rank += round;
+		if (i != own_centre && counts[i] > counts[own_centre] &&
+		    work_share_node_hash(region->data_centres[i]) < own_hash)
+			rank++;
+	}
+	return rank;
 }
 
-size_t work_share_live(const work_share_t *share, const char *data_centre,
+size_t work_share_live(const work_share_t *share, const region_t *region,
 		       int64_t now_us)
 {
 	const node_t *node;
@@ -214,20 +244,19 @@
 
 	LL_FOREACH (share->nodes, node)
 		count += is_live(node, now_us) &&
-			 !strcmp(node->data_centre, data_centre);
+			 region_find(region, node->data_centre) < region->count;
 	return count;
 }
 
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
-		      int64_t *sent_boot_us, int64_t *received_boot_us)
+		      work_echo_t *echo)
 {
 	const node_t *other;
 
 	LL_FOREACH (share->nodes, other) {
 		if (other->id != node || !is_live(other, now_us))
 			continue;
-		*sent_boot_us = other->sent_boot_us;
-		*received_boot_us = other->received_boot_us;
+		*echo = other->echo;
 		return true;
 	}
 	return false;
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -15,9 +15,13 @@
 
 #include "base/units.h"
 #include "process/forecast.h"
+#include "process/region.h"
 
 typedef struct work_share work_share_t;
 
+/** Views of the platform that a node keeps up to date. */
+enum { WORK_VIEWS = 3 };
+
 /** Work of one node on one server. */
 typedef struct {
 	uint32_t server_hash;
@@ -36,6 +40,7 @@
 	char data_centre[NAME_SIZE_BYTES]; /**< of the node */
 	int64_t sent_boot_us; /**< the node's CLOCK_BOOTTIME */
 	bool sound; /**< the platform's store answers it */
+	int64_t known_revisions[WORK_VIEWS]; /**< of its views; 0: none yet */
 	work_item_t *items;
 	size_t item_count;
 } work_message_t;
@@ -64,18 +69,29 @@
 bool work_share_silent(const work_share_t *share, const char *data_centre,
 		       int64_t silence_us, int64_t now_us);
 
-/** @return live nodes of a data centre, before @p node in the order of their
- * hashes, that the platform answers. */
-size_t work_share_sound_before(const work_share_t *share,
-			       const char *data_centre, uint64_t node,
-			       int64_t now_us);
-/** @return live nodes of a data centre. */
-size_t work_share_live(const work_share_t *share, const char *data_centre,
+/**
+ * Place of this node in the order in which live nodes of its region are asked
+ * to do something for the others: one of each data centre, then a second one
+ * of each, and so on.
+ * @param node  this node
+ * @param sound count only nodes that the platform answers
+ */
+size_t work_share_rank(const work_share_t *share, const region_t *region,
+		       const char *data_centre, uint64_t node, bool sound,
 		       int64_t now_us);
-/** When the last announcement of a node was sent, on its clock, and received.
- * @return false if the node is not live */
+/** @return live nodes of a region, without this one. */
+size_t work_share_live(const work_share_t *share, const region_t *region,
+		       int64_t now_us);
+/** Last announcement of another node. */
+typedef struct {
+	int64_t sent_boot_us; /**< on that node's clock */
+	int64_t received_boot_us; /**< on the own clock */
+	int64_t known_revisions[WORK_VIEWS];
+} work_echo_t;
+
+/** @return false if the node is not live */
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
-		      int64_t *sent_boot_us, int64_t *received_boot_us);
+		      work_echo_t *echo);
 
 uint32_t work_share_hash(const char *id);
 uint64_t work_share_node_hash(const char *id);
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -328,7 +328,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[7] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[8] =
 {
   {
     "node",
@@ -414,11 +414,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Work__Announcement, n_known),
+    offsetof(Work__Announcement, known),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = items */
+  7,   /* field[7] = known */
   0,   /* field[0] = node */
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
@@ -427,7 +440,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -437,7 +450,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  7,
+  8,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
@@ -626,12 +639,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
+    "revision",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Work__View, position),
+    offsetof(Work__View, revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -691,7 +704,7 @@
   5,   /* field[5] = changes */
   2,   /* field[2] = from */
   0,   /* field[0] = kind */
-  1,   /* field[1] = position */
+  1,   /* field[1] = revision */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange work__view__number_ranges[1 + 1] =
@@ -729,12 +742,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "position",
+    "revision",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Work__Change, position),
+    offsetof(Work__Change, revision),
     NULL,
     NULL,
     0,             /* flags */
@@ -781,7 +794,7 @@
   2,   /* field[2] = deleted */
   4,   /* field[4] = keep_ms */
   0,   /* field[0] = name */
-  1,   /* field[1] = position */
+  1,   /* field[1] = revision */
   3,   /* field[3] = spec */
 };
 static const ProtobufCIntRange work__change__number_ranges[1 + 1] =
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -75,10 +75,15 @@
    * the platform's store answers it
    */
   protobuf_c_boolean sound;
+  /*
+   * revision of each view; 0: none yet
+   */
+  size_t n_known;
+  int64_t *known;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
 
 
 struct  Work__Item
@@ -106,7 +111,7 @@
 
 
 /*
- * What a node that watches the platform knows, to one node of its data centre.
+ * What a node that watches the platform knows, to one node of its region.
  */
 struct  Work__News
 {
@@ -134,9 +139,9 @@
   /*
    * to which the view is complete
    */
-  int64_t position;
+  int64_t revision;
   /*
-   * all changes after it are listed
+   * all changes after this revision are listed
    */
   int64_t from;
   /*
@@ -161,9 +166,9 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * in the order of all changes of the kind
+   * of the store, by the change
    */
-  int64_t position;
+  int64_t revision;
   protobuf_c_boolean deleted;
   /*
    * JSON
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -57,6 +57,8 @@
 	size_t watch_count;
 	ev_timer watch_timer;
 	bool store_silent;
+	bool store_refuses; /**< 503 to all calls */
+	int view_calls; /**< without those for the list of nodes */
 	bool no_configuration;
 	struct server {
 		ev_io listening;
