Tell a node's own cut from an outage of the store

Ruled out: the pause of an outage (mended before; the logs show a retry after 1.5 s). Change: news tell how long the sender keeps missing servers; a node that hears news keeps them no longer, and retries within 0.4 s.

--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -187,6 +187,7 @@
 
 static void send_news_to(gateway_t *gateway, peer_t *peer)
 {
+	int64_t keep_until_us = gateway_keep_until_us(gateway);
 	news_t news = { .node = own_hash(gateway) };
 	work_echo_t echo;
 	size_t i;
@@ -195,6 +196,9 @@
 			      &echo))
 		return;
 	news.echo_boot_us = echo.sent_boot_us;
+	if (keep_until_us)
+		news.keep_ms =
+			(keep_until_us - clock_monotonic_us()) / US_PER_MS;
 	for (i = 0; i < KINDS_WATCHED; i++)
 		send_view(gateway, i, peer, &echo, &news);
 	if (news.view_count)
@@ -315,10 +319,14 @@
 {
 	size_t i, j;
 
+	int64_t now_us = clock_monotonic_us();
+	bool silent = !gateway_hears_news(gateway);
+
+	gateway->news_us = now_us;
+	gateway->told_keep_until_us = now_us + news->keep_ms * US_PER_MS;
 	/* Others reach the platform: no need to wait any longer. */
-	if (!gateway_hears_news(gateway))
+	if (silent)
 		gateway_retry_views(gateway);
-	gateway->news_us = clock_monotonic_us();
 	for (i = 0; i < news->view_count; i++)
 		for (j = 0; j < KINDS_WATCHED; j++)
 			if (gateway->views[j].kind == news->views[i].kind)
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -35,7 +35,6 @@
 	int64_t wait_ms; /**< of the last watch */
 	int64_t confirmed_boot_us; /**< the view was complete then; 0: never */
 	int32_t failures; /**< in a row */
-	int64_t returned_us; /**< first answer after the last failures */
 	news_log_t *log; /**< recent changes, for the nodes that follow */
 	bool following; /**< the last check found no need to watch */
 } view_t;
@@ -95,6 +94,9 @@
 	uint64_t incarnation, sequence;
 	ev_timer news; /**< sends changes to the nodes that follow */
 	int64_t news_us; /**< when news were last received; 0: never */
+	/** Until when servers whose entries are missing may return, by the own
+	 * view of the platform and by the last news. */
+	int64_t keep_until_us, told_keep_until_us;
 	bool registered; /**< the own entry in the list of nodes is there */
 	int32_t registry_reads;
 
@@ -116,6 +118,8 @@
 /** Applies one object of a view. @param keep_until_us see backends_remove() */
 void gateway_apply(view_t *view, const platform_object_t *object,
 		   int64_t keep_until_us);
+/** @return until when a server without an entry is kept; 0: not at all. */
+int64_t gateway_keep_until_us(const gateway_t *gateway);
 /** Reads the objects of a view anew, after a pause. */
 void gateway_relist(view_t *view, int64_t delay_ms);
 /** The view was complete at this time. */
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -8,8 +8,14 @@
 #include "platform/config.h"
 #include "process/gateway_state.h"
 
-/* Pause after a failed call; doubled up to the longest. */
-enum { RETRY_FIRST_MS = 100, RETRY_MAX_MS = 800, RETRY_DOUBLINGS_MAX = 3 };
+/* Pause after a failed call; doubled up to the longest, which is shorter while
+ * others reach the platform: the node is then cut off by itself. */
+enum {
+	RETRY_FIRST_MS = 100,
+	RETRY_MAX_MS = 800,
+	RETRY_ALONE_MAX_MS = 200,
+	RETRY_DOUBLINGS_MAX = 3
+};
 
 /* The first failure may be a lost answer; later ones show an outage, which the
  * nodes that watch for others end for all. The calls that the others make then
@@ -95,16 +101,21 @@
 	gateway->routing = routing;
 }
 
-/* Until when a server whose entry is missing is kept; 0: not at all. */
-static int64_t keep_until_us(const view_t *view)
+int64_t gateway_keep_until_us(const gateway_t *gateway)
 {
-	int64_t now_us = clock_monotonic_us();
-
-	return now_us < view->returned_us + RETURN_US
-		       ? view->returned_us + RETURN_US
+	return clock_monotonic_us() < gateway->keep_until_us
+		       ? gateway->keep_until_us
 		       : 0;
 }
 
+/* Nodes that heard of the platform meanwhile know whether it was away. */
+static void note_return(gateway_t *gateway)
+{
+	gateway->keep_until_us = gateway_hears_news(gateway)
+					 ? gateway->told_keep_until_us
+					 : clock_monotonic_us() + RETURN_US;
+}
+
 static void apply_server(gateway_t *gateway, const platform_object_t *object,
 			 int64_t keep_until_us)
 {
@@ -178,7 +189,7 @@
 	if (view->kind != PLATFORM_SERVERS)
 		return;
 	removed = backends_end_listing(view->gateway->backends,
-				       keep_until_us(view));
+				       gateway_keep_until_us(view->gateway));
 	if (removed)
 		log_event(EVENT_SERVER_REMOVED, "count=%zu reason=unlisted",
 			  removed);
@@ -244,7 +255,7 @@
 	int32_t doublings = view->failures < RETRY_DOUBLINGS_MAX
 				    ? view->failures
 				    : RETRY_DOUBLINGS_MAX;
-	int64_t delay_ms = RETRY_FIRST_MS << doublings;
+	int64_t delay_ms = RETRY_FIRST_MS << doublings, longest_ms;
 
 	view->failures++;
 	/* History that is gone is read again as a whole, at once. */
@@ -255,8 +266,10 @@
 		log_event(EVENT_VIEW_RELISTED, "kind=%d revision=%" PRId64,
 			  (int)view->kind, view->revision);
 	}
-	if (delay_ms > RETRY_MAX_MS)
-		delay_ms = RETRY_MAX_MS;
+	longest_ms = gateway_hears_news(view->gateway) ? RETRY_ALONE_MAX_MS
+						       : RETRY_MAX_MS;
+	if (delay_ms > longest_ms)
+		delay_ms = longest_ms;
 	if (delay_ms && delay_ms < idle_retry_ms(view))
 		delay_ms = idle_retry_ms(view);
 	/* Nodes that failed together must not come back together. */
@@ -283,7 +296,7 @@
 
 static void apply_page(view_t *view, const platform_page_t *page)
 {
-	int64_t keep_us = keep_until_us(view), revision = 0;
+	int64_t keep_us = gateway_keep_until_us(view->gateway), revision = 0;
 	size_t i;
 
 	for (i = 0; i < page->count; i++) {
@@ -306,7 +319,7 @@
 		return;
 	}
 	if (view->failures && view->confirmed_boot_us)
-		view->returned_us = clock_monotonic_us();
+		note_return(view->gateway);
 	if (view->failures) {
 		view->failures = 0;
 		gateway_retry_views(view->gateway);
@@ -335,7 +348,7 @@
 void gateway_end_outage(view_t *view)
 {
 	view->failures = 0;
-	view->returned_us = clock_monotonic_us();
+	note_return(view->gateway);
 	schedule(view, FOLLOW_CHECK_MS);
 }
 
--- a/src/process/news.h
+++ b/src/process/news.h
@@ -42,6 +42,7 @@
 typedef struct {
 	uint64_t node;
 	int64_t echo_boot_us;
+	int64_t keep_ms; /**< missing servers may return for this time */
 	news_view_t views[NEWS_VIEWS_MAX];
 	size_t view_count;
 } news_t;
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -101,6 +101,7 @@
 	}
 	packed.node = news->node;
 	packed.echo_boot_us = news->echo_boot_us;
+	packed.keep_ms = to_unit(news->keep_ms, 1);
 	packed.n_views = news->view_count;
 	packed.views = view_pointers;
 	packet.body_case = WORK__PACKET__BODY_NEWS;
@@ -181,6 +182,7 @@
 
 	news->node = packed->node;
 	news->echo_boot_us = packed->echo_boot_us;
+	news->keep_ms = packed->keep_ms;
 	for (i = 0; i < packed->n_views && i < NEWS_VIEWS_MAX; i++)
 		decode_view(packed->views[i], &news->views[i]);
 	news->view_count = i;
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -560,7 +560,7 @@
   (ProtobufCMessageInit) work__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__news__field_descriptors[3] =
+static const ProtobufCFieldDescriptor work__news__field_descriptors[4] =
 {
   {
     "node",
@@ -598,16 +598,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keep_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__News, keep_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__news__field_indices_by_name[] = {
   1,   /* field[1] = echo_boot_us */
+  3,   /* field[3] = keep_ms */
   0,   /* field[0] = node */
   2,   /* field[2] = views */
 };
 static const ProtobufCIntRange work__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor work__news__descriptor =
 {
@@ -617,7 +630,7 @@
   "Work__News",
   "work",
   sizeof(Work__News),
-  3,
+  4,
   work__news__field_descriptors,
   work__news__field_indices_by_name,
   1,  work__news__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -126,10 +126,14 @@
   int64_t echo_boot_us;
   size_t n_views;
   Work__View **views;
+  /*
+   * missing servers may still return for this time
+   */
+  uint32_t keep_ms;
 };
 #define WORK__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__news__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0 }
 
 
 struct  Work__View
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -66,7 +66,7 @@
 			items, json_pack("{s:{s:s,s:i},s:o}", "meta", "name",
 					 "main", "revision", 4, "spec",
 					 json_loads(configuration, 0, NULL)));
-	if (!strcmp(path, "/objects/servers")) {
+	if (!strcmp(path, "/objects/servers") && !fixture->no_servers) {
 		json_array_append_new(items, server_entry(fixture, "s", 0));
 		json_array_append_new(items, server_entry(fixture, "s", 1));
 		json_array_append_new(items, server_entry(fixture, "m", 0));
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -183,12 +183,67 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/* Guards against a server that left while this node was cut off and is used
+ * as if its entry could return, and against a fleet without servers after an
+ * outage of the platform. */
+static const struct {
+	bool others_reach_it; /**< the platform, while this node does not */
+	int64_t keep_ms; /**< that they tell */
+	size_t servers; /**< that are kept */
+} outages[] = {
+	{ false, 0, 4 },
+	{ true, 0, 0 },
+	{ true, 1500, 4 },
+};
+
+static size_t count_servers(const gateway_t *gateway)
+{
+	backend_t *server = NULL;
+	size_t count = 0;
+
+	while ((server = backends_next(gateway->backends, server)))
+		count++;
+	return count;
+}
+
+static void keeps_servers_after_an_outage(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(outages); i++) {
+		gateway_fixture_t fixture = { 0 };
+		news_t news = { .node = 1, .keep_ms = outages[i].keep_ms };
+		int64_t ms;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		assert_int_equal(count_servers(fixture.gateway), 4);
+		fixture.store_refuses = true;
+		for (ms = 0; ms < 4000 && !fixture.gateway->views[0].failures;
+		     ms += 50)
+			gateway_fixture_run(&fixture, 50);
+		fixture.store_refuses = false;
+		fixture.no_servers = true;
+		gateway_relist(&fixture.gateway->views[1], 0);
+		for (ms = 0; ms < 1000; ms += 200) {
+			if (outages[i].others_reach_it)
+				gateway_receive_news(fixture.gateway, &news);
+			gateway_fixture_run(&fixture, 200);
+		}
+		assert_true(fixture.gateway->views[1].listed);
+		assert_int_equal(count_servers(fixture.gateway),
+				 outages[i].servers);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(ranks_nodes),
 		cmocka_unit_test(waits_for_others_in_an_outage),
 		cmocka_unit_test(reads_anew_after_an_outage),
+		cmocka_unit_test(keeps_servers_after_an_outage),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
