Pack short prompts in an order that all nodes have

Nodes chose by cost with a random part that grows with their number, 0.135 with 90 nodes, more than packing gains; long prompts found fewer free servers, and bursts met on one server by chance. Ruled out (trials): a smaller or larger random part, more packing gain, finer steps, own data centre first, a lower price of server time. Change: a short prompt goes to the first servers, in the order of the hashes of their ids, that take it in time; the node chooses at random among as many free slots as two for each request that may have arrived unknown. Otherwise by cost, as before.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -259,6 +259,7 @@
 			    server->table->conf.data_centre);
 	candidate_t candidate = {
 		.server = server,
+		.order = server->hash,
 		.load = backend_load(server, query->share, query->now_us),
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -3,9 +3,6 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
-/* Part of an objective that a prediction may use up before the request counts
- * as late; the rest covers errors of the prediction. */
-#define TARGET_SHARE 0.6
 /* The same for the pauses of streams. */
 #define GAP_SHARE 0.85
 /* Short prompts are packed while the prediction is below this share. */
@@ -55,7 +52,7 @@
 	       event_us / (objective_us > 1 ? objective_us : 1);
 }
 
-static bool fits(const candidate_t *candidate, int64_t kv_tokens)
+bool placement_fits(const candidate_t *candidate, int64_t kv_tokens)
 {
 	return !candidate->kv_capacity_tokens ||
 	       (double)(candidate->load.kv_tokens + kv_tokens) <=
@@ -81,8 +78,8 @@
  * Weight of the streams whose next pause becomes too long by this part. Those
  * that are late anyway, because of prefill that is pending, lose nothing more.
  */
-static double late_streams(const candidate_t *candidate,
-			   const placement_query_t *query, double read_us)
+double placement_late_streams(const candidate_t *candidate,
+			      const placement_query_t *query, double read_us)
 {
 	const server_load_t *load = &candidate->load;
 	double limit_us = (double)load->gap_us * GAP_SHARE;
@@ -143,10 +140,10 @@
 						  option.read_us);
 	pass_us = forecast_pass_read_max_us(query->engine, option.read_us,
 					    part_tokens);
-	option.late_weight = late_streams(candidate, query, pass_us);
+	option.late_weight = placement_late_streams(candidate, query, pass_us);
 	option.cost = option.late_weight * PLACEMENT_LATE_LOSS +
 		      time_cost(query, option.event_us);
-	if (option.event_us > target_us * TARGET_SHARE)
+	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE)
 		option.cost += placement_weight(query, query->prompt_tokens) *
 			       PLACEMENT_LATE_LOSS;
 	option.cost += spread_cost(candidate, query, option.event_us) +
@@ -177,7 +174,7 @@
 				&candidates[(i + offset) % count];
 
 			if (candidate->doubtful == !!doubtful &&
-			    fits(candidate, kv_tokens))
+			    placement_fits(candidate, kv_tokens))
 				options[used++] =
 					option_of(candidate, query, parts);
 		}
@@ -204,7 +201,7 @@
 		const server_load_t *load = &options[i].candidate->load;
 		int32_t more;
 
-		if (!fits(options[i].candidate, kv_tokens))
+		if (!placement_fits(options[i].candidate, kv_tokens))
 			continue;
 		if (writer == parts || (has_slot(options[i].candidate) &&
 					!has_slot(options[writer].candidate))) {
@@ -247,7 +244,7 @@
 	       time_cost(query, event_us) +
 	       (PART_LOSS + weight * PART_RISK) * (double)(parts - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
-	if (event_us > target_us * TARGET_SHARE)
+	if (event_us > target_us * PLACEMENT_TARGET_SHARE)
 		cost += weight * PLACEMENT_LATE_LOSS;
 	return cost;
 }
@@ -340,7 +337,9 @@
 	parts_min = parts_for_memory(query, count);
 	if (!parts_min)
 		return PLACEMENT_TOO_LONG;
-	if (parts_min == 1)
+	if (parts_min == 1 && placement_is_short(query))
+		found = placement_pack(candidates, count, query, placement);
+	if (parts_min == 1 && !found)
 		found = place_cheapest(candidates, count, query, 1, false,
 				       placement);
 	if (!found)
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -25,6 +25,7 @@
 /** A server that may take the request. */
 typedef struct {
 	void *server; /**< the user's object */
+	uint32_t order; /**< the same for all nodes, different for servers */
 	server_load_t load;
 	int32_t slots; /**< requests that run at once */
 	int64_t kv_capacity_tokens; /**< 0: not limited */
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -14,6 +14,18 @@
 /** @return what a request with this prompt counts for. */
 double placement_weight(const placement_query_t *query, int64_t prompt_tokens);
 
+/* Part of an objective that a prediction may use up before the request counts
+ * as late; the rest covers errors of the prediction. */
+#define PLACEMENT_TARGET_SHARE 0.6
+
+/** Whether a server has memory for so many more tokens. */
+bool placement_fits(const candidate_t *candidate, int64_t kv_tokens);
+
+/** @return weight of the streams that are late by prefill of @p read_us in one
+ * of their passes. */
+double placement_late_streams(const candidate_t *candidate,
+			      const placement_query_t *query, double read_us);
+
 /** Whether the prompt is one of those that are packed. */
 bool placement_is_short(const placement_query_t *query);
 
@@ -25,6 +37,15 @@
 			      const placement_query_t *query,
 			      const placement_t *placement);
 
+/* placement_pack.c */
+/**
+ * Puts a short prompt onto one of the first servers, in an order that all nodes
+ * have, that have free slots between them for what arrives at once.
+ * @return false if no server can take it without anything being late
+ */
+bool placement_pack(const candidate_t *candidates, size_t count,
+		    const placement_query_t *query, placement_t *placement);
+
 /* placement_plain.c */
 placement_result_t placement_plain(const candidate_t *candidates, size_t count,
 				   const placement_query_t *query,
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -34,6 +34,7 @@
 	for (i = 0; i < count; i++) {
 		candidates[i] = (candidate_t){
 			.server = &candidates[i],
+			.order = (uint32_t)i,
 			.load = { .writers = states[i].writers,
 				  .gap_us = states[i].gap_ms * US_PER_MS,
 				  .pending_us =
@@ -231,6 +232,160 @@
 	}
 }
 
+/* Load: many short prompts at once, from nodes that know of each other's work
+ * a little late. */
+static void packs_short_prompts(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		state_t servers[SERVERS];
+		size_t count;
+		int64_t target_ms;
+		int32_t nodes;
+		size_t least,
+			most; /* servers that are chosen, from the first */
+	} cases[] = {
+		{ "idle servers that each take one prompt",
+		  { { .writers = 1, .gap_ms = 250 }, { 0 }, { 0 }, { 0 } },
+		  4,
+		  400,
+		  1,
+		  1,
+		  1 },
+		{ "more prompts on one server than it reads in time",
+		  { { 0 }, { 0 }, { 0 }, { 0 } },
+		  4,
+		  100,
+		  6,
+		  2,
+		  4 },
+		{ "nodes that all choose the last free slot",
+		  { { .writers = 15, .gap_ms = 250 },
+		    { .writers = 15, .gap_ms = 250 },
+		    { .writers = 15, .gap_ms = 250 },
+		    { 0 },
+		    { 0 } },
+		  5,
+		  400,
+		  6,
+		  4,
+		  4 },
+		{ "a fleet that is packed with no room for what arrives",
+		  { { .writers = 10, .gap_ms = 250 },
+		    { .writers = 10, .gap_ms = 250 },
+		    { .writers = 10, .gap_ms = 250 },
+		    { .writers = 10, .gap_ms = 250 },
+		    { .writers = 10, .gap_ms = 250 },
+		    { .writers = 10, .gap_ms = 250 },
+		    { 0 },
+		    { 0 } },
+		  8,
+		  400,
+		  90,
+		  2,
+		  6 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		placement_query_t query = query_of(4000, cases[i].target_ms);
+		candidate_t candidates[SERVERS];
+		placement_t placement;
+		size_t last = 0;
+
+		query.nodes = cases[i].nodes;
+		fill(candidates, cases[i].servers, cases[i].count);
+		for (query.salt = 0; query.salt < 100; query.salt++) {
+			assert_int_equal(placement_choose(candidates,
+							  cases[i].count,
+							  &query, &placement),
+					 PLACEMENT_CHOSEN);
+			assert_int_equal(placement.count, 1);
+			if (placement.parts[0] > &candidates[last])
+				last = (size_t)(placement.parts[0] -
+						candidates);
+		}
+		if (last + 1 < cases[i].least || last + 1 > cases[i].most)
+			fail_msg("case \"%s\": %zu servers",
+				 cases[i].guards_against, last + 1);
+	}
+}
+
+/* A burst of short prompts over many nodes, each of which knows the work of the
+ * others as it was a while ago. */
+enum {
+	FLEET = 60,
+	PROMPTS = 600,
+	ARRIVAL_MS = 4, /* between two prompts */
+	KNOWN_AFTER_MS = 40,
+	STAY_MS = 2000
+};
+
+typedef struct {
+	int64_t at_ms;
+	size_t server;
+} placed_t;
+
+static void count_work(candidate_t *candidates, const placed_t *placed,
+		       size_t count, int64_t from_ms, int64_t until_ms)
+{
+	size_t i;
+
+	for (i = 0; i < FLEET; i++)
+		candidates[i].load = (server_load_t){ 0 };
+	for (i = 0; i < count; i++) {
+		server_load_t *load = &candidates[placed[i].server].load;
+
+		if (placed[i].at_ms > until_ms ||
+		    placed[i].at_ms + STAY_MS <= from_ms)
+			continue;
+		load->writers++;
+		load->gap_us = 250 * US_PER_MS;
+		load->kv_tokens += 5000;
+	}
+}
+
+/*
+ * Guards against nodes that all choose the same server, and against servers
+ * with a single short prompt, which are lost to long ones.
+ */
+static void plays_a_burst_of_short_prompts(void **state)
+{
+	candidate_t candidates[FLEET];
+	placed_t placed[PROMPTS];
+	int64_t now_ms = 0;
+	size_t i, used = 0, full = 0;
+
+	memset(candidates, 0, sizeof(candidates));
+	for (i = 0; i < FLEET; i++)
+		candidates[i] = (candidate_t){ .server = &candidates[i],
+					       .order = (uint32_t)i,
+					       .slots = 16,
+					       .pace = 1 };
+	for (i = 0; i < PROMPTS; i++) {
+		placement_query_t query = query_of(4000, 400);
+		placement_t placement;
+
+		now_ms = (int64_t)i * ARRIVAL_MS;
+		query.nodes = 90;
+		query.salt = i * 0x9e3779b97f4a7c15u;
+		count_work(candidates, placed, i, now_ms,
+			   now_ms - KNOWN_AFTER_MS);
+		assert_int_equal(placement_choose(candidates, FLEET, &query,
+						  &placement),
+				 PLACEMENT_CHOSEN);
+		placed[i] = (placed_t){ now_ms, (size_t)(placement.parts[0] -
+							 candidates) };
+		count_work(candidates, placed, i + 1, now_ms, now_ms);
+		full += candidates[placed[i].server].load.writers > 16;
+	}
+	for (i = 0; i < FLEET; i++)
+		used += candidates[i].load.writers > 0;
+	/* 500 prompts at the end, 16 on a server. */
+	assert_in_range(used, STAY_MS / ARRIVAL_MS / 16, 45);
+	assert_true(full < PROMPTS / 20);
+}
+
 static void refuses(void **state)
 {
 	static const struct {
@@ -373,6 +528,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(forecasts_passes),
 		cmocka_unit_test(chooses_servers),
+		cmocka_unit_test(packs_short_prompts),
+		cmocka_unit_test(plays_a_burst_of_short_prompts),
 		cmocka_unit_test(refuses),
 		cmocka_unit_test(shares_memory),
 		cmocka_unit_test(places_late_requests_like_others),
