--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -144,14 +144,16 @@
 }
 
 /* The revision from which a receiver needs changes; 0: it has no view. */
-static int64_t known_revision(const peer_t *peer, const work_echo_t *echo,
+static int64_t known_revision(peer_t *peer, const work_echo_t *echo,
 			      size_t index)
 {
 	int64_t known = echo->known_revisions[index];
+	int64_t now_us = clock_monotonic_us();
 
-	if (known && peer->told_revisions[index] > known &&
-	    clock_monotonic_us() - peer->told_us < RESEND_US)
+	if (known && known < peer->told_revisions[index] &&
+	    now_us - peer->told_us[index] < RESEND_US)
 		return peer->told_revisions[index];
+	peer->told_us[index] = now_us;
 	return known;
 }
 
@@ -164,10 +166,8 @@
 	size_t count = news_log_count(view->log);
 	size_t next = known ? news_log_find(view->log, known) : count;
 
-	if (next < count) {
+	if (next < count)
 		peer->told_revisions[index] = view->revision;
-		peer->told_us = clock_monotonic_us();
-	}
 	do {
 		news_view_t *sent = &news->views[news->view_count++];
 
@@ -317,10 +317,9 @@
 
 void gateway_receive_news(gateway_t *gateway, const news_t *news)
 {
-	size_t i, j;
-
 	int64_t now_us = clock_monotonic_us();
 	bool silent = !gateway_hears_news(gateway);
+	size_t i, j;
 
 	gateway->news_us = now_us;
 	gateway->told_keep_until_us = now_us + news->keep_ms * US_PER_MS;
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -50,9 +50,10 @@
 	char address[URL_SIZE_BYTES];
 	char data_centre[NAME_SIZE_BYTES];
 	uint64_t hash;
-	/* Revisions of the views that were last sent, and when. */
+	/* Revisions of the views that were last sent, and since when some of
+	 * what was sent is not acknowledged. */
 	int64_t told_revisions[KINDS_WATCHED];
-	int64_t told_us;
+	int64_t told_us[KINDS_WATCHED];
 } peer_t;
 
 /** Where a graceful stop stands. */
