--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -117,12 +117,12 @@
 		rooms[used] = room_of(&candidates[i], query);
 		used += rooms[used].free > 0;
 	}
-	if (!used)
-		return false;
 	qsort(rooms, used, sizeof(*rooms), compare_order);
 	wanted = choices(candidates, count, query);
 	for (i = 0; i < used && sum < wanted; i++)
 		sum += rooms[i].free;
+	if (!sum)
+		return false;
 	chosen = (int32_t)(query->salt % (uint64_t)sum);
 	for (i = 0; chosen >= rooms[i].free; i++)
 		chosen -= rooms[i].free;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "process/gateway.h"
@@ -21,13 +22,15 @@
 static void hear(work_share_t *share, uint64_t node, const char *data_centre,
 		 bool sound)
 {
-	static uint64_t sequence;
+	static uint64_t sequence = 1;
 	work_message_t message = { .node = node,
 				   .incarnation = 1,
-				   .sequence = ++sequence,
+				   .sequence = sequence,
 				   .sound = sound };
 
-	strcpy(message.data_centre, data_centre);
+	sequence++;
+	mem_strlcpy(message.data_centre, data_centre,
+		    sizeof(message.data_centre));
 	assert_true(work_share_receive(share, &message, clock_monotonic_us(),
 				       clock_boot_us()));
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -352,7 +352,7 @@
 static void plays_a_burst_of_short_prompts(void **state)
 {
 	candidate_t candidates[FLEET];
-	placed_t placed[PROMPTS];
+	placed_t placed[PROMPTS] = { 0 };
 	int64_t now_ms = 0;
 	size_t i, used = 0, full = 0;
 
