--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -117,6 +117,8 @@
 		rooms[used] = room_of(&candidates[i], query);
 		used += rooms[used].free > 0;
 	}
+	if (!used)
+		return false;
 	qsort(rooms, used, sizeof(*rooms), compare_order);
 	wanted = choices(candidates, count, query);
 	for (i = 0; i < used && sum < wanted; i++)
