Start anew what was told when a node's place in the list changes

Cause: found in reading the change. Each reading of the list of nodes set the name, address and data centre of each place, but left what was told to the node that had been there, and for places that are new what the allocator gave. Change: a place is filled in as a whole. What is not acknowledged is sent once more after a reading of the list. Test: test_follow tells_each_node_apart, which failed before.

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -180,7 +180,7 @@
 
 static void set_peer(peer_t *peer, const platform_vm_t *vm)
 {
-	peer->hash = work_share_node_hash(vm->id);
+	*peer = (peer_t){ .hash = work_share_node_hash(vm->id) };
 	mem_strlcpy(peer->address, vm->address, sizeof(peer->address));
 	mem_strlcpy(peer->data_centre, vm->data_centre,
 		    sizeof(peer->data_centre));
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -57,6 +57,17 @@
 			 0);
 }
 
+/* Nodes n2, n3 and so on, the newest first. */
+static json_t *node_entry(size_t number)
+{
+	char name[24];
+
+	snprintf(name, sizeof(name), "n%zu", number);
+	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:b}}", "meta", "name", name,
+			 "revision", 5, "spec", "data_centre", "a", "address",
+			 "127.0.0.1:9", "leaving", 0);
+}
+
 static json_t *items_of(const gateway_fixture_t *fixture, const char *path)
 {
 	json_t *items = json_array();
@@ -72,6 +83,12 @@
 		json_array_append_new(items, server_entry(fixture, "m", 0));
 		json_array_append_new(items, server_entry(fixture, "m", 1));
 	}
+	if (!strcmp(path, "/objects/chivestage-vms")) {
+		size_t i;
+
+		for (i = fixture->other_nodes; i > 0; i--)
+			json_array_append_new(items, node_entry(i + 1));
+	}
 	return items;
 }
 
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -60,6 +60,7 @@
 	bool store_refuses; /**< 503 to all calls */
 	int view_calls; /**< without those for the list of nodes */
 	bool no_configuration;
+	size_t other_nodes; /**< in the list of nodes, after n1 */
 	bool no_servers; /**< their entries are gone */
 	struct server {
 		ev_io listening;
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -240,6 +240,38 @@
 	}
 }
 
+static const peer_t *wait_peers(gateway_fixture_t *fixture, size_t count)
+{
+	int i;
+
+	fixture->other_nodes = count;
+	for (i = 0; i < 100 && fixture->gateway->peer_count != count; i++)
+		gateway_fixture_run(fixture, 50);
+	assert_int_equal(fixture->gateway->peer_count, count);
+	return fixture->gateway->peers;
+}
+
+/* Guards against changes that a node is not told because another one that was
+ * at its place in the list has them. */
+static void tells_each_node_apart(void **state)
+{
+	gateway_fixture_t fixture = { 0 };
+	const peer_t *peers;
+	size_t i;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	peers = wait_peers(&fixture, 1);
+	fixture.gateway->peers[0].told_revisions[1] = 99;
+	fixture.gateway->peers[0].told_us[1] = INT64_MAX;
+	peers = wait_peers(&fixture, 2);
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(peers[i].told_revisions[1], 0);
+		assert_int_equal(peers[i].told_us[1], 0);
+	}
+	gateway_fixture_stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -247,6 +279,7 @@
 		cmocka_unit_test(waits_for_others_in_an_outage),
 		cmocka_unit_test(reads_anew_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
+		cmocka_unit_test(tells_each_node_apart),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
