Placement: one place for what its parts share

Found in reading the change. Behaviour as before. - placement_fits() and placement_late_streams() are declared in placement_cost.h and live in placement_cost.c now, with their constants. - placement_running() for a sum that stood in five places. - placement_pack() computes the prefill of the prompt once instead of once for each server and once more; a lone node sums up no work that it does not use.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
-/* The same for the pauses of streams. */
-#define GAP_SHARE 0.85
 /* Short prompts are packed while the prediction is below this share. */
 #define PACK_SHARE 0.45
 /* Shortest pause before a refused prompt is worth sending again. */
@@ -21,9 +19,6 @@
 /* Random part of the cost of a server, for each node: the more nodes choose at
  * once, the wider they must spread. */
 #define JITTER_LOSS 0.0015
-/* Share of a server's KV cache that is planned; the rest covers outputs that
- * turn out longer than expected. */
-#define KV_PLANNED_SHARE 0.92
 
 enum {
 	CANDIDATES_MAX = 512,
@@ -52,19 +47,11 @@
 	       event_us / (objective_us > 1 ? objective_us : 1);
 }
 
-bool placement_fits(const candidate_t *candidate, int64_t kv_tokens)
-{
-	return !candidate->kv_capacity_tokens ||
-	       (double)(candidate->load.kv_tokens + kv_tokens) <=
-		       (double)candidate->kv_capacity_tokens * KV_PLANNED_SHARE;
-}
-
 /* A full server starts the next request when one of those it runs ends. */
 static double slot_wait_us(const candidate_t *candidate,
 			   const placement_query_t *query)
 {
-	int32_t running = candidate->load.readers + candidate->load.writers;
-	int32_t over = running - candidate->slots + 1;
+	int32_t over = placement_running(candidate) - candidate->slots + 1;
 
 	if (over <= 0 || candidate->slots <= 0)
 		return 0;
@@ -74,41 +61,16 @@
 	       over / candidate->slots;
 }
 
-/*
- * Weight of the streams whose next pause becomes too long by this part. Those
- * that are late anyway, because of prefill that is pending, lose nothing more.
- */
-double placement_late_streams(const candidate_t *candidate,
-			      const placement_query_t *query, double read_us)
-{
-	const server_load_t *load = &candidate->load;
-	double limit_us = (double)load->gap_us * GAP_SHARE;
-	double before_us;
-
-	if (!load->writers || !load->gap_us)
-		return 0;
-	before_us = (forecast_decode_us(query->engine, load->writers,
-					load->kv_tokens) +
-		     (double)load->pending_us) *
-		    candidate->pace;
-	if (before_us > limit_us || before_us + read_us <= limit_us)
-		return 0;
-	return load->writers *
-	       placement_weight(query, load->kv_tokens /
-					       (load->writers + load->readers));
-}
-
 /* Packing: an idle server is worth more to a long prompt. */
 static double spread_cost(const candidate_t *candidate,
 			  const placement_query_t *query, double event_us)
 {
-	const server_load_t *load = &candidate->load;
-	int32_t running = load->readers + load->writers, step;
+	int32_t step;
 
 	if (!placement_is_short(query) ||
 	    event_us > (double)query->target_us * PACK_SHARE)
 		return 0;
-	step = running * FILL_STEPS /
+	step = placement_running(candidate) * FILL_STEPS /
 	       (candidate->slots > 0 ? candidate->slots : 1);
 	return -SPREAD_LOSS * step / FILL_STEPS;
 }
@@ -184,8 +146,7 @@
 
 static bool has_slot(const candidate_t *candidate)
 {
-	return candidate->load.readers + candidate->load.writers <
-	       candidate->slots;
+	return placement_running(candidate) < candidate->slots;
 }
 
 /* The server that keeps the KV cache and writes goes first: one with room and
@@ -278,7 +239,7 @@
 static int32_t parts_for_memory(const placement_query_t *query, size_t count)
 {
 	double capacity =
-		(double)query->engine->kv_capacity_tokens * KV_PLANNED_SHARE;
+		(double)query->engine->kv_capacity_tokens * PLACEMENT_KV_SHARE;
 	double kv_tokens =
 		(double)(query->prompt_tokens + query->output_tokens);
 	int32_t parts = 1;
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -6,6 +6,8 @@
 #define LATE_VALUE 0.25
 /* Backlog of a server, on average, at which its time has its full price. */
 #define BACKLOG_FULL_US (250 * US_PER_MS)
+/* Part of the pause that a stream allows which a prediction may use up. */
+#define GAP_SHARE 0.85
 /* Weight of a request beside its prompt, in usual prompts. */
 #define WEIGHT_BASE 0.5
 
@@ -27,6 +29,39 @@
 	       query->engine->usual_prompt_tokens * SHORT_PROMPTS;
 }
 
+int32_t placement_running(const candidate_t *candidate)
+{
+	return candidate->load.readers + candidate->load.writers;
+}
+
+bool placement_fits(const candidate_t *candidate, int64_t kv_tokens)
+{
+	return !candidate->kv_capacity_tokens ||
+	       (double)(candidate->load.kv_tokens + kv_tokens) <=
+		       (double)candidate->kv_capacity_tokens *
+			       PLACEMENT_KV_SHARE;
+}
+
+double placement_late_streams(const candidate_t *candidate,
+			      const placement_query_t *query, double read_us)
+{
+	const server_load_t *load = &candidate->load;
+	double limit_us = (double)load->gap_us * GAP_SHARE;
+	double before_us;
+
+	if (!load->writers || !load->gap_us)
+		return 0;
+	before_us = (forecast_decode_us(query->engine, load->writers,
+					load->kv_tokens) +
+		     (double)load->pending_us) *
+		    candidate->pace;
+	if (before_us > limit_us || before_us + read_us <= limit_us)
+		return 0;
+	return load->writers *
+	       placement_weight(query, load->kv_tokens /
+					       (load->writers + load->readers));
+}
+
 double placement_backlog_us(const candidate_t *candidates, size_t count)
 {
 	double sum_us = 0;
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -18,11 +18,21 @@
  * as late; the rest covers errors of the prediction. */
 #define PLACEMENT_TARGET_SHARE 0.6
 
+/* Share of a server's KV cache that is planned; the rest covers outputs that
+ * turn out longer than expected. */
+#define PLACEMENT_KV_SHARE 0.92
+
+/** @return requests that a server runs, and parts that it reads. */
+int32_t placement_running(const candidate_t *candidate);
+
 /** Whether a server has memory for so many more tokens. */
 bool placement_fits(const candidate_t *candidate, int64_t kv_tokens);
 
-/** @return weight of the streams that are late by prefill of @p read_us in one
- * of their passes. */
+/**
+ * @return weight of the streams whose next pause becomes too long by prefill of
+ *         @p read_us in one pass; those that are late anyway, because of
+ *         prefill that is pending, lose nothing more
+ */
 double placement_late_streams(const candidate_t *candidate,
 			      const placement_query_t *query, double read_us);
 
--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -21,17 +21,13 @@
 	int32_t free; /**< slots */
 } room_t;
 
-static int32_t running(const candidate_t *candidate)
-{
-	return candidate->load.readers + candidate->load.writers;
-}
-
 /* Short prompts that a server can take at once: it has slots for them, and
  * reads one after the other in time. */
 static int32_t free_slots(const room_t *room, const placement_query_t *query,
 			  double read_us)
 {
-	int32_t slots = room->candidate->slots - running(room->candidate);
+	int32_t slots =
+		room->candidate->slots - placement_running(room->candidate);
 	double left_us = (double)query->target_us * PLACEMENT_TARGET_SHARE -
 			 room->event_us;
 
@@ -43,10 +39,8 @@
 }
 
 static room_t room_of(const candidate_t *candidate,
-		      const placement_query_t *query)
+		      const placement_query_t *query, double read_us)
 {
-	double read_us =
-		forecast_read_us(query->engine, query->prompt_tokens, 1);
 	room_t room = {
 		.candidate = candidate,
 		.event_us = (double)candidate->distance_us +
@@ -89,7 +83,7 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		sum += running(&candidates[i]);
+		sum += placement_running(&candidates[i]);
 	return stay_us > 0 ? sum * KNOWN_AGE_US / stay_us : 0;
 }
 
@@ -98,23 +92,26 @@
 		       const placement_query_t *query)
 {
 	int32_t least = query->nodes < CHOICES_MIN ? query->nodes : CHOICES_MIN;
-	int32_t wanted = (int32_t)(CHOICES_PER_ARRIVAL *
-				   unknown_arrivals(candidates, count, query));
+	int32_t wanted;
 
 	if (query->nodes <= 1)
 		return 1;
+	wanted = (int32_t)(CHOICES_PER_ARRIVAL *
+			   unknown_arrivals(candidates, count, query));
 	return wanted > least ? wanted : least;
 }
 
 bool placement_pack(const candidate_t *candidates, size_t count,
 		    const placement_query_t *query, placement_t *placement)
 {
+	double read_us =
+		forecast_read_us(query->engine, query->prompt_tokens, 1);
 	room_t rooms[SERVERS_MAX];
 	int32_t wanted, sum = 0, chosen;
 	size_t i, used = 0;
 
 	for (i = 0; i < count && used < SERVERS_MAX; i++) {
-		rooms[used] = room_of(&candidates[i], query);
+		rooms[used] = room_of(&candidates[i], query, read_us);
 		used += rooms[used].free > 0;
 	}
 	if (!used)
@@ -132,8 +129,7 @@
 		.count = 1,
 		.parts = { rooms[i].candidate },
 		.first_event_us = (int64_t)rooms[i].event_us,
-		.read_us = { (int64_t)forecast_read_us(
-			query->engine, query->prompt_tokens, 1) },
+		.read_us = { (int64_t)read_us },
 	};
 	return true;
 }
--- a/src/process/placement_plain.c
+++ b/src/process/placement_plain.c
@@ -16,12 +16,10 @@
 	for (i = 0; i < count; i++) {
 		const candidate_t *candidate =
 			&candidates[(i + query->salt % count) % count];
-		int32_t running =
-			candidate->load.readers + candidate->load.writers;
 		double us =
 			(double)candidate->distance_us +
 			PLAIN_CALL_US * candidate->pace *
-				((double)(running + 1) /
+				((double)(placement_running(candidate) + 1) /
 				 (candidate->slots > 0 ? candidate->slots : 1));
 
 		if (best && candidate->doubtful > best->doubtful)
