--- /dev/null
+++ b/src/process/gateway_apply.c
@@ -0,0 +1,100 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "platform/config.h"
+#include "process/gateway_state.h"
+
+int64_t gateway_routing_version(const gateway_t *gateway)
+{
+	return gateway->routing ? routing_version(gateway->routing) : -1;
+}
+
+static void apply_routing(gateway_t *gateway, const platform_object_t *object)
+{
+	int64_t current = gateway_routing_version(gateway);
+	routing_t *routing;
+	err_t err;
+
+	if (strcmp(object->name, PLATFORM_ROUTING_NAME) != 0 || object->deleted)
+		return;
+	routing = platform_decode_routing(object->spec, &err);
+	if (!routing) {
+		log_event(EVENT_CONFIG_REFUSED,
+			  "source=platform revision=%" PRId64 " problem=\"%s\"",
+			  object->version, err.message);
+		return;
+	}
+	if (routing_version(routing) <= current) {
+		if (routing_version(routing) < current)
+			log_event(EVENT_CONFIG_STALE,
+				  "version=%" PRId64 " in_force=%" PRId64
+				  " source=platform",
+				  routing_version(routing), current);
+		routing_unref(routing);
+		return;
+	}
+	log_event(EVENT_CONFIG_APPLIED,
+		  "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+		  " source=platform",
+		  routing_version(routing), current, object->version);
+	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
+	routing_unref(gateway->routing);
+	gateway->routing = routing;
+}
+
+static void apply_server(gateway_t *gateway, const platform_object_t *object,
+			 int64_t keep_until_us)
+{
+	int64_t now_us = clock_monotonic_us();
+	backend_entry_t entry;
+
+	if (object->deleted || !platform_decode_server(object, &entry)) {
+		if (backends_remove(gateway->backends, object->name,
+				    keep_until_us))
+			log_event(EVENT_SERVER_REMOVED,
+				  "server=%s revision=%" PRId64 " reason=%s",
+				  object->name, object->version,
+				  object->deleted ? "deleted" : "malformed");
+		return;
+	}
+	if (backends_update(gateway->backends, &entry, now_us))
+		log_event(EVENT_SERVER_CHANGED,
+			  "server=%s service=%s address=%s data_centre=%s "
+			  "state=%s cold_ms=%" PRId64 " born_ms=%" PRId64
+			  " revision=%" PRId64,
+			  entry.id, entry.service, entry.address,
+			  entry.data_centre,
+			  entry.state == BACKEND_READY ? "ready" : "draining",
+			  entry.cold_left_ms, entry.born_ms, object->version);
+}
+
+static void apply_evacuation(gateway_t *gateway,
+			     const platform_object_t *object)
+{
+	log_event(object->deleted ? EVENT_DATA_CENTRE_RESTORED
+				  : EVENT_DATA_CENTRE_RETIRED,
+		  "data_centre=%s revision=%" PRId64, object->name,
+		  object->version);
+	backends_evacuate(gateway->backends, object->name, !object->deleted);
+}
+
+void gateway_apply(view_t *view, const platform_object_t *object,
+		   int64_t keep_until_us)
+{
+	switch (view->kind) {
+	case PLATFORM_ROUTING:
+		apply_routing(view->gateway, object);
+		break;
+	case PLATFORM_SERVERS:
+		apply_server(view->gateway, object, keep_until_us);
+		break;
+	case PLATFORM_EVACUATIONS:
+		apply_evacuation(view->gateway, object);
+		break;
+	default:
+		break;
+	}
+}
--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -10,9 +10,8 @@
 /* Nodes of a region that watch the platform for the others; two in different
  * data centres, so that the loss of one is not noticed. */
 enum { WATCHERS = 2 };
-/* One lost answer says little; a node that fails more often in a row does not
- * watch for others. */
-enum { FAILURES_MAX = 2 };
+/* One lost answer says little; more failures in a row show an outage. */
+enum { OUTAGE_FAILURES = 2 };
 /* A node watches itself when it has heard no news for this long: several
  * announcements of a large fleet. */
 #define NEWS_SILENT_US (1300 * US_PER_MS)
@@ -45,12 +44,17 @@
 			       sound, clock_monotonic_us());
 }
 
+bool gateway_is_outage(const view_t *view)
+{
+	return view->failures >= OUTAGE_FAILURES;
+}
+
 bool gateway_is_sound(const gateway_t *gateway)
 {
 	size_t i;
 
 	for (i = 0; i < KINDS_WATCHED; i++)
-		if (gateway->views[i].failures >= FAILURES_MAX)
+		if (gateway_is_outage(&gateway->views[i]))
 			return false;
 	return platform_available(gateway->platform);
 }
@@ -109,6 +113,13 @@
 	       are_many(gateway) && !is_watcher(gateway);
 }
 
+/* Time for which a server without an entry is kept, from now. */
+static int64_t keep_ms(int64_t keep_until_us, int64_t now_us)
+{
+	return keep_until_us > now_us ? (keep_until_us - now_us) / US_PER_MS
+				      : 0;
+}
+
 void gateway_log_change(view_t *view, const platform_object_t *object,
 			int64_t revision, int64_t keep_until_us)
 {
@@ -118,9 +129,7 @@
 		.name = (char *)object->name,
 		.revision = revision,
 		.deleted = object->deleted,
-		.keep_ms = keep_until_us > now_us
-				   ? (keep_until_us - now_us) / US_PER_MS
-				   : 0,
+		.keep_ms = keep_ms(keep_until_us, now_us),
 	};
 
 	/* The routing configuration is too large: its version is told. */
@@ -187,18 +196,15 @@
 
 static void send_news_to(gateway_t *gateway, peer_t *peer)
 {
-	int64_t keep_until_us = gateway_keep_until_us(gateway);
-	news_t news = { .node = own_hash(gateway) };
+	int64_t now_us = clock_monotonic_us();
+	news_t news = { .node = own_hash(gateway),
+			.keep_ms = keep_ms(gateway->keep_until_us, now_us) };
 	work_echo_t echo;
 	size_t i;
 
-	if (!work_share_heard(gateway->share, peer->hash, clock_monotonic_us(),
-			      &echo))
+	if (!work_share_heard(gateway->share, peer->hash, now_us, &echo))
 		return;
 	news.echo_boot_us = echo.sent_boot_us;
-	if (keep_until_us)
-		news.keep_ms =
-			(keep_until_us - clock_monotonic_us()) / US_PER_MS;
 	for (i = 0; i < KINDS_WATCHED; i++)
 		send_view(gateway, i, peer, &echo, &news);
 	if (news.view_count)
@@ -227,9 +233,8 @@
 	if (!has_news(gateway))
 		return;
 	for (i = 0; i < gateway->peer_count; i++)
-		if (region_find(&gateway->settings.region,
-				gateway->peers[i].data_centre) <
-		    gateway->settings.region.count)
+		if (region_has(&gateway->settings.region,
+			       gateway->peers[i].data_centre))
 			send_news_to(gateway, &gateway->peers[i]);
 }
 
@@ -285,15 +290,12 @@
 static void receive_view(gateway_t *gateway, view_t *view, const news_t *news,
 			 const news_view_t *received)
 {
-	int64_t version = gateway->routing ? routing_version(gateway->routing)
-					   : -1;
-
 	/* What is not read, or watched, is more recent. */
 	if (!view->listed || view->calling ||
 	    (!view->following && !view->failures))
 		return;
 	if (view->kind == PLATFORM_ROUTING) {
-		if (received->version > version) {
+		if (received->version > gateway_routing_version(gateway)) {
 			gateway_relist(view, fetch_delay_ms(view));
 			return;
 		}
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -108,6 +108,13 @@
 	bool was_ready;
 };
 
+/* gateway_apply.c */
+/** Applies one object of a view. @param keep_until_us see backends_remove() */
+void gateway_apply(view_t *view, const platform_object_t *object,
+		   int64_t keep_until_us);
+/** @return the version in force, -1 if none is known yet. */
+int64_t gateway_routing_version(const gateway_t *gateway);
+
 /* gateway_views.c */
 void gateway_views_start(gateway_t *gateway);
 void gateway_views_stop(gateway_t *gateway);
@@ -116,9 +123,6 @@
 /** Whether the keys of accounts were confirmed lately enough. */
 bool gateway_keys_valid(const gateway_t *gateway);
 
-/** Applies one object of a view. @param keep_until_us see backends_remove() */
-void gateway_apply(view_t *view, const platform_object_t *object,
-		   int64_t keep_until_us);
 /** @return until when a server without an entry is kept; 0: not at all. */
 int64_t gateway_keep_until_us(const gateway_t *gateway);
 /** Reads the objects of a view anew, after a pause. */
@@ -136,6 +140,8 @@
 bool gateway_follows(const view_t *view);
 /** Whether this node watches for others. */
 bool gateway_is_followed(const gateway_t *gateway);
+/** Whether the calls of a view fail for more than a lost answer. */
+bool gateway_is_outage(const view_t *view);
 /** Whether the platform answers this node. */
 bool gateway_is_sound(const gateway_t *gateway);
 /** Whether another node told news lately: the platform answers some nodes. */
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -1,11 +1,8 @@
 #include <inttypes.h>
-#include <string.h>
 
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/mem.h"
-#include "base/metrics.h"
-#include "platform/config.h"
 #include "process/gateway_state.h"
 
 /* Pause after a failed call; doubled up to the longest, which is shorter while
@@ -17,10 +14,9 @@
 	RETRY_DOUBLINGS_MAX = 3
 };
 
-/* The first failure may be a lost answer; later ones show an outage, which the
- * nodes that watch for others end for all. The calls that the others make then
- * are a hundredth of what the platform allows. */
-enum { FAILURES_BEFORE_IDLE = 2, IDLE_CALLS_PER_S = 20 };
+/* In an outage, which the nodes that watch for others end for all, the others
+ * call a hundredth as often as the platform allows. */
+enum { IDLE_CALLS_PER_S = 20 };
 
 /* Share of the bound for removed keys that one watch may take: a watch that
  * hangs is noticed, and another one answered, within the bound. */
@@ -67,40 +63,6 @@
 	}
 }
 
-static void apply_routing(gateway_t *gateway, const platform_object_t *object)
-{
-	int64_t current = gateway->routing ? routing_version(gateway->routing)
-					   : -1;
-	routing_t *routing;
-	err_t err;
-
-	if (strcmp(object->name, PLATFORM_ROUTING_NAME) != 0 || object->deleted)
-		return;
-	routing = platform_decode_routing(object->spec, &err);
-	if (!routing) {
-		log_event(EVENT_CONFIG_REFUSED,
-			  "source=platform revision=%" PRId64 " problem=\"%s\"",
-			  object->version, err.message);
-		return;
-	}
-	if (routing_version(routing) <= current) {
-		if (routing_version(routing) < current)
-			log_event(EVENT_CONFIG_STALE,
-				  "version=%" PRId64 " in_force=%" PRId64
-				  " source=platform",
-				  routing_version(routing), current);
-		routing_unref(routing);
-		return;
-	}
-	log_event(EVENT_CONFIG_APPLIED,
-		  "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
-		  " source=platform",
-		  routing_version(routing), current, object->version);
-	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
-	routing_unref(gateway->routing);
-	gateway->routing = routing;
-}
-
 int64_t gateway_keep_until_us(const gateway_t *gateway)
 {
 	return clock_monotonic_us() < gateway->keep_until_us
@@ -116,60 +78,6 @@
 					 : clock_monotonic_us() + RETURN_US;
 }
 
-static void apply_server(gateway_t *gateway, const platform_object_t *object,
-			 int64_t keep_until_us)
-{
-	int64_t now_us = clock_monotonic_us();
-	backend_entry_t entry;
-
-	if (object->deleted || !platform_decode_server(object, &entry)) {
-		if (backends_remove(gateway->backends, object->name,
-				    keep_until_us))
-			log_event(EVENT_SERVER_REMOVED,
-				  "server=%s revision=%" PRId64 " reason=%s",
-				  object->name, object->version,
-				  object->deleted ? "deleted" : "malformed");
-		return;
-	}
-	if (backends_update(gateway->backends, &entry, now_us))
-		log_event(EVENT_SERVER_CHANGED,
-			  "server=%s service=%s address=%s data_centre=%s "
-			  "state=%s cold_ms=%" PRId64 " born_ms=%" PRId64
-			  " revision=%" PRId64,
-			  entry.id, entry.service, entry.address,
-			  entry.data_centre,
-			  entry.state == BACKEND_READY ? "ready" : "draining",
-			  entry.cold_left_ms, entry.born_ms, object->version);
-}
-
-static void apply_evacuation(gateway_t *gateway,
-			     const platform_object_t *object)
-{
-	log_event(object->deleted ? EVENT_DATA_CENTRE_RESTORED
-				  : EVENT_DATA_CENTRE_RETIRED,
-		  "data_centre=%s revision=%" PRId64, object->name,
-		  object->version);
-	backends_evacuate(gateway->backends, object->name, !object->deleted);
-}
-
-void gateway_apply(view_t *view, const platform_object_t *object,
-		   int64_t keep_until_us)
-{
-	switch (view->kind) {
-	case PLATFORM_ROUTING:
-		apply_routing(view->gateway, object);
-		break;
-	case PLATFORM_SERVERS:
-		apply_server(view->gateway, object, keep_until_us);
-		break;
-	case PLATFORM_EVACUATIONS:
-		apply_evacuation(view->gateway, object);
-		break;
-	default:
-		break;
-	}
-}
-
 /* A listing replaces what was known; a watch adds changes to it. */
 static void begin_listing(view_t *view)
 {
@@ -215,10 +123,15 @@
 			at_us > clock_boot_us() ? view->called_boot_us : at_us);
 }
 
-void gateway_relist(view_t *view, int64_t delay_ms)
+static void forget_listing(view_t *view)
 {
 	view->listed = false;
 	*view->after = '\0';
+}
+
+void gateway_relist(view_t *view, int64_t delay_ms)
+{
+	forget_listing(view);
 	if (!view->calling)
 		schedule(view, delay_ms);
 }
@@ -228,8 +141,8 @@
 {
 	const gateway_t *gateway = view->gateway;
 
-	if (view->failures < FAILURES_BEFORE_IDLE ||
-	    gateway_hears_news(gateway) || gateway_asks_for_others(gateway))
+	if (!gateway_is_outage(view) || gateway_hears_news(gateway) ||
+	    gateway_asks_for_others(gateway))
 		return 0;
 	return (int64_t)gateway->nodes * MS_PER_S / IDLE_CALLS_PER_S;
 }
@@ -260,8 +173,7 @@
 	view->failures++;
 	/* History that is gone is read again as a whole, at once. */
 	if (status == PLATFORM_CONFLICT) {
-		view->listed = false;
-		*view->after = '\0';
+		forget_listing(view);
 		delay_ms = 0;
 		log_event(EVENT_VIEW_RELISTED, "kind=%d revision=%" PRId64,
 			  (int)view->kind, view->revision);
--- a/src/process/region.c
+++ b/src/process/region.c
@@ -14,9 +14,14 @@
 	return i;
 }
 
+bool region_has(const region_t *region, const char *data_centre)
+{
+	return region_find(region, data_centre) < region->count;
+}
+
 bool region_add(region_t *region, const char *data_centre)
 {
-	if (region_find(region, data_centre) < region->count)
+	if (region_has(region, data_centre))
 		return true;
 	if (region->count == REGION_DATA_CENTRES_MAX)
 		return false;
--- a/src/process/region.h
+++ b/src/process/region.h
@@ -21,6 +21,7 @@
 
 /** Adds a data centre once. @return false if the region is full */
 bool region_add(region_t *region, const char *data_centre);
+bool region_has(const region_t *region, const char *data_centre);
 /** @return the place of a data centre in the region, its count if it is in
  * another one. */
 size_t region_find(const region_t *region, const char *data_centre);
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -244,7 +244,7 @@
 
 	LL_FOREACH (share->nodes, node)
 		count += is_live(node, now_us) &&
-			 region_find(region, node->data_centre) < region->count;
+			 region_has(region, node->data_centre);
 	return count;
 }
 
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -261,7 +261,7 @@
 
 	gateway_fixture_start(&fixture);
 	gateway_fixture_wait_ready(&fixture);
-	peers = wait_peers(&fixture, 1);
+	wait_peers(&fixture, 1);
 	fixture.gateway->peers[0].told_revisions[1] = 99;
 	fixture.gateway->peers[0].told_us[1] = INT64_MAX;
 	peers = wait_peers(&fixture, 2);
