One check for the cold limit, a refusal and a full memory

Found in reading the change. Behaviour as before. - backend_take_cold() and the choice of candidates ask the same function whether a cold server has room. - request_note_header() reads the header of a refusal for models and plain services; its name stands once. - The two refusals of a body for want of memory are one function.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -223,16 +223,30 @@
 	backend->cold_filled_us = now_us;
 }
 
-bool backend_take_cold(backend_t *backend, const service_conf_t *service,
+static bool is_limited(const backend_t *backend, const service_conf_t *service,
 		       int64_t now_us)
 {
-	if (!backend_is_cold(backend, now_us) ||
-	    service->cold_requests_per_s <= 0 || !backend->table)
+	return backend->table && service->cold_requests_per_s > 0 &&
+	       backend_is_cold(backend, now_us);
+}
+
+/* Whether a server is warm, or something is left of its limit. */
+static bool has_cold_room(backend_t *backend, const service_conf_t *service,
+			  int64_t now_us)
+{
+	if (!is_limited(backend, service, now_us))
 		return true;
 	fill_cold_limit(backend, service, now_us);
-	if (backend->cold_tokens < 1)
+	return backend->cold_tokens >= 1;
+}
+
+bool backend_take_cold(backend_t *backend, const service_conf_t *service,
+		       int64_t now_us)
+{
+	if (!has_cold_room(backend, service, now_us))
 		return false;
-	backend->cold_tokens -= 1;
+	if (is_limited(backend, service, now_us))
+		backend->cold_tokens -= 1;
 	return true;
 }
 
@@ -283,16 +297,6 @@
 	return false;
 }
 
-/* A cold server with nothing left of its limit is no candidate. */
-static bool has_cold_room(backend_t *server, const backends_query_t *query)
-{
-	if (!backend_is_cold(server, query->now_us) ||
-	    query->service->cold_requests_per_s <= 0)
-		return true;
-	fill_cold_limit(server, query->service, query->now_us);
-	return server->cold_tokens >= 1;
-}
-
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates)
 {
@@ -304,7 +308,7 @@
 	HASH_ITER (hh, backends->servers, server, next) {
 		if (strcmp(server->entry.service, query->service->name) != 0 ||
 		    !backend_usable(server) || excepted(server, query) ||
-		    !has_cold_room(server, query))
+		    !has_cold_room(server, query->service, query->now_us))
 			continue;
 		(*candidates)[count++] = candidate_of(server, query);
 	}
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/clock.h"
 #include "base/history.h"
@@ -11,6 +12,9 @@
 #include "base/mem.h"
 #include "base/metrics.h"
 
+/* Part of the interface to servers (docs/design.md, 4.4). */
+#define HEADER_NOT_RUN "X-Not-Run"
+
 request_t *request_create(request_task_t *task, exchange_t *exchange)
 {
 	request_t *request = mem_calloc(1, sizeof(*request));
@@ -63,6 +67,13 @@
 	request_task_check_idle(task);
 }
 
+void request_note_header(request_t *request, const char *name,
+			 const char *value)
+{
+	if (!strcasecmp(name, HEADER_NOT_RUN) && !strcmp(value, "1"))
+		request->not_run = true;
+}
+
 void request_phase(request_t *request, const char *name, bool failed)
 {
 	span_t span = { .name = name,
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -130,7 +130,7 @@
 	bool resuming;
 	int32_t resumes;
 	int32_t status; /* HTTP status of the attempt; 0: none yet */
-	bool not_run; /* the server stated X-Not-Run */
+	bool not_run; /* the server refused before running it */
 	stream_t stream;
 	sse_t sse;
 	collected_t answer; /* text or body */
@@ -173,6 +173,10 @@
 /** Ends the call to the server, and the stream of a model on its server. */
 void request_stop_attempt(request_t *request);
 
+/** Notes a header of the server's reply: whether it did not run the request. */
+void request_note_header(request_t *request, const char *name,
+			 const char *value);
+
 /** Records the span from the end of the last phase to now. */
 void request_phase(request_t *request, const char *name, bool failed);
 
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -2,7 +2,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -15,10 +14,7 @@
 
 static void on_header(void *context, const char *name, const char *value)
 {
-	request_t *request = context;
-
-	if (!strcasecmp(name, "X-Not-Run") && !strcmp(value, "1"))
-		request->not_run = true;
+	request_note_header(context, name, value);
 }
 
 static void on_status(void *context, int status)
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -33,8 +33,7 @@
 	request_t *request = context;
 	size_t i;
 
-	if (!strcasecmp(name, "X-Not-Run") && !strcmp(value, "1"))
-		request->not_run = true;
+	request_note_header(request, name, value);
 	for (i = 0; i < sizeof(reply_headers) / sizeof(reply_headers[0]); i++) {
 		if (strcasecmp(name, reply_headers[i]) != 0 ||
 		    request->reply_header_count >= PASSED_HEADERS_MAX)
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -159,6 +159,12 @@
 	       (double)gateway->settings.memory_limit_bytes * BODY_MEMORY_SHARE;
 }
 
+static void refuse_memory(forward_t *forward)
+{
+	metrics_add(METRIC_MEMORY_REFUSED, 1);
+	forward_refuse(forward, "no_memory", MEMORY_RETRY_MS);
+}
+
 static bool check_body(forward_t *forward)
 {
 	int64_t size = exchange_body_bytes(forward->exchange);
@@ -169,8 +175,7 @@
 	}
 	if (has_memory(forward, size > 0 ? size : 0))
 		return true;
-	metrics_add(METRIC_MEMORY_REFUSED, 1);
-	forward_refuse(forward, "no_memory", MEMORY_RETRY_MS);
+	refuse_memory(forward);
 	return false;
 }
 
@@ -258,8 +263,7 @@
 	}
 	if (needed > forward->body_capacity) {
 		if (!has_memory(forward, (int64_t)needed)) {
-			metrics_add(METRIC_MEMORY_REFUSED, 1);
-			forward_refuse(forward, "no_memory", MEMORY_RETRY_MS);
+			refuse_memory(forward);
 			return;
 		}
 		grow_body(forward, needed);
