--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +7,7 @@
 #include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
+#include "lib/loopback.h"
 
 typedef struct {
 	gateway_fixture_t *fixture;
@@ -180,15 +180,8 @@
 
 void gateway_fixture_server(gateway_fixture_t *fixture, struct server *server)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-	assert_int_equal(listen(fd, 8), 0);
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	server->port = ntohs(address.sin_port);
+	int fd = loopback_listen(&server->port);
+
 	ev_io_init(&server->listening, on_server_accept, fd, EV_READ);
 	server->listening.data = fixture;
 	ev_io_start(fixture->loop, &server->listening);
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -1,6 +1,5 @@
 /** HTTP client: what each kind of failure is reported as. */
 #include <curl/curl.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -15,6 +14,7 @@
 #include "cases.h"
 #include "connection/client.h"
 #include "connection/listener.h"
+#include "lib/loopback.h"
 
 typedef struct {
 	client_end_t end;
@@ -246,18 +246,12 @@
 
 static void start_raw(raw_server_t *raw, bool close_all)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
+	int port;
 
 	memset(raw, 0, sizeof(*raw));
 	raw->close_all = close_all;
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	raw->fd = socket(AF_INET, SOCK_STREAM, 0);
-	assert_int_equal(bind(raw->fd, (struct sockaddr *)&address, size), 0);
-	assert_int_equal(listen(raw->fd, 8), 0);
-	getsockname(raw->fd, (struct sockaddr *)&address, &size);
-	snprintf(raw->url, sizeof(raw->url), "http://127.0.0.1:%u",
-		 ntohs(address.sin_port));
+	raw->fd = loopback_listen(&port);
+	snprintf(raw->url, sizeof(raw->url), "http://127.0.0.1:%d", port);
 	pthread_create(&raw->thread, NULL, serve_raw, raw);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -2,7 +2,6 @@
  * The platform client against a scripted server: statuses, lost and slow
  * answers, malformed answers, watches and the request budget.
  */
-#include <arpa/inet.h>
 #include <ev.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,6 +12,7 @@
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
+#include "lib/loopback.h"
 #include "platform/client.h"
 
 /* What the server does with a connection once the request is complete. */
@@ -97,27 +97,13 @@
 	ev_io_start(loop, connection);
 }
 
-static int listen_locally(int *port)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-	assert_int_equal(listen(fd, 8), 0);
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	*port = ntohs(address.sin_port);
-	return fd;
-}
-
 static void start(fake_t *fake, int32_t calls_per_s)
 {
 	platform_conf_t conf = { .namespace_name = "ns",
 				 .token = "secret",
 				 .timeout_ms = 200,
 				 .calls_per_s = calls_per_s };
-	int port, fd = listen_locally(&port);
+	int port, fd = loopback_listen(&port);
 
 	memset(fake, 0, sizeof(*fake));
 	fake->body = "";
