End answers without end, and requests on machines that are gone

Cause: a server in trouble may send bytes that are no answer for as long as the connection is open. A refusal, or an answer that is not the server's, was read to the end of its body, so that the request waited for its time limit (504 instead of the second server's answer); a collected body beyond its limit was discarded without end. A stream counted as heard with each byte, so one that stalled within an event was never moved.

Ruled out: memory without bound in a head (this libcurl ends at 300 KB; the bound is now our own, 64 KiB). TCP_USER_TIMEOUT alone: the connection broke 10 s after the loss, by the nine probes that are usual.

Change: the head of a refusal or of a strange answer ends the attempt; what is collected ends at its limit; only whole events count as progress of a stream.

Tests, which failed before: test_gateway answers (a refusal, a body that is not the server's, a stream that drips), test_client ends_an_answer_without_end (a body) and probes_the_machine_of_a_silent_server. Heads, chunks, noise and trailers without end ended before, too; their cases stay as guards.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -34,6 +34,7 @@
 	ev_timer idle;
 	ev_tstamp last_activity;
 	ev_tstamp idle_timeout;
+	size_t head_bytes;
 	bool added;
 	bool paused;
 	bool cancelled;
@@ -246,10 +247,17 @@
 	if (call->paused)
 		return CURL_WRITEFUNC_PAUSE;
 	call->last_activity = ev_now(call->client->loop);
-	if (call->handler.on_data &&
-	    call->handler.on_data(call->handler.context, data, size) ==
-		    CLIENT_PAUSE)
+	if (!call->handler.on_data)
+		return size;
+	switch (call->handler.on_data(call->handler.context, data, size)) {
+	case CLIENT_CONTINUE:
+		break;
+	case CLIENT_PAUSE:
 		call->paused = true;
+		break;
+	case CLIENT_STOP:
+		return 0;
+	}
 	return call->cancelled ? 0 : size;
 }
 
@@ -281,6 +289,9 @@
 
 	if (call->cancelled)
 		return 0;
+	call->head_bytes += size;
+	if (call->head_bytes > CLIENT_HEAD_MAX_BYTES)
+		return 0;
 	call->last_activity = ev_now(call->client->loop);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_INFORMATIONAL_END)
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -15,6 +15,11 @@
 typedef struct client client_t;
 typedef struct client_call client_call_t;
 
+enum {
+	/** All header lines of one answer, trailers included. */
+	CLIENT_HEAD_MAX_BYTES = 64 * 1024
+};
+
 /** What a call sends. Strings and the body are copied. */
 typedef struct {
 	const char *method;
@@ -33,6 +38,12 @@
 	 * a request by itself when a reused connection turns out to be closed.
 	 */
 	bool at_most_once;
+	/**
+	 * The connection breaks when the machine of the peer acknowledges
+	 * nothing for about this long, whether or not it owes an answer;
+	 * 0: only what is sent must be acknowledged, in the system's time.
+	 */
+	int64_t peer_silence_ms;
 	const char *ca_path; /**< PEM file that vouches for https; or NULL */
 } client_request_t;
 
@@ -44,9 +55,16 @@
 	CLIENT_CANCELLED
 } client_end_t;
 
-typedef enum { CLIENT_CONTINUE, CLIENT_PAUSE } client_flow_t;
+typedef enum {
+	CLIENT_CONTINUE,
+	CLIENT_PAUSE,
+	CLIENT_STOP /**< ends the call with CLIENT_BROKEN */
+} client_flow_t;
 
-/** Called on the loop of the client. Any of them may be NULL. */
+/**
+ * Called on the loop of the client. Any of them may be NULL. Headers of more
+ * than CLIENT_HEAD_MAX_BYTES end the call with CLIENT_BROKEN.
+ */
 typedef struct {
 	/** One response header, without the line end. */
 	void (*on_header)(void *context, const char *name, const char *value);
--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -1,12 +1,42 @@
 #include "connection/client_options.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
+
+#include "base/units.h"
 
 enum {
+	/* Silence before, and between, probes of the peer's machine. */
+	PROBE_PAUSE_S = 1,
 	/* Bounds what libcurl holds of one paused call. */
 	RECEIVE_BUFFER_SIZE_BYTES = 8 * 1024
 };
 
+/*
+ * The peer's machine answers probes even while its process is busy. Without
+ * them a machine that is gone looks like one that works on a long prompt.
+ */
+static int set_probes(void *context, curl_socket_t fd, curlsocktype type)
+{
+	int silence_ms = (int)(intptr_t)context;
+	int on = 1, pause_s = PROBE_PAUSE_S;
+	int probes = silence_ms / (PROBE_PAUSE_S * MS_PER_S);
+
+	if (!setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) &&
+	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &pause_s,
+			sizeof(pause_s)) &&
+	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &pause_s,
+			sizeof(pause_s)) &&
+	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes,
+			sizeof(probes)) &&
+	    !setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+			sizeof(silence_ms)))
+		return CURL_SOCKOPT_OK;
+	return CURL_SOCKOPT_ERROR;
+}
+
 static void set_method(CURL *easy, const client_request_t *request,
 		       const char *body)
 {
@@ -44,6 +74,11 @@
 			 (long)request->at_most_once);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 (long)request->at_most_once);
+	if (request->peer_silence_ms) {
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_probes);
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA,
+				 (void *)(intptr_t)request->peer_silence_ms);
+	}
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
 	set_method(easy, request, body);
 	if (request->ca_path)
--- a/src/connection/fetch.c
+++ b/src/connection/fetch.c
@@ -11,17 +11,14 @@
 	size_t limit_bytes;
 	char *body;
 	size_t size;
-	bool too_long;
 } fetch_t;
 
 static client_flow_t on_fetch_data(void *context, const void *data, size_t size)
 {
 	fetch_t *fetch = context;
 
-	if (fetch->too_long || size > fetch->limit_bytes - fetch->size) {
-		fetch->too_long = true;
-		return CLIENT_CONTINUE;
-	}
+	if (size > fetch->limit_bytes - fetch->size)
+		return CLIENT_STOP;
 	fetch->body = mem_realloc(fetch->body, fetch->size + size + 1, 1);
 	memcpy(fetch->body + fetch->size, data, size);
 	fetch->size += size;
@@ -33,8 +30,6 @@
 {
 	fetch_t *fetch = context;
 
-	if (end == CLIENT_OK && fetch->too_long)
-		end = CLIENT_BROKEN;
 	fetch->done(fetch->context, end, status, fetch->body ? fetch->body : "",
 		    fetch->size);
 }
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -185,10 +185,13 @@
 	if (request->state != REQUEST_RUNNING)
 		return CLIENT_CONTINUE;
 	if (request->status != 200) {
-		if (!request->resuming && !request->stream.next_tokens)
-			collected_add(request, &request->answer, data, size,
-				      ERROR_BODY_MAX_BYTES);
-		return CLIENT_CONTINUE;
+		/* The body of an error may have no end, and the text that was
+		 * written so far must stay. */
+		if (request->resuming || request->stream.next_tokens)
+			return CLIENT_STOP;
+		collected_add(request, &request->answer, data, size,
+			      ERROR_BODY_MAX_BYTES);
+		return request->answer.overflow ? CLIENT_STOP : CLIENT_CONTINUE;
 	}
 	if (sse_feed(&request->sse, data, size, on_event, request) ==
 	    SSE_TOO_LONG) {
@@ -212,7 +215,8 @@
 	       !request->stream.next_tokens;
 }
 
-static void on_response(request_t *request)
+/* @param whole the body was received to its end */
+static void on_response(request_t *request, bool whole)
 {
 	static const reply_header_t type = { "Content-Type",
 					     "application/json" };
@@ -223,7 +227,7 @@
 		   !request->resuming) {
 		request->attempt_sent = false;
 		request_attempt_end(request, ATTEMPT_REFUSED);
-	} else if (is_rejection(request)) {
+	} else if (whole && is_rejection(request)) {
 		request_attempt_end(request, ATTEMPT_COMPLETE);
 		request_reply(request, request->status, OUTCOME_FAILED, &type,
 			      1, request->answer.data, request->answer.size);
@@ -242,7 +246,7 @@
 		return;
 	switch (end) {
 	case CLIENT_OK:
-		on_response(request);
+		on_response(request, true);
 		break;
 	case CLIENT_CONNECT_FAILED:
 		if (request->resuming) {
@@ -257,7 +261,10 @@
 		break;
 	case CLIENT_BROKEN:
 	case CLIENT_CANCELLED:
-		lost(request);
+		if (request->status && request->status != 200)
+			on_response(request, false);
+		else
+			lost(request);
 		break;
 	}
 }
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -94,7 +94,7 @@
 		return on_lookup_data(request, data, size);
 	collected_add(request, &request->answer, data, size,
 		      (size_t)request->task->settings.body_max_bytes);
-	return CLIENT_CONTINUE;
+	return request->answer.overflow ? CLIENT_STOP : CLIENT_CONTINUE;
 }
 
 static void complete_lookup(request_t *request)
@@ -131,6 +131,17 @@
 		request_destroy(request);
 }
 
+static bool is_refusal(const request_t *request, int status)
+{
+	return status == 503 && request->not_run;
+}
+
+static void refused(request_t *request)
+{
+	request->attempt_sent = false;
+	fail(request, ATTEMPT_REFUSED);
+}
+
 static void on_end(void *context, client_end_t end, int status)
 {
 	request_t *request = context;
@@ -141,17 +152,10 @@
 		return;
 	switch (end) {
 	case CLIENT_OK:
-		if (request->answer.overflow) {
-			/* It ran, but there is no answer to give. */
-			fail(request, ATTEMPT_BROKEN);
-			break;
-		}
-		if (status != 503 || !request->not_run) {
+		if (is_refusal(request, status))
+			refused(request);
+		else
 			complete(request);
-			break;
-		}
-		request->attempt_sent = false;
-		fail(request, ATTEMPT_REFUSED);
 		break;
 	case CLIENT_CONNECT_FAILED:
 		request->attempt_sent = false;
@@ -162,7 +166,11 @@
 		break;
 	case CLIENT_BROKEN:
 	case CLIENT_CANCELLED:
-		fail(request, ATTEMPT_BROKEN);
+		/* The head of a refusal holds, however its body ends. */
+		if (is_refusal(request, status))
+			refused(request);
+		else
+			fail(request, ATTEMPT_BROKEN);
 		break;
 	}
 }
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -99,24 +99,33 @@
 	       reply->status < HTTP_MULTIPLE_CHOICES;
 }
 
+/* An answer that cannot be the server's own to this request. */
+static bool is_strange(const server_reply_t *reply)
+{
+	return reply->foreign || (is_success(reply) && !reply->sealed) ||
+	       (!reply->sealed && !reply->not_run);
+}
+
+/*
+ * The body of a refusal, or of a strange answer, decides nothing and may have
+ * no end, so its head ends the attempt.
+ */
 static void on_status(void *context, int status)
 {
 	forward_t *forward = context;
 	attempt_t *attempt = forward->attempt;
+	server_reply_t *reply = &attempt->reply;
 
-	attempt->reply.status = status;
+	reply->status = status;
 	attempt->head_done = true;
 	attempt->heard_us = clock_monotonic_us();
 	backend_note_heard(attempt->work.parts[0].server);
 	if (status == HTTP_MISDIRECTED)
-		attempt->reply.not_run = true;
-}
-
-/* An answer that cannot be the server's own to this request. */
-static bool is_strange(const server_reply_t *reply)
-{
-	return reply->foreign || (is_success(reply) && !reply->sealed) ||
-	       (!reply->sealed && !reply->not_run);
+		reply->not_run = true;
+	if (reply->not_run && !reply->foreign)
+		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
+	else if (is_strange(reply))
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
 }
 
 /* Pauses between events tell how fast the server is. */
@@ -208,10 +217,10 @@
 	forward_t *forward = context;
 	attempt_t *attempt = forward->attempt;
 
-	attempt->heard_us = clock_monotonic_us();
 	backend_note_heard(attempt->work.parts[0].server);
-	if (attempt->reply.not_run || is_strange(&attempt->reply))
-		return CLIENT_CONTINUE;
+	/* Parts of an event are no progress: a stream may stall within one. */
+	if (!passes_events(forward))
+		attempt->heard_us = clock_monotonic_us();
 	return passes_events(forward) ? pass_events(forward, data, size)
 				      : pass_body(forward, data, size);
 }
@@ -247,16 +256,6 @@
 
 static void on_whole_answer(forward_t *forward)
 {
-	attempt_t *attempt = forward->attempt;
-
-	if (attempt->reply.not_run && !attempt->reply.foreign) {
-		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
-		return;
-	}
-	if (is_strange(&attempt->reply)) {
-		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
-		return;
-	}
 	if (passes_events(forward))
 		finish_stream(forward);
 	else if (!is_worth_repeating(forward) ||
--- a/src/request/forward_reply.c
+++ b/src/request/forward_reply.c
@@ -100,7 +100,7 @@
 	    now_us - forward->last_event_us > forward->gap_max_us)
 		forward->gap_max_us = now_us - forward->last_event_us;
 	forward->last_event_us = now_us;
-	attempt->event_us = now_us;
+	attempt->event_us = attempt->heard_us = now_us;
 	forward->event_count++;
 	metrics_add(METRIC_CHUNKS_RELAYED, 1);
 }
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -10,7 +10,10 @@
 enum {
 	/* A connection takes a round trip of some ms; a lost first packet is
 	 * sent again after a second, which is too late to wait for. */
-	CONNECT_TIMEOUT_MS = 200
+	CONNECT_TIMEOUT_MS = 200,
+	/* Two probes that a machine does not answer; it is then gone, or cut
+	 * off for longer than callers wait for an event. */
+	SERVER_SILENCE_MS = 2000
 };
 
 /* A first event counts as missing after this multiple of its prediction. */
@@ -92,6 +95,9 @@
 				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 				     .at_most_once = true };
 
+	/* Its answer may still come, and it must not run again. */
+	if (attempt->patience_us)
+		request.peer_silence_ms = SERVER_SILENCE_MS;
 	handler.context = forward;
 	list_helpers(forward, helpers, sizeof(helpers));
 	headers = platform_server_headers(exchange, &ours);
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -26,6 +26,10 @@
 	HALF, /**< breaks off in the body, or in the middle of an event */
 	REPEATS, /**< events that the caller already has, then the rest */
 	NOISE, /**< bytes that are no answer */
+	ENDLESS_HEAD, /**< header lines without end */
+	ENDLESS_REFUSAL, /**< refuses before running it, with an endless body */
+	ENDLESS_NOISE, /**< unsealed success with an endless body */
+	DRIPS, /**< half of a stream, then a byte now and then */
 	SILENT /**< holds the request */
 } server_act_t;
 
@@ -33,7 +37,8 @@
 
 typedef struct {
 	char text[8192]; /**< head and body as they arrived */
-	bool closed; /**< by the gateway, while the server was silent */
+	bool closed; /**< by the gateway, before the answer ended */
+	size_t pumped; /**< parts of an answer without end */
 } arrival_t;
 
 /** What the caller got. */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -16,8 +16,13 @@
 	server_act_t act;
 	size_t size;
 	bool answered;
+	ev_timer pump; /**< sends on when the answer has no end */
 } connection_t;
 
+/* Pause between the parts of an answer without end, and its drops. */
+#define PUMP_S 0.001
+#define DRIP_S 0.1
+
 static bool header_value(const char *text, const char *name, char *value,
 			 size_t size)
 {
@@ -86,8 +91,41 @@
 		send_text(fd, half ? "01234" : "0123456789");
 }
 
+static void close_connection(connection_t *connection)
+{
+	ev_io_stop(connection->fixture->loop, &connection->readable);
+	ev_timer_stop(connection->fixture->loop, &connection->pump);
+	close(connection->readable.fd);
+	free(connection);
+}
+
+static void on_pump(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	connection_t *connection = timer->data;
+	bool drips = connection->act == DRIPS;
+	char text[4096];
+	size_t size = drips ? 1 : sizeof(text);
+
+	memset(text, 'x', sizeof(text));
+	if (connection->act == ENDLESS_HEAD)
+		size = (size_t)snprintf(text, sizeof(text),
+					"X-Filler: %01000d\r\n", 0);
+	if (send(connection->readable.fd, text, size,
+		 MSG_DONTWAIT | MSG_NOSIGNAL) > 0)
+		connection->arrival->pumped++;
+}
+
+static void start_pump(connection_t *connection)
+{
+	double pause_s = connection->act == DRIPS ? DRIP_S : PUMP_S;
+
+	ev_timer_init(&connection->pump, on_pump, pause_s, pause_s);
+	connection->pump.data = connection;
+	ev_timer_start(connection->fixture->loop, &connection->pump);
+}
+
 /* @return whether the connection stays open */
-static bool act(const connection_t *connection, int fd)
+static bool act(connection_t *connection, int fd)
 {
 	char id[64] = "";
 
@@ -118,6 +156,23 @@
 	case NOISE:
 		send_text(fd, "\x01\x02garbage\r\n\r\n");
 		return false;
+	case ENDLESS_HEAD:
+		send_text(fd, "HTTP/1.1 200 OK\r\n");
+		start_pump(connection);
+		return true;
+	case ENDLESS_REFUSAL:
+		send_text(fd, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n\r\n");
+		start_pump(connection);
+		return true;
+	case ENDLESS_NOISE:
+		send_head(fd, id, "text/plain", 0, false);
+		start_pump(connection);
+		return true;
+	case DRIPS:
+		send_head(fd, id, "text/event-stream", 0, true);
+		send_events(fd, 1, true);
+		start_pump(connection);
+		return true;
 	case CLOSES:
 		return false;
 	case SILENT:
@@ -135,13 +190,6 @@
 	return body && strlen(body + 4) >= strtoul(length, NULL, 10);
 }
 
-static void close_connection(connection_t *connection)
-{
-	ev_io_stop(connection->fixture->loop, &connection->readable);
-	close(connection->readable.fd);
-	free(connection);
-}
-
 static void on_server_readable(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	connection_t *connection = watcher->data;
@@ -175,6 +223,7 @@
 	connection->arrival = &fixture->arrivals[fixture->arrival_count++];
 	ev_io_init(&connection->readable, on_server_readable, fd, EV_READ);
 	connection->readable.data = connection;
+	ev_init(&connection->pump, on_pump);
 	ev_io_start(loop, &connection->readable);
 }
 
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -1,5 +1,7 @@
 /** HTTP client: what each kind of failure is reported as. */
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -336,6 +338,159 @@
 	assert_false(seen.ended || other.ended);
 }
 
+/* @return the value of a TCP option on the connection to @p port; -1: none */
+static int option_to(uint16_t port, int level, int option)
+{
+	enum { DESCRIPTORS_MAX = 256 };
+	int fd;
+
+	for (fd = 0; fd < DESCRIPTORS_MAX; fd++) {
+		struct sockaddr_in peer = { .sin_family = 0 };
+		socklen_t size = sizeof(peer);
+		int value = -1;
+		socklen_t value_size = sizeof(value);
+
+		if (getpeername(fd, (struct sockaddr *)&peer, &size) ||
+		    peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+			continue;
+		getsockopt(fd, level, option, &value, &value_size);
+		return value;
+	}
+	return -1;
+}
+
+/* Guards against a machine without power that looks like a busy server. */
+static void probes_the_machine_of_a_silent_server(void **state)
+{
+	static const struct {
+		int64_t silence_ms;
+		int keeps_alive, probes, timeout_ms;
+	} cases[] = {
+		{ 2000, 1, 2, 2000 },
+		{ 0, 0, 0, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		seen_t seen = { .flow = CLIENT_CONTINUE };
+		client_handler_t handler = { .on_end = on_end,
+					     .context = &seen };
+		client_request_t request = {
+			.method = "GET",
+			.connect_timeout_ms = 300,
+			.at_most_once = true,
+			.peer_silence_ms = cases[i].silence_ms,
+		};
+		uint16_t port = listener_port(server);
+		char silent[80];
+
+		snprintf(silent, sizeof(silent), "%s/silent", url);
+		request.url = silent;
+		seen.call = client_call(client, &request, &handler);
+		run(&seen, 50);
+		assert_false(seen.ended);
+		assert_int_equal(option_to(port, SOL_SOCKET, SO_KEEPALIVE),
+				 cases[i].keeps_alive);
+		if (cases[i].keeps_alive)
+			assert_int_equal(option_to(port, IPPROTO_TCP,
+						   TCP_KEEPCNT),
+					 cases[i].probes);
+		assert_int_equal(option_to(port, IPPROTO_TCP, TCP_USER_TIMEOUT),
+				 cases[i].timeout_ms);
+		client_call_cancel(seen.call);
+	}
+}
+
+/* Sends a start, then one part over and over until the peer closes. */
+typedef struct {
+	int fd;
+	const char *start, *part;
+	size_t sent;
+	pthread_t thread;
+	char url[64];
+} endless_server_t;
+
+/* More than any bound of the client, and what socket buffers take. */
+enum { ENDLESS_MAX_BYTES = 64 * 1024 * 1024 };
+
+static void *serve_endless(void *context)
+{
+	endless_server_t *endless = context;
+	char text[2048];
+	int fd = accept(endless->fd, NULL, NULL);
+	ssize_t size = read(fd, text, sizeof(text));
+
+	if (size > 0)
+		size = write(fd, endless->start, strlen(endless->start));
+	while (size > 0 && endless->sent < ENDLESS_MAX_BYTES) {
+		size = write(fd, endless->part, strlen(endless->part));
+		endless->sent += size > 0 ? (size_t)size : 0;
+	}
+	close(fd);
+	return NULL;
+}
+
+static void on_fetched(void *context, client_end_t end, int status,
+		       const char *body, size_t size)
+{
+	on_end(context, end, status);
+}
+
+/* Guards against memory and time without bound for bytes that are no answer. */
+static void ends_an_answer_without_end(void **state)
+{
+#define OK_START "HTTP/1.1 200 OK\r\n"
+#define CHUNKED_START OK_START "Transfer-Encoding: chunked\r\n\r\n"
+	static const struct {
+		const char *guards_against, *start, *part;
+		/* Data that never reaches the caller ends by its silence. */
+		client_end_t end;
+	} cases[] = {
+		{ "header lines", OK_START, "X-A: 0123456789\r\n",
+		  CLIENT_BROKEN },
+		{ "one header line", OK_START "X-A: ", "0123456789",
+		  CLIENT_BROKEN },
+		{ "answers to come", "", "HTTP/1.1 100 Continue\r\n\r\n",
+		  CLIENT_BROKEN },
+		{ "a status line", "HTTP/1.1 200 ", "0123456789",
+		  CLIENT_BROKEN },
+		{ "noise", "\x01\x02", "\x03\x04\x05\x06", CLIENT_BROKEN },
+		{ "a body", OK_START "\r\n", "0123456789", CLIENT_BROKEN },
+		{ "chunks", CHUNKED_START, "1\r\nx\r\n", CLIENT_BROKEN },
+		{ "the size of a chunk", CHUNKED_START, "0", CLIENT_BROKEN },
+		{ "an extension of a chunk", CHUNKED_START "1;", "a",
+		  CLIENT_TIMED_OUT },
+		{ "trailers", CHUNKED_START "0\r\n", "X-A: 0123456789\r\n",
+		  CLIENT_BROKEN },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		endless_server_t endless = { .start = cases[i].start,
+					     .part = cases[i].part };
+		seen_t seen = { .flow = CLIENT_CONTINUE };
+		client_request_t request = { .method = "GET",
+					     .url = endless.url,
+					     .connect_timeout_ms = 300,
+					     .idle_timeout_ms = 500,
+					     .at_most_once = true };
+		int port;
+
+		endless.fd = loopback_listen(&port);
+		snprintf(endless.url, sizeof(endless.url),
+			 "http://127.0.0.1:%d/", port);
+		pthread_create(&endless.thread, NULL, serve_endless, &endless);
+		client_fetch(client, &request, 4096, on_fetched, &seen);
+		run(&seen, 3000);
+		if (!seen.ended || seen.end != cases[i].end)
+			fail_msg("case \"%s\": ended %d end %d after %zu",
+				 cases[i].guards_against, seen.ended,
+				 (int)seen.end, endless.sent);
+		pthread_join(endless.thread, NULL);
+		close(endless.fd);
+	}
+}
+
 int main(void)
 {
 #define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
@@ -345,6 +500,8 @@
 		CASE(sends_at_most_once),
 		CASE(pauses_and_resumes),
 		CASE(cancels_from_inside_a_callback),
+		CASE(probes_the_machine_of_a_silent_server),
+		CASE(ends_an_answer_without_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
