Place by what all nodes have pending, and by streams that are about to start

A request that was read counted as a reader until its node's next ordinary announcement, 1.2 s later in a fleet of this size; a part of a long prompt was then placed on its server and held its stream up. The backlog that makes long prompts too expensive was the mean of all servers, so that a fleet of which half was idle refused them.

Change: a clock for each server says when the prefill of all nodes there will be done. Readers whose stream will be written on a server are announced as such, with the time until their objective, and count as streams: for pauses, for decode steps before a first event, and for what a placement makes late. The random part of the cost follows the choices that may be made unseen, not the number of nodes. The backlog is that of the less loaded half.

test_backends expected that prefill of two nodes passes at the same time (400 of 600 ms after 100 ms); that was the fault, it is 500 now.

--- a/src/process/attempt_work.c
+++ b/src/process/attempt_work.c
@@ -12,7 +12,7 @@
 }
 
 void attempt_work_begin(attempt_work_t *work, const placement_t *placement,
-			int64_t kv_tokens, int64_t gap_us, int64_t now_us)
+			int64_t kv_tokens, int64_t gap_us, int64_t due_at_us)
 {
 	size_t i;
 
@@ -27,7 +27,9 @@
 			part->kv_tokens =
 				kv_tokens / (int64_t)placement->count + 1;
 		part->read_us = placement->read_us[i];
-		part->read_at_us = now_us + placement->first_event_us;
+		part->writes = !i;
+		part->gap_us = i ? 0 : gap_us;
+		part->due_at_us = i ? 0 : due_at_us;
 		begin_part(part, placement->parts[i]->server);
 	}
 }
--- a/src/process/attempt_work.h
+++ b/src/process/attempt_work.h
@@ -21,9 +21,10 @@
  * Counts an attempt that is about to be sent.
  * @param kv_tokens prompt and expected output
  * @param gap_us    longest pause that its stream allows; 0: any
+ * @param due_at_us objective of its first event; 0: none
  */
 void attempt_work_begin(attempt_work_t *work, const placement_t *placement,
-			int64_t kv_tokens, int64_t gap_us, int64_t now_us);
+			int64_t kv_tokens, int64_t gap_us, int64_t due_at_us);
 /** The first event came: the prompt is read, the first server writes. */
 void attempt_work_first_event(attempt_work_t *work);
 /** The attempt ended, however. */
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -197,6 +197,11 @@
 	return &backend->entry;
 }
 
+uint32_t backend_hash(const backend_t *backend)
+{
+	return backend->hash;
+}
+
 bool backend_usable(const backend_t *backend)
 {
 	return backend->table && backend->entry.state == BACKEND_READY &&
@@ -256,12 +261,12 @@
 }
 
 server_load_t backend_load(const backend_t *backend, const work_share_t *share,
-			   int64_t now_us)
+			   const engine_profile_t *engine, int64_t now_us)
 {
 	server_load_t load = server_work_load(&backend->work, now_us);
 
 	if (share)
-		work_share_add(share, backend->hash, &load, now_us);
+		work_share_add(share, backend->hash, engine, &load, now_us);
 	return load;
 }
 
@@ -274,7 +279,9 @@
 	candidate_t candidate = {
 		.server = server,
 		.order = server->hash,
-		.load = backend_load(server, query->share, query->now_us),
+		.load = backend_load(server, query->share,
+				     engine->present ? engine : NULL,
+				     query->now_us),
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
 			engine->present ? engine->kv_capacity_tokens : 0,
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -88,6 +88,8 @@
 backend_t *backend_ref(backend_t *backend);
 void backend_unref(backend_t *backend);
 const backend_entry_t *backend_entry(const backend_t *backend);
+/** @return the name of the server in announcements. */
+uint32_t backend_hash(const backend_t *backend);
 /** Whether new requests may be sent to it now. */
 bool backend_usable(const backend_t *backend);
 
@@ -99,9 +101,14 @@
 /** The work of this node on the server; see attempt_work.h. */
 backend_work_t *backend_work(backend_t *backend);
 
-/** Work of all nodes on the server. @param share of the others; or NULL */
+/**
+ * Work of all nodes on the server.
+ * @param share of the others; NULL: the own work alone, with all prefill that
+ *              has not led to a first event
+ * @param engine of the server; NULL: a plain service
+ */
 server_load_t backend_load(const backend_t *backend, const work_share_t *share,
-			   int64_t now_us);
+			   const engine_profile_t *engine, int64_t now_us);
 
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
 
--- a/src/process/forecast.c
+++ b/src/process/forecast.c
@@ -1,5 +1,11 @@
 #include "process/forecast.h"
 
+void forecast_bound(int64_t *bound_us, int64_t value_us)
+{
+	if (value_us > 0 && (*bound_us == 0 || value_us < *bound_us))
+		*bound_us = value_us;
+}
+
 double forecast_decode_us(const engine_profile_t *engine, int32_t writers,
 			  int64_t context_tokens)
 {
@@ -32,14 +38,21 @@
 	return read_us * tokens_max / (double)tokens;
 }
 
-double forecast_first_event_us(const engine_profile_t *engine,
-			       const server_load_t *load, double read_us)
+double forecast_wait_us(const engine_profile_t *engine,
+			const server_load_t *load)
 {
-	double decode_us =
-		forecast_decode_us(engine, load->writers, load->kv_tokens);
+	/* What is read before the prompt writes beside it. */
+	int32_t streams = load->writers + load->starting;
 
 	/* Half of the pass that runs, then the pass that reads the prompt. */
-	return decode_us * 3 / 2 + (double)load->pending_us + read_us;
+	return forecast_decode_us(engine, streams, load->kv_tokens) * 3 / 2;
+}
+
+double forecast_first_event_us(const engine_profile_t *engine,
+			       const server_load_t *load, double read_us)
+{
+	return forecast_wait_us(engine, load) + (double)load->pending_us +
+	       read_us;
 }
 
 double forecast_write_us(const engine_profile_t *engine, int64_t output_tokens,
--- a/src/process/forecast.h
+++ b/src/process/forecast.h
@@ -17,12 +17,18 @@
 /** What occupies a server, summed over all nodes as far as they are known. */
 typedef struct {
 	int32_t readers; /**< requests without a first event, and parts */
+	int32_t starting; /**< of them: requests that will write here */
 	int32_t writers; /**< requests past their first event */
-	int64_t gap_us; /**< shortest pause that a writer allows; 0: none */
+	int64_t gap_us; /**< shortest pause that a stream allows; 0: none */
+	int64_t due_us; /**< until the first objective of those that start;
+			 * 0: none */
 	int64_t kv_tokens; /**< prompt and expected output of both */
 	int64_t pending_us; /**< prefill that is not done yet */
 } server_load_t;
 
+/** Lowers a bound, of which 0 is none. */
+void forecast_bound(int64_t *bound_us, int64_t value_us);
+
 /** @return duration of the decode steps of a pass; 0 without writers. */
 double forecast_decode_us(const engine_profile_t *engine, int32_t writers,
 			  int64_t context_tokens);
@@ -35,6 +41,10 @@
 double forecast_pass_read_max_us(const engine_profile_t *engine, double read_us,
 				 int64_t tokens);
 
+/** @return time for decode steps before a new prompt's first event. */
+double forecast_wait_us(const engine_profile_t *engine,
+			const server_load_t *load);
+
 /** @return time until a prompt of @p read_us has its first event. */
 double forecast_first_event_us(const engine_profile_t *engine,
 			       const server_load_t *load, double read_us);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -61,18 +61,19 @@
 
 	while (count < max &&
 	       (server = backends_next(gateway->backends, server))) {
-		server_load_t load = backend_load(server, NULL, now_us);
+		server_load_t load = backend_load(server, NULL, NULL, now_us);
 
 		if (!load.readers && !load.writers)
 			continue;
 		items[count++] = (work_item_t){
-			.server_hash =
-				work_share_hash(backend_entry(server)->id),
+			.server_hash = backend_hash(server),
 			.readers = load.readers,
+			.starting = load.starting,
 			.writers = load.writers,
 			.kv_tokens = load.kv_tokens,
 			.pending_us = load.pending_us,
 			.gap_us = load.gap_us,
+			.due_us = load.due_us,
 		};
 	}
 	return count;
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -265,10 +265,10 @@
 }
 
 /* The first watch waits for what other nodes tell: with their news it is not
- * needed. */
+ * needed. Those who watch for the others start at once. */
 static bool waits_for_news(const view_t *view)
 {
-	return view->listed && !view->watched &&
+	return !gateway_is_followed(view->gateway) && view->listed && !view->watched &&
 	       news_is_fresh(clock_monotonic_us() - view->listed_us,
 			     gateway_bound_us(view));
 }
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -16,8 +16,8 @@
 #define PART_RISK 0.001
 /* Cost of an idle server for a short prompt, which takes it from long ones. */
 #define SPREAD_LOSS 0.1
-/* Random part of the cost of a server, for each node: the more nodes choose at
- * once, the wider they must spread. */
+/* Random part of the cost of a server, for each node that may choose at the
+ * same moment: the more there are, the wider they must spread. */
 #define JITTER_LOSS 0.0015
 
 enum {
@@ -75,17 +75,25 @@
 	return -SPREAD_LOSS * step / FILL_STEPS;
 }
 
+static double jitter_most(const candidate_t *candidates, size_t count,
+			  const placement_query_t *query)
+{
+	int32_t rivals = placement_choices(candidates, count, query);
+
+	return JITTER_LOSS * (rivals < query->nodes ? rivals : query->nodes);
+}
+
 static double jitter(const placement_query_t *query,
-		     const candidate_t *candidate)
+		     const candidate_t *candidate, double most)
 {
 	uint64_t key = query->salt ^ (uint64_t)(uintptr_t)candidate->server;
 
-	return JITTER_LOSS * query->nodes *
-	       (double)(XXH64(&key, sizeof(key), 0) >> 40) / (1 << 24);
+	return most * (double)(XXH64(&key, sizeof(key), 0) >> 40) / (1 << 24);
 }
 
 static option_t option_of(const candidate_t *candidate,
-			  const placement_query_t *query, int32_t parts)
+			  const placement_query_t *query, int32_t parts,
+			  double random_part)
 {
 	option_t option = { .candidate = candidate };
 	double target_us = (double)query->target_us;
@@ -109,7 +117,7 @@
 		option.cost += placement_weight(query, query->prompt_tokens) *
 			       PLACEMENT_LATE_LOSS;
 	option.cost += spread_cost(candidate, query, option.event_us) +
-		       jitter(query, candidate);
+		       jitter(query, candidate, random_part);
 	return option;
 }
 
@@ -128,6 +136,7 @@
 			   int64_t kv_tokens, option_t *options)
 {
 	size_t i, used = 0, offset = (size_t)(query->salt % count);
+	double random_part = jitter_most(candidates, count, query);
 	int doubtful;
 
 	for (doubtful = 0; doubtful < 2 && used < (size_t)parts; doubtful++) {
@@ -137,8 +146,8 @@
 
 			if (candidate->doubtful == !!doubtful &&
 			    placement_fits(candidate, kv_tokens))
-				options[used++] =
-					option_of(candidate, query, parts);
+				options[used++] = option_of(candidate, query,
+							    parts, random_part);
 		}
 	}
 	return used;
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -1,12 +1,16 @@
 #include "process/placement_cost.h"
 
+#include <stdlib.h>
+
+#include "base/mem.h"
 #include "base/units.h"
 
 /* Value of a late answer, as a part of the request's weight. */
 #define LATE_VALUE 0.25
 /* Backlog of a server, on average, at which its time has its full price. */
-#define BACKLOG_FULL_US (250 * US_PER_MS)
-/* Part of the pause that a stream allows which a prediction may use up. */
+#define BACKLOG_FULL_US (125 * US_PER_MS)
+/* Part of the pause, or of the time until its objective, that a stream allows
+ * and a prediction may use up. */
 #define GAP_SHARE 0.85
 /* Weight of a request beside its prompt, in usual prompts. */
 #define WEIGHT_BASE 0.5
@@ -42,34 +46,63 @@
 			       PLACEMENT_KV_SHARE;
 }
 
+/* Whether prefill of @p read_us in the next pass makes the first event of those
+ * that start late. */
+static bool delays_first_event(const candidate_t *candidate,
+			       const placement_query_t *query, double read_us)
+{
+	double limit_us = (double)candidate->load.due_us * GAP_SHARE;
+	double event_us =
+		forecast_first_event_us(query->engine, &candidate->load, 0) *
+		candidate->pace;
+
+	return limit_us > 0 && event_us <= limit_us &&
+	       event_us + read_us > limit_us;
+}
+
 double placement_late_streams(const candidate_t *candidate,
 			      const placement_query_t *query, double read_us)
 {
 	const server_load_t *load = &candidate->load;
+	int32_t streams = load->writers + load->starting, late = 0;
 	double limit_us = (double)load->gap_us * GAP_SHARE;
-	double before_us;
+	double decode_us, before_us;
 
-	if (!load->writers || !load->gap_us)
-		return 0;
-	before_us = (forecast_decode_us(query->engine, load->writers,
-					load->kv_tokens) +
-		     (double)load->pending_us) *
-		    candidate->pace;
-	if (before_us > limit_us || before_us + read_us <= limit_us)
+	if (!streams || !load->gap_us)
 		return 0;
-	return load->writers *
-	       placement_weight(query, load->kv_tokens /
-					       (load->writers + load->readers));
+	decode_us =
+		forecast_decode_us(query->engine, streams, load->kv_tokens) *
+		candidate->pace;
+	before_us = decode_us + (double)load->pending_us * candidate->pace;
+	if (before_us <= limit_us && before_us + read_us > limit_us)
+		late += load->writers;
+	/* What is pending now is done before they write. */
+	if (decode_us + read_us > limit_us ||
+	    delays_first_event(candidate, query, read_us))
+		late += load->starting;
+	return late * placement_weight(query, load->kv_tokens / streams);
+}
+
+static int compare_backlogs(const void *left, const void *right)
+{
+	int64_t a = *(const int64_t *)left, b = *(const int64_t *)right;
+
+	return a < b ? -1 : a > b;
 }
 
 double placement_backlog_us(const candidate_t *candidates, size_t count)
 {
+	int64_t *backlogs_us = mem_calloc(count, sizeof(*backlogs_us));
+	size_t i, half = (count + 1) / 2;
 	double sum_us = 0;
-	size_t i;
 
 	for (i = 0; i < count; i++)
-		sum_us += (double)candidates[i].load.pending_us;
-	return sum_us / (double)count;
+		backlogs_us[i] = candidates[i].load.pending_us;
+	qsort(backlogs_us, count, sizeof(*backlogs_us), compare_backlogs);
+	for (i = 0; i < half; i++)
+		sum_us += (double)backlogs_us[i];
+	free(backlogs_us);
+	return sum_us / (double)half;
 }
 
 /*
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -31,7 +31,8 @@
 /**
  * @return weight of the streams whose next pause becomes too long by prefill of
  *         @p read_us in one pass; those that are late anyway, because of
- *         prefill that is pending, lose nothing more
+ *         prefill that is pending, lose nothing more. Streams that will start
+ *         count, too: the prefill may come after their first event.
  */
 double placement_late_streams(const candidate_t *candidate,
 			      const placement_query_t *query, double read_us);
@@ -39,7 +40,10 @@
 /** Whether the prompt is one of those that are packed. */
 bool placement_is_short(const placement_query_t *query);
 
-/** @return prefill that waits on a server, on average. */
+/**
+ * @return prefill that waits on a server, on average of the half that has
+ * least: what others would find while they can choose
+ */
 double placement_backlog_us(const candidate_t *candidates, size_t count);
 
 /** Whether others lose more by a long prompt than it gains. */
@@ -56,6 +60,14 @@
 bool placement_pack(const candidate_t *candidates, size_t count,
 		    const placement_query_t *query, placement_t *placement);
 
+/**
+ * @return among how many places to choose, so that few nodes choose the same
+ *         one: what arrives before the last choices of others are known. A node
+ *         alone knows them all.
+ */
+int32_t placement_choices(const candidate_t *candidates, size_t count,
+			  const placement_query_t *query);
+
 /* placement_plain.c */
 placement_result_t placement_plain(const candidate_t *candidates, size_t count,
 				   const placement_query_t *query,
--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -87,9 +87,8 @@
 	return stay_us > 0 ? sum * KNOWN_AGE_US / stay_us : 0;
 }
 
-/* Free slots among which to choose; a node alone knows them all. */
-static int32_t choices(const candidate_t *candidates, size_t count,
-		       const placement_query_t *query)
+int32_t placement_choices(const candidate_t *candidates, size_t count,
+			  const placement_query_t *query)
 {
 	int32_t least = query->nodes < CHOICES_MIN ? query->nodes : CHOICES_MIN;
 	int32_t wanted;
@@ -117,7 +116,7 @@
 	if (!used)
 		return false;
 	qsort(rooms, used, sizeof(*rooms), compare_order);
-	wanted = choices(candidates, count, query);
+	wanted = placement_choices(candidates, count, query);
 	for (i = 0; i < used && sum < wanted; i++)
 		sum += rooms[i].free;
 	if (!sum)
--- /dev/null
+++ b/src/process/read_clock.c
@@ -0,0 +1,91 @@
+#include "process/read_clock.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+
+/* Prefill that should be done, but has led to no first event yet, still takes
+ * this share of its time. */
+#define OVERDUE_SHARE 0.15
+/* A server without prefill for this long is forgotten. */
+#define FORGET_US (30 * US_PER_S)
+
+typedef struct {
+	uint32_t server_hash;
+	int64_t done_at_us;
+	UT_hash_handle hh;
+} server_t;
+
+struct read_clock {
+	server_t *servers;
+};
+
+read_clock_t *read_clock_create(void)
+{
+	return mem_calloc(1, sizeof(read_clock_t));
+}
+
+void read_clock_destroy(read_clock_t *clock)
+{
+	server_t *server, *next;
+
+	if (!clock)
+		return;
+	HASH_ITER (hh, clock->servers, server, next) {
+		HASH_DEL(clock->servers, server);
+		free(server);
+	}
+	free(clock);
+}
+
+static server_t *find(const read_clock_t *clock, uint32_t server_hash)
+{
+	server_t *server;
+
+	HASH_FIND(hh, clock->servers, &server_hash, sizeof(server_hash),
+		  server);
+	return server;
+}
+
+void read_clock_add(read_clock_t *clock, uint32_t server_hash, int64_t read_us,
+		    int64_t now_us)
+{
+	server_t *server = find(clock, server_hash);
+
+	if (!server) {
+		server = mem_calloc(1, sizeof(*server));
+		server->server_hash = server_hash;
+		HASH_ADD(hh, clock->servers, server_hash,
+			 sizeof(server->server_hash), server);
+	}
+	if (server->done_at_us < now_us)
+		server->done_at_us = now_us;
+	server->done_at_us += read_us;
+}
+
+int64_t read_clock_pending_us(const read_clock_t *clock, uint32_t server_hash,
+			      int64_t open_us, int64_t wait_us, int64_t now_us)
+{
+	const server_t *server = find(clock, server_hash);
+	int64_t left_us = server ? server->done_at_us + wait_us - now_us
+				 : open_us;
+	int64_t least_us = (int64_t)((double)open_us * OVERDUE_SHARE);
+
+	if (left_us < least_us)
+		return least_us;
+	return left_us < open_us ? left_us : open_us;
+}
+
+void read_clock_expire(read_clock_t *clock, int64_t now_us)
+{
+	server_t *server, *next;
+
+	HASH_ITER (hh, clock->servers, server, next) {
+		if (now_us - server->done_at_us < FORGET_US)
+			continue;
+		HASH_DEL(clock->servers, server);
+		free(server);
+	}
+}
--- a/src/process/server_work.h
+++ b/src/process/server_work.h
@@ -8,6 +8,8 @@
 #ifndef PROCESS_SERVER_WORK_H
 #define PROCESS_SERVER_WORK_H
 
+#include <stdbool.h>
+
 #include "process/forecast.h"
 
 struct backend;
@@ -17,7 +19,9 @@
 	struct backend *server;
 	int64_t kv_tokens;
 	int64_t read_us; /**< prefill by prediction */
-	int64_t read_at_us; /**< when it is done by prediction */
+	bool writes; /**< the stream is written here, too */
+	int64_t gap_us; /**< longest pause that it allows; 0: any */
+	int64_t due_at_us; /**< objective of its first event; 0: none */
 	struct work_part *prev, *next;
 } work_part_t;
 
@@ -34,7 +38,7 @@
 	int64_t kv_tokens;
 } backend_work_t;
 
-/** Sums up the work on a server. */
+/** Sums up the work on a server; all prefill without a first event counts. */
 server_load_t server_work_load(const backend_work_t *work, int64_t now_us);
 
 #endif
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -7,6 +7,7 @@
 
 #include "base/mem.h"
 #include "base/units.h"
+#include "process/read_clock.h"
 
 /* Announcements come several times a second; the work of a node that is silent
  * for this long has ended, or ends unseen. */
@@ -29,11 +30,15 @@
 
 struct work_share {
 	node_t *nodes;
+	read_clock_t *clock;
 };
 
 work_share_t *work_share_create(void)
 {
-	return mem_calloc(1, sizeof(work_share_t));
+	work_share_t *share = mem_calloc(1, sizeof(*share));
+
+	share->clock = read_clock_create();
+	return share;
 }
 
 static void forget(work_share_t *share, node_t *node)
@@ -49,6 +54,7 @@
 		return;
 	while (share->nodes)
 		forget(share, share->nodes);
+	read_clock_destroy(share->clock);
 	free(share);
 }
 
@@ -79,6 +85,41 @@
 	return now_us - node->received_us <= NODE_SILENT_US;
 }
 
+static const work_item_t *find_item(const node_t *node, uint32_t server_hash)
+{
+	work_item_t wanted = { .server_hash = server_hash };
+
+	return node->item_count
+		       ? bsearch(&wanted, node->items, node->item_count,
+				 sizeof(wanted), compare_items)
+		       : NULL;
+}
+
+/* Prefill that the node began since its last announcement. */
+static void note_begun(work_share_t *share, const node_t *node,
+		       const work_message_t *message, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < message->item_count; i++) {
+		const work_item_t *item = &message->items[i];
+		const work_item_t *before = find_item(node, item->server_hash);
+		int64_t begun_us = item->pending_us;
+
+		if (before && is_live(node, now_us))
+			begun_us -= before->pending_us;
+		if (begun_us > 0)
+			read_clock_add(share->clock, item->server_hash,
+				       begun_us, now_us);
+	}
+}
+
+void work_share_begin(work_share_t *share, uint32_t server_hash,
+		      int64_t read_us, int64_t now_us)
+{
+	read_clock_add(share->clock, server_hash, read_us, now_us);
+}
+
 bool work_share_receive(work_share_t *share, const work_message_t *message,
 			int64_t now_us, int64_t boot_us)
 {
@@ -92,6 +133,7 @@
 	    (message->incarnation == node->incarnation &&
 	     message->sequence <= node->sequence))
 		return false;
+	note_begun(share, node, message, now_us);
 	node->incarnation = message->incarnation;
 	node->sequence = message->sequence;
 	node->received_us = now_us;
@@ -121,6 +163,7 @@
 	LL_FOREACH_SAFE (share->nodes, node, next)
 		if (now_us - node->received_us > NODE_GONE_US)
 			forget(share, node);
+	read_clock_expire(share->clock, now_us);
 }
 
 bool work_share_silent(const work_share_t *share, const char *data_centre,
@@ -139,39 +182,39 @@
 	return any;
 }
 
-/* The server went on reading since the announcement. */
-static int64_t pending_us(const node_t *node, const work_item_t *item,
-			  int64_t now_us)
+/* Objectives that have passed bound nothing. */
+static int64_t due_us(const node_t *node, const work_item_t *item,
+		      int64_t now_us)
 {
-	int64_t left_us = item->pending_us - (now_us - node->received_us);
+	int64_t left_us = item->due_us - (now_us - node->received_us);
 
 	return left_us > 0 ? left_us : 0;
 }
 
 void work_share_add(const work_share_t *share, uint32_t server_hash,
-		    server_load_t *load, int64_t now_us)
+		    const engine_profile_t *engine, server_load_t *load,
+		    int64_t now_us)
 {
-	work_item_t wanted = { .server_hash = server_hash };
+	int64_t wait_us = 0;
 	const node_t *node;
 
 	LL_FOREACH (share->nodes, node) {
-		const work_item_t *item =
-			node->item_count
-				? bsearch(&wanted, node->items,
-					  node->item_count, sizeof(wanted),
-					  compare_items)
-				: NULL;
+		const work_item_t *item = find_item(node, server_hash);
 
 		if (!item || !is_live(node, now_us))
 			continue;
 		load->readers += item->readers;
+		load->starting += item->starting;
 		load->writers += item->writers;
 		load->kv_tokens += item->kv_tokens;
-		load->pending_us += pending_us(node, item, now_us);
-		if (item->gap_us &&
-		    (!load->gap_us || item->gap_us < load->gap_us))
-			load->gap_us = item->gap_us;
+		load->pending_us += item->pending_us;
+		forecast_bound(&load->gap_us, item->gap_us);
+		forecast_bound(&load->due_us, due_us(node, item, now_us));
 	}
+	if (engine)
+		wait_us = (int64_t)forecast_wait_us(engine, load);
+	load->pending_us = read_clock_pending_us(
+		share->clock, server_hash, load->pending_us, wait_us, now_us);
 }
 
 size_t work_share_nodes(const work_share_t *share)
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -26,10 +26,13 @@
 typedef struct {
 	uint32_t server_hash;
 	int32_t readers;
+	int32_t starting; /**< readers whose stream it will write */
 	int32_t writers;
 	int64_t kv_tokens;
-	int64_t pending_us; /**< prefill that is not done yet */
-	int64_t gap_us; /**< shortest pause that a writer allows; 0: none */
+	int64_t pending_us; /**< prefill without a first event */
+	int64_t gap_us; /**< shortest pause that a stream allows; 0: none */
+	int64_t due_us; /**< until the first objective of those that start;
+			 * 0: none */
 } work_item_t;
 
 /** One announcement. */
@@ -57,9 +60,17 @@
 			int64_t now_us, int64_t boot_us);
 /** Forgets nodes that were silent for too long. */
 void work_share_expire(work_share_t *share, int64_t now_us);
-/** Adds the work of the other nodes on a server to @p load. */
+/** This node sent prefill to a server. */
+void work_share_begin(work_share_t *share, uint32_t server_hash,
+		      int64_t read_us, int64_t now_us);
+/**
+ * Adds the work of the other nodes on a server to @p load, which holds that of
+ * this node, and predicts how much of the prefill is not done yet.
+ * @param engine of the server; NULL: a plain service
+ */
 void work_share_add(const work_share_t *share, uint32_t server_hash,
-		    server_load_t *load, int64_t now_us);
+		    const engine_profile_t *engine, server_load_t *load,
+		    int64_t now_us);
 /** @return nodes that were heard of lately. */
 size_t work_share_nodes(const work_share_t *share);
 /**
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -457,7 +457,7 @@
   (ProtobufCMessageInit) work__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__item__field_descriptors[6] =
+static const ProtobufCFieldDescriptor work__item__field_descriptors[8] =
 {
   {
     "server",
@@ -531,19 +531,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "starting",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Item, starting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "due_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Item, due_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__item__field_indices_by_name[] = {
+  7,   /* field[7] = due_ms */
   5,   /* field[5] = gap_ms */
   3,   /* field[3] = kv_kilotokens */
   4,   /* field[4] = pending_ms */
   1,   /* field[1] = readers */
   0,   /* field[0] = server */
+  6,   /* field[6] = starting */
   2,   /* field[2] = writers */
 };
 static const ProtobufCIntRange work__item__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor work__item__descriptor =
 {
@@ -553,7 +579,7 @@
   "Work__Item",
   "work",
   sizeof(Work__Item),
-  6,
+  8,
   work__item__field_descriptors,
   work__item__field_indices_by_name,
   1,  work__item__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -97,17 +97,25 @@
   uint32_t writers;
   uint32_t kv_kilotokens;
   /*
-   * prefill that is not done yet
+   * prefill without a first event
    */
   uint32_t pending_ms;
   /*
-   * shortest pause that a writer allows
+   * shortest pause that a stream allows
    */
   uint32_t gap_ms;
+  /*
+   * readers whose stream this server will write
+   */
+  uint32_t starting;
+  /*
+   * until the first of their objectives; 0: none
+   */
+  uint32_t due_ms;
 };
 #define WORK__ITEM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__item__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -139,7 +139,8 @@
 
 	if (!engine->present || !before_us)
 		return;
-	load = backend_load(server, forward->gateway->share, attempt->event_us);
+	load = backend_load(server, forward->gateway->share, engine,
+			    attempt->event_us);
 	expected_us = forecast_decode_us(engine, load.writers, load.kv_tokens) +
 		      (double)load.pending_us;
 	backend_note_gap(server, (double)(attempt->event_us - before_us),
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -121,6 +121,7 @@
 	const placement_t *placement = &forward->placement;
 	attempt_t *attempt = mem_calloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us(), kv_tokens = 0;
+	size_t i;
 
 	if (forward->service->engine.present)
 		kv_tokens = forward->request.prompt_tokens +
@@ -130,7 +131,13 @@
 	attempt->predicted_us = placement->first_event_us;
 	attempt->patience_us = patience_us(forward, placement->first_event_us);
 	attempt_work_begin(&attempt->work, placement, kv_tokens,
-			   forward->route->gap_target_ms * US_PER_MS, now_us);
+			   forward->route->gap_target_ms * US_PER_MS,
+			   forward->received_us +
+				   forward->route->target_ms * US_PER_MS);
+	for (i = 0; i < placement->count; i++)
+		work_share_begin(forward->gateway->share,
+				 backend_hash(placement->parts[i]->server),
+				 placement->read_us[i], now_us);
 	gateway_work_changed(forward->gateway, true);
 	send_request(forward);
 }
--- /dev/null
+++ b/tests/bench/fleet.c
@@ -0,0 +1,85 @@
+/**
+ * Plays a load through the placement with the fleet model and prints what
+ * callers got:
+ *
+ *     fleet [SECONDS [SEED [NODES [SERVERS]]]]
+ *
+ * The rates are for 112 servers and follow the number of servers.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lib/fleet_model.h"
+
+#define ARG(index, otherwise) \
+	(argc > (index) ? strtoll(argv[index], NULL, 10) : (otherwise))
+
+typedef struct {
+	const char *name;
+	double rates[FLEET_KINDS_MAX];
+} mix_t;
+
+static void print(const fleet_load_t *load, const fleet_result_t *result)
+{
+	size_t i;
+
+	for (i = 0; load->kinds[i].name; i++) {
+		const fleet_seen_t *seen = &result->kinds[i];
+
+		printf("  %-6s asked %5d refused %4d late first %4d"
+		       " late pause %4d, late %.3f\n",
+		       load->kinds[i].name, seen->asked, seen->refused,
+		       seen->late_first, seen->late_gap,
+		       seen->asked
+			       ? (double)(seen->late_first + seen->late_gap) /
+					 seen->asked
+			       : 0);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const mix_t mixes[] = {
+		{ "many long prompts", { 56, 16, 8.7 } },
+		{ "many short prompts", { 365, 6, 0.2 } },
+		{ "even", { 152, 12, 3.1 } },
+	};
+	size_t i, j;
+
+	for (i = 0; i < sizeof(mixes) / sizeof(mixes[0]); i++) {
+		fleet_result_t result;
+		fleet_load_t load = {
+			.engine = { .present = true,
+				    .kv_capacity_tokens = 400000,
+				    .steps_per_pass = 53,
+				    .step_us = 1300,
+				    .step_per_writer_us = 1,
+				    .step_per_context_token_us = 0.002,
+				    .read_token_us = 6.5,
+				    .read_pair_us = 0.00016,
+				    .chunk_tokens = 2048,
+				    .usual_prompt_tokens = 10000,
+				    .usual_output_tokens = 1300 },
+			.servers = (size_t)ARG(4, 112),
+			.slots = 10,
+			.nodes = (int32_t)ARG(3, 295),
+			.work_known_ms = 15,
+			.announce_ms = 1200,
+			.length_ms = ARG(1, 10) * 1000,
+			.seed = (uint64_t)ARG(2, 1),
+			.kinds = { { "short", 0, 300, 9600, 1100, 400, 300 },
+				   { "middle", 0, 15000, 90000, 800, 1500,
+				     800 },
+				   { "long", 0, 120000, 400000, 700, 4000,
+				     1200 } },
+		};
+
+		for (j = 0; load.kinds[j].name; j++)
+			load.kinds[j].per_s =
+				mixes[i].rates[j] * (double)load.servers / 112;
+		fleet_play(&load, &result);
+		printf("%s\n", mixes[i].name);
+		print(&load, &result);
+	}
+	return 0;
+}
--- /dev/null
+++ b/tests/lib/fleet_model.c
@@ -0,0 +1,405 @@
+#include "lib/fleet_model.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "base/units.h"
+#include "process/placement.h"
+#include "process/work_share.h"
+
+enum {
+	TICK_US = 2000,
+	REQUESTS_MAX = 40000,
+	ON_SERVER_MAX = 64,
+	/* Round trip between caller, node and server. */
+	WAY_US = 4000
+};
+
+typedef enum { UNUSED, READING, WRITING, DONE } phase_t;
+
+typedef struct {
+	phase_t phase;
+	size_t kind, node;
+	size_t part_count, parts_left;
+	size_t servers[PLACEMENT_PARTS_MAX];
+	int64_t read_us[PLACEMENT_PARTS_MAX];
+	int64_t prompt_tokens, tokens_left;
+	int64_t began_us, event_us, gap_us;
+	int64_t first_us; /**< 0: no event yet */
+} request_t;
+
+/** A part that a server reads, or a stream that it writes. */
+typedef struct {
+	request_t *request;
+	double read_left_us; /**< 0: it is read */
+	bool in_pass; /**< of the pass that runs */
+	double pass_read_us;
+} task_t;
+
+typedef struct {
+	task_t tasks[ON_SERVER_MAX];
+	size_t count;
+	int64_t pass_end_us; /**< 0: idle */
+} server_t;
+
+typedef struct {
+	int64_t due_us; /**< next announcement; 0: nothing to tell */
+	int64_t told_us;
+	uint64_t sequence;
+} node_t;
+
+typedef struct {
+	const fleet_load_t *load;
+	fleet_result_t *result;
+	server_t *servers;
+	candidate_t *candidates;
+	node_t *nodes;
+	request_t *requests;
+	size_t request_count, oldest;
+	work_share_t *share;
+	int64_t now_us;
+	uint64_t random;
+} fleet_t;
+
+static double uniform(fleet_t *fleet)
+{
+	fleet->random ^= fleet->random << 13;
+	fleet->random ^= fleet->random >> 7;
+	fleet->random ^= fleet->random << 17;
+	return (double)(fleet->random >> 11) / (double)(UINT64_C(1) << 53);
+}
+
+static uint32_t hash_of(size_t server)
+{
+	return (uint32_t)server * 2654435761u + 1;
+}
+
+static void change_soon(fleet_t *fleet, size_t node, int64_t delay_us)
+{
+	node_t *known = &fleet->nodes[node];
+	int64_t due_us = fleet->now_us + delay_us;
+
+	if (!known->due_us || due_us < known->due_us)
+		known->due_us = due_us;
+}
+
+static void note_change(fleet_t *fleet, size_t node)
+{
+	int64_t pause_us = fleet->load->announce_ms * US_PER_MS -
+			   (fleet->now_us - fleet->nodes[node].told_us);
+
+	change_soon(fleet, node, pause_us > 0 ? pause_us : 0);
+}
+
+static size_t find_item(work_item_t *items, size_t *count, uint32_t hash)
+{
+	size_t i;
+
+	for (i = 0; i < *count; i++)
+		if (items[i].server_hash == hash)
+			return i;
+	items[*count] = (work_item_t){ .server_hash = hash };
+	return (*count)++;
+}
+
+static void add_request(const fleet_t *fleet, const request_t *request,
+			work_item_t *items, size_t *count)
+{
+	const fleet_kind_t *kind = &fleet->load->kinds[request->kind];
+	int64_t due_us =
+		request->began_us + kind->target_ms * US_PER_MS - fleet->now_us;
+	size_t i;
+
+	for (i = 0; i < request->part_count; i++) {
+		work_item_t *item = &items[find_item(
+			items, count, hash_of(request->servers[i]))];
+
+		if (!i)
+			item->kv_tokens += request->prompt_tokens;
+		if (!i)
+			forecast_bound(&item->gap_us, kind->gap_ms * US_PER_MS);
+		if (request->phase == WRITING) {
+			item->writers += !i;
+			continue;
+		}
+		item->readers++;
+		item->starting += !i;
+		item->pending_us += request->read_us[i];
+		if (!i)
+			forecast_bound(&item->due_us, due_us);
+	}
+}
+
+static void announce(fleet_t *fleet, size_t node)
+{
+	static work_item_t items[1024];
+	work_message_t message = { .node = node + 1,
+				   .incarnation = 1,
+				   .sequence = ++fleet->nodes[node].sequence,
+				   .items = items };
+	size_t i;
+
+	for (i = fleet->oldest; i < fleet->request_count; i++) {
+		const request_t *request = &fleet->requests[i];
+
+		if (request->node == node &&
+		    (request->phase == READING || request->phase == WRITING))
+			add_request(fleet, request, items, &message.item_count);
+	}
+	work_share_receive(fleet->share, &message, fleet->now_us, 0);
+	fleet->nodes[node].due_us = 0;
+	fleet->nodes[node].told_us = fleet->now_us;
+}
+
+/* Nodes without news repeat themselves, so that they count as alive. */
+static void announce_due(fleet_t *fleet)
+{
+	size_t i;
+
+	for (i = 0; i < (size_t)fleet->load->nodes; i++) {
+		const node_t *node = &fleet->nodes[i];
+
+		if ((node->due_us && node->due_us <= fleet->now_us) ||
+		    fleet->now_us - node->told_us >
+			    fleet->load->announce_ms * US_PER_MS)
+			announce(fleet, i);
+	}
+}
+
+static void put(fleet_t *fleet, request_t *request,
+		const placement_t *placement)
+{
+	size_t i;
+
+	request->part_count = request->parts_left = placement->count;
+	for (i = 0; i < placement->count; i++) {
+		size_t index =
+			(size_t)(placement->parts[i] - fleet->candidates);
+		server_t *server = &fleet->servers[index];
+
+		request->servers[i] = index;
+		request->read_us[i] = placement->read_us[i];
+		if (server->count == ON_SERVER_MAX)
+			abort();
+		server->tasks[server->count++] = (task_t){
+			.request = request,
+			.read_left_us = (double)placement->read_us[i],
+		};
+	}
+	change_soon(fleet, request->node,
+		    fleet->load->work_known_ms * US_PER_MS);
+}
+
+static void arrive(fleet_t *fleet, size_t index)
+{
+	const fleet_load_t *load = fleet->load;
+	const fleet_kind_t *kind = &load->kinds[index];
+	request_t *request = &fleet->requests[fleet->request_count++];
+	placement_query_t query = {
+		.engine = &load->engine,
+		.output_tokens = kind->output_tokens,
+		.gap_target_us = kind->gap_ms * US_PER_MS,
+		.objective_us = kind->target_ms * US_PER_MS,
+		.target_us = kind->target_ms * US_PER_MS,
+		.limit_us = 15 * US_PER_S,
+		.may_refuse = true,
+		.nodes = load->nodes,
+	};
+	placement_t placement;
+	size_t i;
+
+	query.prompt_tokens =
+		kind->prompt_least +
+		(int64_t)(uniform(fleet) *
+			  (double)(kind->prompt_most - kind->prompt_least));
+	query.salt = (uint64_t)(uniform(fleet) * 1e15);
+	for (i = 0; i < load->servers; i++) {
+		fleet->candidates[i].load = (server_load_t){ 0 };
+		work_share_add(fleet->share, hash_of(i), &load->engine,
+			       &fleet->candidates[i].load, fleet->now_us);
+	}
+	*request = (request_t){
+		.phase = READING,
+		.kind = index,
+		.node = (size_t)(uniform(fleet) * load->nodes),
+		.prompt_tokens = query.prompt_tokens,
+		.tokens_left = kind->output_tokens,
+		.began_us = fleet->now_us,
+	};
+	fleet->result->kinds[index].asked++;
+	if (placement_choose(fleet->candidates, load->servers, &query,
+			     &placement) == PLACEMENT_CHOSEN) {
+		put(fleet, request, &placement);
+		return;
+	}
+	request->phase = DONE;
+	fleet->result->kinds[index].refused++;
+}
+
+static void arrivals(fleet_t *fleet)
+{
+	size_t i;
+
+	for (i = 0; i < FLEET_KINDS_MAX; i++) {
+		double expected =
+			fleet->load->kinds[i].per_s * TICK_US / US_PER_S;
+
+		/* At most one of a kind in a tick. */
+		if (uniform(fleet) < expected &&
+		    fleet->request_count < REQUESTS_MAX)
+			arrive(fleet, i);
+	}
+}
+
+static void finish(fleet_t *fleet, request_t *request)
+{
+	const fleet_kind_t *kind = &fleet->load->kinds[request->kind];
+	fleet_seen_t *seen = &fleet->result->kinds[request->kind];
+
+	request->phase = DONE;
+	if (request->first_us - request->began_us + WAY_US >
+	    kind->target_ms * US_PER_MS)
+		seen->late_first++;
+	else if (request->gap_us > kind->gap_ms * US_PER_MS)
+		seen->late_gap++;
+	note_change(fleet, request->node);
+}
+
+static void write_event(fleet_t *fleet, request_t *request)
+{
+	if (fleet->now_us - request->event_us > request->gap_us)
+		request->gap_us = fleet->now_us - request->event_us;
+	request->event_us = fleet->now_us;
+	request->tokens_left -= fleet->load->engine.steps_per_pass;
+	if (request->tokens_left <= 0)
+		finish(fleet, request);
+}
+
+static void begin_stream(fleet_t *fleet, request_t *request)
+{
+	request->phase = WRITING;
+	request->first_us = request->event_us = fleet->now_us;
+	note_change(fleet, request->node);
+}
+
+/* @return whether the task stays on its server */
+static bool end_task_pass(fleet_t *fleet, task_t *task, size_t server)
+{
+	request_t *request = task->request;
+
+	if (!task->in_pass)
+		return true;
+	if (task->read_left_us > 0) {
+		task->read_left_us -= task->pass_read_us;
+		if (task->read_left_us > 0)
+			return true;
+		if (--request->parts_left == 0)
+			begin_stream(fleet, request);
+		return request->servers[0] == server;
+	}
+	if (request->phase == WRITING)
+		write_event(fleet, request);
+	return request->phase != DONE;
+}
+
+static void end_pass(fleet_t *fleet, size_t index)
+{
+	server_t *server = &fleet->servers[index];
+	size_t i, kept = 0;
+
+	for (i = 0; i < server->count; i++)
+		if (end_task_pass(fleet, &server->tasks[i], index))
+			server->tasks[kept++] = server->tasks[i];
+	server->count = kept;
+	server->pass_end_us = 0;
+}
+
+/* Takes in all that waits; prefill is bounded by a chunk for each step. */
+static void begin_pass(fleet_t *fleet, size_t index)
+{
+	const engine_profile_t *engine = &fleet->load->engine;
+	server_t *server = &fleet->servers[index];
+	double left_us = engine->steps_per_pass * engine->chunk_tokens *
+			 engine->read_token_us;
+	double pass_us = 0;
+	int64_t context_tokens = 0;
+	int32_t writers = 0;
+	size_t i;
+
+	for (i = 0; i < server->count; i++) {
+		task_t *task = &server->tasks[i];
+
+		task->in_pass = true;
+		if (task->read_left_us <= 0) {
+			writers += task->request->phase == WRITING;
+			context_tokens += task->request->prompt_tokens;
+			continue;
+		}
+		task->pass_read_us = fmin(task->read_left_us, left_us);
+		left_us -= task->pass_read_us;
+		pass_us += task->pass_read_us;
+	}
+	pass_us += forecast_decode_us(engine, writers, context_tokens);
+	if (pass_us > 0)
+		server->pass_end_us = fleet->now_us + (int64_t)pass_us + 1;
+}
+
+static void run_servers(fleet_t *fleet)
+{
+	size_t i;
+
+	for (i = 0; i < fleet->load->servers; i++) {
+		server_t *server = &fleet->servers[i];
+
+		if (server->pass_end_us && fleet->now_us >= server->pass_end_us)
+			end_pass(fleet, i);
+		if (!server->pass_end_us && server->count)
+			begin_pass(fleet, i);
+	}
+	while (fleet->oldest < fleet->request_count &&
+	       fleet->requests[fleet->oldest].phase == DONE)
+		fleet->oldest++;
+}
+
+static void set_up(fleet_t *fleet)
+{
+	const fleet_load_t *load = fleet->load;
+	size_t i;
+
+	fleet->random = load->seed * UINT64_C(0x9e3779b97f4a7c15) + 1;
+	fleet->share = work_share_create();
+	fleet->servers = mem_calloc(load->servers, sizeof(*fleet->servers));
+	fleet->candidates =
+		mem_calloc(load->servers, sizeof(*fleet->candidates));
+	fleet->nodes = mem_calloc((size_t)load->nodes, sizeof(*fleet->nodes));
+	fleet->requests = mem_calloc(REQUESTS_MAX, sizeof(*fleet->requests));
+	for (i = 0; i < load->servers; i++)
+		fleet->candidates[i] = (candidate_t){
+			.server = &fleet->servers[i],
+			.order = hash_of(i),
+			.slots = load->slots,
+			.kv_capacity_tokens = load->engine.kv_capacity_tokens,
+			.pace = 1,
+		};
+}
+
+void fleet_play(const fleet_load_t *load, fleet_result_t *result)
+{
+	fleet_t fleet = { .load = load, .result = result };
+
+	memset(result, 0, sizeof(*result));
+	set_up(&fleet);
+	for (fleet.now_us = TICK_US; fleet.now_us < load->length_ms * US_PER_MS;
+	     fleet.now_us += TICK_US) {
+		run_servers(&fleet);
+		announce_due(&fleet);
+		arrivals(&fleet);
+	}
+	work_share_destroy(fleet.share);
+	free(fleet.servers);
+	free(fleet.candidates);
+	free(fleet.nodes);
+	free(fleet.requests);
+}
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -285,26 +285,36 @@
 				  .read_us = { MS(150) } };
 	attempt_work_t work = { .phase = WORK_NONE };
 	backend_t *server = candidate.server;
+	work_share_t *share = work_share_create();
 	server_load_t load;
 
-	attempt_work_begin(&work, &placement, 6000, MS(250), 0);
-	load = backend_load(server, NULL, 0);
+	attempt_work_begin(&work, &placement, 6000, MS(250), MS(400));
+	work_share_begin(share, backend_hash(server), MS(150), 0);
+	load = backend_load(server, share, NULL, 0);
 	assert_int_equal(load.readers, 1);
 	assert_int_equal(load.pending_us, MS(150));
 	assert_int_equal(load.kv_tokens, 6000);
-	load = backend_load(server, NULL, MS(120));
+	assert_int_equal(load.starting, 1);
+	assert_int_equal(load.gap_us, MS(250));
+	assert_int_equal(load.due_us, MS(400));
+	load = backend_load(server, share, NULL, MS(70));
 	assert_int_equal(load.pending_us, MS(80));
+	/* Others are told all of it, since it has no first event. */
+	load = backend_load(server, NULL, NULL, MS(70));
+	assert_int_equal(load.pending_us, MS(150));
 	/* An overdue prefill still takes some time. */
-	load = backend_load(server, NULL, MS(900));
+	load = backend_load(server, share, NULL, MS(900));
 	assert_true(load.pending_us > 0);
 	attempt_work_first_event(&work);
-	load = backend_load(server, NULL, MS(900));
+	load = backend_load(server, share, NULL, MS(900));
+	assert_int_equal(load.pending_us, 0);
 	assert_int_equal(load.readers, 0);
 	assert_int_equal(load.writers, 1);
 	assert_int_equal(load.gap_us, MS(250));
 	/* The server may leave while the stream runs. */
 	backends_remove(backends, "a", 0);
 	attempt_work_end(&work);
+	work_share_destroy(share);
 }
 
 static work_message_t message_of(uint64_t node, uint64_t sequence,
@@ -329,7 +339,8 @@
 			     .writers = 2,
 			     .kv_tokens = 9000,
 			     .pending_us = MS(300),
-			     .gap_us = MS(250) };
+			     .gap_us = MS(250),
+			     .due_us = MS(350) };
 	work_message_t first = message_of(1, 5, &item, 1);
 	work_message_t second = message_of(2, 1, &item, 1);
 	work_message_t old = message_of(1, 4, &item, 1);
@@ -339,17 +350,19 @@
 	assert_true(work_share_receive(share, &first, 0, 0));
 	assert_true(work_share_receive(share, &second, 0, 0));
 	assert_false(work_share_receive(share, &old, MS(1), 0));
-	work_share_add(share, hash, &load, MS(100));
+	work_share_add(share, hash, NULL, &load, MS(100));
 	assert_int_equal(load.writers, 4);
-	assert_int_equal(load.pending_us, MS(400));
+	/* The server does one after the other. */
+	assert_int_equal(load.pending_us, MS(500));
 	assert_int_equal(load.gap_us, MS(250));
+	assert_int_equal(load.due_us, MS(250));
 	assert_true(work_share_receive(share, &empty, MS(100), 0));
 	memset(&load, 0, sizeof(load));
-	work_share_add(share, hash, &load, MS(100));
+	work_share_add(share, hash, NULL, &load, MS(100));
 	assert_int_equal(load.writers, 2);
 	/* A node that stopped must not count for ever. */
 	memset(&load, 0, sizeof(load));
-	work_share_add(share, hash, &load, MS(2500));
+	work_share_add(share, hash, NULL, &load, MS(2500));
 	assert_int_equal(load.writers, 0);
 	assert_true(work_share_silent(share, "north", MS(500), MS(2500)));
 	assert_false(work_share_silent(share, "south", MS(500), MS(2500)));
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -12,10 +12,12 @@
 {
 	work_item_t item = { .server_hash = 7,
 			     .readers = 3,
+			     .starting = 2,
 			     .writers = 12,
 			     .kv_tokens = 181000,
 			     .pending_us = MS(44),
-			     .gap_us = MS(600) };
+			     .gap_us = MS(600),
+			     .due_us = MS(350) };
 	packet_t sent = { .type = PACKET_WORK,
 			  .as.work = { .node = 3,
 				       .sequence = 8,
@@ -42,10 +44,12 @@
 	assert_int_equal(got.as.work.item_count, 1);
 	assert_int_equal(got.as.work.items[0].server_hash, 7);
 	assert_int_equal(got.as.work.items[0].readers, 3);
+	assert_int_equal(got.as.work.items[0].starting, 2);
 	assert_int_equal(got.as.work.items[0].writers, 12);
 	assert_int_equal(got.as.work.items[0].kv_tokens, 181000);
 	assert_int_equal(got.as.work.items[0].pending_us, MS(44));
 	assert_int_equal(got.as.work.items[0].gap_us, MS(600));
+	assert_int_equal(got.as.work.items[0].due_us, MS(350));
 	packet_clear(&got);
 	/* A datagram that was cut must not crash the node. */
 	for (i = 0; i < size; i++)
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -24,6 +24,7 @@
 	int32_t writers, gap_ms, pending_ms, kv_ktokens, distance_ms;
 	bool doubtful;
 	double pace; /* 0: 1 */
+	int32_t starting;
 } state_t;
 
 static void fill(candidate_t *candidates, const state_t *states, size_t count)
@@ -36,6 +37,8 @@
 			.server = &candidates[i],
 			.order = (uint32_t)i,
 			.load = { .writers = states[i].writers,
+				  .readers = states[i].starting,
+				  .starting = states[i].starting,
 				  .gap_us = states[i].gap_ms * US_PER_MS,
 				  .pending_us =
 					  states[i].pending_ms * US_PER_MS,
@@ -154,6 +157,16 @@
 		  2,
 		  1,
 		  1 },
+		{ "a long prompt beside streams that will write by then",
+		  { { .starting = 1, .gap_ms = 250, .kv_ktokens = 45 },
+		    { .starting = 1, .gap_ms = 250, .kv_ktokens = 45 },
+		    { 0 } },
+		  3,
+		  60000,
+		  4000,
+		  2,
+		  1,
+		  1 },
 		{ "a long prompt read by one server for seconds",
 		  { { 0 }, { 0 }, { 0 }, { 0 }, { 0 }, { 0 }, { 0 }, { 0 } },
 		  8,
