Watch the store from fast links, with nodes that stand by; count delayed parts

Joined from a log of calls: nodes with links of 20 Mbit/s watched for 294 others and could not send their news while many servers changed, so that all nodes watched for themselves (1,400 calls/s for five seconds); when both watchers were cut off, everybody went on alone; those who watch waited for news themselves at the start; nodes read a list of nodes that was seconds old, and so heard of each other late; nodes that were cut off from all others, or turned away by the store, called several times a second.

Change: the order of watchers starts with the fastest links (announced, from the settings), and those who watch begin at once. The next two in the order go on when news stop. News with changes are acknowledged to their sender. The list of nodes is read once up to date. A configuration is fetched within 0.35 of its bound instead of 0.2, so that versions in quick succession are fetched together; nodes that hear no other one call each 3 s.

A placement now counts what it delays: the time until the objective of all readers is announced.

Tests, which failed before: test_follow (calls_seldom_while_cut_off, watches_for_others_from_the_start, ranks of links, stands_by_for_the_watchers). test_fleet reads the newest parts first now.

--- a/src/process/attempt_work.c
+++ b/src/process/attempt_work.c
@@ -29,7 +29,7 @@
 		part->read_us = placement->read_us[i];
 		part->writes = !i;
 		part->gap_us = i ? 0 : gap_us;
-		part->due_at_us = i ? 0 : due_at_us;
+		part->due_at_us = due_at_us;
 		begin_part(part, placement->parts[i]->server);
 	}
 }
--- a/src/process/control_vms.c
+++ b/src/process/control_vms.c
@@ -91,5 +91,5 @@
 	if (members->listing || now_us < members->list_us)
 		return;
 	members->listing = true;
-	platform_list_vms(members->control->platform, on_list, members);
+	platform_list_vms(members->control->platform, true, on_list, members);
 }
--- a/src/process/forecast.h
+++ b/src/process/forecast.h
@@ -20,8 +20,8 @@
 	int32_t starting; /**< of them: requests that will write here */
 	int32_t writers; /**< requests past their first event */
 	int64_t gap_us; /**< shortest pause that a stream allows; 0: none */
-	int64_t due_us; /**< until the first objective of those that start;
-			 * 0: none */
+	int64_t due_us; /**< until the first objective of the readers; 0: none
+			 */
 	int64_t kv_tokens; /**< prompt and expected output of both */
 	int64_t pending_us; /**< prefill that is not done yet */
 } server_load_t;
--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -10,11 +10,15 @@
 /* Nodes of a region that watch the platform for the others; two in different
  * data centres, so that the loss of one is not noticed. */
 enum { WATCHERS = 2 };
+/* The next ones in the order stand by: they go on when news stop. */
+enum { STANDBYS = 2 };
 /* One lost answer says little; more failures in a row show an outage. */
 enum { OUTAGE_FAILURES = 2 };
-/* A node watches itself when it has heard no news for this long: several
- * announcements of a large fleet. */
-#define NEWS_SILENT_US (1300 * US_PER_MS)
+/* Nodes that stand by watch when they have heard no news for this long. */
+#define NEWS_MISSED_US (1300 * US_PER_MS)
+/* Others watch themselves after this many announcements without news, but not
+ * before those that stand by had the time to go on. */
+enum { ANNOUNCEMENTS_MISSED = 2 };
 /* Fewer nodes in a region cost the platform less when each watches with
  * long calls than when two watch with short ones. */
 enum { NODES_MIN = 10 };
@@ -23,7 +27,7 @@
 #define NEWS_PAUSE_S 0.05
 /* Part of the bound for the configuration that a node waits for further
  * versions before it fetches one. */
-#define FETCH_DELAY_SHARE 0.2
+#define FETCH_DELAY_SHARE 0.35
 /* What was sent and is not yet acknowledged by an announcement is sent again
  * after this time. */
 #define RESEND_US (500 * US_PER_MS)
@@ -39,8 +43,13 @@
 
 static size_t rank(const gateway_t *gateway, bool sound)
 {
-	return work_share_rank(gateway->share, &gateway->settings.region,
-			       gateway->settings.data_centre, own_hash(gateway),
+	work_rank_t own = {
+		.data_centre = gateway->settings.data_centre,
+		.node = own_hash(gateway),
+		.link_mbps = (int64_t)gateway->settings.link_mbps,
+	};
+
+	return work_share_rank(gateway->share, &gateway->settings.region, &own,
 			       sound, clock_monotonic_us());
 }
 
@@ -59,17 +68,38 @@
 	return platform_available(gateway->platform);
 }
 
+static bool hears_news_within(const gateway_t *gateway, int64_t silence_us)
+{
+	return gateway->news_us &&
+	       clock_monotonic_us() - gateway->news_us < silence_us;
+}
+
 static bool is_watcher(const gateway_t *gateway)
 {
-	return gateway_is_sound(gateway) && rank(gateway, true) < WATCHERS;
+	size_t place;
+
+	if (!gateway_is_sound(gateway))
+		return false;
+	place = rank(gateway, true);
+	return place < WATCHERS ||
+	       (place < WATCHERS + STANDBYS && gateway->news_us &&
+		!hears_news_within(gateway, NEWS_MISSED_US));
 }
 
-static bool are_many(const gateway_t *gateway)
+static size_t live_others(const gateway_t *gateway)
 {
 	return work_share_live(gateway->share, &gateway->settings.region,
-			       clock_monotonic_us()) +
-		       1 >=
-	       NODES_MIN;
+			       clock_monotonic_us());
+}
+
+static bool are_many(const gateway_t *gateway)
+{
+	return live_others(gateway) + 1 >= NODES_MIN;
+}
+
+bool gateway_is_cut_off(const gateway_t *gateway)
+{
+	return gateway->nodes >= NODES_MIN && !live_others(gateway);
 }
 
 bool gateway_asks_for_others(const gateway_t *gateway)
@@ -99,8 +129,12 @@
 
 bool gateway_hears_news(const gateway_t *gateway)
 {
-	return gateway->news_us &&
-	       clock_monotonic_us() - gateway->news_us < NEWS_SILENT_US;
+	int64_t silence_us =
+		gateway_announce_pause_us(gateway) * ANNOUNCEMENTS_MISSED;
+
+	return hears_news_within(gateway, silence_us > NEWS_MISSED_US
+						  ? silence_us
+						  : NEWS_MISSED_US);
 }
 
 bool gateway_follows(const view_t *view)
@@ -317,6 +351,16 @@
 		gateway_end_outage(view);
 }
 
+static bool has_changes(const news_t *news)
+{
+	size_t i;
+
+	for (i = 0; i < news->view_count; i++)
+		if (news->views[i].change_count)
+			return true;
+	return false;
+}
+
 void gateway_receive_news(gateway_t *gateway, const news_t *news)
 {
 	int64_t now_us = clock_monotonic_us();
@@ -333,4 +377,6 @@
 			if (gateway->views[j].kind == news->views[i].kind)
 				receive_view(gateway, &gateway->views[j], news,
 					     &news->views[i]);
+	if (has_changes(news))
+		gateway_acknowledge(gateway, news->node);
 }
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -19,10 +19,10 @@
 /* Announcements that may be lost before a node counts as silent. */
 enum { ANNOUNCEMENTS_LOST_MAX = 3 };
 
-/* The list of nodes is read often while the fleet starts. */
+/* Nodes that start together have written their entries after this time; the
+ * list that a node reads then is up to date, others may be a little old. */
 #define REGISTRY_FIRST_S 0.7
 #define REGISTRY_S 5.0
-enum { REGISTRY_FIRST_READS = 4 };
 
 static double announce_pause_s(const gateway_t *gateway)
 {
@@ -31,7 +31,7 @@
 	return pause_s > ANNOUNCE_MIN_S ? pause_s : ANNOUNCE_MIN_S;
 }
 
-static int64_t idle_pause_us(const gateway_t *gateway)
+int64_t gateway_announce_pause_us(const gateway_t *gateway)
 {
 	int64_t pause_us = (int64_t)(announce_pause_s(gateway) * US_PER_S);
 
@@ -41,7 +41,8 @@
 /* Tells the server table which data centres are silent. */
 static void note_silence(gateway_t *gateway, int64_t now_us)
 {
-	int64_t silence_us = idle_pause_us(gateway) * ANNOUNCEMENTS_LOST_MAX;
+	int64_t silence_us =
+		gateway_announce_pause_us(gateway) * ANNOUNCEMENTS_LOST_MAX;
 	backend_t *server = NULL;
 
 	while ((server = backends_next(gateway->backends, server))) {
@@ -79,13 +80,13 @@
 	return count;
 }
 
-static void announce(gateway_t *gateway, int64_t now_us)
+static size_t encode_announcement(gateway_t *gateway, int64_t now_us,
+				  uint8_t *data, size_t capacity)
 {
 	work_item_t items[256];
 	packet_t packet = { .type = PACKET_WORK };
 	work_message_t *message = &packet.as.work;
-	uint8_t data[PACKET_SIZE_MAX_BYTES];
-	size_t size, i;
+	size_t i;
 
 	*message = (work_message_t){
 		.node = work_share_node_hash(gateway->settings.node_id),
@@ -93,6 +94,7 @@
 		.sequence = ++gateway->sequence,
 		.sent_boot_us = clock_boot_us(),
 		.sound = gateway_is_sound(gateway),
+		.link_mbps = (int64_t)gateway->settings.link_mbps,
 		.items = items,
 		.item_count = list_work(gateway, items,
 					sizeof(items) / sizeof(items[0]),
@@ -104,18 +106,40 @@
 				gateway->views[i].revision;
 	mem_strlcpy(message->data_centre, gateway->settings.data_centre,
 		    sizeof(message->data_centre));
+	return packet_encode(&packet, data, capacity);
+}
+
+static void send_announcement(gateway_t *gateway, const peer_t *peers,
+			      size_t count, int64_t now_us)
+{
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size = encode_announcement(gateway, now_us, data, sizeof(data));
+	size_t i;
+
+	for (i = 0; size && i < count; i++)
+		datagram_send(gateway->datagram, peers[i].address, data, size);
+	metrics_add(METRIC_PEER_SENT, (int64_t)count);
+	metrics_add(METRIC_PEER_SENT_BYTES, (int64_t)(size * count));
+}
+
+static void announce(gateway_t *gateway, int64_t now_us)
+{
 	gateway->announced_us = now_us;
 	gateway->announce_due = false;
-	size = packet_encode(&packet, data, sizeof(data));
-	for (i = 0; size && i < gateway->peer_count; i++)
-		datagram_send(gateway->datagram, gateway->peers[i].address,
-			      data, size);
-	metrics_add(METRIC_PEER_SENT, (int64_t)gateway->peer_count);
-	metrics_add(METRIC_PEER_SENT_BYTES,
-		    (int64_t)(size * gateway->peer_count));
+	send_announcement(gateway, gateway->peers, gateway->peer_count, now_us);
 	gateway_send_news(gateway);
 }
 
+void gateway_acknowledge(gateway_t *gateway, uint64_t node)
+{
+	size_t i;
+
+	for (i = 0; i < gateway->peer_count; i++)
+		if (gateway->peers[i].hash == node)
+			send_announcement(gateway, &gateway->peers[i], 1,
+					  clock_monotonic_us());
+}
+
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -123,13 +147,14 @@
 
 	work_share_expire(gateway->share, now_us);
 	note_silence(gateway, now_us);
-	if (gateway->announce_due ||
-	    now_us - gateway->announced_us >= idle_pause_us(gateway))
+	if (gateway->announce_due || now_us - gateway->announced_us >=
+					     gateway_announce_pause_us(gateway))
 		announce(gateway, now_us);
 	ev_timer_set(timer,
-		     gateway->announce_due ? announce_pause_s(gateway)
-					   : (double)idle_pause_us(gateway) /
-						     (double)US_PER_S,
+		     gateway->announce_due
+			     ? announce_pause_s(gateway)
+			     : (double)gateway_announce_pause_us(gateway) /
+				       (double)US_PER_S,
 		     0.);
 	ev_timer_start(loop, timer);
 }
@@ -259,11 +284,10 @@
 		platform_create_object(gateway->platform, PLATFORM_VMS,
 				       gateway->settings.node_id,
 				       own_entry(gateway), on_created, gateway);
-	platform_list_vms(gateway->platform, on_list, gateway);
+	platform_list_vms(gateway->platform, gateway->registry_reads != 1,
+			  on_list, gateway);
 	ev_timer_set(timer,
-		     gateway->registry_reads++ < REGISTRY_FIRST_READS
-			     ? REGISTRY_FIRST_S
-			     : REGISTRY_S,
+		     gateway->registry_reads++ ? REGISTRY_S : REGISTRY_FIRST_S,
 		     0.);
 	ev_timer_start(loop, timer);
 }
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -144,6 +144,8 @@
 bool gateway_is_outage(const view_t *view);
 /** Whether the platform answers this node. */
 bool gateway_is_sound(const gateway_t *gateway);
+/** Whether nodes are listed, but none of them is heard of. */
+bool gateway_is_cut_off(const gateway_t *gateway);
 /** Whether another node told news lately: the platform answers some nodes. */
 bool gateway_hears_news(const gateway_t *gateway);
 /** Whether this node is among those that try a platform that fails. */
@@ -167,6 +169,10 @@
  * @param urgent others must know before they choose servers: it grew
  */
 void gateway_work_changed(gateway_t *gateway, bool urgent);
+/** @return the longest pause between two announcements. */
+int64_t gateway_announce_pause_us(const gateway_t *gateway);
+/** Announces to one node, so that it knows which of its news arrived. */
+void gateway_acknowledge(gateway_t *gateway, uint64_t node);
 
 /* gateway_probes.c */
 bool gateway_probes_start(gateway_t *gateway, err_t *err);
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -10,7 +10,9 @@
 enum {
 	RETRY_FIRST_MS = 100,
 	RETRY_MAX_MS = 800,
-	RETRY_ALONE_MAX_MS = 200,
+	RETRY_ALONE_MAX_MS = 500,
+	/* A node that hears no other one: their news end its outage. */
+	RETRY_CUT_OFF_MS = 3000,
 	RETRY_DOUBLINGS_MAX = 3
 };
 
@@ -141,8 +143,11 @@
 {
 	const gateway_t *gateway = view->gateway;
 
-	if (!gateway_is_outage(view) || gateway_hears_news(gateway) ||
-	    gateway_asks_for_others(gateway))
+	if (!gateway_is_outage(view) || gateway_hears_news(gateway))
+		return 0;
+	if (gateway_is_cut_off(gateway))
+		return RETRY_CUT_OFF_MS;
+	if (gateway_asks_for_others(gateway))
 		return 0;
 	return (int64_t)gateway->nodes * MS_PER_S / IDLE_CALLS_PER_S;
 }
@@ -242,10 +247,12 @@
 	}
 	apply_page(view, page);
 	if (view->listed) {
+		bool goes_on = view->wait_ms == COLLECT_MS;
+
 		view->watched = true;
 		view->revision = page->revision;
 		confirm_answer(view, !page->count);
-		if (page->count)
+		if (page->count || goes_on)
 			gateway_news_due(view->gateway);
 	} else {
 		mem_strlcpy(view->after, page->next, sizeof(view->after));
@@ -268,7 +275,8 @@
  * needed. Those who watch for the others start at once. */
 static bool waits_for_news(const view_t *view)
 {
-	return !gateway_is_followed(view->gateway) && view->listed && !view->watched &&
+	return !gateway_is_followed(view->gateway) && view->listed &&
+	       !view->watched &&
 	       news_is_fresh(clock_monotonic_us() - view->listed_us,
 			     gateway_bound_us(view));
 }
@@ -285,9 +293,11 @@
 {
 	view_t *view = timer->data;
 	platform_t *platform = view->gateway->platform;
+	bool followed;
 
 	if (view->calling)
 		return;
+	followed = view->following;
 	view->following = view->listed && gateway_follows(view);
 	if (view->following || waits_for_news(view) || is_spared(view)) {
 		schedule(view, FOLLOW_CHECK_MS);
@@ -296,6 +306,9 @@
 	view->calling = true;
 	view->called_boot_us = clock_boot_us();
 	view->wait_ms = wait_ms(view);
+	/* Others wait for the first answer of one that goes on for them. */
+	if (followed && gateway_is_followed(view->gateway))
+		view->wait_ms = COLLECT_MS;
 	if (view->listed)
 		platform_watch_kind(platform, view->kind, view->revision,
 				    view->wait_ms, on_page, view);
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -28,6 +28,7 @@
 
 	int64_t memory_limit_bytes; /**< the process is killed above it */
 	int32_t descriptors_max;
+	double link_mbps; /**< of the VM's network link */
 
 	int64_t stop_ms; /**< from SIGTERM until the process is killed */
 	/* Within these times of the store's acknowledgement a change is in
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -55,6 +55,7 @@
 	announcement.data_centre = (char *)message->data_centre;
 	announcement.sent_boot_us = message->sent_boot_us;
 	announcement.sound = message->sound;
+	announcement.link_mbps = to_unit(message->link_mbps, 1);
 	announcement.n_known = WORK_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
 	announcement.n_items = count;
@@ -132,6 +133,7 @@
 	message->sequence = announcement->sequence;
 	message->sent_boot_us = announcement->sent_boot_us;
 	message->sound = announcement->sound;
+	message->link_mbps = (int64_t)announcement->link_mbps;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	for (i = 0; i < announcement->n_known && i < WORK_VIEWS; i++)
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -46,10 +46,24 @@
 			       PLACEMENT_KV_SHARE;
 }
 
-/* Whether prefill of @p read_us in the next pass makes the first event of those
- * that start late. */
-static bool delays_first_event(const candidate_t *candidate,
-			       const placement_query_t *query, double read_us)
+/*
+ * Weight that a unit of prefill time serves: that of a prompt that fills half
+ * of a server's memory. Prefill grows with the square of a prompt, so a longer
+ * one serves less.
+ */
+static double weight_per_us(const placement_query_t *query)
+{
+	int64_t tokens = query->engine->kv_capacity_tokens / 2;
+
+	return placement_weight(query, tokens) /
+	       forecast_read_us(query->engine, tokens, 1);
+}
+
+/* Whether prefill of @p read_us makes what the server reads late. It goes
+ * first: an engine reads the newest part of a split prompt before older ones.
+ */
+static bool delays_readers(const candidate_t *candidate,
+			   const placement_query_t *query, double read_us)
 {
 	double limit_us = (double)candidate->load.due_us * GAP_SHARE;
 	double event_us =
@@ -66,10 +80,14 @@
 	const server_load_t *load = &candidate->load;
 	int32_t streams = load->writers + load->starting, late = 0;
 	double limit_us = (double)load->gap_us * GAP_SHARE;
-	double decode_us, before_us;
+	double decode_us, before_us, weight = 0;
+	bool delays = delays_readers(candidate, query, read_us);
 
+	/* Parts of prompts whose streams others will write. */
+	if (delays && load->readers > load->starting)
+		weight = (double)load->pending_us * weight_per_us(query);
 	if (!streams || !load->gap_us)
-		return 0;
+		return weight;
 	decode_us =
 		forecast_decode_us(query->engine, streams, load->kv_tokens) *
 		candidate->pace;
@@ -77,10 +95,10 @@
 	if (before_us <= limit_us && before_us + read_us > limit_us)
 		late += load->writers;
 	/* What is pending now is done before they write. */
-	if (decode_us + read_us > limit_us ||
-	    delays_first_event(candidate, query, read_us))
+	if (decode_us + read_us > limit_us || delays)
 		late += load->starting;
-	return late * placement_weight(query, load->kv_tokens / streams);
+	return weight +
+	       late * placement_weight(query, load->kv_tokens / streams);
 }
 
 static int compare_backlogs(const void *left, const void *right)
@@ -105,16 +123,10 @@
 	return sum_us / (double)half;
 }
 
-/*
- * Weight that a second of a server's time serves when long prompts wait for
- * it: that of a prompt that fills half of its memory, for its prefill. Prefill
- * grows with the square of a prompt, so a longer one serves less.
- */
+/* What server time costs when long prompts wait for it. */
 static double price_per_us(const placement_query_t *query, double backlog_us)
 {
-	int64_t tokens = query->engine->kv_capacity_tokens / 2;
-	double full = placement_weight(query, tokens) * PLACEMENT_LATE_LOSS /
-		      forecast_read_us(query->engine, tokens, 1);
+	double full = weight_per_us(query) * PLACEMENT_LATE_LOSS;
 
 	return backlog_us < BACKLOG_FULL_US
 		       ? full * backlog_us / BACKLOG_FULL_US
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -32,7 +32,7 @@
  * @return weight of the streams whose next pause becomes too long by prefill of
  *         @p read_us in one pass; those that are late anyway, because of
  *         prefill that is pending, lose nothing more. Streams that will start
- *         count, too: the prefill may come after their first event.
+ *         count, too, and so do readers whose first event becomes late.
  */
 double placement_late_streams(const candidate_t *candidate,
 			      const placement_query_t *query, double read_us);
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -23,6 +23,7 @@
 	int64_t received_us;
 	work_echo_t echo;
 	bool sound;
+	int64_t link_mbps;
 	work_item_t *items;
 	size_t item_count;
 	struct node *next;
@@ -142,6 +143,7 @@
 	memcpy(node->echo.known_revisions, message->known_revisions,
 	       sizeof(node->echo.known_revisions));
 	node->sound = message->sound;
+	node->link_mbps = message->link_mbps;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
 	free(node->items);
@@ -237,35 +239,55 @@
 	return XXH64(id, strlen(id), 0);
 }
 
-/* Counts nodes in each data centre of a region; those of the own one only if
- * they are before @p own in the order of their hashes. */
+static bool is_ranked(const node_t *node, const region_t *region, bool sound,
+		      int64_t now_us)
+{
+	return is_live(node, now_us) && (node->sound || !sound) &&
+	       region_has(region, node->data_centre);
+}
+
+static size_t count_faster(const work_share_t *share, const region_t *region,
+			   int64_t link_mbps, bool sound, int64_t now_us)
+{
+	const node_t *node;
+	size_t count = 0;
+
+	LL_FOREACH (share->nodes, node)
+		count += is_ranked(node, region, sound, now_us) &&
+			 node->link_mbps > link_mbps;
+	return count;
+}
+
+/* Counts nodes with the same link in each data centre of a region; those of the
+ * own one only if they are before @p own in the order of their hashes. */
 static void count_nodes(const work_share_t *share, const region_t *region,
-			size_t own_centre, uint64_t own, bool sound,
-			int64_t now_us, size_t *counts)
+			const work_rank_t *own, bool sound, int64_t now_us,
+			size_t *counts)
 {
+	size_t own_centre = region_find(region, own->data_centre);
 	const node_t *node;
 
 	LL_FOREACH (share->nodes, node) {
 		size_t centre = region_find(region, node->data_centre);
 
-		if (centre < region->count && is_live(node, now_us) &&
-		    (node->sound || !sound) &&
-		    (centre != own_centre || node->id < own))
+		if (is_ranked(node, region, sound, now_us) &&
+		    node->link_mbps == own->link_mbps &&
+		    (centre != own_centre || node->id < own->node))
 			counts[centre]++;
 	}
 }
 
 size_t work_share_rank(const work_share_t *share, const region_t *region,
-		       const char *data_centre, uint64_t own, bool sound,
-		       int64_t now_us)
+		       const work_rank_t *own, bool sound, int64_t now_us)
 {
 	size_t counts[REGION_DATA_CENTRES_MAX] = { 0 };
-	size_t own_centre = region_find(region, data_centre), rank = 0, i;
-	uint64_t own_hash = work_share_node_hash(data_centre);
+	size_t own_centre = region_find(region, own->data_centre), rank, i;
+	uint64_t own_hash = work_share_node_hash(own->data_centre);
 
 	if (own_centre == region->count)
 		return 0;
-	count_nodes(share, region, own_centre, own, sound, now_us, counts);
+	rank = count_faster(share, region, own->link_mbps, sound, now_us);
+	count_nodes(share, region, own, sound, now_us, counts);
 	for (i = 0; i < region->count; i++) {
 		size_t round = counts[own_centre];
 
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -31,8 +31,8 @@
 	int64_t kv_tokens;
 	int64_t pending_us; /**< prefill without a first event */
 	int64_t gap_us; /**< shortest pause that a stream allows; 0: none */
-	int64_t due_us; /**< until the first objective of those that start;
-			 * 0: none */
+	int64_t due_us; /**< until the first objective of the readers; 0: none
+			 */
 } work_item_t;
 
 /** One announcement. */
@@ -43,6 +43,7 @@
 	char data_centre[NAME_SIZE_BYTES]; /**< of the node */
 	int64_t sent_boot_us; /**< the node's CLOCK_BOOTTIME */
 	bool sound; /**< the platform's store answers it */
+	int64_t link_mbps; /**< of its VM */
 	int64_t known_revisions[WORK_VIEWS]; /**< of its views; 0: none yet */
 	work_item_t *items;
 	size_t item_count;
@@ -80,16 +81,22 @@
 bool work_share_silent(const work_share_t *share, const char *data_centre,
 		       int64_t silence_us, int64_t now_us);
 
+/** A node in the order of a region. */
+typedef struct {
+	const char *data_centre;
+	uint64_t node;
+	int64_t link_mbps;
+} work_rank_t;
+
 /**
  * Place of this node in the order in which live nodes of its region are asked
- * to do something for the others: one of each data centre, then a second one
- * of each, and so on.
- * @param node  this node
+ * to do something for the others: those with the fastest links first, since
+ * they send to all; among these one of each data centre, then a second one of
+ * each, and so on.
  * @param sound count only nodes that the platform answers
  */
 size_t work_share_rank(const work_share_t *share, const region_t *region,
-		       const char *data_centre, uint64_t node, bool sound,
-		       int64_t now_us);
+		       const work_rank_t *own, bool sound, int64_t now_us);
 /** @return live nodes of a region, without this one. */
 size_t work_share_live(const work_share_t *share, const region_t *region,
 		       int64_t now_us);
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -328,7 +328,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[8] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[9] =
 {
   {
     "node",
@@ -426,12 +426,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_mbps",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, link_mbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = items */
   7,   /* field[7] = known */
+  8,   /* field[8] = link_mbps */
   0,   /* field[0] = node */
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
@@ -440,7 +453,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -450,7 +463,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  8,
+  9,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -80,10 +80,14 @@
    */
   size_t n_known;
   int64_t *known;
+  /*
+   * of the node's VM
+   */
+  uint32_t link_mbps;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 struct  Work__Item
--- a/tests/lib/fleet_model.c
+++ b/tests/lib/fleet_model.c
@@ -13,6 +13,8 @@
 	TICK_US = 2000,
 	REQUESTS_MAX = 40000,
 	ON_SERVER_MAX = 64,
+	/* Of a pass without writers. */
+	READ_STEPS = 8,
 	/* Round trip between caller, node and server. */
 	WAY_US = 4000
 };
@@ -35,6 +37,7 @@
 	request_t *request;
 	double read_left_us; /**< 0: it is read */
 	bool in_pass; /**< of the pass that runs */
+	bool helps; /**< a part of a prompt that another server writes */
 	double pass_read_us;
 } task_t;
 
@@ -127,8 +130,7 @@
 		item->readers++;
 		item->starting += !i;
 		item->pending_us += request->read_us[i];
-		if (!i)
-			forecast_bound(&item->due_us, due_us);
+		forecast_bound(&item->due_us, due_us);
 	}
 }
 
@@ -186,6 +188,7 @@
 		server->tasks[server->count++] = (task_t){
 			.request = request,
 			.read_left_us = (double)placement->read_us[i],
+			.helps = i > 0,
 		};
 	}
 	change_soon(fleet, request->node,
@@ -316,32 +319,55 @@
 	server->pass_end_us = 0;
 }
 
+/* @return prefill of one task in the pass, of what is left of it */
+static double take_read(task_t *task, double *left_us)
+{
+	task->pass_read_us = fmin(task->read_left_us, *left_us);
+	*left_us -= task->pass_read_us;
+	return task->pass_read_us;
+}
+
+/* The newest part of a split prompt is read first, then whole prompts. */
+static double take_reads(server_t *server, double left_us)
+{
+	double sum_us = 0;
+	size_t i;
+
+	for (i = server->count; i > 0; i--)
+		if (server->tasks[i - 1].helps)
+			sum_us += take_read(&server->tasks[i - 1], &left_us);
+	for (i = 0; i < server->count; i++)
+		if (!server->tasks[i].helps &&
+		    server->tasks[i].read_left_us > 0)
+			sum_us += take_read(&server->tasks[i], &left_us);
+	return sum_us;
+}
+
 /* Takes in all that waits; prefill is bounded by a chunk for each step. */
 static void begin_pass(fleet_t *fleet, size_t index)
 {
 	const engine_profile_t *engine = &fleet->load->engine;
 	server_t *server = &fleet->servers[index];
-	double left_us = engine->steps_per_pass * engine->chunk_tokens *
-			 engine->read_token_us;
-	double pass_us = 0;
+	int32_t writers = 0, steps = READ_STEPS;
 	int64_t context_tokens = 0;
-	int32_t writers = 0;
+	double pass_us;
 	size_t i;
 
 	for (i = 0; i < server->count; i++) {
 		task_t *task = &server->tasks[i];
 
 		task->in_pass = true;
-		if (task->read_left_us <= 0) {
-			writers += task->request->phase == WRITING;
-			context_tokens += task->request->prompt_tokens;
+		task->pass_read_us = 0;
+		if (task->read_left_us > 0)
 			continue;
-		}
-		task->pass_read_us = fmin(task->read_left_us, left_us);
-		left_us -= task->pass_read_us;
-		pass_us += task->pass_read_us;
+		writers += task->request->phase == WRITING;
+		context_tokens += task->request->prompt_tokens;
 	}
-	pass_us += forecast_decode_us(engine, writers, context_tokens);
+	if (writers)
+		steps = engine->steps_per_pass;
+	pass_us = take_reads(server, steps * engine->chunk_tokens *
+					     engine->read_token_us) +
+		  forecast_decode_us(engine, writers, context_tokens);
 	if (pass_us > 0)
 		server->pass_end_us = fleet->now_us + (int64_t)pass_us + 1;
 }
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -10,7 +10,7 @@
 #include "process/gateway.h"
 
 /* The fleet is large enough for nodes to follow others. */
-enum { OTHERS = 12, NODES = 400 };
+enum { OTHERS = 12, NODES = 400, OWN_LINK_MBPS = 10 };
 
 static int set_up(void **state)
 {
@@ -19,14 +19,15 @@
 	return 0;
 }
 
-static void hear(work_share_t *share, uint64_t node, const char *data_centre,
-		 bool sound)
+static void hear_link(work_share_t *share, uint64_t node,
+		      const char *data_centre, bool sound, int64_t link_mbps)
 {
 	static uint64_t sequence = 1;
 	work_message_t message = { .node = node,
 				   .incarnation = 1,
 				   .sequence = sequence,
-				   .sound = sound };
+				   .sound = sound,
+				   .link_mbps = link_mbps };
 
 	sequence++;
 	mem_strlcpy(message.data_centre, data_centre,
@@ -35,6 +36,12 @@
 				       clock_boot_us()));
 }
 
+static void hear(work_share_t *share, uint64_t node, const char *data_centre,
+		 bool sound)
+{
+	hear_link(share, node, data_centre, sound, 0);
+}
+
 /* The order of the hashes of the names is south, north, west. This node is node
  * 50 of north. */
 static const struct {
@@ -43,36 +50,57 @@
 		const char *data_centre;
 		uint64_t node;
 		bool sound;
+		int64_t link_mbps; /* 0: that of this node */
 	} others[4];
 	bool sound;
 	size_t rank;
 } ranks[] = {
 	{ "a node alone that does nothing", { { NULL } }, true, 0 },
 	{ "two of one data centre before one of another",
-	  { { "north", 60, true }, { "north", 70, true }, { "west", 1, true } },
+	  { { "north", 60, true, 0 },
+	    { "north", 70, true, 0 },
+	    { "west", 1, true, 0 } },
 	  true,
 	  0 },
 	{ "data centres without an order",
-	  { { "south", 90, true }, { "west", 1, true } },
+	  { { "south", 90, true, 0 }, { "west", 1, true, 0 } },
 	  true,
 	  1 },
 	{ "a second one while another data centre has none",
-	  { { "north", 1, true }, { "south", 90, true }, { "west", 91, true } },
+	  { { "north", 1, true, 0 },
+	    { "south", 90, true, 0 },
+	    { "west", 91, true, 0 } },
 	  true,
 	  3 },
 	{ "nodes that the platform does not answer",
-	  { { "north", 1, false }, { "south", 2, false } },
+	  { { "north", 1, false, 0 }, { "south", 2, false, 0 } },
 	  true,
 	  0 },
 	{ "a fleet in which nobody tries the platform",
-	  { { "north", 1, false }, { "south", 2, false } },
+	  { { "north", 1, false, 0 }, { "south", 2, false, 0 } },
 	  false,
 	  2 },
-	{ "nodes of another region", { { "far", 1, true } }, true, 0 },
+	{ "nodes of another region", { { "far", 1, true, 0 } }, true, 0 },
+	{ "a fast link that is not asked first",
+	  { { "north", 60, true, 200 }, { "west", 91, true, 200 } },
+	  true,
+	  2 },
+	{ "a slow link that is asked first",
+	  { { "north", 1, true, 1 }, { "south", 1, true, 1 } },
+	  true,
+	  0 },
 };
 
+static int64_t link_of(int64_t stated_mbps)
+{
+	return stated_mbps ? stated_mbps : OWN_LINK_MBPS;
+}
+
 static void ranks_nodes(void **state)
 {
+	static const work_rank_t own = { .data_centre = "north",
+					 .node = 50,
+					 .link_mbps = OWN_LINK_MBPS };
 	region_t region = { 3, { "north", "south", "west" } };
 	size_t i, j;
 
@@ -81,11 +109,12 @@
 		size_t rank;
 
 		for (j = 0; j < 4 && ranks[i].others[j].data_centre; j++)
-			hear(share, ranks[i].others[j].node,
-			     ranks[i].others[j].data_centre,
-			     ranks[i].others[j].sound);
-		rank = work_share_rank(share, &region, "north", 50,
-				       ranks[i].sound, clock_monotonic_us());
+			hear_link(share, ranks[i].others[j].node,
+				  ranks[i].others[j].data_centre,
+				  ranks[i].others[j].sound,
+				  link_of(ranks[i].others[j].link_mbps));
+		rank = work_share_rank(share, &region, &own, ranks[i].sound,
+				       clock_monotonic_us());
 		if (rank != ranks[i].rank)
 			fail_msg("case \"%s\": rank %zu", ranks[i].guards,
 				 rank);
@@ -93,15 +122,21 @@
 	}
 }
 
-static void hear_others(gateway_fixture_t *fixture, bool sound)
+/* @param first of the nodes; low ones come before this node in the order */
+static void hear_nodes(gateway_fixture_t *fixture, uint64_t first, bool sound)
 {
-	uint64_t node;
+	uint64_t i;
 
-	for (node = 1; node <= OTHERS; node++)
-		hear(fixture->gateway->share, node, "a", sound);
+	for (i = 0; i < OTHERS; i++)
+		hear(fixture->gateway->share, first + i, "a", sound);
 	fixture->gateway->nodes = NODES;
 }
 
+static void hear_others(gateway_fixture_t *fixture, bool sound)
+{
+	hear_nodes(fixture, 1, sound);
+}
+
 static void run(gateway_fixture_t *fixture, int64_t ms, bool sound)
 {
 	for (; ms > 0; ms -= 200) {
@@ -163,6 +198,83 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/*
+ * Guards against nodes that are cut off from all others and go on calling: the
+ * others' news end their outage.
+ */
+static void calls_seldom_while_cut_off(void **state)
+{
+	gateway_fixture_t fixture = { 0 };
+	int before;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	fixture.gateway->nodes = NODES;
+	fixture.store_refuses = true;
+	gateway_fixture_run(&fixture, 3000);
+	assert_true(has_failures(fixture.gateway));
+	before = fixture.view_calls;
+	gateway_fixture_run(&fixture, 3000);
+	assert_in_range(fixture.view_calls - before, 0, 1);
+	gateway_fixture_stop(&fixture);
+}
+
+/*
+ * Guards against a fleet that starts and in which all nodes watch, since those
+ * who watch for the others wait for news, too.
+ */
+static void watches_for_others_from_the_start(void **state)
+{
+	gateway_fixture_t fixture = { 0 };
+	int64_t ms;
+
+	gateway_fixture_start(&fixture);
+	hear_nodes(&fixture, UINT64_MAX - OTHERS, true);
+	for (ms = 0; ms < 500 && !fixture.gateway->views[0].watched; ms += 20) {
+		gateway_fixture_run(&fixture, 20);
+		hear_nodes(&fixture, UINT64_MAX - OTHERS, true);
+	}
+	assert_true(fixture.gateway->views[0].watched);
+	gateway_fixture_stop(&fixture);
+}
+
+/*
+ * Guards against a fleet in which all nodes watch when those who did fall
+ * silent: the next ones in the order go on, the others wait for them.
+ */
+static void stands_by_for_the_watchers(void **state)
+{
+	static const struct {
+		size_t before; /* others before this node in the order */
+		bool watches;
+	} cases[] = {
+		{ 2, true },
+		{ 3, true },
+		{ 4, false },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { 0 };
+		uint64_t node;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		fixture.gateway->news_us =
+			clock_monotonic_us() - 1400 * US_PER_MS;
+		for (node = 0; node < OTHERS; node++)
+			hear(fixture.gateway->share,
+			     node < cases[i].before ? 1 + node
+						    : UINT64_MAX - node,
+			     "a", true);
+		if (gateway_is_followed(fixture.gateway) != cases[i].watches)
+			fail_msg("%zu before this node", cases[i].before);
+		fixture.gateway->news_us = clock_monotonic_us();
+		assert_false(gateway_is_followed(fixture.gateway));
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /* Guards against a node that stays without the changes of an outage when it
  * had to read the objects anew. */
 static void reads_anew_after_an_outage(void **state)
@@ -277,6 +389,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(ranks_nodes),
 		cmocka_unit_test(waits_for_others_in_an_outage),
+		cmocka_unit_test(calls_seldom_while_cut_off),
+		cmocka_unit_test(watches_for_others_from_the_start),
+		cmocka_unit_test(stands_by_for_the_watchers),
 		cmocka_unit_test(reads_anew_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(tells_each_node_apart),
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -24,6 +24,7 @@
 				       .data_centre = "north",
 				       .sent_boot_us = 77,
 				       .sound = true,
+				       .link_mbps = 200,
 				       .known_revisions = { 0, 41, 42 },
 				       .items = &item,
 				       .item_count = 1 } };
@@ -38,6 +39,7 @@
 	assert_int_equal(got.as.work.sequence, 8);
 	assert_int_equal(got.as.work.sent_boot_us, 77);
 	assert_true(got.as.work.sound);
+	assert_int_equal(got.as.work.link_mbps, 200);
 	assert_int_equal(got.as.work.known_revisions[0], 0);
 	assert_int_equal(got.as.work.known_revisions[2], 42);
 	assert_string_equal(got.as.work.data_centre, "north");
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -225,7 +225,7 @@
 			      fake);
 		break;
 	case VMS:
-		platform_list_vms(platform, on_vms, fake);
+		platform_list_vms(platform, true, on_vms, fake);
 		break;
 	}
 }
