--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/mem.h"
 #include "base/metrics.h"
 #include "request/forward_state.h"
 
@@ -24,7 +25,9 @@
 	/* Added to each lease, for rounding to blocks by the engine. */
 	RESERVED_TOKENS_MARGIN = 64,
 	/* No attempt is worth starting with less time than this. */
-	ATTEMPT_TIME_MIN_MS = 20
+	ATTEMPT_TIME_MIN_MS = 20,
+	/* Of a log line; a longer list is cut. */
+	HELPERS_TEXT_BYTES = 400
 };
 
 /* A lease ends within this part of the time in which memory must be free, so
@@ -154,18 +157,35 @@
 		forward->tried[forward->tried_count++] = backend_ref(server);
 }
 
+/* Ids of the servers that read the other parts, joined by commas. */
+static void name_helpers(const placement_t *placement, char *text, size_t size)
+{
+	size_t i, used = 0;
+
+	mem_strlcpy(text, "-", size);
+	for (i = 1; i < placement->count && used < size; i++) {
+		const candidate_t *part = placement->parts[i];
+
+		used += (size_t)snprintf(text + used, size - used, "%s%s",
+					 i > 1 ? "," : "",
+					 backend_entry(part->server)->id);
+	}
+}
+
 static void log_placed(const forward_t *forward)
 {
+	char helpers[HELPERS_TEXT_BYTES];
 	const placement_t *placement = &forward->placement;
 	const candidate_t *first = placement->parts[0];
 	const backend_entry_t *entry = backend_entry(first->server);
 
+	name_helpers(placement, helpers, sizeof(helpers));
 	log_event(EVENT_REQUEST_PLACED,
 		  "request=%s server=%s data_centre=%s parts=%zu"
 		  " prompt=%" PRId64 " predicted_ms=%" PRId64
 		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
 		  " pending_ms=%" PRId64 " kv=%" PRId64
-		  " pace=%.2f doubtful=%d after_event=%s",
+		  " pace=%.2f doubtful=%d after_event=%s helpers=%s",
 		  *forward->request.id ? forward->request.id : "-", entry->id,
 		  entry->data_centre, placement->count,
 		  forward->request.prompt_tokens,
@@ -174,7 +194,8 @@
 		  first->load.gap_us / US_PER_MS,
 		  first->load.pending_us / US_PER_MS, first->load.kv_tokens,
 		  first->pace, first->doubtful,
-		  *forward->last_event_id ? forward->last_event_id : "-");
+		  *forward->last_event_id ? forward->last_event_id : "-",
+		  helpers);
 }
 
 static void send(forward_t *forward)
