Announce to new nodes at once; call a store that turns a node away less often

Change: a list that changed is followed by an announcement; the pause between tries grows to 1.6 s while news are heard, which tell the node what changes.

Test: test_follow announces_to_new_nodes_at_once, which failed before.

--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -229,9 +229,12 @@
 				 &vms[i]);
 	gateway->nodes = (int32_t)gateway->peer_count + 1;
 	backends_set_nodes(gateway->backends, gateway->nodes);
-	if (before != gateway->peer_count)
-		log_event(EVENT_PEERS_CHANGED, "nodes=%d before=%zu",
-			  gateway->nodes, before + 1);
+	if (before == gateway->peer_count)
+		return;
+	log_event(EVENT_PEERS_CHANGED, "nodes=%d before=%zu", gateway->nodes,
+		  before + 1);
+	/* Nodes that start hear of each other, and of who watches, at once. */
+	gateway_work_changed(gateway, true);
 }
 
 static json_t *own_entry(const gateway_t *gateway)
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -5,15 +5,16 @@
 #include "base/mem.h"
 #include "process/gateway_state.h"
 
-/* Pause after a failed call; doubled up to the longest, which is shorter while
- * others reach the platform: the node is then cut off by itself. */
+/* Pause after a failed call; doubled up to the longest, which is longer while
+ * others reach the platform: their news keep what is known up to date, or tell
+ * that the platform answers this node again. */
 enum {
 	RETRY_FIRST_MS = 100,
 	RETRY_MAX_MS = 800,
-	RETRY_ALONE_MAX_MS = 500,
+	RETRY_ALONE_MAX_MS = 1600,
 	/* A node that hears no other one: their news end its outage. */
 	RETRY_CUT_OFF_MS = 3000,
-	RETRY_DOUBLINGS_MAX = 3
+	RETRY_DOUBLINGS_MAX = 4
 };
 
 /* In an outage, which the nodes that watch for others end for all, the others
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -238,6 +238,35 @@
 	gateway_fixture_stop(&fixture);
 }
 
+static const peer_t *wait_peers(gateway_fixture_t *fixture, size_t count)
+{
+	int i;
+
+	fixture->other_nodes = count;
+	for (i = 0; i < 100 && fixture->gateway->peer_count != count; i++)
+		gateway_fixture_run(fixture, 50);
+	assert_int_equal(fixture->gateway->peer_count, count);
+	return fixture->gateway->peers;
+}
+
+/* Guards against nodes that start and hear of each other late. */
+static void announces_to_new_nodes_at_once(void **state)
+{
+	gateway_fixture_t fixture = { .other_nodes = 250 };
+	int64_t changed_us;
+
+	gateway_fixture_start(&fixture);
+	wait_peers(&fixture, 250);
+	gateway_fixture_run(&fixture, 100);
+
+	wait_peers(&fixture, 251);
+	/* The list is looked at each 50 ms. */
+	changed_us = clock_monotonic_us() - 50 * US_PER_MS;
+	gateway_fixture_run(&fixture, 60);
+	assert_true(fixture.gateway->announced_us >= changed_us);
+	gateway_fixture_stop(&fixture);
+}
+
 /*
  * Guards against a fleet in which all nodes watch when those who did fall
  * silent: the next ones in the order go on, the others wait for them.
@@ -352,17 +381,6 @@
 	}
 }
 
-static const peer_t *wait_peers(gateway_fixture_t *fixture, size_t count)
-{
-	int i;
-
-	fixture->other_nodes = count;
-	for (i = 0; i < 100 && fixture->gateway->peer_count != count; i++)
-		gateway_fixture_run(fixture, 50);
-	assert_int_equal(fixture->gateway->peer_count, count);
-	return fixture->gateway->peers;
-}
-
 /* Guards against changes that a node is not told because another one that was
  * at its place in the list has them. */
 static void tells_each_node_apart(void **state)
@@ -392,6 +410,7 @@
 		cmocka_unit_test(calls_seldom_while_cut_off),
 		cmocka_unit_test(watches_for_others_from_the_start),
 		cmocka_unit_test(stands_by_for_the_watchers),
+		cmocka_unit_test(announces_to_new_nodes_at_once),
 		cmocka_unit_test(reads_anew_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(tells_each_node_apart),
