Give no caller the copy of an earlier answer; fuzz what a node takes from others

Cause: lookups of our own interface used kept connections. A service that sent an answer twice gave the copy to the next caller (test_request_task gives_no_copy_of_an_earlier_answer: "/one" instead of "/two").

Ruled out: the gateway (a new connection for each request, and ids), engines of our own interface (chunks name their stream).

Change: plain calls use a new connection each.

Tests: both failed before (test_backends bounds_what_a_datagram_says: 300 instead of 100 ms).

--- a/src/process/read_clock.c
+++ b/src/process/read_clock.c
@@ -9,6 +9,8 @@
 /* Prefill that should be done, but has led to no first event yet, still takes
  * this share of its time. */
 #define OVERDUE_SHARE 0.15
+/* No request waits longer, whatever a datagram says. */
+#define DONE_AFTER_MAX_US (60 * US_PER_S)
 /* A server without prefill for this long is forgotten. */
 #define FORGET_US (30 * US_PER_S)
 
@@ -63,6 +65,8 @@
 	if (server->done_at_us < now_us)
 		server->done_at_us = now_us;
 	server->done_at_us += read_us;
+	if (server->done_at_us > now_us + DONE_AFTER_MAX_US)
+		server->done_at_us = now_us + DONE_AFTER_MAX_US;
 }
 
 int64_t read_clock_pending_us(const read_clock_t *clock, uint32_t server_hash,
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -200,7 +200,8 @@
 		.body_size_bytes = request->body_size_bytes,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_timeout_ms = request->class_conf->server_idle_ms,
-		.at_most_once = request->kind == REQUEST_ACTION,
+		/* No answer of an earlier call can come on a new connection. */
+		.at_most_once = true,
 	};
 	client_handler_t handler = {
 		.on_header = on_header,
--- /dev/null
+++ b/tests/fuzz/fuzz_node.c
@@ -0,0 +1,167 @@
+/**
+ * Fuzzes what a gateway node takes from others: datagrams of nodes, answers of
+ * the store, settings, headers of servers' answers. The first byte chooses the
+ * reader. Oracle: nothing crashes, and work on a server is never negative nor
+ * beyond what one request can cause for long.
+ */
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/mem.h"
+#include "platform/codec.h"
+#include "platform/config.h"
+#include "platform/headers.h"
+#include "platform/settings.h"
+#include "process/packet.h"
+
+/* No prefill is taken to last longer, whatever a datagram says. */
+#define PENDING_MAX_US (60 * US_PER_S)
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void check_loads(const work_share_t *share, const work_message_t *work,
+			int64_t now_us)
+{
+	static const engine_profile_t engine = { .present = true,
+						 .steps_per_pass = 50,
+						 .step_us = 1000 };
+	size_t i;
+
+	for (i = 0; i < work->item_count; i++) {
+		server_load_t load = { 0 };
+
+		work_share_add(share, work->items[i].server_hash, &engine,
+			       &load, now_us + PENDING_MAX_US);
+		if (load.pending_us < 0 || load.readers < 0 ||
+		    load.writers < 0 || load.kv_tokens < 0)
+			abort();
+	}
+}
+
+static void take_packet(work_share_t *share, const uint8_t *data, size_t size,
+			int64_t now_us)
+{
+	packet_t packet;
+	uint8_t again[PACKET_SIZE_MAX_BYTES];
+
+	if (!packet_decode(&packet, data, size))
+		return;
+	if (packet.type == PACKET_WORK) {
+		work_share_receive(share, &packet.as.work, now_us, now_us);
+		check_loads(share, &packet.as.work, now_us);
+	}
+	/* What was read can be written, or is too large for a datagram. */
+	if (packet_encode(&packet, again, sizeof(again)) > sizeof(again))
+		abort();
+	packet_clear(&packet);
+}
+
+/* Each datagram begins with its size; they come again in reverse order. */
+static void take_datagrams(const uint8_t *data, size_t size)
+{
+	enum { DATAGRAMS_MAX = 16 };
+	work_share_t *share = work_share_create();
+	const uint8_t *starts[DATAGRAMS_MAX];
+	size_t sizes[DATAGRAMS_MAX], count = 0, i;
+
+	while (size && count < DATAGRAMS_MAX) {
+		size_t length = *data++;
+
+		size--;
+		if (length > size)
+			length = size;
+		starts[count] = data;
+		sizes[count++] = length;
+		data += length;
+		size -= length;
+	}
+	for (i = 0; i < count; i++)
+		take_packet(share, starts[i], sizes[i], (int64_t)i * 1000);
+	for (i = count; i > 0; i--)
+		take_packet(share, starts[i - 1], sizes[i - 1], US_PER_S);
+	work_share_expire(share, 100 * US_PER_S);
+	work_share_destroy(share);
+}
+
+static void take_page(const char *text, size_t size)
+{
+	platform_parsed_page_t parsed;
+	backend_entry_t entry;
+	size_t i, count;
+	err_t err;
+
+	if (platform_parse_page(text, size, &parsed, &err)) {
+		for (i = 0; i < parsed.page.count; i++) {
+			const platform_object_t *object =
+				&parsed.page.objects[i];
+
+			platform_decode_server(object, &entry);
+			routing_unref(
+				platform_decode_routing(object->spec, &err));
+		}
+		platform_page_clear(&parsed);
+	}
+	free(platform_parse_vms(text, size, &count, &err));
+}
+
+static void take_configuration(const char *text, size_t size)
+{
+	json_t *spec = json_loadb(text, size, JSON_DECODE_ANY, NULL);
+	platform_object_t object = { .spec = spec };
+	backend_entry_t entry;
+	err_t err;
+
+	if (!spec)
+		return;
+	routing_unref(platform_decode_routing(spec, &err));
+	platform_decode_server(&object, &entry);
+	json_decref(spec);
+}
+
+static void take_settings(const char *text)
+{
+	node_settings_t settings;
+	err_t err;
+
+	platform_settings_parse("f", text, &settings, &err);
+}
+
+static void take_header(char *text)
+{
+	server_reply_t reply = { .status = 0 };
+	char *value = strchr(text, ':');
+
+	if (!value)
+		return;
+	*value++ = '\0';
+	platform_read_reply_header(text, value, "r1", &reply);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	char *text;
+
+	if (!size)
+		return 0;
+	text = mem_copy((const char *)data + 1, size - 1);
+	switch (data[0] % 5) {
+	case 0:
+		take_datagrams(data + 1, size - 1);
+		break;
+	case 1:
+		take_page(text, size - 1);
+		break;
+	case 2:
+		take_configuration(text, size - 1);
+		break;
+	case 3:
+		take_settings(text);
+		break;
+	default:
+		take_header(text);
+		break;
+	}
+	free(text);
+	return 0;
+}
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -371,6 +371,26 @@
 	work_share_destroy(share);
 }
 
+/* Guards against a server that is avoided for days because of one datagram. */
+static void bounds_what_a_datagram_says(void **state)
+{
+	work_share_t *share = work_share_create();
+	uint32_t hash = work_share_hash("a");
+	work_item_t item = { .server_hash = hash,
+			     .readers = 1,
+			     .pending_us = MS(UINT32_MAX) };
+	work_message_t hostile = message_of(1, 1, &item, 1);
+	work_message_t sound = message_of(2, 1, &item, 1);
+	server_load_t load = { 0 };
+
+	assert_true(work_share_receive(share, &hostile, 0, 0));
+	item.pending_us = MS(300);
+	assert_true(work_share_receive(share, &sound, MS(61000), 0));
+	work_share_add(share, hash, NULL, &load, MS(61200));
+	assert_int_equal(load.pending_us, MS(100));
+	work_share_destroy(share);
+}
+
 /* Guards against a clock that was set back and hides a node. */
 static void takes_a_restarted_node_in(void **state)
 {
@@ -396,6 +416,7 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(counts_work, set_up, tear_down),
 		cmocka_unit_test(adds_the_work_of_others),
+		cmocka_unit_test(bounds_what_a_datagram_says),
 		cmocka_unit_test(takes_a_restarted_node_in),
 	};
 
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -1,12 +1,16 @@
 /** Request task: answers and outcomes that a caller sees. */
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/mem.h"
 #include "base/trace.h"
 #include "cases.h"
 #include "lib/fixture.h"
+#include "lib/loopback.h"
 
 static fixture_t fixture;
 static answer_t answer;
@@ -447,6 +451,73 @@
 	fixture_stop(&fixture);
 }
 
+/*
+ * Echoes paths. On a connection that is used again it first sends the answer
+ * before once more.
+ */
+typedef struct {
+	int fd;
+	char url[64];
+	pthread_t thread;
+} copying_server_t;
+
+static void serve_connection(int fd)
+{
+	char request[2048], path[64], answer_text[256], last[256] = "";
+	ssize_t size;
+
+	while ((size = read(fd, request, sizeof(request) - 1)) > 0) {
+		request[size] = '\0';
+		assert_int_equal(sscanf(request, "%*s %63s", path), 1);
+		snprintf(answer_text, sizeof(answer_text),
+			 "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+			 strlen(path), path);
+		if (write(fd, last, strlen(last)) < 0 ||
+		    write(fd, answer_text, strlen(answer_text)) < 0)
+			return;
+		strcpy(last, answer_text);
+	}
+}
+
+static void *serve_copies(void *context)
+{
+	copying_server_t *server = context;
+	int fd;
+
+	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
+		serve_connection(fd);
+		close(fd);
+	}
+	return NULL;
+}
+
+/* Guards against a late second copy of an answer that the next caller gets. */
+static void gives_no_copy_of_an_earlier_answer(void **state)
+{
+	static const char *const paths[] = { "/one", "/two", "/three" };
+	copying_server_t server;
+	size_t i;
+	int port;
+
+	server.fd = loopback_listen(&port);
+	snprintf(server.url, sizeof(server.url), "http://127.0.0.1:%d", port);
+	pthread_create(&server.thread, NULL, serve_copies, &server);
+	start();
+	fixture.dispatch_url = server.url;
+	for (i = 0; i < COUNT_OF(paths); i++) {
+		char path[64];
+
+		snprintf(path, sizeof(path), "/services/status%s", paths[i]);
+		fixture_call(&fixture, &answer, "GET", path, NULL, NULL);
+		fixture_wait(&fixture, &answer);
+		assert_string_equal(answer.body, paths[i]);
+	}
+	fixture_stop(&fixture);
+	shutdown(server.fd, SHUT_RDWR);
+	pthread_join(server.thread, NULL);
+	close(server.fd);
+}
+
 /* Guards against an action that is answered before it was recorded. */
 static void answers_an_action_when_control_says_so(void **state)
 {
@@ -536,6 +607,7 @@
 		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
 		cmocka_unit_test(refuses_wrong_requests),
 		cmocka_unit_test(passes_a_lookup_through),
+		cmocka_unit_test(gives_no_copy_of_an_earlier_answer),
 		cmocka_unit_test(answers_an_action_when_control_says_so),
 		cmocka_unit_test(hands_the_whole_answer_of_an_action_over),
 	};
