--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -5,18 +5,20 @@
 #include "base/mem.h"
 #include "process/gateway_state.h"
 
-/* Pause after a failed call; doubled up to the longest, which is longer while
- * others reach the platform: their news keep what is known up to date, or tell
- * that the platform answers this node again. */
+/* Pause after a failed call; doubled up to the longest, which is shorter while
+ * others reach the platform: the node is then cut off by itself. */
 enum {
 	RETRY_FIRST_MS = 100,
 	RETRY_MAX_MS = 800,
-	RETRY_ALONE_MAX_MS = 1600,
 	/* A node that hears no other one: their news end its outage. */
 	RETRY_CUT_OFF_MS = 3000,
-	RETRY_DOUBLINGS_MAX = 4
+	RETRY_DOUBLINGS_MAX = 3
 };
 
+/* Longest pause while others reach the platform, as a part of the bound of a
+ * view: with the random part, and a call that hangs, within the bound. */
+#define RETRY_ALONE_SHARE 0.1
+
 /* In an outage, which the nodes that watch for others end for all, the others
  * call a hundredth as often as the platform allows. */
 enum { IDLE_CALLS_PER_S = 20 };
@@ -184,8 +186,10 @@
 		log_event(EVENT_VIEW_RELISTED, "kind=%d revision=%" PRId64,
 			  (int)view->kind, view->revision);
 	}
-	longest_ms = gateway_hears_news(view->gateway) ? RETRY_ALONE_MAX_MS
-						       : RETRY_MAX_MS;
+	longest_ms = RETRY_MAX_MS;
+	if (gateway_hears_news(view->gateway))
+		longest_ms = (int64_t)((double)gateway_bound_us(view) *
+				       RETRY_ALONE_SHARE / US_PER_MS);
 	if (delay_ms > longest_ms)
 		delay_ms = longest_ms;
 	if (delay_ms && delay_ms < idle_retry_ms(view))
--- a/tests/test_follow.c
+++ b/tests/test_follow.c
@@ -249,6 +249,34 @@
 	return fixture->gateway->peers;
 }
 
+/* Guards against a node that the platform turns away for itself and that finds
+ * out after its bounds that it answers again. */
+static void tries_again_soon_while_others_are_served(void **state)
+{
+	gateway_fixture_t fixture = { 0 };
+	int64_t ms;
+	int before;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	fixture.store_refuses = true;
+	/* A newer version, which it has to read itself. */
+	for (ms = 0; ms < 2000; ms += 200) {
+		hear_others(&fixture, true);
+		hear_news(fixture.gateway, 4);
+		gateway_fixture_run(&fixture, 200);
+	}
+	before = fixture.view_calls;
+	for (ms = 0; ms < 2000; ms += 200) {
+		hear_others(&fixture, true);
+		hear_news(fixture.gateway, 4);
+		gateway_fixture_run(&fixture, 200);
+	}
+	/* Pauses of 0.2 to 0.4 s for a bound of 2 s. */
+	assert_in_range(fixture.view_calls - before, 4, 12);
+	gateway_fixture_stop(&fixture);
+}
+
 /* Guards against nodes that start and hear of each other late. */
 static void announces_to_new_nodes_at_once(void **state)
 {
@@ -411,6 +439,7 @@
 		cmocka_unit_test(watches_for_others_from_the_start),
 		cmocka_unit_test(stands_by_for_the_watchers),
 		cmocka_unit_test(announces_to_new_nodes_at_once),
+		cmocka_unit_test(tries_again_soon_while_others_are_served),
 		cmocka_unit_test(reads_anew_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(tells_each_node_apart),
