--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -54,6 +54,16 @@
 	}
 }
 
+/* What occupies servers longest comes first. */
+static int compare_work(const void *left, const void *right)
+{
+	const work_item_t *a = left, *b = right;
+
+	if (a->pending_us != b->pending_us)
+		return a->pending_us > b->pending_us ? -1 : 1;
+	return b->writers - a->writers;
+}
+
 static size_t list_work(gateway_t *gateway, work_item_t *items, size_t max,
 			int64_t now_us)
 {
@@ -77,6 +87,7 @@
 			.due_us = load.due_us,
 		};
 	}
+	qsort(items, count, sizeof(*items), compare_work);
 	return count;
 }
 
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -37,6 +37,7 @@
 	int32_t failures; /**< in a row */
 	news_log_t *log; /**< recent changes, for the nodes that follow */
 	bool following; /**< the last check found no need to watch */
+	bool takes_over; /**< the last call was the first for others */
 } view_t;
 
 /** Second sends to one service. */
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -38,6 +38,10 @@
  * call is priced. */
 enum { COLLECT_MS = 120 };
 
+/* First watch of a node that goes on for those who watched: the others wait
+ * for its answer. */
+enum { TAKEOVER_WAIT_MS = 120 };
+
 /* How often a node that follows checks whether it must watch itself. */
 enum { FOLLOW_CHECK_MS = 200 };
 
@@ -252,12 +256,10 @@
 	}
 	apply_page(view, page);
 	if (view->listed) {
-		bool goes_on = view->wait_ms == COLLECT_MS;
-
 		view->watched = true;
 		view->revision = page->revision;
 		confirm_answer(view, !page->count);
-		if (page->count || goes_on)
+		if (page->count || view->takes_over)
 			gateway_news_due(view->gateway);
 	} else {
 		mem_strlcpy(view->after, page->next, sizeof(view->after));
@@ -311,9 +313,9 @@
 	view->calling = true;
 	view->called_boot_us = clock_boot_us();
 	view->wait_ms = wait_ms(view);
-	/* Others wait for the first answer of one that goes on for them. */
-	if (followed && gateway_is_followed(view->gateway))
-		view->wait_ms = COLLECT_MS;
+	view->takes_over = followed && gateway_is_followed(view->gateway);
+	if (view->takes_over)
+		view->wait_ms = TAKEOVER_WAIT_MS;
 	if (view->listed)
 		platform_watch_kind(platform, view->kind, view->revision,
 				    view->wait_ms, on_page, view);
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -31,7 +31,7 @@
 	Work__Packet packet = WORK__PACKET__INIT;
 	Work__Announcement announcement = WORK__ANNOUNCEMENT__INIT;
 	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
-	size_t i, count = message->item_count;
+	size_t i, size, count = message->item_count;
 
 	if (count > ITEMS_MAX)
 		count = ITEMS_MAX;
@@ -58,11 +58,15 @@
 	announcement.link_mbps = to_unit(message->link_mbps, 1);
 	announcement.n_known = WORK_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
-	announcement.n_items = count;
 	announcement.items = pointers;
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
 	packet.announcement = &announcement;
-	return pack(&packet, data, capacity);
+	/* A node that says too little is better than one that is silent. */
+	for (announcement.n_items = count;; announcement.n_items--) {
+		size = pack(&packet, data, capacity);
+		if (size || !announcement.n_items)
+			return size;
+	}
 }
 
 static void pack_view(Work__View *packed, const news_view_t *view,
--- a/src/process/packet.h
+++ b/src/process/packet.h
@@ -20,7 +20,10 @@
 	} as;
 } packet_t;
 
-/** @return the size, or 0 if it does not fit. */
+/**
+ * An announcement with more work than fits leaves out the last items.
+ * @return the size, or 0 if it does not fit
+ */
 size_t packet_encode(const packet_t *packet, uint8_t *data, size_t capacity);
 
 /** Fills in @p packet, for packet_clear(). @return false if malformed */
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -7,7 +7,8 @@
 
 /* Value of a late answer, as a part of the request's weight. */
 #define LATE_VALUE 0.25
-/* Backlog of a server, on average, at which its time has its full price. */
+/* Backlog, see placement_backlog_us(), at which server time has its full
+ * price. */
 #define BACKLOG_FULL_US (125 * US_PER_MS)
 /* Part of the pause, or of the time until its objective, that a stream allows
  * and a prediction may use up. */
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -60,6 +60,34 @@
 	assert_int_equal(packet_encode(&sent, data, 4), 0);
 }
 
+/* Guards against a node that is silent because it has too much to tell. */
+static void encodes_as_much_work_as_fits(void **state)
+{
+	enum { SERVERS = 200 };
+	work_item_t items[SERVERS];
+	packet_t sent = { .type = PACKET_WORK,
+			  .as.work = { .node = 3,
+				       .data_centre = "north",
+				       .items = items,
+				       .item_count = SERVERS } };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size, i;
+	packet_t got;
+
+	for (i = 0; i < SERVERS; i++)
+		items[i] = (work_item_t){ .server_hash = (uint32_t)i,
+					  .readers = 1,
+					  .kv_tokens = 400000,
+					  .pending_us = MS(900) };
+	size = packet_encode(&sent, data, sizeof(data));
+	assert_true(size > PACKET_SIZE_MAX_BYTES * 3 / 4);
+	assert_true(packet_decode(&got, data, size));
+	assert_true(got.as.work.item_count > 0);
+	for (i = 0; i < got.as.work.item_count; i++)
+		assert_int_equal(got.as.work.items[i].server_hash, i);
+	packet_clear(&got);
+}
+
 static void add(news_log_t *log, const char *name, int64_t revision,
 		int64_t at_ms)
 {
@@ -276,6 +304,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(encodes_work),
+		cmocka_unit_test(encodes_as_much_work_as_fits),
 		cmocka_unit_test(encodes_news),
 		cmocka_unit_test(compares_revisions),
 		cmocka_unit_test(splits_changes),
