--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -95,8 +95,8 @@
 				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 				     .at_most_once = true };
 
-	/* Its answer may still come, and it must not run again. */
-	if (attempt->patience_us)
+	/* The answer to an order may still come, and it must not run again. */
+	if (forward->route->kind != CALL_AT_MOST_ONCE)
 		request.peer_silence_ms = SERVER_SILENCE_MS;
 	handler.context = forward;
 	list_helpers(forward, helpers, sizeof(helpers));
