--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -475,7 +475,7 @@
 		if (write(fd, last, strlen(last)) < 0 ||
 		    write(fd, answer_text, strlen(answer_text)) < 0)
 			return;
-		strcpy(last, answer_text);
+		mem_strlcpy(last, answer_text, sizeof(last));
 	}
 }
 
