Forget a refusal's overflow before the next attempt

Cause: a refusal whose body was too long to hold left the mark of an overflow on the request, and only its size was reset. Found by reading the change again.

Ruled out: a status or not-run mark of an earlier attempt; both are reset when an attempt is dispatched.

Change: collected_clear() resets both, for model and plain calls; what a refusal is stands once, in request_is_refusal().

Test: test_request_task answers_after_a_long_refusal, which failed before.

--- a/src/process/request.c
+++ b/src/process/request.c
@@ -15,6 +15,8 @@
 /* Part of the interface to servers (docs/design.md, 4.4). */
 #define HEADER_NOT_RUN "X-Not-Run"
 
+enum { HTTP_UNAVAILABLE = 503 };
+
 request_t *request_create(request_task_t *task, exchange_t *exchange)
 {
 	request_t *request = mem_calloc(1, sizeof(*request));
@@ -74,6 +76,11 @@
 		request->not_run = true;
 }
 
+bool request_is_refusal(const request_t *request, int status)
+{
+	return status == HTTP_UNAVAILABLE && request->not_run;
+}
+
 void request_phase(request_t *request, const char *name, bool failed)
 {
 	span_t span = { .name = name,
@@ -360,6 +367,12 @@
 	exchange_abort(exchange);
 }
 
+void collected_clear(collected_t *collected)
+{
+	collected->size = 0;
+	collected->overflow = false;
+}
+
 void collected_add(request_t *request, collected_t *collected, const void *data,
 		   size_t size, size_t limit_bytes)
 {
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -180,6 +180,11 @@
 /** Records the span from the end of the last phase to now. */
 void request_phase(request_t *request, const char *name, bool failed);
 
+/** Whether an answer says that the server did not run the request. */
+bool request_is_refusal(const request_t *request, int status);
+
+/** Forgets what an earlier attempt left; the buffer stays for the next one. */
+void collected_clear(collected_t *collected);
 /** Appends; frees the buffer and sets overflow beyond limit or budget. */
 void collected_add(request_t *request, collected_t *collected, const void *data,
 		   size_t size, size_t limit_bytes);
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -223,7 +223,7 @@
 
 	if (request->status == 200) {
 		lost(request);
-	} else if (request->status == 503 && request->not_run &&
+	} else if (request_is_refusal(request, request->status) &&
 		   !request->resuming) {
 		request->attempt_sent = false;
 		request_attempt_end(request, ATTEMPT_REFUSED);
@@ -323,7 +323,7 @@
 	request->drop_logged = false;
 	request->attempt_sent = true;
 	if (!stream->next_tokens)
-		request->answer.size = 0; /* body of a refusal */
+		collected_clear(&request->answer); /* body of a refusal */
 	engine_submit(&call, &request->dispatch, &wanted, request->answer.data,
 		      stream->next_tokens, clock_monotonic_us());
 	model_send(request, &call);
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -25,7 +25,7 @@
 		free((char *)request
 			     ->reply_headers[--request->reply_header_count]
 			     .value);
-	request->answer.size = 0;
+	collected_clear(&request->answer);
 }
 
 static void on_header(void *context, const char *name, const char *value)
@@ -131,11 +131,6 @@
 		request_destroy(request);
 }
 
-static bool is_refusal(const request_t *request, int status)
-{
-	return status == 503 && request->not_run;
-}
-
 static void refused(request_t *request)
 {
 	request->attempt_sent = false;
@@ -152,7 +147,7 @@
 		return;
 	switch (end) {
 	case CLIENT_OK:
-		if (is_refusal(request, status))
+		if (request_is_refusal(request, status))
 			refused(request);
 		else
 			complete(request);
@@ -167,7 +162,7 @@
 	case CLIENT_BROKEN:
 	case CLIENT_CANCELLED:
 		/* The head of a refusal holds, however its body ends. */
-		if (is_refusal(request, status))
+		if (request_is_refusal(request, status))
 			refused(request);
 		else
 			fail(request, ATTEMPT_BROKEN);
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -559,6 +559,49 @@
 	serve_reply(call, 200, NULL, NULL, body);
 }
 
+static void serve_long_refusal_then_answer(server_call_t *call, size_t index)
+{
+	static char body[20 * 1024 + 1];
+
+	memset(body, 'y', sizeof(body) - 1);
+	if (!index)
+		serve_reply(call, 503, "X-Not-Run", "1", body);
+	else if (strstr(call->path, "/v1/"))
+		serve_three(call, index);
+	else
+		serve_echo(call, index);
+}
+
+/* Guards against an answer that is lost because of the refusal before it, whose
+ * body was too long to hold. */
+static void answers_after_a_long_refusal(void **state)
+{
+	static const struct {
+		const char *path, *key, *body, *expected;
+	} cases[] = {
+		{ "/v1/completions", NULL, whole, "\"text\":\"a b c \"" },
+		{ "/services/orders/new", "Idempotency-Key: k1", "{}",
+		  "POST /new? {}" },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		fixture_start(&fixture,
+			      &(fixture_conf_t){ .body_max_bytes = 10000 });
+		fixture.attempts_max = 2;
+		fixture.serve = serve_long_refusal_then_answer;
+		fixture_call(&fixture, &answer, "POST", cases[i].path,
+			     cases[i].key, cases[i].body);
+		fixture_wait(&fixture, &answer);
+		assert_int_equal(fixture.call_count, 2);
+		if (!strstr(answer.body, cases[i].expected))
+			fail_msg("%s: status %d, %s", cases[i].path,
+				 answer.status, answer.body);
+		assert_string_equal(answer.outcome, "complete");
+		fixture_stop(&fixture);
+	}
+}
+
 /*
  * Guards against a long answer that is recorded cut or empty, so that a
  * repeat would receive a wrong one.
@@ -609,6 +652,7 @@
 		cmocka_unit_test(passes_a_lookup_through),
 		cmocka_unit_test(gives_no_copy_of_an_earlier_answer),
 		cmocka_unit_test(answers_an_action_when_control_says_so),
+		cmocka_unit_test(answers_after_a_long_refusal),
 		cmocka_unit_test(hands_the_whole_answer_of_an_action_over),
 	};
 
