Break ties by the order of servers, not by their addresses

Cause: the random part of a cost was keyed by the address of the server's object.

Change: the key is the order that all nodes have. The salt still differs between requests.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -87,7 +87,7 @@
 static double jitter(const placement_query_t *query,
 		     const candidate_t *candidate, double most)
 {
-	uint64_t key = query->salt ^ (uint64_t)(uintptr_t)candidate->server;
+	uint64_t key = query->salt ^ candidate->order;
 
 	return most * (double)(XXH64(&key, sizeof(key), 0) >> 40) / (1 << 24);
 }
