Hold the servers of a choice until it is sent

Cause: a placement that waits for leases of engine memory pointed at its servers without a reference to the first one. Ruled out: leases, attempts, servers tried, body workers and second sends hold references, or copy what they need; routes and accounts belong to the version that the request holds. Change: process/choice holds a reference to each chosen server and tells whether it left, started again or turned cold since; such a choice is dropped, its leases released, and the request placed anew. Candidates are freed at once instead of with the request. Before: test places_anew_when_a_server_leaves fails on ("sent to a server that left"). After: passes, sanitizers clean.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -60,6 +60,7 @@
 /* A server may start again under its id: nothing known of it holds then. */
 static void start_anew(backend_t *server)
 {
+	server->starts++;
 	server->failures = 0;
 	server->paused_until_us = 0;
 	server->pace = 1;
@@ -85,7 +86,8 @@
 		server->cold_filled_us = now_us;
 		start_anew(server);
 		HASH_ADD_STR(backends->servers, entry.id, server);
-	} else if (server->entry.born_ms != entry->born_ms) {
+	} else if (server->entry.born_ms != entry->born_ms ||
+		   strcmp(server->entry.address, entry->address) != 0) {
 		start_anew(server);
 	}
 	server->entry = *entry;
@@ -202,6 +204,11 @@
 	return backend->hash;
 }
 
+uint32_t backend_starts(const backend_t *backend)
+{
+	return backend->starts;
+}
+
 bool backend_usable(const backend_t *backend)
 {
 	return backend->table && backend->entry.state == BACKEND_READY &&
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -90,6 +90,8 @@
 const backend_entry_t *backend_entry(const backend_t *backend);
 /** @return the name of the server in announcements. */
 uint32_t backend_hash(const backend_t *backend);
+/** @return how often the server is known to have started; grows. */
+uint32_t backend_starts(const backend_t *backend);
 /** Whether new requests may be sent to it now. */
 bool backend_usable(const backend_t *backend);
 
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -25,6 +25,7 @@
 	backends_t *table; /* NULL after it was removed */
 	int references;
 	uint32_t hash;
+	uint32_t starts; /* seen; another address counts as one */
 	centre_t *centre;
 	uint64_t listing; /* in which it was last seen */
 	int64_t removed_at_us; /* 0: its entry is there */
--- /dev/null
+++ b/src/process/choice.c
@@ -0,0 +1,67 @@
+#include "process/choice.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+backend_t *choice_server(const choice_t *choice, size_t index)
+{
+	return choice->placement.parts[index]->server;
+}
+
+void choice_clear(choice_t *choice)
+{
+	size_t i;
+
+	for (i = 0; i < choice->placement.count; i++)
+		backend_unref(choice_server(choice, i));
+	choice->placement.count = 0;
+}
+
+/* The candidates are freed after the choice; those chosen are kept. */
+static void keep_parts(choice_t *choice, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < choice->placement.count; i++) {
+		candidate_t *kept = &choice->candidates[i];
+		backend_t *server;
+
+		*kept = *choice->placement.parts[i];
+		choice->placement.parts[i] = kept;
+		server = backend_ref(kept->server);
+		choice->starts[i] = backend_starts(server);
+		choice->cold[i] = backend_is_cold(server, now_us);
+	}
+}
+
+placement_result_t choice_make(choice_t *choice, backends_t *backends,
+			       const backends_query_t *wanted,
+			       const placement_query_t *query)
+{
+	candidate_t *candidates;
+	size_t count = backends_candidates(backends, wanted, &candidates);
+	placement_result_t result;
+
+	choice_clear(choice);
+	result = placement_choose(candidates, count, query, &choice->placement);
+	if (result != PLACEMENT_CHOSEN)
+		choice->placement.count = 0;
+	keep_parts(choice, wanted->now_us);
+	free(candidates);
+	return result;
+}
+
+bool choice_holds(const choice_t *choice, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < choice->placement.count; i++) {
+		const backend_t *server = choice_server(choice, i);
+
+		if (!backend_usable(server) ||
+		    backend_starts(server) != choice->starts[i] ||
+		    (backend_is_cold(server, now_us) && !choice->cold[i]))
+			return false;
+	}
+	return true;
+}
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
+#include "base/crash.h"
 #include "base/history.h"
 #include "base/log.h"
 #include "base/mailbox.h"
@@ -305,6 +306,7 @@
 	/* The platform sends it for changed settings, also during the start;
 	 * what is read then is the changed file. */
 	signal(SIGHUP, SIG_IGN);
+	crash_watch();
 
 	if (!read_options(argc, argv, &options)) {
 		free(options.settings);
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -79,7 +79,7 @@
 	DL_DELETE(forward->gateway->forwards, forward);
 	forward->gateway->forward_count--;
 	sse_clear(&forward->events);
-	free(forward->candidates);
+	choice_clear(&forward->choice);
 	routing_unref(forward->routing);
 	free(forward->body);
 	free(forward);
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -94,8 +94,7 @@
 	return query;
 }
 
-placement_result_t forward_choose(forward_t *forward, candidate_t **candidates,
-				  placement_t *placement)
+placement_result_t forward_choose(forward_t *forward, choice_t *choice)
 {
 	gateway_t *gateway = forward->gateway;
 	int64_t now_us = clock_monotonic_us();
@@ -106,10 +105,8 @@
 					    (backend_t *const *)forward->tried,
 				    .except_count = forward->tried_count,
 				    .now_us = now_us };
-	size_t count =
-		backends_candidates(gateway->backends, &wanted, candidates);
 
-	return placement_choose(*candidates, count, &query, placement);
+	return choice_make(choice, gateway->backends, &wanted, &query);
 }
 
 /* A caller that comes back after its time is not served at all. */
@@ -140,7 +137,7 @@
 
 static bool take_cold(const forward_t *forward)
 {
-	const placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
@@ -175,7 +172,7 @@
 static void log_placed(const forward_t *forward)
 {
 	char helpers[HELPERS_TEXT_BYTES];
-	const placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 	const candidate_t *first = placement->parts[0];
 	const backend_entry_t *entry = backend_entry(first->server);
 
@@ -201,7 +198,7 @@
 static void send(forward_t *forward)
 {
 	log_placed(forward);
-	remember_tried(forward, forward->placement.parts[0]->server);
+	remember_tried(forward, choice_server(&forward->choice, 0));
 	forward->phase = FORWARD_SENT;
 	attempt_start(forward);
 	forward_set_timer(forward);
@@ -211,12 +208,18 @@
 {
 	forward_t *forward = context;
 
-	if (granted) {
+	bool holds = choice_holds(&forward->choice, clock_monotonic_us());
+
+	if (granted && holds) {
 		send(forward);
 		return;
 	}
+	if (!holds)
+		log_event(EVENT_CHOICE_DROPPED, "request=%s granted=%d",
+			  *forward->request.id ? forward->request.id : "-",
+			  granted);
 	attempt_cancel(forward);
-	if (++forward->reservations_failed < RESERVATIONS_MAX)
+	if (!holds || ++forward->reservations_failed < RESERVATIONS_MAX)
 		forward_place(forward);
 	else
 		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
@@ -233,7 +236,7 @@
 /* The first server keeps its part, and what is written, without a lease. */
 static void reserve(forward_t *forward)
 {
-	const placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 	gateway_t *gateway = forward->gateway;
 	reservation_conf_t conf = {
 		.loop = gateway->loop,
@@ -258,12 +261,10 @@
 
 void forward_place(forward_t *forward)
 {
-	placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 
 	forward->phase = FORWARD_WAITING;
-	free(forward->candidates);
-	forward->candidates = NULL;
-	switch (forward_choose(forward, &forward->candidates, placement)) {
+	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
 		if (!take_cold(forward))
 			wait_or_refuse(forward);
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -23,12 +23,12 @@
 
 static void list_helpers(const forward_t *forward, char *text, size_t size)
 {
-	const placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 	size_t i, used = 0;
 
 	*text = '\0';
 	for (i = 1; i < placement->count && used + 1 < size; i++) {
-		const backend_t *server = placement->parts[i]->server;
+		const backend_t *server = choice_server(&forward->choice, i);
 		const char *ticket = NULL;
 
 		if (forward->reservation)
@@ -71,11 +71,10 @@
 
 static void send_request(forward_t *forward)
 {
-	const placement_t *placement = &forward->placement;
 	attempt_t *attempt = forward->attempt;
 	exchange_t *exchange = forward->exchange;
 	const backend_entry_t *entry =
-		backend_entry(placement->parts[0]->server);
+		backend_entry(choice_server(&forward->choice, 0));
 	char url[URL_SIZE_BYTES + 16], target[8192];
 	char helpers[PLACEMENT_PARTS_MAX * (URL_SIZE_BYTES + NAME_SIZE_BYTES)];
 	client_handler_t handler = attempt_handler;
@@ -118,7 +117,7 @@
 
 void attempt_start(forward_t *forward)
 {
-	const placement_t *placement = &forward->placement;
+	const placement_t *placement = &forward->choice.placement;
 	attempt_t *attempt = mem_calloc(1, sizeof(*attempt));
 	int64_t now_us = clock_monotonic_us(), kv_tokens = 0;
 	size_t i;
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -7,6 +7,7 @@
 
 #include "process/gateway_state.h"
 #include "process/attempt_work.h"
+#include "process/choice.h"
 #include "request/caller_request.h"
 #include "request/forward.h"
 #include "request/reservation.h"
@@ -63,8 +64,7 @@
 	backend_t *tried[SERVERS_TRIED_MAX];
 	size_t tried_count;
 	int32_t runs; /**< servers that ran it, or may have */
-	candidate_t *candidates; /**< that the placement points at */
-	placement_t placement; /**< of the present attempt */
+	choice_t choice; /**< servers of the present attempt */
 	reservation_t *reservation; /**< memory for it; or NULL */
 	int32_t reservations_failed;
 	attempt_t *attempt; /**< NULL: none under way */
@@ -120,12 +120,8 @@
 void forward_fail(forward_t *forward, int status, const char *code);
 
 /* forward_place.c */
-/**
- * Chooses servers.
- * @param candidates that the placement points at; the caller frees it
- */
-placement_result_t forward_choose(forward_t *forward, candidate_t **candidates,
-				  placement_t *placement);
+/** Chooses servers; the caller clears @p choice. */
+placement_result_t forward_choose(forward_t *forward, choice_t *choice);
 /** Chooses servers and sends, waits for a server, or refuses. */
 void forward_place(forward_t *forward);
 /** After a failed attempt: another one, or the final answer. */
--- a/src/request/forward_timer.c
+++ b/src/request/forward_timer.c
@@ -1,5 +1,3 @@
-#include <stdlib.h>
-
 #include "base/clock.h"
 #include "request/forward_state.h"
 
@@ -95,8 +93,7 @@
  */
 static bool is_better_elsewhere(forward_t *forward)
 {
-	candidate_t *candidates = NULL;
-	placement_t placement;
+	choice_t choice = { .placement = { .count = 0 } };
 	placement_result_t result;
 	int64_t left_us;
 
@@ -104,9 +101,10 @@
 		return true;
 	left_us = forward->attempt->heard_us +
 		  forward_caller_patience_us(forward) - clock_monotonic_us();
-	result = forward_choose(forward, &candidates, &placement);
-	free(candidates);
-	return result == PLACEMENT_CHOSEN && placement.first_event_us < left_us;
+	result = forward_choose(forward, &choice);
+	choice_clear(&choice);
+	return result == PLACEMENT_CHOSEN &&
+	       choice.placement.first_event_us < left_us;
 }
 
 static void on_silence(forward_t *forward)
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -29,6 +29,7 @@
 	ENDLESS_HEAD, /**< header lines without end */
 	ENDLESS_REFUSAL, /**< refuses before running it, with an endless body */
 	ENDLESS_NOISE, /**< unsealed success with an endless body */
+	LATE, /**< whole answer, after 100 ms */
 	DRIPS, /**< half of a stream, then a byte now and then */
 	SILENT /**< holds the request */
 } server_act_t;
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -22,6 +22,7 @@
 /* Pause between the parts of an answer without end, and its drops. */
 #define PUMP_S 0.001
 #define DRIP_S 0.1
+#define LATE_S 0.1
 
 static bool header_value(const char *text, const char *name, char *value,
 			 size_t size)
@@ -99,6 +100,17 @@
 	free(connection);
 }
 
+static void on_late(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	connection_t *connection = timer->data;
+	char id[64] = "";
+
+	header_value(connection->arrival->text, "X-Request-Id: ", id,
+		     sizeof(id));
+	serve(connection, connection->readable.fd, id);
+	close_connection(connection);
+}
+
 static void on_pump(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	connection_t *connection = timer->data;
@@ -115,6 +127,13 @@
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
+static void start_late(connection_t *connection)
+{
+	ev_timer_init(&connection->pump, on_late, LATE_S, 0.);
+	connection->pump.data = connection;
+	ev_timer_start(connection->fixture->loop, &connection->pump);
+}
+
 static void start_pump(connection_t *connection)
 {
 	double pause_s = connection->act == DRIPS ? DRIP_S : PUMP_S;
@@ -175,6 +194,9 @@
 		return true;
 	case CLOSES:
 		return false;
+	case LATE:
+		start_late(connection);
+		return true;
 	case SILENT:
 		return true;
 	}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/clock.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "process/gateway.h"
@@ -491,6 +492,109 @@
  * Guards against requests that are cut off by a stop: a lookup is served to
  * the end, a stream that comes when the balancer has noticed goes elsewhere.
  */
+typedef enum {
+	LEAVES,
+	REPLACED,
+	STARTS_AGAIN,
+	MOVES,
+	TURNS_COLD,
+	RETIRED
+} change_t;
+
+/* Changes the entry of a server of the model. */
+static void change_server(gateway_fixture_t *fixture, const char *id,
+			  change_t change)
+{
+	backends_t *backends = fixture->gateway->backends;
+	backend_entry_t entry = *backend_entry(backends_find(backends, id));
+	int64_t now_us = clock_monotonic_us();
+
+	switch (change) {
+	case LEAVES:
+		backends_remove(backends, id, 0);
+		return;
+	case REPLACED:
+		backends_remove(backends, id, 0);
+		strcpy(entry.id, "i-new");
+		break;
+	case STARTS_AGAIN:
+		entry.born_ms++;
+		break;
+	case MOVES:
+		strcpy(entry.address, "127.0.0.1:9");
+		break;
+	case TURNS_COLD:
+		entry.cold_left_ms = 1000;
+		break;
+	case RETIRED:
+		backends_evacuate(backends, "a", true);
+		return;
+	}
+	backends_update(backends, &entry, now_us);
+}
+
+/* A server changes while engine memory is asked for. The prompt needs both:
+ * nothing is sent to one that left, and what was granted is given back. */
+static void places_anew_when_a_server_leaves(void **state)
+{
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       FIXTURE_AUTHORIZATION,
+					       "X-Token-Counts: 15000,100",
+					       NULL };
+	static const struct {
+		const char *fault;
+		change_t change;
+		bool served; /* two servers are left */
+	} cases[] = {
+		{ "sent to a server that left", LEAVES, false },
+		{ "sent under the id of the server before", REPLACED, true },
+		{ "sent with the lease of an earlier start", STARTS_AGAIN,
+		  true },
+		{ "sent to an address with another server", MOVES, false },
+		{ "a cold server is sent to", TURNS_COLD, true },
+		{ "sent to a data centre out of service", RETIRED, false },
+	};
+	static const char *const ids[] = { "i-m0", "i-m1" };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases) * COUNT_OF(ids); i++) {
+		change_t change = cases[i / COUNT_OF(ids)].change;
+		bool served = cases[i / COUNT_OF(ids)].served;
+		gateway_fixture_t fixture;
+		reply_t reply;
+		const char *id = ids[i % COUNT_OF(ids)];
+		size_t arrived, released = 0, sent_to_it = 0, j;
+
+		start(&fixture);
+		fixture.acts[0] = LATE;
+		gateway_fixture_call(&fixture, &reply, "POST", "/stream/long/x",
+				     headers, "body");
+		for (j = 0; j < 100 && !fixture.arrival_count; j++)
+			gateway_fixture_run(&fixture, 5);
+		assert_non_null(
+			strstr(fixture.arrivals[0].text, "\"reserve\""));
+		change_server(&fixture, id, change);
+		arrived = fixture.arrival_count;
+		assert_true(gateway_fixture_wait(&fixture, &reply, 2000));
+		gateway_fixture_run(&fixture, 50);
+		for (j = arrived; j < fixture.arrival_count; j++) {
+			const char *text = fixture.arrivals[j].text;
+
+			released += strstr(text, "\"release\"") != NULL;
+			sent_to_it += change == LEAVES &&
+				      !strstr(text, "/order") &&
+				      strstr(text, id);
+		}
+		/* At another address, nobody knows of the lease. */
+		if (sent_to_it || (!released && change != MOVES) ||
+		    (reply.status == 200) != served)
+			fail_msg("%s: status %d, released %zu",
+				 cases[i / COUNT_OF(ids)].fault, reply.status,
+				 released);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 static void stops_gracefully(void **state)
 {
 	gateway_fixture_t fixture;
@@ -528,6 +632,7 @@
 		cmocka_unit_test(starts_without_configuration),
 		cmocka_unit_test(leaves_with_the_caller),
 		cmocka_unit_test(refuses_bodies),
+		cmocka_unit_test(places_anew_when_a_server_leaves),
 		cmocka_unit_test(stops_gracefully),
 	};
 
