--- /dev/null
+++ b/src/duty/duties.c
@@ -0,0 +1,377 @@
+#include "duty/duties.h"
+
+#include <ev.h>
+#include <inttypes.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "duty/usage_duty.h"
+#include "platform/duties.h"
+#include "process/gateway_state.h"
+#include "process/lease.h"
+
+/* Name of the lease in the store. */
+#define LEASE_NAME "duties"
+
+/* Parts of the duration of the lease. What is left of it when a call starts is
+ * more than the call may take. */
+#define RENEW_SHARE 0.25
+#define STOP_SHARE 0.25
+#define CALL_SHARE 0.2
+#define WATCH_SHARE 0.5
+/* Beyond the duration, for what is still on its way. */
+#define ABSTAIN_SHARE 1.2
+
+/* The clock, the lease and the duties are looked after this often. */
+#define TICK_S 0.1
+/* Nodes tell their counts this often. */
+#define TELL_US US_PER_S
+/* Requests are counted when their first answer comes; after this time in the
+ * next window none is missing. */
+#define FINAL_US US_PER_S
+/* Windows for which counts are kept, the present one included. */
+enum { WINDOWS_KEPT = 5 };
+/* Windows from which reports of other nodes are taken; their clocks differ. */
+enum { WINDOWS_AHEAD = 2 };
+/* A holder that cannot reach the platform's interface for so long leaves the
+ * lease to others, and stays away from it. */
+#define UNREACHABLE_US (2 * US_PER_S)
+#define UNREACHABLE_ABSTAIN_US (10 * US_PER_S)
+
+struct duties {
+	gateway_t *gateway;
+	usage_duty_conf_t usage_conf;
+	bool reports_usage, orders_servers;
+	lease_t *lease;
+	bool held; /* at the last tick */
+	usage_t *usage;
+	usage_duty_t *usage_duty;
+	ev_timer tick;
+	int64_t told_us;
+	/* Time of day, by most clocks, less CLOCK_BOOTTIME. */
+	int64_t wall_offset_us;
+
+	client_call_t *call; /* to the platform; NULL: none */
+	int64_t called_window;
+	int64_t failing_us; /* since when no call is answered; 0: the last was
+			     */
+	int64_t away_until_us;
+};
+
+static int64_t time_us(const duties_t *duties)
+{
+	return clock_boot_us() + duties->wall_offset_us;
+}
+
+static void read_time(duties_t *duties)
+{
+	int64_t boot_us = clock_boot_us();
+
+	duties->wall_offset_us = work_share_wall_ms(duties->gateway->share,
+						    clock_wall_us() / US_PER_MS,
+						    clock_monotonic_us(),
+						    boot_us) *
+					 US_PER_MS -
+				 boot_us;
+}
+
+work_duty_t duties_announced(const duties_t *duties)
+{
+	if (!duties)
+		return WORK_DUTY_NONE;
+	if (duties->held)
+		return WORK_DUTY_HELD;
+	return lease_wanted(duties->lease) ? WORK_DUTY_ASKED : WORK_DUTY_NONE;
+}
+
+int64_t duties_usage_closed(const duties_t *duties)
+{
+	return duties && duties->held ? usage_duty_closed(duties->usage_duty)
+				      : 0;
+}
+
+void duties_count(duties_t *duties, const char *account, int64_t began_us)
+{
+	int64_t at_us;
+
+	if (!duties)
+		return;
+	at_us = time_us(duties) - (clock_monotonic_us() - began_us);
+	usage_begin(duties->usage,
+		    usage_duty_window(&duties->usage_conf, at_us), account);
+}
+
+void duties_receive_usage(duties_t *duties, const usage_report_t *report)
+{
+	int64_t window;
+
+	if (!duties)
+		return;
+	window = usage_duty_window(&duties->usage_conf, time_us(duties));
+	if (report->window > window - WINDOWS_KEPT &&
+	    report->window <= window + WINDOWS_AHEAD)
+		usage_receive(duties->usage, report);
+}
+
+static void tell_window(duties_t *duties, int64_t window)
+{
+	packet_t packet = { .type = PACKET_USAGE };
+	size_t next = 0;
+
+	do {
+		next = usage_fill(duties->usage, window, next,
+				  &packet.as.usage);
+		gateway_tell_duty_nodes(duties->gateway, &packet);
+	} while (next);
+}
+
+/* Tells the own counts of the windows that are not closed yet. */
+static void tell(duties_t *duties)
+{
+	const usage_duty_conf_t *conf = &duties->usage_conf;
+	int64_t now_us = clock_monotonic_us(), at_us = time_us(duties);
+	int64_t present = usage_duty_window(conf, at_us);
+	int64_t closed =
+		work_share_usage_closed(duties->gateway->share, now_us);
+	int64_t window = present - WINDOWS_KEPT + 1;
+
+	if (now_us - duties->told_us < TELL_US)
+		return;
+	duties->told_us = now_us;
+	usage_forget(duties->usage, window);
+	for (; window <= present; window++) {
+		if (usage_duty_ended(conf, window, at_us, FINAL_US))
+			usage_finish(duties->usage, window);
+		if (window > closed)
+			tell_window(duties, window);
+	}
+}
+
+static void on_lease_answer(void *context, platform_status_t status,
+			    const platform_object_t *object)
+{
+	duties_t *duties = context;
+
+	lease_platform(duties->lease, status, object, clock_boot_us());
+}
+
+static void call_store(duties_t *duties)
+{
+	platform_t *platform = duties->gateway->platform;
+	lease_action_t action;
+
+	if (!lease_next(duties->lease, &action, clock_boot_us()))
+		return;
+	switch (action.type) {
+	case LEASE_ACTION_READ:
+		platform_get(platform, PLATFORM_LEASES, LEASE_NAME,
+			     on_lease_answer, duties);
+		return;
+	case LEASE_ACTION_CREATE:
+		platform_create_object(platform, PLATFORM_LEASES, LEASE_NAME,
+				       action.spec, on_lease_answer, duties);
+		return;
+	case LEASE_ACTION_PUT:
+		platform_put(platform, PLATFORM_LEASES, LEASE_NAME,
+			     action.version, action.spec, on_lease_answer,
+			     duties);
+		return;
+	}
+}
+
+static bool is_wanted(const duties_t *duties)
+{
+	const gateway_t *gateway = duties->gateway;
+
+	if (gateway->stop != STOP_NONE ||
+	    clock_boot_us() < duties->away_until_us)
+		return false;
+	/* A holder keeps the lease though others may be faster. */
+	return duties->held || gateway_is_watcher(gateway);
+}
+
+static void end_call(duties_t *duties)
+{
+	if (duties->call)
+		client_call_cancel(duties->call);
+	duties->call = NULL;
+}
+
+/* Follows whether this node holds the lease. */
+static void follow_lease(duties_t *duties)
+{
+	int64_t now_us = clock_boot_us();
+	bool held = lease_held(duties->lease, now_us);
+
+	if (held == duties->held)
+		return;
+	duties->held = held;
+	log_event(held ? EVENT_LEASE_ACQUIRED : EVENT_LEASE_LOST,
+		  "lease=%s token=%" PRId64 " closed=%" PRId64, LEASE_NAME,
+		  lease_token(duties->lease),
+		  usage_duty_closed(duties->usage_duty));
+	/* Others must know to whom they tell their counts. */
+	gateway_work_changed(duties->gateway, true);
+	if (!held) {
+		end_call(duties);
+		return;
+	}
+	duties->failing_us = 0;
+	usage_duty_take_over(duties->usage_duty, lease_state(duties->lease));
+}
+
+/* A holder whose calls all fail leaves the duties to others. */
+static void note_reach(duties_t *duties, bool answered)
+{
+	int64_t now_us = clock_boot_us();
+
+	if (answered)
+		duties->failing_us = 0;
+	else if (!duties->failing_us)
+		duties->failing_us = now_us;
+	else if (now_us - duties->failing_us > UNREACHABLE_US)
+		duties->away_until_us = now_us + UNREACHABLE_ABSTAIN_US;
+}
+
+static void note_answer(duties_t *duties, duty_answer_t answer,
+			client_end_t end, int status, const char *what)
+{
+	duties->call = NULL;
+	note_reach(duties, answer != DUTY_LATER);
+	if (answer != DUTY_ACCEPTED)
+		log_event(EVENT_DUTY_FAILED,
+			  "duty=%s status=%d end=%d answer=%s", what, status,
+			  (int)end, answer == DUTY_LATER ? "later" : "refused");
+}
+
+static void on_usage_answer(void *context, client_end_t end, int status,
+			    const char *body, size_t size)
+{
+	duties_t *duties = context;
+	duty_answer_t answer = platform_duty_answer(end, status);
+
+	note_answer(duties, answer, end, status, "usage");
+	usage_duty_answered(duties->usage_duty, duties->called_window, answer,
+			    clock_boot_us());
+}
+
+static duty_caller_t caller_of(const duties_t *duties)
+{
+	const node_settings_t *settings = &duties->gateway->settings;
+
+	return (duty_caller_t){
+		.url = settings->duty_url,
+		.holder = settings->node_id,
+		.token = lease_token(duties->lease),
+		.timeout_ms =
+			(int64_t)((double)settings->duty_lease_ms * CALL_SHARE)
+	};
+}
+
+static void report_usage(duties_t *duties)
+{
+	duty_caller_t caller = caller_of(duties);
+	const json_t *counts;
+
+	if (usage_duty_close(duties->usage_duty, duties->usage,
+			     time_us(duties)))
+		lease_set_state(duties->lease,
+				usage_duty_state(duties->usage_duty));
+	/* A successor must find what may have been sent. */
+	if (duties->call || !lease_state_written(duties->lease))
+		return;
+	duties->called_window =
+		usage_duty_next(duties->usage_duty, clock_boot_us(), &counts);
+	if (!duties->called_window)
+		return;
+	log_event(EVENT_USAGE_REPORTED,
+		  "window=%" PRId64 " accounts=%zu token=%" PRId64
+		  " age_ms=%" PRId64,
+		  duties->called_window, json_object_size(counts), caller.token,
+		  (time_us(duties) -
+		   (duties->called_window + 1) * duties->usage_conf.window_us) /
+			  US_PER_MS);
+	duties->call = platform_report_usage(duties->gateway->client, &caller,
+					     duties->called_window, counts,
+					     on_usage_answer, duties);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	duties_t *duties = timer->data;
+
+	read_time(duties);
+	lease_want(duties->lease, is_wanted(duties));
+	call_store(duties);
+	follow_lease(duties);
+	if (duties->reports_usage)
+		tell(duties);
+	if (!duties->held)
+		return;
+	if (duties->reports_usage)
+		report_usage(duties);
+}
+
+void duties_stop(duties_t *duties)
+{
+	if (!duties)
+		return;
+	lease_want(duties->lease, false);
+	call_store(duties);
+	follow_lease(duties);
+}
+
+static lease_times_t lease_times(int64_t duration_us)
+{
+	double duration = (double)duration_us;
+
+	return (lease_times_t){
+		.duration_us = duration_us,
+		.renew_us = (int64_t)(duration * RENEW_SHARE),
+		.stop_us = (int64_t)(duration * STOP_SHARE),
+		.watch_us = (int64_t)(duration * WATCH_SHARE),
+		.abstain_us = (int64_t)(duration * ABSTAIN_SHARE),
+	};
+}
+
+duties_t *duties_create(gateway_t *gateway)
+{
+	const node_settings_t *settings = &gateway->settings;
+	lease_times_t times = lease_times(settings->duty_lease_ms * US_PER_MS);
+	duties_t *duties;
+
+	if (!*settings->duty_url)
+		return NULL;
+	duties = mem_calloc(1, sizeof(*duties));
+	duties->gateway = gateway;
+	duties->reports_usage = platform_duty_usage(settings->duties);
+	duties->orders_servers = platform_duty_servers(settings->duties);
+	duties->usage_conf.window_us = settings->usage_window_ms * US_PER_MS;
+	duties->usage_conf.delay_us = settings->usage_delay_ms * US_PER_MS;
+	duties->lease = lease_create(LEASE_NAME, settings->node_id,
+				     gateway->incarnation, &times,
+				     clock_boot_us());
+	lease_want(duties->lease, false);
+	duties->usage = usage_create(work_share_node_hash(settings->node_id),
+				     gateway->incarnation);
+	duties->usage_duty = usage_duty_create(&duties->usage_conf);
+	read_time(duties);
+	ev_timer_init(&duties->tick, on_tick, TICK_S, TICK_S);
+	duties->tick.data = duties;
+	ev_timer_start(gateway->loop, &duties->tick);
+	return duties;
+}
+
+void duties_destroy(duties_t *duties)
+{
+	if (!duties)
+		return;
+	ev_timer_stop(duties->gateway->loop, &duties->tick);
+	end_call(duties);
+	lease_destroy(duties->lease);
+	usage_destroy(duties->usage);
+	usage_duty_destroy(duties->usage_duty);
+	free(duties);
+}
--- /dev/null
+++ b/src/duty/usage.c
@@ -0,0 +1,317 @@
+#include "duty/usage.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "base/mem.h"
+
+enum {
+	/* Bounds what datagrams from elsewhere can occupy. */
+	SOURCES_MAX = 4096,
+	WINDOWS_MAX = 8,
+	/* A node that told of none of so many windows before is not waited
+	 * for. */
+	WINDOWS_WAITED = 2,
+	/* Of a count on the wire, beside the name of the account. */
+	COUNT_OVERHEAD_BYTES = 10
+};
+
+typedef struct {
+	char name[NAME_SIZE_BYTES];
+	uint32_t requests;
+	UT_hash_handle hh;
+} account_t;
+
+typedef struct window {
+	int64_t number;
+	bool final;
+	uint32_t expected; /* accounts of a final window */
+	account_t *accounts;
+	struct window *next;
+} window_t;
+
+/* One process. */
+typedef struct source {
+	uint64_t node, incarnation;
+	window_t *windows;
+	struct source *next;
+} source_t;
+
+struct usage {
+	source_t *sources; /* the own one first */
+	size_t count;
+};
+
+static source_t *add_source(usage_t *usage, uint64_t node, uint64_t incarnation)
+{
+	source_t *source = mem_calloc(1, sizeof(*source));
+
+	source->node = node;
+	source->incarnation = incarnation;
+	LL_APPEND(usage->sources, source);
+	usage->count++;
+	return source;
+}
+
+usage_t *usage_create(uint64_t node, uint64_t incarnation)
+{
+	usage_t *usage = mem_calloc(1, sizeof(*usage));
+
+	add_source(usage, node, incarnation);
+	return usage;
+}
+
+static void free_window(source_t *source, window_t *window)
+{
+	account_t *account, *next;
+
+	HASH_ITER (hh, window->accounts, account, next) {
+		HASH_DEL(window->accounts, account);
+		free(account);
+	}
+	LL_DELETE(source->windows, window);
+	free(window);
+}
+
+static void free_source(usage_t *usage, source_t *source)
+{
+	while (source->windows)
+		free_window(source, source->windows);
+	LL_DELETE(usage->sources, source);
+	usage->count--;
+	free(source);
+}
+
+void usage_destroy(usage_t *usage)
+{
+	if (!usage)
+		return;
+	while (usage->sources)
+		free_source(usage, usage->sources);
+	free(usage);
+}
+
+static window_t *find_window(const source_t *source, int64_t number)
+{
+	window_t *window;
+
+	LL_FOREACH (source->windows, window)
+		if (window->number == number)
+			return window;
+	return NULL;
+}
+
+/* NULL: the source has too many windows. */
+static window_t *get_window(source_t *source, int64_t number)
+{
+	window_t *window = find_window(source, number), *other;
+	size_t count;
+
+	LL_COUNT(source->windows, other, count);
+	if (window || count >= WINDOWS_MAX)
+		return window;
+	window = mem_calloc(1, sizeof(*window));
+	window->number = number;
+	LL_PREPEND(source->windows, window);
+	return window;
+}
+
+static account_t *get_account(window_t *window, const char *name)
+{
+	account_t *account;
+
+	HASH_FIND_STR(window->accounts, name, account);
+	if (account)
+		return account;
+	account = mem_calloc(1, sizeof(*account));
+	mem_strlcpy(account->name, name, sizeof(account->name));
+	HASH_ADD_STR(window->accounts, name, account);
+	return account;
+}
+
+void usage_begin(usage_t *usage, int64_t window, const char *account)
+{
+	window_t *counted = get_window(usage->sources, window);
+
+	if (counted)
+		get_account(counted, account)->requests++;
+}
+
+void usage_finish(usage_t *usage, int64_t window)
+{
+	window_t *finished = get_window(usage->sources, window);
+
+	if (!finished)
+		return;
+	finished->final = true;
+	finished->expected = HASH_COUNT(finished->accounts);
+}
+
+size_t usage_fill(const usage_t *usage, int64_t window, size_t first,
+		  usage_report_t *report)
+{
+	const source_t *own = usage->sources;
+	const window_t *told = find_window(own, window);
+	size_t place = 0, size = 0;
+	const account_t *account;
+
+	*report = (usage_report_t){ .node = own->node,
+				    .incarnation = own->incarnation,
+				    .window = window };
+	if (!told)
+		return 0;
+	report->final = told->final;
+	report->accounts = HASH_COUNT(told->accounts);
+	for (account = told->accounts; account;
+	     account = account->hh.next, place++) {
+		usage_count_t *count = &report->counts[report->count];
+
+		if (place < first)
+			continue;
+		size += strlen(account->name) + COUNT_OVERHEAD_BYTES;
+		if (size > USAGE_COUNTS_SIZE_BYTES ||
+		    report->count == USAGE_COUNTS_MAX)
+			return place;
+		mem_strlcpy(count->account, account->name,
+			    sizeof(count->account));
+		count->requests = account->requests;
+		report->count++;
+	}
+	return 0;
+}
+
+static source_t *find_source(const usage_t *usage, uint64_t node,
+			     uint64_t incarnation)
+{
+	source_t *source;
+
+	LL_FOREACH (usage->sources, source)
+		if (source->node == node && source->incarnation == incarnation)
+			return source;
+	return NULL;
+}
+
+void usage_receive(usage_t *usage, const usage_report_t *report)
+{
+	source_t *source =
+		find_source(usage, report->node, report->incarnation);
+	window_t *window;
+	size_t i;
+
+	if (source == usage->sources ||
+	    (!source && usage->count >= SOURCES_MAX))
+		return;
+	if (!source)
+		source = add_source(usage, report->node, report->incarnation);
+	window = get_window(source, report->window);
+	if (!window)
+		return;
+	if (report->final) {
+		window->final = true;
+		window->expected = report->accounts;
+	}
+	for (i = 0; i < report->count; i++) {
+		account_t *account =
+			get_account(window, report->counts[i].account);
+
+		/* Datagrams may overtake each other; counts only grow. */
+		if (account->requests < report->counts[i].requests)
+			account->requests = report->counts[i].requests;
+	}
+}
+
+void usage_forget(usage_t *usage, int64_t window)
+{
+	source_t *source, *next;
+	window_t *old, *next_window;
+
+	LL_FOREACH_SAFE (usage->sources, source, next) {
+		LL_FOREACH_SAFE (source->windows, old, next_window)
+			if (old->number < window)
+				free_window(source, old);
+		if (!source->windows && source != usage->sources)
+			free_source(usage, source);
+	}
+}
+
+static bool is_replaced(const usage_t *usage, const source_t *source)
+{
+	const source_t *other;
+
+	LL_FOREACH (usage->sources, other)
+		if (other->node == source->node &&
+		    other->incarnation > source->incarnation)
+			return true;
+	return false;
+}
+
+static bool is_waited_for(const source_t *source, int64_t window)
+{
+	const window_t *told;
+
+	LL_FOREACH (source->windows, told)
+		if (told->number <= window &&
+		    told->number >= window - WINDOWS_WAITED)
+			return true;
+	return false;
+}
+
+bool usage_complete(const usage_t *usage, int64_t window)
+{
+	const source_t *source;
+
+	LL_FOREACH (usage->sources, source) {
+		const window_t *told = find_window(source, window);
+
+		if (told && told->final &&
+		    HASH_COUNT(told->accounts) >= told->expected)
+			continue;
+		if (is_waited_for(source, window) &&
+		    !is_replaced(usage, source))
+			return false;
+	}
+	return true;
+}
+
+int64_t usage_first_window(const usage_t *usage)
+{
+	int64_t first = INT64_MAX;
+	const source_t *source;
+	const window_t *window;
+
+	LL_FOREACH (usage->sources, source)
+		LL_FOREACH (source->windows, window)
+			if (window->accounts && window->number < first)
+				first = window->number;
+	return first;
+}
+
+size_t usage_sum(const usage_t *usage, int64_t window, usage_count_t **counts)
+{
+	window_t sum = { .number = window };
+	const source_t *source;
+	account_t *account, *next;
+	size_t count = 0;
+
+	LL_FOREACH (usage->sources, source) {
+		const window_t *told = find_window(source, window);
+
+		for (account = told ? told->accounts : NULL; account;
+		     account = account->hh.next)
+			get_account(&sum, account->name)->requests +=
+				account->requests;
+	}
+	*counts = mem_calloc(HASH_COUNT(sum.accounts) + 1, sizeof(**counts));
+	HASH_ITER (hh, sum.accounts, account, next) {
+		usage_count_t *result = &(*counts)[count++];
+
+		mem_strlcpy(result->account, account->name,
+			    sizeof(result->account));
+		result->requests = account->requests;
+		HASH_DEL(sum.accounts, account);
+		free(account);
+	}
+	return count;
+}
--- /dev/null
+++ b/src/duty/usage_duty.c
@@ -0,0 +1,196 @@
+#include "duty/usage_duty.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "base/mem.h"
+
+/* Parts of the time in which a report is due: the earliest, when the last
+ * counts of all nodes can have arrived, and the latest, with time left for a
+ * change of the holder and for repeats. */
+#define SETTLE_SHARE 0.15
+#define LATEST_SHARE 0.6
+/* Multiple of that time after which a window is not reported any more. */
+#define GIVE_UP_SHARE 2.0
+/* Pause after a report without an answer. */
+#define RETRY_US (300 * US_PER_MS)
+
+typedef struct report {
+	int64_t window;
+	json_t *counts;
+	int64_t due_us; /* of the next sending, on the monotonic clock */
+	struct report *prev, *next;
+} report_t;
+
+struct usage_duty {
+	usage_duty_conf_t conf;
+	int64_t closed; /* 0: none */
+	report_t *reports; /* closed and not accepted, the first one first */
+};
+
+usage_duty_t *usage_duty_create(const usage_duty_conf_t *conf)
+{
+	usage_duty_t *duty = mem_calloc(1, sizeof(*duty));
+
+	duty->conf = *conf;
+	return duty;
+}
+
+static void drop(usage_duty_t *duty, report_t *report)
+{
+	DL_DELETE(duty->reports, report);
+	json_decref(report->counts);
+	free(report);
+}
+
+static void drop_all(usage_duty_t *duty)
+{
+	while (duty->reports)
+		drop(duty, duty->reports);
+}
+
+void usage_duty_destroy(usage_duty_t *duty)
+{
+	if (!duty)
+		return;
+	drop_all(duty);
+	free(duty);
+}
+
+int64_t usage_duty_window(const usage_duty_conf_t *conf, int64_t time_us)
+{
+	return time_us / conf->window_us;
+}
+
+bool usage_duty_ended(const usage_duty_conf_t *conf, int64_t window,
+		      int64_t time_us, int64_t after_us)
+{
+	return time_us >= (window + 1) * conf->window_us + after_us;
+}
+
+static bool ended_by(const usage_duty_t *duty, int64_t window, int64_t time_us,
+		     double share)
+{
+	return usage_duty_ended(&duty->conf, window, time_us,
+				(int64_t)((double)duty->conf.delay_us * share));
+}
+
+/* Takes over @p counts. */
+static void add(usage_duty_t *duty, int64_t window, json_t *counts)
+{
+	report_t *report = mem_calloc(1, sizeof(*report));
+
+	report->window = window;
+	report->counts = counts;
+	DL_APPEND(duty->reports, report);
+}
+
+void usage_duty_take_over(usage_duty_t *duty, const json_t *state)
+{
+	const json_t *reports = json_object_get(state, "reports"), *report;
+	size_t i;
+
+	drop_all(duty);
+	duty->closed = json_integer_value(json_object_get(state, "closed"));
+	json_array_foreach(reports, i, report)
+	{
+		json_t *counts = json_object_get(report, "counts");
+		int64_t window =
+			json_integer_value(json_object_get(report, "window"));
+
+		if (window > 0 && json_is_object(counts))
+			add(duty, window, json_incref(counts));
+	}
+}
+
+json_t *usage_duty_state(const usage_duty_t *duty)
+{
+	json_t *reports = json_array();
+	const report_t *report;
+
+	DL_FOREACH (duty->reports, report)
+		json_array_append_new(reports,
+				      json_pack("{s:I,s:O}", "window",
+						(json_int_t)report->window,
+						"counts", report->counts));
+	return json_pack("{s:I,s:o}", "closed", (json_int_t)duty->closed,
+			 "reports", reports);
+}
+
+static json_t *counts_of(const usage_t *usage, int64_t window)
+{
+	json_t *json = json_object();
+	usage_count_t *counts;
+	size_t i, count = usage_sum(usage, window, &counts);
+
+	for (i = 0; i < count; i++)
+		json_object_set_new(json, counts[i].account,
+				    json_integer(counts[i].requests));
+	free(counts);
+	return json;
+}
+
+static bool may_close(const usage_duty_t *duty, const usage_t *usage,
+		      int64_t window, int64_t time_us)
+{
+	return ended_by(duty, window, time_us, LATEST_SHARE) ||
+	       (ended_by(duty, window, time_us, SETTLE_SHARE) &&
+		usage_complete(usage, window));
+}
+
+bool usage_duty_close(usage_duty_t *duty, const usage_t *usage, int64_t time_us)
+{
+	int64_t window = duty->closed + 1, first = usage_first_window(usage);
+	int64_t oldest = usage_duty_window(
+		&duty->conf, time_us - (int64_t)((double)duty->conf.delay_us *
+						 GIVE_UP_SHARE));
+	bool changed = false;
+
+	if (first == INT64_MAX)
+		return false;
+	/* Of windows before the first counts, nothing is known. */
+	if (window < first)
+		window = first;
+	if (window < oldest)
+		window = oldest;
+	for (; may_close(duty, usage, window, time_us); window++) {
+		add(duty, window, counts_of(usage, window));
+		duty->closed = window;
+		changed = true;
+	}
+	return changed;
+}
+
+int64_t usage_duty_closed(const usage_duty_t *duty)
+{
+	return duty->closed;
+}
+
+int64_t usage_duty_next(const usage_duty_t *duty, int64_t now_us,
+			const json_t **counts)
+{
+	const report_t *report;
+
+	DL_FOREACH (duty->reports, report) {
+		if (now_us < report->due_us)
+			continue;
+		*counts = report->counts;
+		return report->window;
+	}
+	return 0;
+}
+
+void usage_duty_answered(usage_duty_t *duty, int64_t window,
+			 duty_answer_t answer, int64_t now_us)
+{
+	report_t *report, *next;
+
+	DL_FOREACH_SAFE (duty->reports, report, next) {
+		if (report->window != window)
+			continue;
+		if (answer == DUTY_LATER)
+			report->due_us = now_us + RETRY_US;
+		else
+			drop(duty, report);
+	}
+}
--- a/src/process/control_orders.c
+++ b/src/process/control_orders.c
@@ -43,8 +43,9 @@
 	mem_strlcpy(conf.data_centre, settings->data_centre,
 		    sizeof(conf.data_centre));
 	snprintf(name, sizeof(name), "reconciler-%s", settings->data_centre);
-	orders->lease =
-		lease_create(name, settings->vm_id, control->incarnation);
+	orders->lease = lease_create(name, settings->vm_id,
+				     control->incarnation, &lease_standard,
+				     clock_monotonic_us());
 	orders->reconcile = reconcile_create(&conf);
 	return orders;
 }
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -141,6 +141,7 @@
 	    !open_callers(gateway, err) || !gateway_peers_start(gateway, err))
 		return false;
 	gateway_views_start(gateway);
+	gateway->duties = duties_create(gateway);
 	ev_timer_init(&gateway->expiry, on_expiry,
 		      (double)SERVER_EXPIRY_MS / MS_PER_S,
 		      (double)SERVER_EXPIRY_MS / MS_PER_S);
@@ -178,6 +179,7 @@
 	ev_timer_stop(gateway->loop, &gateway->expiry);
 	gateway_views_stop(gateway);
 	listener_destroy(gateway->callers);
+	duties_destroy(gateway->duties);
 	gateway_probes_stop(gateway);
 	gateway_peers_stop(gateway);
 	platform_destroy(gateway->platform);
@@ -217,6 +219,7 @@
 		return;
 	set_phase(gateway, STOP_NOTICE, "notice");
 	gateway->stop_started_us = clock_monotonic_us();
+	duties_stop(gateway->duties);
 	ev_timer_init(&gateway->stop_timer, on_stop_timer,
 		      (double)STOP_POLL_MS / MS_PER_S,
 		      (double)STOP_POLL_MS / MS_PER_S);
--- a/src/process/gateway_follow.c
+++ b/src/process/gateway_follow.c
@@ -74,7 +74,7 @@
 	       clock_monotonic_us() - gateway->news_us < silence_us;
 }
 
-static bool is_watcher(const gateway_t *gateway)
+bool gateway_is_watcher(const gateway_t *gateway)
 {
 	size_t place;
 
@@ -109,7 +109,7 @@
 
 bool gateway_is_followed(const gateway_t *gateway)
 {
-	return are_many(gateway) && is_watcher(gateway);
+	return are_many(gateway) && gateway_is_watcher(gateway);
 }
 
 int64_t gateway_bound_us(const view_t *view)
@@ -144,7 +144,7 @@
 	return gateway_hears_news(gateway) &&
 	       news_is_fresh(clock_boot_us() - view->confirmed_boot_us,
 			     gateway_bound_us(view)) &&
-	       are_many(gateway) && !is_watcher(gateway);
+	       are_many(gateway) && !gateway_is_watcher(gateway);
 }
 
 /* Time for which a server without an entry is kept, from now. */
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -106,6 +106,9 @@
 		.sent_boot_us = clock_boot_us(),
 		.sound = gateway_is_sound(gateway),
 		.link_mbps = (int64_t)gateway->settings.link_mbps,
+		.wall_ms = clock_wall_us() / US_PER_MS,
+		.duty = duties_announced(gateway->duties),
+		.usage_closed = duties_usage_closed(gateway->duties),
 		.items = items,
 		.item_count = list_work(gateway, items,
 					sizeof(items) / sizeof(items[0]),
@@ -206,10 +209,26 @@
 	case PACKET_NEWS:
 		gateway_receive_news(gateway, &packet.as.news);
 		break;
+	case PACKET_USAGE:
+		duties_receive_usage(gateway->duties, &packet.as.usage);
+		break;
 	}
 	packet_clear(&packet);
 }
 
+void gateway_tell_duty_nodes(gateway_t *gateway, const packet_t *packet)
+{
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size = packet_encode(packet, data, sizeof(data)), i;
+	int64_t now_us = clock_monotonic_us();
+
+	for (i = 0; size && i < gateway->peer_count; i++)
+		if (work_share_duty(gateway->share, gateway->peers[i].hash,
+				    now_us) != WORK_DUTY_NONE)
+			datagram_send(gateway->datagram,
+				      gateway->peers[i].address, data, size);
+}
+
 static bool is_own(const gateway_t *gateway, const platform_vm_t *vm)
 {
 	return !strcmp(vm->id, gateway->settings.node_id);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -10,9 +10,11 @@
 #include "connection/datagram.h"
 #include "connection/listener.h"
 #include "platform/client.h"
+#include "duty/duties.h"
 #include "process/backends.h"
 #include "process/gateway.h"
 #include "process/news.h"
+#include "process/packet.h"
 #include "process/work_share.h"
 #include "request/retry.h"
 #include "version/routing.h"
@@ -75,6 +77,7 @@
 	routing_t *routing; /**< NULL: none known yet */
 	backends_t *backends;
 	work_share_t *share;
+	duties_t *duties; /**< NULL: the platform has none */
 	view_t views[KINDS_WATCHED];
 
 	service_budget_t budgets[SERVICES_MAX];
@@ -149,6 +152,8 @@
 bool gateway_is_cut_off(const gateway_t *gateway);
 /** Whether another node told news lately: the platform answers some nodes. */
 bool gateway_hears_news(const gateway_t *gateway);
+/** Whether this node is one of the first in its region, and sound. */
+bool gateway_is_watcher(const gateway_t *gateway);
 /** Whether this node is among those that try a platform that fails. */
 bool gateway_asks_for_others(const gateway_t *gateway);
 /** Within this time a change of the kind must be in force. */
@@ -175,6 +180,9 @@
 /** Announces to one node, so that it knows which of its news arrived. */
 void gateway_acknowledge(gateway_t *gateway, uint64_t node);
 
+/** Sends a datagram to the nodes that ask for duties, or have them. */
+void gateway_tell_duty_nodes(gateway_t *gateway, const packet_t *packet);
+
 /* gateway_probes.c */
 bool gateway_probes_start(gateway_t *gateway, err_t *err);
 void gateway_probes_stop(gateway_t *gateway);
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -43,6 +43,13 @@
 	int32_t retry_slack; /**< second sends beyond the ratio, in a window */
 	int64_t retry_window_ms;
 
+	/* Duties of one node at a time, such as orders for servers. */
+	char duty_url[URL_SIZE_BYTES]; /**< of the platform; empty: none */
+	char duties[URL_SIZE_BYTES]; /**< names, joined by commas */
+	int64_t duty_lease_ms; /**< in which no other node may act after one */
+	int64_t usage_window_ms; /**< of the reports of usage */
+	int64_t usage_delay_ms; /**< from its end until one is due */
+
 	double cold_factor; /**< tolerated over the rate of a cold server */
 
 	int64_t reservation_max_ms; /**< longest lease of engine memory */
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -9,6 +9,9 @@
 
 enum { ITEMS_MAX = 256, CHANGES_MAX = 64, KILO = 1000 };
 
+/* Times of day beyond the year 5138 are nonsense. */
+#define WALL_MS_MAX UINT64_C(100000000000000)
+
 static uint32_t to_unit(int64_t value, int64_t unit)
 {
 	int64_t units = (value + unit - 1) / unit;
@@ -56,6 +59,9 @@
 	announcement.sent_boot_us = message->sent_boot_us;
 	announcement.sound = message->sound;
 	announcement.link_mbps = to_unit(message->link_mbps, 1);
+	announcement.wall_ms = (uint64_t)message->wall_ms;
+	announcement.duty = (uint32_t)message->duty;
+	announcement.usage_closed = message->usage_closed;
 	announcement.n_known = WORK_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
 	announcement.items = pointers;
@@ -116,6 +122,32 @@
 	return pack(&packet, data, capacity);
 }
 
+static size_t encode_usage(const usage_report_t *report, uint8_t *data,
+			   size_t capacity)
+{
+	Work__Packet packet = WORK__PACKET__INIT;
+	Work__Usage packed = WORK__USAGE__INIT;
+	Work__Count counts[USAGE_COUNTS_MAX], *pointers[USAGE_COUNTS_MAX];
+	size_t i;
+
+	for (i = 0; i < report->count; i++) {
+		work__count__init(&counts[i]);
+		counts[i].account = (char *)report->counts[i].account;
+		counts[i].requests = report->counts[i].requests;
+		pointers[i] = &counts[i];
+	}
+	packed.node = report->node;
+	packed.incarnation = report->incarnation;
+	packed.window = report->window;
+	packed.final = report->final;
+	packed.accounts = report->accounts;
+	packed.n_counts = report->count;
+	packed.counts = pointers;
+	packet.body_case = WORK__PACKET__BODY_USAGE;
+	packet.usage = &packed;
+	return pack(&packet, data, capacity);
+}
+
 size_t packet_encode(const packet_t *packet, uint8_t *data, size_t capacity)
 {
 	switch (packet->type) {
@@ -123,6 +155,8 @@
 		return encode_work(&packet->as.work, data, capacity);
 	case PACKET_NEWS:
 		return encode_news(&packet->as.news, data, capacity);
+	case PACKET_USAGE:
+		return encode_usage(&packet->as.usage, data, capacity);
 	}
 	return 0;
 }
@@ -138,6 +172,13 @@
 	message->sent_boot_us = announcement->sent_boot_us;
 	message->sound = announcement->sound;
 	message->link_mbps = (int64_t)announcement->link_mbps;
+	message->wall_ms = announcement->wall_ms < WALL_MS_MAX
+				   ? (int64_t)announcement->wall_ms
+				   : 0;
+	message->duty = announcement->duty <= WORK_DUTY_HELD
+				? (work_duty_t)announcement->duty
+				: WORK_DUTY_NONE;
+	message->usage_closed = announcement->usage_closed;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	for (i = 0; i < announcement->n_known && i < WORK_VIEWS; i++)
@@ -198,6 +239,25 @@
 	news->view_count = i;
 }
 
+static void decode_usage(const Work__Usage *packed, usage_report_t *report)
+{
+	size_t i;
+
+	report->node = packed->node;
+	report->incarnation = packed->incarnation;
+	report->window = packed->window;
+	report->final = packed->final;
+	report->accounts = packed->accounts;
+	for (i = 0; i < packed->n_counts && i < USAGE_COUNTS_MAX; i++) {
+		usage_count_t *count = &report->counts[i];
+
+		mem_strlcpy(count->account, packed->counts[i]->account,
+			    sizeof(count->account));
+		count->requests = packed->counts[i]->requests;
+	}
+	report->count = i;
+}
+
 bool packet_decode(packet_t *packet, const uint8_t *data, size_t size)
 {
 	Work__Packet *packed = work__packet__unpack(NULL, size, data);
@@ -215,6 +275,10 @@
 		packet->type = PACKET_NEWS;
 		decode_news(packed->news, &packet->as.news);
 		break;
+	case WORK__PACKET__BODY_USAGE:
+		packet->type = PACKET_USAGE;
+		decode_usage(packed->usage, &packet->as.usage);
+		break;
 	default:
 		valid = false;
 	}
@@ -231,5 +295,7 @@
 	case PACKET_NEWS:
 		news_clear(&packet->as.news);
 		break;
+	case PACKET_USAGE:
+		break;
 	}
 }
--- a/src/process/packet.h
+++ b/src/process/packet.h
@@ -1,22 +1,25 @@
 /**
  * @file packet.h
- * Datagrams between nodes on the wire: announcements of work, and news.
+ * Datagrams between nodes on the wire: announcements of work, news, and
+ * usage.
  */
 #ifndef PROCESS_PACKET_H
 #define PROCESS_PACKET_H
 
+#include "duty/usage.h"
 #include "process/news.h"
 #include "process/work_share.h"
 
 enum { PACKET_SIZE_MAX_BYTES = 1400 /**< fits one Ethernet frame */ };
 
-typedef enum { PACKET_WORK, PACKET_NEWS } packet_type_t;
+typedef enum { PACKET_WORK, PACKET_NEWS, PACKET_USAGE } packet_type_t;
 
 typedef struct {
 	packet_type_t type;
 	union {
 		work_message_t work;
 		news_t news;
+		usage_report_t usage;
 	} as;
 } packet_t;
 
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -24,6 +24,9 @@
 	work_echo_t echo;
 	bool sound;
 	int64_t link_mbps;
+	int64_t wall_ms; /* when it sent its last announcement; 0: unknown */
+	work_duty_t duty;
+	int64_t usage_closed;
 	work_item_t *items;
 	size_t item_count;
 	struct node *next;
@@ -144,6 +147,9 @@
 	       sizeof(node->echo.known_revisions));
 	node->sound = message->sound;
 	node->link_mbps = message->link_mbps;
+	node->wall_ms = message->wall_ms;
+	node->duty = message->duty;
+	node->usage_closed = message->usage_closed;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
 	free(node->items);
@@ -326,3 +332,55 @@
 	}
 	return false;
 }
+
+work_duty_t work_share_duty(const work_share_t *share, uint64_t node,
+			    int64_t now_us)
+{
+	const node_t *other;
+
+	LL_FOREACH (share->nodes, other)
+		if (other->id == node && is_live(other, now_us))
+			return other->duty;
+	return WORK_DUTY_NONE;
+}
+
+int64_t work_share_usage_closed(const work_share_t *share, int64_t now_us)
+{
+	int64_t closed = 0;
+	const node_t *node;
+
+	LL_FOREACH (share->nodes, node)
+		if (is_live(node, now_us) && node->duty == WORK_DUTY_HELD &&
+		    node->usage_closed > closed)
+			closed = node->usage_closed;
+	return closed;
+}
+
+static int compare_times(const void *left, const void *right)
+{
+	int64_t a = *(const int64_t *)left, b = *(const int64_t *)right;
+
+	return (a > b) - (a < b);
+}
+
+int64_t work_share_wall_ms(const work_share_t *share, int64_t own_wall_ms,
+			   int64_t now_us, int64_t boot_us)
+{
+	int64_t *times =
+		mem_calloc(work_share_nodes(share) + 1, sizeof(*times));
+	int64_t median;
+	size_t count = 0;
+	const node_t *node;
+
+	times[count++] = own_wall_ms;
+	LL_FOREACH (share->nodes, node)
+		if (is_live(node, now_us) && node->wall_ms)
+			times[count++] =
+				node->wall_ms +
+				(boot_us - node->echo.received_boot_us) /
+					US_PER_MS;
+	qsort(times, count, sizeof(*times), compare_times);
+	median = times[count / 2];
+	free(times);
+	return median;
+}
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -35,6 +35,9 @@
 			 */
 } work_item_t;
 
+/** Whether a node does what one node does for all. */
+typedef enum { WORK_DUTY_NONE, WORK_DUTY_ASKED, WORK_DUTY_HELD } work_duty_t;
+
 /** One announcement. */
 typedef struct {
 	uint64_t node; /**< hash of the node's id */
@@ -45,6 +48,9 @@
 	bool sound; /**< the platform's store answers it */
 	int64_t link_mbps; /**< of its VM */
 	int64_t known_revisions[WORK_VIEWS]; /**< of its views; 0: none yet */
+	int64_t wall_ms; /**< its time of day when it sent this; 0: unknown */
+	work_duty_t duty;
+	int64_t usage_closed; /**< last window of usage that needs no reports */
 	work_item_t *items;
 	size_t item_count;
 } work_message_t;
@@ -111,6 +117,19 @@
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
 		      work_echo_t *echo);
 
+/** @return what a live node announced of the duties; NONE if it is silent. */
+work_duty_t work_share_duty(const work_share_t *share, uint64_t node,
+			    int64_t now_us);
+/** @return the last closed window of usage that a live node told; 0: none. */
+int64_t work_share_usage_closed(const work_share_t *share, int64_t now_us);
+/**
+ * The time of day by most clocks: clocks of single VMs may be off by seconds.
+ * @param own_wall_ms by the own clock
+ * @return ms since 1970
+ */
+int64_t work_share_wall_ms(const work_share_t *share, int64_t own_wall_ms,
+			   int64_t now_us, int64_t boot_us);
+
 uint32_t work_share_hash(const char *id);
 uint64_t work_share_node_hash(const char *id);
 
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &work__item__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   work__usage__init
+                     (Work__Usage         *message)
+{
+  static const Work__Usage init_value = WORK__USAGE__INIT;
+  *message = init_value;
+}
+size_t work__usage__get_packed_size
+                     (const Work__Usage *message)
+{
+  assert(message->base.descriptor == &work__usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__usage__pack
+                     (const Work__Usage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__usage__pack_to_buffer
+                     (const Work__Usage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Usage *
+       work__usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Usage *)
+     protobuf_c_message_unpack (&work__usage__descriptor,
+                                allocator, len, data);
+}
+void   work__usage__free_unpacked
+                     (Work__Usage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   work__count__init
+                     (Work__Count         *message)
+{
+  static const Work__Count init_value = WORK__COUNT__INIT;
+  *message = init_value;
+}
+size_t work__count__get_packed_size
+                     (const Work__Count *message)
+{
+  assert(message->base.descriptor == &work__count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__count__pack
+                     (const Work__Count *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__count__pack_to_buffer
+                     (const Work__Count *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Count *
+       work__count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Count *)
+     protobuf_c_message_unpack (&work__count__descriptor,
+                                allocator, len, data);
+}
+void   work__count__free_unpacked
+                     (Work__Count *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   work__news__init
                      (Work__News         *message)
 {
@@ -277,7 +367,7 @@
   assert(message->base.descriptor == &work__change__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor work__packet__field_descriptors[2] =
+static const ProtobufCFieldDescriptor work__packet__field_descriptors[3] =
 {
   {
     "announcement",
@@ -303,15 +393,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Packet, body_case),
+    offsetof(Work__Packet, usage),
+    &work__usage__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__packet__field_indices_by_name[] = {
   0,   /* field[0] = announcement */
   1,   /* field[1] = news */
+  2,   /* field[2] = usage */
 };
 static const ProtobufCIntRange work__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor work__packet__descriptor =
 {
@@ -321,14 +424,14 @@
   "Work__Packet",
   "work",
   sizeof(Work__Packet),
-  2,
+  3,
   work__packet__field_descriptors,
   work__packet__field_indices_by_name,
   1,  work__packet__number_ranges,
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[9] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[12] =
 {
   {
     "node",
@@ -438,9 +541,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wall_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duty",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, duty),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_closed",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, usage_closed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
+  10,   /* field[10] = duty */
   1,   /* field[1] = incarnation */
   3,   /* field[3] = items */
   7,   /* field[7] = known */
@@ -449,11 +589,13 @@
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
   6,   /* field[6] = sound */
+  11,   /* field[11] = usage_closed */
+  9,   /* field[9] = wall_ms */
 };
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -463,7 +605,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  9,
+  12,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
@@ -599,6 +741,160 @@
   (ProtobufCMessageInit) work__item__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor work__usage__field_descriptors[6] =
+{
+  {
+    "node",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Usage, node),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Usage, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "window",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Usage, window),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "final",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Work__Usage, final),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accounts",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Usage, accounts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Usage, n_counts),
+    offsetof(Work__Usage, counts),
+    &work__count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__usage__field_indices_by_name[] = {
+  4,   /* field[4] = accounts */
+  5,   /* field[5] = counts */
+  3,   /* field[3] = final */
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = node */
+  2,   /* field[2] = window */
+};
+static const ProtobufCIntRange work__usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor work__usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Usage",
+  "Usage",
+  "Work__Usage",
+  "work",
+  sizeof(Work__Usage),
+  6,
+  work__usage__field_descriptors,
+  work__usage__field_indices_by_name,
+  1,  work__usage__number_ranges,
+  (ProtobufCMessageInit) work__usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor work__count__field_descriptors[2] =
+{
+  {
+    "account",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Work__Count, account),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Count, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__count__field_indices_by_name[] = {
+  0,   /* field[0] = account */
+  1,   /* field[1] = requests */
+};
+static const ProtobufCIntRange work__count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor work__count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Count",
+  "Count",
+  "Work__Count",
+  "work",
+  sizeof(Work__Count),
+  2,
+  work__count__field_descriptors,
+  work__count__field_indices_by_name,
+  1,  work__count__number_ranges,
+  (ProtobufCMessageInit) work__count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor work__news__field_descriptors[4] =
 {
   {
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct Work__Packet Work__Packet;
 typedef struct Work__Announcement Work__Announcement;
 typedef struct Work__Item Work__Item;
+typedef struct Work__Usage Work__Usage;
+typedef struct Work__Count Work__Count;
 typedef struct Work__News Work__News;
 typedef struct Work__View Work__View;
 typedef struct Work__Change Work__Change;
@@ -31,7 +33,8 @@
 typedef enum {
   WORK__PACKET__BODY__NOT_SET = 0,
   WORK__PACKET__BODY_ANNOUNCEMENT = 1,
-  WORK__PACKET__BODY_NEWS = 2
+  WORK__PACKET__BODY_NEWS = 2,
+  WORK__PACKET__BODY_USAGE = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WORK__PACKET__BODY__CASE)
 } Work__Packet__BodyCase;
 
@@ -42,6 +45,7 @@
   union {
     Work__Announcement *announcement;
     Work__News *news;
+    Work__Usage *usage;
   };
 };
 #define WORK__PACKET__INIT \
@@ -84,10 +88,22 @@
    * of the node's VM
    */
   uint32_t link_mbps;
+  /*
+   * the node's time of day; 0: not stated
+   */
+  uint64_t wall_ms;
+  /*
+   * 0: does not ask for the duties of one node, 1: asks for them, 2: has them
+   */
+  uint32_t duty;
+  /*
+   * last window whose usage needs no more reports
+   */
+  int64_t usage_closed;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Work__Item
@@ -122,6 +138,44 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Requests that began to run at one node in one window of time, by account;
+ * to the nodes that ask for the duties of one node. Replaces what came before
+ * for the same accounts.
+ */
+struct  Work__Usage
+{
+  ProtobufCMessage base;
+  uint64_t node;
+  uint64_t incarnation;
+  int64_t window;
+  /*
+   * no more of them will begin
+   */
+  protobuf_c_boolean final;
+  /*
+   * of the whole window, in all datagrams
+   */
+  uint32_t accounts;
+  size_t n_counts;
+  Work__Count **counts;
+};
+#define WORK__USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__usage__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Work__Count
+{
+  ProtobufCMessage base;
+  char *account;
+  uint32_t requests;
+};
+#define WORK__COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__count__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * What a node that watches the platform knows, to one node of its region.
  */
@@ -257,6 +311,44 @@
 void   work__item__free_unpacked
                      (Work__Item *message,
                       ProtobufCAllocator *allocator);
+/* Work__Usage methods */
+void   work__usage__init
+                     (Work__Usage         *message);
+size_t work__usage__get_packed_size
+                     (const Work__Usage   *message);
+size_t work__usage__pack
+                     (const Work__Usage   *message,
+                      uint8_t             *out);
+size_t work__usage__pack_to_buffer
+                     (const Work__Usage   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Usage *
+       work__usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__usage__free_unpacked
+                     (Work__Usage *message,
+                      ProtobufCAllocator *allocator);
+/* Work__Count methods */
+void   work__count__init
+                     (Work__Count         *message);
+size_t work__count__get_packed_size
+                     (const Work__Count   *message);
+size_t work__count__pack
+                     (const Work__Count   *message,
+                      uint8_t             *out);
+size_t work__count__pack_to_buffer
+                     (const Work__Count   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Count *
+       work__count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__count__free_unpacked
+                     (Work__Count *message,
+                      ProtobufCAllocator *allocator);
 /* Work__News methods */
 void   work__news__init
                      (Work__News         *message);
@@ -325,6 +417,12 @@
 typedef void (*Work__Item_Closure)
                  (const Work__Item *message,
                   void *closure_data);
+typedef void (*Work__Usage_Closure)
+                 (const Work__Usage *message,
+                  void *closure_data);
+typedef void (*Work__Count_Closure)
+                 (const Work__Count *message,
+                  void *closure_data);
 typedef void (*Work__News_Closure)
                  (const Work__News *message,
                   void *closure_data);
@@ -343,6 +441,8 @@
 extern const ProtobufCMessageDescriptor work__packet__descriptor;
 extern const ProtobufCMessageDescriptor work__announcement__descriptor;
 extern const ProtobufCMessageDescriptor work__item__descriptor;
+extern const ProtobufCMessageDescriptor work__usage__descriptor;
+extern const ProtobufCMessageDescriptor work__count__descriptor;
 extern const ProtobufCMessageDescriptor work__news__descriptor;
 extern const ProtobufCMessageDescriptor work__view__descriptor;
 extern const ProtobufCMessageDescriptor work__change__descriptor;
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -129,6 +129,14 @@
 	backend_turn_away(server, now_us + reply->retry_after_ms * US_PER_MS);
 }
 
+/* An attempt counts once as usage of its account. */
+static void count_usage(const forward_t *forward, int64_t began_us)
+{
+	if (forward->account)
+		duties_count(forward->gateway->duties, forward->account->name,
+			     began_us);
+}
+
 /*
  * The body of a refusal, or of a strange answer, decides nothing and may have
  * no end, so its head ends the attempt.
@@ -150,6 +158,8 @@
 		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
 	else if (is_strange(reply))
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+	else if (forward->route->kind != CALL_STREAM)
+		count_usage(forward, attempt->sent_us);
 }
 
 /* Pauses between events tell how fast the server is. */
@@ -191,6 +201,7 @@
 		if (!attempt->first_event) {
 			attempt->first_event = true;
 			attempt_work_first_event(&attempt->work);
+			count_usage(forward, attempt->event_us);
 			gateway_work_changed(forward->gateway, false);
 			if (attempt->patience_us)
 				attempt->patience_us =
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -73,6 +73,9 @@
 	double cold_requests_per_s; /**< that a cold server bears; 0: any */
 	int64_t cold_ms; /**< after a start */
 	engine_profile_t engine;
+	/* Servers that may be ordered in each data centre; 0: none. */
+	int32_t servers_min, servers_max;
+	int64_t startup_ms; /**< until an ordered server serves */
 } service_conf_t;
 
 typedef struct {
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -18,8 +18,10 @@
 	json_decref(world.spec);
 	memset(&world, 0, sizeof(world));
 	world.now_us = US_PER_S;
-	world.nodes[0] = lease_create("dc1", "a", 1);
-	world.nodes[1] = lease_create("dc1", "b", 2);
+	world.nodes[0] =
+		lease_create("dc1", "a", 1, &lease_standard, world.now_us);
+	world.nodes[1] =
+		lease_create("dc1", "b", 2, &lease_standard, world.now_us);
 }
 
 static void stop(void)
@@ -40,6 +42,9 @@
 	if (action->type == LEASE_ACTION_PUT &&
 	    action->version != world.version)
 		return PLATFORM_CONFLICT;
+	/* A write that changes nothing leaves the version as it is. */
+	if (json_equal(world.spec, action->spec))
+		return PLATFORM_OK;
 	json_decref(world.spec);
 	world.spec = json_incref(action->spec);
 	world.version = ++world.last_version;
@@ -228,6 +233,83 @@
 	stop();
 }
 
+static const lease_times_t short_times = { .duration_us = 3 * US_PER_S,
+					   .renew_us = 750 * US_PER_MS,
+					   .stop_us = 750 * US_PER_MS,
+					   .watch_us = 1500 * US_PER_MS,
+					   .abstain_us = 3600 * US_PER_MS };
+
+static void start_short(void)
+{
+	start();
+	lease_destroy(world.nodes[0]);
+	lease_destroy(world.nodes[1]);
+	world.nodes[0] = lease_create("d", "a", 1, &short_times, world.now_us);
+	world.nodes[1] = lease_create("d", "b", 2, &short_times, world.now_us);
+}
+
+/* Guards against a successor that does not know what the holder did, and a
+ * holder that acts on a state that nobody would find. */
+static void hands_its_state_over(void **state)
+{
+	static const struct {
+		const char *fault;
+		answer_mode_t mode; /* of the write of the state */
+		bool written; /* the holder knows that it is */
+		bool found; /* the successor has it */
+	} cases[] = {
+		{ "a state that is lost", HEALTHY, true, true },
+		{ "a state that counts as written though nobody has it", DOWN,
+		  false, false },
+		{ "a lost answer that counts as written", LOST_AFTER, false,
+		  true },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		bool found;
+
+		start_short();
+		pass(5 * US_PER_S, HEALTHY, DOWN);
+		assert_true(held(0));
+		lease_set_state(world.nodes[0], json_pack("{s:i}", "n", 7));
+		assert_false(lease_state_written(world.nodes[0]));
+		while (!serve(0, cases[i].mode))
+			world.now_us += 50 * US_PER_MS;
+		if (lease_state_written(world.nodes[0]) != cases[i].written)
+			fail_msg("%s", cases[i].fault);
+		pass(12 * US_PER_S, DOWN, HEALTHY);
+		assert_true(held(1));
+		found = json_object_get(lease_state(world.nodes[1]), "n");
+		if (found != cases[i].found)
+			fail_msg("%s: found %d", cases[i].fault, found);
+		stop();
+	}
+}
+
+/* Guards against a node that acts again shortly after another one did. */
+static void stays_away_after_it_lost(void **state)
+{
+	int64_t lost_us;
+
+	start_short();
+	pass(3 * US_PER_S, HEALTHY, HEALTHY);
+	assert_false(held(0) || held(1)); /* both may have acted before */
+	pass(3 * US_PER_S, HEALTHY, DOWN);
+	assert_true(held(0));
+	lease_want(world.nodes[0], false);
+	pass(100 * US_PER_MS, HEALTHY, DOWN);
+	lost_us = world.now_us;
+	pass(2 * US_PER_S, DOWN, HEALTHY);
+	assert_true(held(1));
+	lease_want(world.nodes[1], false);
+	lease_want(world.nodes[0], true);
+	while (!held(0))
+		pass(50 * US_PER_MS, HEALTHY, HEALTHY);
+	assert_true(world.now_us - lost_us >= 3 * US_PER_S);
+	stop();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -238,6 +320,8 @@
 		cmocka_unit_test(counts_from_the_send),
 		cmocka_unit_test(counts_from_the_first_write),
 		cmocka_unit_test(gives_it_up),
+		cmocka_unit_test(hands_its_state_over),
+		cmocka_unit_test(stays_away_after_it_lost),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -26,6 +26,9 @@
 				       .sound = true,
 				       .link_mbps = 200,
 				       .known_revisions = { 0, 41, 42 },
+				       .wall_ms = 1782633895829,
+				       .duty = WORK_DUTY_ASKED,
+				       .usage_closed = 356526781,
 				       .items = &item,
 				       .item_count = 1 } };
 	uint8_t data[PACKET_SIZE_MAX_BYTES];
@@ -43,6 +46,9 @@
 	assert_int_equal(got.as.work.known_revisions[0], 0);
 	assert_int_equal(got.as.work.known_revisions[2], 42);
 	assert_string_equal(got.as.work.data_centre, "north");
+	assert_int_equal(got.as.work.wall_ms, 1782633895829);
+	assert_int_equal(got.as.work.duty, WORK_DUTY_ASKED);
+	assert_int_equal(got.as.work.usage_closed, 356526781);
 	assert_int_equal(got.as.work.item_count, 1);
 	assert_int_equal(got.as.work.items[0].server_hash, 7);
 	assert_int_equal(got.as.work.items[0].readers, 3);
--- /dev/null
+++ b/tests/test_usage.c
@@ -0,0 +1,313 @@
+/** Counts of usage, and what the node with the duty makes of them. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "cases.h"
+#include "duty/usage_duty.h"
+#include "process/packet.h"
+
+#define SECOND US_PER_S
+
+static const usage_duty_conf_t conf = { .window_us = 5 * SECOND,
+					.delay_us = 10 * SECOND };
+
+/* Sends what a node counted, by datagrams, to another one. */
+static void tell(const usage_t *from, usage_t *to, int64_t window)
+{
+	packet_t packet = { .type = PACKET_USAGE }, got;
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t next = 0, size;
+
+	do {
+		next = usage_fill(from, window, next, &packet.as.usage);
+		size = packet_encode(&packet, data, sizeof(data));
+		assert_true(size > 0);
+		assert_true(packet_decode(&got, data, size));
+		usage_receive(to, &got.as.usage);
+	} while (next);
+}
+
+static uint32_t requests_of(const usage_t *usage, int64_t window,
+			    const char *account)
+{
+	usage_count_t *counts;
+	size_t i, count = usage_sum(usage, window, &counts);
+	uint32_t requests = 0;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(counts[i].account, account))
+			requests = counts[i].requests;
+	free(counts);
+	return requests;
+}
+
+/* Guards against counts that are lost, doubled or mixed on their way. */
+static void sums_up_all_nodes(void **state)
+{
+	usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+	usage_t *again = usage_create(2, 9);
+
+	usage_begin(own, 7, "acme");
+	usage_begin(other, 7, "acme");
+	tell(other, own, 7);
+	usage_begin(other, 7, "acme");
+	usage_begin(other, 8, "acme");
+	usage_begin(other, 7, "zeta");
+	tell(other, own, 7);
+	tell(other, own, 7);
+	assert_int_equal(requests_of(own, 7, "acme"), 3);
+	assert_int_equal(requests_of(own, 7, "zeta"), 1);
+	assert_int_equal(requests_of(own, 8, "acme"), 0);
+	/* The node starts again and counts from nothing. */
+	usage_begin(again, 7, "acme");
+	tell(again, own, 7);
+	assert_int_equal(requests_of(own, 7, "acme"), 4);
+	/* Its own counts, told back, are no news. */
+	tell(own, own, 7);
+	assert_int_equal(requests_of(own, 7, "acme"), 4);
+	usage_forget(own, 8);
+	assert_int_equal(requests_of(own, 7, "acme"), 0);
+	usage_destroy(own);
+	usage_destroy(other);
+	usage_destroy(again);
+}
+
+/* Guards against accounts that do not fit into one datagram. */
+static void tells_many_accounts(void **state)
+{
+	enum { ACCOUNTS = 500 };
+	usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+	char name[48];
+	int i;
+
+	for (i = 0; i < ACCOUNTS; i++) {
+		snprintf(name, sizeof(name), "account-with-a-long-name-%d", i);
+		usage_begin(other, 7, name);
+	}
+	usage_finish(other, 7);
+	tell(other, own, 7);
+	usage_finish(own, 7);
+	assert_int_equal(requests_of(own, 7, name), 1);
+	assert_true(usage_complete(own, 7));
+	usage_destroy(own);
+	usage_destroy(other);
+}
+
+/* Guards against a window that is closed too soon, or waits for nobody. */
+static void knows_when_a_window_is_complete(void **state)
+{
+	usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+	usage_t *again = usage_create(2, 2);
+
+	usage_finish(own, 7);
+	assert_true(usage_complete(own, 7));
+	usage_begin(other, 6, "acme");
+	tell(other, own, 6);
+	assert_false(usage_complete(own, 7));
+	usage_finish(other, 7);
+	tell(other, own, 7);
+	assert_true(usage_complete(own, 7));
+	/* The process ends in window 8, and another one takes its place. */
+	usage_finish(own, 8);
+	assert_false(usage_complete(own, 8));
+	usage_finish(again, 8);
+	tell(again, own, 8);
+	assert_true(usage_complete(own, 8));
+	/* A node that is gone for long is not waited for. */
+	usage_finish(own, 11);
+	assert_true(usage_complete(own, 11));
+	usage_destroy(own);
+	usage_destroy(other);
+	usage_destroy(again);
+}
+
+typedef enum {
+	NOTHING,
+	ANSWERED,
+	UNANSWERED, /**< the report is sent; it may have been taken */
+	REFUSED,
+	HOLDER_DIES, /**< a successor has the state that was written last */
+	HOLDER_DIES_UNWRITTEN /**< before the state was written */
+} step_t;
+
+typedef struct {
+	int64_t windows[16];
+	json_t *counts[16]; /* that the platform took for each window */
+	size_t count;
+	bool differs; /* two reports of one window had different counts */
+} platform_sim_t;
+
+static void take(platform_sim_t *platform, int64_t window, const json_t *counts)
+{
+	size_t i;
+
+	for (i = 0; i < platform->count; i++) {
+		if (platform->windows[i] != window)
+			continue;
+		platform->differs |= !json_equal(platform->counts[i], counts);
+		return;
+	}
+	platform->windows[platform->count] = window;
+	platform->counts[platform->count++] = json_deep_copy(counts);
+}
+
+/*
+ * One window after another is closed; each step says what becomes of its
+ * report. The counts of a successor differ from those of the holder before.
+ */
+static void reports_each_window_once(void **state)
+{
+	static const struct {
+		const char *fault;
+		step_t steps[3];
+		size_t reported; /* windows that the platform has at the end */
+	} cases[] = {
+		{ "a report left out", { ANSWERED, ANSWERED, ANSWERED }, 3 },
+		{ "a report lost with its answer",
+		  { UNANSWERED, ANSWERED, ANSWERED },
+		  3 },
+		{ "a report repeated that was refused",
+		  { REFUSED, ANSWERED, ANSWERED },
+		  2 },
+		{ "two reports of a window that was sent",
+		  { UNANSWERED, HOLDER_DIES, ANSWERED },
+		  3 },
+		{ "a window lost that was written, not sent",
+		  { ANSWERED, HOLDER_DIES, ANSWERED },
+		  3 },
+		{ "a report before it is written",
+		  { ANSWERED, HOLDER_DIES_UNWRITTEN, ANSWERED },
+		  3 },
+		{ "a successor of a successor",
+		  { HOLDER_DIES, HOLDER_DIES, UNANSWERED },
+		  3 },
+	};
+	size_t i, step;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		platform_sim_t platform = { .count = 0 };
+		usage_duty_t *duty = usage_duty_create(&conf);
+		usage_t *usage = usage_create(1, 1);
+		json_t *written = NULL;
+
+		for (step = 0; step <= COUNT_OF(cases[i].steps); step++) {
+			bool last = step == COUNT_OF(cases[i].steps);
+			step_t what = last ? ANSWERED : cases[i].steps[step];
+			int64_t window = (int64_t)step + 100, sent;
+			int64_t now_us =
+				(window + 1) * conf.window_us + 2 * SECOND;
+			const json_t *counts;
+
+			if (!last) {
+				usage_begin(usage, window, "acme");
+				usage_finish(usage, window);
+				assert_true(
+					usage_duty_close(duty, usage, now_us));
+			}
+			if (what == HOLDER_DIES_UNWRITTEN ||
+			    what == HOLDER_DIES) {
+				if (what == HOLDER_DIES) {
+					json_decref(written);
+					written = usage_duty_state(duty);
+				}
+				/* The successor missed, or has, more. */
+				usage_begin(usage, window, "acme");
+				usage_duty_take_over(duty, written);
+				usage_duty_close(duty, usage, now_us);
+			}
+			json_decref(written);
+			written = usage_duty_state(duty);
+			while ((sent = usage_duty_next(duty, now_us,
+						       &counts))) {
+				if (what != REFUSED)
+					take(&platform, sent, counts);
+				usage_duty_answered(
+					duty, sent,
+					what == REFUSED	     ? DUTY_REFUSED
+					: what == UNANSWERED ? DUTY_LATER
+							     : DUTY_ACCEPTED,
+					now_us);
+			}
+		}
+		if (platform.differs || platform.count != cases[i].reported)
+			fail_msg("%s: %zu windows%s", cases[i].fault,
+				 platform.count,
+				 platform.differs ? ", different reports" : "");
+		while (platform.count)
+			json_decref(platform.counts[--platform.count]);
+		json_decref(written);
+		usage_duty_destroy(duty);
+		usage_destroy(usage);
+	}
+}
+
+/* When a window is closed, by the time since its end. */
+static void closes_windows_in_time(void **state)
+{
+	static const struct {
+		const char *fault;
+		bool complete; /* another node told all of it */
+		double after_s;
+		bool closed;
+	} cases[] = {
+		{ "closed before the last counts can be there", true, 1.4,
+		  false },
+		{ "a complete window that waits", true, 1.6, true },
+		{ "a node that is cut off is not waited for", false, 5.9,
+		  false },
+		{ "reported too late for a second try", false, 6.1, true },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		usage_duty_t *duty = usage_duty_create(&conf);
+		usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+		int64_t end_us = 101 * conf.window_us;
+
+		usage_begin(own, 100, "acme");
+		usage_finish(own, 100);
+		usage_begin(other, 100, "acme");
+		if (cases[i].complete)
+			usage_finish(other, 100);
+		tell(other, own, 100);
+		if (usage_duty_close(
+			    duty, own,
+			    end_us + (int64_t)(cases[i].after_s * SECOND)) !=
+		    cases[i].closed)
+			fail_msg("%s", cases[i].fault);
+		usage_duty_destroy(duty);
+		usage_destroy(own);
+		usage_destroy(other);
+	}
+}
+
+/* Guards against a node that reports for years back by a wrong datagram. */
+static void ignores_windows_long_ago(void **state)
+{
+	usage_duty_t *duty = usage_duty_create(&conf);
+	usage_t *usage = usage_create(1, 1);
+	const json_t *counts;
+
+	usage_begin(usage, 5, "acme");
+	usage_finish(usage, 5);
+	usage_duty_close(duty, usage, 1000000 * conf.window_us);
+	assert_true(usage_duty_closed(duty) == 0 ||
+		    usage_duty_closed(duty) >= 1000000 - 8);
+	assert_int_not_equal(usage_duty_next(duty, 0, &counts), 5);
+	usage_duty_destroy(duty);
+	usage_destroy(usage);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(sums_up_all_nodes),
+		cmocka_unit_test(tells_many_accounts),
+		cmocka_unit_test(knows_when_a_window_is_complete),
+		cmocka_unit_test(reports_each_window_once),
+		cmocka_unit_test(closes_windows_in_time),
+		cmocka_unit_test(ignores_windows_long_ago),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
