Avoid servers that failed several nodes; a server under another start is gone

Cause: after a data centre came back cold, its servers had new ids. Change: an answer of another start pauses the server for the longest pause. Nodes announce, for a second, which servers just failed them; a server that two others name is the last choice. One node may be cut off by itself.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -11,6 +11,8 @@
 #define PACE_TOLERANCE 2.0
 /* Cost of another data centre: its delay, and bytes between data centres. */
 #define FAR_COST_US (3 * US_PER_MS)
+/* Nodes that must have failed with a server before the others avoid it. */
+enum { SHUNNING_NODES_MIN = 2 };
 /* Part of the time in which a server that leaves may be sent to; the rest is
  * for requests that are on their way. */
 #define LINGER_SHARE 0.5
@@ -67,6 +69,7 @@
 	server->leaving_us = 0;
 	server->away_until_us = 0;
 	server->failures = 0;
+	server->failed_us = 0;
 	server->paused_until_us = 0;
 	server->pace = 1;
 	server->cold_tokens = 0;
@@ -312,6 +315,16 @@
 	return load;
 }
 
+/* One node may be cut off by itself; several that fail with a server show what
+ * this one would find. */
+static bool is_shunned_by_others(const backend_t *server,
+				 const backends_query_t *query)
+{
+	return query->share &&
+	       work_share_shunning(query->share, server->hash, query->now_us) >=
+		       SHUNNING_NODES_MIN;
+}
+
 static candidate_t candidate_of(backend_t *server,
 				const backends_query_t *query)
 {
@@ -331,6 +344,7 @@
 		.distance_us = near ? 0 : FAR_COST_US,
 		.doubtful = server->leaving_us ||
 			    query->now_us < server->paused_until_us ||
+			    is_shunned_by_others(server, query) ||
 			    backend_is_cut_off(server, query->now_us),
 	};
 
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -43,7 +43,8 @@
 	EVIDENCE_UNREACHABLE, /**< no connection from this node */
 	EVIDENCE_BROKEN, /**< reset, cut off or malformed answer */
 	EVIDENCE_SILENT, /**< no answer in the time that was expected */
-	EVIDENCE_FULL /**< refused for lack of room */
+	EVIDENCE_FULL, /**< refused for lack of room */
+	EVIDENCE_GONE /**< another start of a server has its address */
 } evidence_t;
 
 typedef struct {
@@ -114,6 +115,8 @@
 			   const engine_profile_t *engine, int64_t now_us);
 
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
+/** Whether it failed this node just now, which other nodes should know. */
+bool backend_is_shunned(const backend_t *backend, int64_t now_us);
 
 /** An answer of the server said that it leaves; holds for this start of it. */
 void backend_note_leaving(backend_t *backend, int64_t now_us);
--- a/src/process/backends_health.c
+++ b/src/process/backends_health.c
@@ -3,6 +3,8 @@
 /* First pause after failures in a row, and the longest one. */
 #define PAUSE_FIRST_US (300 * US_PER_MS)
 #define PAUSE_MAX_US (4 * US_PER_S)
+/* For so long after a failure the other nodes are told of it. */
+#define SHUNNED_US US_PER_S
 /* A server that was full is passed over for about the time of one pass. */
 #define FULL_PAUSE_US (100 * US_PER_MS)
 /* Weight of the newest pause between events in the moving average: a slow
@@ -35,6 +37,19 @@
 		now_us + (pause_us < PAUSE_MAX_US ? pause_us : PAUSE_MAX_US);
 }
 
+static void fail(backend_t *backend, int64_t now_us)
+{
+	backend->failures++;
+	backend->failed_us = now_us;
+	pause(backend, now_us);
+}
+
+bool backend_is_shunned(const backend_t *backend, int64_t now_us)
+{
+	return backend->failed_us && now_us < backend->paused_until_us &&
+	       now_us - backend->failed_us < SHUNNED_US;
+}
+
 static void note_unreachable(centre_t *centre, int64_t now_us)
 {
 	if (now_us - centre->unreachable_us > UNREACHABLE_WINDOW_US)
@@ -57,17 +72,20 @@
 	case EVIDENCE_GOOD:
 		backend->failures = 0;
 		backend->paused_until_us = 0;
+		backend->failed_us = 0;
 		backend_note_heard(backend);
 		return;
 	case EVIDENCE_UNREACHABLE:
 		note_unreachable(backend->centre, now_us);
-		backend->failures++;
-		pause(backend, now_us);
+		fail(backend, now_us);
 		return;
 	case EVIDENCE_BROKEN:
 	case EVIDENCE_SILENT:
-		backend->failures++;
-		pause(backend, now_us);
+		fail(backend, now_us);
+		return;
+	case EVIDENCE_GONE:
+		fail(backend, now_us);
+		backend->paused_until_us = now_us + PAUSE_MAX_US;
 		return;
 	case EVIDENCE_FULL:
 		if (backend->paused_until_us < now_us + FULL_PAUSE_US)
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -37,6 +37,7 @@
 	int64_t away_until_us; /* it turned this node away */
 	int32_t failures; /* in a row */
 	int64_t paused_until_us;
+	int64_t failed_us; /* last failure; 0: none since it was good */
 	double pace; /* measured pauses against the model */
 	UT_hash_handle hh;
 };
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -91,6 +91,19 @@
 	return count;
 }
 
+/* Servers that failed this node just now. */
+static void list_shunned(gateway_t *gateway, int64_t now_us,
+			 work_message_t *message)
+{
+	backend_t *server = NULL;
+
+	while (message->shunned_count < WORK_SHUNNED_MAX &&
+	       (server = backends_next(gateway->backends, server)))
+		if (backend_is_shunned(server, now_us))
+			message->shunned[message->shunned_count++] =
+				backend_hash(server);
+}
+
 static size_t encode_announcement(gateway_t *gateway, int64_t now_us,
 				  uint8_t *data, size_t capacity)
 {
@@ -114,6 +127,7 @@
 					sizeof(items) / sizeof(items[0]),
 					now_us),
 	};
+	list_shunned(gateway, now_us, message);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -62,6 +62,8 @@
 	announcement.wall_ms = (uint64_t)message->wall_ms;
 	announcement.duty = (uint32_t)message->duty;
 	announcement.usage_closed = message->usage_closed;
+	announcement.n_shunned = message->shunned_count;
+	announcement.shunned = (uint32_t *)message->shunned;
 	announcement.n_known = WORK_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
 	announcement.items = pointers;
@@ -179,6 +181,9 @@
 				? (work_duty_t)announcement->duty
 				: WORK_DUTY_NONE;
 	message->usage_closed = announcement->usage_closed;
+	for (i = 0; i < announcement->n_shunned && i < WORK_SHUNNED_MAX; i++)
+		message->shunned[i] = announcement->shunned[i];
+	message->shunned_count = i;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	for (i = 0; i < announcement->n_known && i < WORK_VIEWS; i++)
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -25,6 +25,8 @@
 	bool sound;
 	int64_t link_mbps;
 	int64_t wall_ms; /* when it sent its last announcement; 0: unknown */
+	uint32_t shunned[WORK_SHUNNED_MAX];
+	size_t shunned_count;
 	work_duty_t duty;
 	int64_t usage_closed;
 	work_item_t *items;
@@ -149,6 +151,8 @@
 	node->link_mbps = message->link_mbps;
 	node->wall_ms = message->wall_ms;
 	node->duty = message->duty;
+	node->shunned_count = message->shunned_count;
+	memcpy(node->shunned, message->shunned, sizeof(node->shunned));
 	node->usage_closed = message->usage_closed;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
@@ -333,6 +337,23 @@
 	return false;
 }
 
+size_t work_share_shunning(const work_share_t *share, uint32_t server_hash,
+			   int64_t now_us)
+{
+	size_t i, count = 0;
+	const node_t *node;
+
+	LL_FOREACH (share->nodes, node) {
+		if (!node->shunned_count || !is_live(node, now_us))
+			continue;
+		for (i = 0; i < node->shunned_count; i++)
+			if (node->shunned[i] == server_hash)
+				break;
+		count += i < node->shunned_count;
+	}
+	return count;
+}
+
 work_duty_t work_share_duty(const work_share_t *share, uint64_t node,
 			    int64_t now_us)
 {
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -21,6 +21,8 @@
 
 /** Views of the platform that a node keeps up to date. */
 enum { WORK_VIEWS = 3 };
+/** Servers that one announcement names as failing. */
+enum { WORK_SHUNNED_MAX = 32 };
 
 /** Work of one node on one server. */
 typedef struct {
@@ -51,6 +53,9 @@
 	int64_t wall_ms; /**< its time of day when it sent this; 0: unknown */
 	work_duty_t duty;
 	int64_t usage_closed; /**< last window of usage that needs no reports */
+	uint32_t shunned[WORK_SHUNNED_MAX]; /**< servers that failed it just now
+					     */
+	size_t shunned_count;
 	work_item_t *items;
 	size_t item_count;
 } work_message_t;
@@ -117,6 +122,9 @@
 bool work_share_heard(const work_share_t *share, uint64_t node, int64_t now_us,
 		      work_echo_t *echo);
 
+/** @return nodes that announced lately that a server failed them. */
+size_t work_share_shunning(const work_share_t *share, uint32_t server_hash,
+			   int64_t now_us);
 /** @return what a live node announced of the duties; NONE if it is silent. */
 work_duty_t work_share_duty(const work_share_t *share, uint64_t node,
 			    int64_t now_us);
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -431,7 +431,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[12] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[13] =
 {
   {
     "node",
@@ -577,6 +577,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "shunned",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Work__Announcement, n_shunned),
+    offsetof(Work__Announcement, shunned),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
@@ -588,6 +600,7 @@
   0,   /* field[0] = node */
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
+  12,   /* field[12] = shunned */
   6,   /* field[6] = sound */
   11,   /* field[11] = usage_closed */
   9,   /* field[9] = wall_ms */
@@ -595,7 +608,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -605,7 +618,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  12,
+  13,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -96,6 +96,11 @@
    * 0: does not ask for the duties of one node, 1: asks for them, 2: has them
    */
   uint32_t duty;
+  /*
+   * servers that failed the node just now
+   */
+  size_t n_shunned;
+  uint32_t *shunned;
   /*
    * last window whose usage needs no more reports
    */
@@ -103,7 +108,7 @@
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Work__Item
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -74,6 +74,9 @@
 {
 	backend_note(forward->attempt->work.parts[0].server, evidence,
 		     clock_monotonic_us());
+	/* Others should not have to find out, too. */
+	if (evidence != EVIDENCE_GOOD && evidence != EVIDENCE_FULL)
+		gateway_work_changed(forward->gateway, true);
 }
 
 static void fail(forward_t *forward, failure_t failure, evidence_t evidence)
@@ -155,7 +158,9 @@
 	if (status == HTTP_MISDIRECTED)
 		reply->not_run = true;
 	if (reply->not_run && !reply->foreign)
-		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
+		fail(forward, FAILURE_NOT_RUN,
+		     status == HTTP_MISDIRECTED ? EVIDENCE_GONE
+						: EVIDENCE_FULL);
 	else if (is_strange(reply))
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
 	else if (forward->route->kind != CALL_STREAM)
