Servers are ordered when the load stays above them

Cause: orders for servers are a duty that nobody did. Also: counts are kept as long as a window can be reported, whatever its length; nodes ask for the duties when no other does, as beside builds that know none; the lease of the duties has a file of its own.

--- a/src/duty/duties.c
+++ b/src/duty/duties.c
@@ -7,32 +7,21 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/mem.h"
+#include "duty/duty_lease.h"
+#include "duty/order_duty.h"
 #include "duty/usage_duty.h"
 #include "platform/duties.h"
 #include "process/gateway_state.h"
-#include "process/lease.h"
-
-/* Name of the lease in the store. */
-#define LEASE_NAME "duties"
-
-/* Parts of the duration of the lease. What is left of it when a call starts is
- * more than the call may take. */
-#define RENEW_SHARE 0.25
-#define STOP_SHARE 0.25
-#define CALL_SHARE 0.2
-#define WATCH_SHARE 0.5
-/* Beyond the duration, for what is still on its way. */
-#define ABSTAIN_SHARE 1.2
 
 /* The clock, the lease and the duties are looked after this often. */
 #define TICK_S 0.1
+/* The load of the servers is looked at this often. */
+#define LOOK_US (500 * US_PER_MS)
 /* Nodes tell their counts this often. */
 #define TELL_US US_PER_S
 /* Requests are counted when their first answer comes; after this time in the
  * next window none is missing. */
 #define FINAL_US US_PER_S
-/* Windows for which counts are kept, the present one included. */
-enum { WINDOWS_KEPT = 5 };
 /* Windows from which reports of other nodes are taken; their clocks differ. */
 enum { WINDOWS_AHEAD = 2 };
 /* A holder that cannot reach the platform's interface for so long leaves the
@@ -40,14 +29,21 @@
 #define UNREACHABLE_US (2 * US_PER_S)
 #define UNREACHABLE_ABSTAIN_US (10 * US_PER_S)
 
+/* A node asks for the duties, too, when no other one has asked for so long, and
+ * for a random part of the time below. */
+#define UNASKED_US (2 * US_PER_S)
+#define UNASKED_SPREAD_US (4 * US_PER_S)
+
 struct duties {
 	gateway_t *gateway;
 	usage_duty_conf_t usage_conf;
 	bool reports_usage, orders_servers;
-	lease_t *lease;
+	duty_lease_t *lease;
 	bool held; /* at the last tick */
 	usage_t *usage;
 	usage_duty_t *usage_duty;
+	order_duty_t *order_duty;
+	int64_t looked_us; /* at the load of the servers */
 	ev_timer tick;
 	int64_t told_us;
 	/* Time of day, by most clocks, less CLOCK_BOOTTIME. */
@@ -55,9 +51,11 @@
 
 	client_call_t *call; /* to the platform; NULL: none */
 	int64_t called_window;
+	server_order_t called_order;
 	int64_t failing_us; /* since when no call is answered; 0: the last was
 			     */
 	int64_t away_until_us;
+	int64_t unasked_us; /* since when no other node asks; 0: one does */
 };
 
 static int64_t time_us(const duties_t *duties)
@@ -83,7 +81,8 @@
 		return WORK_DUTY_NONE;
 	if (duties->held)
 		return WORK_DUTY_HELD;
-	return lease_wanted(duties->lease) ? WORK_DUTY_ASKED : WORK_DUTY_NONE;
+	return lease_wanted(duty_lease(duties->lease)) ? WORK_DUTY_ASKED
+						       : WORK_DUTY_NONE;
 }
 
 int64_t duties_usage_closed(const duties_t *duties)
@@ -110,7 +109,7 @@
 	if (!duties)
 		return;
 	window = usage_duty_window(&duties->usage_conf, time_us(duties));
-	if (report->window > window - WINDOWS_KEPT &&
+	if (report->window > window - usage_duty_kept(&duties->usage_conf) &&
 	    report->window <= window + WINDOWS_AHEAD)
 		usage_receive(duties->usage, report);
 }
@@ -135,7 +134,7 @@
 	int64_t present = usage_duty_window(conf, at_us);
 	int64_t closed =
 		work_share_usage_closed(duties->gateway->share, now_us);
-	int64_t window = present - WINDOWS_KEPT + 1;
+	int64_t window = present - usage_duty_kept(conf) + 1;
 
 	if (now_us - duties->told_us < TELL_US)
 		return;
@@ -149,39 +148,24 @@
 	}
 }
 
-static void on_lease_answer(void *context, platform_status_t status,
-			    const platform_object_t *object)
+/* Whether no node asks for the duties, as when the first ones run a build that
+ * does not know of them; nodes find that out at different times. */
+static bool is_unasked(duties_t *duties)
 {
-	duties_t *duties = context;
-
-	lease_platform(duties->lease, status, object, clock_boot_us());
-}
+	int64_t now_us = clock_monotonic_us();
 
-static void call_store(duties_t *duties)
-{
-	platform_t *platform = duties->gateway->platform;
-	lease_action_t action;
-
-	if (!lease_next(duties->lease, &action, clock_boot_us()))
-		return;
-	switch (action.type) {
-	case LEASE_ACTION_READ:
-		platform_get(platform, PLATFORM_LEASES, LEASE_NAME,
-			     on_lease_answer, duties);
-		return;
-	case LEASE_ACTION_CREATE:
-		platform_create_object(platform, PLATFORM_LEASES, LEASE_NAME,
-				       action.spec, on_lease_answer, duties);
-		return;
-	case LEASE_ACTION_PUT:
-		platform_put(platform, PLATFORM_LEASES, LEASE_NAME,
-			     action.version, action.spec, on_lease_answer,
-			     duties);
-		return;
+	if (work_share_asks(duties->gateway->share, now_us)) {
+		duties->unasked_us = 0;
+		return false;
 	}
+	if (!duties->unasked_us)
+		duties->unasked_us =
+			now_us + (int64_t)(gateway_random(duties->gateway) %
+					   UNASKED_SPREAD_US);
+	return now_us - duties->unasked_us >= UNASKED_US;
 }
 
-static bool is_wanted(const duties_t *duties)
+static bool is_wanted(duties_t *duties)
 {
 	const gateway_t *gateway = duties->gateway;
 
@@ -189,7 +173,8 @@
 	    clock_boot_us() < duties->away_until_us)
 		return false;
 	/* A holder keeps the lease though others may be faster. */
-	return duties->held || gateway_is_watcher(gateway);
+	return duties->held || gateway_is_watcher(gateway) ||
+	       (gateway_is_sound(gateway) && is_unasked(duties));
 }
 
 static void end_call(duties_t *duties)
@@ -202,16 +187,15 @@
 /* Follows whether this node holds the lease. */
 static void follow_lease(duties_t *duties)
 {
-	int64_t now_us = clock_boot_us();
-	bool held = lease_held(duties->lease, now_us);
+	lease_t *lease = duty_lease(duties->lease);
+	bool held = duty_lease_held(duties->lease);
 
 	if (held == duties->held)
 		return;
 	duties->held = held;
 	log_event(held ? EVENT_LEASE_ACQUIRED : EVENT_LEASE_LOST,
-		  "lease=%s token=%" PRId64 " closed=%" PRId64, LEASE_NAME,
-		  lease_token(duties->lease),
-		  usage_duty_closed(duties->usage_duty));
+		  "lease=duties token=%" PRId64 " closed=%" PRId64,
+		  lease_token(lease), usage_duty_closed(duties->usage_duty));
 	/* Others must know to whom they tell their counts. */
 	gateway_work_changed(duties->gateway, true);
 	if (!held) {
@@ -219,7 +203,20 @@
 		return;
 	}
 	duties->failing_us = 0;
-	usage_duty_take_over(duties->usage_duty, lease_state(duties->lease));
+	usage_duty_take_over(duties->usage_duty,
+			     json_object_get(lease_state(lease), "usage"));
+	order_duty_take_over(duties->order_duty,
+			     json_object_get(lease_state(lease), "servers"));
+}
+
+/* A successor must find what may have been sent. */
+static void write_state(duties_t *duties)
+{
+	lease_set_state(duty_lease(duties->lease),
+			json_pack("{s:o,s:o}", "usage",
+				  usage_duty_state(duties->usage_duty),
+				  "servers",
+				  order_duty_state(duties->order_duty)));
 }
 
 /* A holder whose calls all fail leaves the duties to others. */
@@ -264,24 +261,41 @@
 	return (duty_caller_t){
 		.url = settings->duty_url,
 		.holder = settings->node_id,
-		.token = lease_token(duties->lease),
-		.timeout_ms =
-			(int64_t)((double)settings->duty_lease_ms * CALL_SHARE)
+		.token = lease_token(duty_lease(duties->lease)),
+		.timeout_ms = duty_lease_call_ms(duties->lease),
 	};
 }
 
+static void on_order_answer(void *context, client_end_t end, int status,
+			    const char *body, size_t size)
+{
+	duties_t *duties = context;
+	duty_answer_t answer = platform_duty_answer(end, status);
+
+	note_answer(duties, answer, end, status, "servers");
+	order_duty_answered(duties->order_duty, &duties->called_order, answer,
+			    clock_boot_us());
+}
+
+static void order_servers(duties_t *duties)
+{
+	duty_caller_t caller = caller_of(duties);
+	server_order_t *order = &duties->called_order;
+
+	if (!order_duty_next(duties->order_duty, clock_boot_us(), order))
+		return;
+	duties->call = platform_order_servers(duties->gateway->client, &caller,
+					      order->service,
+					      order->data_centre,
+					      order->order.count,
+					      on_order_answer, duties);
+}
+
 static void report_usage(duties_t *duties)
 {
 	duty_caller_t caller = caller_of(duties);
 	const json_t *counts;
 
-	if (usage_duty_close(duties->usage_duty, duties->usage,
-			     time_us(duties)))
-		lease_set_state(duties->lease,
-				usage_duty_state(duties->usage_duty));
-	/* A successor must find what may have been sent. */
-	if (duties->call || !lease_state_written(duties->lease))
-		return;
 	duties->called_window =
 		usage_duty_next(duties->usage_duty, clock_boot_us(), &counts);
 	if (!duties->called_window)
@@ -298,48 +312,53 @@
 					     on_usage_answer, duties);
 }
 
+static void decide(duties_t *duties)
+{
+	int64_t now_us = clock_boot_us();
+	bool changed = false;
+
+	if (duties->reports_usage)
+		changed = usage_duty_close(duties->usage_duty, duties->usage,
+					   time_us(duties));
+	if (duties->orders_servers && now_us - duties->looked_us >= LOOK_US) {
+		duties->looked_us = now_us;
+		changed |= order_duty_look(duties->order_duty, now_us);
+	}
+	if (changed)
+		write_state(duties);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	duties_t *duties = timer->data;
+	const lease_t *lease = duty_lease(duties->lease);
 
 	read_time(duties);
-	lease_want(duties->lease, is_wanted(duties));
-	call_store(duties);
+	duty_lease_step(duties->lease, is_wanted(duties));
 	follow_lease(duties);
 	if (duties->reports_usage)
 		tell(duties);
 	if (!duties->held)
 		return;
-	if (duties->reports_usage)
+	decide(duties);
+	/* One call at a time, and none that a successor would not know of. */
+	if (!duties->call && lease_state_written(lease))
 		report_usage(duties);
+	if (!duties->call && lease_state_written(lease))
+		order_servers(duties);
 }
 
 void duties_stop(duties_t *duties)
 {
 	if (!duties)
 		return;
-	lease_want(duties->lease, false);
-	call_store(duties);
+	duty_lease_step(duties->lease, false);
 	follow_lease(duties);
 }
 
-static lease_times_t lease_times(int64_t duration_us)
-{
-	double duration = (double)duration_us;
-
-	return (lease_times_t){
-		.duration_us = duration_us,
-		.renew_us = (int64_t)(duration * RENEW_SHARE),
-		.stop_us = (int64_t)(duration * STOP_SHARE),
-		.watch_us = (int64_t)(duration * WATCH_SHARE),
-		.abstain_us = (int64_t)(duration * ABSTAIN_SHARE),
-	};
-}
-
 duties_t *duties_create(gateway_t *gateway)
 {
 	const node_settings_t *settings = &gateway->settings;
-	lease_times_t times = lease_times(settings->duty_lease_ms * US_PER_MS);
 	duties_t *duties;
 
 	if (!*settings->duty_url)
@@ -350,13 +369,13 @@
 	duties->orders_servers = platform_duty_servers(settings->duties);
 	duties->usage_conf.window_us = settings->usage_window_ms * US_PER_MS;
 	duties->usage_conf.delay_us = settings->usage_delay_ms * US_PER_MS;
-	duties->lease = lease_create(LEASE_NAME, settings->node_id,
-				     gateway->incarnation, &times,
-				     clock_boot_us());
-	lease_want(duties->lease, false);
+	duties->lease = duty_lease_create(gateway->platform, settings->node_id,
+					  gateway->incarnation,
+					  settings->duty_lease_ms * US_PER_MS);
 	duties->usage = usage_create(work_share_node_hash(settings->node_id),
 				     gateway->incarnation);
 	duties->usage_duty = usage_duty_create(&duties->usage_conf);
+	duties->order_duty = order_duty_create(gateway);
 	read_time(duties);
 	ev_timer_init(&duties->tick, on_tick, TICK_S, TICK_S);
 	duties->tick.data = duties;
@@ -370,8 +389,9 @@
 		return;
 	ev_timer_stop(duties->gateway->loop, &duties->tick);
 	end_call(duties);
-	lease_destroy(duties->lease);
+	duty_lease_destroy(duties->lease);
 	usage_destroy(duties->usage);
 	usage_duty_destroy(duties->usage_duty);
+	order_duty_destroy(duties->order_duty);
 	free(duties);
 }
--- /dev/null
+++ b/src/duty/order_duty.c
@@ -0,0 +1,192 @@
+#include "duty/order_duty.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "process/gateway_state.h"
+
+/* Services beyond the table are left as they are. */
+enum { ORDERED_SERVICES_MAX = 16 };
+
+typedef struct {
+	char name[NAME_SIZE_BYTES];
+	fleet_size_t *size;
+} ordered_service_t;
+
+struct order_duty {
+	gateway_t *gateway;
+	ordered_service_t services[ORDERED_SERVICES_MAX];
+	size_t count;
+};
+
+order_duty_t *order_duty_create(gateway_t *gateway)
+{
+	order_duty_t *duty = mem_calloc(1, sizeof(*duty));
+
+	duty->gateway = gateway;
+	return duty;
+}
+
+static void forget_all(order_duty_t *duty)
+{
+	while (duty->count)
+		fleet_size_destroy(duty->services[--duty->count].size);
+}
+
+void order_duty_destroy(order_duty_t *duty)
+{
+	if (!duty)
+		return;
+	forget_all(duty);
+	free(duty);
+}
+
+/* NULL: the table is full. */
+static ordered_service_t *find(order_duty_t *duty, const char *name)
+{
+	ordered_service_t *service;
+	size_t i;
+
+	for (i = 0; i < duty->count; i++)
+		if (!strcmp(duty->services[i].name, name))
+			return &duty->services[i];
+	if (duty->count == ORDERED_SERVICES_MAX)
+		return NULL;
+	service = &duty->services[duty->count++];
+	mem_strlcpy(service->name, name, sizeof(service->name));
+	service->size = fleet_size_create(&duty->gateway->settings.region);
+	return service;
+}
+
+void order_duty_take_over(order_duty_t *duty, const json_t *state)
+{
+	const char *name;
+	json_t *orders;
+
+	forget_all(duty);
+	json_object_foreach((json_t *)state, name, orders)
+	{
+		ordered_service_t *service = find(duty, name);
+
+		if (service)
+			fleet_size_take_over(service->size, orders);
+	}
+}
+
+json_t *order_duty_state(const order_duty_t *duty)
+{
+	json_t *state = json_object();
+	size_t i;
+
+	for (i = 0; i < duty->count; i++)
+		json_object_set_new(state, duty->services[i].name,
+				    fleet_size_state(duty->services[i].size));
+	return state;
+}
+
+static void add_load(const gateway_t *gateway, const backend_t *server,
+		     const service_conf_t *service, int64_t now_us,
+		     fleet_load_t *load)
+{
+	const backend_entry_t *entry = backend_entry(server);
+	size_t centre =
+		region_find(&gateway->settings.region, entry->data_centre);
+	server_load_t work = backend_load(
+		server, gateway->share,
+		service->engine.present ? &service->engine : NULL, now_us);
+
+	if (centre == gateway->settings.region.count ||
+	    entry->state != BACKEND_READY)
+		return;
+	load->servers[centre]++;
+	load->slots += entry->slots;
+	load->used += work.readers + work.writers;
+	load->pending_us += work.pending_us;
+}
+
+static bool look_at(order_duty_t *duty, ordered_service_t *ordered,
+		    const service_conf_t *service, const fleet_load_t *load,
+		    int64_t now_us)
+{
+	fleet_limits_t limits = { .min = service->servers_min,
+				  .max = service->servers_max,
+				  .startup_us =
+					  service->startup_ms * US_PER_MS };
+	fleet_order_t order;
+
+	if (!fleet_size_look(ordered->size, &limits, load, now_us))
+		return false;
+	if (fleet_size_next(ordered->size, now_us, &order))
+		log_event(EVENT_SERVERS_ORDERED,
+			  "service=%s data_centre=%s count=%d slots=%d used=%d"
+			  " pending_ms=%" PRId64,
+			  service->name,
+			  duty->gateway->settings.region
+				  .data_centres[order.data_centre],
+			  order.count, load->slots, load->used,
+			  load->pending_us / US_PER_MS);
+	return true;
+}
+
+bool order_duty_look(order_duty_t *duty, int64_t now_us)
+{
+	gateway_t *gateway = duty->gateway;
+	fleet_load_t loads[ORDERED_SERVICES_MAX] = { { .slots = 0 } };
+	const service_conf_t *services[ORDERED_SERVICES_MAX] = { NULL };
+	int64_t at_us = clock_monotonic_us();
+	backend_t *server = NULL;
+	bool changed = false;
+	size_t i;
+
+	if (!gateway->routing)
+		return false;
+	while ((server = backends_next(gateway->backends, server))) {
+		const service_conf_t *service = routing_service(
+			gateway->routing, backend_entry(server)->service);
+		ordered_service_t *ordered;
+
+		if (!service || service->servers_max <= 0 ||
+		    !(ordered = find(duty, service->name)))
+			continue;
+		services[ordered - duty->services] = service;
+		add_load(gateway, server, service, at_us,
+			 &loads[ordered - duty->services]);
+	}
+	for (i = 0; i < duty->count; i++)
+		changed |= services[i] &&
+			   look_at(duty, &duty->services[i], services[i],
+				   &loads[i], now_us);
+	return changed;
+}
+
+bool order_duty_next(const order_duty_t *duty, int64_t now_us,
+		     server_order_t *order)
+{
+	size_t i;
+
+	for (i = 0; i < duty->count; i++) {
+		if (!fleet_size_next(duty->services[i].size, now_us,
+				     &order->order))
+			continue;
+		order->service = duty->services[i].name;
+		order->data_centre =
+			duty->gateway->settings.region
+				.data_centres[order->order.data_centre];
+		return true;
+	}
+	return false;
+}
+
+void order_duty_answered(order_duty_t *duty, const server_order_t *order,
+			 duty_answer_t answer, int64_t now_us)
+{
+	ordered_service_t *service = find(duty, order->service);
+
+	if (service)
+		fleet_size_answered(service->size, &order->order, answer,
+				    now_us);
+}
--- a/src/duty/usage.c
+++ b/src/duty/usage.c
@@ -10,7 +10,7 @@
 enum {
 	/* Bounds what datagrams from elsewhere can occupy. */
 	SOURCES_MAX = 4096,
-	WINDOWS_MAX = 8,
+	WINDOWS_MAX = 64,
 	/* A node that told of none of so many windows before is not waited
 	 * for. */
 	WINDOWS_WAITED = 2,
--- a/src/duty/usage_duty.c
+++ b/src/duty/usage_duty.c
@@ -68,6 +68,14 @@
 	return time_us >= (window + 1) * conf->window_us + after_us;
 }
 
+int64_t usage_duty_kept(const usage_duty_conf_t *conf)
+{
+	/* The present one, and one that is divided by the time. */
+	return (int64_t)((double)conf->delay_us * GIVE_UP_SHARE) /
+		       conf->window_us +
+	       2;
+}
+
 static bool ended_by(const usage_duty_t *duty, int64_t window, int64_t time_us,
 		     double share)
 {
--- a/src/duty/usage_duty.h
+++ b/src/duty/usage_duty.h
@@ -31,6 +31,9 @@
 bool usage_duty_ended(const usage_duty_conf_t *conf, int64_t window,
 		      int64_t time_us, int64_t after_us);
 
+/** @return windows, with the present one, that may still be reported. */
+int64_t usage_duty_kept(const usage_duty_conf_t *conf);
+
 /** Goes on from what the holder before wrote; NULL: there was none. */
 void usage_duty_take_over(usage_duty_t *duty, const json_t *state);
 /** @return what a successor needs; a new reference */
--- a/src/process/work_share.c
+++ b/src/process/work_share.c
@@ -386,6 +386,16 @@
 	return WORK_DUTY_NONE;
 }
 
+bool work_share_asks(const work_share_t *share, int64_t now_us)
+{
+	const node_t *node;
+
+	LL_FOREACH (share->nodes, node)
+		if (is_live(node, now_us) && node->duty != WORK_DUTY_NONE)
+			return true;
+	return false;
+}
+
 int64_t work_share_usage_closed(const work_share_t *share, int64_t now_us)
 {
 	int64_t closed = 0;
--- a/src/process/work_share.h
+++ b/src/process/work_share.h
@@ -135,6 +135,8 @@
 /** @return what a live node announced of the duties; NONE if it is silent. */
 work_duty_t work_share_duty(const work_share_t *share, uint64_t node,
 			    int64_t now_us);
+/** Whether a live node asks for the duties, or has them. */
+bool work_share_asks(const work_share_t *share, int64_t now_us);
 /** @return the last closed window of usage that a live node told; 0: none. */
 int64_t work_share_usage_closed(const work_share_t *share, int64_t now_us);
 /**
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -124,6 +124,8 @@
 typedef struct {
 	gateway_fixture_t *fixture;
 	exchange_t *exchange;
+	char body[400];
+	size_t size;
 } store_call_t;
 
 static void *on_store_request(void *context, exchange_t *exchange)
@@ -145,12 +147,43 @@
 	fixture->watched_us[i] = clock_monotonic_us();
 }
 
+static void on_store_body(void *user, const void *data, size_t size)
+{
+	store_call_t *call = user;
+
+	if (call->size + size >= sizeof(call->body))
+		return;
+	memcpy(call->body + call->size, data, size);
+	call->size += size;
+}
+
+/* @return whether it is a call of a duty, and was answered */
+static bool take_duty(store_call_t *call)
+{
+	gateway_fixture_t *fixture = call->fixture;
+	const char *holder = exchange_header(call->exchange, "X-Duty-Holder");
+	const char *token = exchange_header(call->exchange, "X-Fence-Token");
+
+	if (!holder || !token)
+		return false;
+	if (fixture->duty_call_count < 64)
+		snprintf(fixture->duty_calls[fixture->duty_call_count++],
+			 sizeof(fixture->duty_calls[0]), "%s %s %s %s",
+			 exchange_path(call->exchange), holder, token,
+			 call->body);
+	reply_json(call->exchange, fixture->duties_fail ? 503 : 200,
+		   json_object());
+	return true;
+}
+
 static void on_store_complete(void *user)
 {
 	store_call_t *call = user;
 	gateway_fixture_t *fixture = call->fixture;
 	exchange_t *exchange = call->exchange;
 
+	if (take_duty(call))
+		return;
 	if (!strstr(exchange_path(exchange), "chivestage-"))
 		fixture->view_calls++;
 	if (fixture->store_refuses)
@@ -158,6 +191,9 @@
 	else if (fixture->store_silent ||
 		 strstr(exchange_query(exchange), "watch="))
 		hold(fixture, exchange);
+	else if (strstr(exchange_path(exchange), "chivestage-leases/") &&
+		 !strcmp(exchange_method(exchange), "GET"))
+		reply_json(exchange, 404, json_object());
 	else if (!strcmp(exchange_method(exchange), "GET"))
 		reply_json(exchange, 200,
 			   json_pack("{s:o,s:b,s:i}", "items",
@@ -183,6 +219,7 @@
 void gateway_fixture_start(gateway_fixture_t *fixture)
 {
 	listener_handler_t handler = { .on_request = on_store_request,
+				       .on_body = on_store_body,
 				       .on_complete = on_store_complete,
 				       .on_close = on_store_close,
 				       .context = fixture };
@@ -217,6 +254,13 @@
 	gateway_fixture_server(fixture, &fixture->servers[1]);
 	snprintf(settings.platform_url, sizeof(settings.platform_url),
 		 "http://127.0.0.1:%u", listener_port(fixture->store));
+	if (fixture->has_duties) {
+		strcpy(settings.duty_url, settings.platform_url);
+		strcpy(settings.duties, "usage,scale");
+		settings.duty_lease_ms = 2000;
+		settings.usage_window_ms = 200;
+		settings.usage_delay_ms = 4000;
+	}
 	fixture->client = client_create(fixture->loop, NULL);
 	ev_timer_init(&fixture->watch_timer, on_watch_timer,
 		      (double)WATCH_POLL_MS / MS_PER_S,
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -69,6 +69,10 @@
 	bool no_configuration;
 	size_t other_nodes; /**< in the list of nodes, after n1 */
 	bool no_servers; /**< their entries are gone */
+	bool has_duties; /**< set before the start */
+	bool duties_fail; /**< 503 to calls of duties */
+	char duty_calls[64][512]; /**< holder, token and body */
+	size_t duty_call_count;
 	struct server {
 		ev_io listening;
 		int port;
--- /dev/null
+++ b/tests/test_fleet_size.c
@@ -0,0 +1,188 @@
+/** What is ordered under loads that come and go. */
+#include <stdio.h>
+#include <string.h>
+
+#include "base/units.h"
+#include "cases.h"
+#include "duty/fleet_size.h"
+
+#define MS(count) ((int64_t)(count)*US_PER_MS)
+
+enum { SLOTS = 12, PHASES_MAX = 4 };
+
+static const region_t region = { 3, { "north", "east", "south" } };
+static const fleet_limits_t limits = { .min = 10,
+				       .max = 30,
+				       .startup_us = MS(8000) };
+
+/* A load that lasts for a time; on 20 servers in each data centre at first. */
+typedef struct {
+	double lasts_s;
+	int32_t used; /* slots, over all servers */
+	int64_t pending_ms; /* prefill, over all servers */
+	int32_t lost; /* servers of the last data centre */
+} phase_t;
+
+/* Lets the platform follow orders; returns them as "NORTH,EAST,SOUTH". */
+static const char *play(const phase_t *phases, bool successor,
+			duty_answer_t first_answer, int *orders)
+{
+	static char text[64];
+	fleet_size_t *fleet = fleet_size_create(&region);
+	int32_t servers[3] = { 20, 20, 20 };
+	int64_t now_us = MS(1000);
+	duty_answer_t answer = first_answer;
+	size_t i, j;
+
+	*orders = 0;
+	for (i = 0; i < PHASES_MAX; i++) {
+		int64_t end_us =
+			now_us + (int64_t)(phases[i].lasts_s * US_PER_S);
+
+		for (; now_us < end_us; now_us += MS(500)) {
+			fleet_load_t load = { .used = phases[i].used,
+					      .pending_us = MS(
+						      phases[i].pending_ms) };
+			fleet_order_t order;
+
+			for (j = 0; j < region.count; j++) {
+				load.servers[j] = servers[j];
+				if (j == region.count - 1)
+					load.servers[j] -= phases[i].lost;
+				load.slots += load.servers[j] * SLOTS;
+			}
+			if (fleet_size_look(fleet, &limits, &load, now_us) &&
+			    successor) {
+				json_t *state = fleet_size_state(fleet);
+
+				fleet_size_destroy(fleet);
+				fleet = fleet_size_create(&region);
+				fleet_size_take_over(fleet, state);
+				json_decref(state);
+			}
+			while (fleet_size_next(fleet, now_us, &order)) {
+				(*orders)++;
+				fleet_size_answered(fleet, &order, answer,
+						    now_us);
+				answer = DUTY_ACCEPTED;
+				if (order.count < limits.min ||
+				    order.count > limits.max)
+					fail_msg("ordered %d", order.count);
+				servers[order.data_centre] = order.count;
+			}
+		}
+	}
+	snprintf(text, sizeof(text), "%d,%d,%d", servers[0], servers[1],
+		 servers[2]);
+	fleet_size_destroy(fleet);
+	return text;
+}
+
+static void orders_what_a_load_needs(void **state)
+{
+	static const struct {
+		const char *fault;
+		phase_t phases[PHASES_MAX]; /* of 720 slots */
+		bool successor; /* takes over before the first order is sent */
+		duty_answer_t first_answer;
+		const char *servers;
+		int orders;
+	} cases[] = {
+		{ "orders for a usual load",
+		  { { 100, 300, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "20,20,20",
+		  0 },
+		{ "orders for a burst that ends before servers start",
+		  { { 10, 300, 0, 0 }, { 3, 700, 0, 0 }, { 60, 300, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "20,20,20",
+		  0 },
+		{ "bursts that add up",
+		  { { 3, 700, 0, 0 },
+		    { 1, 300, 0, 0 },
+		    { 3, 700, 0, 0 },
+		    { 1, 300, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "20,20,20",
+		  0 },
+		{ "a load that stays without servers",
+		  { { 10, 650, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "25,25,25",
+		  3 },
+		{ "prefill that waits without servers",
+		  { { 10, 100, 40000, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "27,27,27",
+		  3 },
+		{ "more than the platform allows",
+		  { { 10, 720, 99000, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "30,30,30",
+		  3 },
+		{ "orders forgotten by a successor",
+		  { { 10, 650, 0, 0 } },
+		  true,
+		  DUTY_ACCEPTED,
+		  "25,25,25",
+		  3 },
+		{ "an order without an answer that is given up",
+		  { { 10, 650, 0, 0 } },
+		  false,
+		  DUTY_LATER,
+		  "25,25,25",
+		  4 },
+		{ "a lost data centre whose load fits the others",
+		  { { 30, 300, 0, 20 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "20,20,20",
+		  0 },
+		{ "servers given back that nobody ordered",
+		  { { 200, 50, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "20,20,20",
+		  0 },
+		{ "ordered servers given back in a pause",
+		  { { 10, 650, 0, 0 }, { 50, 100, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "25,25,25",
+		  3 },
+		{ "ordered servers kept for ever",
+		  { { 10, 650, 0, 0 }, { 70, 100, 0, 0 } },
+		  false,
+		  DUTY_ACCEPTED,
+		  "16,16,16",
+		  6 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		int orders;
+		const char *servers = play(cases[i].phases, cases[i].successor,
+					   cases[i].first_answer, &orders);
+
+		if (strcmp(servers, cases[i].servers) != 0 ||
+		    orders != cases[i].orders)
+			fail_msg("%s: %s by %d orders", cases[i].fault, servers,
+				 orders);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(orders_what_a_load_needs),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -676,6 +676,71 @@
 	}
 }
 
+/* Requests in all reports; what was not accepted comes again as it was. */
+static int reported_sum(const gateway_fixture_t *fixture)
+{
+	int sum = 0;
+	size_t i, j;
+
+	for (i = 0; i < fixture->duty_call_count; i++) {
+		const char *call = fixture->duty_calls[i];
+		const char *counts = strstr(call, ",\"replicaCounts\":{");
+		int count = 0;
+
+		assert_int_equal(strncmp(call, "/usage n1 9 {\"window\":", 22),
+				 0);
+		assert_non_null(counts);
+		sscanf(counts, ",\"replicaCounts\":{\"acme\":%d}}", &count);
+		for (j = 0; j < i; j++)
+			if (!strncmp(call, fixture->duty_calls[j],
+				     (size_t)(counts - call)))
+				break;
+		if (j < i)
+			assert_string_equal(call, fixture->duty_calls[j]);
+		else
+			sum += count;
+	}
+	return sum;
+}
+
+/* Guards against requests that are not reported, or in two reports of one
+ * window; and against calls after the lease was given up. */
+static void reports_usage(void **state)
+{
+	static const char *const paths[] = { "/safe/x", "/stream/x",
+					     "/open/x" };
+	gateway_fixture_t fixture = { .has_duties = true };
+	size_t i;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	/* Four of these are of an account: public routes have none. */
+	for (i = 0; i < 6; i++) {
+		reply_t reply;
+
+		gateway_fixture_call(&fixture, &reply, "GET",
+				     paths[i % COUNT_OF(paths)], with_key,
+				     NULL);
+		assert_true(gateway_fixture_wait(&fixture, &reply, 1000));
+		assert_int_equal(reply.status, 200);
+	}
+	/* The first reports are not accepted. */
+	fixture.duties_fail = true;
+	for (i = 0; i < 100 && !fixture.duty_call_count; i++)
+		gateway_fixture_run(&fixture, 100);
+	fixture.duties_fail = false;
+	for (i = 0; i < 50 && reported_sum(&fixture) < 4; i++)
+		gateway_fixture_run(&fixture, 100);
+	gateway_fixture_run(&fixture, 500);
+	assert_int_equal(reported_sum(&fixture), 4);
+	assert_int_equal(duties_announced(fixture.gateway->duties),
+			 WORK_DUTY_HELD);
+	gateway_stop(fixture.gateway);
+	assert_int_equal(duties_announced(fixture.gateway->duties),
+			 WORK_DUTY_NONE);
+	gateway_fixture_stop(&fixture);
+}
+
 static void stops_gracefully(void **state)
 {
 	gateway_fixture_t fixture;
@@ -715,6 +780,7 @@
 		cmocka_unit_test(refuses_bodies),
 		cmocka_unit_test(follows_what_servers_say),
 		cmocka_unit_test(places_anew_when_a_server_leaves),
+		cmocka_unit_test(reports_usage),
 		cmocka_unit_test(stops_gracefully),
 	};
 
