--- a/tests/fuzz/fuzz_node.c
+++ b/tests/fuzz/fuzz_node.c
@@ -49,6 +49,16 @@
 		/* A node that is silent for longer does not count. */
 		check_loads(share, &packet.as.work, now_us + US_PER_S);
 	}
+	if (packet.type == PACKET_USAGE) {
+		usage_t *usage = usage_create(1, 1);
+		usage_count_t *counts;
+
+		usage_receive(usage, &packet.as.usage);
+		usage_sum(usage, packet.as.usage.window, &counts);
+		usage_complete(usage, packet.as.usage.window);
+		free(counts);
+		usage_destroy(usage);
+	}
 	/* What was read can be written, or is too large for a datagram. */
 	if (packet_encode(&packet, again, sizeof(again)) > sizeof(again))
 		abort();
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -306,10 +306,60 @@
 	}
 }
 
+/* A message as build 952d325 sends it, and what an earlier build makes of a
+ * message of this one: what is new is left out. */
+static void understands_earlier_builds(void **state)
+{
+	static const char recorded[] =
+		"0a3f090300000000000000110500000000000000180822160d0700000010"
+		"03180c20b501282c30d804380240de022a056e6f727468304d3801420300"
+		"292a48c801";
+	uint8_t data[sizeof(recorded) / 2];
+	packet_t got;
+	size_t i;
+
+	for (i = 0; i < sizeof(data); i++) {
+		char digits[3] = { recorded[2 * i], recorded[2 * i + 1] };
+
+		data[i] = (uint8_t)strtoul(digits, NULL, 16);
+	}
+	assert_true(packet_decode(&got, data, sizeof(data)));
+	assert_int_equal(got.type, PACKET_WORK);
+	assert_int_equal(got.as.work.node, 3);
+	assert_int_equal(got.as.work.incarnation, 5);
+	assert_int_equal(got.as.work.link_mbps, 200);
+	assert_int_equal(got.as.work.known_revisions[2], 42);
+	assert_int_equal(got.as.work.items[0].due_us, MS(350));
+	assert_int_equal(got.as.work.duty, WORK_DUTY_NONE);
+	assert_int_equal(got.as.work.wall_ms, 0);
+	assert_int_equal(got.as.work.shunned_count, 0);
+	packet_clear(&got);
+}
+
+/* Guards against values of a later build that this one does not know. */
+static void bounds_unknown_values(void **state)
+{
+	packet_t sent = { .type = PACKET_WORK,
+			  .as.work = { .node = 3,
+				       .data_centre = "north",
+				       .duty = (work_duty_t)9,
+				       .wall_ms = INT64_MAX } };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t size = packet_encode(&sent, data, sizeof(data));
+	packet_t got;
+
+	assert_true(packet_decode(&got, data, size));
+	assert_int_equal(got.as.work.duty, WORK_DUTY_NONE);
+	assert_int_equal(got.as.work.wall_ms, 0);
+	packet_clear(&got);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(encodes_work),
+		cmocka_unit_test(understands_earlier_builds),
+		cmocka_unit_test(bounds_unknown_values),
 		cmocka_unit_test(encodes_as_much_work_as_fits),
 		cmocka_unit_test(encodes_news),
 		cmocka_unit_test(compares_revisions),
