--- /dev/null
+++ b/src/request/forward_log.c
@@ -0,0 +1,89 @@
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/mem.h"
+#include "base/metrics.h"
+#include "request/forward_state.h"
+
+/* Of a log line; a longer list is cut. */
+enum { HELPERS_TEXT_BYTES = 400 };
+
+static const char *id_of(const forward_t *forward)
+{
+	return *forward->request.id ? forward->request.id : "-";
+}
+
+/* Ids of the servers that read the other parts, joined by commas. */
+static void name_helpers(const placement_t *placement, char *text, size_t size)
+{
+	size_t i, used = 0;
+
+	mem_strlcpy(text, "-", size);
+	for (i = 1; i < placement->count && used < size; i++) {
+		const candidate_t *part = placement->parts[i];
+
+		used += (size_t)snprintf(text + used, size - used, "%s%s",
+					 i > 1 ? "," : "",
+					 backend_entry(part->server)->id);
+	}
+}
+
+void forward_log_placed(const forward_t *forward)
+{
+	char helpers[HELPERS_TEXT_BYTES];
+	const placement_t *placement = &forward->choice.placement;
+	const candidate_t *first = placement->parts[0];
+	const backend_entry_t *entry = backend_entry(first->server);
+
+	name_helpers(placement, helpers, sizeof(helpers));
+	log_event(EVENT_REQUEST_PLACED,
+		  "request=%s server=%s data_centre=%s parts=%zu"
+		  " prompt=%" PRId64 " predicted_ms=%" PRId64
+		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
+		  " pending_ms=%" PRId64 " kv=%" PRId64
+		  " pace=%.2f doubtful=%d after_event=%s helpers=%s",
+		  id_of(forward), entry->id, entry->data_centre,
+		  placement->count, forward->request.prompt_tokens,
+		  placement->first_event_us / US_PER_MS, placement->late_weight,
+		  first->load.readers, first->load.writers,
+		  first->load.gap_us / US_PER_MS,
+		  first->load.pending_us / US_PER_MS, first->load.kv_tokens,
+		  first->pace, first->doubtful,
+		  *forward->last_event_id ? forward->last_event_id : "-",
+		  helpers);
+}
+
+void forward_log_busy(const forward_t *forward, const char *reason)
+{
+	const placement_t *placement = &forward->choice.placement;
+
+	log_event(EVENT_REQUEST_BUSY,
+		  "request=%s reason=%s prompt=%" PRId64
+		  " predicted_ms=%" PRId64
+		  " late_weight=%.2f room_in_ms=%" PRId64,
+		  id_of(forward), reason, forward->request.prompt_tokens,
+		  placement->first_event_us / US_PER_MS, placement->late_weight,
+		  placement->room_in_us / US_PER_MS);
+}
+
+void forward_log_failed(const forward_t *forward, failure_t failure)
+{
+	static const char *const names[] = {
+		[FAILURE_UNREACHABLE] = "unreachable",
+		[FAILURE_NOT_RUN] = "not-run",
+		[FAILURE_BROKEN] = "broken",
+		[FAILURE_SILENT] = "silent",
+		[FAILURE_SERVER_ERROR] = "server-error",
+	};
+	const backend_t *server = forward->tried[forward->tried_count - 1];
+
+	metrics_add(METRIC_ATTEMPTS_FAILED, 1);
+	log_event(EVENT_ATTEMPT_FAILED,
+		  "request=%s server=%s end=%s events=%" PRId64
+		  " total_ms=%" PRId64,
+		  id_of(forward), backend_entry(server)->id, names[failure],
+		  forward->event_count,
+		  (clock_monotonic_us() - forward->received_us) / US_PER_MS);
+}
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -25,9 +25,7 @@
 	/* Added to each lease, for rounding to blocks by the engine. */
 	RESERVED_TOKENS_MARGIN = 64,
 	/* No attempt is worth starting with less time than this. */
-	ATTEMPT_TIME_MIN_MS = 20,
-	/* Of a log line; a longer list is cut. */
-	HELPERS_TEXT_BYTES = 400
+	ATTEMPT_TIME_MIN_MS = 20
 };
 
 /* A lease ends within this part of the time in which memory must be free, so
@@ -159,50 +157,9 @@
 		forward->tried[forward->tried_count++] = backend_ref(server);
 }
 
-/* Ids of the servers that read the other parts, joined by commas. */
-static void name_helpers(const placement_t *placement, char *text, size_t size)
-{
-	size_t i, used = 0;
-
-	mem_strlcpy(text, "-", size);
-	for (i = 1; i < placement->count && used < size; i++) {
-		const candidate_t *part = placement->parts[i];
-
-		used += (size_t)snprintf(text + used, size - used, "%s%s",
-					 i > 1 ? "," : "",
-					 backend_entry(part->server)->id);
-	}
-}
-
-static void log_placed(const forward_t *forward)
-{
-	char helpers[HELPERS_TEXT_BYTES];
-	const placement_t *placement = &forward->choice.placement;
-	const candidate_t *first = placement->parts[0];
-	const backend_entry_t *entry = backend_entry(first->server);
-
-	name_helpers(placement, helpers, sizeof(helpers));
-	log_event(EVENT_REQUEST_PLACED,
-		  "request=%s server=%s data_centre=%s parts=%zu"
-		  " prompt=%" PRId64 " predicted_ms=%" PRId64
-		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
-		  " pending_ms=%" PRId64 " kv=%" PRId64
-		  " pace=%.2f doubtful=%d after_event=%s helpers=%s",
-		  *forward->request.id ? forward->request.id : "-", entry->id,
-		  entry->data_centre, placement->count,
-		  forward->request.prompt_tokens,
-		  placement->first_event_us / US_PER_MS, placement->late_weight,
-		  first->load.readers, first->load.writers,
-		  first->load.gap_us / US_PER_MS,
-		  first->load.pending_us / US_PER_MS, first->load.kv_tokens,
-		  first->pace, first->doubtful,
-		  *forward->last_event_id ? forward->last_event_id : "-",
-		  helpers);
-}
-
 static void send(forward_t *forward)
 {
-	log_placed(forward);
+	forward_log_placed(forward);
 	remember_tried(forward, choice_server(&forward->choice, 0));
 	forward->phase = FORWARD_SENT;
 	attempt_start(forward);
@@ -285,10 +242,12 @@
 		forward_refuse(forward, "prompt_too_long", NO_SERVER_RETRY_MS);
 		break;
 	case PLACEMENT_BUSY:
+		forward_log_busy(forward, "cost");
 		forward_refuse(forward, "busy",
 			       placement->room_in_us / US_PER_MS);
 		break;
 	case PLACEMENT_LATE:
+		forward_log_busy(forward, "late");
 		forward_refuse(forward, "busy",
 			       BUSY_RETRY_MS +
 				       placement->room_in_us / US_PER_MS);
@@ -327,27 +286,6 @@
 		     "attempt_failed");
 }
 
-static void log_failed(const forward_t *forward, failure_t failure)
-{
-	static const char *const names[] = {
-		[FAILURE_UNREACHABLE] = "unreachable",
-		[FAILURE_NOT_RUN] = "not-run",
-		[FAILURE_BROKEN] = "broken",
-		[FAILURE_SILENT] = "silent",
-		[FAILURE_SERVER_ERROR] = "server-error",
-	};
-	const backend_t *server = forward->tried[forward->tried_count - 1];
-
-	metrics_add(METRIC_ATTEMPTS_FAILED, 1);
-	log_event(EVENT_ATTEMPT_FAILED,
-		  "request=%s server=%s end=%s events=%" PRId64
-		  " total_ms=%" PRId64,
-		  *forward->request.id ? forward->request.id : "-",
-		  backend_entry(server)->id, names[failure],
-		  forward->event_count,
-		  age_us(forward, clock_monotonic_us()) / US_PER_MS);
-}
-
 static void try_again(forward_t *forward)
 {
 	if (forward->event_count) {
@@ -361,7 +299,7 @@
 
 void forward_attempt_failed(forward_t *forward, failure_t failure)
 {
-	log_failed(forward, failure);
+	forward_log_failed(forward, failure);
 	attempt_cancel(forward);
 	if (failure != FAILURE_UNREACHABLE && failure != FAILURE_NOT_RUN)
 		forward->runs++;
@@ -380,7 +318,7 @@
 		forward->runs--;
 		return false;
 	}
-	log_failed(forward, failure);
+	forward_log_failed(forward, failure);
 	attempt_cancel(forward);
 	try_again(forward);
 	return true;
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -119,6 +119,14 @@
 /** Gives an answer of this node that promises nothing about execution. */
 void forward_fail(forward_t *forward, int status, const char *code);
 
+/* forward_log.c */
+/** The request goes to the servers of its choice. */
+void forward_log_placed(const forward_t *forward);
+/** What decided a refusal for load. @param reason cost, or late */
+void forward_log_busy(const forward_t *forward, const char *reason);
+/** Also counts the attempt. */
+void forward_log_failed(const forward_t *forward, failure_t failure);
+
 /* forward_place.c */
 /** Chooses servers; the caller clears @p choice. */
 placement_result_t forward_choose(forward_t *forward, choice_t *choice);
