Announce at random times when nothing changes

Change: an announcement that repeats the last one comes after 0.7 to 1 of its pause, at random. Settings without a lease or a window for the duties leave them out instead of dividing by zero.

--- a/src/duty/duties.c
+++ b/src/duty/duties.c
@@ -28,7 +28,6 @@
  * lease to others, and stays away from it. */
 #define UNREACHABLE_US (2 * US_PER_S)
 #define UNREACHABLE_ABSTAIN_US (10 * US_PER_S)
-
 /* A node asks for the duties, too, when no other one has asked for so long, and
  * for a random part of the time below. */
 #define UNASKED_US (2 * US_PER_S)
@@ -52,8 +51,7 @@
 	client_call_t *call; /* to the platform; NULL: none */
 	int64_t called_window;
 	server_order_t called_order;
-	int64_t failing_us; /* since when no call is answered; 0: the last was
-			     */
+	int64_t failing_us; /* since when no call is answered; 0: it was */
 	int64_t away_until_us;
 	int64_t unasked_us; /* since when no other node asks; 0: one does */
 };
@@ -361,13 +359,18 @@
 	const node_settings_t *settings = &gateway->settings;
 	duties_t *duties;
 
-	if (!*settings->duty_url)
+	if (!*settings->duty_url || settings->duty_lease_ms <= 0 ||
+	    settings->usage_window_ms <= 0)
 		return NULL;
 	duties = mem_calloc(1, sizeof(*duties));
 	duties->gateway = gateway;
 	duties->reports_usage = platform_duty_usage(settings->duties);
 	duties->orders_servers = platform_duty_servers(settings->duties);
-	duties->usage_conf.window_us = settings->usage_window_ms * US_PER_MS;
+	/* A window of any length, for requests that nobody reports. */
+	duties->usage_conf.window_us =
+		settings->usage_window_ms > 0
+			? settings->usage_window_ms * US_PER_MS
+			: US_PER_S;
 	duties->usage_conf.delay_us = settings->usage_delay_ms * US_PER_MS;
 	duties->lease = duty_lease_create(gateway->platform, settings->node_id,
 					  gateway->incarnation,
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -13,6 +13,9 @@
 enum { DATAGRAMS_PER_S = 250 };
 /* Shortest pause between two announcements. */
 #define ANNOUNCE_MIN_S 0.02
+/* Part of that time after which it may be repeated; a random one, so that nodes
+ * that started together do not fall silent together. */
+#define ANNOUNCE_IDLE_LEAST 0.7
 /* An unchanged announcement is repeated after this time: silence shows that a
  * node, or its data centre, cannot be reached. */
 #define ANNOUNCE_IDLE_US (200 * US_PER_MS)
@@ -150,20 +153,30 @@
 					  clock_monotonic_us());
 }
 
+static double idle_pause_s(gateway_t *gateway)
+{
+	double pause_s =
+		(double)gateway_announce_pause_us(gateway) / (double)US_PER_S;
+	double part = (double)(gateway_random(gateway) % MS_PER_S) / MS_PER_S;
+
+	return pause_s *
+	       (ANNOUNCE_IDLE_LEAST + (1 - ANNOUNCE_IDLE_LEAST) * part);
+}
+
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
 	int64_t now_us = clock_monotonic_us();
+	double idle_us = (double)gateway_announce_pause_us(gateway) *
+			 ANNOUNCE_IDLE_LEAST;
 
 	work_share_expire(gateway->share, now_us);
-	if (gateway->announce_due || now_us - gateway->announced_us >=
-					     gateway_announce_pause_us(gateway))
+	if (gateway->announce_due ||
+	    (double)(now_us - gateway->announced_us) >= idle_us)
 		announce(gateway, now_us);
 	ev_timer_set(timer,
-		     gateway->announce_due
-			     ? announce_pause_s(gateway)
-			     : (double)gateway_announce_pause_us(gateway) /
-				       (double)US_PER_S,
+		     gateway->announce_due ? announce_pause_s(gateway)
+					   : idle_pause_s(gateway),
 		     0.);
 	ev_timer_start(loop, timer);
 }
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -1,9 +1,7 @@
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "base/mem.h"
 #include "process/gateway_state.h"
 #include "request/forward.h"
 
@@ -15,31 +13,23 @@
 /* A probe is answered in some ms. */
 enum { PROBE_TIMEOUT_MS = 200 };
 
-typedef struct {
-	gateway_t *gateway;
-	backend_t *server;
-} probe_t;
-
 static void on_probe_end(void *context, client_end_t end, int status)
 {
-	probe_t *probe = context;
+	backend_t *server = context;
 
 	/* Whatever the answer: the data centre can be reached. */
 	if (end != CLIENT_OK)
 		return;
-	backend_note_heard(probe->server, clock_monotonic_us());
+	backend_note_heard(server, clock_monotonic_us());
 	log_event(EVENT_DATA_CENTRE_REACHABLE,
 		  "data_centre=%s server=%s evidence=probe",
-		  backend_entry(probe->server)->data_centre,
-		  backend_entry(probe->server)->id);
+		  backend_entry(server)->data_centre,
+		  backend_entry(server)->id);
 }
 
 static void on_probe_free(void *context)
 {
-	probe_t *probe = context;
-
-	backend_unref(probe->server);
-	free(probe);
+	backend_unref(context);
 }
 
 static void send_probe(gateway_t *gateway, backend_t *server)
@@ -47,7 +37,6 @@
 	const backend_entry_t *entry = backend_entry(server);
 	const service_conf_t *service =
 		routing_service(gateway->routing, entry->service);
-	probe_t *probe;
 	char url[URL_SIZE_BYTES + PREFIX_SIZE_BYTES + 16];
 	client_request_t request = { .method = "GET",
 				     .url = url,
@@ -59,10 +48,7 @@
 
 	if (!service || !*service->health_path)
 		return;
-	probe = mem_calloc(1, sizeof(*probe));
-	probe->gateway = gateway;
-	probe->server = backend_ref(server);
-	handler.context = probe;
+	handler.context = backend_ref(server);
 	snprintf(url, sizeof(url), "http://%s%s", entry->address,
 		 service->health_path);
 	client_call(gateway->client, &request, &handler);
