--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -28,6 +28,7 @@
 
 	backends->conf = *conf;
 	backends->nodes_version = 1;
+	backends->rates = server_rates_create();
 	return backends;
 }
 
@@ -51,6 +52,7 @@
 		HASH_DEL(backends->dcs, dc);
 		free(dc);
 	}
+	server_rates_destroy(backends->rates);
 	free(backends->nodes);
 	free(backends);
 }
@@ -190,6 +192,11 @@
 	backends->nodes_version++;
 }
 
+server_rates_t *backends_rates(backends_t *backends)
+{
+	return backends->rates;
+}
+
 backend_t *backends_next(backends_t *backends, const backend_t *server)
 {
 	return server ? server->hh.next : backends->servers;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -22,6 +22,7 @@
 #include "process/placement.h"
 #include "process/local_load.h"
 #include "process/load_table.h"
+#include "process/server_rates.h"
 #include "version/routing.h"
 
 typedef struct backends backends_t;
@@ -173,6 +174,9 @@
 int64_t backends_accept_at_us(backends_t *backends, const char *service,
 			      int64_t now_us);
 
+/** @return the rates that the servers state. */
+server_rates_t *backends_rates(backends_t *backends);
+
 /** Records that the server sent data: its data centre can be reached. */
 void backend_note_received(backend_t *backend, int64_t now_us);
 /** Records whether announcements of the nodes of a data centre arrive. */
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -57,6 +57,7 @@
 	backends_conf_t conf;
 	backend_t *servers;
 	backend_dc_t *dcs;
+	server_rates_t *rates;
 	uint64_t listing; /* number of the current listing */
 	uint64_t *nodes; /* hashes of the node ids; NULL: not known yet */
 	size_t node_count;
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -43,6 +43,13 @@
 			      * empty: none */
 } server_request_t;
 
+/** What an answer says of the rate of requests that its server accepts. */
+typedef enum {
+	RATE_NOT_STATED, /**< the server sets no rate, or sets it no longer */
+	RATE_STATED,
+	RATE_UNREADABLE /**< not a number of requests: says nothing */
+} rate_statement_t;
+
 /** Status and headers of a server's answer. */
 typedef struct {
 	int status; /**< HTTP status; 0: not received yet */
@@ -53,6 +60,9 @@
 	int64_t retry_after_ms; /**< with status 503: time for which the server
 				 * rejects requests of this node; 0: not
 				 * stated */
+	rate_statement_t rate;
+	double rate_per_s; /**< with RATE_STATED: requests a second that the
+			    * server accepts from all nodes together */
 } server_reply_t;
 
 #endif
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -19,6 +19,7 @@
 	/* The server's answer is paused while more than this is buffered for
 	 * the caller. */
 	PENDING_MAX_BYTES = 64 * 1024,
+	RATE_TEXT_BYTES = 32,
 	HTTP_OK = 200,
 	HTTP_MULTIPLE_CHOICES = 300,
 	HTTP_MISDIRECTED = 421,
@@ -114,8 +115,34 @@
 	       (!reply->sealed && !reply->not_run);
 }
 
-/* Applies the server's notice that it leaves, or rejects requests for a time.
- */
+/* Applies what the answer says of the rate that the server accepts. Only an
+ * answer that is the server's own can end a rate. */
+static void apply_rate(const forward_t *forward, int64_t now_us)
+{
+	const attempt_t *attempt = forward->attempt;
+	const server_reply_t *reply = &attempt->reply;
+	const backend_t *server = attempt->load.shards[0].server;
+	server_rate_t rate = { .server_hash = backend_hash(server),
+			       .is_limited = reply->rate == RATE_STATED,
+			       .per_s = reply->rate_per_s,
+			       .seen_us = now_us };
+	char per_s[RATE_TEXT_BYTES] = "-";
+
+	if (reply->rate == RATE_UNREADABLE ||
+	    (reply->rate == RATE_NOT_STATED && !reply->sealed) ||
+	    !server_rates_note(backends_rates(forward->gateway->backends),
+			       &rate, attempt->sent_us))
+		return;
+	if (rate.is_limited)
+		snprintf(per_s, sizeof(per_s), "%.3f", rate.per_s);
+	log_event(EVENT_SERVER_RATE, "server=%s per_s=%s source=%s",
+		  backend_entry(server)->id, per_s,
+		  *forward->request.id ? forward->request.id : "-");
+}
+
+/* Applies the server's notice that it leaves, rejects requests for a time, or
+ * accepts a limited rate. A server that has the address of another one speaks
+ * only for itself. */
 static void apply_server_notices(const forward_t *forward)
 {
 	const server_reply_t *reply = &forward->attempt->reply;
@@ -124,6 +151,8 @@
 
 	if (reply->foreign)
 		return;
+	if (reply->status != HTTP_MISDIRECTED)
+		apply_rate(forward, now_us);
 	if (reply->leaving)
 		backend_note_leaving(server, now_us);
 	if (reply->status != HTTP_UNAVAILABLE || !reply->retry_after_ms)
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -261,7 +261,8 @@
 
 /*
  * Guards against a server's answer that is taken for another kind of answer,
- * and against a Retry-After that is not a positive number, or is too long.
+ * against a Retry-After that is not a positive number, or is too long, and
+ * against a rate that is no number of requests.
  */
 static void parses_reply_headers(void **state)
 {
@@ -284,6 +285,18 @@
 		{ "Retry-After", "soon", { 0 } },
 		{ "Retry-After", "", { 0 } },
 		{ "Retry-After", "1e300", { .retry_after_ms = 3600000 } },
+		{ "Server-Limit",
+		  "2.3",
+		  { .rate = RATE_STATED, .rate_per_s = 2.3 } },
+		{ "server-limit", "0", { .rate = RATE_STATED } },
+		{ "Server-Limit",
+		  "1 ",
+		  { .rate = RATE_STATED, .rate_per_s = 1 } },
+		{ "Server-Limit", "", { .rate = RATE_UNREADABLE } },
+		{ "Server-Limit", "-1", { .rate = RATE_UNREADABLE } },
+		{ "Server-Limit", "nan", { .rate = RATE_UNREADABLE } },
+		{ "Server-Limit", "inf", { .rate = RATE_UNREADABLE } },
+		{ "Server-Limit", "2/s", { .rate = RATE_UNREADABLE } },
 		{ "Retry-After", "Fri, 04 Dec 2026 12:00:00 GMT", { 0 } },
 	};
 	size_t i;
