--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -38,10 +38,12 @@
 	SILENT /**< holds the request without an answer */
 } server_act_t;
 
-enum { ARRIVALS_MAX = 16, ACTS_MAX = 6, STREAM_EVENTS = 4 };
+enum { ARRIVALS_MAX = 80, ACTS_MAX = 6, STREAM_EVENTS = 4 };
 
 typedef struct {
 	char text[8192]; /**< request head and body as received */
+	int server; /**< number of the server */
+	int64_t at_us;
 	bool closed; /**< closed by the gateway before the answer ended */
 } arrival_t;
 
@@ -80,6 +82,9 @@
 	struct server {
 		ev_io listening;
 		int port;
+		/** Rate of requests that the server states in whole answers;
+		 * NULL: none. */
+		const char *rate;
 	} servers[2];
 	/** Script: act for each arrival, in order; SERVES after the last. */
 	server_act_t acts[ACTS_MAX];
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
@@ -81,15 +82,19 @@
 	const char *text = connection->arrival->text;
 	bool stream = strstr(text, " /stream/") || strstr(text, " /single/");
 	bool half = connection->act == BREAKS_OFF;
-	char last[16] = "0";
+	const char *rate =
+		connection->fixture->servers[connection->arrival->server].rate;
+	char last[16] = "0", extra[64] = "";
 
+	if (connection->act == SAYS_LEAVING)
+		strcpy(extra, "Server-Leaving: 1\r\n");
+	else if (rate)
+		snprintf(extra, sizeof(extra), "Server-Limit: %s\r\n", rate);
 	header_value(text, "Last-Event-Id: ", last, sizeof(last));
 	if (connection->act == REPEATS)
 		strcpy(last, "0");
 	send_head(fd, id, stream ? "text/event-stream" : "text/plain",
-		  stream ? 0 : 10, connection->act != UNSEALED,
-		  connection->act == SAYS_LEAVING ? "Server-Leaving: 1\r\n"
-						  : "");
+		  stream ? 0 : 10, connection->act != UNSEALED, extra);
 	if (stream)
 		send_events(fd, atoi(last) + 1, half);
 	else
@@ -253,6 +258,8 @@
 	if (fixture->arrival_count < ACTS_MAX)
 		connection->act = fixture->acts[fixture->arrival_count];
 	connection->arrival = &fixture->arrivals[fixture->arrival_count++];
+	connection->arrival->at_us = clock_monotonic_us();
+	connection->arrival->server = watcher == &fixture->servers[1].listening;
 	ev_io_init(&connection->readable, on_server_readable, fd, EV_READ);
 	connection->readable.data = connection;
 	ev_init(&connection->pump, on_pump);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -18,10 +18,11 @@
 typedef struct {
 	soak_t *soak;
 	request_record_t *record;
-	const node_t *node;
+	node_t *node;
 	int64_t node_disturbed_us; /* node->disturbed_us when the request was
 				      sent */
-	bool has_seal, /* the answer has X-Server-Seal */
+	char seal[16]; /* X-Server-Seal of the answer; empty: none */
+	bool has_rate, /* the answer has Server-Limit */
 		has_retry_after; /* the answer has Retry-After */
 	char body[BODY_MAX_BYTES]; /* body of the answer */
 	size_t size; /* size of the body */
@@ -40,11 +41,21 @@
 	call_t *call = context;
 
 	if (!strcasecmp(name, "X-Server-Seal"))
-		call->has_seal = true;
+		mem_strlcpy(call->seal, value, sizeof(call->seal));
+	if (!strcasecmp(name, "Server-Limit"))
+		call->has_rate = true;
 	if (!strcasecmp(name, "Retry-After"))
 		call->has_retry_after = true;
 }
 
+static void on_status(void *context, int status)
+{
+	call_t *call = context;
+
+	if (call->has_rate)
+		rates_relayed(call->node, call->seal);
+}
+
 static client_flow_t on_data(void *context, const void *data, size_t size)
 {
 	call_t *call = context;
@@ -79,7 +90,7 @@
 	snprintf(expected, sizeof(expected), "answer to %s", call->record->id);
 	whole = call->record->path == 't' ? is_whole_stream(call)
 					  : !strcmp(call->body, expected);
-	if (!call->has_seal || !whole)
+	if (!*call->seal || !whole)
 		soak_violation(call->soak, "MIXED %s: unexpected answer %s",
 			       call->record->id, call->body);
 }
@@ -154,13 +165,12 @@
 }
 
 /* @return a random node that is ready; NULL if none is */
-static const node_t *choose_node(soak_t *soak)
+static node_t *choose_node(soak_t *soak)
 {
 	int i, from = (int)soak_random(soak, (uint64_t)soak->node_count);
 
 	for (i = 0; i < soak->node_count; i++) {
-		const node_t *node =
-			&soak->nodes[(from + i) % soak->node_count];
+		node_t *node = &soak->nodes[(from + i) % soak->node_count];
 
 		if (node->ready)
 			return node;
@@ -182,7 +192,7 @@
 	return record;
 }
 
-static void send_request(soak_t *soak, const node_t *node)
+static void send_request(soak_t *soak, node_t *node)
 {
 	request_record_t *record = new_record(soak);
 	call_t *call = mem_calloc(1, sizeof(*call));
@@ -191,6 +201,7 @@
 		"Host: soak", id, key, deadline, tokens, NULL
 	};
 	client_handler_t handler = { .on_header = on_header,
+				     .on_status = on_status,
 				     .on_data = on_data,
 				     .on_end = on_end,
 				     .context = call };
@@ -209,6 +220,7 @@
 
 	call->soak = soak;
 	call->record = record;
+	record->node = node;
 	call->node = node;
 	call->node_disturbed_us = node->disturbed_us;
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/%c/x", node->port,
@@ -225,7 +237,7 @@
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	soak_t *soak = timer->data;
-	const node_t *node = choose_node(soak);
+	node_t *node = choose_node(soak);
 
 	if (node)
 		send_request(soak, node);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -73,6 +73,7 @@
 
 	if (!soak->faults_over) {
 		faults_end(soak);
+		rates_end(soak);
 		soak_note(soak, "faults ended");
 		ev_timer_set(timer, RECOVERY_S, 0.);
 	} else if (!soak->recovered_us) {
@@ -115,6 +116,7 @@
 	nodes_start(soak);
 	callers_start(soak);
 	faults_start(soak);
+	rates_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -145,6 +147,8 @@
 		  "daemons, at most 8", "N" },
 		{ "rate", 0, POPT_ARG_DOUBLE, &soak.rate_per_s, 0,
 		  "requests a second", "R" },
+		{ "server-rates", 0, POPT_ARG_NONE, &soak.server_rates, 0,
+		  "servers state rates of requests, and restart", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
 		  "directory of chivestaged", "DIR" },
 		POPT_AUTOHELP POPT_TABLEEND
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
@@ -12,6 +13,8 @@
 	QUEUED_MAX = 8, /* requests that the server accepts above SLOTS_MAX */
 	PLAIN_REPLY_MS = 15, /* delay of an answer of the plain service */
 	EVENT_GAP_MS = 40, /* time between two events of a stream */
+	HEADERS_MAX = 4,
+	RATE_TEXT_BYTES = 16,
 	HTTP_FULL = 503
 };
 
@@ -23,7 +26,7 @@
 typedef enum { COMPLETE, BREAK_OFF, LOSE } outcome_t;
 
 /** A request at a server. */
-typedef struct {
+typedef struct run {
 	server_t *server;
 	exchange_t *exchange;
 	char id[24];
@@ -32,8 +35,11 @@
 	int next_event, /* number, from 1, of the next event of the stream */
 		break_at; /* event in which the stream is aborted; 0: none */
 	bool running; /* counted in server_t.running */
+	struct run *prev, *next; /* the requests at all servers */
 } run_t;
 
+static run_t *runs;
+
 static void finish(run_t *run)
 {
 	if (run->running)
@@ -49,16 +55,33 @@
 	return value ? value : "";
 }
 
+/* Adds the headers that all answers of a server carry. The seal is the id of
+ * the server. */
+static size_t answer_headers(const run_t *run, reply_header_t *headers,
+			     char *rate)
+{
+	size_t count = 0;
+
+	headers[count++] = (reply_header_t){ "X-Request-Id", run->id };
+	if (!run->server->rate.is_stated)
+		return count;
+	snprintf(rate, RATE_TEXT_BYTES, "%.1f", run->server->rate.per_s);
+	headers[count++] = (reply_header_t){ "Server-Limit", rate };
+	return count;
+}
+
 static void send_plain(run_t *run)
 {
-	char body[64];
-	reply_header_t headers[] = { { "X-Server-Seal", "1" },
-				     { "X-Request-Id", run->id } };
+	char body[64], rate[RATE_TEXT_BYTES];
+	reply_header_t headers[HEADERS_MAX];
+	size_t count = answer_headers(run, headers, rate);
+
+	headers[count++] = (reply_header_t){ "X-Server-Seal", run->server->id };
 
 	snprintf(body, sizeof(body), "answer to %s", run->id);
 	finish(run);
 	if (run->outcome == COMPLETE)
-		exchange_reply(run->exchange, 200, headers, 2, body,
+		exchange_reply(run->exchange, 200, headers, count, body,
 			       strlen(body));
 	else
 		exchange_abort(run->exchange);
@@ -147,19 +170,21 @@
 
 static void refuse(run_t *run, int status)
 {
-	reply_header_t headers[] = { { "X-Not-Run", "1" },
-				     { "X-Request-Id", run->id } };
+	char rate[RATE_TEXT_BYTES];
+	reply_header_t headers[HEADERS_MAX];
+	size_t count = answer_headers(run, headers, rate);
 
-	exchange_reply(run->exchange, status, headers, 2, NULL, 0);
+	headers[count++] = (reply_header_t){ "X-Not-Run", "1" };
+	exchange_reply(run->exchange, status, headers, count, NULL, 0);
 }
 
 static void start_run(run_t *run)
 {
 	server_t *server = run->server;
 	soak_t *soak = server->soak;
-	reply_header_t headers[] = { { "X-Server-Seal", "1" },
-				     { "X-Request-Id", run->id },
-				     { "Content-Type", "text/event-stream" } };
+	char rate[RATE_TEXT_BYTES];
+	reply_header_t headers[HEADERS_MAX];
+	size_t count = answer_headers(run, headers, rate);
 	double delay_s =
 		(double)(server->plain ? PLAIN_REPLY_MS : EVENT_GAP_MS) /
 		(double)MS_PER_S;
@@ -173,8 +198,11 @@
 	if (run->outcome != COMPLETE)
 		run->break_at =
 			run->next_event + (int)soak_random(soak, STREAM_EVENTS);
+	headers[count++] = (reply_header_t){ "X-Server-Seal", server->id };
+	headers[count++] =
+		(reply_header_t){ "Content-Type", "text/event-stream" };
 	if (!server->plain)
-		exchange_stream(run->exchange, 200, headers, 3);
+		exchange_stream(run->exchange, 200, headers, count);
 	ev_timer_set(&run->timer, delay_s, server->plain ? 0. : delay_s);
 	ev_timer_start(soak->loop, &run->timer);
 }
@@ -188,6 +216,7 @@
 	ev_init(&run->timer, on_timer);
 	run->timer.data = run;
 	mem_strlcpy(run->id, header(exchange, "X-Request-Id"), sizeof(run->id));
+	DL_APPEND(runs, run);
 	return run;
 }
 
@@ -197,9 +226,13 @@
 	server_t *server = run->server;
 
 	server->arrivals++;
-	if (strcmp(header(run->exchange, "X-Expect-Instance"), server->id) != 0)
+	if (strcmp(header(run->exchange, "X-Expect-Instance"), server->id) !=
+	    0) {
 		refuse(run, 421);
-	else if (server->running >= SLOTS_MAX + QUEUED_MAX)
+		return;
+	}
+	rates_arrival(server, callers_find(server->soak, run->id));
+	if (server->running >= SLOTS_MAX + QUEUED_MAX)
 		refuse(run, HTTP_FULL);
 	else
 		start_run(run);
@@ -210,6 +243,7 @@
 	run_t *run = user;
 
 	finish(run);
+	DL_DELETE(runs, run);
 	free(run);
 }
 
@@ -221,15 +255,46 @@
 		 proxy_port(server->link));
 	store_write("servers", server->id,
 		    server->listed
-			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i}", "service",
+			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}",
+					"service",
 					server->plain ? "plain" : "model",
 					"address", address, "zone", "a",
 					"concurrencyLimit", SLOTS_MAX, "state",
 					server->draining ? "draining" : "ready",
-					"coldLeftMs", 0)
+					"coldLeftMs", 0, "born",
+					(json_int_t)server->born_ms)
 			    : NULL);
 }
 
+int server_index(const server_t *server)
+{
+	return (int)(server - server->soak->servers);
+}
+
+void server_restart(server_t *server)
+{
+	bool listed = server->listed;
+	run_t *run;
+
+	DL_FOREACH (runs, run) {
+		if (run->server != server || !run->running)
+			continue;
+		finish(run);
+		exchange_abort(run->exchange);
+	}
+	if (server->born_ms++ % 2) {
+		server->listed = false;
+		server_announce(server);
+		snprintf(server->id, sizeof(server->id), "s-%d-%d",
+			 server_index(server), (int)server->born_ms);
+		server->rate = (rate_log_t){ 0 };
+		server->listed = listed;
+	}
+	soak_note(server->soak, "restart of %s", server->id);
+	if (server->listed)
+		server_announce(server);
+}
+
 void servers_start(soak_t *soak)
 {
 	int i;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,7 +34,8 @@
 	STOP_MS = 8000, /* time from SIGTERM to the end of the daemon */
 	UNDISTURBED_MS = 3000, /* time after the last fault of a node, from
 				  which on the node must meet all limits */
-	DEADLINE_MS = 4000 /* time limit of each request */
+	DEADLINE_MS = 4000, /* time limit of each request */
+	RATE_ARRIVALS_MAX = 256 /* counted arrivals that a server remembers */
 };
 
 typedef struct soak soak_t;
@@ -61,12 +62,26 @@
 	int64_t started_us;
 	int64_t disturbed_us; /* last fault of the process or its links */
 	int port, ready_port, peer_port;
+	int64_t told_us[SERVERS]; /* when the node first relayed the rate of a
+				     server, since its last fault; 0: not yet */
 	proxy_t *store_link;
 	char settings[256]; /* path of the settings file */
 	ev_child child;
 	ev_timer restart;
 } node_t;
 
+/** The rate of requests that a server states, and what it got since. */
+typedef struct {
+	bool is_stated;
+	double per_s, highest_per_s; /* stated now; highest that still counts */
+	int64_t first_us, /* when the server first stated a rate */
+		lowered_us; /* when the rate fell below the highest; 0: it did
+			       not */
+	int64_t arrivals_us[RATE_ARRIVALS_MAX]; /* of nodes that know the rate
+						 */
+	int arrival_count;
+} rate_log_t;
+
 /** A backend server, with an object in the store while it is listed. */
 typedef struct {
 	soak_t *soak;
@@ -82,6 +97,8 @@
 	int32_t running; /* requests in flight */
 	double abort_chance; /* probability that an answer is aborted */
 	uint64_t arrivals; /* requests received */
+	int64_t born_ms; /* start of the server, as its object states it */
+	rate_log_t rate;
 } server_t;
 
 /** One request of a caller, for the checks. */
@@ -89,6 +106,7 @@
 	char id[24];
 	char path; /* s: repeatable, o: runs at most once, t: stream */
 	int key; /* index of the caller's key; -1: none */
+	const node_t *node; /* node that got the request */
 	int64_t sent_us;
 	int32_t runs; /* times that a server began to run the request */
 	bool refused; /* the answer promised that the request was not run */
@@ -127,7 +145,9 @@
 	int64_t recovered_us; /* end of the time to recover; 0: not reached */
 	int64_t key_revoked_us[KEYS]; /* 0: the key is valid */
 	int64_t version; /* version of the configuration written last */
-	ev_timer caller_timer, fault_timer, probe_timer, end_timer;
+	int server_rates; /* servers state rates, and restart */
+	uint64_t rates_random; /* state of the generator for rates */
+	ev_timer caller_timer, fault_timer, rate_timer, probe_timer, end_timer;
 };
 
 /** Prints a violation of a guarantee and counts it. */
@@ -168,6 +188,11 @@
 void servers_start(soak_t *soak);
 /** Writes the object of a server to the store, or deletes it if not listed. */
 void server_announce(server_t *server);
+/** Restarts a server at its address, under its id or under a new one. Its
+ * requests break off. */
+void server_restart(server_t *server);
+/** @return number of the server, from 0 */
+int server_index(const server_t *server);
 void servers_stop(soak_t *soak);
 
 /* nodes.c */
@@ -185,6 +210,15 @@
 /** Checks at the end that requests succeeded after the faults. */
 void callers_check(soak_t *soak);
 
+/* rates.c */
+void rates_start(soak_t *soak);
+/** Checks, when a request arrives, the rate that the server states. */
+void rates_arrival(server_t *server, const request_record_t *record);
+/** Notes that a caller got an answer of the server with its rate. */
+void rates_relayed(node_t *node, const char *server_id);
+/** Withdraws all rates. */
+void rates_end(soak_t *soak);
+
 /* faults.c */
 void faults_start(soak_t *soak);
 /** Ends all faults and lets no other fault begin. */
--- /dev/null
+++ b/tests/test_gateway_rates.c
@@ -0,0 +1,89 @@
+/**
+ * Rates that servers state, through a whole gateway: what reaches the servers,
+ * and what callers get instead.
+ */
+#include <curl/curl.h>
+#include <signal.h>
+#include <string.h>
+
+#include "cases.h"
+#include "lib/gateway_fixture.h"
+
+static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+				       "X-Deadline-Ms: 1400",
+				       FIXTURE_AUTHORIZATION, NULL };
+
+enum {
+	NODES = 4, /* in the list of nodes; the others send nothing here */
+	TOLD_MS = 500, /* time from which on requests count */
+	RATE_WINDOW_S = 4,
+	RATE_SLACK = 5
+};
+#define RATE_FACTOR 1.5
+
+static int set_up(void **state)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	return 0;
+}
+
+/* Sends @p count lookups, one each @p pause_ms. */
+static void call(gateway_fixture_t *fixture, int count, int64_t pause_ms)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		reply_t reply;
+
+		gateway_fixture_call(fixture, &reply, "GET", "/safe/x", headers,
+				     NULL);
+		assert_true(gateway_fixture_wait(fixture, &reply, 1000));
+		gateway_fixture_run(fixture, pause_ms);
+	}
+}
+
+/* If every node sent as much, the sum has to stay within the platform's rule.
+ */
+static void server_gets_more_than_its_stated_rate(void **state)
+{
+	static const struct {
+		const char *guards_against, *rates[2];
+		double per_s; /* lower one of the rates */
+	} cases[] = {
+		{ "rates of all servers passed over", { "1", "1" }, 1 },
+		{ "the rate of one server passed over", { "2", NULL }, 2 },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { .other_nodes = NODES - 1 };
+		double allowed = cases[i].per_s * RATE_FACTOR * RATE_WINDOW_S +
+				 RATE_SLACK;
+		int counts[2] = { 0 };
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		for (j = 0; j < 2; j++)
+			fixture.servers[j].rate = cases[i].rates[j];
+		call(&fixture, 50, 30);
+		for (j = 0; j < fixture.arrival_count; j++)
+			counts[fixture.arrivals[j].server] +=
+				fixture.arrivals[j].at_us >
+				fixture.arrivals[0].at_us + TOLD_MS * US_PER_MS;
+		for (j = 0; j < 2; j++)
+			if (cases[i].rates[j] && counts[j] * NODES > allowed)
+				fail_msg("case \"%s\": server %zu got %d",
+					 cases[i].guards_against, j, counts[j]);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(server_gets_more_than_its_stated_rate),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, NULL);
+}
