--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -13,9 +13,6 @@
 /* Cost of a server in another data centre: network delay, and traffic between
  * data centres. */
 #define FAR_COST_US (3 * US_PER_MS)
-/* Fraction of the rate of a cold server that is used: when the list of nodes
- * changes, nodes briefly disagree on which of them use the server. */
-#define COLD_RATE_FRACTION 0.8
 /* Nodes that must announce a server as failing before the others avoid it. */
 enum { AVOIDING_NODES_MIN = 2 };
 /* Fraction of the drain time in which requests are sent to a leaving server;
@@ -27,7 +24,6 @@
 	backends_t *backends = mem_calloc(1, sizeof(*backends));
 
 	backends->conf = *conf;
-	backends->nodes_version = 1;
 	backends->rates = server_rates_create();
 	return backends;
 }
@@ -53,7 +49,7 @@
 		free(dc);
 	}
 	server_rates_destroy(backends->rates);
-	free(backends->nodes);
+	limit_nodes_clear(&backends->nodes);
 	free(backends);
 }
 
@@ -81,7 +77,7 @@
 	server->failed_us = 0;
 	server->paused_until_us = 0;
 	server->slowdown = 1;
-	server->cold_tokens = 0;
+	server->cold_share.tokens = 0;
 }
 
 bool backends_update(backends_t *backends, const backend_entry_t *entry,
@@ -100,7 +96,7 @@
 		server->references = 1;
 		server->table = backends;
 		server->hash = load_table_hash(entry->id);
-		server->cold_filled_us = now_us;
+		server->cold_share.filled_us = now_us;
 		begin_generation(server);
 		HASH_ADD_STR(backends->servers, entry.id, server);
 	} else if (server->entry.born_ms != entry->born_ms ||
@@ -181,17 +177,6 @@
 		dc->evacuated = false;
 }
 
-void backends_set_nodes(backends_t *backends, const uint64_t *nodes,
-			size_t count, uint64_t own)
-{
-	free(backends->nodes);
-	backends->nodes = (uint64_t *)mem_copy((const char *)nodes,
-					       count * sizeof(*nodes));
-	backends->node_count = count;
-	backends->own = own;
-	backends->nodes_version++;
-}
-
 server_rates_t *backends_rates(backends_t *backends)
 {
 	return backends->rates;
@@ -248,9 +233,7 @@
 	       (double)(now_us - backend->leaving_us) < send_us;
 }
 
-/* @return true if the server may be used, or will be once it no longer rejects
- * requests. */
-static bool is_in_service(const backend_t *backend, int64_t now_us)
+bool backend_in_service(const backend_t *backend, int64_t now_us)
 {
 	return backend->table && backend->entry.state == BACKEND_READY &&
 	       !backend->dc->evacuated && may_get_requests(backend, now_us);
@@ -258,106 +241,10 @@
 
 bool backend_usable(const backend_t *backend, int64_t now_us)
 {
-	return is_in_service(backend, now_us) &&
+	return backend_in_service(backend, now_us) &&
 	       now_us >= backend->rejects_until_us;
 }
 
-int64_t backends_accept_at_us(backends_t *backends, const char *service,
-			      int64_t now_us)
-{
-	int64_t first_us = INT64_MAX;
-	backend_t *server, *next;
-
-	HASH_ITER (hh, backends->servers, server, next)
-		if (!strcmp(server->entry.service, service) &&
-		    is_in_service(server, now_us) &&
-		    server->rejects_until_us > now_us &&
-		    server->rejects_until_us < first_us)
-			first_us = server->rejects_until_us;
-	return first_us;
-}
-
-bool backend_is_cold(const backend_t *backend, int64_t now_us)
-{
-	return now_us < backend->cold_until_us;
-}
-
-static uint64_t rendezvous_weight(const backend_t *backend, uint64_t node)
-{
-	const uint64_t key[] = { backend->hash, node };
-
-	return XXH64(key, sizeof(key), 0);
-}
-
-/*
- * Fraction of the limit of a cold server that this node may use: 0 unless it is
- * one of the nodes that use the server. Each of these nodes may save up one
- * request, so there are fewer nodes than requests allowed beyond the rate.
- */
-static double cold_fraction_of(const backend_t *backend)
-{
-	const backends_t *table = backend->table;
-	uint64_t own = rendezvous_weight(backend, table->own);
-	int32_t users = table->conf.cold_slack - 1;
-	size_t i, before = 0;
-
-	if (!table->nodes)
-		return 0;
-	if (users < 1)
-		users = 1;
-	if ((size_t)users > table->node_count)
-		users = (int32_t)table->node_count;
-	for (i = 0; i < table->node_count; i++)
-		before += rendezvous_weight(backend, table->nodes[i]) > own;
-	return before < (size_t)users ? COLD_RATE_FRACTION / users : 0;
-}
-
-/* Refills this node's part of the cold limit, up to one saved request. */
-static void fill_cold_limit(backend_t *backend, const service_conf_t *service,
-			    int64_t now_us)
-{
-	double rate =
-		service->cold_requests_per_s * backend->table->conf.cold_factor;
-	double elapsed_s =
-		(double)(now_us - backend->cold_filled_us) / (double)US_PER_S;
-
-	if (backend->cold_nodes_version != backend->table->nodes_version)
-		backend->cold_fraction = cold_fraction_of(backend);
-	backend->cold_nodes_version = backend->table->nodes_version;
-	backend->cold_tokens += rate * backend->cold_fraction * elapsed_s;
-	if (backend->cold_tokens > 1)
-		backend->cold_tokens = 1;
-	backend->cold_filled_us = now_us;
-}
-
-/* @return true if the cold limit applies to the server now. */
-static bool is_limited(const backend_t *backend, const service_conf_t *service,
-		       int64_t now_us)
-{
-	return backend->table && service->cold_requests_per_s > 0 &&
-	       backend_is_cold(backend, now_us);
-}
-
-/* @return true if the server is warm, or its cold limit allows a request. */
-static bool has_cold_capacity(backend_t *backend, const service_conf_t *service,
-			      int64_t now_us)
-{
-	if (!is_limited(backend, service, now_us))
-		return true;
-	fill_cold_limit(backend, service, now_us);
-	return backend->cold_tokens >= 1;
-}
-
-bool backend_take_cold(backend_t *backend, const service_conf_t *service,
-		       int64_t now_us)
-{
-	if (!has_cold_capacity(backend, service, now_us))
-		return false;
-	if (is_limited(backend, service, now_us))
-		backend->cold_tokens -= 1;
-	return true;
-}
-
 local_load_t *backend_own_load(backend_t *backend)
 {
 	return &backend->own_load;
@@ -404,6 +291,7 @@
 				    ? server->slowdown
 				    : 1,
 		.distance_us = near ? 0 : FAR_COST_US,
+		.is_limited = backend_is_limited(server),
 		.fallback = server->leaving_us ||
 			    query->now_us < server->paused_until_us ||
 			    is_avoided(server, query) ||
@@ -435,7 +323,7 @@
 		if (strcmp(server->entry.service, query->service->name) != 0 ||
 		    !backend_usable(server, query->now_us) ||
 		    is_excluded(server, query) ||
-		    !has_cold_capacity(server, query->service, query->now_us))
+		    !backend_allows(server, query->service, query->now_us))
 			continue;
 		(*candidates)[count++] = candidate_of(server, query);
 	}
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -103,15 +103,13 @@
 void backends_clear_evacuations(backends_t *backends);
 
 /**
- * Sets the nodes among which the limits of cold servers are divided. Only a few
- * nodes, chosen by hash, use each cold server: the limit divided by all nodes
- * would be too low to use. Before the
- * first call this node's part of each limit is 0.
+ * Sets the nodes among which the limits of servers are divided (limit_share.h).
+ * Before the first call this node's part of each limit is 0.
  * @param nodes hashes of the node ids; copied
  * @param own   hash of this node's id, one of @p nodes
  */
 void backends_set_nodes(backends_t *backends, const uint64_t *nodes,
-			size_t count, uint64_t own);
+			size_t count, uint64_t own, int64_t now_us);
 
 /**
  * Iterates over the table.
@@ -134,13 +132,15 @@
 bool backend_usable(const backend_t *backend, int64_t now_us);
 
 /**
- * Takes one request from this node's part of the limit of a cold server.
- * @return false if the limit is used up; true if no limit applies, for example
- * to a warm server
+ * Takes one request, of any kind, from this node's part of the server's limits:
+ * that of a cold server, and the rate that the server states.
+ * @return false, with nothing taken, if a limit is used up
  */
-bool backend_take_cold(backend_t *backend, const service_conf_t *service,
-		       int64_t now_us);
+bool backend_take(backend_t *backend, const service_conf_t *service,
+		  int64_t now_us);
 bool backend_is_cold(const backend_t *backend, int64_t now_us);
+/** @return true if the server states a rate of requests. */
+bool backend_is_limited(const backend_t *backend);
 
 /** Load of this node on the server; see attempt_load.h. */
 local_load_t *backend_own_load(backend_t *backend);
@@ -168,11 +168,12 @@
 /** Records that the server rejects requests of this node until @p until_us. */
 void backend_note_rejecting(backend_t *backend, int64_t until_us);
 /**
- * @return earliest time at which a server of a service that rejects requests of
- * this node accepts them again; INT64_MAX: no server rejects requests
+ * Finds out when a server of a service accepts requests again that it rejects
+ * now, or does not accept by the rate that it states.
+ * @return INT64_MAX: no server does either
  */
-int64_t backends_accept_at_us(backends_t *backends, const char *service,
-			      int64_t now_us);
+accept_times_t backends_accept_times(backends_t *backends, const char *service,
+				     int64_t now_us);
 
 /** @return the rates that the servers state. */
 server_rates_t *backends_rates(backends_t *backends);
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -36,10 +36,7 @@
 	uint64_t listing; /* last listing that had its entry */
 	int64_t remove_at_us; /* end of the grace period; 0: entry is present */
 	int64_t cold_until_us;
-	double cold_tokens; /* requests that the cold limit allows now */
-	uint32_t cold_nodes_version; /* nodes_version of cold_fraction */
-	double cold_fraction; /* part of the cold limit for this node, 0 to 1 */
-	int64_t cold_filled_us; /* last refill of cold_tokens */
+	limit_share_t cold_share; /* this node's part of the cold limit */
 	local_load_t own_load; /* load of this node */
 	int64_t leaving_us; /* first answer that said the server leaves; 0: none
 			     */
@@ -59,13 +56,17 @@
 	backend_dc_t *dcs;
 	server_rates_t *rates;
 	uint64_t listing; /* number of the current listing */
-	uint64_t *nodes; /* hashes of the node ids; NULL: not known yet */
-	size_t node_count;
-	uint64_t own; /* hash of this node's id */
-	uint32_t nodes_version; /* grows with each list of nodes */
+	limit_nodes_t nodes; /* share the limits of servers */
 };
 
 /** Finds a data centre, or adds it. @return never NULL */
 backend_dc_t *backends_dc(backends_t *backends, const char *name);
 
+/* @return true if the server may be used, or will be once it no longer rejects
+ * requests, and once a limit allows one. */
+bool backend_in_service(const backend_t *backend, int64_t now_us);
+/* @return true if the limits of the server allow this node a request now. */
+bool backend_allows(backend_t *backend, const service_conf_t *service,
+		    int64_t now_us);
+
 #endif
--- a/src/process/choice.c
+++ b/src/process/choice.c
@@ -32,6 +32,7 @@
 		server = backend_ref(copy->server);
 		choice->generations[i] = backend_generation(server);
 		choice->cold[i] = backend_is_cold(server, now_us);
+		choice->limited[i] = backend_is_limited(server);
 	}
 }
 
@@ -61,7 +62,8 @@
 
 		if (!backend_usable(server, now_us) ||
 		    backend_generation(server) != choice->generations[i] ||
-		    (backend_is_cold(server, now_us) && !choice->cold[i]))
+		    (backend_is_cold(server, now_us) && !choice->cold[i]) ||
+		    (backend_is_limited(server) && !choice->limited[i]))
 			return false;
 	}
 	return true;
--- a/src/process/choice.h
+++ b/src/process/choice.h
@@ -18,6 +18,8 @@
 	/** Generation of each server at the time of selection. */
 	uint32_t generations[PLACEMENT_SHARDS_MAX];
 	bool cold[PLACEMENT_SHARDS_MAX]; /**< server was cold at selection */
+	/** Server stated a rate of requests at selection. */
+	bool limited[PLACEMENT_SHARDS_MAX];
 } choice_t;
 
 /**
@@ -41,7 +43,7 @@
 
 /**
  * @return true if the attempt may still be sent: none of its servers has left,
- *         restarted, or turned cold since it was selected
+ *         restarted, turned cold, or stated a rate since it was selected
  */
 bool choice_is_valid(const choice_t *choice, int64_t now_us);
 
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -116,6 +117,9 @@
 					now_us),
 	};
 	list_failing(gateway, now_us, message);
+	message->rate_count =
+		server_rates_list(backends_rates(gateway->backends),
+				  message->rates, ANNOUNCED_RATES_MAX, now_us);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
@@ -175,6 +179,10 @@
 			 ANNOUNCE_IDLE_MIN_SHARE;
 
 	load_table_expire(gateway->load_table, now_us);
+	server_rates_expire(backends_rates(gateway->backends), now_us);
+	metrics_set(
+		METRIC_SERVERS_LIMITED,
+		(int64_t)server_rates_count(backends_rates(gateway->backends)));
 	if (gateway->announce_due ||
 	    (double)(now_us - gateway->announced_us) >= idle_us)
 		announce(gateway, now_us);
@@ -202,6 +210,44 @@
 	ev_timer_start(gateway->loop, &gateway->announce);
 }
 
+static const char *server_id(const gateway_t *gateway, uint32_t hash)
+{
+	const backend_t *server = NULL;
+
+	while ((server = backends_next(gateway->backends, server)))
+		if (backend_hash(server) == hash)
+			return backend_entry(server)->id;
+	return "-";
+}
+
+static void receive_rates(gateway_t *gateway, const announcement_t *message)
+{
+	server_rates_t *rates = backends_rates(gateway->backends);
+	char per_s[RATE_TEXT_BYTES];
+	size_t i;
+
+	for (i = 0; i < message->rate_count; i++) {
+		const server_rate_t *rate = &message->rates[i];
+
+		if (!server_rates_receive(rates, rate, clock_monotonic_us()))
+			continue;
+		server_rate_format(rate, per_s);
+		log_event(EVENT_SERVER_RATE,
+			  "server=%s per_s=%s source=node-%016" PRIx64,
+			  server_id(gateway, rate->server_hash), per_s,
+			  message->node);
+	}
+}
+
+static void receive_load(gateway_t *gateway, const announcement_t *message)
+{
+	if (load_table_receive(gateway->load_table, message,
+			       clock_monotonic_us(), clock_boot_us()))
+		receive_rates(gateway, message);
+	else
+		metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
+}
+
 static void on_datagram(void *context, const uint8_t *data, size_t size)
 {
 	gateway_t *gateway = context;
@@ -214,9 +260,7 @@
 	metrics_add(METRIC_PEER_RECEIVED_BYTES, (int64_t)size);
 	switch (packet.type) {
 	case PACKET_LOAD:
-		if (!load_table_receive(gateway->load_table, &packet.as.load,
-					clock_monotonic_us(), clock_boot_us()))
-			metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
+		receive_load(gateway, &packet.as.load);
 		break;
 	case PACKET_VIEW_UPDATE:
 		gateway_receive_update(gateway, &packet.as.update);
@@ -263,7 +307,7 @@
 	for (i = 0; i < gateway->peer_count; i++)
 		nodes[i + 1] = gateway->peers[i].hash;
 	backends_set_nodes(gateway->backends, nodes, gateway->peer_count + 1,
-			   nodes[0]);
+			   nodes[0], clock_monotonic_us());
 	free(nodes);
 }
 
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -48,7 +48,9 @@
 	client_handler_t handler = { .on_end = on_probe_end,
 				     .on_free = on_probe_free };
 
-	if (!service || !*service->health_path)
+	/* The limits of a server hold for probes, too. */
+	if (!service || !*service->health_path ||
+	    !backend_take(server, service, clock_monotonic_us()))
 		return;
 	handler.context = backend_ref(server);
 	snprintf(url, sizeof(url), "http://%s%s", entry->address,
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -18,6 +18,7 @@
 #include "base/units.h"
 #include "process/forecast.h"
 #include "process/region.h"
+#include "process/server_rates.h"
 
 typedef struct load_table load_table_t;
 
@@ -68,6 +69,9 @@
 	/** Hashes of the ids of servers that just failed for the node. */
 	uint32_t failing[LOAD_FAILING_MAX];
 	size_t failing_count; /**< entries of failing */
+	/** What servers stated in their last answers to the node. */
+	server_rate_t rates[ANNOUNCED_RATES_MAX];
+	size_t rate_count; /**< entries of rates */
 	load_item_t *items;
 	size_t item_count;
 } announcement_t;
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -1,5 +1,6 @@
 #include "process/packet.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -28,12 +29,33 @@
 	return work__packet__pack(packet, data);
 }
 
+static void pack_rates(const announcement_t *message, Work__Rate *rates,
+		       Work__Rate **pointers)
+{
+	size_t i;
+
+	for (i = 0; i < message->rate_count; i++) {
+		const server_rate_t *rate = &message->rates[i];
+		double milli = round(rate->per_s * KILO);
+
+		work__rate__init(&rates[i]);
+		rates[i].server = rate->server_hash;
+		rates[i].ended = !rate->is_limited;
+		rates[i].milli_per_s = milli < UINT32_MAX ? (uint32_t)milli
+							  : UINT32_MAX;
+		rates[i].age_ms = to_unit(rate->age_us, US_PER_MS);
+		pointers[i] = &rates[i];
+	}
+}
+
 static size_t encode_load(const announcement_t *message, uint8_t *data,
 			  size_t capacity)
 {
 	Work__Packet packet = WORK__PACKET__INIT;
 	Work__Announcement announcement = WORK__ANNOUNCEMENT__INIT;
 	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
+	Work__Rate rates[ANNOUNCED_RATES_MAX];
+	Work__Rate *rate_pointers[ANNOUNCED_RATES_MAX];
 	size_t i, size, count = message->item_count;
 
 	if (count > ITEMS_MAX)
@@ -67,6 +89,9 @@
 	announcement.n_known = LOAD_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
 	announcement.items = pointers;
+	pack_rates(message, rates, rate_pointers);
+	announcement.n_rates = message->rate_count;
+	announcement.rates = rate_pointers;
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
 	packet.announcement = &announcement;
 	/* Items are left out until the rest fits: a node that announces too
@@ -166,6 +191,16 @@
 	return 0;
 }
 
+static server_rate_t unpack_rate(const Work__Rate *packed)
+{
+	return (server_rate_t){
+		.server_hash = packed->server,
+		.is_limited = !packed->ended,
+		.per_s = (double)packed->milli_per_s / KILO,
+		.age_us = (int64_t)packed->age_ms * US_PER_MS,
+	};
+}
+
 static void decode_load(const Work__Announcement *announcement,
 			announcement_t *message)
 {
@@ -187,6 +222,9 @@
 	for (i = 0; i < announcement->n_shunned && i < LOAD_FAILING_MAX; i++)
 		message->failing[i] = announcement->shunned[i];
 	message->failing_count = i;
+	for (i = 0; i < announcement->n_rates && i < ANNOUNCED_RATES_MAX; i++)
+		message->rates[i] = unpack_rate(announcement->rates[i]);
+	message->rate_count = i;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	for (i = 0; i < announcement->n_known && i < LOAD_VIEWS; i++)
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -141,8 +141,8 @@
 	return 0;
 }
 
-/* Lists the servers with free memory; fallback servers are included only if
- * fewer than @p shards other servers are available. */
+/* Lists the servers with free memory that take a shard; fallback servers are
+ * included only if fewer than @p shards other servers are available. */
 static size_t list_options(const candidate_t *candidates, size_t count,
 			   const placement_query_t *query, int32_t shards,
 			   int64_t kv_tokens, double jitter_bound,
@@ -157,6 +157,7 @@
 				&candidates[(i + offset) % count];
 
 			if (candidate->fallback == !!fallback &&
+			    (shards == 1 || !candidate->is_limited) &&
 			    placement_fits(candidate, kv_tokens))
 				options[used++] = option_of(
 					candidate, query, shards, jitter_bound);
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -35,6 +35,9 @@
 	/** Network delay plus the cost of traffic to a far server, as time. */
 	int64_t distance_us;
 	bool fallback; /**< used only when no other server is left */
+	/** States a rate of requests: takes whole prompts only, because each
+	 * shard would count as a request. */
+	bool is_limited;
 } candidate_t;
 
 /** The request to place. */
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &work__announcement__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   work__rate__init
+                     (Work__Rate         *message)
+{
+  static const Work__Rate init_value = WORK__RATE__INIT;
+  *message = init_value;
+}
+size_t work__rate__get_packed_size
+                     (const Work__Rate *message)
+{
+  assert(message->base.descriptor == &work__rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__rate__pack
+                     (const Work__Rate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__rate__pack_to_buffer
+                     (const Work__Rate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Rate *
+       work__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Rate *)
+     protobuf_c_message_unpack (&work__rate__descriptor,
+                                allocator, len, data);
+}
+void   work__rate__free_unpacked
+                     (Work__Rate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   work__item__init
                      (Work__Item         *message)
 {
@@ -431,7 +476,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[13] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[14] =
 {
   {
     "node",
@@ -589,6 +634,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rates",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Announcement, n_rates),
+    offsetof(Work__Announcement, rates),
+    &work__rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   4,   /* field[4] = data_centre */
@@ -598,6 +655,7 @@
   7,   /* field[7] = known */
   8,   /* field[8] = link_mbps */
   0,   /* field[0] = node */
+  13,   /* field[13] = rates */
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
   12,   /* field[12] = shunned */
@@ -608,7 +666,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -618,13 +676,90 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  13,
+  14,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
   (ProtobufCMessageInit) work__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor work__rate__field_descriptors[4] =
+{
+  {
+    "server",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Rate, server),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Rate, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Work__Rate, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Rate, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__rate__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  2,   /* field[2] = ended */
+  1,   /* field[1] = milli_per_s */
+  0,   /* field[0] = server */
+};
+static const ProtobufCIntRange work__rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor work__rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Rate",
+  "Rate",
+  "Work__Rate",
+  "work",
+  sizeof(Work__Rate),
+  4,
+  work__rate__field_descriptors,
+  work__rate__field_indices_by_name,
+  1,  work__rate__number_ranges,
+  (ProtobufCMessageInit) work__rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor work__item__field_descriptors[8] =
 {
   {
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Work__Packet Work__Packet;
 typedef struct Work__Announcement Work__Announcement;
+typedef struct Work__Rate Work__Rate;
 typedef struct Work__Item Work__Item;
 typedef struct Work__Usage Work__Usage;
 typedef struct Work__Count Work__Count;
@@ -106,10 +107,43 @@
    * last window whose usage needs no more reports
    */
   int64_t usage_closed;
+  /*
+   * what servers lately stated to the sender
+   */
+  size_t n_rates;
+  Work__Rate **rates;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * Rate of requests that a server states in its answers.
+ */
+struct  Work__Rate
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the server's id
+   */
+  uint32_t server;
+  /*
+   * requests in 1000 s, of all nodes together
+   */
+  uint32_t milli_per_s;
+  /*
+   * the server states no rate any more
+   */
+  protobuf_c_boolean ended;
+  /*
+   * time since the answer arrived
+   */
+  uint32_t age_ms;
+};
+#define WORK__RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__rate__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -314,6 +348,25 @@
 void   work__announcement__free_unpacked
                      (Work__Announcement *message,
                       ProtobufCAllocator *allocator);
+/* Work__Rate methods */
+void   work__rate__init
+                     (Work__Rate         *message);
+size_t work__rate__get_packed_size
+                     (const Work__Rate   *message);
+size_t work__rate__pack
+                     (const Work__Rate   *message,
+                      uint8_t             *out);
+size_t work__rate__pack_to_buffer
+                     (const Work__Rate   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Rate *
+       work__rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__rate__free_unpacked
+                     (Work__Rate *message,
+                      ProtobufCAllocator *allocator);
 /* Work__Item methods */
 void   work__item__init
                      (Work__Item         *message);
@@ -436,6 +489,9 @@
 typedef void (*Work__Announcement_Closure)
                  (const Work__Announcement *message,
                   void *closure_data);
+typedef void (*Work__Rate_Closure)
+                 (const Work__Rate *message,
+                  void *closure_data);
 typedef void (*Work__Item_Closure)
                  (const Work__Item *message,
                   void *closure_data);
@@ -462,6 +518,7 @@
 
 extern const ProtobufCMessageDescriptor work__packet__descriptor;
 extern const ProtobufCMessageDescriptor work__announcement__descriptor;
+extern const ProtobufCMessageDescriptor work__rate__descriptor;
 extern const ProtobufCMessageDescriptor work__item__descriptor;
 extern const ProtobufCMessageDescriptor work__usage__descriptor;
 extern const ProtobufCMessageDescriptor work__count__descriptor;
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -19,7 +19,6 @@
 	/* The server's answer is paused while more than this is buffered for
 	 * the caller. */
 	PENDING_MAX_BYTES = 64 * 1024,
-	RATE_TEXT_BYTES = 32,
 	HTTP_OK = 200,
 	HTTP_MULTIPLE_CHOICES = 300,
 	HTTP_MISDIRECTED = 421,
@@ -124,17 +123,16 @@
 	const backend_t *server = attempt->load.shards[0].server;
 	server_rate_t rate = { .server_hash = backend_hash(server),
 			       .is_limited = reply->rate == RATE_STATED,
-			       .per_s = reply->rate_per_s,
-			       .seen_us = now_us };
-	char per_s[RATE_TEXT_BYTES] = "-";
+			       .per_s = reply->rate_per_s };
+	char per_s[RATE_TEXT_BYTES];
 
 	if (reply->rate == RATE_UNREADABLE ||
 	    (reply->rate == RATE_NOT_STATED && !reply->sealed) ||
 	    !server_rates_note(backends_rates(forward->gateway->backends),
-			       &rate, attempt->sent_us))
+			       &rate, attempt->sent_us, now_us))
 		return;
-	if (rate.is_limited)
-		snprintf(per_s, sizeof(per_s), "%.3f", rate.per_s);
+	server_rate_format(&rate, per_s);
+	gateway_load_changed(forward->gateway, true);
 	log_event(EVENT_SERVER_RATE, "server=%s per_s=%s source=%s",
 		  backend_entry(server)->id, per_s,
 		  *forward->request.id ? forward->request.id : "-");
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -37,6 +38,9 @@
 /* Fraction of the latency objective for which a request waits for a server to
  * appear; after it the caller is better served by a refusal. */
 #define WAIT_TARGET_FRACTION 0.125
+/* The same for a request that waits until a server accepts it: the time is
+ * known, and the rest of the objective is left to serve it. */
+#define WAIT_ACCEPT_FRACTION 0.5
 
 static int64_t age_us(const forward_t *forward, int64_t now_us)
 {
@@ -111,51 +115,74 @@
 	return choice_make(choice, gateway->backends, &wanted, &query);
 }
 
-/*
- * @return Retry-After: when a server accepts requests again, if a server said
- * so; otherwise well before the caller's deadline, after which a retry is not
- * served at all
- */
-static int64_t no_server_retry_ms(const forward_t *forward)
+/* @return Retry-After if no server is known to accept requests again: well
+ * before the caller's deadline, after which a retry is not served at all */
+static int64_t no_server_retry_ms(const forward_t *forward, int64_t now_us)
 {
-	int64_t now_us = clock_monotonic_us();
 	int64_t left_ms =
 		(forward->limit_us - now_us) / US_PER_MS / RETRY_TIME_DIVISOR;
-	int64_t accept_at_us = backends_accept_at_us(
-		forward->gateway->backends, forward->service->name, now_us);
 
-	if (accept_at_us != INT64_MAX)
-		return (accept_at_us - now_us) / US_PER_MS + 1;
 	if (left_ms < BUSY_RETRY_MS / RETRY_TIME_DIVISOR)
 		left_ms = BUSY_RETRY_MS / RETRY_TIME_DIVISOR;
 	return left_ms < NO_SERVER_RETRY_MS ? left_ms : NO_SERVER_RETRY_MS;
 }
 
+static bool another_waits(const forward_t *forward)
+{
+	const forward_t *other;
+
+	DL_FOREACH (forward->gateway->forwards, other)
+		if (other != forward && other->phase == FORWARD_WAITING &&
+		    other->service == forward->service)
+			return true;
+	return false;
+}
+
+/* @return true if the request should wait here: for a server to appear, or for
+ * the next request that a server accepts, for which one request may wait */
+static bool should_wait(const forward_t *forward, const accept_times_t *accepts)
+{
+	double target_us = (double)(forward->route->target_ms * US_PER_MS);
+	double age = (double)age_us(forward, clock_monotonic_us());
+
+	if (forward->tried_count)
+		return false;
+	if (accepts->anywhere_us == INT64_MAX)
+		return age < target_us * WAIT_TARGET_FRACTION;
+	return accepts->here_us != INT64_MAX &&
+	       (double)age_us(forward, accepts->here_us) <
+		       target_us * WAIT_ACCEPT_FRACTION &&
+	       !another_waits(forward);
+}
+
 static void wait_or_refuse(forward_t *forward)
 {
-	int64_t target_us = forward->route->target_ms * US_PER_MS;
 	int64_t now_us = clock_monotonic_us();
+	accept_times_t accepts = backends_accept_times(
+		forward->gateway->backends, forward->service->name, now_us);
 
-	if (!forward->tried_count &&
-	    (double)age_us(forward, now_us) <
-		    (double)target_us * WAIT_TARGET_FRACTION) {
+	if (should_wait(forward, &accepts)) {
 		forward->phase = FORWARD_WAITING;
 		forward_set_timer(forward);
-		return;
+	} else if (accepts.anywhere_us != INT64_MAX) {
+		forward_refuse(forward, "servers_limited",
+			       (accepts.anywhere_us - now_us) / US_PER_MS + 1);
+	} else {
+		forward_refuse(forward, "no_server",
+			       no_server_retry_ms(forward, now_us));
 	}
-	forward_refuse(forward, "no_server", no_server_retry_ms(forward));
 }
 
-/* @return false if a chosen server is cold and its request limit is used up */
-static bool take_cold_quota(const forward_t *forward)
+/* @return false if a limit of a chosen server is used up */
+static bool take_from_limits(const forward_t *forward)
 {
 	const placement_t *placement = &forward->choice.placement;
 	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
 	for (i = 0; i < placement->count; i++)
-		if (!backend_take_cold(placement->shards[i]->server,
-				       forward->service, now_us))
+		if (!backend_take(placement->shards[i]->server,
+				  forward->service, now_us))
 			return false;
 	return true;
 }
@@ -238,7 +265,7 @@
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
-		if (!take_cold_quota(forward))
+		if (!take_from_limits(forward))
 			wait_or_refuse(forward);
 		else if (placement->shared_memory)
 			reserve_memory(forward);
--- a/tests/fuzz/fuzz_choice.c
+++ b/tests/fuzz/fuzz_choice.c
@@ -165,7 +165,7 @@
 	size_t i;
 
 	now_us = US_PER_S;
-	backends_set_nodes(backends, nodes, 1, nodes[0]);
+	backends_set_nodes(backends, nodes, 1, nodes[0], 0);
 	for (i = 0; i + 1 < size; i += 2)
 		step(backends, requests, data[i], data[i + 1]);
 	for (i = 0; i < REQUESTS; i++)
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -352,7 +352,8 @@
 	for (i = 0; i < count; i++) {
 		tables[i] = backends_create(&conf);
 		if (listed)
-			backends_set_nodes(tables[i], nodes, listed, nodes[i]);
+			backends_set_nodes(tables[i], nodes, listed, nodes[i],
+					   0);
 		backends_update(tables[i], &entry, 0);
 	}
 	*worst = *sum = 0;
@@ -361,8 +362,8 @@
 		int64_t at;
 
 		for (i = 0; i < count; i++)
-			while (backend_take_cold(backends_find(tables[i], "a"),
-						 &service, MS(ms)))
+			while (backend_take(backends_find(tables[i], "a"),
+					    &service, MS(ms)))
 				sent[ms]++;
 		*sum += sent[ms];
 		for (at = ms > 999 ? ms - 999 : 0; at <= ms; at++)
@@ -405,8 +406,8 @@
 				 cases[i].label, worst, sum);
 	}
 	add("a", "north");
-	assert_true(backend_take_cold(backends_find(backends, "a"), &service,
-				      MS(4000)));
+	assert_true(
+		backend_take(backends_find(backends, "a"), &service, MS(4000)));
 }
 
 /* Guards against failures of a server before its restart that still make it
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -29,6 +29,9 @@
 				       .wall_ms = 1782633895829,
 				       .duty = DUTY_STATE_REQUESTED,
 				       .usage_closed = 356526781,
+				       .rates = { { 7, true, 2.3, MS(40) },
+						  { 8, false, 0, MS(1) } },
+				       .rate_count = 2,
 				       .items = &item,
 				       .item_count = 1 } };
 	uint8_t data[PACKET_SIZE_MAX_BYTES];
@@ -49,6 +52,12 @@
 	assert_int_equal(got.as.load.wall_ms, 1782633895829);
 	assert_int_equal(got.as.load.duty, DUTY_STATE_REQUESTED);
 	assert_int_equal(got.as.load.usage_closed, 356526781);
+	assert_int_equal(got.as.load.rate_count, 2);
+	assert_int_equal(got.as.load.rates[0].server_hash, 7);
+	assert_true(got.as.load.rates[0].is_limited);
+	assert_true(got.as.load.rates[0].per_s == 2.3);
+	assert_int_equal(got.as.load.rates[0].age_us, MS(40));
+	assert_false(got.as.load.rates[1].is_limited);
 	assert_int_equal(got.as.load.item_count, 1);
 	assert_int_equal(got.as.load.items[0].server_hash, 7);
 	assert_int_equal(got.as.load.items[0].prefilling, 3);
