--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -13,6 +13,9 @@
 /* Cost of a server in another data centre: network delay, and traffic between
  * data centres. */
 #define FAR_COST_US (3 * US_PER_MS)
+/* What is known of a server without an entry is kept for this long: the server
+ * may be alive, and what it said of itself holds when its entry is back. */
+#define ABSENT_KEEP_US (60 * US_PER_S)
 /* Nodes that must announce a server as failing before the others avoid it. */
 enum { AVOIDING_NODES_MIN = 2 };
 /* Fraction of the drain time in which requests are sent to a leaving server;
@@ -32,6 +35,27 @@
 {
 	HASH_DEL(backends->servers, server);
 	server->table = NULL;
+	server->forget_at_us = 0;
+	HASH_ADD_STR(backends->absent, entry.id, server);
+}
+
+/* @return the server whose entry came back; NULL: none */
+static backend_t *restore_server(backends_t *backends, const char *id)
+{
+	backend_t *server;
+
+	HASH_FIND_STR(backends->absent, id, server);
+	if (!server)
+		return NULL;
+	HASH_DEL(backends->absent, server);
+	server->table = backends;
+	HASH_ADD_STR(backends->servers, entry.id, server);
+	return server;
+}
+
+static void forget_server(backends_t *backends, backend_t *server)
+{
+	HASH_DEL(backends->absent, server);
 	backend_unref(server);
 }
 
@@ -44,6 +68,8 @@
 		return;
 	HASH_ITER (hh, backends->servers, server, next)
 		remove_server(backends, server);
+	HASH_ITER (hh, backends->absent, server, next)
+		forget_server(backends, server);
 	HASH_ITER (hh, backends->dcs, dc, next_dc) {
 		HASH_DEL(backends->dcs, dc);
 		free(dc);
@@ -90,6 +116,8 @@
 	changed = !server || server->entry.state != entry->state ||
 		  server->entry.born_ms != entry->born_ms ||
 		  strcmp(server->entry.address, entry->address) != 0;
+	if (!server)
+		server = restore_server(backends, entry->id);
 	if (!server) {
 		server = mem_calloc(1, sizeof(*server));
 		server->entry = *entry;
@@ -149,11 +177,24 @@
 	return removed;
 }
 
+static void forget_absent(backends_t *backends, int64_t now_us)
+{
+	backend_t *server, *next;
+
+	HASH_ITER (hh, backends->absent, server, next) {
+		if (!server->forget_at_us)
+			server->forget_at_us = now_us + ABSENT_KEEP_US;
+		else if (now_us >= server->forget_at_us)
+			forget_server(backends, server);
+	}
+}
+
 size_t backends_expire(backends_t *backends, int64_t now_us)
 {
 	backend_t *server, *next;
 	size_t removed = 0;
 
+	forget_absent(backends, now_us);
 	HASH_ITER (hh, backends->servers, server, next) {
 		if (!server->remove_at_us || now_us < server->remove_at_us)
 			continue;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -8,8 +8,8 @@
  * was full recently, said that it leaves, is announced as failing by several
  * other nodes, or seems to be partitioned from this node.
  *
- * A server that was removed from the table while requests run on it stays
- * allocated until its last request ends.
+ * A server that was removed from the table is remembered for a time, in case
+ * its entry comes back, and stays allocated until its last request ends.
  */
 #ifndef PROCESS_BACKENDS_H
 #define PROCESS_BACKENDS_H
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -34,6 +34,7 @@
 	uint32_t generation; /* starts seen; a new address counts as a start */
 	backend_dc_t *dc;
 	uint64_t listing; /* last listing that had its entry */
+	int64_t forget_at_us; /* for an absent server; 0: not set yet */
 	int64_t remove_at_us; /* end of the grace period; 0: entry is present */
 	int64_t cold_until_us;
 	limit_share_t cold_share; /* this node's part of the cold limit */
@@ -53,6 +54,7 @@
 struct backends {
 	backends_conf_t conf;
 	backend_t *servers;
+	backend_t *absent; /* servers whose entries were removed */
 	backend_dc_t *dcs;
 	server_rates_t *rates;
 	uint64_t listing; /* number of the current listing */
