--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -305,10 +305,11 @@
 
 /* @return true if enough other nodes announce the server as failing. A single
  * node may be partitioned from the server; if requests of several nodes fail,
- * requests of this node would probably fail, too. */
+ * requests of this node would probably fail, too. A server with a rate is
+ * announced as failing for earlier builds only. */
 static bool is_avoided(const backend_t *server, const backends_query_t *query)
 {
-	return query->load_table &&
+	return query->load_table && !backend_is_limited(server) &&
 	       load_table_failing_count(query->load_table, server->hash,
 					query->now_us) >= AVOIDING_NODES_MIN;
 }
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -80,7 +80,9 @@
 	return count;
 }
 
-/* Lists the servers that failed requests of this node recently. */
+/* Lists the servers that failed requests of this node recently and, for nodes
+ * of earlier builds, those that state a rate: these nodes do not know rates,
+ * and avoid servers that fail for others. */
 static void list_failing(gateway_t *gateway, int64_t now_us,
 			 announcement_t *message)
 {
@@ -91,6 +93,10 @@
 		if (backend_failed_recently(server, now_us))
 			message->failing[message->failing_count++] =
 				backend_hash(server);
+	message->failing_count +=
+		server_rates_limited(backends_rates(gateway->backends),
+				     message->failing + message->failing_count,
+				     LOAD_FAILING_MAX - message->failing_count);
 }
 
 static size_t encode_announcement(gateway_t *gateway, int64_t now_us,
--- a/src/process/server_rates.c
+++ b/src/process/server_rates.c
@@ -34,7 +34,8 @@
 	bool is_limited;
 	double per_s;
 	int64_t seen_us; /* when the last answer arrived, at any node */
-	bool is_own; /* that answer came to this node */
+	int64_t own_us; /* when the last answer arrived at this node; 0: none
+			   since the rate changed */
 	int64_t used_us; /* when a request last asked for the rate */
 	limit_share_t share;
 	UT_hash_handle hh;
@@ -121,7 +122,10 @@
 	entry->is_limited = rate->is_limited;
 	entry->per_s = per_s;
 	entry->seen_us = now_us - rate->age_us;
-	entry->is_own = is_own;
+	if (is_own)
+		entry->own_us = now_us;
+	else if (changed)
+		entry->own_us = 0;
 	return changed;
 }
 
@@ -147,7 +151,7 @@
 
 static bool is_announced(const entry_t *entry, int64_t now_us)
 {
-	return entry->is_own && now_us - entry->seen_us < ANNOUNCE_US;
+	return entry->own_us && now_us - entry->own_us < ANNOUNCE_US;
 }
 
 size_t server_rates_list(server_rates_t *rates, server_rate_t *items,
@@ -165,7 +169,7 @@
 			.server_hash = entry->server_hash,
 			.is_limited = entry->is_limited,
 			.per_s = entry->per_s,
-			.age_us = now_us - entry->seen_us,
+			.age_us = now_us - entry->own_us,
 		};
 		/* To the end, so that the next list begins with others. */
 		HASH_DEL(rates->entries, entry);
@@ -175,6 +179,18 @@
 	return count;
 }
 
+size_t server_rates_limited(const server_rates_t *rates, uint32_t *hashes,
+			    size_t max)
+{
+	const entry_t *entry, *next;
+	size_t count = 0;
+
+	HASH_ITER (hh, rates->entries, entry, next)
+		if (entry->is_limited && count < max)
+			hashes[count++] = entry->server_hash;
+	return count;
+}
+
 void server_rates_expire(server_rates_t *rates, int64_t now_us)
 {
 	entry_t *entry, *next;
--- a/src/process/server_rates.h
+++ b/src/process/server_rates.h
@@ -58,6 +58,9 @@
  */
 size_t server_rates_list(server_rates_t *rates, server_rate_t *items,
 			 size_t max, int64_t now_us);
+/** Lists the servers that state a rate. @return the number of items */
+size_t server_rates_limited(const server_rates_t *rates, uint32_t *hashes,
+			    size_t max);
 /** Forgets rates that ended, and those of servers that are long gone. */
 void server_rates_expire(server_rates_t *rates, int64_t now_us);
 /** @return number of servers that state a rate */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -151,6 +151,9 @@
 		  "servers state rates of requests, and restart", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
 		  "directory of chivestaged", "DIR" },
+		{ "other-build", 0, POPT_ARG_STRING, &soak.other_build, 0,
+		  "directory of another chivestaged, for every other daemon",
+		  "DIR" },
 		POPT_AUTOHELP POPT_TABLEEND
 	};
 	poptContext context = poptGetContext("soak", argc, argv, options, 0);
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -80,7 +80,9 @@
 	char program[256], log[256];
 	int fd;
 
-	snprintf(program, sizeof(program), "%s/chivestaged", node->soak->build);
+	snprintf(program, sizeof(program), "%s/chivestaged",
+		 node->is_other_build ? node->soak->other_build
+				      : node->soak->build);
 	snprintf(log, sizeof(log), "%s/%s.log", node->soak->directory,
 		 node->name);
 	fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -196,6 +198,7 @@
 		node_t *node = &soak->nodes[i];
 
 		node->soak = soak;
+		node->is_other_build = soak->other_build && i % 2;
 		snprintf(node->name, sizeof(node->name), "n%d", i);
 		node->port = free_port();
 		node->ready_port = free_port();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -55,7 +55,8 @@
 	soak_t *soak;
 	char name[16];
 	pid_t pid; /* 0: not running */
-	bool paused, /* stopped by SIGSTOP */
+	bool is_other_build, /* runs soak_t.other_build */
+		paused, /* stopped by SIGSTOP */
 		stopping, /* got SIGTERM or SIGKILL */
 		ready; /* passes its readiness probes and gets requests */
 	int32_t failed_probes; /* readiness probes in a row without a 200 */
@@ -130,6 +131,8 @@
 	struct ev_loop *loop;
 	client_t *client; /* sends the callers' requests and the probes */
 	const char *build; /* directory of chivestaged */
+	const char *other_build; /* the same for every other daemon; NULL: none
+				  */
 	char directory[128]; /* settings and logs of the daemons */
 	uint64_t random; /* state of the random number generator */
 	int64_t start_us, seconds; /* start and duration of the faults */
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -596,6 +596,64 @@
 	}
 }
 
+/*
+ * Guards against nodes of an earlier build that keep sending to a server with a
+ * rate, and against nodes that know rates and take the server for failing.
+ */
+static void announces_rates_to_earlier_builds(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		bool is_limited, knows_rates, fallback;
+	} cases[] = {
+		{ "an earlier build that uses a limited server", true, false,
+		  true },
+		{ "a limited server that counts as failing", true, true,
+		  false },
+		{ "a server without a rate that counts as failing", false, true,
+		  false },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		server_rate_t rate = { load_table_hash("a"),
+				       cases[i].is_limited, 2, 0 };
+		server_rates_t *rates = server_rates_create();
+		load_table_t *table = load_table_create();
+		backends_query_t query = { .service = &service,
+					   .load_table = table };
+		candidate_t *candidates;
+		size_t count;
+
+		set_up(NULL);
+		add("a", "south");
+		server_rates_note(rates, &rate, 0, 0);
+		for (j = 1; j <= 2; j++) {
+			announcement_t message = message_of(j, 1, NULL, 0);
+
+			message.failing_count = server_rates_limited(
+				rates, message.failing, LOAD_FAILING_MAX);
+			load_table_receive(table, &message, 0, 0);
+		}
+		if (cases[i].knows_rates) {
+			backends_set_nodes(backends, &(uint64_t){ 1 }, 1, 1,
+					   MS(-20000));
+			server_rates_receive(backends_rates(backends), &rate,
+					     0);
+		}
+		/* Late enough for a part of the rate. */
+		query.now_us = MS(1500);
+		count = backends_candidates(backends, &query, &candidates);
+		if (count != 1 || candidates[0].fallback != cases[i].fallback)
+			fail_msg("case \"%s\": %zu candidates",
+				 cases[i].guards_against, count);
+		free(candidates);
+		load_table_destroy(table);
+		server_rates_destroy(rates);
+		tear_down(NULL);
+	}
+}
+
 /* Guards against a single partitioned node whose failures make all other nodes
  * avoid a server. */
 static void avoids_server_failing_for_others(void **state)
@@ -709,6 +767,7 @@
 		cmocka_unit_test(tells_partition_from_silence),
 		cmocka_unit_test_setup_teardown(
 			avoids_server_failing_for_others, set_up, tear_down),
+		cmocka_unit_test(announces_rates_to_earlier_builds),
 		cmocka_unit_test(uses_median_of_clocks),
 		cmocka_unit_test(limits_announced_backlog),
 		cmocka_unit_test(accepts_restarted_node),
