--- a/src/process/request_reply.c
+++ b/src/process/request_reply.c
@@ -21,17 +21,23 @@
 
 static const char json_content_type[] = "application/json";
 
+/* @return the text for the caller. A message may quote text that is not UTF-8,
+ * which JSON cannot hold. */
+static json_t *message_json(refusal_t refusal, const char *message)
+{
+	json_t *text = message && *message ? json_string(message) : NULL;
+
+	return text ? text : json_string(refusal_message(refusal));
+}
+
 /* @return a JSON text; freed by the caller of this function. */
 static char *error_body(refusal_t refusal, const char *message)
 {
-	json_t *json, *text = json_string(message);
-	char *body;
+	json_t *json = json_pack("{s:{s:s,s:o}}", "error", "code",
+				 refusal_code(refusal), "message",
+				 message_json(refusal, message));
+	char *body = json_dumps(json, JSON_COMPACT);
 
-	if (!text) /* message quotes a caller's text that is not UTF-8 */
-		text = json_string(refusal_message(refusal));
-	json = json_pack("{s:{s:s,s:o}}", "error", "code",
-			 refusal_code(refusal), "message", text);
-	body = json_dumps(json, JSON_COMPACT);
 	json_decref(json);
 	return body;
 }
@@ -41,9 +47,7 @@
 			 int32_t retry_after_s, const char *message)
 {
 	char retry_after[16];
-	char *body = error_body(refusal, message && *message
-						 ? message
-						 : refusal_message(refusal));
+	char *body = error_body(refusal, message);
 	reply_header_t headers[] = {
 		{ "Content-Type", json_content_type },
 		{ "Chivestage-Request-Id", id },
@@ -109,18 +113,18 @@
 static void send_last_event(request_t *request, refusal_t refusal,
 			    outcome_t outcome, const char *message)
 {
-	char event[512];
-	json_t *json = json_pack(
-		"{s:s,s:s,s:s}", "outcome", outcome_text(outcome), "code",
-		refusal_code(refusal), "message",
-		message && *message ? message : refusal_message(refusal));
+	static const char begin[] = "event: chivestage\ndata: ";
+	json_t *json = json_pack("{s:s,s:s,s:o}", "outcome",
+				 outcome_text(outcome), "code",
+				 refusal_code(refusal), "message",
+				 message_json(refusal, message));
 	char *data = json_dumps(json, JSON_COMPACT);
-	int size = snprintf(event, sizeof(event),
-			    "event: chivestage\ndata: %s\n\n", data);
 
 	json_decref(json);
+	exchange_write(request->exchange, begin, sizeof(begin) - 1);
+	exchange_write(request->exchange, data, strlen(data));
+	exchange_write(request->exchange, "\n\n", 2);
 	free(data);
-	exchange_write(request->exchange, event, (size_t)size);
 	exchange_end(request->exchange);
 }
 
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -317,6 +317,37 @@
 	fixture_stop(&fixture);
 }
 
+/* Guards against a last event that holds other memory of the process, or "null"
+ * in place of its data. */
+static void last_event_of_a_stream_overruns_its_buffer(void **state)
+{
+	static const struct {
+		const char *name, *message, *text;
+	} cases[] = {
+		{ "a text of escapes", "", "\\u0001\\u0001\\u0001" },
+		{ "a text that is not UTF-8", "\xff\xfe", "\"message\":\"" },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		char *text = fixture.refusal.message;
+		const char *last;
+
+		start();
+		fixture.serve = serve_broken_then_rest;
+		memset(text, *cases[i].message ? 0 : 1,
+		       sizeof(fixture.refusal.message) - 1);
+		strcpy(text + strlen(text) * !*cases[i].message,
+		       cases[i].message);
+		complete(prompt);
+		last = strstr(answer.body, "event: chivestage\ndata: {");
+		if (!last || !strstr(last, cases[i].text) ||
+		    strcmp(strstr(last, "\n\n"), "\n\n") != 0)
+			fail_msg("%s: %s", cases[i].name, answer.body);
+		fixture_stop(&fixture);
+	}
+}
+
 static void serve_refusal(server_call_t *call, size_t index)
 {
 	serve_reply(call, 503, "X-Not-Run", "1", "{}");
@@ -666,6 +697,7 @@
 		cmocka_unit_test(records_a_span_for_each_hop),
 		cmocka_unit_test(continues_after_the_delivered_tokens),
 		cmocka_unit_test(ends_a_failed_stream_with_an_event),
+		cmocka_unit_test(last_event_of_a_stream_overruns_its_buffer),
 		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
 		cmocka_unit_test(refuses_bad_requests),
 		cmocka_unit_test(forwards_a_lookup_unchanged),
