--- a/src/connection/engine.c
+++ b/src/connection/engine.c
@@ -232,9 +232,9 @@
 			       : (chunk->text_size_bytes > 0);
 	if (chunk->tokens < 0 || chunk->tokens > INT32_MAX)
 		return malformed(err, "tokens");
-	if (reason)
-		mem_strlcpy(chunk->finish_reason, reason,
-			    sizeof(chunk->finish_reason));
+	if (reason && mem_strlcpy(chunk->finish_reason, reason,
+				  sizeof(chunk->finish_reason)))
+		return malformed(err, "finish_reason too long");
 	return true;
 }
 
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -105,6 +105,30 @@
 	fixture_stop(&fixture);
 }
 
+static void serve_long_reason(server_call_t *call, size_t index)
+{
+	char event[512];
+	int size = snprintf(event, sizeof(event),
+			    "data: {\"stream_id\":\"%s\",\"offset\":0,"
+			    "\"choices\":[{\"text\":\"a \",\"finish_reason\":"
+			    "\"a reason cut within \u00e9\u00e9\u00e9\"}]}\n\n",
+			    serve_stream_id(call));
+
+	serve_stream(call);
+	exchange_write(call->exchange, event, (size_t)size);
+	serve_done(call);
+}
+
+static void process_ends_by_a_finish_reason_cut_within_a_character(void **state)
+{
+	start();
+	fixture.serve = serve_long_reason;
+	complete(unstreamed_prompt);
+	assert_int_equal(answer.status, 502);
+	assert_string_equal(answer.outcome, "unknown");
+	fixture_stop(&fixture);
+}
+
 /*
  * Scripts of what an engine sends on the first connection and on the connection
  * that resumes the stream. Letters: a, b, c are the tokens 0, 1, 2; x is a
@@ -692,6 +716,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(relays_a_stream_to_its_end_marker),
 		cmocka_unit_test(collects_an_answer_that_is_not_streamed),
+		cmocka_unit_test(
+			process_ends_by_a_finish_reason_cut_within_a_character),
 		cmocka_unit_test(delivers_each_token_once_in_order),
 		cmocka_unit_test(parses_a_large_body),
 		cmocka_unit_test(records_a_span_for_each_hop),
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -227,6 +227,9 @@
 	{ "{" ID ",\"offset\":1,\"choices\":[{\"text\":"
 	  "\"a text beyond the buffer\"}]}",
 	  false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
+	{ "{" ID ",\"offset\":1,\"choices\":[{\"finish_reason\":"
+	  "\"a reason beyond its buffer\"}]}",
+	  false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
 	{ "{\"a\":", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
 	{ "[1]", false, ENGINE_EVENT_OTHER, 0, 0, "", "" },
 };
