--- a/src/process/main.c
+++ b/src/process/main.c
@@ -28,7 +28,11 @@
 #define HAVE_TELEMETRY 0
 #endif
 
-enum { EXIT_USAGE = 2, TASKS_MAX = 64 };
+enum {
+	EXIT_USAGE = 2,
+	/* Request tasks, control and telemetry. */
+	TASKS_MAX = REQUEST_TASKS_MAX + 2
+};
 
 /** A task of the process, which runs on a thread of its own. */
 typedef struct {
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -18,6 +18,8 @@
 #include "process/dispatch.h"
 
 enum { PATH_SIZE_BYTES = 512, CURVE_KEY_SIZE_BYTES = 41 };
+/** Largest callers.tasks. */
+enum { REQUEST_TASKS_MAX = 64 };
 
 /** Codes of ERR_LAYER_SETTINGS. */
 typedef enum {
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -30,6 +30,7 @@
 #                              fleet_standard is cold after its start
 # FLEET_CLAIMS_MAX             platform.claims_max of the daemons
 # FLEET_MEMORY                 callers.memory of the daemons
+# FLEET_TASKS                  callers.tasks of the daemons
 # FLEET_NOTICE                 shutdown.notice of the daemons
 # FLEET_TARGETS                addresses for fleet_mixed_load; default: all
 # FLEET_LOG_LINES              lines of each log to print after a failure
@@ -172,6 +173,7 @@
 		callers:
 		  address: $callers
 		  memory: ${FLEET_MEMORY:-256MiB}
+		  tasks: ${FLEET_TASKS:-1}
 		operators: {address: $operators, token: $FLEET_TOKEN}
 		peers:
 		  address: 127.0.0.1:$PORT
