--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -230,17 +230,22 @@
 	return forward;
 }
 
-static void grow_body(forward_t *forward, size_t needed)
+/* @return false if there is no memory for the body */
+static bool grow_body(forward_t *forward, size_t needed)
 {
 	size_t capacity = forward->body_capacity ? forward->body_capacity * 2
 						 : BODY_CAPACITY_MIN_BYTES;
+	int64_t more_bytes;
 
 	while (capacity < needed)
 		capacity *= 2;
-	forward->gateway->body_bytes +=
-		(int64_t)capacity - (int64_t)forward->body_capacity;
+	more_bytes = (int64_t)capacity - (int64_t)forward->body_capacity;
+	if (!has_memory(forward, more_bytes))
+		return false;
+	forward->gateway->body_bytes += more_bytes;
 	forward->body = mem_realloc(forward->body, capacity, 1);
 	forward->body_capacity = capacity;
+	return true;
 }
 
 static void on_body(void *user, const void *data, size_t size)
@@ -254,12 +259,9 @@
 		forward_fail(forward, HTTP_TOO_LARGE, "body_too_long");
 		return;
 	}
-	if (needed > forward->body_capacity) {
-		if (!has_memory(forward, (int64_t)needed)) {
-			refuse_memory(forward);
-			return;
-		}
-		grow_body(forward, needed);
+	if (needed > forward->body_capacity && !grow_body(forward, needed)) {
+		refuse_memory(forward);
+		return;
 	}
 	memcpy(forward->body + forward->body_bytes, data, size);
 	forward->body_bytes = needed;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -3,11 +3,14 @@
  * when a server fails: checks which requests reach the servers, how often, and
  * what the caller receives.
  */
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
@@ -517,6 +520,45 @@
 }
 
 /* Copies the id of the incarnation that a request was sent to. */
+/* The body comes in two parts, and needs almost all of the memory for bodies.
+ */
+static void body_refused_because_its_memory_counts_twice(void **state)
+{
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       FIXTURE_AUTHORIZATION, NULL };
+	char head[256], part[3991];
+	gateway_fixture_t fixture;
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	char answer[512] = "";
+	int fd, i;
+
+	start(&fixture);
+	/* 35 in 100 of it are for bodies: 4200 bytes, for a body of 3990. */
+	fixture.gateway->settings.memory_limit_bytes = 12000;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(listener_port(fixture.gateway->callers));
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	snprintf(head, sizeof(head),
+		 "POST /once/x HTTP/1.1\r\n%s\r\n%s\r\n%s\r\n"
+		 "Content-Length: 3990\r\n\r\n",
+		 headers[0], headers[1], headers[2]);
+	memset(part, 'x', sizeof(part));
+	assert_int_equal(send(fd, head, strlen(head), 0), strlen(head));
+	for (i = 0; i < 2; i++) {
+		size_t size = i ? 2990 : 1000;
+
+		assert_int_equal(send(fd, part, size, 0), size);
+		gateway_fixture_run(&fixture, 30);
+	}
+	gateway_fixture_run(&fixture, 100);
+	assert_true(recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT) > 0);
+	assert_non_null(strstr(answer, "HTTP/1.1 200"));
+	close(fd);
+	gateway_fixture_stop(&fixture);
+}
+
 static void expected_instance(const arrival_t *arrival, char id[16])
 {
 	const char *value = strstr(arrival->text, "X-Expect-Instance: ");
@@ -824,6 +866,7 @@
 		cmocka_unit_test(refuses_without_configuration),
 		cmocka_unit_test(cancels_when_the_caller_closes),
 		cmocka_unit_test(refuses_invalid_bodies),
+		cmocka_unit_test(body_refused_because_its_memory_counts_twice),
 		cmocka_unit_test(obeys_server_notices),
 		cmocka_unit_test(places_again_when_a_server_changes),
 		cmocka_unit_test(reports_usage_once),
