--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/units.h"
 #include "cases.h"
+#include "connection/address.h"
 #include "connection/client.h"
 #include "connection/listener.h"
 
@@ -278,6 +279,40 @@
 	*(int *)context = end == CLIENT_OK ? status : -1;
 }
 
+/* Guards against an address that is read as another one. */
+static void parses_addresses(void **state)
+{
+	static const struct {
+		const char *text;
+		int port; /* -1: refused */
+	} cases[] = {
+		{ "127.0.0.1:80", 80 },
+		{ "127.0.0.1:0", 0 },
+		{ "127.0.0.1:65535", 65535 },
+		{ "127.0.0.1:65536", -1 },
+		{ "127.0.0.1:+80", -1 },
+		{ "127.0.0.1:-1", -1 },
+		{ "127.0.0.1: 80", -1 },
+		{ "127.0.0.1:", -1 },
+		{ "127.0.0.1:80x", -1 },
+		{ "127.0.0.1", -1 },
+		{ "[::1]:80", -1 },
+		{ "localhost:80", -1 },
+		{ "127.0.0.1:00000000000000000000000000080", -1 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		struct sockaddr_in address;
+		int port = address_parse(cases[i].text, &address)
+				   ? ntohs(address.sin_port)
+				   : -1;
+
+		if (port != cases[i].port)
+			fail_msg("%s: %d", cases[i].text, port);
+	}
+}
+
 /*
  * Guards against a listener that ignores its certificate and serves plain HTTP.
  */
@@ -320,6 +355,7 @@
 		CASE(refuses_a_body),
 		CASE(detects_a_caller_that_disconnects),
 		CASE(abort_leaves_a_stream_incomplete),
+		CASE(parses_addresses),
 		CASE(serves_tls),
 	};
 
