--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -25,8 +25,10 @@
 {
 	int silence_ms = (int)(intptr_t)context;
 	int on = 1, interval_s = PROBE_INTERVAL_S;
-	int probes = silence_ms / (PROBE_INTERVAL_S * MS_PER_S);
+	int probes = silence_ms / (PROBE_INTERVAL_S * (int)MS_PER_S);
 
+	if (probes < 1)
+		probes = 1;
 	if (!setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) &&
 	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s,
 			sizeof(interval_s)) &&
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -389,6 +389,7 @@
 		int keeps_alive, probes, timeout_ms;
 	} cases[] = {
 		{ 2000, 1, 2, 2000 },
+		{ 500, 1, 1, 500 },
 		{ 0, 0, 0, 0 },
 	};
 	size_t i;
