--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -3,6 +3,7 @@
  * configuration, entries of servers, and headers of answers.
  */
 #include <string.h>
+#include <unistd.h>
 
 #include "cases.h"
 #include "platform/config.h"
@@ -20,6 +21,12 @@
 	"contractParams.budgetRatio=0.2\nregion=r1\n"                 \
 	"zones.a=r1\nzones.b=r1\nzones.c=r2\n"
 
+#define TEN "1111111111"
+#define HUNDRED TEN TEN TEN TEN TEN TEN TEN TEN TEN TEN
+#define LONG_VALUE                                                      \
+	HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED \
+		HUNDRED HUNDRED HUNDRED
+
 /*
  * Guards against settings that are misread, and against a file that the
  * platform writes being refused.
@@ -41,6 +48,9 @@
 		{ "a negative number", SETTINGS "limits.maxFds=-1\n",
 		  "f: limits.maxFds" },
 		{ "an empty name", "node=\nzone=a\n", "f: node: " },
+		{ "a value that is too long and counts as missing",
+		  SETTINGS "contractParams.drainMs=" LONG_VALUE "\n",
+		  "f: contractParams.drainMs: too long" },
 	};
 	node_settings_t settings;
 	size_t i;
@@ -97,6 +107,27 @@
 	return routing;
 }
 
+/* Guards against a file whose end is ignored because the file is too long. */
+static void refuses_a_long_settings_file(void **state)
+{
+	enum { LINES = 30000 };
+	char path[] = "/tmp/test_adapter_XXXXXX";
+	node_settings_t settings;
+	err_t err = { 0 };
+	int fd = mkstemp(path), i;
+	FILE *file = fdopen(fd, "w");
+	bool valid;
+
+	fputs(SETTINGS, file);
+	for (i = 0; i < LINES; i++)
+		fputs("some.key=1\n", file);
+	fclose(file);
+	valid = platform_settings_load(path, &settings, &err);
+	unlink(path);
+	assert_false(valid);
+	assert_non_null(strstr(err.message, "too long"));
+}
+
 /* Guards against requests that are sent by the wrong route. */
 static void finds_routes(void **state)
 {
@@ -341,6 +372,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(parses_settings),
+		cmocka_unit_test(refuses_a_long_settings_file),
 		cmocka_unit_test(finds_routes),
 		cmocka_unit_test(decodes_routing),
 		cmocka_unit_test(refuses_malformed_routing),
