--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -196,6 +196,46 @@
 	routing_unref(routing);
 }
 
+/* Guards against numbers that another writer puts far out of range, and that
+ * become others when they are converted. */
+static void bounds_numbers(void **state)
+{
+	static const struct {
+		const char *number;
+		int64_t timeout_ms;
+		int32_t attempts;
+	} cases[] = {
+		{ "1e300", INT64_C(1) << 53, INT32_MAX },
+		{ "-1e300", -(INT64_C(1) << 53), INT32_MIN },
+		{ "4294967298", 4294967298, INT32_MAX },
+		{ "-4294967295", -4294967295, INT32_MIN },
+		{ "2.9", 2, 2 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		char text[400];
+		routing_t *routing;
+		const route_conf_t *route;
+
+		snprintf(text, sizeof(text),
+			 "{\"version\":1,\"routes\":[{\"host\":\"h\","
+			 "\"pathPrefix\":\"/\",\"kind\":\"stream\","
+			 "\"service\":\"s\",\"timeoutMs\":%s,"
+			 "\"attempts\":%s}]}",
+			 cases[i].number, cases[i].number);
+		routing = decode(text);
+		assert_non_null(routing);
+		route = routing_find(routing, "h", "/");
+		if (route->timeout_ms != cases[i].timeout_ms ||
+		    route->attempts_max != cases[i].attempts)
+			fail_msg("%s: %lld, %d", cases[i].number,
+				 (long long)route->timeout_ms,
+				 route->attempts_max);
+		routing_unref(routing);
+	}
+}
+
 /* Guards against a malformed configuration that comes into force. */
 static void refuses_malformed_routing(void **state)
 {
@@ -375,6 +415,7 @@
 		cmocka_unit_test(refuses_a_long_settings_file),
 		cmocka_unit_test(finds_routes),
 		cmocka_unit_test(decodes_routing),
+		cmocka_unit_test(bounds_numbers),
 		cmocka_unit_test(refuses_malformed_routing),
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
