--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -96,6 +96,11 @@
 {
 	size_t size = strcspn(host, ":");
 
+	/* An IPv6 address stands in brackets and has colons of its own. */
+	if (*host == '[')
+		size = strcspn(host, "]") + 1;
+	if (size > strlen(host))
+		size = strlen(host);
 	if (size >= URL_SIZE_BYTES)
 		size = URL_SIZE_BYTES - 1;
 	memcpy(target, host, size);
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -141,14 +141,21 @@
 		{ "a route of another host", "other", "/a/x", "other" },
 		{ "a port in the host", "h:80", "/a/x", "short" },
 		{ "capitals in the host", "H", "/a/x", "short" },
+		{ "a route of an IPv6 address", "[::1]", "/a/x", "address" },
+		{ "a port after an IPv6 address", "[::1]:80", "/a/x",
+		  "address" },
+		{ "another IPv6 address", "[::2]:80", "/a/x", NULL },
+		{ "an IPv6 address without its end", "[::1", "/a/x", NULL },
 		{ "a path outside of all prefixes", "h", "/b/", NULL },
 		{ "the prefix without its slash", "h", "/a", NULL },
 		{ "an unknown host", "none", "/a/x", NULL },
 	};
 	routing_t *routing =
-		decode(CONFIG(ROUTE("short", "h", "/a/", "") "," ROUTE(
-			"long", "h", "/a/b/", "") "," ROUTE("other", "other",
-							    "/a/", "")));
+		decode(CONFIG(ROUTE("address", "[::1]", "/a/", "") "," ROUTE(
+			"short", "h", "/a/",
+			"") "," ROUTE("long", "h", "/a/b/",
+				      "") "," ROUTE("other", "other", "/a/",
+						    "")));
 	size_t i;
 
 	assert_non_null(routing);
