--- a/src/ctl/store.c
+++ b/src/ctl/store.c
@@ -9,6 +9,7 @@
 	client_t *client;
 	platform_t *platform;
 	store_result_t result; /**< result of the last call */
+	bool is_done; /**< on_done() ran for the last call */
 };
 
 store_t *store_create(const settings_t *settings, err_t *err)
@@ -50,6 +51,7 @@
 {
 	store_t *store = context;
 
+	store->is_done = true;
 	store->result.status = status;
 	if (object) {
 		store->result.version = object->version;
@@ -59,13 +61,13 @@
 }
 
 /**
- * Runs the event loop until on_done() stops it. If the request budget is used
- * up, on_done() has run before the platform call returned; an event loop
- * started now would not be stopped.
+ * Runs the event loop until on_done() stops it. If the call was not sent,
+ * on_done() has run before the platform call returned; an event loop started
+ * now would not be stopped.
  */
 static store_result_t wait_for_result(store_t *store)
 {
-	if (store->result.status != PLATFORM_BUDGET)
+	if (!store->is_done)
 		ev_run(store->loop, 0);
 	return store->result;
 }
@@ -73,6 +75,7 @@
 store_result_t store_get(store_t *store)
 {
 	store->result = (store_result_t){ .status = PLATFORM_OK };
+	store->is_done = false;
 	platform_get(store->platform, PLATFORM_CONFIGURATIONS,
 		     PLATFORM_CONFIGURATION_NAME, on_done, store);
 	return wait_for_result(store);
@@ -81,6 +84,7 @@
 store_result_t store_put(store_t *store, int64_t version, json_t *spec)
 {
 	store->result = (store_result_t){ .status = PLATFORM_OK };
+	store->is_done = false;
 	json_incref(spec);
 	if (version)
 		platform_put(store->platform, PLATFORM_CONFIGURATIONS,
