--- a/src/connection/zap.c
+++ b/src/connection/zap.c
@@ -1,5 +1,6 @@
 #include "connection/zap.h"
 
+#include <errno.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -90,13 +91,19 @@
 {
 	zap_t *zap = mem_calloc(1, sizeof(*zap));
 
+	int error;
+
 	zap->source.socket = zmq_socket(zmq, ZMQ_REP);
-	if (strlen(public_key) == CURVE_KEY_Z85_CHARS &&
-	    zmq_z85_decode(zap->fleet_key, public_key) && zap->source.socket &&
-	    !zmq_bind(zap->source.socket, "inproc://zeromq.zap.01") &&
-	    frames_watch(&zap->source, loop, handle_requests, zap))
+	if (strlen(public_key) != CURVE_KEY_Z85_CHARS ||
+	    !zmq_z85_decode(zap->fleet_key, public_key))
+		errno = EINVAL;
+	else if (zap->source.socket &&
+		 !zmq_bind(zap->source.socket, "inproc://zeromq.zap.01") &&
+		 frames_watch(&zap->source, loop, handle_requests, zap))
 		return zap;
+	error = errno;
 	zap_destroy(zap);
+	errno = error;
 	return NULL;
 }
 
--- a/src/connection/zap.h
+++ b/src/connection/zap.h
@@ -16,7 +16,7 @@
  * ZeroMQ context can have only one handler.
  * @param public_key public key of the fleet, as Z85 text of 40 characters
  * @return NULL if the key or the socket is unusable; zmq_errno() has the
- * reason, unless the key does not have 40 characters
+ * reason, EINVAL for the key
  */
 zap_t *zap_create(void *zmq, struct ev_loop *loop, const char *public_key);
 void zap_destroy(zap_t *zap);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,4 +1,5 @@
 /** Messages between peers: encoding, refusals, keys and queue limits. */
+#include <errno.h>
 #include <ev.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +13,7 @@
 #include "cases.h"
 #include "connection/peer.h"
 #include "connection/peer_codec.h"
+#include "connection/zap.h"
 #include "proto/peer.pb-c.h"
 
 static peer_load_t loads[] = {
@@ -253,6 +255,25 @@
 	char last[64];
 } node_t;
 
+/* Guards against a failed start that names the reason of another failure. */
+static void unusable_key_without_its_reason(void **state)
+{
+	static const char *const keys[] = {
+		"", "too short", "Yne@$w-vo<fVvi]a<NY6T1ed:M$fCG*[IaLV{hI\x01"
+	};
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	void *zmq = zmq_ctx_new();
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(keys); i++) {
+		errno = ENOENT;
+		assert_null(zap_create(zmq, loop, keys[i]));
+		assert_int_equal(errno, EINVAL);
+	}
+	zmq_ctx_term(zmq);
+	ev_loop_destroy(loop);
+}
+
 static void on_message(void *context, const void *data, size_t size)
 {
 	node_t *node = context;
@@ -426,6 +447,7 @@
 		cmocka_unit_test(refuses_truncated_messages),
 		cmocka_unit_test(survives_changed_bytes),
 		cmocka_unit_test(refuses_invalid_fields),
+		cmocka_unit_test(unusable_key_without_its_reason),
 		cmocka_unit_test(distinguishes_unknown_types_from_malformed),
 		cmocka_unit_test(delivers_between_nodes),
 		cmocka_unit_test(refuses_a_wrong_key),
