--- a/src/duty/usage.c
+++ b/src/duty/usage.c
@@ -11,6 +11,7 @@
 	/* Limit the memory that datagrams of other nodes can occupy. */
 	SOURCES_MAX = 4096,
 	WINDOWS_MAX = 64,
+	ACCOUNTS_MAX = 65536, /* more accounts than a fleet has */
 	/* A node that sent nothing for a window and this many windows before
 	 * it counts as stopped. */
 	WINDOWS_WAITED = 2,
@@ -118,12 +119,14 @@
 	return window;
 }
 
+/* Finds or adds an account. Returns NULL if the window has too many accounts.
+ */
 static account_t *get_account(window_t *window, const char *name)
 {
 	account_t *account;
 
 	HASH_FIND_STR(window->accounts, name, account);
-	if (account)
+	if (account || HASH_COUNT(window->accounts) >= ACCOUNTS_MAX)
 		return account;
 	account = mem_calloc(1, sizeof(*account));
 	mem_strlcpy(account->name, name, sizeof(account->name));
@@ -134,9 +137,10 @@
 void usage_count_request(usage_t *usage, int64_t window, const char *account)
 {
 	window_t *counted = get_window(usage->sources, window);
+	account_t *entry = counted ? get_account(counted, account) : NULL;
 
-	if (counted)
-		get_account(counted, account)->requests++;
+	if (entry)
+		entry->requests++;
 }
 
 void usage_finish(usage_t *usage, int64_t window)
@@ -218,7 +222,7 @@
 
 		/* Datagrams may overtake each other. Counts only grow, so the
 		 * highest count is the newest. */
-		if (account->requests < message->counts[i].requests)
+		if (account && account->requests < message->counts[i].requests)
 			account->requests = message->counts[i].requests;
 	}
 }
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -99,6 +99,30 @@
 	usage_destroy(other);
 }
 
+/* Guards against memory without bounds: a node sends more accounts for a window
+ * than any fleet has. */
+static void bounds_accounts_of_other_nodes(void **state)
+{
+	enum { DATAGRAMS = 70000 / USAGE_COUNTS_MAX };
+	usage_t *own = usage_create(1, 1);
+	usage_message_t message = { .node = 2, .incarnation = 1, .window = 7 };
+	usage_count_t *counts;
+	int i, j;
+
+	message.count = USAGE_COUNTS_MAX;
+	for (i = 0; i < DATAGRAMS; i++) {
+		for (j = 0; j < USAGE_COUNTS_MAX; j++) {
+			snprintf(message.counts[j].account, NAME_SIZE_BYTES,
+				 "a%d", i * USAGE_COUNTS_MAX + j);
+			message.counts[j].requests = 1;
+		}
+		usage_receive(own, &message);
+	}
+	assert_in_range(usage_sum(own, 7, &counts), 1, 65536);
+	free(counts);
+	usage_destroy(own);
+}
+
 /* Guards against a window that counts as complete before the counts of a live
  * node arrive, or that waits for a node that stopped or restarted. */
 static void knows_when_a_window_is_complete(void **state)
@@ -319,6 +343,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(sums_counts_of_all_nodes),
 		cmocka_unit_test(sends_many_accounts),
+		cmocka_unit_test(bounds_accounts_of_other_nodes),
 		cmocka_unit_test(knows_when_a_window_is_complete),
 		cmocka_unit_test(reports_each_window_once),
 		cmocka_unit_test(closes_windows_in_time),
