--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -137,6 +137,7 @@
 	ev_init(&exchange->disconnect_poll, on_disconnect_poll);
 	exchange->disconnect_poll.data = exchange;
 	DL_APPEND(listener->exchanges, exchange);
+	callers_set_phase(connection, CALLER_SENDS_HEAD);
 	return exchange;
 }
 
@@ -175,6 +176,7 @@
 
 	if (!framing_is_clear(exchange->connection))
 		return refuse_framing(exchange);
+	callers_set_phase(exchange->connection, CALLER_SENDS_BODY);
 	exchange->started = true;
 	exchange->method = mem_strdup(method);
 	if (handler->on_request)
@@ -193,6 +195,7 @@
 {
 	if (!exchange->completed) {
 		exchange->completed = true;
+		callers_set_phase(exchange->connection, CALLER_WAITS);
 		MHD_set_connection_option(exchange->connection,
 					  MHD_CONNECTION_OPTION_TIMEOUT, 0U);
 		if (!exchange->reply)
@@ -241,6 +244,7 @@
 
 	if (!exchange)
 		return;
+	callers_set_phase(connection, CALLER_IDLE);
 	stop_watching(exchange);
 	if (exchange->started && listener->handler.on_close)
 		listener->handler.on_close(exchange->user, sent);
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -31,6 +31,12 @@
 	OPTIONS_MAX = 16
 };
 
+static const listener_timeouts_t default_timeouts = {
+	.idle_ms = CONNECTION_TIMEOUT_S * MS_PER_S,
+	.head_ms = 10 * MS_PER_S,
+	.body_ms = CONNECTION_TIMEOUT_S * MS_PER_S,
+};
+
 /* Handles all ready connections and sets the timer for the next timeout. */
 static void run_daemon(listener_t *listener)
 {
@@ -149,6 +155,8 @@
 		  listener },
 		{ MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)exchange_on_uri,
 		  listener },
+		{ MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)callers_on_connection,
+		  listener },
 		{ MHD_OPTION_END, 0, NULL },
 	};
 	struct MHD_OptionItem tls[] = {
@@ -192,6 +200,7 @@
 	ev_prepare_init(&listener->before_wait, on_before_wait);
 	listener->before_wait.data = listener;
 	ev_prepare_start(listener->loop, &listener->before_wait);
+	callers_start(listener);
 }
 
 /* Reads certificate and key, opens the socket and starts the library. */
@@ -235,6 +244,7 @@
 
 	listener->loop = loop;
 	listener->handler = *handler;
+	listener->timeouts = default_timeouts;
 	if (!start(listener, conf, err)) {
 		free(listener);
 		return NULL;
@@ -259,10 +269,17 @@
 	ev_io_stop(listener->loop, &listener->readable);
 	ev_timer_stop(listener->loop, &listener->timeout);
 	ev_prepare_stop(listener->loop, &listener->before_wait);
+	callers_stop(listener);
 	MHD_stop_daemon(listener->daemon);
 	free(listener);
 }
 
+void listener_set_timeouts(listener_t *listener,
+			   const listener_timeouts_t *timeouts)
+{
+	listener->timeouts = *timeouts;
+}
+
 uint16_t listener_port(const listener_t *listener)
 {
 	return listener->port;
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -37,6 +37,16 @@
 	int32_t connections_max; /**< largest number of open connections */
 } listener_conf_t;
 
+/**
+ * Longest times of callers, each for the whole of what they do, so that a
+ * caller that sends a byte now and then keeps no connection. 0: no limit.
+ */
+typedef struct {
+	int64_t idle_ms; /**< between two requests */
+	int64_t head_ms; /**< from the request line to the end of the headers */
+	int64_t body_ms; /**< for a body */
+} listener_timeouts_t;
+
 /** Header of a reply. */
 typedef struct {
 	const char *name;
@@ -76,6 +86,10 @@
 /** Closes all connections; on_close is called for their exchanges. */
 void listener_destroy(listener_t *listener);
 
+/** Replaces the default times of callers. */
+void listener_set_timeouts(listener_t *listener,
+			   const listener_timeouts_t *timeouts);
+
 /** @return the bound port. */
 uint16_t listener_port(const listener_t *listener);
 
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -24,6 +24,22 @@
 	DISCARD_MAX_BYTES = 8 * 1024 * 1024
 };
 
+/* What a connection waits for. */
+typedef enum {
+	CALLER_IDLE, /* the next request */
+	CALLER_SENDS_HEAD, /* the rest of the headers */
+	CALLER_SENDS_BODY, /* the rest of the body */
+	CALLER_WAITS /* the answer */
+} caller_phase_t;
+
+/* A connection, with or without an exchange. */
+typedef struct caller {
+	int fd;
+	caller_phase_t phase;
+	int64_t since_us; /* when the phase began */
+	struct caller *prev, *next;
+} caller_t;
+
 /* HTTP server; the library is libmicrohttpd. */
 struct listener {
 	struct MHD_Daemon *daemon;
@@ -33,6 +49,10 @@
 	ev_prepare before_wait;
 	listener_handler_t handler;
 	exchange_t *exchanges;
+	caller_t *callers; /* all connections */
+	listener_timeouts_t timeouts;
+	ev_timer check; /* closes the connections of slow callers */
+	int64_t checked_us;
 	bool run_pending; /* a connection was resumed: call MHD_run() */
 	bool running; /* inside MHD_run() */
 	uint16_t port;
@@ -70,6 +90,17 @@
 	exchange_t *prev, *next;
 };
 
+/* callers.c */
+/** Called by the library when a connection starts and ends. */
+void callers_on_connection(void *context, struct MHD_Connection *connection,
+			   void **caller,
+			   enum MHD_ConnectionNotificationCode code);
+/** Notes what a connection waits for from now on. */
+void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
+/** Starts to close the connections of slow callers. */
+void callers_start(listener_t *listener);
+void callers_stop(listener_t *listener);
+
 /** Called by the library when a request line arrives. @return an exchange */
 void *exchange_on_uri(void *context, const char *uri,
 		      struct MHD_Connection *connection);
--- a/src/process/gateway_apply.c
+++ b/src/process/gateway_apply.c
@@ -7,6 +7,10 @@
 #include "platform/config.h"
 #include "process/gateway_state.h"
 
+/* The routing configuration states no limit for bodies. Requests that take
+ * longer than their own time limit end before it. */
+enum { BODY_TIMEOUT_MS = 60000 };
+
 int64_t gateway_routing_version(const gateway_t *gateway)
 {
 	return gateway->routing ? routing_version(gateway->routing) : -1;
@@ -15,6 +19,7 @@
 static void apply_routing(gateway_t *gateway, const platform_object_t *object)
 {
 	int64_t current = gateway_routing_version(gateway);
+	const caller_limits_t *limits;
 	routing_t *routing;
 	err_t err;
 
@@ -43,6 +48,12 @@
 	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
 	routing_unref(gateway->routing);
 	gateway->routing = routing;
+	limits = routing_limits(routing);
+	listener_set_timeouts(
+		gateway->callers,
+		&(listener_timeouts_t){ .idle_ms = limits->idle_timeout_ms,
+					.head_ms = limits->header_timeout_ms,
+					.body_ms = BODY_TIMEOUT_MS });
 }
 
 static void apply_server(gateway_t *gateway, const platform_object_t *object,
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -101,7 +101,7 @@
 	int32_t account; /**< index into routing_conf_t.accounts */
 } account_key_t;
 
-/** Limits on what a caller may send. Only body_bytes is enforced. */
+/** Limits on what a caller may send. header_bytes is not enforced. */
 typedef struct {
 	int64_t header_bytes;
 	int64_t body_bytes;
--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -279,6 +279,77 @@
 	*(int *)context = end == CLIENT_OK ? status : -1;
 }
 
+static int connect_to_server(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(listener_port(server));
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* Runs the loop for @p ms. @return true if the connection was closed */
+static bool closes_within(int fd, int64_t ms)
+{
+	int64_t end_us = clock_monotonic_us() + ms * US_PER_MS;
+	char data[512];
+
+	while (clock_monotonic_us() < end_us) {
+		ev_run(loop, EVRUN_NOWAIT);
+		if (!recv(fd, data, sizeof(data), MSG_DONTWAIT))
+			return true;
+		usleep(2000);
+	}
+	return false;
+}
+
+static void slow_caller_that_keeps_its_connection(void **state)
+{
+	static const struct {
+		const char *caller, *first, *then; /* sent each 100 ms */
+		bool closed;
+	} cases[] = {
+		{ "sends nothing", "", "", true },
+		{ "sends a request line by single bytes", "", "G", true },
+		{ "sends headers by single bytes",
+		  "GET / HTTP/1.1\r\nHost: h\r\nX-A: ", "x", true },
+		{ "sends a body by single bytes",
+		  "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n",
+		  "x", true },
+		{ "sends nothing after a request",
+		  "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "", true },
+		{ "sends a request now and then",
+		  "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		  "GET / HTTP/1.1\r\nHost: h\r\n\r\n", false },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		bool is_closed = false;
+		int fd, step;
+
+		start("127.0.0.1:0", NULL, NULL, NULL);
+		listener_set_timeouts(server,
+				      &(listener_timeouts_t){ 300, 300, 300 });
+		fd = connect_to_server();
+		send(fd, cases[i].first, strlen(cases[i].first), 0);
+		for (step = 0; step < 14 && !is_closed; step++) {
+			is_closed = closes_within(fd, 100);
+			send(fd, cases[i].then, strlen(cases[i].then),
+			     MSG_NOSIGNAL);
+		}
+		if (is_closed != cases[i].closed)
+			fail_msg("a caller that %s: closed %d", cases[i].caller,
+				 is_closed);
+		close(fd);
+		listener_destroy(server);
+	}
+	server = NULL;
+}
+
 /* Guards against an address that is read as another one. */
 static void parses_addresses(void **state)
 {
@@ -355,6 +426,7 @@
 		CASE(refuses_a_body),
 		CASE(detects_a_caller_that_disconnects),
 		CASE(abort_leaves_a_stream_incomplete),
+		CASE(slow_caller_that_keeps_its_connection),
 		CASE(parses_addresses),
 		CASE(serves_tls),
 	};
