--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -92,8 +92,8 @@
 
 /* callers.c */
 /** Called by the library when a connection starts and ends. */
-void callers_on_connection(void *context, struct MHD_Connection *connection,
-			   void **caller,
+void callers_on_connection(void *listener_context,
+			   struct MHD_Connection *connection, void **context,
 			   enum MHD_ConnectionNotificationCode code);
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
