--- a/src/process/request.h
+++ b/src/process/request.h
@@ -289,6 +289,12 @@
 void cancellation_add(request_task_t *task, const char *server, const char *url,
 		      const stream_id_t *id);
 
+/**
+ * @param tries calls sent so far, 1 or more
+ * @return time until a cancellation that was not confirmed is sent again
+ */
+double cancellation_delay_s(int32_t tries);
+
 /** @return true if a shutdown has to wait for cancellations. */
 bool cancellations_pending(const request_task_t *task);
 
--- a/src/process/request_cancel.c
+++ b/src/process/request_cancel.c
@@ -58,12 +58,20 @@
 	       document_server(document, cancellation->server);
 }
 
+double cancellation_delay_s(int32_t tries)
+{
+	double delay_s = RETRY_DELAY_MIN_S;
+
+	while (--tries > 0 && delay_s < RETRY_DELAY_MAX_S)
+		delay_s *= 2;
+	return delay_s < RETRY_DELAY_MAX_S ? delay_s : RETRY_DELAY_MAX_S;
+}
+
 static void on_done(void *context, client_end_t end, int status,
 		    const char *body, size_t size)
 {
 	cancellation_t *cancellation = context;
 	request_task_t *task = cancellation->task;
-	double delay_s = RETRY_DELAY_MIN_S * (double)(1 << cancellation->tries);
 	/* 404 and 410: the server has no such stream any more. */
 	bool confirmed = end == CLIENT_OK &&
 			 (status / 100 == 2 || status == 404 || status == 410);
@@ -77,9 +85,8 @@
 		request_task_check_idle(task);
 		return;
 	}
-	if (cancellation->tries > 5 || delay_s > RETRY_DELAY_MAX_S)
-		delay_s = RETRY_DELAY_MAX_S;
-	ev_timer_set(&cancellation->retry_timer, delay_s, 0);
+	ev_timer_set(&cancellation->retry_timer,
+		     cancellation_delay_s(cancellation->tries), 0);
 	ev_timer_start(task->loop, &cancellation->retry_timer);
 	request_task_check_idle(task);
 }
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -11,6 +11,7 @@
 #include "cases.h"
 #include "lib/fixture.h"
 #include "lib/loopback.h"
+#include "process/request.h"
 
 static fixture_t fixture;
 static answer_t answer;
@@ -373,6 +374,22 @@
 	}
 }
 
+/* Guards against a delay that comes from a shift beyond the width of its type.
+ */
+static void delays_cancellations(void **state)
+{
+	static const struct {
+		int32_t tries;
+		int delay_ms;
+	} cases[] = { { 1, 200 },  { 2, 400 },	 { 5, 3200 },
+		      { 6, 5000 }, { 31, 5000 }, { 60, 5000 } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++)
+		assert_int_equal(cancellation_delay_s(cases[i].tries) * 1000,
+				 cases[i].delay_ms);
+}
+
 static void serve_refusal(server_call_t *call, size_t index)
 {
 	serve_reply(call, 503, "X-Not-Run", "1", "{}");
@@ -725,6 +742,7 @@
 		cmocka_unit_test(continues_after_the_delivered_tokens),
 		cmocka_unit_test(ends_a_failed_stream_with_an_event),
 		cmocka_unit_test(last_event_of_a_stream_overruns_its_buffer),
+		cmocka_unit_test(delays_cancellations),
 		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
 		cmocka_unit_test(refuses_bad_requests),
 		cmocka_unit_test(forwards_a_lookup_unchanged),
