--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -166,8 +166,8 @@
 /** @return true if the platform's store answers this node */
 bool gateway_reaches_store(const gateway_t *gateway);
 /**
- * @return true if the list of nodes names many nodes, but no node of this
- *   node's region sends it announcements
+ * @return true if the list of nodes names many nodes of this node's region, but
+ *   none of them sends it announcements
  */
 bool gateway_is_partitioned(const gateway_t *gateway);
 /**
--- a/src/process/gateway_updates.c
+++ b/src/process/gateway_updates.c
@@ -101,9 +101,21 @@
 	return live_peers(gateway) + 1 >= PUBLISH_NODES_MIN;
 }
 
+/* @return nodes of this node's region in the list of nodes, with this node */
+static size_t listed_in_region(const gateway_t *gateway)
+{
+	size_t i, count = 1;
+
+	for (i = 0; i < gateway->peer_count; i++)
+		count += region_has(&gateway->settings.region,
+				    gateway->peers[i].data_centre);
+	return count;
+}
+
 bool gateway_is_partitioned(const gateway_t *gateway)
 {
-	return gateway->nodes >= PUBLISH_NODES_MIN && !live_peers(gateway);
+	return listed_in_region(gateway) >= PUBLISH_NODES_MIN &&
+	       !live_peers(gateway);
 }
 
 bool gateway_retries_for_others(const gateway_t *gateway)
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -60,14 +60,16 @@
 }
 
 /* Entry of one of the nodes n2, n3 and so on; they are listed newest first. */
-static json_t *node_entry(size_t number)
+static json_t *node_entry(const gateway_fixture_t *fixture, size_t number)
 {
+	const char *data_centre =
+		fixture->other_data_centre ? fixture->other_data_centre : "a";
 	char name[24];
 
 	snprintf(name, sizeof(name), "n%zu", number);
 	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:b}}", "meta", "name", name,
-			 "revision", 5, "spec", "data_centre", "a", "address",
-			 "127.0.0.1:9", "leaving", 0);
+			 "revision", 5, "spec", "data_centre", data_centre,
+			 "address", "127.0.0.1:9", "leaving", 0);
 }
 
 static json_t *list_items(const gateway_fixture_t *fixture, const char *path)
@@ -89,7 +91,8 @@
 		size_t i;
 
 		for (i = fixture->other_nodes; i > 0; i--)
-			json_array_append_new(items, node_entry(i + 1));
+			json_array_append_new(items,
+					      node_entry(fixture, i + 1));
 	}
 	return items;
 }
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -73,6 +73,7 @@
 	int view_calls;
 	bool no_configuration;
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
+	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -209,6 +209,22 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/* Waits for a list of nodes of this length.
+ * @return a time shortly before the list arrived */
+static int64_t wait_peers(gateway_fixture_t *fixture, size_t count)
+{
+	int64_t before_us = 0;
+	int i;
+
+	fixture->other_nodes = count;
+	for (i = 0; i < 500 && fixture->gateway->peer_count != count; i++) {
+		before_us = clock_monotonic_us();
+		gateway_fixture_run(fixture, 10);
+	}
+	assert_int_equal(fixture->gateway->peer_count, count);
+	return before_us;
+}
+
 /* Guards against a node without contact to any other that keeps calling the
  * platform: view updates of the others would end its outage. */
 static void calls_seldom_while_partitioned(void **state)
@@ -218,7 +234,7 @@
 
 	gateway_fixture_start(&fixture);
 	gateway_fixture_wait_ready(&fixture);
-	fixture.gateway->nodes = NODES;
+	wait_peers(&fixture, NODES);
 	fixture.store_refuses = true;
 	gateway_fixture_run(&fixture, 3000);
 	assert_true(has_failures(fixture.gateway));
@@ -245,17 +261,6 @@
 	gateway_fixture_stop(&fixture);
 }
 
-static const peer_t *wait_peers(gateway_fixture_t *fixture, size_t count)
-{
-	int i;
-
-	fixture->other_nodes = count;
-	for (i = 0; i < 100 && fixture->gateway->peer_count != count; i++)
-		gateway_fixture_run(fixture, 50);
-	assert_int_equal(fixture->gateway->peer_count, count);
-	return fixture->gateway->peers;
-}
-
 /* Guards against a node that the platform rejects while it answers others, and
  * that notices too late for its bounds that the platform answers it again. */
 static void retries_soon_while_others_are_served(void **state)
@@ -284,6 +289,29 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/* Guards against a node that is alone in its region, and takes the silence of
+ * its region for a partition: nodes of other regions send it nothing. */
+static void tells_a_lone_node_from_a_partitioned_one(void **state)
+{
+	static const struct {
+		const char *data_centre;
+		bool is_partitioned;
+	} cases[] = { { "a", true }, { "elsewhere", false } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { .other_nodes = 20,
+					      .other_data_centre =
+						      cases[i].data_centre };
+
+		gateway_fixture_start(&fixture);
+		wait_peers(&fixture, 20);
+		assert_int_equal(gateway_is_partitioned(fixture.gateway),
+				 cases[i].is_partitioned);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /* Guards against starting nodes that learn of each other late. */
 static void announces_to_new_nodes_at_once(void **state)
 {
@@ -293,9 +321,7 @@
 	gateway_fixture_start(&fixture);
 	wait_peers(&fixture, 250);
 	gateway_fixture_run(&fixture, 100);
-	wait_peers(&fixture, 251);
-	/* wait_peers() looks at the list every 50 ms. */
-	changed_us = clock_monotonic_us() - 50 * US_PER_MS;
+	changed_us = wait_peers(&fixture, 251);
 	gateway_fixture_run(&fixture, 60);
 	assert_true(fixture.gateway->announced_us >= changed_us);
 	gateway_fixture_stop(&fixture);
@@ -430,7 +456,8 @@
 	wait_peers(&fixture, 1);
 	fixture.gateway->peers[0].sent_revisions[1] = 99;
 	fixture.gateway->peers[0].unacked_since_us[1] = INT64_MAX;
-	peers = wait_peers(&fixture, 2);
+	wait_peers(&fixture, 2);
+	peers = fixture.gateway->peers;
 	for (i = 0; i < 2; i++) {
 		assert_int_equal(peers[i].sent_revisions[1], 0);
 		assert_int_equal(peers[i].unacked_since_us[1], 0);
@@ -446,6 +473,7 @@
 		cmocka_unit_test(calls_seldom_while_partitioned),
 		cmocka_unit_test(publishes_from_the_start),
 		cmocka_unit_test(stands_by_for_the_publishers),
+		cmocka_unit_test(tells_a_lone_node_from_a_partitioned_one),
 		cmocka_unit_test(announces_to_new_nodes_at_once),
 		cmocka_unit_test(retries_soon_while_others_are_served),
 		cmocka_unit_test(lists_again_after_an_outage),
