--- a/src/connection/callers.c
+++ b/src/connection/callers.c
@@ -103,7 +103,7 @@
 	}
 }
 
-void callers_start(listener_t *listener)
+void slow_callers_start(listener_t *listener)
 {
 	listener->checked_us = clock_monotonic_us();
 	ev_timer_init(&listener->check, on_check, CHECK_S, CHECK_S);
@@ -111,7 +111,7 @@
 	ev_timer_start(listener->loop, &listener->check);
 }
 
-void callers_stop(listener_t *listener)
+void slow_callers_stop(listener_t *listener)
 {
 	ev_timer_stop(listener->loop, &listener->check);
 }
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -200,7 +200,7 @@
 	ev_prepare_init(&listener->before_wait, on_before_wait);
 	listener->before_wait.data = listener;
 	ev_prepare_start(listener->loop, &listener->before_wait);
-	callers_start(listener);
+	slow_callers_start(listener);
 }
 
 /* Reads certificate and key, opens the socket and starts the library. */
@@ -269,7 +269,7 @@
 	ev_io_stop(listener->loop, &listener->readable);
 	ev_timer_stop(listener->loop, &listener->timeout);
 	ev_prepare_stop(listener->loop, &listener->before_wait);
-	callers_stop(listener);
+	slow_callers_stop(listener);
 	MHD_stop_daemon(listener->daemon);
 	free(listener);
 }
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -98,8 +98,8 @@
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
 /** Starts to close the connections of slow callers. */
-void callers_start(listener_t *listener);
-void callers_stop(listener_t *listener);
+void slow_callers_start(listener_t *listener);
+void slow_callers_stop(listener_t *listener);
 
 /** Called by the library when a request line arrives. @return an exchange */
 void *exchange_on_uri(void *context, const char *uri,
