--- a/src/process/server_rates.c
+++ b/src/process/server_rates.c
@@ -108,8 +108,10 @@
 	double per_s = round(rate->per_s * MILLI) / MILLI;
 	bool changed;
 
-	if (!entry &&
-	    (!rate->is_limited || HASH_COUNT(rates->entries) >= ENTRIES_MAX))
+	/* Without a rate before, an answer without one is no news. */
+	if (!rate->is_limited && !(entry && entry->is_limited))
+		return false;
+	if (!entry && HASH_COUNT(rates->entries) >= ENTRIES_MAX)
 		return false;
 	if (!entry)
 		entry = add(rates, rate->server_hash, now_us);
--- a/tests/test_server_rates.c
+++ b/tests/test_server_rates.c
@@ -518,11 +518,30 @@
 	}
 }
 
+static void ended_rate_announced_for_ever(void **state)
+{
+	server_rates_t *rates = server_rates_create();
+	server_rate_t rate = { 7, true, 2, 0 }, items[2];
+	int64_t ms;
+
+	server_rates_note(rates, &rate, 0, 0);
+	rate.is_limited = false;
+	assert_true(server_rates_note(rates, &rate, MS(1), MS(2)));
+	assert_int_equal(server_rates_list(rates, items, 2, MS(3)), 1);
+	for (ms = 100; ms < 12000; ms += 100) {
+		server_rates_note(rates, &rate, MS(ms), MS(ms));
+		server_rates_expire(rates, MS(ms));
+	}
+	assert_int_equal(server_rates_list(rates, items, 2, MS(ms)), 0);
+	server_rates_destroy(rates);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(sum_over_all_nodes_above_a_stated_rate),
 		cmocka_unit_test(stated_rate_left_unused),
+		cmocka_unit_test(ended_rate_announced_for_ever),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
