--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -192,6 +192,7 @@
 
 void nodes_start(soak_t *soak)
 {
+	char path[256];
 	int i;
 
 	for (i = 0; i < soak->node_count; i++) {
@@ -204,8 +205,9 @@
 		node->ready_port = free_port();
 		node->peer_port = free_port();
 		node->store_link = proxy_create(soak->loop, store_port());
-		snprintf(node->settings, sizeof(node->settings), "%s/%s.conf",
-			 soak->directory, node->name);
+		snprintf(path, sizeof(path), "%s/%s.conf", soak->directory,
+			 node->name);
+		mem_strlcpy(node->settings, path, sizeof(node->settings));
 		write_settings(node);
 		ev_timer_init(&node->restart, on_restart, RESTART_S, RESTART_S);
 		node->restart.data = node;
