--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -79,8 +79,9 @@
 	} else if (!soak->recovered_us) {
 		soak->recovered_us = clock_monotonic_us();
 		ev_timer_set(timer, RECOVERED_S, 0.);
-	} else if (ev_is_active(&soak->caller_timer)) {
+	} else if (!soak->callers_over) {
 		/* Waits for the answers of the requests in flight. */
+		soak->callers_over = true;
 		ev_timer_stop(loop, &soak->caller_timer);
 		ev_timer_set(timer, (double)(DEADLINE_MS + 2000) / MS_PER_S,
 			     0.);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -144,6 +144,7 @@
 	double rate_per_s;
 	counts_t counts;
 	int32_t violations;
+	bool callers_over; /* no more requests are sent */
 	bool faults_over; /* all faults ended: the fleet must recover */
 	int64_t recovered_us; /* end of the time to recover; 0: not reached */
 	int64_t key_revoked_us[KEYS]; /* 0: the key is valid */
