--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -2,8 +2,6 @@
 
 #include <stdlib.h>
 #include <string.h>
-#include <utlist.h>
-#include <xxhash.h>
 
 #include "base/mem.h"
 
