Log the segments that a prompt shares with others

The incident's logs could not tell what the prompts of broken requests had in common, so that no hypothesis could be ruled out. Event 407 lists the ids of the segments now (`segments`). Nothing acts on them.

--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -7,12 +7,18 @@
 #define REQUEST_CALLER_REQUEST_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/units.h"
 #include "version/routing.h"
 
-enum { REQUEST_ID_SIZE_BYTES = 128, EVENT_ID_SIZE_BYTES = 64 };
+enum {
+	REQUEST_ID_SIZE_BYTES = 128,
+	EVENT_ID_SIZE_BYTES = 64,
+	/** Segments of a prompt that are read; further ones are ignored. */
+	SEGMENTS_MAX = 64
+};
 
 /** Headers of a caller's request. */
 typedef struct {
@@ -22,6 +28,10 @@
 	int64_t deadline_ms; /**< how long the caller waits for the answer;
 			      * -1: not stated */
 	int64_t prompt_tokens; /**< length of the prompt; 0: not stated */
+	/** Ids of the segments of the prompt that other prompts may share, in
+	 * their order; the last segment is the request's own. */
+	uint64_t segments[SEGMENTS_MAX];
+	size_t segment_count; /**< entries of segments */
 	int64_t output_tokens_max; /**< limit of the output; 0: not stated */
 	int64_t output_tokens_hint; /**< the caller's estimate of the output;
 				     * 0: not stated */
--- a/src/request/forward_log.c
+++ b/src/request/forward_log.c
@@ -7,8 +7,9 @@
 #include "base/metrics.h"
 #include "request/forward_state.h"
 
-/* Longest list of helpers in a log line; a longer list is truncated. */
-enum { HELPERS_TEXT_BYTES = 400 };
+/* Longest lists of helpers and of segments in a log line; longer ones are
+ * truncated. */
+enum { HELPERS_TEXT_BYTES = 400, SEGMENTS_TEXT_BYTES = 200 };
 
 static const char *id_of(const forward_t *forward)
 {
@@ -32,20 +33,34 @@
 	}
 }
 
+/* Joins the ids of the segments of the prompt by commas. */
+static void format_segments(const caller_request_t *request, char *text,
+			    size_t size)
+{
+	size_t i, used = 0;
+
+	mem_strlcpy(text, "-", size);
+	for (i = 0; i < request->segment_count && used < size; i++)
+		used += (size_t)snprintf(text + used, size - used, "%s%" PRIx64,
+					 i ? "," : "", request->segments[i]);
+}
+
 void forward_log_placed(const forward_t *forward)
 {
-	char helpers[HELPERS_TEXT_BYTES];
+	char helpers[HELPERS_TEXT_BYTES], segments[SEGMENTS_TEXT_BYTES];
 	const placement_t *placement = &forward->choice.placement;
 	const candidate_t *first = placement->shards[0];
 	const backend_entry_t *entry = backend_entry(first->server);
 
 	format_helper_ids(placement, helpers, sizeof(helpers));
+	format_segments(&forward->request, segments, sizeof(segments));
 	log_event(EVENT_REQUEST_PLACED,
 		  "request=%s server=%s data_centre=%s parts=%zu"
 		  " prompt=%" PRId64 " predicted_ms=%" PRId64
 		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
 		  " pending_ms=%" PRId64 " kv=%" PRId64
-		  " pace=%.2f doubtful=%d after_event=%s helpers=%s",
+		  " pace=%.2f doubtful=%d after_event=%s helpers=%s"
+		  " segments=%s",
 		  id_of(forward), entry->id, entry->data_centre,
 		  placement->count, forward->request.prompt_tokens,
 		  placement->first_event_us / US_PER_MS,
@@ -54,7 +69,7 @@
 		  first->load.backlog_us / US_PER_MS, first->load.kv_tokens,
 		  first->slowdown, first->fallback,
 		  *forward->last_event_id ? forward->last_event_id : "-",
-		  helpers);
+		  helpers, segments);
 }
 
 void forward_log_busy(const forward_t *forward, const char *reason)
