--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -24,6 +24,7 @@
 	UNSEALED, /**< success without X-Server-Seal: not the server's own */
 	FOREIGN, /**< answer to another request */
 	BREAKS_OFF, /**< breaks off in the body, or in the middle of an event */
+	ENDS_EARLY, /**< ends a stream after its second event */
 	REPEATS, /**< sends events that the caller already has, then the rest */
 	GARBAGE, /**< sends bytes that are not an HTTP answer */
 	ENDLESS_HEAD, /**< sends header lines without end */
@@ -74,6 +75,10 @@
 	bool no_configuration;
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
 	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
+	/** Servers break off each request with this text in its headers, as if
+	 * they ended, instead of following the script; NULL: none. */
+	const char *crash_text;
+	server_act_t crash_act; /**< how: CLOSES, BREAKS_OFF or ENDS_EARLY */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -95,7 +95,9 @@
 		strcpy(last, "0");
 	send_head(fd, id, stream ? "text/event-stream" : "text/plain",
 		  stream ? 0 : 10, connection->act != UNSEALED, extra);
-	if (stream)
+	if (stream && connection->act == ENDS_EARLY)
+		send_text(fd, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
+	else if (stream)
 		send_events(fd, atoi(last) + 1, half);
 	else
 		send_text(fd, half ? "01234" : "0123456789");
@@ -163,6 +165,7 @@
 	case SERVES:
 	case UNSEALED:
 	case BREAKS_OFF:
+	case ENDS_EARLY:
 	case REPEATS:
 	case SAYS_LEAVING:
 		serve(connection, fd, id);
@@ -243,6 +246,9 @@
 	if (connection->answered || !is_whole(arrival->text))
 		return;
 	connection->answered = true;
+	if (connection->fixture->crash_text &&
+	    strstr(arrival->text, connection->fixture->crash_text))
+		connection->act = connection->fixture->crash_act;
 	if (!act(connection, watcher->fd))
 		close_connection(connection);
 }
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -159,7 +159,7 @@
 			       "DENIED %s: status %d with a valid key",
 			       record->id, status);
 	check_time(call, end);
-	if (!revoked)
+	if (!revoked && record->crash_segment < 0)
 		count(call, end, status);
 	free(call);
 }
@@ -197,9 +197,9 @@
 	request_record_t *record = new_record(soak);
 	call_t *call = mem_calloc(1, sizeof(*call));
 	char url[96], id[64], key[64], deadline[48], tokens[48];
-	const char *headers[] = {
-		"Host: soak", id, key, deadline, tokens, NULL
-	};
+	char segments[96] = "X-Prefix-Hash: ";
+	const char *headers[] = { "Host: soak", id,	  key, deadline,
+				  tokens,	segments, NULL };
 	client_handler_t handler = { .on_header = on_header,
 				     .on_status = on_status,
 				     .on_data = on_data,
@@ -230,6 +230,8 @@
 	snprintf(deadline, sizeof(deadline), "X-Deadline-Ms: %d", DEADLINE_MS);
 	snprintf(tokens, sizeof(tokens), "X-Token-Counts: %d,400",
 		 1000 + (int)soak_random(soak, 8000));
+	crashes_choose(soak, record, segments + strlen(segments),
+		       sizeof(segments) - strlen(segments));
 	soak->counts.sent++;
 	client_call(soak->client, &request, &handler);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -19,16 +19,21 @@
 	ID_FIRST = 1
 };
 
-uint64_t soak_random(soak_t *soak, uint64_t below)
+uint64_t soak_random_of(uint64_t *state, uint64_t below)
 {
 	/* The generator splitmix64. */
-	uint64_t z = soak->random += 0x9e3779b97f4a7c15;
+	uint64_t z = *state += 0x9e3779b97f4a7c15;
 
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
 	z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
 	return (z ^ (z >> 31)) % below;
 }
 
+uint64_t soak_random(soak_t *soak, uint64_t below)
+{
+	return soak_random_of(&soak->random, below);
+}
+
 bool soak_chance(soak_t *soak, double chance)
 {
 	return (double)soak_random(soak, 1000000) < chance * 1000000;
@@ -118,6 +123,7 @@
 	callers_start(soak);
 	faults_start(soak);
 	rates_start(soak);
+	crashes_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -150,6 +156,8 @@
 		  "requests a second", "R" },
 		{ "server-rates", 0, POPT_ARG_NONE, &soak.server_rates, 0,
 		  "servers state rates of requests, and restart", NULL },
+		{ "prompt-crashes", 0, POPT_ARG_NONE, &soak.prompt_crashes, 0,
+		  "some segments of prompts crash servers", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
 		  "directory of chivestaged", "DIR" },
 		{ "other-build", 0, POPT_ARG_STRING, &soak.other_build, 0,
--- a/tests/soak/rates.c
+++ b/tests/soak/rates.c
@@ -21,13 +21,7 @@
 
 static uint64_t random_below(soak_t *soak, uint64_t below)
 {
-	uint64_t faults = soak->random, value;
-
-	soak->random = soak->rates_random;
-	value = soak_random(soak, below);
-	soak->rates_random = soak->random;
-	soak->random = faults;
-	return value;
+	return soak_random_of(&soak->rates_random, below);
 }
 
 static void state_rate(server_t *server, double per_s)
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -100,6 +100,9 @@
 		return;
 	}
 	exchange_write(run->exchange, event, (size_t)size);
+	if (crashes_server(run->server,
+			   callers_find(run->server->soak, run->id)))
+		return;
 	if (run->next_event++ < STREAM_EVENTS)
 		return;
 	finish(run);
@@ -226,12 +229,17 @@
 	server_t *server = run->server;
 
 	server->arrivals++;
+	if (server->down) {
+		exchange_abort(run->exchange);
+		return;
+	}
 	if (strcmp(header(run->exchange, "X-Expect-Instance"), server->id) !=
 	    0) {
 		refuse(run, 421);
 		return;
 	}
 	rates_arrival(server, callers_find(server->soak, run->id));
+	crashes_arrival(server->soak, callers_find(server->soak, run->id));
 	if (server->running >= SLOTS_MAX + QUEUED_MAX)
 		refuse(run, HTTP_FULL);
 	else
@@ -271,9 +279,8 @@
 	return (int)(server - server->soak->servers);
 }
 
-void server_restart(server_t *server)
+static void abort_runs(server_t *server)
 {
-	bool listed = server->listed;
 	run_t *run;
 
 	DL_FOREACH (runs, run) {
@@ -282,6 +289,13 @@
 		finish(run);
 		exchange_abort(run->exchange);
 	}
+}
+
+void server_restart(server_t *server)
+{
+	bool listed = server->listed;
+
+	abort_runs(server);
 	if (server->born_ms++ % 2) {
 		server->listed = false;
 		server_announce(server);
@@ -295,6 +309,30 @@
 		server_announce(server);
 }
 
+static void on_start(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	server_t *server = timer->data;
+
+	server->down = false;
+	proxy_set(server->link, LINK_NORMAL);
+	server_restart(server);
+}
+
+void server_crash(server_t *server, int64_t ms)
+{
+	struct ev_loop *loop = server->soak->loop;
+
+	if (server->down)
+		return;
+	server->down = true;
+	abort_runs(server);
+	proxy_set(server->link, LINK_REFUSED);
+	ev_timer_init(&server->start_timer, on_start, (double)ms / MS_PER_S,
+		      0.);
+	server->start_timer.data = server;
+	ev_timer_start(loop, &server->start_timer);
+}
+
 void servers_start(soak_t *soak)
 {
 	int i;
@@ -325,6 +363,7 @@
 	int i;
 
 	for (i = 0; i < SERVERS; i++) {
+		ev_timer_stop(soak->loop, &soak->servers[i].start_timer);
 		proxy_destroy(soak->servers[i].link);
 		listener_destroy(soak->servers[i].listener);
 	}
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,6 +35,7 @@
 	UNDISTURBED_MS = 3000, /* time after the last fault of a node, from
 				  which on the node must meet all limits */
 	DEADLINE_MS = 4000, /* time limit of each request */
+	CRASH_SEGMENTS = 2, /* segments of prompts that crash servers */
 	RATE_ARRIVALS_MAX = 256 /* counted arrivals that a server remembers */
 };
 
@@ -96,6 +97,8 @@
 	listener_t *listener;
 	proxy_t *link;
 	int32_t running; /* requests in flight */
+	bool down; /* crashed, and not started again yet */
+	ev_timer start_timer; /* starts the server again after a crash */
 	double abort_chance; /* probability that an answer is aborted */
 	uint64_t arrivals; /* requests received */
 	int64_t born_ms; /* start of the server, as its object states it */
@@ -108,6 +111,8 @@
 	char path; /* s: repeatable, o: runs at most once, t: stream */
 	int key; /* index of the caller's key; -1: none */
 	const node_t *node; /* node that got the request */
+	int crash_segment; /* index of the segment of its prompt that crashes
+			      servers; -1: none */
 	int64_t sent_us;
 	int32_t runs; /* times that a server began to run the request */
 	bool refused; /* the answer promised that the request was not run */
@@ -115,6 +120,14 @@
 	UT_hash_handle hh;
 } request_record_t;
 
+/** What servers got of prompts with one segment that crashes them. */
+typedef struct {
+	int crashes; /* of servers */
+	int64_t known_us; /* when the last crash came that nodes may need to
+			     know the segment; 0: not yet */
+	int late_arrivals; /* requests that the rule allows only few of */
+} crash_log_t;
+
 /** Numbers of requests, by the way they ended. */
 typedef struct {
 	int64_t sent, /* requests sent in total */
@@ -151,6 +164,9 @@
 	int64_t version; /* version of the configuration written last */
 	int server_rates; /* servers state rates, and restart */
 	uint64_t rates_random; /* state of the generator for rates */
+	int prompt_crashes; /* prompts with some segments crash servers */
+	uint64_t crashes_random; /* state of the generator for these */
+	crash_log_t crashes[CRASH_SEGMENTS];
 	ev_timer caller_timer, fault_timer, rate_timer, probe_timer, end_timer;
 };
 
@@ -162,6 +178,9 @@
 	__attribute__((format(printf, 2, 3)));
 /** @return a random number from 0 to @p below - 1. */
 uint64_t soak_random(soak_t *soak, uint64_t below);
+/** The same from a generator of its own, so that the faults of a seed do not
+ * depend on its use. */
+uint64_t soak_random_of(uint64_t *state, uint64_t below);
 /** @return true with the probability @p chance. */
 bool soak_chance(soak_t *soak, double chance);
 
@@ -195,6 +214,8 @@
 /** Restarts a server at its address, under its id or under a new one. Its
  * requests break off. */
 void server_restart(server_t *server);
+/** Ends a server, with all of its requests; it starts again after @p ms. */
+void server_crash(server_t *server, int64_t ms);
 /** @return number of the server, from 0 */
 int server_index(const server_t *server);
 void servers_stop(soak_t *soak);
@@ -223,6 +244,20 @@
 /** Withdraws all rates. */
 void rates_end(soak_t *soak);
 
+/* crashes.c */
+void crashes_start(soak_t *soak);
+/** Chooses the segments of a prompt, as the value of X-Prefix-Hash. */
+void crashes_choose(soak_t *soak, request_record_t *record, char *text,
+		    size_t size);
+/** Checks, when a request arrives, whether it was to be kept from servers. */
+void crashes_arrival(soak_t *soak, const request_record_t *record);
+/**
+ * Crashes the server that begins to write an answer to @p record, if a segment
+ * of its prompt does so.
+ * @return true if it crashed
+ */
+bool crashes_server(server_t *server, const request_record_t *record);
+
 /* faults.c */
 void faults_start(soak_t *soak);
 /** Ends all faults and lets no other fault begin. */
--- /dev/null
+++ b/tests/test_gateway_crashes.c
@@ -0,0 +1,146 @@
+/**
+ * Prompts with a segment that crashes servers, through a whole gateway: what
+ * reaches the servers, and what callers get instead.
+ */
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "cases.h"
+#include "lib/gateway_fixture.h"
+
+enum {
+	REQUESTS = 14, /* with the segment, of each case */
+	/* The platform's rule: requests that may reach servers after the fifth
+	 * crash, besides the repeats that are on their way. */
+	CRASHES = 5,
+	AFTER_CRASHES_MAX = 3,
+	PAUSE_MS = 60, /* between two requests */
+	REFUSAL_MAX_MS = 100 /* a refusal comes at once */
+};
+
+static int set_up(void **state)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	return 0;
+}
+
+/* Sends a request whose prompt has the segments @p segments and one of its own.
+ */
+static void call(gateway_fixture_t *fixture, reply_t *reply, const char *path,
+		 const char *segments, int number)
+{
+	char prefix[160], id[40];
+	const char *headers[] = { "Host: h",
+				  id,
+				  "X-Deadline-Ms: 1400",
+				  prefix,
+				  FIXTURE_AUTHORIZATION,
+				  NULL };
+
+	snprintf(id, sizeof(id), "X-Request-Id: r%d", number);
+	snprintf(prefix, sizeof(prefix), "X-Prefix-Hash: %s,e%d:9", segments,
+		 number);
+	gateway_fixture_call(fixture, reply, "GET", path, headers, NULL);
+	assert_true(gateway_fixture_wait(fixture, reply, 1600));
+}
+
+static size_t crashes(const gateway_fixture_t *fixture)
+{
+	size_t i, count = 0;
+
+	for (i = 0; i < fixture->arrival_count; i++)
+		count += strstr(fixture->arrivals[i].text,
+				fixture->crash_text) != NULL;
+	return count;
+}
+
+/* A server takes some time to start again. */
+static void restart_servers(gateway_fixture_t *fixture)
+{
+	gateway_fixture_run(fixture, PAUSE_MS);
+}
+
+static void servers_crash_on_without_end(void **state)
+{
+	static const struct {
+		const char *guards_against, *path;
+		const char *crashing; /* segments of prompts that crash */
+		const char *sound[2]; /* of prompts sent between these */
+		server_act_t act;
+	} cases[] = {
+		{ "segment in the middle",
+		  "/single/x",
+		  "a1:8,bad1:7,c2:6",
+		  { "a1:8,c2:6", "a1:8" },
+		  CLOSES },
+		{ "segment first, stream repeated",
+		  "/stream/x",
+		  "bad1:7,a1:8",
+		  { "a1:8", "c2:6" },
+		  CLOSES },
+		{ "no other segment, end within an event",
+		  "/stream/x",
+		  "bad1:7",
+		  { "a1:8", "c2:6" },
+		  BREAKS_OFF },
+		{ "sound prompts with all segments but one",
+		  "/single/x",
+		  "a1:8,b1:4,c1:3,bad1:7",
+		  { "a1:8,b1:4,c1:3", "a1:8,b1:4,c1:3,d1:7" },
+		  BREAKS_OFF },
+		{ "lookup",
+		  "/safe/x",
+		  "a1:8,bad1:7",
+		  { "a1:8", "c2:6" },
+		  CLOSES },
+	};
+	size_t i;
+	int j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { .crash_text = "bad1:",
+					      .crash_act = cases[i].act };
+		reply_t reply;
+		int refused = 0, served = 0;
+		size_t count;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		for (j = 0; j < REQUESTS; j++) {
+			int64_t sent_us = clock_monotonic_us();
+			const char *sound = cases[i].sound[j % 2];
+
+			call(&fixture, &reply, cases[i].path, cases[i].crashing,
+			     2 * j);
+			if (reply.status == 503 &&
+			    strstr(reply.headers, "Retry-After: ") &&
+			    clock_monotonic_us() - sent_us <
+				    REFUSAL_MAX_MS * US_PER_MS)
+				refused++;
+			restart_servers(&fixture);
+			call(&fixture, &reply, cases[i].path, sound, 2 * j + 1);
+			served += reply.status == 200;
+		}
+		count = crashes(&fixture);
+		if (count > CRASHES + AFTER_CRASHES_MAX)
+			fail_msg("case \"%s\": %zu crashes",
+				 cases[i].guards_against, count);
+		if (refused < REQUESTS - (int)count || served < REQUESTS - 2)
+			fail_msg("case \"%s\": %d refused, %d served",
+				 cases[i].guards_against, refused, served);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(servers_crash_on_without_end),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, NULL);
+}
