--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/mem.h"
 
@@ -216,6 +217,11 @@
 		dc->evacuated = false;
 }
 
+const limit_nodes_t *backends_nodes(const backends_t *backends)
+{
+	return &backends->nodes;
+}
+
 server_rates_t *backends_rates(backends_t *backends)
 {
 	return backends->rates;
@@ -256,6 +262,12 @@
 	return backend->hash;
 }
 
+uint32_t backend_start_hash(const backend_t *backend)
+{
+	return backend->hash ^ XXH32(&backend->entry.born_ms,
+				     sizeof(backend->entry.born_ms), 0);
+}
+
 uint32_t backend_generation(const backend_t *backend)
 {
 	return backend->generation;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -111,6 +111,9 @@
 void backends_set_nodes(backends_t *backends, const uint64_t *nodes,
 			size_t count, uint64_t own, int64_t now_us);
 
+/** @return the nodes among which limits are divided. */
+const limit_nodes_t *backends_nodes(const backends_t *backends);
+
 /**
  * Iterates over the table.
  * @param server previous server; NULL: start
@@ -126,6 +129,8 @@
 const backend_entry_t *backend_entry(const backend_t *backend);
 /** @return hash of the server's id, as load announcements carry it. */
 uint32_t backend_hash(const backend_t *backend);
+/** @return hash of the server's id and start, the same at all nodes. */
+uint32_t backend_start_hash(const backend_t *backend);
 /** @return generation: count of the server's starts that this node has seen. */
 uint32_t backend_generation(const backend_t *backend);
 /** @return true if new requests may be sent to the server now. */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -136,6 +136,7 @@
 	mem_strlcpy(backends.data_centre, gateway->settings.data_centre,
 		    sizeof(backends.data_centre));
 	gateway->backends = backends_create(&backends);
+	gateway->segments = segment_table_create();
 	gateway->client = client_create(gateway->loop, err);
 	if (!gateway->client)
 		return false;
@@ -190,6 +191,7 @@
 	platform_destroy(gateway->platform);
 	client_destroy(gateway->client);
 	reservations_destroy(&gateway->reservations);
+	segment_table_destroy(gateway->segments);
 	backends_destroy(gateway->backends);
 	routing_unref(gateway->routing);
 	free(gateway);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -28,6 +28,8 @@
  * other reads accept a list that is a little old. */
 #define REGISTRY_FIRST_S 0.7
 #define REGISTRY_S 5.0
+/* All nodes list a node that started this long ago. */
+#define NEW_NODE_US (10 * US_PER_S)
 
 static double announce_pause_s(const gateway_t *gateway)
 {
@@ -126,12 +128,18 @@
 	message->rate_count =
 		server_rates_list(backends_rates(gateway->backends),
 				  message->rates, ANNOUNCED_RATES_MAX, now_us);
+	message->segment_count =
+		segment_table_list(gateway->segments, message->segments,
+				   ANNOUNCED_SEGMENTS_MAX, now_us);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
 				gateway->views[i].revision;
 	mem_strlcpy(message->data_centre, gateway->settings.data_centre,
 		    sizeof(message->data_centre));
+	if (now_us - gateway->started_us < NEW_NODE_US)
+		mem_strlcpy(message->address, gateway->settings.peer_address,
+			    sizeof(message->address));
 	return packet_encode(&packet, data, capacity);
 }
 
@@ -156,14 +164,18 @@
 	gateway_send_updates(gateway);
 }
 
+void gateway_announce_to(gateway_t *gateway, const peer_t *peer)
+{
+	send_announcement(gateway, peer, 1, clock_monotonic_us());
+}
+
 void gateway_acknowledge(gateway_t *gateway, uint64_t node)
 {
 	size_t i;
 
 	for (i = 0; i < gateway->peer_count; i++)
 		if (gateway->peers[i].hash == node)
-			send_announcement(gateway, &gateway->peers[i], 1,
-					  clock_monotonic_us());
+			gateway_announce_to(gateway, &gateway->peers[i]);
 }
 
 static double idle_pause_s(gateway_t *gateway)
@@ -177,15 +189,30 @@
 			  (1 - ANNOUNCE_IDLE_MIN_SHARE) * fraction);
 }
 
+static void set_segment_metrics(const gateway_t *gateway)
+{
+	size_t suspects;
+	size_t blocked = segment_table_count(gateway->segments, &suspects);
+
+	metrics_set(METRIC_SEGMENTS_BLOCKED, (int64_t)blocked);
+	metrics_set(METRIC_SEGMENTS_SUSPECT, (int64_t)suspects);
+}
+
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
 	int64_t now_us = clock_monotonic_us();
 	double idle_us = (double)gateway_announce_pause_us(gateway) *
 			 ANNOUNCE_IDLE_MIN_SHARE;
+	uint64_t blocked;
 
 	load_table_expire(gateway->load_table, now_us);
 	server_rates_expire(backends_rates(gateway->backends), now_us);
+	blocked = segment_table_expire(gateway->segments, now_us);
+	if (blocked)
+		log_event(EVENT_SEGMENT_BLOCKED,
+			  "segment=%" PRIx64 " source=settled", blocked);
+	set_segment_metrics(gateway);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
@@ -216,68 +243,6 @@
 	ev_timer_start(gateway->loop, &gateway->announce);
 }
 
-static const char *server_id(const gateway_t *gateway, uint32_t hash)
-{
-	const backend_t *server = NULL;
-
-	while ((server = backends_next(gateway->backends, server)))
-		if (backend_hash(server) == hash)
-			return backend_entry(server)->id;
-	return "-";
-}
-
-static void receive_rates(gateway_t *gateway, const announcement_t *message)
-{
-	server_rates_t *rates = backends_rates(gateway->backends);
-	char per_s[RATE_TEXT_BYTES];
-	size_t i;
-
-	for (i = 0; i < message->rate_count; i++) {
-		const server_rate_t *rate = &message->rates[i];
-
-		if (!server_rates_receive(rates, rate, clock_monotonic_us()))
-			continue;
-		server_rate_format(rate, per_s);
-		log_event(EVENT_SERVER_RATE,
-			  "server=%s per_s=%s source=node-%016" PRIx64,
-			  server_id(gateway, rate->server_hash), per_s,
-			  message->node);
-	}
-}
-
-static void receive_load(gateway_t *gateway, const announcement_t *message)
-{
-	if (load_table_receive(gateway->load_table, message,
-			       clock_monotonic_us(), clock_boot_us()))
-		receive_rates(gateway, message);
-	else
-		metrics_add(METRIC_PEER_INCARNATION_OLD, 1);
-}
-
-static void on_datagram(void *context, const uint8_t *data, size_t size)
-{
-	gateway_t *gateway = context;
-	packet_t packet;
-
-	if (!packet_decode(&packet, data, size)) {
-		metrics_add(METRIC_PEER_MALFORMED, 1);
-		return;
-	}
-	metrics_add(METRIC_PEER_RECEIVED_BYTES, (int64_t)size);
-	switch (packet.type) {
-	case PACKET_LOAD:
-		receive_load(gateway, &packet.as.load);
-		break;
-	case PACKET_VIEW_UPDATE:
-		gateway_receive_update(gateway, &packet.as.update);
-		break;
-	case PACKET_USAGE:
-		duties_receive_usage(gateway->duties, &packet.as.usage);
-		break;
-	}
-	packet_clear(&packet);
-}
-
 void gateway_send_to_duty_nodes(gateway_t *gateway, const packet_t *packet)
 {
 	uint8_t data[PACKET_SIZE_MAX_BYTES];
@@ -406,10 +371,11 @@
 	gateway->load_table = load_table_create();
 	gateway->datagram = datagram_create(gateway->loop,
 					    gateway->settings.peer_address,
-					    on_datagram, gateway, err);
+					    gateway_on_datagram, gateway, err);
 	if (!gateway->datagram)
 		return false;
 	gateway->incarnation = (uint64_t)clock_wall_us();
+	gateway->started_us = clock_monotonic_us();
 	ev_timer_init(&gateway->announce, on_announce, ANNOUNCE_MIN_S, 0.);
 	gateway->announce.data = gateway;
 	ev_timer_start(gateway->loop, &gateway->announce);
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -1,7 +1,9 @@
 #include <stdio.h>
+#include <stdlib.h>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/mem.h"
 #include "process/gateway_state.h"
 #include "request/forward.h"
 
@@ -14,29 +16,61 @@
 /* A reachable server answers a probe in some ms. */
 enum { PROBE_TIMEOUT_MS = 200 };
 
+typedef struct {
+	gateway_t *gateway;
+	backend_t *server;
+	int64_t sent_us;
+} probe_t;
+
+/* Any answer, whatever its status, shows that the server is alive and its data
+ * centre can be reached. */
+static void on_answer(const probe_t *probe)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	segment_table_note_alive(probe->gateway->segments,
+				 backend_start_hash(probe->server),
+				 probe->sent_us, now_us);
+	if (backend_is_partitioned(probe->server, now_us))
+		log_event(EVENT_DATA_CENTRE_REACHABLE,
+			  "data_centre=%s server=%s evidence=probe",
+			  backend_entry(probe->server)->data_centre,
+			  backend_entry(probe->server)->id);
+	backend_note_received(probe->server, now_us);
+}
+
 static void on_probe_end(void *context, client_end_t end, int status)
 {
-	backend_t *server = context;
+	const probe_t *probe = context;
 
-	/* Any answer, whatever its status, shows that the data centre can be
-	 * reached. */
-	if (end != CLIENT_OK)
+	switch (end) {
+	case CLIENT_OK:
+		on_answer(probe);
+		return;
+	case CLIENT_CONNECT_FAILED:
+	case CLIENT_BROKEN:
+		segment_table_note_dead(probe->gateway->segments,
+					backend_start_hash(probe->server),
+					clock_monotonic_us());
+		return;
+	case CLIENT_TIMED_OUT:
+	case CLIENT_CANCELLED:
 		return;
-	backend_note_received(server, clock_monotonic_us());
-	log_event(EVENT_DATA_CENTRE_REACHABLE,
-		  "data_centre=%s server=%s evidence=probe",
-		  backend_entry(server)->data_centre,
-		  backend_entry(server)->id);
+	}
 }
 
 static void on_probe_free(void *context)
 {
-	backend_unref(context);
+	probe_t *probe = context;
+
+	backend_unref(probe->server);
+	free(probe);
 }
 
-static void send_probe(gateway_t *gateway, backend_t *server)
+void gateway_probe(gateway_t *gateway, backend_t *server)
 {
 	const backend_entry_t *entry = backend_entry(server);
+	int64_t now_us = clock_monotonic_us();
 	const service_conf_t *service =
 		routing_service(gateway->routing, entry->service);
 	char url[URL_SIZE_BYTES + PREFIX_SIZE_BYTES + 16];
@@ -47,12 +81,16 @@
 				     .at_most_once = true };
 	client_handler_t handler = { .on_end = on_probe_end,
 				     .on_free = on_probe_free };
+	probe_t *probe;
 
 	/* The limits of a server hold for probes, too. */
 	if (!service || !*service->health_path ||
-	    !backend_take(server, service, clock_monotonic_us()))
+	    !backend_usable(server, now_us) ||
+	    !backend_take(server, service, now_us))
 		return;
-	handler.context = backend_ref(server);
+	probe = mem_calloc(1, sizeof(*probe));
+	*probe = (probe_t){ gateway, backend_ref(server), now_us };
+	handler.context = probe;
 	snprintf(url, sizeof(url), "http://%s%s", entry->address,
 		 service->health_path);
 	client_call(gateway->client, &request, &handler);
@@ -89,7 +127,7 @@
 	server = backends_to_probe(gateway->backends, gateway_random(gateway),
 				   now_us);
 	if (server)
-		send_probe(gateway, server);
+		gateway_probe(gateway, server);
 	forward_check_partition(gateway);
 }
 
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -80,6 +80,8 @@
 	routing_t *routing; /**< NULL: no configuration was read yet */
 	backends_t *backends;
 	load_table_t *load_table;
+	segment_table_t
+		*segments; /**< segments of prompts that crash servers */
 	duties_t *duties; /**< NULL: the platform has no duties */
 	view_t views[KINDS_WATCHED];
 
@@ -103,6 +105,7 @@
 	bool announce_due; /**< the load changed since the last announcement */
 	int64_t announced_us;
 	uint64_t incarnation, sequence;
+	int64_t started_us;
 	ev_timer update_timer; /**< sends changes to subscribers */
 	int64_t last_update_us; /**< when an update last arrived; 0: never */
 	/**
@@ -207,13 +210,21 @@
 void gateway_load_changed(gateway_t *gateway, bool urgent);
 /** @return the longest pause between two announcements */
 int64_t gateway_announce_pause_us(const gateway_t *gateway);
+/** Announces to one node, which may not be listed. */
+void gateway_announce_to(gateway_t *gateway, const peer_t *peer);
 /** Announces to one node, which learns which of its view updates arrived. */
 void gateway_acknowledge(gateway_t *gateway, uint64_t node);
 
 /** Sends a datagram to the nodes that request duties or hold them. */
 void gateway_send_to_duty_nodes(gateway_t *gateway, const packet_t *packet);
 
+/* gateway_receive.c */
+/** Handles a datagram of another node; the context is the gateway. */
+void gateway_on_datagram(void *context, const uint8_t *data, size_t size);
+
 /* gateway_reach.c */
+/** Asks a server for its health, to find out if it is alive. */
+void gateway_probe(gateway_t *gateway, backend_t *server);
 /** Starts to check which data centres can be reached. */
 void gateway_reach_start(gateway_t *gateway);
 void gateway_reach_stop(gateway_t *gateway);
--- a/src/process/limit_share.c
+++ b/src/process/limit_share.c
@@ -70,6 +70,13 @@
 	return before < users ? 1 / (double)users : 0;
 }
 
+bool limit_nodes_is_first(const limit_nodes_t *nodes, uint32_t hash)
+{
+	const limit_t limit = { .server_hash = hash, .users = 1 };
+
+	return part_of(&limit, nodes) > 0;
+}
+
 static void refill(limit_share_t *share, double per_s, int64_t now_us)
 {
 	share->tokens += per_s * share->part *
--- a/src/process/limit_share.h
+++ b/src/process/limit_share.h
@@ -54,6 +54,10 @@
 		     uint64_t own, int64_t now_us);
 void limit_nodes_clear(limit_nodes_t *nodes);
 
+/** @return true if this node is the one of all nodes that stands for @p hash.
+ */
+bool limit_nodes_is_first(const limit_nodes_t *nodes, uint32_t hash);
+
 /** @return true if this node may send a request now. */
 bool limit_share_allows(limit_share_t *share, const limit_t *limit,
 			const limit_nodes_t *nodes, int64_t now_us);
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -18,6 +18,7 @@
 #include "base/units.h"
 #include "process/forecast.h"
 #include "process/region.h"
+#include "process/segment_table.h"
 #include "process/server_rates.h"
 
 typedef struct load_table load_table_t;
@@ -57,6 +58,8 @@
 	uint64_t incarnation; /**< grows with each start of the process */
 	uint64_t sequence; /**< grows within an incarnation */
 	char data_centre[NAME_SIZE_BYTES]; /**< data centre of the node */
+	char address[URL_SIZE_BYTES]; /**< of a node that started lately; empty:
+					 it did not */
 	int64_t sent_boot_us; /**< CLOCK_BOOTTIME of the node when sending */
 	bool store_reachable; /**< the platform's store answers the node */
 	int64_t link_mbps; /**< network bandwidth of the node's VM */
@@ -72,6 +75,9 @@
 	/** What servers stated in their last answers to the node. */
 	server_rate_t rates[ANNOUNCED_RATES_MAX];
 	size_t rate_count; /**< entries of rates */
+	/** Segments of prompts that may crash servers. */
+	segment_report_t segments[ANNOUNCED_SEGMENTS_MAX];
+	size_t segment_count; /**< entries of segments */
 	load_item_t *items;
 	size_t item_count;
 } announcement_t;
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -48,6 +48,40 @@
 	}
 }
 
+/** One packed segment, with the arrays that it points to. */
+typedef struct {
+	Work__Segment segment;
+	uint32_t servers[ANNOUNCED_CRASHES_MAX], ages_ms[ANNOUNCED_CRASHES_MAX];
+} packed_segment_t;
+
+static void pack_segments(const announcement_t *message,
+			  packed_segment_t *packed, Work__Segment **pointers)
+{
+	size_t i, j;
+
+	for (i = 0; i < message->segment_count; i++) {
+		const segment_report_t *report = &message->segments[i];
+		Work__Segment *segment = &packed[i].segment;
+
+		work__segment__init(segment);
+		segment->id = report->id;
+		segment->blocked = report->is_blocked;
+		segment->seen_age_ms = to_unit(report->seen_age_us, US_PER_MS);
+		if (report->harmless_age_us >= 0)
+			segment->harmless_age_ms =
+				to_unit(report->harmless_age_us, US_PER_MS) + 1;
+		for (j = 0; j < report->crash_count; j++) {
+			packed[i].servers[j] = report->crashes[j].server;
+			packed[i].ages_ms[j] =
+				to_unit(report->crashes[j].age_us, US_PER_MS);
+		}
+		segment->n_servers = segment->n_ages_ms = report->crash_count;
+		segment->servers = packed[i].servers;
+		segment->ages_ms = packed[i].ages_ms;
+		pointers[i] = segment;
+	}
+}
+
 static size_t encode_load(const announcement_t *message, uint8_t *data,
 			  size_t capacity)
 {
@@ -56,6 +90,8 @@
 	Work__Item items[ITEMS_MAX], *pointers[ITEMS_MAX];
 	Work__Rate rates[ANNOUNCED_RATES_MAX];
 	Work__Rate *rate_pointers[ANNOUNCED_RATES_MAX];
+	packed_segment_t segments[ANNOUNCED_SEGMENTS_MAX];
+	Work__Segment *segment_pointers[ANNOUNCED_SEGMENTS_MAX];
 	size_t i, size, count = message->item_count;
 
 	if (count > ITEMS_MAX)
@@ -78,6 +114,7 @@
 	announcement.incarnation = message->incarnation;
 	announcement.sequence = message->sequence;
 	announcement.data_centre = (char *)message->data_centre;
+	announcement.address = (char *)message->address;
 	announcement.sent_boot_us = message->sent_boot_us;
 	announcement.sound = message->store_reachable;
 	announcement.link_mbps = to_unit(message->link_mbps, 1);
@@ -92,6 +129,9 @@
 	pack_rates(message, rates, rate_pointers);
 	announcement.n_rates = message->rate_count;
 	announcement.rates = rate_pointers;
+	pack_segments(message, segments, segment_pointers);
+	announcement.n_segments = message->segment_count;
+	announcement.segments = segment_pointers;
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
 	packet.announcement = &announcement;
 	/* Items are left out until the rest fits: a node that announces too
@@ -201,6 +241,30 @@
 	};
 }
 
+static segment_report_t unpack_segment(const Work__Segment *packed)
+{
+	segment_report_t report = {
+		.id = packed->id,
+		.is_blocked = packed->blocked,
+		.seen_age_us = (int64_t)packed->seen_age_ms * US_PER_MS,
+		.harmless_age_us = packed->harmless_age_ms
+					   ? ((int64_t)packed->harmless_age_ms -
+					      1) * US_PER_MS
+					   : -1,
+	};
+	size_t i;
+
+	for (i = 0; i < packed->n_servers && i < packed->n_ages_ms &&
+		    i < ANNOUNCED_CRASHES_MAX;
+	     i++) {
+		report.crashes[i].server = packed->servers[i];
+		report.crashes[i].age_us =
+			(int64_t)packed->ages_ms[i] * US_PER_MS;
+	}
+	report.crash_count = i;
+	return report;
+}
+
 static void decode_load(const Work__Announcement *announcement,
 			announcement_t *message)
 {
@@ -225,8 +289,15 @@
 	for (i = 0; i < announcement->n_rates && i < ANNOUNCED_RATES_MAX; i++)
 		message->rates[i] = unpack_rate(announcement->rates[i]);
 	message->rate_count = i;
+	for (i = 0; i < announcement->n_segments && i < ANNOUNCED_SEGMENTS_MAX;
+	     i++)
+		message->segments[i] =
+			unpack_segment(announcement->segments[i]);
+	message->segment_count = i;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
+	mem_strlcpy(message->address, announcement->address,
+		    sizeof(message->address));
 	for (i = 0; i < announcement->n_known && i < LOAD_VIEWS; i++)
 		message->known_revisions[i] = announcement->known[i];
 	message->item_count = announcement->n_items;
--- /dev/null
+++ b/src/process/segment_table.h
@@ -0,0 +1,144 @@
+/**
+ * @file segment_table.h
+ * Finds the segments of prompts that crash servers, and keeps prompts with them
+ * from servers. Does no I/O; time is an argument.
+ *
+ * A crash breaks all requests of a server, so each of their segments may be its
+ * cause. A segment is harmless if a server that began to write after the crash
+ * went on writing. What is left is blamed by the number of crashes that no
+ * other segment explains better:
+ *
+ * - suspect: crashes at two moments or more, or more of them for a segment that
+ *   was harmless before. A node lets one such request pass at a time.
+ * - blocked: crashes at more moments, and no other segment has the same ones.
+ *   No request passes, but for a few trials, with long pauses.
+ *
+ * Nodes announce what they know of segments that are blamed; each of them
+ * judges by the sum.
+ */
+#ifndef PROCESS_SEGMENT_TABLE_H
+#define PROCESS_SEGMENT_TABLE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum {
+	/** Crashes of a segment that are kept; the oldest are dropped. */
+	SEGMENT_CRASHES_MAX = 16,
+	/** Segments in one announcement, and crashes of each in it. */
+	ANNOUNCED_SEGMENTS_MAX = 6,
+	ANNOUNCED_CRASHES_MAX = 8
+};
+
+typedef struct segment_table segment_table_t;
+
+/** Segments of a prompt that others may share. */
+typedef struct {
+	const uint64_t *ids;
+	size_t count;
+} segments_t;
+
+/** The end of a server, under requests with a segment. */
+typedef struct {
+	uint32_t server; /**< hash of the server's id and start */
+	int64_t at_us;
+} segment_crash_t;
+
+/** What a node announces of one segment. Times are ages. */
+typedef struct {
+	uint64_t id;
+	bool is_blocked;
+	int64_t seen_age_us; /**< time since the last request with it */
+	int64_t harmless_age_us; /**< time since a server that went on writing
+				  * began to, for the sender; negative: none */
+	struct {
+		uint32_t server;
+		int64_t age_us;
+	} crashes[ANNOUNCED_CRASHES_MAX];
+	size_t crash_count;
+} segment_report_t;
+
+typedef enum {
+	SEGMENTS_FREE, /**< the prompt may be sent */
+	SEGMENTS_SUSPECT, /**< another prompt with the segment is being tried */
+	SEGMENTS_BLOCKED /**< the segment crashes servers */
+} segments_state_t;
+
+typedef struct {
+	segments_state_t state;
+	uint64_t segment; /**< the segment that decided */
+	size_t crashes; /**< its crashes */
+	int64_t crash_age_us; /**< time since the last one */
+	int64_t retry_us; /**< time until the prompt may be sent */
+} segments_verdict_t;
+
+segment_table_t *segment_table_create(void);
+void segment_table_destroy(segment_table_t *table);
+
+/**
+ * Judges a prompt before it is sent to a server.
+ * @param tries this node may try blocked segments, for all nodes
+ */
+segments_verdict_t segment_table_judge(segment_table_t *table,
+				       const segments_t *segments, bool tries,
+				       int64_t now_us);
+/** Notes that a prompt that may be sent is sent. */
+void segment_table_sent(segment_table_t *table, const segments_t *segments,
+			int64_t now_us);
+/**
+ * Notes that a request broke off as if its server had ended.
+ * @return id of a segment that was not blocked before and is now; 0: none
+ */
+uint64_t segment_table_note_crash(segment_table_t *table,
+				  const segments_t *segments, uint32_t server,
+				  int64_t now_us);
+/**
+ * Notes that a server wrote an answer to the end, or long enough.
+ * @param began_us when it began to write
+ */
+void segment_table_note_harmless(segment_table_t *table,
+				 const segments_t *segments, int64_t began_us,
+				 int64_t now_us);
+/**
+ * Notes an answer whose end does not tell whether the server ended: what the
+ * server does next decides.
+ */
+void segment_table_note_unclear(segment_table_t *table,
+				const segments_t *segments, uint32_t server,
+				int64_t began_us, int64_t now_us);
+/** Notes that a server was alive at @p alive_us. */
+void segment_table_note_alive(segment_table_t *table, uint32_t server,
+			      int64_t alive_us, int64_t now_us);
+/**
+ * Notes that a server cannot be reached any more.
+ * @return see segment_table_note_crash()
+ */
+uint64_t segment_table_note_dead(segment_table_t *table, uint32_t server,
+				 int64_t now_us);
+
+/** Lists segments for an announcement. @return number of reports */
+size_t segment_table_list(segment_table_t *table, segment_report_t *reports,
+			  size_t max, int64_t now_us);
+/**
+ * Applies what another node announced.
+ * @return see segment_table_note_crash()
+ */
+uint64_t segment_table_receive(segment_table_t *table,
+			       const segment_report_t *report, int64_t now_us);
+/** @return true if a server ended under a request with one of the segments. */
+uint64_t segment_table_blames(const segment_table_t *table,
+			      const segments_t *segments);
+/**
+ * Judges anew what time has made clear, forgets segments that no request had
+ * for long, and takes servers as alive that had an answer with an unclear end
+ * some time ago.
+ * @return see segment_table_note_crash()
+ */
+uint64_t segment_table_expire(segment_table_t *table, int64_t now_us);
+/** @return number of blocked segments; @p suspects receives that of suspects */
+size_t segment_table_count(const segment_table_t *table, size_t *suspects);
+/** @return number of segments of which anything is known */
+size_t segment_table_size(const segment_table_t *table);
+
+#endif
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &work__announcement__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   work__segment__init
+                     (Work__Segment         *message)
+{
+  static const Work__Segment init_value = WORK__SEGMENT__INIT;
+  *message = init_value;
+}
+size_t work__segment__get_packed_size
+                     (const Work__Segment *message)
+{
+  assert(message->base.descriptor == &work__segment__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t work__segment__pack
+                     (const Work__Segment *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &work__segment__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t work__segment__pack_to_buffer
+                     (const Work__Segment *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &work__segment__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Work__Segment *
+       work__segment__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Work__Segment *)
+     protobuf_c_message_unpack (&work__segment__descriptor,
+                                allocator, len, data);
+}
+void   work__segment__free_unpacked
+                     (Work__Segment *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &work__segment__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   work__rate__init
                      (Work__Rate         *message)
 {
@@ -476,7 +521,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[14] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[16] =
 {
   {
     "node",
@@ -646,8 +691,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "segments",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Announcement, n_segments),
+    offsetof(Work__Announcement, segments),
+    &work__segment__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Work__Announcement, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
+  15,   /* field[15] = address */
   4,   /* field[4] = data_centre */
   10,   /* field[10] = duty */
   1,   /* field[1] = incarnation */
@@ -656,6 +726,7 @@
   8,   /* field[8] = link_mbps */
   0,   /* field[0] = node */
   13,   /* field[13] = rates */
+  14,   /* field[14] = segments */
   5,   /* field[5] = sent_boot_us */
   2,   /* field[2] = sequence */
   12,   /* field[12] = shunned */
@@ -666,7 +737,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -676,13 +747,116 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  14,
+  16,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
   (ProtobufCMessageInit) work__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor work__segment__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Work__Segment, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blocked",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Work__Segment, blocked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Segment, seen_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "harmless_age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Segment, harmless_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "servers",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Work__Segment, n_servers),
+    offsetof(Work__Segment, servers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages_ms",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Work__Segment, n_ages_ms),
+    offsetof(Work__Segment, ages_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned work__segment__field_indices_by_name[] = {
+  5,   /* field[5] = ages_ms */
+  1,   /* field[1] = blocked */
+  3,   /* field[3] = harmless_age_ms */
+  0,   /* field[0] = id */
+  2,   /* field[2] = seen_age_ms */
+  4,   /* field[4] = servers */
+};
+static const ProtobufCIntRange work__segment__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor work__segment__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "work.Segment",
+  "Segment",
+  "Work__Segment",
+  "work",
+  sizeof(Work__Segment),
+  6,
+  work__segment__field_descriptors,
+  work__segment__field_indices_by_name,
+  1,  work__segment__number_ranges,
+  (ProtobufCMessageInit) work__segment__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor work__rate__field_descriptors[4] =
 {
   {
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Work__Packet Work__Packet;
 typedef struct Work__Announcement Work__Announcement;
+typedef struct Work__Segment Work__Segment;
 typedef struct Work__Rate Work__Rate;
 typedef struct Work__Item Work__Item;
 typedef struct Work__Usage Work__Usage;
@@ -112,10 +113,53 @@
    */
   size_t n_rates;
   Work__Rate **rates;
+  /*
+   * Address of a sender that started lately, which others may not list yet.
+   */
+  char *address;
+  /*
+   * segments of prompts that may crash servers
+   */
+  size_t n_segments;
+  Work__Segment **segments;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
+
+
+/*
+ * What the sender knows of a segment of prompts.
+ */
+struct  Work__Segment
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * the sender sends no prompts with it to servers
+   */
+  protobuf_c_boolean blocked;
+  /*
+   * time since the last request with it
+   */
+  uint32_t seen_age_ms;
+  /*
+   * Time since a server began to write that then went on writing, as seen by
+   * the sender, plus 1; 0: not known.
+   */
+  uint32_t harmless_age_ms;
+  /*
+   * Servers that ended under requests with it, as hashes of their ids and
+   * starts, and the times since then.
+   */
+  size_t n_servers;
+  uint32_t *servers;
+  size_t n_ages_ms;
+  uint32_t *ages_ms;
+};
+#define WORK__SEGMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&work__segment__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -348,6 +392,25 @@
 void   work__announcement__free_unpacked
                      (Work__Announcement *message,
                       ProtobufCAllocator *allocator);
+/* Work__Segment methods */
+void   work__segment__init
+                     (Work__Segment         *message);
+size_t work__segment__get_packed_size
+                     (const Work__Segment   *message);
+size_t work__segment__pack
+                     (const Work__Segment   *message,
+                      uint8_t             *out);
+size_t work__segment__pack_to_buffer
+                     (const Work__Segment   *message,
+                      ProtobufCBuffer     *buffer);
+Work__Segment *
+       work__segment__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   work__segment__free_unpacked
+                     (Work__Segment *message,
+                      ProtobufCAllocator *allocator);
 /* Work__Rate methods */
 void   work__rate__init
                      (Work__Rate         *message);
@@ -489,6 +552,9 @@
 typedef void (*Work__Announcement_Closure)
                  (const Work__Announcement *message,
                   void *closure_data);
+typedef void (*Work__Segment_Closure)
+                 (const Work__Segment *message,
+                  void *closure_data);
 typedef void (*Work__Rate_Closure)
                  (const Work__Rate *message,
                   void *closure_data);
@@ -518,6 +584,7 @@
 
 extern const ProtobufCMessageDescriptor work__packet__descriptor;
 extern const ProtobufCMessageDescriptor work__announcement__descriptor;
+extern const ProtobufCMessageDescriptor work__segment__descriptor;
 extern const ProtobufCMessageDescriptor work__rate__descriptor;
 extern const ProtobufCMessageDescriptor work__item__descriptor;
 extern const ProtobufCMessageDescriptor work__usage__descriptor;
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -196,7 +196,8 @@
 	}
 	forward->routing = routing_ref(gateway->routing);
 	if (!find_route(forward) || !find_account(forward) ||
-	    !may_start(forward) || !check_body(forward))
+	    !may_start(forward) || !forward_check_segments(forward) ||
+	    !check_body(forward))
 		return;
 	set_limit(forward);
 	forward->service = routing_service(
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -94,6 +95,9 @@
 
 	platform_read_reply_header(name, value, forward->request.id,
 				   &attempt->reply);
+	if (!strcasecmp(name, "Content-Length") ||
+	    !strcasecmp(name, "Transfer-Encoding"))
+		attempt->is_framed = true;
 	if (is_hop_header(name, NULL) ||
 	    headers->count >= REPLY_HEADERS_MAX - 1)
 		return;
@@ -186,6 +190,7 @@
 	attempt->last_progress_us = clock_monotonic_us();
 	backend_note_received(attempt->load.shards[0].server,
 			      clock_monotonic_us());
+	attempt_note_data(forward);
 	apply_server_notices(forward);
 	if (status == HTTP_MISDIRECTED)
 		reply->not_run = true;
@@ -240,8 +245,8 @@
 		return CLIENT_CONTINUE;
 	}
 	if (forward->event_count > events) {
-		if (!attempt->got_first_event) {
-			attempt->got_first_event = true;
+		if (!attempt->first_event_us) {
+			attempt->first_event_us = attempt->last_event_us;
 			attempt_load_first_event(&attempt->load);
 			count_usage(forward, attempt->last_event_us);
 			gateway_load_changed(forward->gateway, false);
@@ -297,6 +302,7 @@
 
 	backend_note_received(attempt->load.shards[0].server,
 			      clock_monotonic_us());
+	attempt_note_data(forward);
 	/* An incomplete event is no progress: a stream may stall within an
 	 * event. */
 	if (!relays_events(forward))
@@ -309,9 +315,11 @@
 {
 	/* A truncated event shows that the stream is not complete. */
 	if (forward->events.held_size) {
+		attempt_note_broken(forward);
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
 		return;
 	}
+	attempt_note_end(forward);
 	record_evidence(forward, EVIDENCE_GOOD);
 	forward_reply_end(forward);
 }
@@ -320,6 +328,7 @@
 {
 	attempt_t *attempt = forward->attempt;
 
+	attempt_note_end(forward);
 	record_evidence(forward, EVIDENCE_GOOD);
 	if (attempt->overflow)
 		forward_reply_end(forward);
@@ -354,12 +363,16 @@
 		on_complete_answer(forward);
 		return;
 	case CLIENT_CONNECT_FAILED:
+		attempt_note_unreachable(forward);
 		fail(forward, FAILURE_UNREACHABLE, EVIDENCE_UNREACHABLE);
 		return;
 	case CLIENT_TIMED_OUT:
 		fail(forward, FAILURE_SILENT, EVIDENCE_SILENT);
 		return;
 	case CLIENT_BROKEN:
+		attempt_note_broken(forward);
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return;
 	case CLIENT_CANCELLED:
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
 		return;
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -197,6 +197,7 @@
 {
 	forward_log_placed(forward);
 	add_tried(forward, choice_server(&forward->choice, 0));
+	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
 	attempt_start(forward);
 	forward_set_timer(forward);
@@ -209,7 +210,8 @@
 	bool is_valid = choice_is_valid(&forward->choice, clock_monotonic_us());
 
 	if (granted && is_valid) {
-		send(forward);
+		if (forward_check_segments(forward))
+			send(forward);
 		return;
 	}
 	if (!is_valid)
@@ -262,6 +264,8 @@
 {
 	const placement_t *placement = &forward->choice.placement;
 
+	if (!forward_check_segments(forward))
+		return;
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -37,7 +37,10 @@
 	size_t body_bytes;
 	bool head_done; /**< status and headers are complete */
 	bool overflow; /**< the body is too long to be held, and is streamed */
-	bool got_first_event;
+	bool is_framed; /**< the answer has a length or chunks: its end shows
+			 * if it is complete */
+	int64_t first_event_us; /**< when the first event came; 0: none yet */
+	bool is_harmless; /**< the server went on writing */
 	int64_t last_progress_us; /**< when the attempt was sent, or last made
 				   * progress: status, data of a body, or a
 				   * whole event of a stream */
@@ -167,6 +170,23 @@
  */
 bool forward_failover(forward_t *forward, failure_t failure);
 
+/* forward_segments.c */
+/**
+ * Refuses the request if a segment of its prompt crashes servers.
+ * @return false if the request was refused
+ */
+bool forward_check_segments(forward_t *forward);
+/** Notes that the request is sent to a server. */
+void forward_segments_sent(const forward_t *forward);
+/** Notes that data of the server arrived. */
+void attempt_note_data(forward_t *forward);
+/** Notes that the connection broke off. */
+void attempt_note_broken(forward_t *forward);
+/** Notes that the server could not be reached. */
+void attempt_note_unreachable(forward_t *forward);
+/** Notes that the answer ended as if it were complete. */
+void attempt_note_end(forward_t *forward);
+
 /* forward_timer.c */
 /** @return silence of a stream, in us, after which the caller closes it */
 int64_t forward_caller_timeout_us(const forward_t *forward);
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -36,9 +36,10 @@
 	"\"usual\":{\"prompt\":5000,\"answer\":100}}"
 #define ACCOUNTS "[{\"name\":\"acme\",\"keys\":[\"" FIXTURE_KEY "\"]}]"
 
+/* The first argument is more of the service "s". */
 static const char configuration[] =
 	"{\"version\":3,\"routes\":[" SAFE "," ONCE "," OPEN "," STREAM
-	"," SINGLE "," LONG "],\"services\":[{\"name\":\"s\"},"
+	"," SINGLE "," LONG "],\"services\":[{\"name\":\"s\"%s},"
 	"{\"name\":\"m\",\"engine\":" ENGINE "}],"
 	"\"limits\":{\"bodyBytes\":4000},\"tenants\":" ACCOUNTS "}";
 
@@ -72,6 +73,15 @@
 			 "address", "127.0.0.1:9", "leaving", 0);
 }
 
+static json_t *configuration_spec(const gateway_fixture_t *fixture)
+{
+	char text[sizeof(configuration) + 32];
+
+	snprintf(text, sizeof(text), configuration,
+		 fixture->has_health ? ",\"healthPath\":\"/health\"" : "");
+	return json_loads(text, 0, NULL);
+}
+
 static json_t *list_items(const gateway_fixture_t *fixture, const char *path)
 {
 	json_t *items = json_array();
@@ -80,7 +90,7 @@
 		json_array_append_new(
 			items, json_pack("{s:{s:s,s:i},s:o}", "meta", "name",
 					 "main", "revision", 4, "spec",
-					 json_loads(configuration, 0, NULL)));
+					 configuration_spec(fixture)));
 	if (!strcmp(path, "/objects/servers") && !fixture->no_servers) {
 		json_array_append_new(items, server_entry(fixture, "s", 0));
 		json_array_append_new(items, server_entry(fixture, "s", 1));
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -39,7 +39,7 @@
 	SILENT /**< holds the request without an answer */
 } server_act_t;
 
-enum { ARRIVALS_MAX = 80, ACTS_MAX = 6, STREAM_EVENTS = 4 };
+enum { ARRIVALS_MAX = 160, ACTS_MAX = 6, STREAM_EVENTS = 4 };
 
 typedef struct {
 	char text[8192]; /**< request head and body as received */
@@ -78,6 +78,7 @@
 	/** Servers break off each request with this text in its headers, as if
 	 * they ended, instead of following the script; NULL: none. */
 	const char *crash_text;
+	bool has_health; /**< service "s" has a health path, /health */
 	server_act_t crash_act; /**< how: CLOSES, BREAKS_OFF or ENDS_EARLY */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
--- a/tests/test_gateway_crashes.c
+++ b/tests/test_gateway_crashes.c
@@ -103,6 +103,7 @@
 
 	for (i = 0; i < COUNT_OF(cases); i++) {
 		gateway_fixture_t fixture = { .crash_text = "bad1:",
+					      .has_health = true,
 					      .crash_act = cases[i].act };
 		reply_t reply;
 		int refused = 0, served = 0;
--- /dev/null
+++ b/tests/test_segment_table.c
@@ -0,0 +1,689 @@
+/**
+ * Segments of prompts that crash servers: fleets of nodes that announce to each
+ * other what they see, and single tables.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/units.h"
+#include "cases.h"
+#include "process/segment_table.h"
+
+enum {
+	NODES_MAX = 24,
+	SERVERS = 12,
+	RUNS_MAX = 400,
+	STEP_MS = 10,
+	DAY_MS = 24000,
+	FROM_MS = 6000, /* until then all prompts are sound */
+	FAULT_MS = 9000, /* time of the other fault of a case */
+	FAULT_END_MS = 12000,
+	REQUESTS_PER_S = 60,
+	READ_MS = 60, /* from sending to the first event */
+	WRITE_MS = 600,
+	ANNOUNCE_MS = 100,
+	/* The platform's rules. */
+	KNOWN_CRASHES = 5,
+	ALLOWED = 3,
+	STABLE_MS = 3000
+};
+
+/* Segments that crash servers in all cases. */
+#define BAD UINT64_C(0xbad0)
+
+typedef enum {
+	NO_FAULT,
+	SERVERS_CRASH, /* a third of the servers, at one moment */
+	SERVERS_FLAP, /* two servers end and start by turns */
+	SERVER_STOPS, /* a server ends within its last requests */
+	CUT, /* half of the nodes lose all their connections, and the others */
+	RESTART, /* a third of the nodes start anew */
+	RESTART_TURNS, /* the nodes start anew in turns */
+	JOIN, /* a third of the nodes start only now */
+	FREEZE /* a third of the nodes do nothing for 3 s */
+} fault_t;
+
+typedef struct {
+	const char *name;
+	int nodes;
+	uint64_t prompt[3]; /* segments of crashing prompts; 0: none */
+	uint64_t sound[3]; /* of sound prompts besides the shared ones */
+	fault_t fault;
+	int bad_count; /* segments that crash servers */
+	int bad_percent; /* of all requests */
+	int until_ms; /* end of such prompts; 0: none */
+	bool unframed; /* ends of answers are unclear */
+	bool is_at_any; /* each crash is seen by another node alone */
+	bool was_harmless; /* sound prompts had the segment before */
+	int older; /* nodes of a build that knows nothing of this */
+} day_t;
+
+typedef struct {
+	bool used;
+	int node, server, start, tries;
+	int bad; /* number of the bad segment; -1: sound */
+	int64_t sent_us, due_us;
+	int crash_ms; /* from the first event */
+	uint64_t ids[6];
+	size_t count;
+	bool is_first, began;
+} run_t;
+
+typedef struct {
+	const day_t *day;
+	segment_table_t *tables[NODES_MAX];
+	int64_t disturbed_us[NODES_MAX];
+	int start[SERVERS]; /* counts the starts of each server */
+	int64_t down_until_us[SERVERS];
+	run_t runs[RUNS_MAX];
+	int64_t now_us;
+	uint64_t random;
+	int crashes[2], late[2], next_node;
+	int64_t known_us[2];
+	int sound_sent[2],
+		sound_began[2]; /* before, and after the rule holds */
+} fleet_t;
+
+static int random_below(fleet_t *fleet, int below)
+{
+	fleet->random = fleet->random * UINT64_C(6364136223846793005) +
+			UINT64_C(1442695040888963407);
+	return (int)((fleet->random >> 33) % (uint64_t)below);
+}
+
+static bool in_fault(const fleet_t *fleet, fault_t fault)
+{
+	int64_t ms = fleet->now_us / US_PER_MS;
+
+	return fleet->day->fault == fault && ms >= FAULT_MS &&
+	       ms < FAULT_END_MS;
+}
+
+static bool is_third(int index)
+{
+	return index % 3 == 1;
+}
+
+/* @return true if the node does not take part at the moment */
+static bool is_away(const fleet_t *fleet, int node)
+{
+	if (fleet->day->fault == JOIN && is_third(node))
+		return fleet->now_us < FAULT_MS * US_PER_MS;
+	return in_fault(fleet, FREEZE) && is_third(node);
+}
+
+static bool is_undisturbed(const fleet_t *fleet, int node)
+{
+	return fleet->now_us - fleet->disturbed_us[node] >=
+	       STABLE_MS * US_PER_MS;
+}
+
+static bool is_older(const fleet_t *fleet, int node)
+{
+	return node < fleet->day->older;
+}
+
+static uint32_t server_hash(const fleet_t *fleet, int server)
+{
+	return (uint32_t)(1000 * server + fleet->start[server]);
+}
+
+static segments_t segments_of(const run_t *run)
+{
+	return (segments_t){ run->ids, run->count };
+}
+
+static void dispatch(fleet_t *fleet, run_t *run);
+
+/* The server of a request ended, or its connection broke. */
+static void break_off(fleet_t *fleet, run_t *run, uint32_t server)
+{
+	segments_t segments = segments_of(run);
+
+	if (!is_older(fleet, run->node) && !is_away(fleet, run->node))
+		segment_table_note_crash(fleet->tables[run->node], &segments,
+					 server, fleet->now_us);
+	if (run->tries < 2)
+		dispatch(fleet, run);
+	else
+		run->used = false;
+}
+
+static void end_server(fleet_t *fleet, int server)
+{
+	uint32_t hash = server_hash(fleet, server);
+	int i, start = fleet->start[server]++;
+
+	fleet->down_until_us[server] =
+		fleet->now_us + (1000 + random_below(fleet, 2000)) * US_PER_MS;
+	for (i = 0; i < RUNS_MAX; i++)
+		if (fleet->runs[i].used && fleet->runs[i].server == server &&
+		    fleet->runs[i].start == start)
+			break_off(fleet, &fleet->runs[i], hash);
+}
+
+/* Sends a request to a server that is up, unless its segments forbid it. */
+static void dispatch(fleet_t *fleet, run_t *run)
+{
+	segments_t segments = segments_of(run);
+	segment_table_t *table = fleet->tables[run->node];
+	int i, from = random_below(fleet, SERVERS);
+
+	run->used = false;
+	if (!is_older(fleet, run->node) &&
+	    segment_table_judge(table, &segments,
+				run->node == fleet->day->nodes - 1,
+				fleet->now_us)
+			    .state != SEGMENTS_FREE)
+		return;
+	for (i = 0; i < SERVERS; i++) {
+		run->server = (from + i) % SERVERS;
+		if (fleet->down_until_us[run->server] <= fleet->now_us)
+			break;
+	}
+	if (i == SERVERS)
+		return;
+	segment_table_sent(table, &segments, fleet->now_us);
+	run->used = true;
+	run->began = false;
+	run->is_first = !run->tries++;
+	run->start = fleet->start[run->server];
+	run->sent_us = fleet->now_us;
+	run->due_us = fleet->now_us + READ_MS * US_PER_MS;
+	if (run->bad < 0 || !fleet->known_us[run->bad] ||
+	    fleet->now_us - fleet->known_us[run->bad] < STABLE_MS * US_PER_MS ||
+	    !is_undisturbed(fleet, run->node) || is_older(fleet, run->node))
+		return;
+	fleet->late[run->bad]++;
+}
+
+static run_t *new_run(fleet_t *fleet)
+{
+	int i;
+
+	for (i = 0; i < RUNS_MAX; i++)
+		if (!fleet->runs[i].used)
+			break;
+	assert_true(i < RUNS_MAX);
+	memset(&fleet->runs[i], 0, sizeof(fleet->runs[i]));
+	return &fleet->runs[i];
+}
+
+static void add_ids(run_t *run, const uint64_t *ids, int bad)
+{
+	size_t i;
+
+	for (i = 0; i < 3 && ids[i]; i++)
+		run->ids[run->count++] = ids[i] == BAD ? BAD + (uint64_t)bad
+						       : ids[i];
+}
+
+static bool day_has_bad(const fleet_t *fleet)
+{
+	return fleet->day->bad_percent > 0;
+}
+
+/* @return true once the rule on sound requests holds */
+static bool is_settled(const fleet_t *fleet)
+{
+	int i;
+
+	for (i = 0; i < fleet->day->bad_count; i++)
+		if ((day_has_bad(fleet) && !fleet->crashes[i]) ||
+		    fleet->now_us < (FAULT_END_MS + 2 * STABLE_MS) * US_PER_MS)
+			return false;
+	return true;
+}
+
+static void send_request(fleet_t *fleet)
+{
+	const day_t *day = fleet->day;
+	run_t *run = new_run(fleet);
+	int64_t ms = fleet->now_us / US_PER_MS;
+	bool bad = ms >= FROM_MS && (!day->until_ms || ms < day->until_ms) &&
+		   random_below(fleet, 100) < day->bad_percent;
+
+	run->node = random_below(fleet, day->nodes);
+	if (bad && day->is_at_any)
+		run->node = fleet->next_node++ % day->nodes;
+	if (is_away(fleet, run->node))
+		return;
+	run->bad = bad ? random_below(fleet, day->bad_count) : -1;
+	run->crash_ms = 20 + random_below(fleet, 400);
+	if (bad) {
+		add_ids(run, day->prompt, run->bad);
+	} else {
+		static const uint64_t shared[] = { 0xa1, 0, 0 };
+
+		add_ids(run, shared, 0);
+		if (random_below(fleet, 2))
+			add_ids(run, day->sound, 0);
+		if (day->was_harmless && ms < FROM_MS)
+			add_ids(run, day->prompt, 0);
+		if (!random_below(fleet, 8))
+			run->ids[run->count++] =
+				0xf000 + (uint64_t)random_below(fleet, 400);
+	}
+	dispatch(fleet, run);
+	if (bad || (ms > FROM_MS && !is_settled(fleet)) ||
+	    !is_undisturbed(fleet, run->node))
+		return;
+	fleet->sound_sent[ms > FROM_MS]++;
+	if (run->used)
+		fleet->sound_began[ms > FROM_MS]++;
+}
+
+static void finish(fleet_t *fleet, run_t *run)
+{
+	segments_t segments = segments_of(run);
+	segment_table_t *table = fleet->tables[run->node];
+	uint32_t server = server_hash(fleet, run->server);
+	int64_t began_us = fleet->now_us - WRITE_MS * US_PER_MS;
+
+	run->used = false;
+	if (is_older(fleet, run->node) || is_away(fleet, run->node))
+		return;
+	if (fleet->day->unframed)
+		segment_table_note_unclear(table, &segments, server, began_us,
+					   fleet->now_us);
+	else
+		segment_table_note_harmless(table, &segments, began_us,
+					    fleet->now_us);
+}
+
+static void advance_run(fleet_t *fleet, run_t *run)
+{
+	if (!run->used || fleet->now_us < run->due_us)
+		return;
+	if (!run->began) {
+		run->began = true;
+		run->due_us +=
+			(run->bad < 0 ? WRITE_MS : run->crash_ms) * US_PER_MS;
+		segment_table_note_alive(fleet->tables[run->node],
+					 server_hash(fleet, run->server),
+					 fleet->now_us - 50 * US_PER_MS,
+					 fleet->now_us);
+		return;
+	}
+	if (run->bad < 0) {
+		finish(fleet, run);
+		return;
+	}
+	if (++fleet->crashes[run->bad] == KNOWN_CRASHES)
+		fleet->known_us[run->bad] = fleet->now_us;
+	end_server(fleet, run->server);
+}
+
+static void announce(fleet_t *fleet, int from)
+{
+	segment_report_t reports[ANNOUNCED_SEGMENTS_MAX];
+	size_t i, count;
+	int to;
+
+	if (is_away(fleet, from) || is_older(fleet, from))
+		return;
+	segment_table_expire(fleet->tables[from], fleet->now_us);
+	count = segment_table_list(fleet->tables[from], reports,
+				   ANNOUNCED_SEGMENTS_MAX, fleet->now_us);
+	for (to = 0; to < fleet->day->nodes; to++) {
+		if (to == from || is_away(fleet, to) || is_older(fleet, to) ||
+		    (in_fault(fleet, CUT) && to % 2 != from % 2) ||
+		    !random_below(fleet, 20))
+			continue;
+		for (i = 0; i < count; i++)
+			segment_table_receive(fleet->tables[to], &reports[i],
+					      fleet->now_us);
+	}
+}
+
+static void restart_node(fleet_t *fleet, int node)
+{
+	int i;
+
+	for (i = 0; i < RUNS_MAX; i++)
+		if (fleet->runs[i].node == node)
+			fleet->runs[i].used = false;
+	segment_table_destroy(fleet->tables[node]);
+	fleet->tables[node] = segment_table_create();
+	fleet->disturbed_us[node] = fleet->now_us;
+}
+
+static void break_connections(fleet_t *fleet)
+{
+	int i;
+
+	for (i = 0; i < RUNS_MAX; i++)
+		if (fleet->runs[i].used && fleet->runs[i].node % 2)
+			break_off(fleet, &fleet->runs[i],
+				  server_hash(fleet, fleet->runs[i].server));
+}
+
+static void apply_fault(fleet_t *fleet)
+{
+	int64_t ms = fleet->now_us / US_PER_MS;
+	bool begins = ms == FAULT_MS;
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		if ((in_fault(fleet, SERVERS_CRASH) && begins && is_third(i)) ||
+		    (in_fault(fleet, SERVER_STOPS) && begins && !i) ||
+		    (in_fault(fleet, SERVERS_FLAP) && i < 2 &&
+		     ms % 400 == 200 * i))
+			end_server(fleet, i);
+	for (i = 0; i < fleet->day->nodes; i++) {
+		if ((is_away(fleet, i) || in_fault(fleet, CUT)))
+			fleet->disturbed_us[i] = fleet->now_us;
+		if ((in_fault(fleet, RESTART) && begins && is_third(i)) ||
+		    (in_fault(fleet, RESTART_TURNS) &&
+		     ms == FAULT_MS + 100 * i))
+			restart_node(fleet, i);
+	}
+	if (in_fault(fleet, CUT) && begins)
+		break_connections(fleet);
+}
+
+static void play(fleet_t *fleet)
+{
+	int i, step;
+
+	for (step = 0; step < DAY_MS / STEP_MS; step++) {
+		fleet->now_us = (int64_t)step * STEP_MS * US_PER_MS + 1;
+		apply_fault(fleet);
+		for (i = 0; i < RUNS_MAX; i++)
+			advance_run(fleet, &fleet->runs[i]);
+		if (random_below(fleet, 1000) < REQUESTS_PER_S * STEP_MS)
+			send_request(fleet);
+		for (i = 0; i < fleet->day->nodes; i++)
+			if ((step + i) % (ANNOUNCE_MS / STEP_MS) == 0)
+				announce(fleet, i);
+	}
+}
+
+/* @return number of broken rules */
+static int check(const fleet_t *fleet, uint64_t seed)
+{
+	const day_t *day = fleet->day;
+	int i, broken = 0;
+
+	for (i = 0; i < day->bad_count; i++)
+		if (fleet->late[i] > ALLOWED) {
+			print_error("day \"%s\" seed %d: %d requests after the "
+				    "fifth crash, %d crashes\n",
+				    day->name, (int)seed, fleet->late[i],
+				    fleet->crashes[i]);
+			broken++;
+		}
+	if (fleet->sound_sent[1] < 20 ||
+	    (double)fleet->sound_began[1] / fleet->sound_sent[1] <
+		    0.5 * fleet->sound_began[0] / fleet->sound_sent[0]) {
+		print_error("day \"%s\" seed %d: %d of %d sound requests "
+			    "begin\n",
+			    day->name, (int)seed, fleet->sound_began[1],
+			    fleet->sound_sent[1]);
+		broken++;
+	}
+	return broken;
+}
+
+#define MIDDLE                  \
+	{                       \
+		0xa1, BAD, 0xc2 \
+	}
+
+static void segment_crashes_servers_or_sound_prompts_are_lost(void **state)
+{
+	static const day_t days[] = {
+		{ "in the middle", 6, MIDDLE, { 0xc2 }, .bad_percent = 12 },
+		{ "first",
+		  6,
+		  { BAD, 0xa1, 0xc2 },
+		  { 0xc2 },
+		  .bad_percent = 12 },
+		{ "alone", 6, { BAD }, { 0xc2 }, .bad_percent = 12 },
+		{ "one node", 1, MIDDLE, { 0xc2 }, .bad_percent = 12 },
+		{ "each node sees one crash",
+		  24,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 8,
+		  .is_at_any = true },
+		{ "few such requests", 6, MIDDLE, { 0xc2 }, .bad_percent = 3 },
+		{ "most requests", 6, MIDDLE, { 0xc2 }, .bad_percent = 60 },
+		{ "sound prompts share all segments but one",
+		  6,
+		  { 0xa1, 0xc2, BAD },
+		  { 0xc2, 0xd3 },
+		  .bad_percent = 12 },
+		{ "two segments",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 15,
+		  .bad_count = 2 },
+		{ "ends of answers are unclear",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 12,
+		  .unframed = true },
+		{ "many servers crash",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = SERVERS_CRASH,
+		  .bad_percent = 12 },
+		{ "many servers crash alone",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = SERVERS_CRASH,
+		  .bad_percent = 0 },
+		{ "servers flap",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = SERVERS_FLAP,
+		  .bad_percent = 12 },
+		{ "servers flap alone",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = SERVERS_FLAP,
+		  .bad_percent = 0 },
+		{ "a server stops",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = SERVER_STOPS,
+		  .bad_percent = 12 },
+		{ "nodes are cut off",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = CUT,
+		  .bad_percent = 12 },
+		{ "nodes are cut off alone",
+		  24,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = CUT,
+		  .bad_percent = 0 },
+		{ "nodes restart",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = RESTART,
+		  .bad_percent = 12 },
+		{ "nodes restart in turns",
+		  24,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = RESTART_TURNS,
+		  .bad_percent = 12 },
+		{ "nodes join",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = JOIN,
+		  .bad_percent = 12 },
+		{ "nodes freeze",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .fault = FREEZE,
+		  .bad_percent = 12 },
+		{ "the prompts end",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 12,
+		  .until_ms = 11000 },
+		{ "a segment that was harmless before",
+		  6,
+		  { BAD },
+		  { 0xc2 },
+		  .bad_percent = 12,
+		  .was_harmless = true },
+		{ "nodes of the build before",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 4,
+		  .older = 2 },
+	};
+	size_t i;
+	uint64_t seed;
+	int broken = 0;
+
+	for (i = 0; i < COUNT_OF(days); i++)
+		for (seed = 1; seed <= 8; seed++) {
+			static fleet_t fleet;
+			day_t day = days[i];
+			int j;
+
+			if (!day.bad_count)
+				day.bad_count = 1;
+			memset(&fleet, 0, sizeof(fleet));
+			fleet.day = &day;
+			fleet.random = seed;
+			for (j = 0; j < day.nodes; j++)
+				fleet.tables[j] = segment_table_create();
+			play(&fleet);
+			broken += check(&fleet, seed);
+			for (j = 0; j < day.nodes; j++)
+				segment_table_destroy(fleet.tables[j]);
+		}
+	assert_int_equal(broken, 0);
+}
+
+static const uint64_t bad[] = { 0xa1, BAD };
+static const segments_t bad_prompt = { bad, 2 };
+
+/* Crashes servers one after the other until the segment is blocked.
+ * @return the time after it */
+static int64_t block(segment_table_t *table, int64_t now_us)
+{
+	static const segments_t shared = { bad, 1 };
+	uint32_t i;
+
+	for (i = 0; i < KNOWN_CRASHES; i++) {
+		now_us += 300 * US_PER_MS;
+		segment_table_note_harmless(table, &shared, now_us - US_PER_MS,
+					    now_us);
+		segment_table_note_crash(table, &bad_prompt, i, now_us);
+	}
+	assert_int_equal(
+		segment_table_judge(table, &bad_prompt, false, now_us).state,
+		SEGMENTS_BLOCKED);
+	return now_us;
+}
+
+/* The platform allows three requests after the fifth crash. */
+static void blocked_segment_is_tried_too_often_or_never(void **state)
+{
+	segment_table_t *table = segment_table_create();
+	int64_t now_us = block(table, US_PER_S), end_us;
+	int tried = 0;
+
+	for (end_us = now_us + 86400 * US_PER_S; now_us < end_us;
+	     now_us += US_PER_S) {
+		segment_table_expire(table, now_us);
+		if (segment_table_judge(table, &bad_prompt, true, now_us)
+			    .state != SEGMENTS_FREE)
+			continue;
+		segment_table_sent(table, &bad_prompt, now_us);
+		segment_table_note_crash(table, &bad_prompt,
+					 100 + (uint32_t)tried, now_us);
+		tried++;
+	}
+	assert_in_range(tried, 1, ALLOWED);
+	segment_table_destroy(table);
+}
+
+static void segment_that_was_mended_stays_blocked(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		bool asks; /* requests go on */
+	} cases[] = { { "after a trial that went well", true },
+		      { "after no request for long", false } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		segment_table_t *table = segment_table_create();
+		int64_t now_us = block(table, US_PER_S);
+
+		now_us += 700 * US_PER_S;
+		if (cases[i].asks) {
+			assert_int_equal(segment_table_judge(table, &bad_prompt,
+							     true, now_us)
+						 .state,
+					 SEGMENTS_FREE);
+			segment_table_sent(table, &bad_prompt, now_us);
+			segment_table_note_harmless(table, &bad_prompt, now_us,
+						    now_us + US_PER_S);
+		}
+		segment_table_expire(table, now_us);
+		if (segment_table_judge(table, &bad_prompt, false, now_us)
+			    .state != SEGMENTS_FREE)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+		segment_table_destroy(table);
+	}
+}
+
+static void memory_grows_with_each_segment(void **state)
+{
+	enum { SEGMENTS = 50000, KEPT_MAX = 4096 };
+	segment_table_t *table = segment_table_create();
+	int64_t now_us = block(table, US_PER_S);
+	uint64_t id, first = UINT64_C(1) << 32;
+
+	for (id = first; id < first + SEGMENTS; id++) {
+		segments_t one = { &id, 1 };
+
+		now_us += US_PER_MS;
+		if (id % 100)
+			segment_table_note_harmless(table, &one, now_us,
+						    now_us);
+		else
+			segment_table_note_crash(table, &one, 7, now_us);
+	}
+	assert_in_range(segment_table_size(table), 1, KEPT_MAX);
+	assert_int_equal(
+		segment_table_judge(table, &bad_prompt, false, now_us).state,
+		SEGMENTS_BLOCKED);
+	segment_table_destroy(table);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			segment_crashes_servers_or_sound_prompts_are_lost),
+		cmocka_unit_test(blocked_segment_is_tried_too_often_or_never),
+		cmocka_unit_test(segment_that_was_mended_stays_blocked),
+		cmocka_unit_test(memory_grows_with_each_segment),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -18,22 +18,34 @@
 			     .backlog_us = MS(44),
 			     .gap_us = MS(600),
 			     .target_us = MS(350) };
-	packet_t sent = { .type = PACKET_LOAD,
-			  .as.load = { .node = 3,
-				       .sequence = 8,
-				       .data_centre = "north",
-				       .sent_boot_us = 77,
-				       .store_reachable = true,
-				       .link_mbps = 200,
-				       .known_revisions = { 0, 41, 42 },
-				       .wall_ms = 1782633895829,
-				       .duty = DUTY_STATE_REQUESTED,
-				       .usage_closed = 356526781,
-				       .rates = { { 7, true, 2.3, MS(40) },
-						  { 8, false, 0, MS(1) } },
-				       .rate_count = 2,
-				       .items = &item,
-				       .item_count = 1 } };
+	packet_t sent = {
+		.type = PACKET_LOAD,
+		.as.load = { .node = 3,
+			     .sequence = 8,
+			     .data_centre = "north",
+			     .sent_boot_us = 77,
+			     .store_reachable = true,
+			     .link_mbps = 200,
+			     .known_revisions = { 0, 41, 42 },
+			     .wall_ms = 1782633895829,
+			     .duty = DUTY_STATE_REQUESTED,
+			     .usage_closed = 356526781,
+			     .rates = { { 7, true, 2.3, MS(40) },
+					{ 8, false, 0, MS(1) } },
+			     .rate_count = 2,
+			     .segments = { { .id = 0xbad0,
+					     .is_blocked = true,
+					     .seen_age_us = MS(9),
+					     .harmless_age_us = -1,
+					     .crashes = { { 7, MS(30) },
+							  { 8, MS(2) } },
+					     .crash_count = 2 },
+					   { .id = 3, .harmless_age_us = 0 } },
+			     .segment_count = 2,
+			     .address = "10.0.0.4:700",
+			     .items = &item,
+			     .item_count = 1 }
+	};
 	uint8_t data[PACKET_SIZE_MAX_BYTES];
 	size_t size = packet_encode(&sent, data, sizeof(data)), i;
 	packet_t got;
@@ -58,6 +70,10 @@
 	assert_true(got.as.load.rates[0].per_s == 2.3);
 	assert_int_equal(got.as.load.rates[0].age_us, MS(40));
 	assert_false(got.as.load.rates[1].is_limited);
+	assert_int_equal(got.as.load.segment_count, 2);
+	assert_memory_equal(got.as.load.segments, sent.as.load.segments,
+			    2 * sizeof(segment_report_t));
+	assert_string_equal(got.as.load.address, "10.0.0.4:700");
 	assert_int_equal(got.as.load.item_count, 1);
 	assert_int_equal(got.as.load.items[0].server_hash, 7);
 	assert_int_equal(got.as.load.items[0].prefilling, 3);
