--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -79,6 +79,7 @@
 	if (!soak->faults_over) {
 		faults_end(soak);
 		rates_end(soak);
+		restores_end(soak);
 		soak_note(soak, "faults ended");
 		ev_timer_set(timer, RECOVERY_S, 0.);
 	} else if (!soak->recovered_us) {
@@ -124,6 +125,7 @@
 	faults_start(soak);
 	rates_start(soak);
 	crashes_start(soak);
+	restores_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -158,6 +160,8 @@
 		  "servers state rates of requests, and restart", NULL },
 		{ "prompt-crashes", 0, POPT_ARG_NONE, &soak.prompt_crashes, 0,
 		  "some segments of prompts crash servers", NULL },
+		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
+		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
 		  "directory of chivestaged", "DIR" },
 		{ "other-build", 0, POPT_ARG_STRING, &soak.other_build, 0,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -167,7 +167,11 @@
 	int prompt_crashes; /* prompts with some segments crash servers */
 	uint64_t crashes_random; /* state of the generator for these */
 	crash_log_t crashes[CRASH_SEGMENTS];
-	ev_timer caller_timer, fault_timer, rate_timer, probe_timer, end_timer;
+	int store_restores; /* the store comes back from copies */
+	uint64_t restores_random; /* state of the generator for these */
+	bool restoring; /* the store is away until it does */
+	ev_timer caller_timer, fault_timer, rate_timer, restore_timer,
+		probe_timer, end_timer;
 };
 
 /** Prints a violation of a guarantee and counts it. */
@@ -203,6 +207,9 @@
 void store_write(const char *kind, const char *name, json_t *spec);
 /** While down, the store answers no call. */
 void store_set_down(bool down);
+/** Goes back to a copy of @p age_ms ago; what the operator and the servers
+ * wrote since is written again. */
+void store_restore(int64_t age_ms);
 void store_stop(void);
 /** Writes a configuration with the keys that are not revoked. */
 void store_configure(soak_t *soak);
@@ -258,6 +265,10 @@
  */
 bool crashes_server(server_t *server, const request_record_t *record);
 
+/* restores.c */
+void restores_start(soak_t *soak);
+void restores_end(soak_t *soak);
+
 /* faults.c */
 void faults_start(soak_t *soak);
 /** Ends all faults and lets no other fault begin. */
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -8,7 +8,13 @@
 #include "base/units.h"
 #include "soak/soak.h"
 
-enum { CONNECTIONS_MAX = 200 };
+enum {
+	CONNECTIONS_MAX = 200,
+	/* Copies of the objects are made at this interval, and the last ones
+	 * kept. */
+	COPY_MS = 500,
+	COPIES_MAX = 8
+};
 
 /* An object of the store. */
 typedef struct object {
@@ -18,6 +24,12 @@
 	struct object *next;
 } object_t;
 
+/* The objects as they were at one time. */
+typedef struct {
+	object_t *objects;
+	int64_t revision;
+} copy_t;
+
 /* A call of the store's API. */
 typedef struct call {
 	exchange_t *exchange;
@@ -39,8 +51,13 @@
 	call_t *calls;
 	int64_t revision; /* revision of the last change */
 	bool down; /* calls get no answer */
+	int64_t era; /* grows with each return from a copy */
+	copy_t copies[COPIES_MAX]; /* the last one first */
+	int64_t copied_us;
 	ev_timer timer; /* answers the watches */
-} store = { .revision = 10 };
+} store = { .revision = 10, .era = 1 };
+
+static object_t *find_object(const char *kind, const char *name);
 
 static json_t *object_json(const object_t *object)
 {
@@ -52,9 +69,12 @@
 static void reply(call_t *call, int status, json_t *json)
 {
 	char *text = json ? json_dumps(json, JSON_COMPACT) : mem_strdup("{}");
+	char era[24];
+	reply_header_t header = { "Store-Era", era };
 
+	snprintf(era, sizeof(era), "%lld", (long long)store.era);
 	call->waiting = false;
-	exchange_reply(call->exchange, status, NULL, 0, text, strlen(text));
+	exchange_reply(call->exchange, status, &header, 1, text, strlen(text));
 	free(text);
 	json_decref(json);
 }
@@ -97,11 +117,84 @@
 			(json_int_t)store.revision));
 }
 
+static void free_objects(object_t *objects)
+{
+	object_t *object, *next;
+
+	LL_FOREACH_SAFE (objects, object, next) {
+		json_decref(object->spec);
+		free(object);
+	}
+}
+
+static object_t *copy_objects(const object_t *objects)
+{
+	const object_t *object;
+	object_t *copies = NULL;
+
+	LL_FOREACH (objects, object) {
+		object_t *copy = mem_calloc(1, sizeof(*copy));
+
+		*copy = *object;
+		json_incref(copy->spec);
+		LL_PREPEND(copies, copy);
+	}
+	return copies;
+}
+
+static void make_copy(int64_t now_us)
+{
+	if (now_us - store.copied_us < COPY_MS * US_PER_MS)
+		return;
+	store.copied_us = now_us;
+	free_objects(store.copies[COPIES_MAX - 1].objects);
+	memmove(&store.copies[1], &store.copies[0],
+		(COPIES_MAX - 1) * sizeof(store.copies[0]));
+	store.copies[0] =
+		(copy_t){ copy_objects(store.objects), store.revision };
+}
+
+/* Writes again what the operator and the servers wrote since the copy. */
+static void write_again(const object_t *lost)
+{
+	for (; lost; lost = lost->next) {
+		const object_t *now = find_object(lost->kind, lost->name);
+
+		if (!strncmp(lost->kind, "chivestage-", 11) ||
+		    (now ? json_equal(now->spec, lost->spec) ||
+				     now->spec == lost->spec
+			 : !lost->spec))
+			continue;
+		store_write(lost->kind, lost->name, json_incref(lost->spec));
+	}
+}
+
+void store_restore(int64_t age_ms)
+{
+	object_t *lost = store.objects;
+	size_t index = (size_t)(age_ms / COPY_MS) % COPIES_MAX;
+	call_t *call;
+
+	while (index && !store.copies[index].objects)
+		index--;
+	store.objects = copy_objects(store.copies[index].objects);
+	store.revision = store.copies[index].revision;
+	store.era++;
+	DL_FOREACH (store.calls, call)
+		if (call->waiting)
+			reply(call, 410, NULL);
+	write_again(lost);
+	free_objects(lost);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	int64_t now_us = clock_monotonic_us();
 	call_t *call, *next;
 
+	if (!store.down)
+		make_copy(now_us);
+
 	DL_FOREACH_SAFE (store.calls, call, next)
 		if (call->waiting && !store.down)
 			answer_watch(call, now_us > call->until_us);
@@ -184,6 +277,8 @@
 	sscanf(path, "/objects/%31[^/]/%63s", kind, name);
 	if (store.down) {
 		call->waiting = false; /* the call gets no answer */
+	} else if (query_integer(query, "watch=", 0) > store.revision) {
+		reply(call, 410, NULL);
 	} else if (strstr(query, "watch=")) {
 		mem_strlcpy(call->kind, kind, sizeof(call->kind));
 		call->since = query_integer(query, "watch=", 0);
@@ -257,14 +352,13 @@
 
 void store_stop(void)
 {
-	object_t *object, *next;
+	size_t i;
 
 	ev_timer_stop(store.loop, &store.timer);
 	listener_destroy(store.listener);
-	LL_FOREACH_SAFE (store.objects, object, next) {
-		json_decref(object->spec);
-		free(object);
-	}
+	free_objects(store.objects);
+	for (i = 0; i < COPIES_MAX; i++)
+		free_objects(store.copies[i].objects);
 }
 
 static json_t *route(const char *path, const char *kind, const char *service)
