Order revisions over all copies that the store comes back from

Cause: revisions were taken for growing. After the store came back from an older copy they start again below those that nodes had: a subscriber at 164 took the updates of a publisher at 161 of the new count for older than its view, and its view for complete. Class: numbers of one history compared with those of another.

Ruled out: publishers that learned late (two of the five nodes are publishers, 40 ms after the server left), and a listing from the copy that undid the removal (no node that removed the server lists it again).

--- a/src/duty/duties.c
+++ b/src/duty/duties.c
@@ -40,6 +40,11 @@
 	bool reports_usage, orders_servers;
 	duty_lease_t *lease;
 	bool held; /* this node held the lease at the last tick */
+	/* The store came back from a copy since this node last held the lease:
+	 * the state that it has may be older than what was reported. */
+	bool store_restored;
+	int64_t highest_closed; /* last window that any holder closed; 0: none
+				 */
 	usage_t *usage;
 	usage_duty_t *usage_duty;
 	order_duty_t *order_duty;
@@ -217,10 +222,25 @@
 	duties->failing_us = 0;
 	usage_duty_take_over(duties->usage_duty,
 			     json_object_get(lease_state(lease), "usage"));
+	if (duties->store_restored)
+		usage_duty_skip(duties->usage_duty, duties->highest_closed);
+	duties->store_restored = false;
 	order_duty_take_over(duties->order_duty,
 			     json_object_get(lease_state(lease), "servers"));
 }
 
+/* Keeps the last window that any holder closed. */
+static void note_closed(duties_t *duties)
+{
+	int64_t closed = load_table_usage_closed(duties->gateway->load_table,
+						 clock_monotonic_us());
+
+	if (duties->held)
+		closed = usage_duty_last_closed(duties->usage_duty);
+	if (closed > duties->highest_closed)
+		duties->highest_closed = closed;
+}
+
 /* Sets the state to write with the lease. No call to the platform starts before
  * the state is written, so that a successor knows each call that this node may
  * have made. */
@@ -350,6 +370,7 @@
 	const lease_t *lease = duty_lease(duties->lease);
 
 	update_clock(duties);
+	note_closed(duties);
 	duty_lease_step(duties->lease, wants_lease(duties));
 	update_held(duties);
 	if (duties->reports_usage)
@@ -365,6 +386,16 @@
 		order_servers(duties);
 }
 
+void duties_store_restored(duties_t *duties)
+{
+	if (!duties)
+		return;
+	note_closed(duties);
+	duties->store_restored = true;
+	duty_lease_store_restored(duties->lease);
+	update_held(duties);
+}
+
 void duties_stop(duties_t *duties)
 {
 	if (!duties)
--- a/src/duty/duties.h
+++ b/src/duty/duties.h
@@ -25,6 +25,8 @@
 
 /* The functions below accept NULL: the platform has no duties for nodes. */
 
+/** Gives up the lease after the store came back from an older copy. */
+void duties_store_restored(duties_t *duties);
 /**
  * Counts a request of a client account that began to run.
  * @param began_us when the request began, on the monotonic clock
--- a/src/duty/duty_lease.c
+++ b/src/duty/duty_lease.c
@@ -87,6 +87,11 @@
 	}
 }
 
+void duty_lease_store_restored(duty_lease_t *duty)
+{
+	lease_store_restored(duty->lease, clock_boot_us());
+}
+
 bool duty_lease_held(const duty_lease_t *duty)
 {
 	return lease_held(duty->lease, clock_boot_us());
--- a/src/duty/duty_lease.h
+++ b/src/duty/duty_lease.h
@@ -27,6 +27,8 @@
  * @param wanted false: this node releases the lease, or does not request it
  */
 void duty_lease_step(duty_lease_t *duty, bool wanted);
+/** See lease_store_restored(). */
+void duty_lease_store_restored(duty_lease_t *duty);
 /** @return true if this node may act as the lease holder now. */
 bool duty_lease_held(const duty_lease_t *duty);
 /** @return the underlying lease, for its fencing token and its state */
--- a/src/duty/usage_duty.c
+++ b/src/duty/usage_duty.c
@@ -118,6 +118,12 @@
 	}
 }
 
+void usage_duty_skip(usage_duty_t *duty, int64_t window)
+{
+	if (duty->closed < window)
+		duty->closed = window;
+}
+
 json_t *usage_duty_state(const usage_duty_t *duty)
 {
 	json_t *reports = json_array();
--- a/src/duty/usage_duty.h
+++ b/src/duty/usage_duty.h
@@ -45,6 +45,9 @@
  * @param state from usage_duty_state() there; NULL: no previous holder
  */
 void usage_duty_take_over(usage_duty_t *duty, const json_t *state);
+/** Reports no windows up to @p window that the state did not have: another
+ * holder may have reported them with other counts. */
+void usage_duty_skip(usage_duty_t *duty, int64_t window);
 /** @return state for a successor; a new reference */
 json_t *usage_duty_state(const usage_duty_t *duty);
 
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -17,6 +17,9 @@
 #define ABSENT_KEEP_US (60 * US_PER_S)
 /* Nodes that must announce a server as failing before the others avoid it. */
 enum { AVOIDING_NODES_MIN = 2 };
+/* Servers write their entries again within this time after the store came back
+ * from an older copy, or their entries expire. */
+#define DOUBT_US (5 * US_PER_S)
 /* Fraction of the drain time in which requests are sent to a leaving server;
  * the rest is for requests that are on their way. */
 #define LEAVING_SEND_FRACTION 0.5
@@ -109,14 +112,17 @@
 		     int64_t now_us)
 {
 	backend_t *server;
-	bool changed;
+	bool changed, left;
 
 	HASH_FIND_STR(backends->servers, entry->id, server);
+	left = server && server->entry.state == BACKEND_DRAINING;
 	changed = !server || server->entry.state != entry->state ||
 		  server->entry.born_ms != entry->born_ms ||
 		  strcmp(server->entry.address, entry->address) != 0;
-	if (!server)
+	if (!server) {
 		server = restore_server(backends, entry->id);
+		left = server;
+	}
 	if (!server) {
 		server = mem_calloc(1, sizeof(*server));
 		server->entry = *entry;
@@ -129,7 +135,10 @@
 	} else if (server->entry.born_ms != entry->born_ms ||
 		   strcmp(server->entry.address, entry->address) != 0) {
 		begin_generation(server);
+		left = false;
 	}
+	server->doubted_until_us =
+		backends->restoring && left ? now_us + DOUBT_US : 0;
 	server->entry = *entry;
 	server->listing = backends->listing;
 	server->remove_at_us = 0;
@@ -157,9 +166,10 @@
 	return server;
 }
 
-void backends_begin_listing(backends_t *backends)
+void backends_begin_listing(backends_t *backends, bool restored)
 {
 	backends->listing++;
+	backends->restoring = restored;
 }
 
 size_t backends_end_listing(backends_t *backends, int64_t grace_until_us)
@@ -167,6 +177,7 @@
 	backend_t *server, *next;
 	size_t removed = 0;
 
+	backends->restoring = false;
 	HASH_ITER (hh, backends->servers, server, next) {
 		if (server->listing == backends->listing)
 			continue;
@@ -287,7 +298,8 @@
 bool backend_in_service(const backend_t *backend, int64_t now_us)
 {
 	return backend->table && backend->entry.state == BACKEND_READY &&
-	       !backend->dc->evacuated && may_get_requests(backend, now_us);
+	       now_us >= backend->doubted_until_us && !backend->dc->evacuated &&
+	       may_get_requests(backend, now_us);
 }
 
 bool backend_usable(const backend_t *backend, int64_t now_us)
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -82,8 +82,12 @@
  */
 bool backends_remove(backends_t *backends, const char *id,
 		     int64_t grace_until_us);
-/** Starts a full listing; its end removes the servers not updated since. */
-void backends_begin_listing(backends_t *backends);
+/**
+ * Starts a full listing; its end removes the servers not updated since.
+ * @param restored the store came back from an older copy: a server that left
+ *                 before may be listed as if it had not, until it writes again
+ */
+void backends_begin_listing(backends_t *backends, bool restored);
 /**
  * Ends a full listing.
  * @param grace_until_us see backends_remove()
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -39,6 +39,8 @@
 	int64_t cold_until_us;
 	limit_share_t cold_share; /* this node's part of the cold limit */
 	local_load_t own_load; /* load of this node */
+	int64_t doubted_until_us; /* its entry may be of an older copy of the
+				     store until then; 0: it is not */
 	int64_t leaving_us; /* first answer that said the server leaves; 0: none
 			     */
 	int64_t rejects_until_us; /* the server rejects requests of this node
@@ -58,6 +60,7 @@
 	backend_dc_t *dcs;
 	server_rates_t *rates;
 	uint64_t listing; /* number of the current listing */
+	bool restoring; /* it is of an older copy of the store */
 	limit_nodes_t nodes; /* share the limits of servers */
 };
 
--- a/src/process/control.h
+++ b/src/process/control.h
@@ -297,6 +297,8 @@
 void control_orders_apply_report(control_orders_t *orders,
 				 const load_report_t *report);
 
+/** Gives up the lease after the platform came back from an older copy. */
+void control_orders_store_restored(control_orders_t *orders);
 /** Acquires or renews the lease and sends the orders that are due. */
 void control_orders_tick(control_orders_t *orders, int64_t now_us);
 
--- a/src/process/control_orders.c
+++ b/src/process/control_orders.c
@@ -66,6 +66,11 @@
 	free(orders);
 }
 
+void control_orders_store_restored(control_orders_t *orders)
+{
+	lease_store_restored(orders->lease, clock_monotonic_us());
+}
+
 void control_orders_configure(control_orders_t *orders, document_t *document)
 {
 	reconcile_configure(orders->reconcile, document);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -211,10 +211,20 @@
 	return true;
 }
 
+static void on_store_restored(void *context)
+{
+	control_t *control = context;
+
+	if (control->orders)
+		control_orders_store_restored(control->orders);
+}
+
 static bool open_platform(control_t *control, err_t *err)
 {
 	const settings_t *settings = &control->settings;
 	platform_conf_t conf = {
+		.restored = on_store_restored,
+		.context = control,
 		.timeout_ms = settings->platform_timeout_ms,
 		.calls_per_s = settings->platform_calls_per_s,
 	};
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -119,9 +119,22 @@
 			  removed);
 }
 
+/* The store lost what nodes wrote in its last seconds, and shows what was
+ * before: nothing that was read of it is known to hold. */
+static void on_store_restored(void *context)
+{
+	gateway_t *gateway = context;
+
+	gateway_views_restored(gateway);
+	gateway_peers_restored(gateway);
+	duties_store_restored(gateway->duties);
+}
+
 static bool start(gateway_t *gateway, err_t *err)
 {
-	platform_conf_t platform = { .timeout_ms = PLATFORM_TIMEOUT_MS,
+	platform_conf_t platform = { .restored = on_store_restored,
+				     .context = gateway,
+				     .timeout_ms = PLATFORM_TIMEOUT_MS,
 				     .calls_per_s = PLATFORM_CALLS_PER_S };
 	backends_conf_t backends = {
 		.cold_factor = gateway->settings.cold_factor,
--- a/src/process/gateway_apply.c
+++ b/src/process/gateway_apply.c
@@ -32,6 +32,7 @@
 			  object->version, err.message);
 		return;
 	}
+	gateway->stored_version = routing_version(routing);
 	if (routing_version(routing) <= current) {
 		if (routing_version(routing) < current)
 			log_event(EVENT_CONFIG_STALE,
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -28,6 +28,10 @@
  * other reads accept a list that is a little old. */
 #define REGISTRY_FIRST_S 0.7
 #define REGISTRY_S 5.0
+/* After the store came back from a copy, nodes write their entries again within
+ * this time, and others read them. */
+#define RESTORED_SPREAD_S 1.0
+#define KEEP_PEERS_US (12 * US_PER_S)
 /* All nodes list a node that started this long ago. */
 #define NEW_NODE_US (10 * US_PER_S)
 
@@ -282,21 +286,37 @@
 	free(nodes);
 }
 
+/* Adds a node to the list, unless it is listed. */
+static void add_peer(gateway_t *gateway, const peer_t *peer)
+{
+	size_t i;
+
+	for (i = 0; i < gateway->peer_count; i++)
+		if (gateway->peers[i].hash == peer->hash)
+			return;
+	gateway->peers[gateway->peer_count++] = *peer;
+}
+
 static void on_list(void *context, platform_status_t status,
 		    const platform_vm_t *vms, size_t count)
 {
 	gateway_t *gateway = context;
 	size_t i, before = gateway->peer_count;
+	bool keeps = clock_monotonic_us() < gateway->keep_peers_until_us;
+	peer_t *kept = gateway->peers;
 
 	if (status != PLATFORM_OK)
 		return;
 	gateway->peers =
-		mem_realloc(gateway->peers, count + 1, sizeof(*gateway->peers));
+		mem_calloc(count + before + 1, sizeof(*gateway->peers));
 	gateway->peer_count = 0;
 	for (i = 0; i < count; i++)
 		if (!is_own(gateway, &vms[i]))
 			set_peer(&gateway->peers[gateway->peer_count++],
 				 &vms[i]);
+	for (i = 0; i < before && keeps; i++)
+		add_peer(gateway, &kept[i]);
+	free(kept);
 	gateway->nodes = (int32_t)gateway->peer_count + 1;
 	set_limit_nodes(gateway);
 	if (before == gateway->peer_count)
@@ -385,6 +405,19 @@
 	return true;
 }
 
+void gateway_peers_restored(gateway_t *gateway)
+{
+	double pause_s = RESTORED_SPREAD_S *
+			 (double)(gateway_random(gateway) % MS_PER_S) /
+			 MS_PER_S;
+
+	gateway->registered = false;
+	gateway->keep_peers_until_us = clock_monotonic_us() + KEEP_PEERS_US;
+	ev_timer_stop(gateway->loop, &gateway->registry);
+	ev_timer_set(&gateway->registry, pause_s, 0.);
+	ev_timer_start(gateway->loop, &gateway->registry);
+}
+
 void gateway_peers_stop(gateway_t *gateway)
 {
 	ev_timer_stop(gateway->loop, &gateway->announce);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -32,6 +32,8 @@
 	bool watched; /**< a watch was answered since the process started */
 	/** `next` of the last page of a listing; empty: no page was read. */
 	char after[PLATFORM_NEXT_SIZE_BYTES];
+	bool restored; /**< the next listing is the first one after the store
+			  came back from a copy */
 	int64_t revision; /**< store revision to which the view is complete */
 	int64_t called_boot_us; /**< start of the last call */
 	int64_t wait_ms; /**< longest wait of the last watch */
@@ -77,6 +79,8 @@
 	listener_t *callers, *ready, *metrics;
 	datagram_t *datagram;
 
+	/** Version of the routing configuration that the store has. */
+	int64_t stored_version;
 	routing_t *routing; /**< NULL: no configuration was read yet */
 	backends_t *backends;
 	load_table_t *load_table;
@@ -114,6 +118,8 @@
 	 * 0: none.
 	 */
 	int64_t grace_until_us, received_grace_until_us;
+	/** Nodes that the list of nodes lacks are kept until then. */
+	int64_t keep_peers_until_us;
 	bool registered; /**< the list of nodes holds this node's entry */
 	int32_t registry_reads;
 
@@ -139,6 +145,8 @@
 /* gateway_views.c */
 void gateway_views_start(gateway_t *gateway);
 void gateway_views_stop(gateway_t *gateway);
+/** Reads all views again after the store came back from a copy. */
+void gateway_views_restored(gateway_t *gateway);
 /** @return true if routes and servers are known */
 bool gateway_has_views(const gateway_t *gateway);
 /** @return true if the keys of accounts were confirmed recently enough */
@@ -202,6 +210,8 @@
 /* gateway_peers.c */
 bool gateway_peers_start(gateway_t *gateway, err_t *err);
 void gateway_peers_stop(gateway_t *gateway);
+/** Writes this node's entry again after the store came back from a copy. */
+void gateway_peers_restored(gateway_t *gateway);
 /**
  * Schedules an announcement: the load of this node, or other state that it
  * announces, changed.
--- a/src/process/gateway_updates.c
+++ b/src/process/gateway_updates.c
@@ -347,32 +347,40 @@
 					  (uint64_t)(longest_ms / 2 + 1));
 }
 
+/* @return false if changes in between are missing: they are sent again, or this
+ * node's own watch returns them */
+static bool apply_delta(view_t *view, const view_delta_t *received,
+			delta_result_t result)
+{
+	if (result == DELTA_APPLICABLE)
+		apply_changes(view, received);
+	return result == DELTA_APPLICABLE || result == DELTA_CURRENT;
+}
+
 static void receive_view(gateway_t *gateway, view_t *view,
 			 const view_update_t *update,
 			 const view_delta_t *received)
 {
+	delta_result_t result;
+
 	/* A view that this node lists or watches itself is more recent. */
 	if (!view->listed || view->calling ||
 	    (!view->subscribed && !view->failures))
 		return;
-	if (view->kind == PLATFORM_ROUTING) {
-		if (received->version > gateway_routing_version(gateway)) {
-			gateway_relist(view, fetch_delay_ms(view));
-			return;
-		}
-	} else {
-		switch (view_delta_compare(received, view->revision)) {
-		case DELTA_CURRENT:
-			break;
-		case DELTA_APPLICABLE:
-			apply_changes(view, received);
-			break;
-		case DELTA_GAP:
-			/* The changes in between are sent again, or this node's
-			 * own watch returns them. */
-			return;
-		}
+	result = view_delta_compare(received, view->revision);
+	if (result == DELTA_EARLIER)
+		return;
+	if (result == DELTA_LATER ||
+	    (view->kind == PLATFORM_ROUTING &&
+	     received->version > gateway_routing_version(gateway))) {
+		gateway_relist(view, fetch_delay_ms(view));
+		return;
 	}
+	/* The routing configuration is complete if its version is. */
+	if (view->kind == PLATFORM_ROUTING
+		    ? received->version < gateway_routing_version(gateway)
+		    : !apply_delta(view, received, result))
+		return;
 	gateway_confirm(view, view_delta_confirmed_boot_us(update, received,
 							   clock_boot_us()));
 	if (view->failures)
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -48,6 +48,12 @@
 /* Interval at which a subscriber checks if it must watch the store itself. */
 enum { SUBSCRIBER_CHECK_MS = 200 };
 
+/* Pause before the next listing while the store has an older configuration than
+ * this node, from a copy: the operator writes the newer one again. */
+enum { BEHIND_RETRY_MS = 300 };
+/* Nodes that learn that the store came back read it within this time. */
+enum { RESTORED_SPREAD_MS = 200 };
+
 /* Grace period after an outage of the store. Entries that expired in the outage
  * are written again within 2 s; until the period ends, servers that left stay
  * usable as well. */
@@ -99,7 +105,8 @@
 static void begin_listing(view_t *view)
 {
 	if (view->kind == PLATFORM_SERVERS)
-		backends_begin_listing(view->gateway->backends);
+		backends_begin_listing(view->gateway->backends, view->restored);
+	view->restored = false;
 	if (view->kind == PLATFORM_EVACUATIONS)
 		backends_clear_evacuations(view->gateway->backends);
 }
@@ -126,12 +133,23 @@
 		view->confirmed_boot_us = boot_us;
 }
 
+/* @return true if the store has an older configuration than this node: it came
+ * back from a copy, and does not show what is in force */
+static bool is_store_behind(const view_t *view)
+{
+	return view->kind == PLATFORM_ROUTING &&
+	       view->gateway->stored_version <
+		       gateway_routing_version(view->gateway);
+}
+
 /* Notes when the view was complete: an answer without changes was given when
  * the wait was over, any other answer after its call was sent. */
 static void confirm_answer(view_t *view, bool unchanged)
 {
 	int64_t at_us = view->called_boot_us;
 
+	if (is_store_behind(view))
+		return;
 	if (unchanged)
 		at_us += view->wait_ms * US_PER_MS;
 	gateway_confirm(view,
@@ -144,6 +162,18 @@
 	*view->after = '\0';
 }
 
+void gateway_views_restored(gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++) {
+		gateway->views[i].restored = true;
+		gateway_relist(&gateway->views[i],
+			       (int64_t)(gateway_random(gateway) %
+					 RESTORED_SPREAD_MS));
+	}
+}
+
 void gateway_relist(view_t *view, int64_t delay_ms)
 {
 	reset_listing(view);
@@ -277,7 +307,10 @@
 			confirm_answer(view, false);
 		}
 	}
-	schedule(view, view->listed && page->count ? COLLECT_MS : 0);
+	if (view->listed && is_store_behind(view))
+		gateway_relist(view, BEHIND_RETRY_MS);
+	else
+		schedule(view, view->listed && page->count ? COLLECT_MS : 0);
 }
 
 void gateway_end_outage(view_t *view)
--- a/src/process/lease.c
+++ b/src/process/lease.c
@@ -176,6 +176,20 @@
 	lease->held = false;
 }
 
+void lease_store_restored(lease_t *lease, int64_t now_us)
+{
+	int64_t ended_us = now_us + lease->times.duration_us;
+
+	stop_holding(lease, now_us);
+	if (lease->abstain_until_us < ended_us)
+		lease->abstain_until_us = ended_us;
+	lease->version = 0;
+	lease->version_since_us = 0;
+	lease->outcome_unknown = false;
+	lease->first_unknown_us = 0;
+	lease->next_us = now_us;
+}
+
 static bool choose_call(lease_t *lease, lease_action_t *action, int64_t now_us)
 {
 	if (lease->held && !lease->outcome_unknown)
--- a/src/process/lease.h
+++ b/src/process/lease.h
@@ -76,6 +76,13 @@
 void lease_set_wanted(lease_t *lease, bool wanted);
 bool lease_wanted(const lease_t *lease);
 
+/**
+ * Gives up what is known of the lease after the store came back from an older
+ * copy, and acquires no lease while another node may hold one that the copy
+ * lacks.
+ */
+void lease_store_restored(lease_t *lease, int64_t now_us);
+
 /** Takes the next platform call. @return false if no call is due. */
 bool lease_next(lease_t *lease, lease_action_t *action, int64_t now_us);
 
--- a/src/process/view_update.c
+++ b/src/process/view_update.c
@@ -5,6 +5,7 @@
 
 #include "base/mem.h"
 #include "base/units.h"
+#include "platform/client.h"
 
 /* Changes are sent until they are this old; a receiver that missed one reads
  * all objects again. */
@@ -123,6 +124,9 @@
 delta_result_t view_delta_compare(const view_delta_t *view,
 				  int64_t own_revision)
 {
+	if (!platform_is_same_era(view->revision, own_revision))
+		return view->revision < own_revision ? DELTA_EARLIER
+						     : DELTA_LATER;
 	if (own_revision >= view->revision)
 		return DELTA_CURRENT;
 	return own_revision >= view->from ? DELTA_APPLICABLE : DELTA_GAP;
--- a/src/process/view_update.h
+++ b/src/process/view_update.h
@@ -88,7 +88,11 @@
 typedef enum {
 	DELTA_CURRENT, /**< the receiver has all changes */
 	DELTA_APPLICABLE, /**< apply changes after the receiver's revision */
-	DELTA_GAP /**< changes in between are missing: read all objects again */
+	DELTA_GAP, /**< changes in between are missing: read all objects again
+		    */
+	DELTA_EARLIER, /**< the sender has not noticed yet that the store came
+			  back from an older copy */
+	DELTA_LATER /**< the receiver has not */
 } delta_result_t;
 
 /** Compares a received view with the revision that the receiver has. */
--- a/tests/fuzz/fuzz_choice.c
+++ b/tests/fuzz/fuzz_choice.c
@@ -124,7 +124,7 @@
 				value & 8 ? now_us + US_PER_S : 0);
 		return;
 	case 3:
-		backends_begin_listing(backends);
+		backends_begin_listing(backends, false);
 		put_server(backends, value);
 		backends_end_listing(backends, value & 8 ? now_us + 1 : 0);
 		return;
--- a/tests/fuzz/fuzz_node.c
+++ b/tests/fuzz/fuzz_node.c
@@ -103,7 +103,7 @@
 	size_t i, count;
 	err_t err;
 
-	if (platform_parse_page(text, size, &parsed, &err)) {
+	if (platform_parse_page(text, size, 0, &parsed, &err)) {
 		for (i = 0; i < parsed.page.count; i++) {
 			const platform_object_t *object =
 				&parsed.page.objects[i];
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -104,7 +104,7 @@
 	free(fault);
 }
 
-static void remove_key(soak_t *soak, int key)
+void faults_remove_key(soak_t *soak, int key)
 {
 	/* Key 0 stays valid, so that some requests still succeed. */
 	if (key == 0 || soak->key_revoked_us[key])
@@ -181,7 +181,7 @@
 	case FAULT_SERVER_LEAVES:
 		return withdraw(soak, server, soak_chance(soak, 0.7));
 	case FAULT_REVOKE:
-		remove_key(soak, target % KEYS);
+		faults_remove_key(soak, target % KEYS);
 		return true;
 	case FAULT_CONFIGURE:
 		store_configure(soak);
--- a/tests/soak/restores.c
+++ b/tests/soak/restores.c
@@ -2,7 +2,8 @@
 #include "base/units.h"
 #include "soak/soak.h"
 
-/* The store is away for a moment and comes back from a copy, some times. */
+/* The store is away for a moment and comes back from a copy, some times. While
+ * no node reaches it, a key is removed, and revisions pass those of before. */
 enum {
 	INTERVAL_MIN_MS = 1500,
 	INTERVAL_MAX_MS = 5000,
@@ -21,10 +22,24 @@
 	ev_timer_start(soak->loop, &soak->restore_timer);
 }
 
+static void restore(soak_t *soak, int age_ms)
+{
+	int64_t before = store_revision();
+	int i = 0;
+
+	soak_note(soak, "store comes back from a copy %d ms old", age_ms);
+	store_restore(age_ms);
+	faults_remove_key(soak, random_below(soak, KEYS));
+	while (store_revision() <= before)
+		server_announce(&soak->servers[i++ % SERVERS]);
+	store_set_down(false);
+	for (i = 0; i < soak->node_count; i++)
+		soak->nodes[i].disturbed_us = clock_monotonic_us();
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	soak_t *soak = timer->data;
-	int age_ms = random_below(soak, COPY_AGE_MAX_MS), i;
 
 	if (!soak->restoring) {
 		soak->restoring = true;
@@ -33,11 +48,7 @@
 		return;
 	}
 	soak->restoring = false;
-	soak_note(soak, "store comes back from a copy %d ms old", age_ms);
-	store_set_down(false);
-	store_restore(age_ms);
-	for (i = 0; i < soak->node_count; i++)
-		soak->nodes[i].disturbed_us = clock_monotonic_us();
+	restore(soak, random_below(soak, COPY_AGE_MAX_MS));
 	start_timer(soak, INTERVAL_MIN_MS +
 				  random_below(soak, INTERVAL_MAX_MS -
 							     INTERVAL_MIN_MS));
@@ -56,6 +67,6 @@
 {
 	ev_timer_stop(soak->loop, &soak->restore_timer);
 	if (soak->restoring)
-		store_restore(0);
+		restore(soak, 0);
 	soak->restoring = false;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -210,6 +210,8 @@
 /** Goes back to a copy of @p age_ms ago; what the operator and the servers
  * wrote since is written again. */
 void store_restore(int64_t age_ms);
+/** @return the revision of the last change. */
+int64_t store_revision(void);
 void store_stop(void);
 /** Writes a configuration with the keys that are not revoked. */
 void store_configure(soak_t *soak);
@@ -270,6 +272,8 @@
 void restores_end(soak_t *soak);
 
 /* faults.c */
+/** Removes a key of the client account, unless it has to stay. */
+void faults_remove_key(soak_t *soak, int key);
 void faults_start(soak_t *soak);
 /** Ends all faults and lets no other fault begin. */
 void faults_end(soak_t *soak);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -180,13 +180,21 @@
 	store.objects = copy_objects(store.copies[index].objects);
 	store.revision = store.copies[index].revision;
 	store.era++;
-	DL_FOREACH (store.calls, call)
+	/* Watches are cut off, and go on from the revisions that they had. */
+	DL_FOREACH (store.calls, call) {
 		if (call->waiting)
-			reply(call, 410, NULL);
+			exchange_abort(call->exchange);
+		call->waiting = false;
+	}
 	write_again(lost);
 	free_objects(lost);
 }
 
+int64_t store_revision(void)
+{
+	return store.revision;
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	int64_t now_us = clock_monotonic_us();
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -89,9 +89,21 @@
 	OTHER_SERVICE,
 	ANNOUNCE_LEAVING,
 	REJECTS, /* the server rejects requests for 500 ms */
-	RESTART
+	RESTART,
+	LIST_COPY /* the store lists a as usable, from an older copy */
 } event_t;
 
+static void list_copy(const backend_entry_t *entry, int64_t now_us)
+{
+	backend_entry_t b = entry_of("b", "north"), c = entry_of("c", "south");
+
+	backends_begin_listing(backends, true);
+	backends_update(backends, entry, now_us);
+	backends_update(backends, &b, now_us);
+	backends_update(backends, &c, now_us);
+	backends_end_listing(backends, 0);
+}
+
 static void apply(event_t event, int64_t now_us)
 {
 	backend_t *a = backends_find(backends, "a");
@@ -147,6 +159,9 @@
 	case REJECTS:
 		backend_note_rejecting(a, now_us + MS(500));
 		break;
+	case LIST_COPY:
+		list_copy(&entry, now_us);
+		break;
 	case RESTART:
 		entry.born_ms = 99;
 		backends_update(backends, &entry, now_us);
@@ -181,6 +196,31 @@
 		  1,
 		  10,
 		  "b c" },
+		{ "a draining server that an older copy lists as usable",
+		  { { 10, DRAIN }, { 20, LIST_COPY } },
+		  2,
+		  30,
+		  "b c" },
+		{ "a removed server that an older copy lists",
+		  { { 10, REMOVE }, { 20, LIST_COPY } },
+		  2,
+		  4000,
+		  "b c" },
+		{ "a server that writes its entry after the copy, and is unused",
+		  { { 10, REMOVE }, { 20, LIST_COPY }, { 30, WRITE_ENTRY } },
+		  3,
+		  40,
+		  "b c a" },
+		{ "a server of an older copy that is unused for ever",
+		  { { 10, DRAIN }, { 20, LIST_COPY } },
+		  2,
+		  5100,
+		  "a b c" },
+		{ "a server that never left, and is unused after a copy",
+		  { { 20, LIST_COPY } },
+		  1,
+		  30,
+		  "a b c" },
 		{ "an evacuated data centre that is still listed",
 		  { { 10, EVACUATE } },
 		  1,
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -333,6 +333,52 @@
 	stop_nodes();
 }
 
+/* The store comes back from a copy, and gives out versions above all before. */
+static void two_nodes_act_after_a_restored_store(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		bool lacks_lease; /* the copy has no lease */
+		answer_mode_t holder; /* what the holder gets of the store */
+	} cases[] = {
+		{ "a copy without the lease", true, HEALTHY },
+		{ "a copy without the lease, and a holder cut off", true,
+		  DOWN },
+		{ "a copy with an earlier write of it", false, HEALTHY },
+		{ "an earlier write, and a holder cut off", false, DOWN },
+	};
+	size_t i, again;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		int64_t token;
+
+		start_nodes();
+		advance(10 * US_PER_S, HEALTHY, HEALTHY);
+		assert_true(held(0));
+		for (again = 0; again < 2; again++) {
+			token = lease_token(sim.nodes[held(1)]);
+			sim.last_version += INT64_C(1) << 40;
+			sim.version =
+				cases[i].lacks_lease ? 0 : sim.last_version - 2;
+			if (cases[i].holder == HEALTHY)
+				lease_store_restored(sim.nodes[0], sim.now_us);
+			lease_store_restored(sim.nodes[1], sim.now_us);
+			advance(2 * LEASE_DURATION_US, cases[i].holder,
+				HEALTHY);
+			if (!held(0) && !held(1))
+				fail_msg("case \"%s\": no holder",
+					 cases[i].guards_against);
+			if (lease_token(sim.nodes[held(1)]) <= token)
+				fail_msg("case \"%s\": token goes back",
+					 cases[i].guards_against);
+			/* The node that was cut off is told late. */
+			lease_store_restored(sim.nodes[0], sim.now_us);
+			advance(4 * LEASE_DURATION_US, HEALTHY, HEALTHY);
+		}
+		stop_nodes();
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -344,6 +390,7 @@
 		cmocka_unit_test(counts_from_the_first_write),
 		cmocka_unit_test(releases_the_lease),
 		cmocka_unit_test(hands_over_the_state),
+		cmocka_unit_test(two_nodes_act_after_a_restored_store),
 		cmocka_unit_test(abstains_after_losing_the_lease),
 	};
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -25,6 +25,8 @@
 	int connections, requests; /**< accepted, and complete so far */
 	behaviour_t behaviour;
 	int status; /**< HTTP status of replies */
+	const char *era; /**< Store-Era of replies; NULL: none */
+	int restored; /**< times that the store came back from a copy */
 	const char *body; /**< body of replies */
 	char request[4096]; /**< last request */
 	size_t size; /**< bytes of an incomplete request; 0: none */
@@ -53,11 +55,13 @@
 
 static void send_reply(const fake_t *fake, int fd)
 {
-	char reply[4096];
+	char reply[4096], era[64] = "";
 
+	if (fake->era)
+		snprintf(era, sizeof(era), "Store-Era: %s\r\n", fake->era);
 	snprintf(reply, sizeof(reply),
-		 "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s", fake->status,
-		 strlen(fake->body), fake->body);
+		 "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n%s",
+		 fake->status, era, strlen(fake->body), fake->body);
 	assert_int_equal(write(fd, reply, strlen(reply)), strlen(reply));
 }
 
@@ -98,9 +102,18 @@
 	ev_io_start(loop, connection);
 }
 
+static void on_restored(void *context)
+{
+	fake_t *fake = context;
+
+	fake->restored++;
+}
+
 static void start(fake_t *fake, int32_t calls_per_s)
 {
-	platform_conf_t conf = { .namespace_name = "ns",
+	platform_conf_t conf = { .restored = on_restored,
+				 .context = fake,
+				 .namespace_name = "ns",
 				 .token = "secret",
 				 .timeout_ms = 200,
 				 .calls_per_s = calls_per_s };
@@ -499,10 +512,78 @@
 	assert_int_equal(fake.done_count, 0);
 }
 
+/* A client that knows era 1 makes a call for version 7; the store, at era 2,
+ * has given out the number again. */
+static void revision_of_an_older_copy_is_used(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		call_t type;
+		bool is_told; /* the client knows of era 2 before the call */
+		const char *era, *body; /* of the answer */
+		platform_status_t expected;
+		int sent; /* requests that reach the store */
+	} plays[] = {
+		{ "a watch that skips changes", WATCH_KIND, false, "2",
+		  EVENTS(""), PLATFORM_CONFLICT, 1 },
+		{ "a watch of one object that skips changes", WATCH, false, "2",
+		  EVENTS(""), PLATFORM_CONFLICT, 1 },
+		{ "a watch that is sent", WATCH_KIND, true, "2", EVENTS(""),
+		  PLATFORM_CONFLICT, 0 },
+		{ "another object that is overwritten", PUT, true, "2", OBJECT,
+		  PLATFORM_CONFLICT, 0 },
+		{ "another object that is deleted", DELETE, true, "2", OBJECT,
+		  PLATFORM_CONFLICT, 0 },
+		{ "a write of another object taken for its own", PUT, false,
+		  "2", OBJECT, PLATFORM_UNKNOWN, 1 },
+		{ "pages of two copies", LIST, false, "2",
+		  "{\"items\":[],\"morePages\":false,\"storeRevision\":9}",
+		  PLATFORM_CONFLICT, 1 },
+		{ "an answer that comes late", GET, true, "1", OBJECT,
+		  PLATFORM_UNKNOWN, 1 },
+		{ "a read that fails without reason", GET, false, "2", OBJECT,
+		  PLATFORM_OK, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(plays); i++) {
+		fake_t fake;
+		int before;
+
+		start(&fake, 100);
+		fake.behaviour = REPLY;
+		fake.status = 200;
+		fake.body = OBJECT;
+		fake.era = "1";
+		call(&fake, GET);
+		run(&fake, 1000);
+		assert_int_equal(fake.object.version, 8);
+		if (plays[i].is_told) {
+			fake.era = "2";
+			call(&fake, GET);
+			run(&fake, 1000);
+			assert_true(fake.object.version > INT32_MAX);
+		}
+		before = fake.requests;
+		fake.era = plays[i].era;
+		fake.body = plays[i].body;
+		call(&fake, plays[i].type);
+		run(&fake, 1000);
+		if (!fake.done || fake.got != plays[i].expected ||
+		    fake.requests - before != plays[i].sent ||
+		    fake.restored != 1)
+			fail_msg("case \"%s\": status %d, %d sent, %d restored",
+				 plays[i].guards_against, fake.got,
+				 fake.requests - before, fake.restored);
+		stop(&fake);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(maps_answers),
+		cmocka_unit_test(revision_of_an_older_copy_is_used),
 		cmocka_unit_test(reads_next_page_and_revision),
 		cmocka_unit_test(sends_writes_once),
 		cmocka_unit_test(parses_vm_list),
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -159,6 +159,40 @@
 	change_log_destroy(log);
 }
 
+/* A receiver and a sender of view updates, of which one has noticed that the
+ * store came back from an older copy. */
+static void changes_after_a_restored_store_are_skipped(void **state)
+{
+	const int64_t later = INT64_C(1) << 40;
+	const struct {
+		const char *guards_against;
+		int64_t own_revision, from, revision;
+		delta_result_t expected;
+	} cases[] = {
+		{ "a sender at a lower revision of a later copy", 164,
+		  later + 160, later + 161, DELTA_LATER },
+		{ "a sender at a higher revision of a later copy", 164,
+		  later + 164, later + 170, DELTA_LATER },
+		{ "a sender that has not noticed", later + 160, 163, 165,
+		  DELTA_EARLIER },
+		{ "a copy after the next", later + 160, 2 * later + 160,
+		  2 * later + 170, DELTA_LATER },
+		{ "the same copy", later + 160, later + 159, later + 161,
+		  DELTA_APPLICABLE },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		view_delta_t view = { .kind = 1,
+				      .from = cases[i].from,
+				      .revision = cases[i].revision };
+
+		if (view_delta_compare(&view, cases[i].own_revision) !=
+		    cases[i].expected)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+	}
+}
+
 /* Compares a receiver at a revision with a log whose changes have the revisions
  * 12, 14 and 14. */
 static void compares_revisions(void **state)
@@ -397,6 +431,7 @@
 		cmocka_unit_test(encodes_as_much_load_as_fits),
 		cmocka_unit_test(encodes_view_update),
 		cmocka_unit_test(compares_revisions),
+		cmocka_unit_test(changes_after_a_restored_store_are_skipped),
 		cmocka_unit_test(keeps_changes_of_a_revision_together),
 		cmocka_unit_test(sends_missing_changes),
 		cmocka_unit_test(combines_two_publishers),
