Test: a sound segment that is always beside one that crashes servers

Without the tie both are blocked; no test saw it (mutation segment_tie was missed, and is caught now).

--- a/tests/test_segment_table.c
+++ b/tests/test_segment_table.c
@@ -598,6 +598,38 @@
 	return now_us;
 }
 
+static segments_state_t state_of(segment_table_t *table, const uint64_t *ids,
+				 size_t count, int64_t now_us)
+{
+	segments_t segments = { ids, count };
+
+	return segment_table_judge(table, &segments, false, now_us).state;
+}
+
+/* Two new segments are in the same prompts, and one of them crashes servers. */
+static void sound_segment_is_blocked_with_another(void **state)
+{
+	static const uint64_t both[] = { 0xe5, BAD };
+	static const segments_t prompt = { both, 2 }, sound = { both, 1 };
+	segment_table_t *table = segment_table_create();
+	int64_t now_us = US_PER_S;
+	uint32_t i;
+
+	for (i = 0; i < KNOWN_CRASHES; i++) {
+		now_us += 300 * US_PER_MS;
+		segment_table_note_crash(table, &prompt, i, now_us);
+	}
+	assert_int_equal(state_of(table, both, 2, now_us), SEGMENTS_BLOCKED);
+	assert_int_equal(state_of(table, both, 1, now_us), SEGMENTS_FREE);
+	segment_table_sent(table, &sound, now_us);
+	assert_int_equal(state_of(table, both, 1, now_us), SEGMENTS_SUSPECT);
+	segment_table_note_harmless(table, &sound, now_us + 1, now_us + 2);
+	assert_int_equal(state_of(table, both, 1, now_us + 3), SEGMENTS_FREE);
+	assert_int_equal(state_of(table, both + 1, 1, now_us + 3),
+			 SEGMENTS_BLOCKED);
+	segment_table_destroy(table);
+}
+
 /* The platform allows three requests after the fifth crash. */
 static void blocked_segment_is_tried_too_often_or_never(void **state)
 {
@@ -680,6 +712,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			segment_crashes_servers_or_sound_prompts_are_lost),
+		cmocka_unit_test(sound_segment_is_blocked_with_another),
 		cmocka_unit_test(blocked_segment_is_tried_too_often_or_never),
 		cmocka_unit_test(segment_that_was_mended_stays_blocked),
 		cmocka_unit_test(memory_grows_with_each_segment),
