Try a blocked segment at one node, whatever its prompts share

The node that tries a blocked segment was chosen by the first segment of the prompt, and counted its trials for itself: prompts that share only the blocked one would have been tried by a node for each first segment, 5 s apart, more often than the platform allows.

The hash is that of the blocked segment, and trials are announced and counted for all nodes. each_node_tries_a_blocked_segment got 6 trials in 200 s before, 3 are allowed; it passes.

--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -66,6 +66,7 @@
 		work__segment__init(segment);
 		segment->id = report->id;
 		segment->blocked = report->is_blocked;
+		segment->trials = to_unit(report->trials, 1);
 		segment->seen_age_ms = to_unit(report->seen_age_us, US_PER_MS);
 		if (report->harmless_age_us >= 0)
 			segment->harmless_age_ms =
@@ -246,6 +247,7 @@
 	segment_report_t report = {
 		.id = packed->id,
 		.is_blocked = packed->blocked,
+		.trials = (int32_t)(packed->trials & INT16_MAX),
 		.seen_age_us = (int64_t)packed->seen_age_ms * US_PER_MS,
 		.harmless_age_us = packed->harmless_age_ms
 					   ? ((int64_t)packed->harmless_age_ms -
--- a/src/process/segment_news.c
+++ b/src/process/segment_news.c
@@ -5,6 +5,7 @@
 	segment_report_t report = {
 		.id = segment->id,
 		.is_blocked = segment->blame == SEGMENT_BLOCKED,
+		.trials = segment->trials,
 		.seen_age_us = now_us - segment->seen_us,
 		.harmless_age_us = segment->own_harmless_us
 					   ? now_us - segment->own_harmless_us
@@ -113,6 +114,8 @@
 				     now_us - report->harmless_age_us);
 	contradict(table, segment, report, now_us);
 	blocked = receive_crashes(table, segment, report, now_us);
+	if (segment->crash_count && segment->trials < report->trials)
+		segment->trials = report->trials;
 	if (!report->is_blocked || !segment->crash_count ||
 	    segment->blame == SEGMENT_BLOCKED)
 		return blocked;
--- a/src/process/segment_state.h
+++ b/src/process/segment_state.h
@@ -35,7 +35,7 @@
 	int64_t seen_us; /* last request with it, at any node */
 	int64_t trial_until_us; /* another request with it waits until then */
 	int64_t last_trial_us;
-	int32_t trials; /* while it was blocked */
+	int32_t trials; /* of any node, while it was blocked */
 	int64_t announce_until_us;
 	UT_hash_handle hh;
 	struct segment *prev, *next; /* in the list of blamed ones */
--- a/src/process/segment_table.c
+++ b/src/process/segment_table.c
@@ -210,6 +210,13 @@
 	return in_us > 0 ? in_us : 0;
 }
 
+void segment_announce(segment_table_t *table, segment_t *segment,
+		      int64_t now_us)
+{
+	segment->announce_until_us = now_us + ANNOUNCE_US;
+	table->announce_until_us = segment->announce_until_us;
+}
+
 static segments_verdict_t make_verdict(segments_state_t state,
 				       const segment_t *segment,
 				       int64_t retry_us, int64_t now_us)
@@ -224,7 +231,8 @@
 }
 
 segments_verdict_t segment_table_judge(segment_table_t *table,
-				       const segments_t *segments, bool tries,
+				       const segments_t *segments,
+				       const limit_nodes_t *nodes,
 				       int64_t now_us)
 {
 	segments_verdict_t verdict = { .state = SEGMENTS_FREE };
@@ -238,7 +246,9 @@
 			continue;
 		segment->seen_us = now_us;
 		wait_us = trial_in_us(segment, now_us);
-		if (segment->blame == SEGMENT_BLOCKED && (wait_us || !tries))
+		if (segment->blame == SEGMENT_BLOCKED &&
+		    (wait_us ||
+		     !limit_nodes_is_first(nodes, (uint32_t)segment->id)))
 			return make_verdict(SEGMENTS_BLOCKED, segment,
 					    wait_us + TRIAL_US, now_us);
 		/* One of them crashes servers. */
@@ -268,12 +278,13 @@
 			continue;
 		segment->trial_until_us = now_us + TRIAL_US;
 		segment->last_trial_us = now_us;
+		segment_announce(table, segment, now_us);
 		segment->trials += segment->blame == SEGMENT_BLOCKED;
 	}
 }
 
-uint64_t segment_table_blames(const segment_table_t *table,
-			      const segments_t *segments)
+bool segment_table_blames(const segment_table_t *table,
+			  const segments_t *segments)
 {
 	size_t i;
 
@@ -302,13 +313,6 @@
 	return false;
 }
 
-void segment_announce(segment_table_t *table, segment_t *segment,
-		      int64_t now_us)
-{
-	segment->announce_until_us = now_us + ANNOUNCE_US;
-	table->announce_until_us = segment->announce_until_us;
-}
-
 void segment_add_crashes(segment_table_t *table, const segments_t *segments,
 			 segment_crash_t crash, int64_t now_us)
 {
--- a/src/process/segment_table.h
+++ b/src/process/segment_table.h
@@ -23,6 +23,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "process/limit_share.h"
+
 enum {
 	/** Crashes of a segment that are kept; the oldest are dropped. */
 	SEGMENT_CRASHES_MAX = 16,
@@ -49,6 +51,7 @@
 typedef struct {
 	uint64_t id;
 	bool is_blocked;
+	int32_t trials; /**< of any node, while it was blocked */
 	int64_t seen_age_us; /**< time since the last request with it */
 	int64_t harmless_age_us; /**< time since a server that went on writing
 				  * began to, for the sender; negative: none */
@@ -78,10 +81,11 @@
 
 /**
  * Judges a prompt before it is sent to a server.
- * @param tries this node may try blocked segments, for all nodes
+ * @param nodes one of them, by hash, tries a blocked segment for all
  */
 segments_verdict_t segment_table_judge(segment_table_t *table,
-				       const segments_t *segments, bool tries,
+				       const segments_t *segments,
+				       const limit_nodes_t *nodes,
 				       int64_t now_us);
 /** Notes that a prompt that may be sent is sent. */
 void segment_table_sent(segment_table_t *table, const segments_t *segments,
@@ -127,8 +131,8 @@
 uint64_t segment_table_receive(segment_table_t *table,
 			       const segment_report_t *report, int64_t now_us);
 /** @return true if a server ended under a request with one of the segments. */
-uint64_t segment_table_blames(const segment_table_t *table,
-			      const segments_t *segments);
+bool segment_table_blames(const segment_table_t *table,
+			  const segments_t *segments);
 /**
  * Judges anew what time has made clear, forgets segments that no request had
  * for long, and takes servers as alive that had an answer with an unclear end
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -754,7 +754,7 @@
   (ProtobufCMessageInit) work__announcement__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__segment__field_descriptors[6] =
+static const ProtobufCFieldDescriptor work__segment__field_descriptors[7] =
 {
   {
     "id",
@@ -828,6 +828,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "trials",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Segment, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__segment__field_indices_by_name[] = {
   5,   /* field[5] = ages_ms */
@@ -836,11 +848,12 @@
   0,   /* field[0] = id */
   2,   /* field[2] = seen_age_ms */
   4,   /* field[4] = servers */
+  6,   /* field[6] = trials */
 };
 static const ProtobufCIntRange work__segment__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor work__segment__descriptor =
 {
@@ -850,7 +863,7 @@
   "Work__Segment",
   "work",
   sizeof(Work__Segment),
-  6,
+  7,
   work__segment__field_descriptors,
   work__segment__field_indices_by_name,
   1,  work__segment__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -156,10 +156,14 @@
   uint32_t *servers;
   size_t n_ages_ms;
   uint32_t *ages_ms;
+  /*
+   * requests with it that were sent while it was blocked
+   */
+  uint32_t trials;
 };
 #define WORK__SEGMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__segment__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/src/request/forward_segments.c
+++ b/src/request/forward_segments.c
@@ -19,11 +19,9 @@
 {
 	gateway_t *gateway = forward->gateway;
 	segments_t segments = segments_of(forward);
-	uint64_t first = segments.count ? segments.ids[0] : 0;
-	bool tries = limit_nodes_is_first(backends_nodes(gateway->backends),
-					  (uint32_t)first);
 
-	return segment_table_judge(gateway->segments, &segments, tries,
+	return segment_table_judge(gateway->segments, &segments,
+				   backends_nodes(gateway->backends),
 				   clock_monotonic_us());
 }
 
--- a/tests/test_segment_table.c
+++ b/tests/test_segment_table.c
@@ -72,6 +72,7 @@
 typedef struct {
 	const day_t *day;
 	segment_table_t *tables[NODES_MAX];
+	limit_nodes_t nodes[NODES_MAX];
 	int64_t disturbed_us[NODES_MAX];
 	int start[SERVERS]; /* counts the starts of each server */
 	int64_t down_until_us[SERVERS];
@@ -171,8 +172,7 @@
 
 	run->used = false;
 	if (!is_older(fleet, run->node) &&
-	    segment_table_judge(table, &segments,
-				run->node == fleet->day->nodes - 1,
+	    segment_table_judge(table, &segments, &fleet->nodes[run->node],
 				fleet->now_us)
 			    .state != SEGMENTS_FREE)
 		return;
@@ -425,6 +425,18 @@
 	return broken;
 }
 
+static void set_nodes(fleet_t *fleet)
+{
+	uint64_t hashes[NODES_MAX];
+	int i, count = fleet->day->nodes;
+
+	for (i = 0; i < count; i++)
+		hashes[i] = 7919 * (uint64_t)(i + 1);
+	for (i = 0; i < count; i++)
+		limit_nodes_set(&fleet->nodes[i], hashes, (size_t)count,
+				hashes[i], 1);
+}
+
 #define MIDDLE                  \
 	{                       \
 		0xa1, BAD, 0xc2 \
@@ -566,12 +578,15 @@
 			memset(&fleet, 0, sizeof(fleet));
 			fleet.day = &day;
 			fleet.random = seed;
+			set_nodes(&fleet);
 			for (j = 0; j < day.nodes; j++)
 				fleet.tables[j] = segment_table_create();
 			play(&fleet);
 			broken += check(&fleet, seed);
 			for (j = 0; j < day.nodes; j++)
 				segment_table_destroy(fleet.tables[j]);
+			for (j = 0; j < day.nodes; j++)
+				limit_nodes_clear(&fleet.nodes[j]);
 		}
 	assert_int_equal(broken, 0);
 }
@@ -579,6 +594,13 @@
 static const uint64_t bad[] = { 0xa1, BAD };
 static const segments_t bad_prompt = { bad, 2 };
 
+/* A node that stands for each hash, and one that does for none. */
+static uint64_t alone_hash = 1;
+static const limit_nodes_t alone = { .hashes = &alone_hash,
+				     .count = 1,
+				     .own = 1 };
+static const limit_nodes_t others = { .hashes = NULL };
+
 /* Crashes servers one after the other until the segment is blocked.
  * @return the time after it */
 static int64_t block(segment_table_t *table, int64_t now_us)
@@ -593,7 +615,7 @@
 		segment_table_note_crash(table, &bad_prompt, i, now_us);
 	}
 	assert_int_equal(
-		segment_table_judge(table, &bad_prompt, false, now_us).state,
+		segment_table_judge(table, &bad_prompt, &others, now_us).state,
 		SEGMENTS_BLOCKED);
 	return now_us;
 }
@@ -603,7 +625,7 @@
 {
 	segments_t segments = { ids, count };
 
-	return segment_table_judge(table, &segments, false, now_us).state;
+	return segment_table_judge(table, &segments, &others, now_us).state;
 }
 
 /* Two new segments are in the same prompts, and one of them crashes servers. */
@@ -640,7 +662,7 @@
 	for (end_us = now_us + 86400 * US_PER_S; now_us < end_us;
 	     now_us += US_PER_S) {
 		segment_table_expire(table, now_us);
-		if (segment_table_judge(table, &bad_prompt, true, now_us)
+		if (segment_table_judge(table, &bad_prompt, &alone, now_us)
 			    .state != SEGMENTS_FREE)
 			continue;
 		segment_table_sent(table, &bad_prompt, now_us);
@@ -652,6 +674,47 @@
 	segment_table_destroy(table);
 }
 
+/* Prompts with the segment have any others, and come at any node. */
+static void each_node_tries_a_blocked_segment(void **state)
+{
+	enum { NODES = 6, STEPS = 200 };
+	static fleet_t fleet;
+	const day_t day = { .nodes = NODES };
+	int i, step, tried = 0;
+	int64_t now_us = US_PER_S, start_us = 0;
+
+	memset(&fleet, 0, sizeof(fleet));
+	fleet.day = &day;
+	set_nodes(&fleet);
+	for (i = 0; i < NODES; i++) {
+		fleet.tables[i] = segment_table_create();
+		start_us = block(fleet.tables[i], now_us);
+	}
+	for (step = 0; step < STEPS; step++) {
+		uint64_t ids[] = { 0x100 + (uint64_t)step, BAD };
+		segments_t prompt = { ids, 2 };
+		segment_table_t *table = fleet.tables[step % NODES];
+
+		fleet.now_us = start_us + step * US_PER_S;
+		for (i = 0; i < NODES; i++)
+			announce(&fleet, i);
+		if (segment_table_judge(table, &prompt,
+					&fleet.nodes[step % NODES],
+					fleet.now_us)
+			    .state != SEGMENTS_FREE)
+			continue;
+		segment_table_sent(table, &prompt, fleet.now_us);
+		segment_table_note_crash(table, &prompt, 1000 + (uint32_t)step,
+					 fleet.now_us);
+		tried++;
+	}
+	assert_in_range(tried, 1, ALLOWED);
+	for (i = 0; i < NODES; i++) {
+		segment_table_destroy(fleet.tables[i]);
+		limit_nodes_clear(&fleet.nodes[i]);
+	}
+}
+
 static void segment_that_was_mended_stays_blocked(void **state)
 {
 	static const struct {
@@ -668,7 +731,7 @@
 		now_us += 700 * US_PER_S;
 		if (cases[i].asks) {
 			assert_int_equal(segment_table_judge(table, &bad_prompt,
-							     true, now_us)
+							     &alone, now_us)
 						 .state,
 					 SEGMENTS_FREE);
 			segment_table_sent(table, &bad_prompt, now_us);
@@ -676,7 +739,7 @@
 						    now_us + US_PER_S);
 		}
 		segment_table_expire(table, now_us);
-		if (segment_table_judge(table, &bad_prompt, false, now_us)
+		if (segment_table_judge(table, &bad_prompt, &others, now_us)
 			    .state != SEGMENTS_FREE)
 			fail_msg("case \"%s\"", cases[i].guards_against);
 		segment_table_destroy(table);
@@ -702,7 +765,7 @@
 	}
 	assert_in_range(segment_table_size(table), 1, KEPT_MAX);
 	assert_int_equal(
-		segment_table_judge(table, &bad_prompt, false, now_us).state,
+		segment_table_judge(table, &bad_prompt, &others, now_us).state,
 		SEGMENTS_BLOCKED);
 	segment_table_destroy(table);
 }
@@ -714,6 +777,7 @@
 			segment_crashes_servers_or_sound_prompts_are_lost),
 		cmocka_unit_test(sound_segment_is_blocked_with_another),
 		cmocka_unit_test(blocked_segment_is_tried_too_often_or_never),
+		cmocka_unit_test(each_node_tries_a_blocked_segment),
 		cmocka_unit_test(segment_that_was_mended_stays_blocked),
 		cmocka_unit_test(memory_grows_with_each_segment),
 	};
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -35,6 +35,7 @@
 			     .rate_count = 2,
 			     .segments = { { .id = 0xbad0,
 					     .is_blocked = true,
+					     .trials = 2,
 					     .seen_age_us = MS(9),
 					     .harmless_age_us = -1,
 					     .crashes = { { 7, MS(30) },
