--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -36,9 +36,9 @@
 	"\"usual\":{\"prompt\":5000,\"answer\":100}}"
 #define ACCOUNTS "[{\"name\":\"acme\",\"keys\":[\"" FIXTURE_KEY "\"]}]"
 
-/* The first argument is more of the service "s". */
+/* The arguments are the version, and more of the service "s". */
 static const char configuration[] =
-	"{\"version\":3,\"routes\":[" SAFE "," ONCE "," OPEN "," STREAM
+	"{\"version\":%d,\"routes\":[" SAFE "," ONCE "," OPEN "," STREAM
 	"," SINGLE "," LONG "],\"services\":[{\"name\":\"s\"%s},"
 	"{\"name\":\"m\",\"engine\":" ENGINE "}],"
 	"\"limits\":{\"bodyBytes\":4000},\"tenants\":" ACCOUNTS "}";
@@ -78,6 +78,9 @@
 	char text[sizeof(configuration) + 32];
 
 	snprintf(text, sizeof(text), configuration,
+		 fixture->configuration_version
+			 ? (int)fixture->configuration_version
+			 : 3,
 		 fixture->has_health ? ",\"healthPath\":\"/health\"" : "");
 	return json_loads(text, 0, NULL);
 }
@@ -107,11 +110,14 @@
 	return items;
 }
 
-static void reply_json(exchange_t *exchange, int status, json_t *json)
+static void reply_json(const gateway_fixture_t *fixture, exchange_t *exchange,
+		       int status, json_t *json)
 {
 	char *text = json_dumps(json, 0);
+	reply_header_t header = { "Store-Era", fixture->era };
 
-	exchange_reply(exchange, status, NULL, 0, text, strlen(text));
+	exchange_reply(exchange, status, &header, fixture->era != NULL, text,
+		       strlen(text));
 	free(text);
 	json_decref(json);
 }
@@ -130,7 +136,7 @@
 		    now_us - fixture->watched_us[i] < WATCH_MS * US_PER_MS)
 			continue;
 		fixture->watches[i] = NULL;
-		reply_json(exchange, 200,
+		reply_json(fixture, exchange, 200,
 			   json_pack("{s:[],s:i}", "events", "storeRevision",
 				     9));
 	}
@@ -186,7 +192,7 @@
 			 sizeof(fixture->duty_calls[0]), "%s %s %s %s",
 			 exchange_path(call->exchange), holder, token,
 			 call->body);
-	reply_json(call->exchange, fixture->duties_fail ? 503 : 200,
+	reply_json(fixture, call->exchange, fixture->duties_fail ? 503 : 200,
 		   json_object());
 	return true;
 }
@@ -201,22 +207,25 @@
 		return;
 	if (!strstr(exchange_path(exchange), "chivestage-"))
 		fixture->view_calls++;
+	if (!strcmp(exchange_path(exchange), "/objects/chivestage-vms") &&
+	    !strcmp(exchange_method(exchange), "POST"))
+		fixture->registrations++;
 	if (fixture->store_refuses)
-		reply_json(exchange, 503, json_object());
+		reply_json(fixture, exchange, 503, json_object());
 	else if (fixture->store_silent ||
 		 strstr(exchange_query(exchange), "watch="))
 		hold_exchange(fixture, exchange);
 	else if (strstr(exchange_path(exchange), "chivestage-leases/") &&
 		 !strcmp(exchange_method(exchange), "GET"))
-		reply_json(exchange, 404, json_object());
+		reply_json(fixture, exchange, 404, json_object());
 	else if (!strcmp(exchange_method(exchange), "GET"))
 		reply_json(
-			exchange, 200,
+			fixture, exchange, 200,
 			json_pack("{s:o,s:b,s:i}", "items",
 				  list_items(fixture, exchange_path(exchange)),
 				  "morePages", 0, "storeRevision", 9));
 	else
-		reply_json(exchange, 201,
+		reply_json(fixture, exchange, 201,
 			   json_pack("{s:{s:s,s:i},s:{}}", "meta", "name", "n",
 				     "revision", 9, "spec"));
 }
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -72,6 +72,9 @@
 	bool store_refuses; /**< answers all calls with 503 */
 	/** Calls to the store, without those for the list of nodes. */
 	int view_calls;
+	const char *era; /**< Store-Era of the store's answers; NULL: none */
+	int registrations; /**< entries that the gateway created for itself */
+	int64_t configuration_version; /**< 0: 3 */
 	bool no_configuration;
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
 	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -465,6 +465,47 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/* The copy lacks the entries of this node and of the others. */
+static void nodes_are_lost_with_a_restored_store(void **state)
+{
+	gateway_fixture_t fixture = { .era = "1", .other_nodes = 3 };
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	gateway_fixture_run(&fixture, 1000);
+	assert_int_equal(fixture.registrations, 1);
+	assert_int_equal(fixture.gateway->nodes, 4);
+	fixture.era = "2";
+	fixture.other_nodes = 0;
+	gateway_fixture_run(&fixture, 1800);
+	assert_int_equal(fixture.registrations, 2);
+	assert_int_equal(fixture.gateway->nodes, 4);
+	gateway_fixture_stop(&fixture);
+}
+
+/* The copy has an older configuration, until the newer one is written again. */
+static void restored_store_confirms_an_older_configuration(void **state)
+{
+	gateway_fixture_t fixture = { .era = "1", .configuration_version = 7 };
+	const view_t *view;
+	int64_t confirmed_us;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	view = &fixture.gateway->views[0];
+	fixture.configuration_version = 5;
+	fixture.era = "2";
+	gateway_fixture_run(&fixture, 600);
+	confirmed_us = view->confirmed_boot_us;
+	gateway_fixture_run(&fixture, 600);
+	assert_int_equal(gateway_routing_version(fixture.gateway), 7);
+	assert_int_equal(view->confirmed_boot_us, confirmed_us);
+	fixture.configuration_version = 7;
+	gateway_fixture_run(&fixture, 600);
+	assert_true(view->confirmed_boot_us > confirmed_us);
+	gateway_fixture_stop(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -476,6 +517,9 @@
 		cmocka_unit_test(tells_a_lone_node_from_a_partitioned_one),
 		cmocka_unit_test(announces_to_new_nodes_at_once),
 		cmocka_unit_test(retries_soon_while_others_are_served),
+		cmocka_unit_test(nodes_are_lost_with_a_restored_store),
+		cmocka_unit_test(
+			restored_store_confirms_an_older_configuration),
 		cmocka_unit_test(lists_again_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(tracks_changes_per_node),
