Log what each request asks for

Nodes could not tell whether two requests are the same one, sent again: the ids differ. Nothing acts on it.

--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -10,6 +10,7 @@
 #include "base/mem.h"
 #include "base/metrics.h"
 #include "platform/headers.h"
+#include "request/content_id.h"
 #include "request/forward_state.h"
 
 enum {
@@ -40,12 +41,13 @@
 	int64_t now_us = clock_monotonic_us();
 
 	log_event(EVENT_REQUEST_ENDED,
-		  "request=%s route=%s account=%s status=%d outcome=%s "
+		  "request=%s content=%" PRIx64
+		  " route=%s account=%s status=%d outcome=%s "
 		  "sends=%zu runs=%d events=%" PRId64 " first_event_ms=%" PRId64
 		  " gap_max_ms=%" PRId64 " total_ms=%" PRId64
 		  " config=%" PRId64,
 		  *forward->request.id ? forward->request.id : "-",
-		  forward->route ? forward->route->name : "-",
+		  forward->content, forward->route ? forward->route->name : "-",
 		  forward->account ? forward->account->name : "-", status,
 		  outcome, forward->tried_count, forward->runs,
 		  forward->event_count,
@@ -274,6 +276,12 @@
 
 	if (forward->phase != FORWARD_RECEIVING)
 		return;
+	forward->content =
+		content_id(forward->account ? forward->account->name : NULL,
+			   exchange_method(forward->exchange),
+			   exchange_path(forward->exchange),
+			   exchange_query(forward->exchange), forward->body,
+			   forward->body_bytes);
 	forward_place(forward);
 }
 
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -68,6 +68,7 @@
 	const account_conf_t *account; /**< NULL: public route */
 	char *body;
 	size_t body_bytes, body_capacity;
+	uint64_t content; /**< content id; 0: the body is not complete */
 	int64_t received_us; /**< when the headers arrived */
 	int64_t limit_us; /**< when the final answer is due */
 	backend_t *tried[SERVERS_TRIED_MAX]; /**< server of each attempt,
--- a/src/request/parse.c
+++ b/src/request/parse.c
@@ -1,10 +1,10 @@
 #include "request/parse.h"
 
-#include <sodium.h>
 #include <string.h>
 #include <strings.h>
 
 #include "base/mem.h"
+#include "request/content_id.h"
 
 static bool refuse(err_t *err, refusal_t refusal, const char *message)
 {
@@ -124,17 +124,7 @@
 			const void *body, size_t size,
 			uint8_t hash[REQUEST_HASH_SIZE_BYTES])
 {
-	const char *const inputs[] = { method, path, query };
-	crypto_generichash_state state;
-	size_t i;
+	const char *const texts[] = { method, path, query };
 
-	crypto_generichash_init(&state, NULL, 0, REQUEST_HASH_SIZE_BYTES);
-	for (i = 0; i < sizeof(inputs) / sizeof(inputs[0]); i++)
-		/* The NUL separates the inputs from each other. */
-		crypto_generichash_update(&state,
-					  (const unsigned char *)inputs[i],
-					  strlen(inputs[i]) + 1);
-	if (size)
-		crypto_generichash_update(&state, body, size);
-	crypto_generichash_final(&state, hash, REQUEST_HASH_SIZE_BYTES);
+	content_hash(texts, sizeof(texts) / sizeof(texts[0]), body, size, hash);
 }
