Failing tests: a request that crashes server after server

test_gateway_crashes, same_request_crashes_servers_without_end: ten kinds of requests (lookups, calls that run at most once, a public route, streams, answers without length or chunks), each sent 14 times under other ids beside sound ones with the same path or the same body.

--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -25,6 +25,7 @@
 	FOREIGN, /**< answer to another request */
 	BREAKS_OFF, /**< breaks off in the body, or in the middle of an event */
 	ENDS_EARLY, /**< ends a stream after its second event */
+	ENDS_UNFRAMED, /**< ends early, in an answer without length or chunks */
 	REPEATS, /**< sends events that the caller already has, then the rest */
 	GARBAGE, /**< sends bytes that are not an HTTP answer */
 	ENDLESS_HEAD, /**< sends header lines without end */
@@ -82,7 +83,9 @@
 	 * they ended, instead of following the script; NULL: none. */
 	const char *crash_text;
 	bool has_health; /**< service "s" has a health path, /health */
-	server_act_t crash_act; /**< how: CLOSES, BREAKS_OFF or ENDS_EARLY */
+	/** How: CLOSES, BREAKS_OFF, ENDS_EARLY or ENDS_UNFRAMED. */
+	server_act_t crash_act;
+	int64_t crash_down_ms; /**< closes all connections for so long */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
@@ -95,6 +98,7 @@
 		/** Rate of requests that the server states in whole answers;
 		 * NULL: none. */
 		const char *rate;
+		int64_t down_until_us;
 	} servers[2];
 	/** Script: act for each arrival, in order; SERVES after the last. */
 	server_act_t acts[ACTS_MAX];
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -81,7 +81,8 @@
 {
 	const char *text = connection->arrival->text;
 	bool stream = strstr(text, " /stream/") || strstr(text, " /single/");
-	bool half = connection->act == BREAKS_OFF;
+	bool half = connection->act == BREAKS_OFF ||
+		    (!stream && connection->act == ENDS_UNFRAMED);
 	const char *rate =
 		connection->fixture->servers[connection->arrival->server].rate;
 	char last[16] = "0", extra[64] = "";
@@ -94,8 +95,10 @@
 	if (connection->act == REPEATS)
 		strcpy(last, "0");
 	send_head(fd, id, stream ? "text/event-stream" : "text/plain",
-		  stream ? 0 : 10, connection->act != UNSEALED, extra);
-	if (stream && connection->act == ENDS_EARLY)
+		  stream || connection->act == ENDS_UNFRAMED ? 0 : 10,
+		  connection->act != UNSEALED, extra);
+	if (stream &&
+	    (connection->act == ENDS_EARLY || connection->act == ENDS_UNFRAMED))
 		send_text(fd, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
 	else if (stream)
 		send_events(fd, atoi(last) + 1, half);
@@ -166,6 +169,7 @@
 	case UNSEALED:
 	case BREAKS_OFF:
 	case ENDS_EARLY:
+	case ENDS_UNFRAMED:
 	case REPEATS:
 	case SAYS_LEAVING:
 		serve(connection, fd, id);
@@ -230,6 +234,23 @@
 	return body && strlen(body + 4) >= strtoul(length, NULL, 10);
 }
 
+/* Ends the server if the request crashes it, or while it is down. */
+static void crash(connection_t *connection)
+{
+	gateway_fixture_t *fixture = connection->fixture;
+	struct server *server = &fixture->servers[connection->arrival->server];
+	int64_t now_us = clock_monotonic_us();
+
+	if (now_us < server->down_until_us) {
+		connection->act = CLOSES;
+	} else if (fixture->crash_text &&
+		   strstr(connection->arrival->text, fixture->crash_text)) {
+		connection->act = fixture->crash_act;
+		server->down_until_us =
+			now_us + fixture->crash_down_ms * US_PER_MS;
+	}
+}
+
 static void on_server_readable(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	connection_t *connection = watcher->data;
@@ -246,9 +267,7 @@
 	if (connection->answered || !is_whole(arrival->text))
 		return;
 	connection->answered = true;
-	if (connection->fixture->crash_text &&
-	    strstr(arrival->text, connection->fixture->crash_text))
-		connection->act = connection->fixture->crash_act;
+	crash(connection);
 	if (!act(connection, watcher->fd))
 		close_connection(connection);
 }
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -159,7 +159,7 @@
 			       "DENIED %s: status %d with a valid key",
 			       record->id, status);
 	check_time(call, end);
-	if (!revoked && record->crash_segment < 0)
+	if (!revoked && record->crash_cause < 0)
 		count(call, end, status);
 	free(call);
 }
@@ -206,11 +206,8 @@
 				     .on_end = on_end,
 				     .context = call };
 	client_request_t request = {
-		.method = record->path == 'o' ? "POST" : "GET",
 		.url = url,
 		.headers = headers,
-		.body = record->path == 'o' ? "order" : NULL,
-		.body_size_bytes = record->path == 'o' ? 5 : 0,
 		.connect_timeout_ms = 1000,
 		.total_timeout_ms = DEADLINE_MS + 2 * ANSWER_SLACK_MS,
 		/* Only repeatable requests (path s) may use a connection
@@ -232,6 +229,9 @@
 		 1000 + (int)soak_random(soak, 8000));
 	crashes_choose(soak, record, segments + strlen(segments),
 		       sizeof(segments) - strlen(segments));
+	request.method = *record->body ? "POST" : "GET";
+	request.body = *record->body ? record->body : NULL;
+	request.body_size_bytes = strlen(record->body);
 	soak->counts.sent++;
 	client_call(soak->client, &request, &handler);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -160,6 +160,8 @@
 		  "servers state rates of requests, and restart", NULL },
 		{ "prompt-crashes", 0, POPT_ARG_NONE, &soak.prompt_crashes, 0,
 		  "some segments of prompts crash servers", NULL },
+		{ "request-crashes", 0, POPT_ARG_NONE, &soak.request_crashes, 0,
+		  "some requests crash servers, and come again", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -76,8 +76,10 @@
 	reply_header_t headers[HEADERS_MAX];
 	size_t count = answer_headers(run, headers, rate);
 
+	if (crashes_server(run->server,
+			   callers_find(run->server->soak, run->id)))
+		return;
 	headers[count++] = (reply_header_t){ "X-Server-Seal", run->server->id };
-
 	snprintf(body, sizeof(body), "answer to %s", run->id);
 	finish(run);
 	if (run->outcome == COMPLETE)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -36,6 +36,8 @@
 				  which on the node must meet all limits */
 	DEADLINE_MS = 4000, /* time limit of each request */
 	CRASH_SEGMENTS = 2, /* segments of prompts that crash servers */
+	CRASH_REQUESTS = 3, /* requests, sent again and again, that do */
+	CRASH_CAUSES = CRASH_SEGMENTS + CRASH_REQUESTS,
 	RATE_ARRIVALS_MAX = 256 /* counted arrivals that a server remembers */
 };
 
@@ -111,8 +113,10 @@
 	char path; /* s: repeatable, o: runs at most once, t: stream */
 	int key; /* index of the caller's key; -1: none */
 	const node_t *node; /* node that got the request */
-	int crash_segment; /* index of the segment of its prompt that crashes
-			      servers; -1: none */
+	int crash_cause; /* what crashes servers: the index of a segment of its
+			    prompt, or from CRASH_SEGMENTS on the request
+			    itself; -1: nothing */
+	char body[16]; /* empty: none */
 	int64_t sent_us;
 	int32_t runs; /* times that a server began to run the request */
 	bool refused; /* the answer promised that the request was not run */
@@ -120,11 +124,11 @@
 	UT_hash_handle hh;
 } request_record_t;
 
-/** What servers got of prompts with one segment that crashes them. */
+/** What servers got of one cause that crashes them. */
 typedef struct {
 	int crashes; /* of servers */
 	int64_t known_us; /* when the last crash came that nodes may need to
-			     know the segment; 0: not yet */
+			     know the cause; 0: not yet */
 	int late_arrivals; /* requests that the rule allows only few of */
 } crash_log_t;
 
@@ -166,7 +170,8 @@
 	uint64_t rates_random; /* state of the generator for rates */
 	int prompt_crashes; /* prompts with some segments crash servers */
 	uint64_t crashes_random; /* state of the generator for these */
-	crash_log_t crashes[CRASH_SEGMENTS];
+	int request_crashes; /* some requests crash servers */
+	crash_log_t crashes[CRASH_CAUSES];
 	int store_restores; /* the store comes back from copies */
 	uint64_t restores_random; /* state of the generator for these */
 	bool restoring; /* the store is away until it does */
@@ -255,14 +260,15 @@
 
 /* crashes.c */
 void crashes_start(soak_t *soak);
-/** Chooses the segments of a prompt, as the value of X-Prefix-Hash. */
+/** Chooses the body of a request and the segments of its prompt, as the value
+ * of X-Prefix-Hash. */
 void crashes_choose(soak_t *soak, request_record_t *record, char *text,
 		    size_t size);
 /** Checks, when a request arrives, whether it was to be kept from servers. */
 void crashes_arrival(soak_t *soak, const request_record_t *record);
 /**
- * Crashes the server that begins to write an answer to @p record, if a segment
- * of its prompt does so.
+ * Crashes the server that begins to write an answer to @p record, if the
+ * request, or a segment of its prompt, does so.
  * @return true if it crashed
  */
 bool crashes_server(server_t *server, const request_record_t *record);
--- a/tests/test_gateway_crashes.c
+++ b/tests/test_gateway_crashes.c
@@ -137,9 +137,93 @@
 	}
 }
 
+/* Sends a request whose body is @p body, under an id of its own. */
+static void call_with_body(gateway_fixture_t *fixture, reply_t *reply,
+			   const char *path, const char *body, int number)
+{
+	char prefix[64], id[40];
+	const char *headers[] = { "Host: h",
+				  id,
+				  "X-Deadline-Ms: 1400",
+				  prefix,
+				  FIXTURE_AUTHORIZATION,
+				  NULL };
+
+	snprintf(id, sizeof(id), "X-Request-Id: r%d", number);
+	snprintf(prefix, sizeof(prefix), "X-Prefix-Hash: a1:8,e%d:9", number);
+	gateway_fixture_call(fixture, reply, "POST", path, headers, body);
+	assert_true(gateway_fixture_wait(fixture, reply, 1600));
+}
+
+/* The platform allows three requests after the third crash. */
+static void same_request_crashes_servers_without_end(void **state)
+{
+	enum { REQUEST_CRASHES = 3 };
+	static const struct {
+		const char *guards_against, *path, *sound_path;
+		const char *body, *sound_body, *crash_text;
+		server_act_t act;
+	} cases[] = {
+		{ "lookup, other body", "/safe/x", "/safe/x", "bad1:", "sound",
+		  "bad1:", CLOSES },
+		{ "lookup, other path", "/safe/bad1", "/safe/x", "body", "body",
+		  "/bad1", CLOSES },
+		{ "lookup that breaks off", "/safe/x", "/safe/x",
+		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		{ "other query", "/safe/x?bad1", "/safe/x?good", "body", "body",
+		  "?bad1", CLOSES },
+		{ "call that runs at most once", "/once/x", "/once/x",
+		  "bad1:", "sound", "bad1:", CLOSES },
+		{ "public route", "/open/x", "/open/x", "bad1:", "sound",
+		  "bad1:", CLOSES },
+		{ "stream that may resume", "/stream/x", "/stream/x",
+		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		{ "stream that may not", "/single/x", "/single/x",
+		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		{ "answer without length or chunks", "/safe/x", "/safe/x",
+		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED },
+		{ "stream without length or chunks", "/stream/x", "/stream/x",
+		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED },
+	};
+	size_t i;
+	int j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { .crash_text = cases[i].crash_text,
+					      .has_health = true,
+					      .crash_down_ms = PAUSE_MS / 2,
+					      .crash_act = cases[i].act };
+		reply_t reply;
+		int refused = 0, served = 0;
+		size_t count;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		for (j = 0; j < REQUESTS; j++) {
+			call_with_body(&fixture, &reply, cases[i].path,
+				       cases[i].body, 2 * j);
+			refused += reply.status == 503 &&
+				   strstr(reply.headers, "Retry-After: ");
+			restart_servers(&fixture);
+			call_with_body(&fixture, &reply, cases[i].sound_path,
+				       cases[i].sound_body, 2 * j + 1);
+			served += reply.status == 200;
+		}
+		count = crashes(&fixture);
+		if (count > REQUEST_CRASHES + AFTER_CRASHES_MAX)
+			fail_msg("case \"%s\": %zu crashes",
+				 cases[i].guards_against, count);
+		if (refused < REQUESTS - (int)count || served < REQUESTS - 2)
+			fail_msg("case \"%s\": %d refused, %d served",
+				 cases[i].guards_against, refused, served);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(same_request_crashes_servers_without_end),
 		cmocka_unit_test(servers_crash_on_without_end),
 	};
 
