--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -132,9 +132,12 @@
 	message->rate_count =
 		server_rates_list(backends_rates(gateway->backends),
 				  message->rates, ANNOUNCED_RATES_MAX, now_us);
-	message->segment_count =
-		segment_table_list(gateway->segments, message->segments,
-				   ANNOUNCED_SEGMENTS_MAX, now_us);
+	message->segment_count = segment_table_list(
+		gateway->segments, CAUSE_SEGMENT, message->segments,
+		ANNOUNCED_SEGMENTS_MAX, now_us);
+	message->content_count = segment_table_list(
+		gateway->segments, CAUSE_CONTENT, message->contents,
+		ANNOUNCED_CONTENTS_MAX, now_us);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
@@ -193,30 +196,16 @@
 			  (1 - ANNOUNCE_IDLE_MIN_SHARE) * fraction);
 }
 
-static void set_segment_metrics(const gateway_t *gateway)
-{
-	size_t suspects;
-	size_t blocked = segment_table_count(gateway->segments, &suspects);
-
-	metrics_set(METRIC_SEGMENTS_BLOCKED, (int64_t)blocked);
-	metrics_set(METRIC_SEGMENTS_SUSPECT, (int64_t)suspects);
-}
-
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
 	int64_t now_us = clock_monotonic_us();
 	double idle_us = (double)gateway_announce_pause_us(gateway) *
 			 ANNOUNCE_IDLE_MIN_SHARE;
-	uint64_t blocked;
 
 	load_table_expire(gateway->load_table, now_us);
 	server_rates_expire(backends_rates(gateway->backends), now_us);
-	blocked = segment_table_expire(gateway->segments, now_us);
-	if (blocked)
-		log_event(EVENT_SEGMENT_BLOCKED,
-			  "segment=%" PRIx64 " source=settled", blocked);
-	set_segment_metrics(gateway);
+	gateway_check_crashes(gateway, now_us);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <stdio.h>
 
 #include "base/clock.h"
 #include "base/log.h"
@@ -7,6 +8,9 @@
 #include "process/gateway_state.h"
 #include "process/packet.h"
 
+/* Text of a node's hash as the source of a line. */
+enum { NODE_SOURCE_BYTES = 24 };
+
 static const char *server_id(const gateway_t *gateway, uint32_t hash)
 {
 	const backend_t *server = NULL;
@@ -36,20 +40,20 @@
 	}
 }
 
-static void receive_segments(gateway_t *gateway, const announcement_t *message)
+static void receive_causes(gateway_t *gateway, const announcement_t *message)
 {
+	char source[NODE_SOURCE_BYTES];
+	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
-	for (i = 0; i < message->segment_count; i++) {
-		uint64_t blocked = segment_table_receive(gateway->segments,
-							 &message->segments[i],
-							 clock_monotonic_us());
-
-		if (blocked)
-			log_event(EVENT_SEGMENT_BLOCKED,
-				  "segment=%" PRIx64 " source=node-%016" PRIx64,
-				  blocked, message->node);
-	}
+	for (i = 0; i < message->content_count; i++)
+		segment_table_receive(gateway->segments, CAUSE_CONTENT,
+				      &message->contents[i], now_us);
+	for (i = 0; i < message->segment_count; i++)
+		segment_table_receive(gateway->segments, CAUSE_SEGMENT,
+				      &message->segments[i], now_us);
+	snprintf(source, sizeof(source), "node-%016" PRIx64, message->node);
+	gateway_log_blocked(gateway, source);
 }
 
 static bool is_listed(const gateway_t *gateway, uint64_t node)
@@ -62,15 +66,26 @@
 	return false;
 }
 
-/* Tells a node that started lately which segments crash servers, before it is
- * listed here. */
+/* @return true if something crashes servers, or may */
+static bool knows_causes(const gateway_t *gateway)
+{
+	size_t suspects;
+
+	if (segment_table_count(gateway->segments, CAUSE_CONTENT, &suspects))
+		return true;
+	return segment_table_count(gateway->segments, CAUSE_SEGMENT,
+				   &suspects) ||
+	       suspects;
+}
+
+/* Tells a node that started lately what crashes servers, before it is listed
+ * here. */
 static void inform_new_node(gateway_t *gateway, const announcement_t *message)
 {
 	peer_t peer = { .hash = message->node };
-	size_t suspects;
 
 	if (!*message->address || is_listed(gateway, message->node) ||
-	    segment_table_count(gateway->segments, &suspects) + suspects == 0)
+	    !knows_causes(gateway))
 		return;
 	mem_strlcpy(peer.address, message->address, sizeof(peer.address));
 	gateway_announce_to(gateway, &peer);
@@ -80,7 +95,7 @@
 			       const announcement_t *message)
 {
 	receive_rates(gateway, message);
-	receive_segments(gateway, message);
+	receive_causes(gateway, message);
 	inform_new_node(gateway, message);
 }
 
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -84,8 +84,7 @@
 	routing_t *routing; /**< NULL: no configuration was read yet */
 	backends_t *backends;
 	load_table_t *load_table;
-	segment_table_t
-		*segments; /**< segments of prompts that crash servers */
+	segment_table_t *segments; /**< what crashes servers */
 	duties_t *duties; /**< NULL: the platform has no duties */
 	view_t views[KINDS_WATCHED];
 
@@ -232,6 +231,15 @@
 /** Handles a datagram of another node; the context is the gateway. */
 void gateway_on_datagram(void *context, const uint8_t *data, size_t size);
 
+/* gateway_crashes.c */
+/** Does what is due in the table of what crashes servers. */
+void gateway_check_crashes(gateway_t *gateway, int64_t now_us);
+/**
+ * Logs what was found to crash servers since the last call.
+ * @param source the request or node that decided it
+ */
+void gateway_log_blocked(gateway_t *gateway, const char *source);
+
 /* gateway_reach.c */
 /** Asks a server for its health, to find out if it is alive. */
 void gateway_probe(gateway_t *gateway, backend_t *server);
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -78,6 +78,9 @@
 	/** Segments of prompts that may crash servers. */
 	segment_report_t segments[ANNOUNCED_SEGMENTS_MAX];
 	size_t segment_count; /**< entries of segments */
+	/** Contents of requests that may crash servers. */
+	segment_report_t contents[ANNOUNCED_CONTENTS_MAX];
+	size_t content_count; /**< entries of contents */
 	load_item_t *items;
 	size_t item_count;
 } announcement_t;
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -54,13 +54,13 @@
 	uint32_t servers[ANNOUNCED_CRASHES_MAX], ages_ms[ANNOUNCED_CRASHES_MAX];
 } packed_segment_t;
 
-static void pack_segments(const announcement_t *message,
+static void pack_segments(const segment_report_t *reports, size_t count,
 			  packed_segment_t *packed, Work__Segment **pointers)
 {
 	size_t i, j;
 
-	for (i = 0; i < message->segment_count; i++) {
-		const segment_report_t *report = &message->segments[i];
+	for (i = 0; i < count; i++) {
+		const segment_report_t *report = &reports[i];
 		Work__Segment *segment = &packed[i].segment;
 
 		work__segment__init(segment);
@@ -93,6 +93,8 @@
 	Work__Rate *rate_pointers[ANNOUNCED_RATES_MAX];
 	packed_segment_t segments[ANNOUNCED_SEGMENTS_MAX];
 	Work__Segment *segment_pointers[ANNOUNCED_SEGMENTS_MAX];
+	packed_segment_t contents[ANNOUNCED_CONTENTS_MAX];
+	Work__Segment *content_pointers[ANNOUNCED_CONTENTS_MAX];
 	size_t i, size, count = message->item_count;
 
 	if (count > ITEMS_MAX)
@@ -130,9 +132,14 @@
 	pack_rates(message, rates, rate_pointers);
 	announcement.n_rates = message->rate_count;
 	announcement.rates = rate_pointers;
-	pack_segments(message, segments, segment_pointers);
+	pack_segments(message->segments, message->segment_count, segments,
+		      segment_pointers);
 	announcement.n_segments = message->segment_count;
 	announcement.segments = segment_pointers;
+	pack_segments(message->contents, message->content_count, contents,
+		      content_pointers);
+	announcement.n_contents = message->content_count;
+	announcement.contents = content_pointers;
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
 	packet.announcement = &announcement;
 	/* Items are left out until the rest fits: a node that announces too
@@ -296,6 +303,11 @@
 		message->segments[i] =
 			unpack_segment(announcement->segments[i]);
 	message->segment_count = i;
+	for (i = 0; i < announcement->n_contents && i < ANNOUNCED_CONTENTS_MAX;
+	     i++)
+		message->contents[i] =
+			unpack_segment(announcement->contents[i]);
+	message->content_count = i;
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	mem_strlcpy(message->address, announcement->address,
--- a/src/process/segment_blame.c
+++ b/src/process/segment_blame.c
@@ -4,6 +4,8 @@
 /* Servers that end within this time end for one cause: they count as one
  * crash. */
 #define MOMENT_US (50 * US_PER_MS)
+/* Nodes notice one crash at times that differ by less than this. */
+#define EXPLAIN_LEAD_US (200 * US_PER_MS)
 /* A crash is known to all nodes that announce, with all its segments, after
  * this time. */
 #define SETTLE_US (300 * US_PER_MS)
@@ -15,16 +17,23 @@
  * answers that began before the first crash have ended by then. */
 #define HARMLESS_BLAME_US (2 * US_PER_S)
 
-/* Crashes from which a segment is suspect and blocked. The platform allows few
+/* Crashes of a content that are older do not count. */
+#define CONTENT_KEEP_US (600 * US_PER_S)
+
+/* Crashes from which a cause is suspect and blocked. The platform allows few
  * requests after the fifth. Many requests of a segment that was harmless may
  * break before the next of its answers is complete. */
 enum {
 	SUSPECT_CRASHES = 2,
 	BLOCK_CRASHES = 4,
-	/* One request alone, with its repeat, has fewer. */
-	EXPLAIN_CRASHES = 3,
 	HARMLESS_SUSPECT_CRASHES = 5,
-	HARMLESS_BLOCK_CRASHES = 6
+	HARMLESS_BLOCK_CRASHES = 6,
+	/* The platform allows three requests after the third crash. */
+	CONTENT_SUSPECT_CRASHES = 2,
+	CONTENT_BLOCK_CRASHES = 3,
+	/* Crashes of a content at one moment that count: many servers that are
+	 * lost together may have had sound requests with it. */
+	CONTENT_MOMENT_CRASHES = 2
 };
 
 int64_t segment_last_crash_us(const segment_t *segment)
@@ -46,7 +55,7 @@
 {
 	const segment_t *other;
 
-	DL_FOREACH (table->blamed, other)
+	DL_FOREACH (table->blamed[CAUSE_SEGMENT], other)
 		if (other != segment && other->crash_count >= EXPLAIN_CRASHES &&
 		    !was_harmless(other, now_us) &&
 		    segment_explains(other, crash))
@@ -54,6 +63,28 @@
 	return false;
 }
 
+bool segment_explains_others(const segment_t *content, int64_t now_us)
+{
+	return content->crash_count > EXPLAIN_CRASHES &&
+	       !was_harmless(content, now_us);
+}
+
+/* @return true if it is one of the further crashes of a content: the first ones
+ * may as well be those of a segment that the request has */
+static bool is_of_content(const segment_table_t *table, segment_crash_t crash,
+			  int64_t now_us)
+{
+	const segment_t *content;
+
+	DL_FOREACH (table->blamed[CAUSE_CONTENT], content)
+		if (segment_explains_others(content, now_us) &&
+		    segment_explains(content, crash) &&
+		    crash.at_us + EXPLAIN_LEAD_US >=
+			    content->crashes[EXPLAIN_CRASHES].at_us)
+			return true;
+	return false;
+}
+
 /* @return number of moments at which crashes came that count against it */
 static int count_crashes(const segment_table_t *table, const segment_t *segment,
 			 int64_t now_us)
@@ -66,7 +97,8 @@
 	for (i = 0; i < segment->crash_count; i++) {
 		const segment_crash_t *crash = &segment->crashes[i];
 
-		if (harmless && is_explained(table, segment, *crash, now_us))
+		if (is_of_content(table, *crash, now_us) ||
+		    (harmless && is_explained(table, segment, *crash, now_us)))
 			continue;
 		if (!count || crash->at_us - last_us >= MOMENT_US) {
 			count++;
@@ -104,7 +136,7 @@
 	size_t settled = settled_crashes(segment, now_us);
 	const segment_t *other;
 
-	DL_FOREACH (table->blamed, other) {
+	DL_FOREACH (table->blamed[CAUSE_SEGMENT], other) {
 		size_t i = 0;
 
 		if (other == segment || other->crash_count < settled ||
@@ -145,7 +177,7 @@
 {
 	segment_t *other, *next;
 
-	DL_FOREACH_SAFE (table->blamed, other, next) {
+	DL_FOREACH_SAFE (table->blamed[CAUSE_SEGMENT], other, next) {
 		size_t i, kept = 0;
 
 		if (other->blame == SEGMENT_BLOCKED)
@@ -162,7 +194,7 @@
 {
 	segment_t *segment;
 
-	DL_FOREACH (table->blamed, segment) {
+	DL_FOREACH (table->blamed[CAUSE_SEGMENT], segment) {
 		if (segment->blame == SEGMENT_BLOCKED)
 			continue;
 		segment->blame = judge(table, segment, now_us);
@@ -172,18 +204,66 @@
 	return NULL;
 }
 
-uint64_t segment_table_blame(segment_table_t *table, int64_t now_us)
+void segment_block(segment_table_t *table, segment_t *segment)
+{
+	segment->blame = SEGMENT_BLOCKED;
+	segment->is_tied = false;
+	if (table->newly_blocked_count < NEWLY_BLOCKED_MAX)
+		table->newly_blocked[table->newly_blocked_count++] =
+			(cause_id_t){ segment->kind, segment->id };
+}
+
+/* @return number of crashes that count against a content */
+static int count_content_crashes(const segment_t *content, int64_t now_us)
+{
+	int64_t moment_us = 0;
+	int count = 0, at_moment = 0;
+	size_t i;
+
+	for (i = 0; i < content->crash_count; i++) {
+		int64_t at_us = content->crashes[i].at_us;
+
+		if (now_us - at_us >= CONTENT_KEEP_US)
+			continue;
+		if (!count || at_us - moment_us >= MOMENT_US) {
+			moment_us = at_us;
+			at_moment = 0;
+		}
+		if (at_moment++ < CONTENT_MOMENT_CRASHES)
+			count++;
+	}
+	return count;
+}
+
+void segment_judge_content(segment_table_t *table, segment_t *content,
+			   int64_t now_us)
+{
+	int count;
+
+	if (content->blame == SEGMENT_BLOCKED &&
+	    content->crash_count >= EXPLAIN_CRASHES)
+		return;
+	content->blame = SEGMENT_CLEAR;
+	if (was_harmless(content, now_us) && content->crash_count &&
+	    now_us - content->crashes[0].at_us < HARMLESS_BLAME_US)
+		return;
+	count = count_content_crashes(content, now_us);
+	if (count >= CONTENT_BLOCK_CRASHES)
+		segment_block(table, content);
+	else if (count >= CONTENT_SUSPECT_CRASHES)
+		content->blame = SEGMENT_SUSPECT;
+}
+
+void segment_table_blame(segment_table_t *table, int64_t now_us)
 {
 	segment_t *segment, *next;
-	uint64_t blocked = 0;
 
-	DL_FOREACH_SAFE (table->blamed, segment, next)
+	DL_FOREACH_SAFE (table->blamed[CAUSE_SEGMENT], segment, next)
 		if (segment->blame == SEGMENT_BLOCKED)
 			explain_crashes(table, segment);
 	/* What one explains may clear those that were judged before it. */
 	while ((segment = judge_all(table, now_us))) {
+		segment_block(table, segment);
 		explain_crashes(table, segment);
-		blocked = segment->id;
 	}
-	return blocked;
 }
--- a/src/process/segment_news.c
+++ b/src/process/segment_news.c
@@ -1,5 +1,9 @@
+#include "base/units.h"
 #include "process/segment_state.h"
 
+/* Older ends of servers no longer matter for what ends next. */
+#define ENDED_KEPT_US (5 * US_PER_S)
+
 static segment_report_t make_report(const segment_t *segment, int64_t now_us)
 {
 	segment_report_t report = {
@@ -24,42 +28,62 @@
 	return report;
 }
 
-/* @return true if others may blame the segment soon, or do */
-static bool is_important(const segment_t *segment)
+static bool has_news(const segment_t *segment, int64_t now_us)
+{
+	return now_us < segment->announce_until_us;
+}
+
+/* @return true if others may block the cause by what this node knows */
+static bool is_grave(const segment_t *segment, int64_t now_us)
 {
-	return segment->crash_count > 1;
+	switch (segment->kind) {
+	case CAUSE_SEGMENT:
+		return segment->crash_count > 1 &&
+		       (segment->blame != SEGMENT_CLEAR ||
+			has_news(segment, now_us));
+	case CAUSE_CONTENT:
+		/* With its next crash, the earlier ones are announced again. */
+		return segment->blame == SEGMENT_BLOCKED ||
+		       (segment->crash_count > 1 && has_news(segment, now_us));
+	}
+	return false;
 }
 
-/* Lists important segments, or others with news. */
-static size_t list(segment_table_t *table, segment_report_t *reports,
-		   size_t max, bool important, int64_t now_us)
+/* Lists causes, those that were listed longest ago first. */
+static size_t list(segment_table_t *table, cause_kind_t kind,
+		   segment_report_t *reports, size_t max, bool grave,
+		   int64_t now_us)
 {
-	size_t count = 0, left = HASH_COUNT(table->segments);
+	size_t count = 0, left = HASH_COUNT(table->known[kind]);
 	segment_t *segment, *next;
 
-	HASH_ITER (hh, table->segments, segment, next) {
+	HASH_ITER (hh, table->known[kind], segment, next) {
 		if (!left-- || count == max)
 			break;
-		if (is_important(segment) != important ||
-		    (segment->blame == SEGMENT_CLEAR &&
-		     now_us >= segment->announce_until_us))
+		if (is_grave(segment, now_us) != grave ||
+		    (!grave && !has_news(segment, now_us)))
 			continue;
 		reports[count++] = make_report(segment, now_us);
 		/* So that the next list begins with others. */
-		segment_use(table, segment->id, now_us);
+		segment_use(table, kind, segment->id, now_us);
 	}
 	return count;
 }
 
-size_t segment_table_list(segment_table_t *table, segment_report_t *reports,
-			  size_t max, int64_t now_us)
+size_t segment_table_list(segment_table_t *table, cause_kind_t kind,
+			  segment_report_t *reports, size_t max, int64_t now_us)
 {
-	size_t count = 0;
+	bool news = now_us < table->announce_until_us[kind];
+	size_t count = 0, reserved = 0;
 
-	if (table->blamed)
-		count = list(table, reports, max, true, now_us);
-	if (now_us < table->announce_until_us)
-		count += list(table, reports + count, max - count, false,
+	/* First crashes are not held up by what was announced before. */
+	if (news && kind == CAUSE_CONTENT)
+		reserved = max / 2;
+	if (news || table->blamed[kind])
+		count = list(table, kind, reports, max - reserved, true,
+			     now_us);
+	if (news)
+		count += list(table, kind, reports + count, max - count, false,
 			      now_us);
 	return count;
 }
@@ -76,9 +100,34 @@
 			segment_announce(table, segment, now_us);
 }
 
-/* @return id of a segment that was not blocked before and is now; 0: none */
-static uint64_t receive_crashes(segment_table_t *table, segment_t *segment,
-				const segment_report_t *report, int64_t now_us)
+/* Judges a cause by what was received. */
+static void judge_received(segment_table_t *table, segment_t *segment,
+			   bool is_blocked, bool changed, int64_t now_us)
+{
+	switch (segment->kind) {
+	case CAUSE_SEGMENT:
+		if (changed)
+			segment_table_blame(table, now_us);
+		if (!is_blocked || !segment->crash_count ||
+		    segment->blame == SEGMENT_BLOCKED)
+			return;
+		segment_block(table, segment);
+		break;
+	case CAUSE_CONTENT:
+		segment_judge_content(table, segment, now_us);
+		if (is_blocked && segment->crash_count >= EXPLAIN_CRASHES &&
+		    segment->blame != SEGMENT_BLOCKED)
+			segment_block(table, segment);
+		if (!changed)
+			return;
+		break;
+	}
+	segment_table_blame(table, now_us);
+}
+
+/* @return true if the report has crashes that were not known */
+static bool receive_crashes(segment_table_t *table, segment_t *segment,
+			    const segment_report_t *report, int64_t now_us)
 {
 	size_t i, before = segment->crash_count;
 	bool changed = false;
@@ -87,40 +136,34 @@
 		segment_crash_t crash = { report->crashes[i].server,
 					  now_us - report->crashes[i].age_us };
 
+		if (report->crashes[i].age_us < ENDED_KEPT_US)
+			segment_note_end(table, crash);
 		segment_add_crash(table, segment, crash);
 		changed |= segment_add_unclear(table, crash.server, crash.at_us,
 					       now_us);
 	}
-	return changed || segment->crash_count != before
-		       ? segment_table_blame(table, now_us)
-		       : 0;
+	return changed || segment->crash_count != before;
 }
 
-uint64_t segment_table_receive(segment_table_t *table,
-			       const segment_report_t *report, int64_t now_us)
+void segment_table_receive(segment_table_t *table, cause_kind_t kind,
+			   const segment_report_t *report, int64_t now_us)
 {
-	segment_t *segment = segment_find(table, report->id);
+	segment_t *segment = segment_find(table, kind, report->id);
 	int64_t seen_us = now_us - report->seen_age_us;
-	uint64_t blocked;
+	bool changed;
 
 	if (!segment && !report->crash_count)
-		return 0;
+		return;
 	if (!segment)
-		segment = segment_use(table, report->id, seen_us);
+		segment = segment_use(table, kind, report->id, seen_us);
 	if (segment->seen_us < seen_us)
 		segment->seen_us = seen_us;
 	if (report->harmless_age_us >= 0)
 		segment_set_harmless(table, segment,
 				     now_us - report->harmless_age_us);
 	contradict(table, segment, report, now_us);
-	blocked = receive_crashes(table, segment, report, now_us);
+	changed = receive_crashes(table, segment, report, now_us);
 	if (segment->crash_count && segment->trials < report->trials)
 		segment->trials = report->trials;
-	if (!report->is_blocked || !segment->crash_count ||
-	    segment->blame == SEGMENT_BLOCKED)
-		return blocked;
-	segment->blame = SEGMENT_BLOCKED;
-	segment->is_tied = false;
-	segment_table_blame(table, now_us);
-	return segment->id;
+	judge_received(table, segment, report->is_blocked, changed, now_us);
 }
--- a/src/process/segment_table.c
+++ b/src/process/segment_table.c
@@ -8,9 +8,9 @@
 #include "base/units.h"
 #include "process/segment_state.h"
 
-/* Segments that are remembered; those that were not used for longest, and have
- * no crashes, are forgotten first. */
-enum { SEGMENTS_KEPT_MAX = 4096 };
+/* Causes of each kind that are remembered; those that were not used for
+ * longest, and are not blamed, are forgotten first. */
+enum { CAUSES_KEPT_MAX = 4096 };
 /* Nodes notice one crash of a server within this time. */
 #define SAME_CRASH_US (200 * US_PER_MS)
 /* A server that ended is found to be gone within this time. */
@@ -36,8 +36,8 @@
 void segment_remove(segment_table_t *table, segment_t *segment)
 {
 	segment_set_count(table, segment, 0);
-	assert(table->segments);
-	HASH_DEL(table->segments, segment);
+	assert(table->known[segment->kind]);
+	HASH_DEL(table->known[segment->kind], segment);
 	free(segment->crashes);
 	free(segment);
 }
@@ -45,69 +45,104 @@
 void segment_table_destroy(segment_table_t *table)
 {
 	segment_t *segment, *next;
+	int kind;
 
 	if (!table)
 		return;
-	HASH_ITER (hh, table->segments, segment, next)
-		segment_remove(table, segment);
+	for (kind = 0; kind < CAUSE_KINDS; kind++)
+		HASH_ITER (hh, table->known[kind], segment, next)
+			segment_remove(table, segment);
 	free(table);
 }
 
-segment_t *segment_find(const segment_table_t *table, uint64_t id)
+segment_t *segment_find(const segment_table_t *table, cause_kind_t kind,
+			uint64_t id)
 {
 	segment_t *segment;
 
-	HASH_FIND(hh, table->segments, &id, sizeof(id), segment);
+	HASH_FIND(hh, table->known[kind], &id, sizeof(id), segment);
 	return segment;
 }
 
-/* Puts a segment to the end of the list of all, as the last one used. */
+segment_t *segment_find_content(const segment_table_t *table,
+				const segments_t *segments)
+{
+	if (!segments->content)
+		return NULL;
+	return segment_find(table, CAUSE_CONTENT, segments->content);
+}
+
+/* Puts a cause to the end of the list of all, as the last one used. */
 static void move_to_end(segment_table_t *table, segment_t *segment)
 {
-	HASH_DEL(table->segments, segment);
-	HASH_ADD(hh, table->segments, id, sizeof(segment->id), segment);
+	HASH_DEL(table->known[segment->kind], segment);
+	HASH_ADD(hh, table->known[segment->kind], id, sizeof(segment->id),
+		 segment);
 }
 
-static void make_room(segment_table_t *table)
+/* Removes a cause that is not blamed, or else the one that is blamed least; of
+ * several, the one that was used longest ago. */
+static void make_room(segment_table_t *table, cause_kind_t kind)
 {
 	segment_t *segment, *next, *last = NULL;
+	size_t left = HASH_COUNT(table->known[kind]);
 
-	if (HASH_COUNT(table->segments) < SEGMENTS_KEPT_MAX)
+	if (left < CAUSES_KEPT_MAX)
 		return;
-	HASH_ITER (hh, table->segments, segment, next) {
-		if (!last || segment->blame < last->blame)
-			last = segment;
+	HASH_ITER (hh, table->known[kind], segment, next) {
 		if (!segment->crash_count) {
+			segment_remove(table, segment);
+			return;
+		}
+		if (!last || segment->blame < last->blame)
 			last = segment;
+		if (!--left)
 			break;
-		}
+		/* So that the next search does not begin with it again. */
+		move_to_end(table, segment);
 	}
-	if (last)
-		segment_remove(table, last);
+	segment_remove(table, last);
 }
 
-segment_t *segment_use(segment_table_t *table, uint64_t id, int64_t now_us)
+segment_t *segment_use(segment_table_t *table, cause_kind_t kind, uint64_t id,
+		       int64_t now_us)
 {
-	segment_t *segment = segment_find(table, id);
+	segment_t *segment = segment_find(table, kind, id);
 
 	if (segment) {
 		move_to_end(table, segment);
 		return segment;
 	}
-	make_room(table);
+	make_room(table, kind);
 	segment = mem_calloc(1, sizeof(*segment));
+	segment->kind = kind;
 	segment->id = id;
 	segment->seen_us = now_us;
-	HASH_ADD(hh, table->segments, id, sizeof(segment->id), segment);
+	HASH_ADD(hh, table->known[kind], id, sizeof(segment->id), segment);
 	return segment;
 }
 
+/* @return true if a cause with so many crashes is in the list of blamed ones */
+static bool is_blamed(const segment_t *segment, size_t crash_count)
+{
+	switch (segment->kind) {
+	case CAUSE_SEGMENT:
+		return crash_count;
+	case CAUSE_CONTENT:
+		return crash_count >= EXPLAIN_CRASHES;
+	}
+	return false;
+}
+
 void segment_set_count(segment_table_t *table, segment_t *segment, size_t count)
 {
-	if (count && !segment->crash_count)
-		DL_APPEND(table->blamed, segment);
-	if (!count && segment->crash_count)
-		DL_DELETE(table->blamed, segment);
+	bool was_blamed = is_blamed(segment, segment->crash_count);
+	bool now_blamed = is_blamed(segment, count);
+
+	if (now_blamed && !was_blamed)
+		DL_APPEND(table->blamed[segment->kind], segment);
+	if (!now_blamed && was_blamed)
+		DL_DELETE(table->blamed[segment->kind], segment);
 	segment->crash_count = count;
 	if (count)
 		return;
@@ -139,13 +174,41 @@
 {
 	const segment_t *other;
 
-	DL_FOREACH (table->blamed, other)
+	DL_FOREACH (table->blamed[CAUSE_SEGMENT], other)
 		if (other != segment && other->blame == SEGMENT_BLOCKED &&
 		    segment_explains(other, crash))
 			return true;
 	return false;
 }
 
+/* @return true if a crash is not another one, or has another cause */
+static bool is_known_crash(const segment_table_t *table,
+			   const segment_t *segment, segment_crash_t crash)
+{
+	switch (segment->kind) {
+	case CAUSE_SEGMENT:
+		return segment->blame != SEGMENT_BLOCKED &&
+		       is_blocked_crash(table, segment, crash);
+	case CAUSE_CONTENT:
+		return segment_has_end(table, segment, crash);
+	}
+	return false;
+}
+
+/* @return number of the first crashes, which stay when there are too many */
+static size_t first_kept(const segment_t *segment)
+{
+	switch (segment->kind) {
+	case CAUSE_SEGMENT:
+		/* It says how long there was none that went on. */
+		return 1;
+	case CAUSE_CONTENT:
+		/* Those that come after them explain crashes of segments. */
+		return EXPLAIN_CRASHES + 1;
+	}
+	return 0;
+}
+
 void segment_add_crash(segment_table_t *table, segment_t *segment,
 		       segment_crash_t crash)
 {
@@ -153,17 +216,16 @@
 
 	if (crash.at_us <= segment->harmless_us ||
 	    segment_has_crash(segment, crash, SAME_CRASH_US) ||
-	    (segment->blame != SEGMENT_BLOCKED &&
-	     is_blocked_crash(table, segment, crash)))
+	    is_known_crash(table, segment, crash))
 		return;
 	if (!segment->crashes)
 		segment->crashes = mem_calloc(SEGMENT_CRASHES_MAX,
 					      sizeof(*segment->crashes));
 	if (i == SEGMENT_CRASHES_MAX) {
-		/* The first one stays: it says how long there was none that
-		 * went on. */
-		memmove(segment->crashes + 1, segment->crashes + 2,
-			(--i - 1) * sizeof(*segment->crashes));
+		size_t kept = first_kept(segment);
+
+		memmove(segment->crashes + kept, segment->crashes + kept + 1,
+			(--i - kept) * sizeof(*segment->crashes));
 	} else {
 		segment_set_count(table, segment, i + 1);
 	}
@@ -214,7 +276,7 @@
 		      int64_t now_us)
 {
 	segment->announce_until_us = now_us + ANNOUNCE_US;
-	table->announce_until_us = segment->announce_until_us;
+	table->announce_until_us[segment->kind] = segment->announce_until_us;
 }
 
 static segments_verdict_t make_verdict(segments_state_t state,
@@ -223,81 +285,110 @@
 {
 	return (segments_verdict_t){
 		.state = state,
-		.segment = segment->id,
+		.cause = { segment->kind, segment->id },
 		.crashes = segment->crash_count,
 		.crash_age_us = now_us - segment_last_crash_us(segment),
 		.retry_us = retry_us,
 	};
 }
 
+/* @return true if no request with a blocked cause may be sent by this node */
+static bool is_kept_back(const segment_t *segment, const limit_nodes_t *nodes,
+			 int64_t now_us)
+{
+	return segment->blame == SEGMENT_BLOCKED &&
+	       (trial_in_us(segment, now_us) ||
+		!limit_nodes_is_first(nodes, (uint32_t)segment->id));
+}
+
+/* Judges a request by one cause that is blamed. */
+static segments_verdict_t
+judge_cause(segment_t *segment, const limit_nodes_t *nodes, int64_t now_us)
+{
+	int64_t wait_us = segment->trial_until_us - now_us;
+
+	segment->seen_us = now_us;
+	if (is_kept_back(segment, nodes, now_us))
+		return make_verdict(SEGMENTS_BLOCKED, segment,
+				    trial_in_us(segment, now_us) + TRIAL_US,
+				    now_us);
+	if (wait_us > 0)
+		return make_verdict(SEGMENTS_SUSPECT, segment, wait_us, now_us);
+	return (segments_verdict_t){ .state = SEGMENTS_FREE };
+}
+
 segments_verdict_t segment_table_judge(segment_table_t *table,
 				       const segments_t *segments,
 				       const limit_nodes_t *nodes,
 				       int64_t now_us)
 {
-	segments_verdict_t verdict = { .state = SEGMENTS_FREE };
+	segments_verdict_t verdict = { .state = SEGMENTS_FREE }, other;
+	segment_t *segment = segment_find_content(table, segments);
 	size_t i, tied = 0;
 
-	for (i = 0; i < segments->count && table->blamed; i++) {
-		segment_t *segment = segment_find(table, segments->ids[i]);
-		int64_t wait_us;
-
+	if (segment && segment->blame != SEGMENT_CLEAR)
+		verdict = judge_cause(segment, nodes, now_us);
+	for (i = 0; i < segments->count && table->blamed[CAUSE_SEGMENT]; i++) {
+		if (verdict.state == SEGMENTS_BLOCKED)
+			return verdict;
+		segment = segment_find(table, CAUSE_SEGMENT, segments->ids[i]);
 		if (!segment || segment->blame == SEGMENT_CLEAR)
 			continue;
-		segment->seen_us = now_us;
-		wait_us = trial_in_us(segment, now_us);
-		if (segment->blame == SEGMENT_BLOCKED &&
-		    (wait_us ||
-		     !limit_nodes_is_first(nodes, (uint32_t)segment->id)))
-			return make_verdict(SEGMENTS_BLOCKED, segment,
-					    wait_us + TRIAL_US, now_us);
-		/* One of them crashes servers. */
+		/* One of those that are tied crashes servers. */
 		tied += segment->is_tied;
 		if (tied > 1)
 			return make_verdict(SEGMENTS_BLOCKED, segment, TRIAL_US,
 					    now_us);
-		wait_us = segment->trial_until_us - now_us;
-		if (wait_us > 0 && wait_us > verdict.retry_us)
-			verdict = make_verdict(SEGMENTS_SUSPECT, segment,
-					       wait_us, now_us);
+		other = judge_cause(segment, nodes, now_us);
+		if (other.state == SEGMENTS_BLOCKED ||
+		    other.retry_us > verdict.retry_us)
+			verdict = other;
 	}
 	return verdict;
 }
 
+/* A request with the cause is sent. */
+static void start_trial(segment_table_t *table, segment_t *segment,
+			int64_t now_us)
+{
+	if (!segment || segment->blame == SEGMENT_CLEAR)
+		return;
+	segment->trial_until_us = now_us + TRIAL_US;
+	segment->last_trial_us = now_us;
+	segment_announce(table, segment, now_us);
+	segment->trials += segment->blame == SEGMENT_BLOCKED;
+}
+
 void segment_table_sent(segment_table_t *table, const segments_t *segments,
 			int64_t now_us)
 {
 	size_t i;
 
-	if (!table->blamed)
-		return;
-	for (i = 0; i < segments->count; i++) {
-		segment_t *segment = segment_find(table, segments->ids[i]);
-
-		if (!segment || segment->blame == SEGMENT_CLEAR)
-			continue;
-		segment->trial_until_us = now_us + TRIAL_US;
-		segment->last_trial_us = now_us;
-		segment_announce(table, segment, now_us);
-		segment->trials += segment->blame == SEGMENT_BLOCKED;
-	}
+	start_trial(table, segment_find_content(table, segments), now_us);
+	for (i = 0; i < segments->count && table->blamed[CAUSE_SEGMENT]; i++)
+		start_trial(table,
+			    segment_find(table, CAUSE_SEGMENT,
+					 segments->ids[i]),
+			    now_us);
 }
 
 bool segment_table_blames(const segment_table_t *table,
 			  const segments_t *segments)
 {
+	const segment_t *segment = segment_find_content(table, segments);
 	size_t i;
 
-	for (i = 0; i < segments->count && table->blamed; i++) {
-		const segment_t *segment =
-			segment_find(table, segments->ids[i]);
-
+	if (segment && segment->crash_count)
+		return true;
+	for (i = 0; i < segments->count && table->blamed[CAUSE_SEGMENT]; i++) {
+		segment = segment_find(table, CAUSE_SEGMENT, segments->ids[i]);
 		if (segment && segment->crash_count)
 			return true;
 	}
 	return false;
 }
 
+/* @return true if the request has a blocked segment */
 static bool has_blocked(const segment_table_t *table,
 			const segments_t *segments)
 {
@@ -305,7 +396,7 @@
 
 	for (i = 0; i < segments->count; i++) {
 		const segment_t *segment =
-			segment_find(table, segments->ids[i]);
+			segment_find(table, CAUSE_SEGMENT, segments->ids[i]);
 
 		if (segment && segment->blame == SEGMENT_BLOCKED)
 			return true;
@@ -313,81 +404,131 @@
 	return false;
 }
 
+/* Adds a crash to a cause of a request that the crash broke. */
+static void add_own_crash(segment_table_t *table, segment_t *segment,
+			  segment_crash_t crash, int64_t now_us)
+{
+	segment->seen_us = now_us;
+	segment_announce(table, segment, now_us);
+	segment_add_crash(table, segment, crash);
+}
+
 void segment_add_crashes(segment_table_t *table, const segments_t *segments,
 			 segment_crash_t crash, int64_t now_us)
 {
 	bool only_blocked = has_blocked(table, segments);
+	segment_t *segment;
 	size_t i;
 
+	segment_note_end(table, crash);
+	if (segments->content) {
+		segment = segment_use(table, CAUSE_CONTENT, segments->content,
+				      now_us);
+		add_own_crash(table, segment, crash, now_us);
+		segment_judge_content(table, segment, now_us);
+		only_blocked |= segment_explains_others(segment, now_us);
+	}
 	for (i = 0; i < segments->count; i++) {
-		segment_t *segment =
-			segment_use(table, segments->ids[i], now_us);
-
-		if (only_blocked && segment->blame != SEGMENT_BLOCKED)
-			continue;
-		segment->seen_us = now_us;
-		segment_announce(table, segment, now_us);
-		segment_add_crash(table, segment, crash);
+		segment = segment_use(table, CAUSE_SEGMENT, segments->ids[i],
+				      now_us);
+		if (!only_blocked || segment->blame == SEGMENT_BLOCKED)
+			add_own_crash(table, segment, crash, now_us);
 	}
 }
 
-uint64_t segment_table_note_crash(segment_table_t *table,
-				  const segments_t *segments, uint32_t server,
-				  int64_t now_us)
+void segment_table_note_crash(segment_table_t *table,
+			      const segments_t *segments, uint32_t server,
+			      int64_t now_us)
 {
 	segment_add_unclear(table, server, now_us, now_us);
 	segment_add_crashes(table, segments,
 			    (segment_crash_t){ server, now_us }, now_us);
-	return segment_table_blame(table, now_us);
+	segment_table_blame(table, now_us);
+}
+
+/* @return true if the cause had crashes */
+static bool note_harmless(segment_table_t *table, segment_t *segment,
+			  int64_t began_us, int64_t now_us)
+{
+	bool was_blamed = segment->crash_count > 0;
+
+	if (was_blamed)
+		segment_announce(table, segment, now_us);
+	segment_set_harmless(table, segment, began_us);
+	if (began_us > segment->own_harmless_us)
+		segment->own_harmless_us = began_us;
+	return was_blamed;
 }
 
 void segment_table_note_harmless(segment_table_t *table,
 				 const segments_t *segments, int64_t began_us,
 				 int64_t now_us)
 {
-	size_t i;
+	segment_t *content;
 	bool was_blamed = false;
+	size_t i;
 
-	for (i = 0; i < segments->count; i++) {
-		segment_t *segment =
-			segment_use(table, segments->ids[i], now_us);
-
-		if (segment->crash_count)
-			segment_announce(table, segment, now_us);
-		was_blamed |= segment->crash_count > 0;
-		segment_set_harmless(table, segment, began_us);
-		if (began_us > segment->own_harmless_us)
-			segment->own_harmless_us = began_us;
+	if (segments->content) {
+		content = segment_use(table, CAUSE_CONTENT, segments->content,
+				      now_us);
+		note_harmless(table, content, began_us, now_us);
+		segment_judge_content(table, content, now_us);
 	}
+	for (i = 0; i < segments->count; i++)
+		was_blamed |=
+			note_harmless(table,
+				      segment_use(table, CAUSE_SEGMENT,
+						  segments->ids[i], now_us),
+				      began_us, now_us);
 	if (was_blamed)
 		segment_table_blame(table, now_us);
 }
 
-uint64_t segment_table_expire(segment_table_t *table, int64_t now_us)
+static void forget_unused(segment_table_t *table, cause_kind_t kind,
+			  int64_t now_us)
 {
 	segment_t *segment, *next;
 
-	segment_clear_ends(table, now_us);
-	DL_FOREACH_SAFE (table->blamed, segment, next)
+	DL_FOREACH_SAFE (table->blamed[kind], segment, next)
 		if (now_us - segment->seen_us >= FORGET_US)
 			segment_remove(table, segment);
-	return segment_table_blame(table, now_us);
 }
 
-size_t segment_table_count(const segment_table_t *table, size_t *suspects)
+void segment_table_expire(segment_table_t *table, int64_t now_us)
+{
+	segment_t *content;
+
+	segment_clear_ends(table, now_us);
+	forget_unused(table, CAUSE_SEGMENT, now_us);
+	forget_unused(table, CAUSE_CONTENT, now_us);
+	DL_FOREACH (table->blamed[CAUSE_CONTENT], content)
+		segment_judge_content(table, content, now_us);
+	segment_table_blame(table, now_us);
+}
+
+bool segment_table_next_blocked(segment_table_t *table, cause_id_t *cause)
+{
+	if (!table->newly_blocked_count)
+		return false;
+	*cause = table->newly_blocked[--table->newly_blocked_count];
+	return true;
+}
+
+size_t segment_table_count(const segment_table_t *table, cause_kind_t kind,
+			   size_t *suspects)
 {
 	const segment_t *segment;
 	size_t blocked = 0;
 
 	*suspects = 0;
-	DL_FOREACH (table->blamed, segment) {
+	DL_FOREACH (table->blamed[kind], segment) {
 		blocked += segment->blame == SEGMENT_BLOCKED;
 		*suspects += segment->blame == SEGMENT_SUSPECT;
 	}
 	return blocked;
 }
 
-size_t segment_table_size(const segment_table_t *table)
+size_t segment_table_size(const segment_table_t *table, cause_kind_t kind)
 {
-	return HASH_COUNT(table->segments);
+	return HASH_COUNT(table->known[kind]);
 }
--- a/src/process/segment_unclear.c
+++ b/src/process/segment_unclear.c
@@ -6,6 +6,8 @@
 /* A server whose answer had an unclear end counts as alive after this time:
  * other requests of a server that ended break at once. */
 #define UNCLEAR_US (1 * US_PER_S)
+/* A server is probed if nothing else shows in this time whether it is alive. */
+#define PROBE_AFTER_US (60 * US_PER_MS)
 /* Answers of a server that end within this time before a crash may belong to
  * it; the server was alive after the others. */
 #define CRASH_END_US (50 * US_PER_MS)
@@ -14,7 +16,8 @@
 static void clear_end(segment_table_t *table, unclear_t *unclear,
 		      int64_t until_us, int64_t now_us)
 {
-	segments_t segments = { unclear->ids, unclear->count };
+	segments_t segments = { unclear->ids, unclear->count,
+				unclear->content };
 
 	if (!unclear->ended_us || unclear->ended_us > until_us)
 		return;
@@ -32,7 +35,8 @@
 
 	for (i = 0; i < UNCLEAR_MAX && table->unclear_count; i++) {
 		unclear_t *unclear = &table->unclear[i];
-		segments_t segments = { unclear->ids, unclear->count };
+		segments_t segments = { unclear->ids, unclear->count,
+					unclear->content };
 
 		if (!unclear->ended_us || unclear->server != server)
 			continue;
@@ -58,12 +62,11 @@
 			  now_us);
 }
 
-uint64_t segment_table_note_dead(segment_table_t *table, uint32_t server,
-				 int64_t now_us)
+void segment_table_note_dead(segment_table_t *table, uint32_t server,
+			     int64_t now_us)
 {
-	return segment_add_unclear(table, server, 0, now_us)
-		       ? segment_table_blame(table, now_us)
-		       : 0;
+	if (segment_add_unclear(table, server, 0, now_us))
+		segment_table_blame(table, now_us);
 }
 
 void segment_table_note_unclear(segment_table_t *table,
@@ -77,7 +80,8 @@
 	*unclear = (unclear_t){ .server = server,
 				.began_us = began_us,
 				.ended_us = now_us,
-				.count = segments->count };
+				.count = segments->count,
+				.content = segments->content };
 	if (unclear->count > UNCLEAR_SEGMENTS_MAX)
 		unclear->count = UNCLEAR_SEGMENTS_MAX;
 	if (unclear->count)
@@ -90,7 +94,28 @@
 {
 	size_t i;
 
+	segment_note_alive(table, server, alive_us);
 	for (i = 0; i < UNCLEAR_MAX && table->unclear_count; i++)
 		if (table->unclear[i].server == server)
 			clear_end(table, &table->unclear[i], alive_us, now_us);
 }
+
+bool segment_table_to_probe(segment_table_t *table, uint32_t *server,
+			    int64_t now_us)
+{
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < UNCLEAR_MAX && table->unclear_count; i++) {
+		unclear_t *unclear = &table->unclear[i];
+
+		if (!unclear->ended_us || unclear->is_probed ||
+		    now_us - unclear->ended_us < PROBE_AFTER_US ||
+		    (found && unclear->server != *server))
+			continue;
+		found = true;
+		*server = unclear->server;
+		unclear->is_probed = true;
+	}
+	return found;
+}
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -521,7 +521,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[16] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[17] =
 {
   {
     "node",
@@ -715,9 +715,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "contents",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Work__Announcement, n_contents),
+    offsetof(Work__Announcement, contents),
+    &work__segment__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   15,   /* field[15] = address */
+  16,   /* field[16] = contents */
   4,   /* field[4] = data_centre */
   10,   /* field[10] = duty */
   1,   /* field[1] = incarnation */
@@ -737,7 +750,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -747,7 +760,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  16,
+  17,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -122,21 +122,27 @@
    */
   size_t n_segments;
   Work__Segment **segments;
+  /*
+   * Requests that may crash servers, as hashes of what they ask for.
+   */
+  size_t n_contents;
+  Work__Segment **contents;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 /*
- * What the sender knows of a segment of prompts.
+ * What the sender knows of a segment of prompts, or of a request that comes
+ * again.
  */
 struct  Work__Segment
 {
   ProtobufCMessage base;
   uint64_t id;
   /*
-   * the sender sends no prompts with it to servers
+   * the sender sends no requests with it to servers
    */
   protobuf_c_boolean blocked;
   /*
--- a/src/request/forward_segments.c
+++ b/src/request/forward_segments.c
@@ -12,7 +12,7 @@
 static segments_t segments_of(const forward_t *forward)
 {
 	return (segments_t){ forward->request.segments,
-			     forward->request.segment_count };
+			     forward->request.segment_count, forward->content };
 }
 
 static segments_verdict_t judge(const forward_t *forward)
@@ -30,6 +30,17 @@
 	return *forward->request.id ? forward->request.id : "-";
 }
 
+static const char *kind_of(cause_id_t cause)
+{
+	switch (cause.kind) {
+	case CAUSE_SEGMENT:
+		return "segment";
+	case CAUSE_CONTENT:
+		return "content";
+	}
+	return "-";
+}
+
 bool forward_check_segments(forward_t *forward)
 {
 	segments_verdict_t verdict = judge(forward);
@@ -38,9 +49,9 @@
 	if (verdict.state == SEGMENTS_FREE)
 		return true;
 	log_event(EVENT_REQUEST_KEPT_BACK,
-		  "request=%s segment=%" PRIx64 " state=%s crashes=%zu"
+		  "request=%s %s=%" PRIx64 " state=%s crashes=%zu"
 		  " age_ms=%" PRId64 " retry_after_ms=%" PRId64,
-		  id_of(forward), verdict.segment,
+		  id_of(forward), kind_of(verdict.cause), verdict.cause.id,
 		  verdict.state == SEGMENTS_BLOCKED ? "blocked" : "suspect",
 		  verdict.crashes, verdict.crash_age_us / US_PER_MS, retry_ms);
 	forward_refuse(forward, "prompt_crashes_servers", retry_ms);
@@ -79,14 +90,6 @@
 				    now_us);
 }
 
-static void log_blocked(const forward_t *forward, uint64_t segment)
-{
-	if (segment)
-		log_event(EVENT_SEGMENT_BLOCKED,
-			  "segment=%" PRIx64 " source=%s", segment,
-			  id_of(forward));
-}
-
 void attempt_note_data(forward_t *forward)
 {
 	int64_t now_us = clock_monotonic_us();
@@ -106,17 +109,16 @@
 	if (writes_on(forward->attempt, now_us))
 		note_harmless(forward, now_us);
 	else
-		log_blocked(forward,
-			    segment_table_note_crash(
-				    forward->gateway->segments, &segments,
-				    server_of(forward), now_us));
+		segment_table_note_crash(forward->gateway->segments, &segments,
+					 server_of(forward), now_us);
+	gateway_log_blocked(forward->gateway, id_of(forward));
 }
 
 void attempt_note_unreachable(forward_t *forward)
 {
-	log_blocked(forward, segment_table_note_dead(forward->gateway->segments,
-						     server_of(forward),
-						     clock_monotonic_us()));
+	segment_table_note_dead(forward->gateway->segments, server_of(forward),
+				clock_monotonic_us());
+	gateway_log_blocked(forward->gateway, id_of(forward));
 }
 
 /* Watches the server of an answer that may have been broken off at its end. */
@@ -141,7 +143,7 @@
 	const attempt_t *attempt = forward->attempt;
 	int64_t now_us = clock_monotonic_us();
 
-	if (attempt->is_harmless || !forward->request.segment_count)
+	if (attempt->is_harmless)
 		return;
 	if (attempt->is_framed || writes_on(attempt, now_us))
 		note_harmless(forward, now_us);
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -309,8 +309,7 @@
 	ev_timer_stop(fixture->loop, &fixture->watch_timer);
 	listener_destroy(fixture->store);
 	for (i = 0; i < 2; i++) {
-		ev_io_stop(fixture->loop, &fixture->servers[i].listening);
-		close(fixture->servers[i].listening.fd);
+		gateway_fixture_stop_server(fixture, &fixture->servers[i]);
 	}
 	ev_loop_destroy(fixture->loop);
 }
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -85,7 +85,7 @@
 	bool has_health; /**< service "s" has a health path, /health */
 	/** How: CLOSES, BREAKS_OFF, ENDS_EARLY or ENDS_UNFRAMED. */
 	server_act_t crash_act;
-	int64_t crash_down_ms; /**< closes all connections for so long */
+	int64_t crash_down_ms; /**< then refuses connections for so long */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
@@ -98,7 +98,7 @@
 		/** Rate of requests that the server states in whole answers;
 		 * NULL: none. */
 		const char *rate;
-		int64_t down_until_us;
+		ev_timer restart; /**< after a crash */
 	} servers[2];
 	/** Script: act for each arrival, in order; SERVES after the last. */
 	server_act_t acts[ACTS_MAX];
@@ -114,6 +114,8 @@
 void gateway_fixture_stop(gateway_fixture_t *fixture);
 /** Opens a server that follows the script in acts (gateway_servers.c). */
 void gateway_fixture_server(gateway_fixture_t *fixture, struct server *server);
+void gateway_fixture_stop_server(gateway_fixture_t *fixture,
+				 struct server *server);
 /** Runs the loop until the gateway knows routes and servers. */
 void gateway_fixture_wait_ready(gateway_fixture_t *fixture);
 /** Runs the loop for @p ms. */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -27,6 +27,8 @@
 #define BYTE_INTERVAL_S 0.1
 #define DELAY_S 0.1
 
+static void on_server_accept(struct ev_loop *loop, ev_io *watcher, int events);
+
 static bool header_value(const char *text, const char *name, char *value,
 			 size_t size)
 {
@@ -234,21 +236,48 @@
 	return body && strlen(body + 4) >= strtoul(length, NULL, 10);
 }
 
-/* Ends the server if the request crashes it, or while it is down. */
+static void start_server(gateway_fixture_t *fixture, struct server *server,
+			 int fd)
+{
+	ev_io_init(&server->listening, on_server_accept, fd, EV_READ);
+	server->listening.data = fixture;
+	ev_io_start(fixture->loop, &server->listening);
+}
+
+static void on_restart(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	struct server *server = timer->data;
+
+	start_server(server->listening.data, server,
+		     loopback_listen_at(server->port));
+}
+
+void gateway_fixture_stop_server(gateway_fixture_t *fixture,
+				 struct server *server)
+{
+	ev_timer_stop(fixture->loop, &server->restart);
+	if (!ev_is_active(&server->listening))
+		return;
+	ev_io_stop(fixture->loop, &server->listening);
+	close(server->listening.fd);
+}
+
+/* Ends the server if the request crashes it. */
 static void crash(connection_t *connection)
 {
 	gateway_fixture_t *fixture = connection->fixture;
 	struct server *server = &fixture->servers[connection->arrival->server];
-	int64_t now_us = clock_monotonic_us();
-
-	if (now_us < server->down_until_us) {
-		connection->act = CLOSES;
-	} else if (fixture->crash_text &&
-		   strstr(connection->arrival->text, fixture->crash_text)) {
-		connection->act = fixture->crash_act;
-		server->down_until_us =
-			now_us + fixture->crash_down_ms * US_PER_MS;
-	}
+
+	if (!fixture->crash_text ||
+	    !strstr(connection->arrival->text, fixture->crash_text))
+		return;
+	connection->act = fixture->crash_act;
+	if (!fixture->crash_down_ms)
+		return;
+	gateway_fixture_stop_server(fixture, server);
+	ev_timer_set(&server->restart,
+		     (double)fixture->crash_down_ms / MS_PER_S, 0.);
+	ev_timer_start(fixture->loop, &server->restart);
 }
 
 static void on_server_readable(struct ev_loop *loop, ev_io *watcher, int events)
@@ -293,9 +322,7 @@
 
 void gateway_fixture_server(gateway_fixture_t *fixture, struct server *server)
 {
-	int fd = loopback_listen(&server->port);
-
-	ev_io_init(&server->listening, on_server_accept, fd, EV_READ);
-	server->listening.data = fixture;
-	ev_io_start(fixture->loop, &server->listening);
+	ev_init(&server->restart, on_restart);
+	server->restart.data = server;
+	start_server(fixture, server, loopback_listen(&server->port));
 }
--- a/tests/lib/loopback.h
+++ b/tests/lib/loopback.h
@@ -11,5 +11,7 @@
  * @return the socket
  */
 int loopback_listen(int *port);
+/** The same on @p port. */
+int loopback_listen_at(int port);
 
 #endif
--- a/tests/test_gateway_crashes.c
+++ b/tests/test_gateway_crashes.c
@@ -18,6 +18,7 @@
 	CRASHES = 5,
 	AFTER_CRASHES_MAX = 3,
 	PAUSE_MS = 60, /* between two requests */
+	DOWN_MS = 300, /* of a server that crashed */
 	REFUSAL_MAX_MS = 100 /* a refusal comes at once */
 };
 
@@ -61,7 +62,7 @@
 /* A server takes some time to start again. */
 static void restart_servers(gateway_fixture_t *fixture)
 {
-	gateway_fixture_run(fixture, PAUSE_MS);
+	gateway_fixture_run(fixture, fixture->crash_down_ms + PAUSE_MS);
 }
 
 static void servers_crash_on_without_end(void **state)
@@ -163,27 +164,28 @@
 		const char *guards_against, *path, *sound_path;
 		const char *body, *sound_body, *crash_text;
 		server_act_t act;
+		int64_t down_ms;
 	} cases[] = {
 		{ "lookup, other body", "/safe/x", "/safe/x", "bad1:", "sound",
-		  "bad1:", CLOSES },
+		  "bad1:", CLOSES, 0 },
 		{ "lookup, other path", "/safe/bad1", "/safe/x", "body", "body",
-		  "/bad1", CLOSES },
+		  "/bad1", CLOSES, 0 },
 		{ "lookup that breaks off", "/safe/x", "/safe/x",
-		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		  "bad1:", "sound", "bad1:", BREAKS_OFF, 0 },
 		{ "other query", "/safe/x?bad1", "/safe/x?good", "body", "body",
-		  "?bad1", CLOSES },
+		  "?bad1", CLOSES, 0 },
 		{ "call that runs at most once", "/once/x", "/once/x",
-		  "bad1:", "sound", "bad1:", CLOSES },
+		  "bad1:", "sound", "bad1:", CLOSES, 0 },
 		{ "public route", "/open/x", "/open/x", "bad1:", "sound",
-		  "bad1:", CLOSES },
+		  "bad1:", CLOSES, 0 },
 		{ "stream that may resume", "/stream/x", "/stream/x",
-		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		  "bad1:", "sound", "bad1:", BREAKS_OFF, 0 },
 		{ "stream that may not", "/single/x", "/single/x",
-		  "bad1:", "sound", "bad1:", BREAKS_OFF },
+		  "bad1:", "sound", "bad1:", BREAKS_OFF, 0 },
 		{ "answer without length or chunks", "/safe/x", "/safe/x",
-		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED },
+		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED, DOWN_MS },
 		{ "stream without length or chunks", "/stream/x", "/stream/x",
-		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED },
+		  "bad1:", "sound", "bad1:", ENDS_UNFRAMED, DOWN_MS },
 	};
 	size_t i;
 	int j;
@@ -191,7 +193,7 @@
 	for (i = 0; i < COUNT_OF(cases); i++) {
 		gateway_fixture_t fixture = { .crash_text = cases[i].crash_text,
 					      .has_health = true,
-					      .crash_down_ms = PAUSE_MS / 2,
+					      .crash_down_ms = cases[i].down_ms,
 					      .crash_act = cases[i].act };
 		reply_t reply;
 		int refused = 0, served = 0;
--- a/tests/test_segment_table.c
+++ b/tests/test_segment_table.c
@@ -1,6 +1,6 @@
 /**
- * Segments of prompts that crash servers: fleets of nodes that announce to each
- * other what they see, and single tables.
+ * Segments of prompts, and requests that come again, that crash servers: fleets
+ * of nodes that announce to each other what they see, and single tables.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -24,12 +24,19 @@
 	ANNOUNCE_MS = 100,
 	/* The platform's rules. */
 	KNOWN_CRASHES = 5,
+	CONTENT_KNOWN_CRASHES = 3,
 	ALLOWED = 3,
+	CALLER_TRIES = 4, /* of a caller who sends a failed request again */
 	STABLE_MS = 3000
 };
 
 /* Segments that crash servers in all cases. */
 #define BAD UINT64_C(0xbad0)
+/* Contents of requests that do, of sound ones that come again and again, and of
+ * sound ones that come once. */
+#define DEADLY UINT64_C(0xdead0)
+#define FREQUENT UINT64_C(0xf0)
+#define SINGLE (UINT64_C(1) << 40)
 
 typedef enum {
 	NO_FAULT,
@@ -56,6 +63,9 @@
 	bool is_at_any; /* each crash is seen by another node alone */
 	bool was_harmless; /* sound prompts had the segment before */
 	int older; /* nodes of a build that knows nothing of this */
+	bool is_content; /* requests that come again crash servers */
+	bool is_beside; /* prompts with a bad segment crash them, too */
+	bool is_repeated; /* callers send failed requests again */
 } day_t;
 
 typedef struct {
@@ -64,8 +74,9 @@
 	int bad; /* number of the bad segment; -1: sound */
 	int64_t sent_us, due_us;
 	int crash_ms; /* from the first event */
-	uint64_t ids[6];
+	uint64_t ids[6], content;
 	size_t count;
+	int caller_tries;
 	bool is_first, began;
 } run_t;
 
@@ -79,17 +90,23 @@
 	run_t runs[RUNS_MAX];
 	int64_t now_us;
 	uint64_t random;
-	int crashes[2], late[2], next_node;
-	int64_t known_us[2];
+	int crashes[4], late[4], next_node;
+	int64_t known_us[4];
+	uint64_t next_content, content_random;
 	int sound_sent[2],
 		sound_began[2]; /* before, and after the rule holds */
 } fleet_t;
 
+static int random_of(uint64_t *state, int below)
+{
+	*state = *state * UINT64_C(6364136223846793005) +
+		 UINT64_C(1442695040888963407);
+	return (int)((*state >> 33) % (uint64_t)below);
+}
+
 static int random_below(fleet_t *fleet, int below)
 {
-	fleet->random = fleet->random * UINT64_C(6364136223846793005) +
-			UINT64_C(1442695040888963407);
-	return (int)((fleet->random >> 33) % (uint64_t)below);
+	return random_of(&fleet->random, below);
 }
 
 static bool in_fault(const fleet_t *fleet, fault_t fault)
@@ -131,11 +148,23 @@
 
 static segments_t segments_of(const run_t *run)
 {
-	return (segments_t){ run->ids, run->count };
+	return (segments_t){ run->ids, run->count, run->content };
 }
 
 static void dispatch(fleet_t *fleet, run_t *run);
 
+/* The caller of a request that failed sends it again, to another node. */
+static void send_again(fleet_t *fleet, run_t *run)
+{
+	run->used = false;
+	if (!fleet->day->is_repeated || ++run->caller_tries >= CALLER_TRIES)
+		return;
+	run->node = random_below(fleet, fleet->day->nodes);
+	run->tries = 0;
+	if (!is_away(fleet, run->node))
+		dispatch(fleet, run);
+}
+
 /* The server of a request ended, or its connection broke. */
 static void break_off(fleet_t *fleet, run_t *run, uint32_t server)
 {
@@ -147,7 +176,7 @@
 	if (run->tries < 2)
 		dispatch(fleet, run);
 	else
-		run->used = false;
+		send_again(fleet, run);
 }
 
 static void end_server(fleet_t *fleet, int server)
@@ -223,16 +252,46 @@
 	return fleet->day->bad_percent > 0;
 }
 
+/* Causes are numbered: segments from 0, contents from 2. */
+static int first_bad(const fleet_t *fleet)
+{
+	return fleet->day->is_content ? 2 : 0;
+}
+
+/* @return number of crashes after which nodes know the cause */
+static int known_crashes(int bad)
+{
+	return bad < 2 ? KNOWN_CRASHES : CONTENT_KNOWN_CRASHES;
+}
+
+/* @return the content of a sound request */
+static uint64_t sound_content(fleet_t *fleet)
+{
+	if (random_of(&fleet->content_random, 3))
+		return SINGLE + fleet->next_content++;
+	return FREQUENT + (uint64_t)random_of(&fleet->content_random, 4);
+}
+
+/* @return the number of what makes a request crash its server */
+static int choose_bad(fleet_t *fleet)
+{
+	int bad = random_below(fleet, fleet->day->bad_count);
+
+	if (fleet->day->is_beside && random_below(fleet, 2))
+		return bad;
+	return first_bad(fleet) + bad;
+}
+
 /* @return true once the rule on sound requests holds */
 static bool is_settled(const fleet_t *fleet)
 {
-	int i;
+	bool crashed = !day_has_bad(fleet);
+	size_t i;
 
-	for (i = 0; i < fleet->day->bad_count; i++)
-		if ((day_has_bad(fleet) && !fleet->crashes[i]) ||
-		    fleet->now_us < (FAULT_END_MS + 2 * STABLE_MS) * US_PER_MS)
-			return false;
-	return true;
+	for (i = 0; i < COUNT_OF(fleet->crashes); i++)
+		crashed |= fleet->crashes[i] > 0;
+	return crashed &&
+	       fleet->now_us >= (FAULT_END_MS + 2 * STABLE_MS) * US_PER_MS;
 }
 
 static void send_request(fleet_t *fleet)
@@ -248,9 +307,14 @@
 		run->node = fleet->next_node++ % day->nodes;
 	if (is_away(fleet, run->node))
 		return;
-	run->bad = bad ? random_below(fleet, day->bad_count) : -1;
+	run->bad = bad ? choose_bad(fleet) : -1;
 	run->crash_ms = 20 + random_below(fleet, 400);
-	if (bad) {
+	run->content = run->bad >= 2 ? DEADLY + (uint64_t)run->bad
+				     : sound_content(fleet);
+	if (run->bad >= 2) {
+		add_ids(run, day->sound, 0);
+	} else if (bad) {
+		run->content = SINGLE + fleet->next_content++;
 		add_ids(run, day->prompt, run->bad);
 	} else {
 		static const uint64_t shared[] = { 0xa1, 0, 0 };
@@ -309,33 +373,41 @@
 		finish(fleet, run);
 		return;
 	}
-	if (++fleet->crashes[run->bad] == KNOWN_CRASHES)
+	if (++fleet->crashes[run->bad] == known_crashes(run->bad))
 		fleet->known_us[run->bad] = fleet->now_us;
 	end_server(fleet, run->server);
 }
 
-static void announce(fleet_t *fleet, int from)
+static void announce_kind(fleet_t *fleet, int from, cause_kind_t kind,
+			  size_t max)
 {
 	segment_report_t reports[ANNOUNCED_SEGMENTS_MAX];
-	size_t i, count;
+	size_t i, count = segment_table_list(fleet->tables[from], kind, reports,
+					     max, fleet->now_us);
 	int to;
 
-	if (is_away(fleet, from) || is_older(fleet, from))
-		return;
-	segment_table_expire(fleet->tables[from], fleet->now_us);
-	count = segment_table_list(fleet->tables[from], reports,
-				   ANNOUNCED_SEGMENTS_MAX, fleet->now_us);
 	for (to = 0; to < fleet->day->nodes; to++) {
 		if (to == from || is_away(fleet, to) || is_older(fleet, to) ||
 		    (in_fault(fleet, CUT) && to % 2 != from % 2) ||
-		    !random_below(fleet, 20))
+		    !random_of(kind == CAUSE_SEGMENT ? &fleet->random
+						     : &fleet->content_random,
+			       20))
 			continue;
 		for (i = 0; i < count; i++)
-			segment_table_receive(fleet->tables[to], &reports[i],
-					      fleet->now_us);
+			segment_table_receive(fleet->tables[to], kind,
+					      &reports[i], fleet->now_us);
 	}
 }
 
+static void announce(fleet_t *fleet, int from)
+{
+	if (is_away(fleet, from) || is_older(fleet, from))
+		return;
+	segment_table_expire(fleet->tables[from], fleet->now_us);
+	announce_kind(fleet, from, CAUSE_SEGMENT, ANNOUNCED_SEGMENTS_MAX);
+	announce_kind(fleet, from, CAUSE_CONTENT, ANNOUNCED_CONTENTS_MAX);
+}
+
 static void restart_node(fleet_t *fleet, int node)
 {
 	int i;
@@ -405,12 +477,12 @@
 	const day_t *day = fleet->day;
 	int i, broken = 0;
 
-	for (i = 0; i < day->bad_count; i++)
+	for (i = 0; i < (int)COUNT_OF(fleet->late); i++)
 		if (fleet->late[i] > ALLOWED) {
-			print_error("day \"%s\" seed %d: %d requests after the "
-				    "fifth crash, %d crashes\n",
+			print_error("day \"%s\" seed %d: %d requests after "
+				    "crash %d, %d crashes\n",
 				    day->name, (int)seed, fleet->late[i],
-				    fleet->crashes[i]);
+				    known_crashes(i), fleet->crashes[i]);
 			broken++;
 		}
 	if (fleet->sound_sent[1] < 20 ||
@@ -453,7 +525,7 @@
 		day.bad_count = 1;
 	memset(&fleet, 0, sizeof(fleet));
 	fleet.day = &day;
-	fleet.random = seed;
+	fleet.random = fleet.content_random = seed;
 	set_nodes(&fleet);
 	for (i = 0; i < day.nodes; i++)
 		fleet.tables[i] = segment_table_create();
@@ -587,6 +659,12 @@
 		  { 0xc2 },
 		  .bad_percent = 4,
 		  .older = 2 },
+		{ "callers send failed requests again",
+		  6,
+		  MIDDLE,
+		  { 0xc2 },
+		  .bad_percent = 12,
+		  .is_repeated = true },
 	};
 	size_t i;
 	uint64_t seed;
@@ -600,6 +678,55 @@
 	assert_int_equal(broken, 0);
 }
 
+static void
+same_request_crashes_servers_or_sound_requests_are_lost(void **state)
+{
+#define CONTENT_DAY(name, nodes, percent)                  \
+	name, nodes, MIDDLE, { 0xc2 }, .is_content = true, \
+				       .bad_percent = percent
+	static const day_t days[] = {
+		{ CONTENT_DAY("one request", 6, 6) },
+		{ CONTENT_DAY("one node", 1, 6) },
+		{ CONTENT_DAY("each node sees one crash", 24, 4),
+		  .is_at_any = true },
+		{ CONTENT_DAY("seldom", 6, 1) },
+		{ CONTENT_DAY("most requests", 6, 60) },
+		{ CONTENT_DAY("two requests", 6, 8), .bad_count = 2 },
+		{ CONTENT_DAY("callers send it again", 6, 6),
+		  .is_repeated = true },
+		{ CONTENT_DAY("beside a segment", 6, 12), .is_beside = true },
+		{ CONTENT_DAY("two beside two segments, sent again", 6, 12),
+		  .bad_count = 2, .is_beside = true, .is_repeated = true },
+		{ CONTENT_DAY("ends of answers are unclear", 6, 6),
+		  .unframed = true },
+		{ CONTENT_DAY("many servers crash", 6, 6),
+		  .fault = SERVERS_CRASH },
+		{ CONTENT_DAY("many servers crash alone", 6, 0),
+		  .fault = SERVERS_CRASH, .is_repeated = true },
+		{ CONTENT_DAY("servers flap", 6, 6), .fault = SERVERS_FLAP },
+		{ CONTENT_DAY("servers flap alone", 6, 0),
+		  .fault = SERVERS_FLAP, .is_repeated = true },
+		{ CONTENT_DAY("a server stops", 6, 6), .fault = SERVER_STOPS },
+		{ CONTENT_DAY("nodes are cut off", 6, 6), .fault = CUT },
+		{ CONTENT_DAY("nodes are cut off alone", 24, 0), .fault = CUT },
+		{ CONTENT_DAY("nodes restart", 6, 6), .fault = RESTART },
+		{ CONTENT_DAY("nodes restart in turns", 24, 6),
+		  .fault = RESTART_TURNS },
+		{ CONTENT_DAY("nodes join", 6, 6), .fault = JOIN },
+		{ CONTENT_DAY("nodes freeze", 6, 6), .fault = FREEZE },
+		{ CONTENT_DAY("the request ends", 6, 6), .until_ms = 11000 },
+		{ CONTENT_DAY("nodes of the build before", 6, 3), .older = 2 },
+	};
+	size_t i;
+	uint64_t seed;
+	int broken = 0;
+
+	for (i = 0; i < COUNT_OF(days); i++)
+		for (seed = 1; seed <= 8; seed++)
+			broken += play_day(&days[i], seed);
+	assert_int_equal(broken, 0);
+}
+
 static void segment_that_was_harmless_crashes_servers(void **state)
 {
 	static const uint64_t seeds[] = { 13, 45, 129, 145 };
@@ -612,7 +739,7 @@
 }
 
 static const uint64_t bad[] = { 0xa1, BAD };
-static const segments_t bad_prompt = { bad, 2 };
+static const segments_t bad_prompt = { bad, 2, 0 };
 
 /* A node that stands for each hash, and one that does for none. */
 static uint64_t alone_hash = 1;
@@ -625,7 +752,7 @@
  * @return the time after it */
 static int64_t block(segment_table_t *table, int64_t now_us)
 {
-	static const segments_t shared = { bad, 1 };
+	static const segments_t shared = { bad, 1, 0 };
 	uint32_t i;
 
 	for (i = 0; i < KNOWN_CRASHES; i++) {
@@ -643,7 +770,7 @@
 static segments_state_t state_of(segment_table_t *table, const uint64_t *ids,
 				 size_t count, int64_t now_us)
 {
-	segments_t segments = { ids, count };
+	segments_t segments = { ids, count, 0 };
 
 	return segment_table_judge(table, &segments, &others, now_us).state;
 }
@@ -652,7 +779,7 @@
 static void sound_segment_is_blocked_with_another(void **state)
 {
 	static const uint64_t both[] = { 0xe5, BAD };
-	static const segments_t prompt = { both, 2 }, sound = { both, 1 };
+	static const segments_t prompt = { both, 2, 0 }, sound = { both, 1, 0 };
 	segment_table_t *table = segment_table_create();
 	int64_t now_us = US_PER_S;
 	uint32_t i;
@@ -712,7 +839,7 @@
 	}
 	for (step = 0; step < STEPS; step++) {
 		uint64_t ids[] = { 0x100 + (uint64_t)step, BAD };
-		segments_t prompt = { ids, 2 };
+		segments_t prompt = { ids, 2, 0 };
 		segment_table_t *table = fleet.tables[step % NODES];
 
 		fleet.now_us = start_us + step * US_PER_S;
@@ -774,7 +901,7 @@
 	uint64_t id, first = UINT64_C(1) << 32;
 
 	for (id = first; id < first + SEGMENTS; id++) {
-		segments_t one = { &id, 1 };
+		segments_t one = { &id, 1, 0 };
 
 		now_us += US_PER_MS;
 		if (id % 100)
@@ -783,24 +910,193 @@
 		else
 			segment_table_note_crash(table, &one, 7, now_us);
 	}
-	assert_in_range(segment_table_size(table), 1, KEPT_MAX);
+	assert_in_range(segment_table_size(table, CAUSE_SEGMENT), 1, KEPT_MAX);
 	assert_int_equal(
 		segment_table_judge(table, &bad_prompt, &others, now_us).state,
 		SEGMENTS_BLOCKED);
 	segment_table_destroy(table);
 }
 
+/* What one node sees of a request that comes again. */
+static void content_is_blocked_too_late_or_without_cause(void **state)
+{
+	enum { STEPS_MAX = 8, CONTENT = 77 };
+	typedef struct {
+		enum { END, CRASH, OTHER_CRASH, HARMLESS, ALIVE } type;
+		int64_t at_ms;
+		uint32_t server;
+	} step_t;
+	static const struct {
+		const char *guards_against;
+		step_t steps[STEPS_MAX];
+		segments_state_t state;
+	} cases[] = {
+		{ "three servers end, one after the other",
+		  { { CRASH, 100, 1 }, { CRASH, 900, 2 }, { CRASH, 5000, 3 } },
+		  SEGMENTS_BLOCKED },
+		{ "two servers end",
+		  { { CRASH, 100, 1 }, { CRASH, 900, 2 } },
+		  SEGMENTS_FREE },
+		{ "a server starts again, and ends",
+		  { { CRASH, 100, 1 },
+		    { ALIVE, 2000, 1 },
+		    { CRASH, 2100, 1 },
+		    { ALIVE, 4000, 1 },
+		    { CRASH, 4100, 1 } },
+		  SEGMENTS_BLOCKED },
+		{ "a server that ended breaks off more requests",
+		  { { CRASH, 100, 1 },
+		    { CRASH, 700, 1 },
+		    { CRASH, 1500, 1 },
+		    { CRASH, 2900, 1 } },
+		  SEGMENTS_FREE },
+		{ "many servers are lost at one moment",
+		  { { CRASH, 100, 1 },
+		    { CRASH, 110, 2 },
+		    { CRASH, 120, 3 },
+		    { CRASH, 130, 4 } },
+		  SEGMENTS_FREE },
+		{ "two ends at one moment, and another",
+		  { { CRASH, 100, 1 }, { CRASH, 110, 2 }, { CRASH, 900, 3 } },
+		  SEGMENTS_BLOCKED },
+		{ "an answer between the ends",
+		  { { CRASH, 100, 1 },
+		    { CRASH, 900, 2 },
+		    { HARMLESS, 1000, 0 },
+		    { CRASH, 1500, 3 } },
+		  SEGMENTS_FREE },
+		{ "answers before, servers end quickly",
+		  { { HARMLESS, 50, 0 },
+		    { CRASH, 100, 1 },
+		    { CRASH, 400, 2 },
+		    { CRASH, 700, 3 } },
+		  SEGMENTS_FREE },
+		{ "answers before, and none since for long",
+		  { { HARMLESS, 50, 0 },
+		    { CRASH, 100, 1 },
+		    { CRASH, 900, 2 },
+		    { CRASH, 2500, 3 } },
+		  SEGMENTS_BLOCKED },
+		{ "crashes that other nodes saw",
+		  { { OTHER_CRASH, 100, 1 },
+		    { OTHER_CRASH, 900, 2 },
+		    { CRASH, 1500, 3 } },
+		  SEGMENTS_BLOCKED },
+		{ "one crash that several nodes saw",
+		  { { CRASH, 100, 1 },
+		    { OTHER_CRASH, 150, 1 },
+		    { OTHER_CRASH, 800, 1 },
+		    { CRASH, 900, 2 } },
+		  SEGMENTS_FREE },
+	};
+	static const segments_t request = { NULL, 0, CONTENT },
+				another = { NULL, 0, CONTENT + 1 };
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		segment_table_t *table = segment_table_create();
+		int64_t now_us = 0;
+
+		for (j = 0; j < STEPS_MAX && cases[i].steps[j].type; j++) {
+			const step_t *step = &cases[i].steps[j];
+			segment_report_t report = { .id = CONTENT,
+						    .harmless_age_us = -1,
+						    .crashes = { { step->server,
+								   0 } },
+						    .crash_count = 1 };
+
+			now_us = step->at_ms * US_PER_MS;
+			if (step->type == CRASH)
+				segment_table_note_crash(table, &request,
+							 step->server, now_us);
+			else if (step->type == OTHER_CRASH)
+				segment_table_receive(table, CAUSE_CONTENT,
+						      &report, now_us);
+			else if (step->type == HARMLESS)
+				segment_table_note_harmless(table, &request,
+							    now_us - 1, now_us);
+			else
+				segment_table_note_alive(table, step->server,
+							 now_us, now_us);
+		}
+		segment_table_expire(table, now_us);
+		if (segment_table_judge(table, &request, &others, now_us)
+			    .state != cases[i].state)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+		assert_int_equal(segment_table_judge(table, &another, &others,
+						     now_us)
+					 .state,
+				 SEGMENTS_FREE);
+		segment_table_destroy(table);
+	}
+}
+
+/* The platform allows three requests after the third crash. */
+static void blocked_content_is_tried_too_often_or_never(void **state)
+{
+	static const segments_t request = { NULL, 0, DEADLY };
+	segment_table_t *table = segment_table_create();
+	int64_t now_us;
+	uint32_t server = 0;
+
+	for (now_us = US_PER_S; now_us < 86400 * US_PER_S; now_us += US_PER_S) {
+		segment_table_expire(table, now_us);
+		if (segment_table_judge(table, &request, &alone, now_us)
+			    .state != SEGMENTS_FREE)
+			continue;
+		segment_table_sent(table, &request, now_us);
+		segment_table_note_crash(table, &request, server++, now_us);
+	}
+	assert_in_range(server, CONTENT_KNOWN_CRASHES + 1,
+			CONTENT_KNOWN_CRASHES + ALLOWED);
+	segment_table_destroy(table);
+}
+
+/* Sound requests with bodies of their own, and some that break off. */
+static void memory_grows_with_each_content(void **state)
+{
+	enum { REQUESTS = 50000, KEPT_MAX = 4096 };
+	static const segments_t deadly = { NULL, 0, DEADLY };
+	segment_table_t *table = segment_table_create();
+	int64_t now_us = US_PER_S;
+	uint64_t id;
+
+	for (id = 0; id < CONTENT_KNOWN_CRASHES; id++)
+		segment_table_note_crash(table, &deadly, (uint32_t)id,
+					 now_us += US_PER_S);
+	for (id = SINGLE; id < SINGLE + REQUESTS; id++) {
+		segments_t one = { NULL, 0, id };
+
+		now_us += US_PER_MS;
+		if (id % 10)
+			segment_table_note_harmless(table, &one, now_us,
+						    now_us);
+		else
+			segment_table_note_crash(table, &one, 7, now_us);
+	}
+	assert_in_range(segment_table_size(table, CAUSE_CONTENT), 1, KEPT_MAX);
+	assert_int_equal(
+		segment_table_judge(table, &deadly, &others, now_us).state,
+		SEGMENTS_BLOCKED);
+	segment_table_destroy(table);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			segment_crashes_servers_or_sound_prompts_are_lost),
+		cmocka_unit_test(
+			same_request_crashes_servers_or_sound_requests_are_lost),
 		cmocka_unit_test(segment_that_was_harmless_crashes_servers),
 		cmocka_unit_test(sound_segment_is_blocked_with_another),
 		cmocka_unit_test(blocked_segment_is_tried_too_often_or_never),
 		cmocka_unit_test(each_node_tries_a_blocked_segment),
 		cmocka_unit_test(segment_that_was_mended_stays_blocked),
 		cmocka_unit_test(memory_grows_with_each_segment),
+		cmocka_unit_test(content_is_blocked_too_late_or_without_cause),
+		cmocka_unit_test(blocked_content_is_tried_too_often_or_never),
+		cmocka_unit_test(memory_grows_with_each_content),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -43,6 +43,11 @@
 					     .crash_count = 2 },
 					   { .id = 3, .harmless_age_us = 0 } },
 			     .segment_count = 2,
+			     .contents = { { .id = UINT64_MAX,
+					     .harmless_age_us = -1,
+					     .crashes = { { 9, MS(5) } },
+					     .crash_count = 1 } },
+			     .content_count = 1,
 			     .address = "10.0.0.4:700",
 			     .items = &item,
 			     .item_count = 1 }
@@ -74,6 +79,9 @@
 	assert_int_equal(got.as.load.segment_count, 2);
 	assert_memory_equal(got.as.load.segments, sent.as.load.segments,
 			    2 * sizeof(segment_report_t));
+	assert_int_equal(got.as.load.content_count, 1);
+	assert_memory_equal(got.as.load.contents, sent.as.load.contents,
+			    sizeof(segment_report_t));
 	assert_string_equal(got.as.load.address, "10.0.0.4:700");
 	assert_int_equal(got.as.load.item_count, 1);
 	assert_int_equal(got.as.load.items[0].server_hash, 7);
