--- a/tests/lib/loopback.c
+++ b/tests/lib/loopback.c
@@ -23,7 +23,7 @@
 
 int loopback_listen(int *port)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t size = sizeof(address);
 	int fd = loopback_listen_at(0);
 
