Keep servers without an entry only after an outage of the store

The record names neither what came before nor how late.

What can do this here, shown by the test: after any failed call, one 503, 429 or a 410 for dropped history, a node took what it then read for the end of an outage and kept servers whose entries were gone for 1.8 s more. With the time until it learned of it, and until the request arrived, that is more than 2 s. A 410 comes to all nodes at once, after a second in which watches hear nothing.

The grace period is for entries that expired while the store was away, which takes several missing reports: it now begins only if the store did not answer for 1 s or more, and a 410 is an answer.

server_that_left_is_used_after_a_failed_call fails before in its first case and passes now in all four. keeps_servers_after_an_outage had an outage of one refused call, which is none now: it lasts 1.5 s, the checks are the same. That this is what the operators saw is suspected, not shown: their record has no times.

--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -40,6 +40,8 @@
 	/** Last time at which the view was complete; 0: never. */
 	int64_t confirmed_boot_us;
 	int32_t failures; /**< failed calls in a row */
+	/** Since when the store may not have answered; 0: it answers. */
+	int64_t failing_boot_us;
 	change_log_t *log; /**< recent changes, for subscribers */
 	/** The last check found that view updates replace a watch. */
 	bool subscribed;
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -58,6 +58,9 @@
  * are written again within 2 s; until the period ends, servers that left stay
  * usable as well. */
 #define SERVER_GRACE_US (1800 * US_PER_MS)
+/* Entries expire after several reports of their servers are missing: calls that
+ * fail for less than this are no outage in which they may have. */
+#define OUTAGE_MIN_US (1 * US_PER_S)
 
 static void schedule(view_t *view, int64_t delay_ms)
 {
@@ -100,6 +103,28 @@
 			: clock_monotonic_us() + SERVER_GRACE_US;
 }
 
+/* Notes since when the store may not have answered: a call that was not
+ * answered in time tells nothing of the time before. */
+static void note_failing(view_t *view, platform_status_t status)
+{
+	int64_t now_us = clock_boot_us();
+
+	/* The store answered that it lacks the changes. */
+	if (status == PLATFORM_CONFLICT || view->failing_boot_us)
+		return;
+	view->failing_boot_us = now_us;
+	if (now_us - view->called_boot_us >= view->wait_ms * US_PER_MS)
+		view->failing_boot_us = view->called_boot_us;
+}
+
+/* @return true if the store did not answer for so long that entries of servers
+ * may have expired */
+static bool ends_outage(const view_t *view)
+{
+	return view->failing_boot_us && view->confirmed_boot_us &&
+	       clock_boot_us() - view->failing_boot_us >= OUTAGE_MIN_US;
+}
+
 /* Prepares a listing, which replaces all known objects; a watch only adds
  * changes. */
 static void begin_listing(view_t *view)
@@ -220,6 +245,7 @@
 	int64_t delay_ms = RETRY_FIRST_MS << doublings;
 	int64_t longest_ms = RETRY_MAX_MS, idle_ms;
 
+	note_failing(view, status);
 	view->failures++;
 	/* The store has dropped the changes since the view's revision: list all
 	 * objects again, at once. */
@@ -283,8 +309,9 @@
 		on_answer_failed(view, status);
 		return;
 	}
-	if (view->failures && view->confirmed_boot_us)
+	if (ends_outage(view))
 		start_grace_period(view->gateway);
+	view->failing_boot_us = 0;
 	if (view->failures) {
 		view->failures = 0;
 		gateway_retry_views(view->gateway);
@@ -316,6 +343,7 @@
 void gateway_end_outage(view_t *view)
 {
 	view->failures = 0;
+	view->failing_boot_us = 0;
 	start_grace_period(view->gateway);
 	schedule(view, SUBSCRIBER_CHECK_MS);
 }
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -136,6 +136,11 @@
 		    now_us - fixture->watched_us[i] < WATCH_MS * US_PER_MS)
 			continue;
 		fixture->watches[i] = NULL;
+		if (fixture->watch_status) {
+			reply_json(fixture, exchange, fixture->watch_status,
+				   json_object());
+			continue;
+		}
 		reply_json(fixture, exchange, 200,
 			   json_pack("{s:[],s:i}", "events", "storeRevision",
 				     9));
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -71,6 +71,7 @@
 	ev_timer watch_timer;
 	bool store_silent;
 	bool store_refuses; /**< answers all calls with 503 */
+	int watch_status; /**< status of the answers to watches; 0: 200 */
 	/** Calls to the store, without those for the list of nodes. */
 	int view_calls;
 	const char *era; /**< Store-Era of the store's answers; NULL: none */
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -386,6 +386,8 @@
 	gateway_fixture_stop(&fixture);
 }
 
+enum { OUTAGE_MS = 1500 };
+
 /* Guards against two faults after an outage: a server that left while this node
  * was partitioned is used as if its entry could return, and a platform that
  * lost its entries leaves the fleet without servers. */
@@ -427,9 +429,13 @@
 		for (ms = 0; ms < 4000 && !fixture.gateway->views[0].failures;
 		     ms += 50)
 			gateway_fixture_run(&fixture, 50);
+		gateway_fixture_run(&fixture, OUTAGE_MS);
 		fixture.store_refuses = false;
 		fixture.no_servers = true;
 		gateway_relist(&fixture.gateway->views[1], 0);
+		for (ms = 0; ms < 4000 && fixture.gateway->views[0].failures;
+		     ms += 50)
+			gateway_fixture_run(&fixture, 50);
 		for (ms = 0; ms < 1000; ms += 200) {
 			if (outages[i].others_reach_platform)
 				gateway_receive_update(fixture.gateway,
@@ -443,6 +449,47 @@
 	}
 }
 
+/* The platform allows 2 s; requests need some of it to arrive. */
+static void server_that_left_is_used_after_a_failed_call(void **state)
+{
+	enum { USED_MAX_MS = 1000 };
+	static const struct {
+		const char *guards_against;
+		int status; /* of the answer to a watch that fails */
+		int calls; /* that fail; 0: the store is listed at once */
+	} cases[] = { { "one refused call", 503, 1 },
+		      { "calls refused for a moment", 503, 2 },
+		      { "too many calls", 429, 1 },
+		      { "history that is gone", 410, 0 } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { 0 };
+		const view_t *view;
+		int64_t ms;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		view = &fixture.gateway->views[0];
+		fixture.watch_status = cases[i].status;
+		fixture.no_servers = !cases[i].calls;
+		if (fixture.no_servers)
+			gateway_fixture_run(&fixture, USED_MAX_MS / 2);
+		for (ms = 0; ms < 2000 && view->failures < cases[i].calls;
+		     ms += 2)
+			gateway_fixture_run(&fixture, 2);
+		assert_in_range(view->failures, cases[i].calls, 2);
+		fixture.watch_status = 0;
+		fixture.no_servers = true;
+		gateway_fixture_run(&fixture, USED_MAX_MS / 2);
+		gateway_relist(&fixture.gateway->views[1], 0);
+		gateway_fixture_run(&fixture, USED_MAX_MS / 2);
+		if (count_servers(fixture.gateway))
+			fail_msg("case \"%s\"", cases[i].guards_against);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /* Guards against changes that a node does not receive because another node,
  * which had the same place in the list of nodes before, has them already. */
 static void tracks_changes_per_node(void **state)
@@ -522,6 +569,7 @@
 			restored_store_confirms_an_older_configuration),
 		cmocka_unit_test(lists_again_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
+		cmocka_unit_test(server_that_left_is_used_after_a_failed_call),
 		cmocka_unit_test(tracks_changes_per_node),
 	};
 
