--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -117,12 +117,21 @@
 		view->failing_boot_us = view->called_boot_us;
 }
 
-/* @return true if the store did not answer for so long that entries of servers
- * may have expired */
+/* @return true if, until the call that was answered now, the store did not
+ * answer for so long that entries of servers may have expired */
 static bool ends_outage(const view_t *view)
 {
 	return view->failing_boot_us && view->confirmed_boot_us &&
-	       clock_boot_us() - view->failing_boot_us >= OUTAGE_MIN_US;
+	       view->called_boot_us - view->failing_boot_us >= OUTAGE_MIN_US;
+}
+
+/* The store answers: no view waits for it any longer. */
+static void end_outages(gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++)
+		gateway->views[i].failing_boot_us = 0;
 }
 
 /* Prepares a listing, which replaces all known objects; a watch only adds
@@ -311,7 +320,7 @@
 	}
 	if (ends_outage(view))
 		start_grace_period(view->gateway);
-	view->failing_boot_us = 0;
+	end_outages(view->gateway);
 	if (view->failures) {
 		view->failures = 0;
 		gateway_retry_views(view->gateway);
@@ -343,7 +352,7 @@
 void gateway_end_outage(view_t *view)
 {
 	view->failures = 0;
-	view->failing_boot_us = 0;
+	end_outages(view->gateway);
 	start_grace_period(view->gateway);
 	schedule(view, SUBSCRIBER_CHECK_MS);
 }
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -434,8 +434,12 @@
 		fixture.no_servers = true;
 		gateway_relist(&fixture.gateway->views[1], 0);
 		for (ms = 0; ms < 4000 && fixture.gateway->views[0].failures;
-		     ms += 50)
+		     ms += 50) {
+			if (outages[i].others_reach_platform)
+				gateway_receive_update(fixture.gateway,
+						       &update);
 			gateway_fixture_run(&fixture, 50);
+		}
 		for (ms = 0; ms < 1000; ms += 200) {
 			if (outages[i].others_reach_platform)
 				gateway_receive_update(fixture.gateway,
