--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -2,10 +2,14 @@
  * Tests of decoding what the platform sends: settings, the routing
  * configuration, entries of servers, and headers of answers.
  */
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "cases.h"
+#include "base/mem.h"
+#include "platform/codec.h"
 #include "platform/config.h"
 #include "platform/headers.h"
 #include "platform/orders.h"
@@ -314,6 +318,22 @@
 		  ENTRY("\"16\"", "\"10.0.0.9:80\"", "\"ready\""), false },
 		{ "no slots", ENTRY("0", "\"10.0.0.9:80\"", "\"ready\""),
 		  false },
+		{ "a port out of range",
+		  ENTRY("16", "\"10.0.0.9:65536\"", "\"ready\""), false },
+		{ "a port far out of range",
+		  ENTRY("16", "\"10.0.0.9:99999999999\"", "\"ready\""), false },
+		{ "port 0", ENTRY("16", "\"10.0.0.9:0\"", "\"ready\""), false },
+		{ "a negative port",
+		  ENTRY("16", "\"10.0.0.9:-80\"", "\"ready\""), false },
+		{ "an address that is no address",
+		  ENTRY("16", "\"10.0.0.999:80\"", "\"ready\""), false },
+		{ "more slots than a server has",
+		  ENTRY("2000000000", "\"10.0.0.9:80\"", "\"ready\""), false },
+		{ "a time that overflows",
+		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
+		  "\"zone\":\"a\",\"concurrencyLimit\":16,"
+		  "\"state\":\"ready\",\"coldLeftMs\":1e300}",
+		  false },
 		{ "an entry that is not an object", "\"bytes\"", false },
 		{ "an empty entry", "{}", false },
 	};
@@ -337,6 +357,83 @@
 	}
 }
 
+enum { NESTED = 200000 };
+
+/* @return text with @p value as a value of the entry in the middle of three */
+static char *page_with(const char *value, bool are_events)
+{
+	static const char sound[] = ENTRY("16", "\"10.0.0.9:80\"", "\"ready\"");
+	size_t size = strlen(value) + 4 * sizeof(sound) + 400;
+	const char *before = are_events ? "{\"object\":" : "";
+	const char *after = are_events ? "}" : "";
+	char *text = mem_calloc(size, 1);
+
+	snprintf(text, size,
+		 "{\"%s\":[%s{\"meta\":{\"name\":\"i-1\",\"revision\":5},"
+		 "\"spec\":%s}%s,%s{\"meta\":{\"name\":\"i-2\",\"revision\":6},"
+		 "\"spec\":{\"odd\":%s}}%s,%s{\"meta\":{\"name\":\"i-3\","
+		 "\"revision\":7},\"spec\":%s}%s],\"storeRevision\":9}",
+		 are_events ? "events" : "items", before, sound, after, before,
+		 value, after, before, sound, after);
+	return text;
+}
+
+static char *nested(char open, char close, const char *between)
+{
+	size_t i, used = 0, size = NESTED * (2 + strlen(between)) + 1;
+	char *text = mem_calloc(size, 1);
+
+	for (i = 0; i < NESTED; i++)
+		used += (size_t)sprintf(text + used, "%c%s", open,
+					i + 1 < NESTED ? between : "");
+	memset(text + used, close, NESTED);
+	return text;
+}
+
+/* Guards against one entry of another program that hides all servers. */
+static void odd_entry_hides_the_other_servers(void **state)
+{
+	char *arrays = nested('[', ']', ""), *maps = nested('{', '}', "\"a\":");
+	const char *const values[] = {
+		"7",
+		"99999999999999999999",
+		"-99999999999999999999",
+		"1e999",
+		"-1e999",
+		"[1e999,{\"x\":99999999999999999999}]",
+		arrays,
+		maps,
+		"\"\xff\xfe\"",
+		"\"\xc3\xa4 \xff\"",
+		"\"\\ud800\"",
+		"\"\\u0000\"",
+		"\"\\\\\\\" ]}\"",
+		"\"\x01\"",
+		"11111111111111111111111111111111111111111111111111111111111",
+	};
+	size_t i;
+
+	for (i = 0; i < 2 * COUNT_OF(values); i++) {
+		char *text = page_with(values[i / 2], i % 2);
+		platform_parsed_page_t parsed;
+		backend_entry_t entry;
+		err_t err;
+
+		if (!platform_parse_page(text, strlen(text), 0, &parsed, &err))
+			fail_msg("value %.40s", values[i / 2]);
+		assert_int_equal(parsed.page.count, 3);
+		assert_true(platform_decode_server(&parsed.objects[0], &entry));
+		assert_false(
+			platform_decode_server(&parsed.objects[1], &entry));
+		assert_true(platform_decode_server(&parsed.objects[2], &entry));
+		assert_string_equal(entry.id, "i-3");
+		platform_page_clear(&parsed);
+		free(text);
+	}
+	free(arrays);
+	free(maps);
+}
+
 /*
  * Guards against a server's answer that is taken for another kind of answer,
  * against a Retry-After that is not a positive number, or is too long, and
@@ -426,6 +523,7 @@
 		cmocka_unit_test(refuses_malformed_routing),
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
+		cmocka_unit_test(odd_entry_hides_the_other_servers),
 		cmocka_unit_test(parses_reply_headers),
 		cmocka_unit_test(recognises_hop_headers),
 	};
