Send changes that name no server without their content

An odd entry that is longer than a datagram was neither sent to other nodes nor logged, and what came after it was a gap to them until they watched the store themselves. What such an entry holds does not matter: it goes without.

odd_entry_fits_no_datagram fails before.

--- a/src/process/gateway_updates.c
+++ b/src/process/gateway_updates.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/mem.h"
+#include "platform/config.h"
 #include "process/gateway_state.h"
 #include "process/packet.h"
 
@@ -170,6 +171,19 @@
 				       : 0;
 }
 
+/* @return the content of an object as text, which the caller frees; NULL: none.
+ * An entry that names no server may be too long for a datagram, and its
+ * content does not matter. */
+static char *content_text(const view_t *view, const platform_object_t *object)
+{
+	backend_entry_t entry;
+
+	if (view->kind == PLATFORM_SERVERS &&
+	    !platform_decode_server(object, &entry))
+		return NULL;
+	return json_dumps(object->spec, JSON_COMPACT | JSON_ENCODE_ANY);
+}
+
 void gateway_log_change(view_t *view, const platform_object_t *object,
 			int64_t revision, int64_t grace_until_us)
 {
@@ -186,7 +200,7 @@
 	 * carry its version alone. */
 	if (view->kind == PLATFORM_ROUTING)
 		return;
-	spec = json_dumps(object->spec, JSON_COMPACT | JSON_ENCODE_ANY);
+	spec = content_text(view, object);
 	change.spec = spec ? spec : "null";
 	change_log_add(view->log, &change, now_us);
 	free(spec);
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -494,6 +494,33 @@
 	}
 }
 
+/* Guards against changes that other nodes do not get because an odd entry among
+ * them fits no datagram. */
+static void odd_entry_fits_no_datagram(void **state)
+{
+	enum { LONG_BYTES = 4 * PACKET_SIZE_MAX_BYTES, REVISION = 20 };
+	gateway_fixture_t fixture = { 0 };
+	platform_object_t object = { .name = "i-odd" };
+	packet_t packet = { .type = PACKET_VIEW_UPDATE,
+			    .as.update = { .view_count = 1 } };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	char text[LONG_BYTES + 1] = "";
+	view_t *view;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	view = &fixture.gateway->views[1];
+	memset(text, 'x', LONG_BYTES);
+	object.spec = json_pack("{s:s}", "odd", text);
+	gateway_log_change(view, &object, REVISION, 0);
+	json_decref(object.spec);
+	assert_int_equal(change_log_fill(view->log, 0, PACKET_SIZE_MAX_BYTES,
+					 REVISION, &packet.as.update.views[0]),
+			 1);
+	assert_true(packet_encode(&packet, data, sizeof(data)) > 0);
+	gateway_fixture_stop(&fixture);
+}
+
 /* Guards against changes that a node does not receive because another node,
  * which had the same place in the list of nodes before, has them already. */
 static void tracks_changes_per_node(void **state)
@@ -574,6 +601,7 @@
 		cmocka_unit_test(lists_again_after_an_outage),
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(server_that_left_is_used_after_a_failed_call),
+		cmocka_unit_test(odd_entry_fits_no_datagram),
 		cmocka_unit_test(tracks_changes_per_node),
 	};
 
