Send each call to an engine on a connection of its own

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run that ran.

The platform's routes and plain services already use a new connection for each request, on which no earlier answer can arrive. Prompts of our own interface did not: a repeated refusal counted as one of the next prompt, which the engine ran, was told as not run and sent to another engine. The same holds for cancellations, where an earlier answer counts as the end of the stream. They all use new connections now; load reports stay on kept ones, where an earlier report is only older.

earlier_refusal_is_taken_for_one_of_the_next_prompt fails before.

--- a/src/process/control_orphans.c
+++ b/src/process/control_orphans.c
@@ -219,6 +219,8 @@
 		.connect_timeout_ms = CALL_TIMEOUT_MS,
 		.idle_timeout_ms = CALL_TIMEOUT_MS,
 		.total_timeout_ms = CALL_TIMEOUT_MS,
+		/* See request_cancel.c. */
+		.at_most_once = true,
 	};
 	client_call_t *handle = client_fetch(orphans->control->client, &request,
 					     LIST_MAX_BYTES, done, context);
--- a/src/process/request_cancel.c
+++ b/src/process/request_cancel.c
@@ -98,6 +98,9 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_timeout_ms = TIMEOUT_MS,
 		.total_timeout_ms = TIMEOUT_MS,
+		/* An answer to an earlier call would count as the server's
+		 * word that the stream ended. */
+		.at_most_once = true,
 	};
 
 	engine_cancel(&call, cancellation->url, cancellation->id);
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -544,6 +544,7 @@
 typedef struct {
 	int fd;
 	char url[64];
+	bool refuses; /* see refuse_connection() */
 	pthread_t thread;
 } repeating_server_t;
 
@@ -565,13 +566,29 @@
 	}
 }
 
+/* Refuses the first request of a connection if @p refuses, and writes this
+ * refusal once more when it runs the next one. */
+static void refuse_connection(int fd, bool refuses)
+{
+	static const char refusal[] = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+				      "Content-Length: 0\r\n\r\n";
+	char request[4096];
+
+	while (read(fd, request, sizeof(request)) > 0)
+		if (!refuses || write(fd, refusal, sizeof(refusal) - 1) < 0)
+			return;
+}
+
 static void *run_repeating_server(void *context)
 {
 	repeating_server_t *server = context;
-	int fd;
+	int fd, connections = 0;
 
 	while ((fd = accept(server->fd, NULL, NULL)) >= 0) {
-		serve_connection(fd);
+		if (server->refuses)
+			refuse_connection(fd, !connections++);
+		else
+			serve_connection(fd);
 		close(fd);
 	}
 	return NULL;
@@ -581,7 +598,7 @@
 static void never_forwards_a_copy_of_an_earlier_answer(void **state)
 {
 	static const char *const paths[] = { "/one", "/two", "/three" };
-	repeating_server_t server;
+	repeating_server_t server = { .refuses = false };
 	size_t i;
 	int port;
 
@@ -604,6 +621,32 @@
 	close(server.fd);
 }
 
+/* Guards against a prompt that an engine runs and that counts as not run. */
+static void earlier_refusal_is_taken_for_one_of_the_next_prompt(void **state)
+{
+	repeating_server_t server = { .refuses = true };
+	int i, port;
+
+	server.fd = loopback_listen(&port);
+	snprintf(server.url, sizeof(server.url), "http://127.0.0.1:%d", port);
+	pthread_create(&server.thread, NULL, run_repeating_server, &server);
+	start();
+	fixture.dispatch_url = server.url;
+	for (i = 0; i < 2; i++) {
+		fixture_call(&fixture, &answer, "POST", "/v1/completions", NULL,
+			     prompt);
+		fixture_wait(&fixture, &answer);
+		if (i)
+			assert_int_not_equal(finished(i)->end, ATTEMPT_REFUSED);
+		else
+			assert_int_equal(finished(i)->end, ATTEMPT_REFUSED);
+	}
+	fixture_stop(&fixture);
+	shutdown(server.fd, SHUT_RDWR);
+	pthread_join(server.thread, NULL);
+	close(server.fd);
+}
+
 /*
  * Guards against an action that is answered before the control task recorded
  * its outcome.
@@ -747,6 +790,8 @@
 		cmocka_unit_test(refuses_bad_requests),
 		cmocka_unit_test(forwards_a_lookup_unchanged),
 		cmocka_unit_test(never_forwards_a_copy_of_an_earlier_answer),
+		cmocka_unit_test(
+			earlier_refusal_is_taken_for_one_of_the_next_prompt),
 		cmocka_unit_test(answers_an_action_only_after_control),
 		cmocka_unit_test(answers_after_a_long_refusal),
 		cmocka_unit_test(
