Own interface: keep requests from engines that they crash

The platform's routes keep a request that comes again from servers after three crashes; our own interface (chivestaged -c) repeated it on engine after engine, up to eight times for each request of a caller, and did not remember it.

Each request now has a content id (computed by the body worker for large prompts); the dispatcher counts the engines that ended under it in the same table, refuses it with request_crashes_servers (503) and logs 711. A suspect one waits in the queue while another is tried. Each node judges by itself: sharing it with peers remains.

--- a/src/process/body_worker.c
+++ b/src/process/body_worker.c
@@ -8,6 +8,7 @@
 
 #include "base/mailbox.h"
 #include "base/mem.h"
+#include "request/content_id.h"
 
 struct body_worker {
 	struct ev_loop *loop;
@@ -29,6 +30,10 @@
 
 void body_job_run(body_job_t *job)
 {
+	job->content =
+		content_id(job->salt, "POST",
+			   job->chat ? "chat/completions" : "completions", "",
+			   job->body, job->size_bytes);
 	job->valid = parse_completion(job->body, job->size_bytes, job->chat,
 				      job->salt, &job->completion, &job->err);
 	free(job->body);
--- a/src/process/body_worker.h
+++ b/src/process/body_worker.h
@@ -28,6 +28,7 @@
 	bool chat; /**< chat completion, not text completion */
 	char salt[NAME_SIZE_BYTES]; /**< passed to parse_completion() */
 	bool valid; /**< set by body_job_run(): the body was parsed */
+	uint64_t content; /**< set by body_job_run(); see content_id() */
 	completion_t completion; /**< result if valid is true */
 	err_t err; /**< reason if valid is false */
 } body_job_t;
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -1,10 +1,12 @@
 #include "process/control_task.h"
 
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/mem.h"
 #include "process/control.h"
 
@@ -106,10 +108,22 @@
 					&message->as.refuse);
 }
 
+static void log_blocked(control_t *control)
+{
+	uint64_t content;
+
+	while (dispatch_next_blocked(control->dispatch, &content))
+		log_event(EVENT_CONTENT_BLOCKED,
+			  "content=%" PRIx64 " source=%s", content,
+			  control->settings.vm_id);
+}
+
 static void pump_decisions(control_t *control)
 {
 	dispatch_action_t action;
 
+	log_blocked(control);
+
 	while (dispatch_next(control->dispatch, &action)) {
 		task_msg_t *message;
 
--- a/src/process/dispatch.c
+++ b/src/process/dispatch.c
@@ -17,6 +17,7 @@
 		XXH64(conf->vm_id, strlen(conf->vm_id), conf->incarnation);
 	dispatch->holder = holder;
 	dispatch->prefix = prefix_create(PREFIX_CAPACITY);
+	dispatch->crashes = segment_table_create();
 	dispatch->queue = queue_create(conf->queue_max);
 	servers_init(&dispatch->servers, conf->data_centre, dispatch->prefix);
 	return dispatch;
@@ -42,6 +43,7 @@
 	queue_destroy(dispatch->queue);
 	servers_clear(&dispatch->servers);
 	prefix_destroy(dispatch->prefix);
+	segment_table_destroy(dispatch->crashes);
 	document_unref(dispatch->document);
 	free(dispatch);
 }
@@ -78,6 +80,7 @@
 
 void dispatch_tick(dispatch_t *dispatch, int64_t now_us)
 {
+	segment_table_expire(dispatch->crashes, now_us);
 	wait_refuse_deadline(dispatch, now_us);
 	wait_try_all(dispatch, now_us);
 }
@@ -166,6 +169,7 @@
 {
 	bool action = request->submit.kind == REQUEST_ACTION;
 
+	crashes_attempt_ended(dispatch, request, end, now_us);
 	request->ran |= end == ATTEMPT_BROKEN || end == ATTEMPT_TIMED_OUT;
 	if (end != ATTEMPT_REFUSED)
 		count_attempt_end(dispatch, request->sends[0].server, false);
@@ -190,6 +194,7 @@
 {
 	size_t i;
 
+	crashes_attempt_ended(dispatch, request, ATTEMPT_COMPLETE, now_us);
 	for (i = 0; i < request->send_count; i++) {
 		server_succeeded(request->sends[i].server);
 		count_attempt_end(dispatch, request->sends[i].server, true);
--- a/src/process/dispatch.h
+++ b/src/process/dispatch.h
@@ -88,6 +88,13 @@
  */
 void dispatch_tick(dispatch_t *dispatch, int64_t now_us);
 
+/**
+ * Names each request content once that is kept from servers from now on, for the
+ * log.
+ * @return false if there is none left
+ */
+bool dispatch_next_blocked(dispatch_t *dispatch, uint64_t *content);
+
 /** Takes the next decision. @return false if no decision is left */
 bool dispatch_next(dispatch_t *dispatch, dispatch_action_t *action);
 
--- a/src/process/dispatch_place.c
+++ b/src/process/dispatch_place.c
@@ -275,6 +275,7 @@
 	size_t count = request->set.count, i;
 
 	queue_remove(dispatch->queue, &request->item, true, now_us);
+	crashes_sent(dispatch, request, now_us);
 	request->attempt++;
 	request->unplaced = false;
 	request->first_token_us = 0;
@@ -348,6 +349,8 @@
 {
 	int choices;
 
+	if (crashes_keep_back(dispatch, request, now_us))
+		return;
 	for (choices = 0; choices < CHOICES_MAX; choices++) {
 		revalidate_choice(dispatch, request, now_us);
 		if (!request->set.count && !choose(dispatch, request, now_us))
--- a/src/process/dispatch_state.h
+++ b/src/process/dispatch_state.h
@@ -9,6 +9,7 @@
 #include "process/gang.h"
 #include "process/queue.h"
 #include "process/route.h"
+#include "process/segment_table.h"
 #include "process/servers.h"
 #include "request/retry.h"
 
@@ -105,6 +106,7 @@
 	document_t *document; /**< NULL: no configuration yet */
 	servers_t servers;
 	prefix_t *prefix;
+	segment_table_t *crashes; /**< requests that crash servers */
 	queue_t *queue;
 	service_t *services;
 	account_t *accounts;
@@ -172,6 +174,19 @@
  *          and attempt; attempt 0 is the use of the account's rate. */
 uint64_t place_use(const entry_t *request, uint32_t attempt);
 
+/* dispatch_crashes.c */
+/**
+ * Refuses a request under which servers ended, or lets it wait while another
+ * one with the same content is tried.
+ * @return false if it may be sent
+ */
+bool crashes_keep_back(dispatch_t *dispatch, entry_t *request, int64_t now_us);
+/** Notes that the request is sent to the chosen servers. */
+void crashes_sent(dispatch_t *dispatch, const entry_t *request, int64_t now_us);
+/** Notes how the attempt in flight ended. */
+void crashes_attempt_ended(dispatch_t *dispatch, const entry_t *request,
+			   attempt_end_t end, int64_t now_us);
+
 /* dispatch_reserve.c */
 /** Reserves servers: keeps other requests off them until a long prompt that is
  * due fits. */
--- a/src/process/request_admit.c
+++ b/src/process/request_admit.c
@@ -7,6 +7,7 @@
 #include "base/mem.h"
 #include "base/metrics.h"
 #include "process/request.h"
+#include "request/content_id.h"
 
 /* Headers of callers that are forwarded to plain services. */
 static const char *const forwarded_headers[] = { "Content-Type", "Accept",
@@ -247,8 +248,24 @@
 	return request;
 }
 
+static uint64_t plain_content(const request_t *request)
+{
+	size_t size =
+		strlen(request->service->name) + strlen(request->path) + 2;
+	char *path = mem_calloc(size, 1);
+	uint64_t content;
+
+	snprintf(path, size, "%s/%s", request->service->name, request->path);
+	content = content_id(request->account->name, request->method, path,
+			     request->query, request->body,
+			     request->body_size_bytes);
+	free(path);
+	return content;
+}
+
 static void admit_plain(request_t *request, submit_msg_t *submit)
 {
+	submit->content = plain_content(request);
 	if (request->kind != REQUEST_ACTION)
 		return;
 	mem_strlcpy(submit->key, request->key, sizeof(submit->key));
@@ -304,6 +321,7 @@
 	job->completion.blocks = NULL;
 	request_set_deadline(request);
 	message = task_msg_create(TASK_MSG_SUBMIT, request->number);
+	message->as.submit.content = job->content;
 	message->as.submit.prompt_tokens = completion->prompt_tokens;
 	message->as.submit.max_tokens = completion->max_tokens;
 	message->as.submit.blocks = completion->blocks;
--- a/src/process/task_msg.h
+++ b/src/process/task_msg.h
@@ -45,6 +45,7 @@
 	int64_t deadline_us; /**< when the request has to be answered */
 	char key[IDEMPOTENCY_KEY_SIZE_BYTES]; /**< Idempotency-Key, actions
 						  only */
+	uint64_t content; /**< see content_id() */
 	/** Hash of the request, for actions only. */
 	uint8_t request_hash[REQUEST_HASH_SIZE_BYTES];
 	size_t block_count; /**< length of blocks */
--- a/src/request/outcome.h
+++ b/src/request/outcome.h
@@ -41,6 +41,8 @@
 		"actions need the platform, which does not answer")       \
 	REFUSAL(NO_SERVER, "no_server", 503,                              \
 		"no backend server is in service")                        \
+	REFUSAL(CRASHES_SERVERS, "request_crashes_servers", 503,          \
+		"backend servers ended under this request")               \
 	REFUSAL(DEADLINE, "deadline_exceeded", 504,                       \
 		"the request cannot finish in time")                      \
 	REFUSAL(SERVER_FAILED, "server_failed", 502,                      \
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -657,9 +657,65 @@
 	dispatch_destroy(node.dispatch);
 }
 
+/* Ends all attempts: those of requests with an odd number break off. Counts
+ * them by the remainder of the number, and refusals. */
+static void end_attempts(node_t *node, int sent[2], int *refused,
+			 int64_t now_us)
+{
+	dispatch_action_t action;
+
+	while (dispatch_next(node->dispatch, &action)) {
+		const task_msg_t *message = &action.message;
+		uint64_t odd = message->request % 2;
+
+		if (message->type == TASK_MSG_REFUSE) {
+			*refused += message->as.refuse.refusal ==
+				    REFUSAL_CRASHES_SERVERS;
+			continue;
+		}
+		sent[odd]++;
+		finish(node, message->request,
+		       message->as.dispatch.stream_id.attempt,
+		       odd ? ATTEMPT_BROKEN : ATTEMPT_COMPLETE, now_us);
+	}
+}
+
+/* As on the platform: three requests may reach servers after the third crash.
+ */
+static void same_request_crashes_server_after_server(void **state)
+{
+	enum { REQUESTS = 20, CRASHES_MAX = 6, PAUSE_S = 6, DEADLY = 7 };
+	static const request_kind_t kinds[] = { REQUEST_MODEL, REQUEST_ACTION };
+	size_t i;
+	uint64_t j;
+
+	for (i = 0; i < COUNT_OF(kinds); i++) {
+		node_t node;
+		int sent[2] = { 0 }, refused = 0;
+
+		start(&node, two_servers);
+		for (j = 1; j <= 2 * REQUESTS; j++) {
+			int64_t now_us = (int64_t)j * PAUSE_S * US_PER_S;
+			submit_msg_t message =
+				message_of(kinds[i], 1000, now_us);
+
+			message.content = DEADLY + j % 2;
+			dispatch_submit(node.dispatch, j, &message, now_us);
+			end_attempts(&node, sent, &refused, now_us);
+			dispatch_tick(node.dispatch, now_us + US_PER_S);
+			end_attempts(&node, sent, &refused, now_us + US_PER_S);
+		}
+		assert_in_range(sent[1], 3, CRASHES_MAX);
+		assert_in_range(refused, REQUESTS - CRASHES_MAX, REQUESTS);
+		assert_int_equal(sent[0], REQUESTS);
+		stop(&node);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(same_request_crashes_server_after_server),
 		cmocka_unit_test(spreads_requests_over_the_servers),
 		cmocka_unit_test(sends_an_action_once),
 		cmocka_unit_test(tries_another_server_after_a_failure),
