--- a/src/process/dispatch.h
+++ b/src/process/dispatch.h
@@ -89,8 +89,8 @@
 void dispatch_tick(dispatch_t *dispatch, int64_t now_us);
 
 /**
- * Names each request content once that is kept from servers from now on, for the
- * log.
+ * Names each request content once that is kept from servers from now on, for
+ * the log.
  * @return false if there is none left
  */
 bool dispatch_next_blocked(dispatch_t *dispatch, uint64_t *content);
--- a/tests/test_segment_table.c
+++ b/tests/test_segment_table.c
@@ -1031,6 +1031,29 @@
 	}
 }
 
+/* Requests with a new segment are always beside one that crashes servers. */
+static void segment_is_blocked_for_crashes_of_a_content(void **state)
+{
+	static const uint64_t segment = 0xe5;
+	static const segments_t deadly = { NULL, 0, DEADLY };
+	segment_table_t *table = segment_table_create();
+	int64_t now_us = US_PER_S;
+	uint32_t i;
+
+	for (i = 0; i < KNOWN_CRASHES; i++) {
+		segments_t beside = { &segment, 1, SINGLE + i };
+
+		now_us += 300 * US_PER_MS;
+		segment_table_note_crash(table, &deadly, i, now_us);
+		segment_table_note_crash(table, &beside, i, now_us + 1);
+	}
+	assert_int_equal(state_of(table, &segment, 1, now_us), SEGMENTS_FREE);
+	assert_int_equal(
+		segment_table_judge(table, &deadly, &others, now_us).state,
+		SEGMENTS_BLOCKED);
+	segment_table_destroy(table);
+}
+
 /* The platform allows three requests after the third crash. */
 static void blocked_content_is_tried_too_often_or_never(void **state)
 {
@@ -1095,6 +1118,7 @@
 		cmocka_unit_test(segment_that_was_mended_stays_blocked),
 		cmocka_unit_test(memory_grows_with_each_segment),
 		cmocka_unit_test(content_is_blocked_too_late_or_without_cause),
+		cmocka_unit_test(segment_is_blocked_for_crashes_of_a_content),
 		cmocka_unit_test(blocked_content_is_tried_too_often_or_never),
 		cmocka_unit_test(memory_grows_with_each_content),
 	};
