--- a/tests/test_segment_table.c
+++ b/tests/test_segment_table.c
@@ -678,12 +678,21 @@
 	assert_int_equal(broken, 0);
 }
 
-static void
-same_request_crashes_servers_or_sound_requests_are_lost(void **state)
-{
 #define CONTENT_DAY(name, nodes, percent)                  \
 	name, nodes, MIDDLE, { 0xc2 }, .is_content = true, \
 				       .bad_percent = percent
+
+static const day_t two_beside_two = {
+	CONTENT_DAY("two beside two segments, sent again", 6, 12),
+	.bad_count = 2, .is_beside = true, .is_repeated = true
+};
+static const day_t beside_older = {
+	CONTENT_DAY("nodes of the build before", 6, 3), .older = 2
+};
+
+static void
+same_request_crashes_servers_or_sound_requests_are_lost(void **state)
+{
 	static const day_t days[] = {
 		{ CONTENT_DAY("one request", 6, 6) },
 		{ CONTENT_DAY("one node", 1, 6) },
@@ -738,6 +747,17 @@
 	assert_int_equal(broken, 0);
 }
 
+static void segments_beside_contents_that_crash_servers(void **state)
+{
+	assert_int_equal(play_day(&two_beside_two, 116), 0);
+}
+
+static void
+content_crashes_servers_beside_nodes_of_the_build_before(void **state)
+{
+	assert_int_equal(play_day(&beside_older, 30), 0);
+}
+
 static const uint64_t bad[] = { 0xa1, BAD };
 static const segments_t bad_prompt = { bad, 2, 0 };
 
@@ -1112,6 +1132,9 @@
 		cmocka_unit_test(
 			same_request_crashes_servers_or_sound_requests_are_lost),
 		cmocka_unit_test(segment_that_was_harmless_crashes_servers),
+		cmocka_unit_test(segments_beside_contents_that_crash_servers),
+		cmocka_unit_test(
+			content_crashes_servers_beside_nodes_of_the_build_before),
 		cmocka_unit_test(sound_segment_is_blocked_with_another),
 		cmocka_unit_test(blocked_segment_is_tried_too_often_or_never),
 		cmocka_unit_test(each_node_tries_a_blocked_segment),
