--- a/src/process/segment_blame.c
+++ b/src/process/segment_blame.c
@@ -4,8 +4,6 @@
 /* Servers that end within this time end for one cause: they count as one
  * crash. */
 #define MOMENT_US (50 * US_PER_MS)
-/* Nodes notice one crash at times that differ by less than this. */
-#define EXPLAIN_LEAD_US (200 * US_PER_MS)
 /* A crash is known to all nodes that announce, with all its segments, after
  * this time. */
 #define SETTLE_US (300 * US_PER_MS)
@@ -79,7 +77,7 @@
 	DL_FOREACH (table->blamed[CAUSE_CONTENT], content)
 		if (segment_explains_others(content, now_us) &&
 		    segment_explains(content, crash) &&
-		    crash.at_us + EXPLAIN_LEAD_US >=
+		    crash.at_us + SAME_CRASH_US >=
 			    content->crashes[EXPLAIN_CRASHES].at_us)
 			return true;
 	return false;
--- a/src/process/segment_state.h
+++ b/src/process/segment_state.h
@@ -8,8 +8,12 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "base/units.h"
 #include "process/segment_table.h"
 
+/* Nodes notice one crash of a server within this time. */
+#define SAME_CRASH_US (200 * US_PER_MS)
+
 enum {
 	/* Answers whose end is unclear, while their servers are watched. */
 	UNCLEAR_MAX = 32,
@@ -43,7 +47,6 @@
 	int32_t trials; /* of any node, while it was blocked */
 	int64_t announce_until_us;
 	UT_hash_handle hh;
-	bool is_listed; /* in the announcement that is being made */
 	struct segment *prev, *next; /* in the list of blamed ones */
 } segment_t;
 
--- a/src/process/segment_table.c
+++ b/src/process/segment_table.c
@@ -11,8 +11,6 @@
 /* Causes of each kind that are remembered; those that were not used for
  * longest, and are not blamed, are forgotten first. */
 enum { CAUSES_KEPT_MAX = 4096 };
-/* Nodes notice one crash of a server within this time. */
-#define SAME_CRASH_US (200 * US_PER_MS)
 /* A server that ended is found to be gone within this time. */
 #define EXPLAIN_US (5 * US_PER_S)
 /* A request with a suspect segment shows within this time whether its server
