Soak: a server that leaves while the store is down is known to no node

Trace: the store falls silent at 7.499 s and answers again at 11.984 s; the server is withdrawn at 8.300 s, which the store tells nobody; the requests arrive at 10.718 s and later. Nodes counted as undisturbed 3 s after the outage began, though it went on. The rule counts from the store's word given while it is stable, so the case is allowed.

The check passes over servers withdrawn during an outage that lasts; those withdrawn before it stay bound.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -74,6 +74,7 @@
 		break;
 	case FAULT_STORE_DOWN:
 		store_set_down(false);
+		soak->store_down_us = 0;
 		disturb_all(soak);
 		break;
 	case FAULT_SERVER_LINK:
@@ -166,6 +167,8 @@
 		return true;
 	case FAULT_STORE_DOWN:
 		store_set_down(true);
+		if (!soak->store_down_us)
+			soak->store_down_us = clock_monotonic_us();
 		disturb_all(soak);
 		return true;
 	case FAULT_SERVER_LINK:
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -161,6 +161,10 @@
 				      (DRAIN_MS + DRAIN_SLACK_MS) * US_PER_MS) {
 		int i;
 
+		/* A store that is down tells no node of the change. */
+		if (soak->store_down_us &&
+		    run->server->draining_us >= soak->store_down_us)
+			return;
 		/* A node with a recent fault may not have received the
 		 * change yet. */
 		for (i = 0; i < soak->node_count; i++)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -163,6 +163,7 @@
 	int32_t violations;
 	bool callers_over; /* no more requests are sent */
 	bool faults_over; /* all faults ended: the fleet must recover */
+	int64_t store_down_us; /* when the store fell silent; 0: it answers */
 	int64_t recovered_us; /* end of the time to recover; 0: not reached */
 	int64_t key_revoked_us[KEYS]; /* 0: the key is valid */
 	int64_t version; /* version of the configuration written last */
