Say twice-written things once; format a log source only for reports

- gateway_receive.c formatted the name of the sender for each datagram, most of which report nothing: now only for those with reports.
- segment_ends.c searched for a server in two loops: one function.
- The time for which a server that is crashed does not write stood in forward_segments.c and dispatch_crashes.c, the time in which a server starts again in segment_ends.c and segment_news.c: one constant each.

--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -123,7 +123,6 @@
 	dispatch_action_t action;
 
 	log_blocked(control);
-
 	while (dispatch_next(control->dispatch, &action)) {
 		task_msg_t *message;
 
--- a/src/process/dispatch_crashes.c
+++ b/src/process/dispatch_crashes.c
@@ -3,9 +3,6 @@
 
 #include "process/dispatch_state.h"
 
-/* A server that a request crashes does not write to it for this long. */
-#define WRITES_ON_US US_PER_S
-
 static segments_t causes_of(const entry_t *request)
 {
 	return (segments_t){ NULL, 0, request->submit.content };
@@ -62,7 +59,7 @@
 static bool writes_on(const entry_t *request, int64_t now_us)
 {
 	return request->first_token_us &&
-	       now_us - request->first_token_us >= WRITES_ON_US;
+	       now_us - request->first_token_us >= SEGMENT_WRITES_ON_US;
 }
 
 void crashes_attempt_ended(dispatch_t *dispatch, const entry_t *request,
--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -43,9 +43,12 @@
 static void receive_causes(gateway_t *gateway, const announcement_t *message)
 {
 	char source[NODE_SOURCE_BYTES];
-	int64_t now_us = clock_monotonic_us();
+	int64_t now_us;
 	size_t i;
 
+	if (!message->content_count && !message->segment_count)
+		return;
+	now_us = clock_monotonic_us();
 	for (i = 0; i < message->content_count; i++)
 		segment_table_receive(gateway->segments, CAUSE_CONTENT,
 				      &message->contents[i], now_us);
--- a/src/process/segment_ends.c
+++ b/src/process/segment_ends.c
@@ -1,53 +1,46 @@
-#include "base/units.h"
 #include "process/segment_state.h"
 
-/* A server that ended starts again, under another start, within this time; a
- * later end is another one even if it was not seen to live. */
-#define RESTART_US (5 * US_PER_S)
-
-static ended_t *find_ended(segment_table_t *table, uint32_t server)
+/* @return index of what is known of a server; ENDED_MAX: nothing */
+static size_t find_ended(const segment_table_t *table, uint32_t server)
 {
 	size_t i;
 
 	for (i = 0; i < ENDED_MAX; i++)
 		if (table->ended[i].at_us && table->ended[i].server == server)
-			return &table->ended[i];
-	return NULL;
+			break;
+	return i;
 }
 
 void segment_note_end(segment_table_t *table, segment_crash_t crash)
 {
-	ended_t *ended = find_ended(table, crash.server);
+	size_t i = find_ended(table, crash.server);
 
-	if (!ended) {
-		ended = &table->ended[table->ended_next];
+	if (i == ENDED_MAX) {
+		i = table->ended_next;
 		table->ended_next = (table->ended_next + 1) % ENDED_MAX;
-		*ended = (ended_t){ .server = crash.server };
+		table->ended[i] = (ended_t){ .server = crash.server };
 	}
-	if (crash.at_us > ended->at_us)
-		ended->at_us = crash.at_us;
+	if (crash.at_us > table->ended[i].at_us)
+		table->ended[i].at_us = crash.at_us;
 }
 
 void segment_note_alive(segment_table_t *table, uint32_t server,
 			int64_t alive_us)
 {
-	ended_t *ended = find_ended(table, server);
+	size_t i = find_ended(table, server);
 
-	if (ended && alive_us > ended->alive_us)
-		ended->alive_us = alive_us;
+	if (i < ENDED_MAX && alive_us > table->ended[i].alive_us)
+		table->ended[i].alive_us = alive_us;
 }
 
 /* @return true if the server was alive between two of its ends */
 static bool was_alive(const segment_table_t *table, uint32_t server,
 		      int64_t from_us, int64_t to_us)
 {
-	size_t i;
+	size_t i = find_ended(table, server);
 
-	for (i = 0; i < ENDED_MAX; i++)
-		if (table->ended[i].at_us && table->ended[i].server == server)
-			return table->ended[i].alive_us > from_us &&
-			       table->ended[i].alive_us < to_us;
-	return false;
+	return i < ENDED_MAX && table->ended[i].alive_us > from_us &&
+	       table->ended[i].alive_us < to_us;
 }
 
 bool segment_has_end(const segment_table_t *table, const segment_t *content,
--- a/src/process/segment_news.c
+++ b/src/process/segment_news.c
@@ -1,9 +1,5 @@
-#include "base/units.h"
 #include "process/segment_state.h"
 
-/* Older ends of servers no longer matter for what ends next. */
-#define ENDED_KEPT_US (5 * US_PER_S)
-
 static segment_report_t make_report(const segment_t *segment, int64_t now_us)
 {
 	segment_report_t report = {
@@ -136,7 +132,7 @@
 		segment_crash_t crash = { report->crashes[i].server,
 					  now_us - report->crashes[i].age_us };
 
-		if (report->crashes[i].age_us < ENDED_KEPT_US)
+		if (report->crashes[i].age_us < RESTART_US)
 			segment_note_end(table, crash);
 		segment_add_crash(table, segment, crash);
 		changed |= segment_add_unclear(table, crash.server, crash.at_us,
--- a/src/process/segment_state.h
+++ b/src/process/segment_state.h
@@ -13,6 +13,9 @@
 
 /* Nodes notice one crash of a server within this time. */
 #define SAME_CRASH_US (200 * US_PER_MS)
+/* A server that ended starts again, under another start, within this time; a
+ * later end is another one even if it was not seen to live. */
+#define RESTART_US (5 * US_PER_S)
 
 enum {
 	/* Answers whose end is unclear, while their servers are watched. */
--- a/src/process/segment_table.h
+++ b/src/process/segment_table.h
@@ -24,8 +24,12 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/units.h"
 #include "process/limit_share.h"
 
+/** A server that a request crashes does not write to it for this long. */
+#define SEGMENT_WRITES_ON_US (1 * US_PER_S)
+
 enum {
 	/** Crashes of a segment that are kept; the oldest are dropped. */
 	SEGMENT_CRASHES_MAX = 16,
--- a/src/request/forward_segments.c
+++ b/src/request/forward_segments.c
@@ -4,8 +4,6 @@
 #include "base/log.h"
 #include "request/forward_state.h"
 
-/* A server that a prompt crashes does not write to it for this long. */
-#define WRITES_ON_US US_PER_S
 /* Data that arrives now was sent no longer ago than this. */
 #define TRANSIT_MAX_US (50 * US_PER_MS)
 
@@ -74,7 +72,7 @@
 static bool writes_on(const attempt_t *attempt, int64_t now_us)
 {
 	return attempt->first_event_us &&
-	       now_us - attempt->first_event_us >= WRITES_ON_US;
+	       now_us - attempt->first_event_us >= SEGMENT_WRITES_ON_US;
 }
 
 static void note_harmless(forward_t *forward, int64_t now_us)
--- a/tests/test_gateway_crashes.c
+++ b/tests/test_gateway_crashes.c
@@ -29,10 +29,10 @@
 	return 0;
 }
 
-/* Sends a request whose prompt has the segments @p segments and one of its own.
- */
+/* Sends a request under an id of its own, whose prompt has the segments
+ * @p segments and one of its own. */
 static void call(gateway_fixture_t *fixture, reply_t *reply, const char *path,
-		 const char *segments, int number)
+		 const char *segments, const char *body, int number)
 {
 	char prefix[160], id[40];
 	const char *headers[] = { "Host: h",
@@ -45,7 +45,8 @@
 	snprintf(id, sizeof(id), "X-Request-Id: r%d", number);
 	snprintf(prefix, sizeof(prefix), "X-Prefix-Hash: %s,e%d:9", segments,
 		 number);
-	gateway_fixture_call(fixture, reply, "GET", path, headers, NULL);
+	gateway_fixture_call(fixture, reply, body ? "POST" : "GET", path,
+			     headers, body);
 	assert_true(gateway_fixture_wait(fixture, reply, 1600));
 }
 
@@ -117,14 +118,15 @@
 			const char *sound = cases[i].sound[j % 2];
 
 			call(&fixture, &reply, cases[i].path, cases[i].crashing,
-			     2 * j);
+			     NULL, 2 * j);
 			if (reply.status == 503 &&
 			    strstr(reply.headers, "Retry-After: ") &&
 			    clock_monotonic_us() - sent_us <
 				    REFUSAL_MAX_MS * US_PER_MS)
 				refused++;
 			restart_servers(&fixture);
-			call(&fixture, &reply, cases[i].path, sound, 2 * j + 1);
+			call(&fixture, &reply, cases[i].path, sound, NULL,
+			     2 * j + 1);
 			served += reply.status == 200;
 		}
 		count = crashes(&fixture);
@@ -138,24 +140,6 @@
 	}
 }
 
-/* Sends a request whose body is @p body, under an id of its own. */
-static void call_with_body(gateway_fixture_t *fixture, reply_t *reply,
-			   const char *path, const char *body, int number)
-{
-	char prefix[64], id[40];
-	const char *headers[] = { "Host: h",
-				  id,
-				  "X-Deadline-Ms: 1400",
-				  prefix,
-				  FIXTURE_AUTHORIZATION,
-				  NULL };
-
-	snprintf(id, sizeof(id), "X-Request-Id: r%d", number);
-	snprintf(prefix, sizeof(prefix), "X-Prefix-Hash: a1:8,e%d:9", number);
-	gateway_fixture_call(fixture, reply, "POST", path, headers, body);
-	assert_true(gateway_fixture_wait(fixture, reply, 1600));
-}
-
 /* The platform allows three requests after the third crash. */
 static void same_request_crashes_servers_without_end(void **state)
 {
@@ -202,13 +186,13 @@
 		gateway_fixture_start(&fixture);
 		gateway_fixture_wait_ready(&fixture);
 		for (j = 0; j < REQUESTS; j++) {
-			call_with_body(&fixture, &reply, cases[i].path,
-				       cases[i].body, 2 * j);
+			call(&fixture, &reply, cases[i].path, "a1:8",
+			     cases[i].body, 2 * j);
 			refused += reply.status == 503 &&
 				   strstr(reply.headers, "Retry-After: ");
 			restart_servers(&fixture);
-			call_with_body(&fixture, &reply, cases[i].sound_path,
-				       cases[i].sound_body, 2 * j + 1);
+			call(&fixture, &reply, cases[i].sound_path, "a1:8",
+			     cases[i].sound_body, 2 * j + 1);
 			served += reply.status == 200;
 		}
 		count = crashes(&fixture);
