Part segment_table.c: entries and their crashes, and judging requests

What keeps the entries (find, use, forget, add and drop crashes) is segment_store.c now; its functions were declared in segment_state.h already.

--- a/src/process/segment_state.h
+++ b/src/process/segment_state.h
@@ -83,6 +83,7 @@
 	size_t newly_blocked_count;
 };
 
+/* segment_store.c */
 /** @return the cause; NULL: nothing is known of it */
 segment_t *segment_find(const segment_table_t *table, cause_kind_t kind,
 			uint64_t id);
@@ -109,6 +110,7 @@
 void segment_set_count(segment_table_t *table, segment_t *segment,
 		       size_t count);
 
+/* segment_table.c */
 void segment_add_crashes(segment_table_t *table, const segments_t *segments,
 			 segment_crash_t crash, int64_t now_us);
 /** Announces the segment for some time. */
