--- a/src/process/segment_store.c
+++ b/src/process/segment_store.c
@@ -84,7 +84,8 @@
 		/* So that the next search does not begin with it again. */
 		move_to_end(table, segment);
 	}
-	segment_remove(table, last);
+	if (last)
+		segment_remove(table, last);
 }
 
 segment_t *segment_use(segment_table_t *table, cause_kind_t kind, uint64_t id,
