Failing test: a node cut from its servers refuses what another could serve

Two gateways in one process, with the same servers by the same ids; the connections of one of them are refused, or hang. Its callers get 503 (no_server) for every request, 3 s after the cut began and later.

The fixture runs a second node: the list of nodes holds the entry that the other gateway registered.

--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
+#include "lib/loopback.h"
 
 enum { WATCH_MS = 150, WATCH_POLL_MS = 30 };
 
@@ -73,6 +74,23 @@
 			 "address", "127.0.0.1:9", "leaving", 0);
 }
 
+/* Entry that another gateway wrote; NULL: none yet. */
+static json_t *other_entry(const gateway_fixture_t *fixture)
+{
+	json_t *object =
+		fixture->other
+			? json_loads(fixture->other->registration, 0, NULL)
+			: NULL;
+	json_t *entry = NULL;
+
+	if (object)
+		entry = json_pack("{s:{s:s,s:i},s:O}", "meta", "name",
+				  fixture->other->node_id, "revision", 5,
+				  "spec", json_object_get(object, "spec"));
+	json_decref(object);
+	return entry;
+}
+
 static json_t *configuration_spec(const gateway_fixture_t *fixture)
 {
 	char text[sizeof(configuration) + 32];
@@ -101,8 +119,11 @@
 		json_array_append_new(items, server_entry(fixture, "m", 1));
 	}
 	if (!strcmp(path, "/objects/chivestage-vms")) {
+		json_t *other = other_entry(fixture);
 		size_t i;
 
+		if (other)
+			json_array_append_new(items, other);
 		for (i = fixture->other_nodes; i > 0; i--)
 			json_array_append_new(items,
 					      node_entry(fixture, i + 1));
@@ -150,7 +171,7 @@
 typedef struct {
 	gateway_fixture_t *fixture;
 	exchange_t *exchange;
-	char body[400];
+	char body[500];
 	size_t size;
 } store_call_t;
 
@@ -213,8 +234,11 @@
 	if (!strstr(exchange_path(exchange), "chivestage-"))
 		fixture->view_calls++;
 	if (!strcmp(exchange_path(exchange), "/objects/chivestage-vms") &&
-	    !strcmp(exchange_method(exchange), "POST"))
+	    !strcmp(exchange_method(exchange), "POST")) {
 		fixture->registrations++;
+		mem_strlcpy(fixture->registration, call->body,
+			    sizeof(fixture->registration));
+	}
 	if (fixture->store_refuses)
 		reply_json(fixture, exchange, 503, json_object());
 	else if (fixture->store_silent ||
@@ -255,12 +279,10 @@
 				       .context = fixture };
 	listener_conf_t conf = { .address = "127.0.0.1:0",
 				 .connections_max = 50 };
-	node_settings_t settings = { .node_id = "n1",
-				     .data_centre = "a",
+	node_settings_t settings = { .data_centre = "a",
 				     .region = { 1, { "a" } },
 				     .caller_address = "127.0.0.1:0",
 				     .ready_address = "127.0.0.1:0",
-				     .peer_address = "127.0.0.1:0",
 				     .memory_limit_bytes = 64 << 20,
 				     .descriptors_max = 1000,
 				     .stop_ms = 4000,
@@ -277,6 +299,12 @@
 				     .reservation_free_ms = 4000 };
 	err_t err = { 0 };
 
+	if (!fixture->node_id)
+		fixture->node_id = "n1";
+	mem_strlcpy(settings.node_id, fixture->node_id,
+		    sizeof(settings.node_id));
+	loopback_free_address(settings.peer_address,
+			      sizeof(settings.peer_address));
 	fixture->loop = ev_loop_new(EVFLAG_AUTO);
 	fixture->store = listener_create(fixture->loop, &conf, &handler, &err);
 	assert_non_null(fixture->store);
@@ -314,6 +342,9 @@
 	ev_timer_stop(fixture->loop, &fixture->watch_timer);
 	listener_destroy(fixture->store);
 	for (i = 0; i < 2; i++) {
+		if (*fixture->servers[i].fillers)
+			gateway_fixture_heal_server(fixture,
+						    &fixture->servers[i]);
 		gateway_fixture_stop_server(fixture, &fixture->servers[i]);
 	}
 	ev_loop_destroy(fixture->loop);
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -60,7 +60,7 @@
 	client_call_t *call;
 } reply_t;
 
-typedef struct {
+typedef struct gateway_fixture {
 	struct ev_loop *loop;
 	gateway_t *gateway;
 	client_t *client;
@@ -80,6 +80,10 @@
 	bool no_configuration;
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
 	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
+	const char *node_id; /**< of the gateway; NULL: n1 */
+	char registration[500]; /**< entry that the gateway wrote for itself */
+	/** Another gateway, whose entry the list of nodes holds; NULL: none. */
+	const struct gateway_fixture *other;
 	/** Servers break off each request with this text in its headers, as if
 	 * they ended, instead of following the script; NULL: none. */
 	const char *crash_text;
@@ -91,7 +95,7 @@
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
 	/** Path, holder, token and body of each call. */
-	char duty_calls[64][512];
+	char duty_calls[64][640];
 	size_t duty_call_count;
 	struct server {
 		ev_io listening;
@@ -100,6 +104,8 @@
 		 * NULL: none. */
 		const char *rate;
 		ev_timer restart; /**< after a crash */
+		int fillers[4]; /**< connections that fill the queue of a
+				 * server that is cut off; 0: none */
 	} servers[2];
 	/** Script: act for each arrival, in order; SERVES after the last. */
 	server_act_t acts[ACTS_MAX];
@@ -117,6 +123,14 @@
 void gateway_fixture_server(gateway_fixture_t *fixture, struct server *server);
 void gateway_fixture_stop_server(gateway_fixture_t *fixture,
 				 struct server *server);
+/** How connections to a server fail that the gateway cannot reach. */
+typedef enum { CUT_REFUSES, CUT_HANGS } cut_t;
+/** Cuts a server off; its entry stays. */
+void gateway_fixture_cut_server(gateway_fixture_t *fixture,
+				struct server *server, cut_t cut);
+/** Ends the cut. */
+void gateway_fixture_heal_server(gateway_fixture_t *fixture,
+				 struct server *server);
 /** Runs the loop until the gateway knows routes and servers. */
 void gateway_fixture_wait_ready(gateway_fixture_t *fixture);
 /** Runs the loop for @p ms. */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -262,6 +262,51 @@
 	close(server->listening.fd);
 }
 
+/* Opens connections that are never accepted, until the kernel drops the packets
+ * that would open another one. */
+static void fill_queue(struct server *server)
+{
+	size_t i;
+
+	server->listening.fd = loopback_listen_at(server->port);
+	listen(server->listening.fd, 0);
+	for (i = 0; i < COUNT_OF(server->fillers); i++)
+		server->fillers[i] = loopback_connect(server->port);
+}
+
+void gateway_fixture_cut_server(gateway_fixture_t *fixture,
+				struct server *server, cut_t cut)
+{
+	gateway_fixture_stop_server(fixture, server);
+	switch (cut) {
+	case CUT_REFUSES:
+		return;
+	case CUT_HANGS:
+		fill_queue(server);
+		return;
+	}
+}
+
+static void empty_queue(struct server *server)
+{
+	size_t i;
+
+	if (!*server->fillers)
+		return;
+	for (i = 0; i < COUNT_OF(server->fillers); i++) {
+		close(server->fillers[i]);
+		server->fillers[i] = 0;
+	}
+	close(server->listening.fd);
+}
+
+void gateway_fixture_heal_server(gateway_fixture_t *fixture,
+				 struct server *server)
+{
+	empty_queue(server);
+	start_server(fixture, server, loopback_listen_at(server->port));
+}
+
 /* Ends the server if the request crashes it. */
 static void crash(connection_t *connection)
 {
--- a/tests/lib/loopback.c
+++ b/tests/lib/loopback.c
@@ -1,7 +1,9 @@
 #include "lib/loopback.h"
 
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "cases.h"
 
@@ -31,3 +33,22 @@
 	*port = ntohs(address.sin_port);
 	return fd;
 }
+
+void loopback_free_address(char *address, size_t size)
+{
+	int port;
+
+	close(loopback_listen(&port));
+	snprintf(address, size, "127.0.0.1:%d", port);
+}
+
+int loopback_connect(int port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	(void)!connect(fd, (struct sockaddr *)&address, sizeof(address));
+	return fd;
+}
--- a/tests/lib/loopback.h
+++ b/tests/lib/loopback.h
@@ -5,6 +5,8 @@
 #ifndef TESTS_LIB_LOOPBACK_H
 #define TESTS_LIB_LOOPBACK_H
 
+#include <stddef.h>
+
 /**
  * Listens on a free TCP port of 127.0.0.1; a failure fails the test.
  * @param port set to the port
@@ -13,5 +15,9 @@
 int loopback_listen(int *port);
 /** The same on @p port. */
 int loopback_listen_at(int port);
+/** Writes an address IP:PORT that was free just now. */
+void loopback_free_address(char *address, size_t size);
+/** Starts to connect to @p port. @return the socket, which does not block */
+int loopback_connect(int port);
 
 #endif
