Log and announce services that are cut off from a node

Operators could not see in the log that a node had lost all servers of a service, nor since when; nodes did not know it of each other.

A service counts as cut off from a node when connections to three of its servers (all, if it has fewer) failed and none that was started later worked; a server that has just started is tried first. Connections are the evidence, not answers: open streams may live on while new connections are refused, and a server that is silent for a second still accepts.

Requests are placed as before. Test: 11 cases in test_backends.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -76,6 +76,7 @@
 		HASH_DEL(backends->dcs, dc);
 		free(dc);
 	}
+	backends_free_services(backends);
 	server_rates_destroy(backends->rates);
 	limit_nodes_clear(&backends->nodes);
 	free(backends);
@@ -96,9 +97,11 @@
 
 /* A server may restart under the same id: what was known of the previous
  * generation no longer holds. */
-static void begin_generation(backend_t *server)
+static void begin_generation(backend_t *server, int64_t now_us)
 {
 	server->generation++;
+	server->begun_us = now_us;
+	server->connect_failed_us = 0;
 	server->leaving_us = 0;
 	server->rejects_until_us = 0;
 	server->failures = 0;
@@ -130,11 +133,11 @@
 		server->table = backends;
 		server->hash = load_table_hash(entry->id);
 		server->cold_share.filled_us = now_us;
-		begin_generation(server);
+		begin_generation(server, now_us);
 		HASH_ADD_STR(backends->servers, entry.id, server);
 	} else if (server->entry.born_ms != entry->born_ms ||
 		   strcmp(server->entry.address, entry->address) != 0) {
-		begin_generation(server);
+		begin_generation(server, now_us);
 		left = false;
 	}
 	server->doubted_until_us =
@@ -143,6 +146,7 @@
 	server->listing = backends->listing;
 	server->remove_at_us = 0;
 	server->dc = backends_dc(backends, entry->data_centre);
+	server->service = backends_service(backends, entry->service);
 	server->cold_until_us = now_us + entry->cold_left_ms * US_PER_MS;
 	return changed;
 }
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -168,7 +168,8 @@
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
 /**
  * @return true if the server failed for this node within the last second and is
- * still paused: this node announces the server as failing
+ * still paused: this node announces the server as failing. Never true while its
+ * service is cut off from here, which shows nothing about the server.
  */
 bool backend_failed_recently(const backend_t *backend, int64_t now_us);
 
@@ -189,18 +190,47 @@
 
 /** Records that the server sent data: its data centre can be reached. */
 void backend_note_received(backend_t *backend, int64_t now_us);
+/**
+ * Records whether a connection to the server was made.
+ * @param started_us when it was started: a connection shows nothing about the
+ *                   time after that
+ */
+void backend_note_connection(backend_t *backend, bool made, int64_t started_us,
+			     int64_t now_us);
+/**
+ * @return true if this node seems to be partitioned from all servers of a
+ * service: connections to several of them failed and none worked since. Whether
+ * they live is not known.
+ */
+bool backends_is_cut_off(backends_t *backends, const char *service);
+/** Receives that a service was cut off from this node, or is no longer. */
+typedef void (*backends_reach_changed_t)(void *context, const char *service,
+					 bool is_cut_off);
+/** Judges all services again, and reports what changed since the last call. */
+void backends_check_reach(backends_t *backends,
+			  backends_reach_changed_t changed, void *context,
+			  int64_t now_us);
+/**
+ * Lists the hashes (load_table_hash()) of services that are cut off from this
+ * node.
+ * @return number of hashes
+ */
+size_t backends_list_cut_off(const backends_t *backends, uint32_t *hashes,
+			     size_t max);
+
 /** Records whether announcements of the nodes of a data centre arrive. */
 void backends_note_peers(backends_t *backends, const char *data_centre,
 			 peers_state_t peers, int64_t now_us);
 /**
- * Chooses a server whose answer would show that a data centre that seems to be
- * partitioned from this node can be reached.
+ * Chooses a server whose answer would show that a data centre or a service that
+ * seems to be partitioned from this node can be reached.
  * @param salt random
  * @return server to probe; NULL: none now
  */
 backend_t *backends_to_probe(backends_t *backends, uint64_t salt,
 			     int64_t now_us);
-/** @return true if the server's data centre seems partitioned from here. */
+/** @return true if the server's data centre or service seems partitioned from
+ * here. */
 bool backend_is_partitioned(const backend_t *backend, int64_t now_us);
 /**
  * Updates the slowdown factor of a server with one event gap.
--- a/src/process/backends_health.c
+++ b/src/process/backends_health.c
@@ -54,7 +54,8 @@
 
 bool backend_failed_recently(const backend_t *backend, int64_t now_us)
 {
-	return backend->failed_us && now_us < backend->paused_until_us &&
+	return !backend->service->is_cut_off && backend->failed_us &&
+	       now_us < backend->paused_until_us &&
 	       now_us - backend->failed_us < ANNOUNCE_FAILURE_US;
 }
 
@@ -135,6 +136,14 @@
 	return dc->partitioned_us && dc->last_received_us <= dc->partitioned_us;
 }
 
+static bool needs_probe(const backend_t *server, int64_t now_us)
+{
+	return (is_partitioned(server->dc) &&
+		now_us - server->dc->probed_us >= PROBE_INTERVAL_US) ||
+	       (server->service->is_cut_off &&
+		now_us - server->service->probed_us >= PROBE_INTERVAL_US);
+}
+
 backend_t *backends_to_probe(backends_t *backends, uint64_t salt,
 			     int64_t now_us)
 {
@@ -142,8 +151,7 @@
 	uint64_t seen = 0;
 
 	HASH_ITER (hh, backends->servers, server, next) {
-		if (!is_partitioned(server->dc) ||
-		    now_us - server->dc->probed_us < PROBE_INTERVAL_US ||
+		if (!needs_probe(server, now_us) ||
 		    !backend_usable(server, now_us))
 			continue;
 		/* Reservoir sampling: equal probability for each server. */
@@ -152,7 +160,7 @@
 		salt = salt * PROBE_SALT_FACTOR + 1;
 	}
 	if (chosen)
-		chosen->dc->probed_us = now_us;
+		chosen->dc->probed_us = chosen->service->probed_us = now_us;
 	return chosen;
 }
 
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -26,6 +26,16 @@
 	UT_hash_handle hh;
 } backend_dc_t;
 
+/* Reachability of the servers of a service from this node. */
+typedef struct backend_service {
+	char name[NAME_SIZE_BYTES];
+	int64_t connected_us; /* start of the newest connection that worked */
+	int64_t probed_us; /* last probe of one of its servers */
+	bool is_cut_off; /* see backends_is_cut_off() */
+	bool was_cut_off; /* what was last reported */
+	UT_hash_handle hh;
+} backend_service_t;
+
 struct backend {
 	backend_entry_t entry;
 	backends_t *table; /* NULL once the server is removed */
@@ -33,6 +43,10 @@
 	uint32_t hash; /* hash of the server's id */
 	uint32_t generation; /* starts seen; a new address counts as a start */
 	backend_dc_t *dc;
+	backend_service_t *service;
+	int64_t begun_us; /* when its generation was first seen */
+	int64_t connect_failed_us; /* start of the last connection that failed
+				      in this generation; 0: none */
 	uint64_t listing; /* last listing that had its entry */
 	int64_t forget_at_us; /* for an absent server; 0: not set yet */
 	int64_t remove_at_us; /* end of the grace period; 0: entry is present */
@@ -58,6 +72,7 @@
 	backend_t *servers;
 	backend_t *absent; /* servers whose entries were removed */
 	backend_dc_t *dcs;
+	backend_service_t *services;
 	server_rates_t *rates;
 	uint64_t listing; /* number of the current listing */
 	bool restoring; /* it is of an older copy of the store */
@@ -67,6 +82,11 @@
 /** Finds a data centre, or adds it. @return never NULL */
 backend_dc_t *backends_dc(backends_t *backends, const char *name);
 
+/** Finds a service, or adds it. @return never NULL */
+backend_service_t *backends_service(backends_t *backends, const char *name);
+/** Frees the table of services. */
+void backends_free_services(backends_t *backends);
+
 /* @return true if the server may be used, or will be once it no longer rejects
  * requests, and once a limit allows one. */
 bool backend_in_service(const backend_t *backend, int64_t now_us);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -129,6 +129,8 @@
 					now_us),
 	};
 	list_failing(gateway, now_us, message);
+	message->cut_off_count = backends_list_cut_off(
+		gateway->backends, message->cut_off, LOAD_CUT_OFF_MAX);
 	message->rate_count =
 		server_rates_list(backends_rates(gateway->backends),
 				  message->rates, ANNOUNCED_RATES_MAX, now_us);
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -22,8 +22,8 @@
 	int64_t sent_us;
 } probe_t;
 
-/* Any answer, whatever its status, shows that the server is alive and its data
- * centre can be reached. */
+/* Any answer, whatever its status, shows that the server is alive and can be
+ * reached, and its data centre with it. */
 static void on_answer(const probe_t *probe)
 {
 	int64_t now_us = clock_monotonic_us();
@@ -31,6 +31,7 @@
 	segment_table_note_alive(probe->gateway->segments,
 				 backend_start_hash(probe->server),
 				 probe->sent_us, now_us);
+	backend_note_connection(probe->server, true, probe->sent_us, now_us);
 	if (backend_is_partitioned(probe->server, now_us))
 		log_event(EVENT_DATA_CENTRE_REACHABLE,
 			  "data_centre=%s server=%s evidence=probe",
@@ -48,12 +49,19 @@
 		on_answer(probe);
 		return;
 	case CLIENT_CONNECT_FAILED:
+		backend_note_connection(probe->server, false, probe->sent_us,
+					clock_monotonic_us());
+		/* fallthrough */
 	case CLIENT_BROKEN:
 		segment_table_note_dead(probe->gateway->segments,
 					backend_start_hash(probe->server),
 					clock_monotonic_us());
 		return;
 	case CLIENT_TIMED_OUT:
+		/* The server is busy, behind a link that works. */
+		backend_note_connection(probe->server, true, probe->sent_us,
+					clock_monotonic_us());
+		return;
 	case CLIENT_CANCELLED:
 		return;
 	}
@@ -113,6 +121,16 @@
 	}
 }
 
+static void on_reach_changed(void *context, const char *service,
+			     bool is_cut_off)
+{
+	gateway_t *gateway = context;
+
+	log_event(is_cut_off ? EVENT_SERVICE_CUT_OFF : EVENT_SERVICE_REACHABLE,
+		  "service=%s", service);
+	gateway_load_changed(gateway, true);
+}
+
 static void on_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -124,6 +142,8 @@
 	if (delayed || !gateway->routing)
 		return;
 	note_peers(gateway, now_us);
+	backends_check_reach(gateway->backends, on_reach_changed, gateway,
+			     now_us);
 	server = backends_to_probe(gateway->backends, gateway_random(gateway),
 				   now_us);
 	if (server)
--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -43,6 +43,8 @@
 			    0: unknown */
 	uint32_t failing[LOAD_FAILING_MAX];
 	size_t failing_count;
+	uint32_t cut_off[LOAD_CUT_OFF_MAX];
+	size_t cut_off_count;
 	duty_state_t duty;
 	int64_t usage_closed;
 	load_item_t *items; /* sorted by server_hash; NULL: none */
@@ -172,6 +174,8 @@
 	node->duty = message->duty;
 	node->failing_count = message->failing_count;
 	memcpy(node->failing, message->failing, sizeof(node->failing));
+	node->cut_off_count = message->cut_off_count;
+	memcpy(node->cut_off, message->cut_off, sizeof(node->cut_off));
 	node->usage_closed = message->usage_closed;
 	mem_strlcpy(node->data_centre, message->data_centre,
 		    sizeof(node->data_centre));
@@ -391,6 +395,29 @@
 	return count;
 }
 
+static bool is_cut_off(const node_t *node, uint32_t service_hash)
+{
+	size_t i;
+
+	for (i = 0; i < node->cut_off_count; i++)
+		if (node->cut_off[i] == service_hash)
+			return true;
+	return false;
+}
+
+bool load_table_reaches(const load_table_t *table, uint64_t node,
+			uint32_t service_hash, int64_t silence_max_us,
+			int64_t now_us)
+{
+	const node_t *other;
+
+	LL_FOREACH (table->nodes, other)
+		if (other->id == node)
+			return now_us - other->received_us <= silence_max_us &&
+			       !is_cut_off(other, service_hash);
+	return false;
+}
+
 duty_state_t load_table_duty(const load_table_t *table, uint64_t node,
 			     int64_t now_us)
 {
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -27,6 +27,8 @@
 enum { LOAD_VIEWS = 3 };
 /** Most servers that one announcement lists as failing. */
 enum { LOAD_FAILING_MAX = 32 };
+/** Most services that one announcement lists as cut off from its node. */
+enum { LOAD_CUT_OFF_MAX = 16 };
 
 /** Load of one node on one server. */
 typedef struct {
@@ -72,6 +74,9 @@
 	/** Hashes of the ids of servers that just failed for the node. */
 	uint32_t failing[LOAD_FAILING_MAX];
 	size_t failing_count; /**< entries of failing */
+	/** Hashes of the names of services that are cut off from the node. */
+	uint32_t cut_off[LOAD_CUT_OFF_MAX];
+	size_t cut_off_count; /**< entries of cut_off */
 	/** What servers stated in their last answers to the node. */
 	server_rate_t rates[ANNOUNCED_RATES_MAX];
 	size_t rate_count; /**< entries of rates */
@@ -170,6 +175,13 @@
 /** @return number of live nodes that announce a server as failing. */
 size_t load_table_failing_count(const load_table_t *table, uint32_t server_hash,
 				int64_t now_us);
+/**
+ * @param silence_max_us longest time since the last announcement of the node
+ * @return true if the node seems to reach servers of a service
+ */
+bool load_table_reaches(const load_table_t *table, uint64_t node,
+			uint32_t service_hash, int64_t silence_max_us,
+			int64_t now_us);
 /** @return duty state of a node; DUTY_STATE_NONE if it is not live. */
 duty_state_t load_table_duty(const load_table_t *table, uint64_t node,
 			     int64_t now_us);
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -126,6 +126,8 @@
 	announcement.usage_closed = message->usage_closed;
 	announcement.n_shunned = message->failing_count;
 	announcement.shunned = (uint32_t *)message->failing;
+	announcement.n_cut_off = message->cut_off_count;
+	announcement.cut_off = (uint32_t *)message->cut_off;
 	announcement.n_known = LOAD_VIEWS;
 	announcement.known = (int64_t *)message->known_revisions;
 	announcement.items = pointers;
@@ -295,6 +297,9 @@
 	for (i = 0; i < announcement->n_shunned && i < LOAD_FAILING_MAX; i++)
 		message->failing[i] = announcement->shunned[i];
 	message->failing_count = i;
+	for (i = 0; i < announcement->n_cut_off && i < LOAD_CUT_OFF_MAX; i++)
+		message->cut_off[i] = announcement->cut_off[i];
+	message->cut_off_count = i;
 	for (i = 0; i < announcement->n_rates && i < ANNOUNCED_RATES_MAX; i++)
 		message->rates[i] = unpack_rate(announcement->rates[i]);
 	message->rate_count = i;
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -521,7 +521,7 @@
   (ProtobufCMessageInit) work__packet__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__announcement__field_descriptors[17] =
+static const ProtobufCFieldDescriptor work__announcement__field_descriptors[18] =
 {
   {
     "node",
@@ -727,10 +727,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cut_off",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Work__Announcement, n_cut_off),
+    offsetof(Work__Announcement, cut_off),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__announcement__field_indices_by_name[] = {
   15,   /* field[15] = address */
   16,   /* field[16] = contents */
+  17,   /* field[17] = cut_off */
   4,   /* field[4] = data_centre */
   10,   /* field[10] = duty */
   1,   /* field[1] = incarnation */
@@ -750,7 +763,7 @@
 static const ProtobufCIntRange work__announcement__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor work__announcement__descriptor =
 {
@@ -760,7 +773,7 @@
   "Work__Announcement",
   "work",
   sizeof(Work__Announcement),
-  17,
+  18,
   work__announcement__field_descriptors,
   work__announcement__field_indices_by_name,
   1,  work__announcement__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -127,10 +127,15 @@
    */
   size_t n_contents;
   Work__Segment **contents;
+  /*
+   * Services none of whose servers the sender reaches, as hashes of their names.
+   */
+  size_t n_cut_off;
+  uint32_t *cut_off;
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -190,6 +190,8 @@
 	attempt->last_progress_us = clock_monotonic_us();
 	backend_note_received(attempt->load.shards[0].server,
 			      clock_monotonic_us());
+	backend_note_connection(attempt->load.shards[0].server, true,
+				attempt->sent_us, clock_monotonic_us());
 	attempt_note_data(forward);
 	apply_server_notices(forward);
 	if (status == HTTP_MISDIRECTED)
@@ -363,6 +365,8 @@
 		on_complete_answer(forward);
 		return;
 	case CLIENT_CONNECT_FAILED:
+		backend_note_connection(attempt->load.shards[0].server, false,
+					attempt->sent_us, clock_monotonic_us());
 		attempt_note_unreachable(forward);
 		fail(forward, FAILURE_UNREACHABLE, EVIDENCE_UNREACHABLE);
 		return;
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -586,6 +586,143 @@
 	load_table_destroy(table);
 }
 
+static void ignore_change(void *context, const char *name, bool is_cut_off)
+{
+}
+
+/*
+ * Guards against a node that does not notice that it lost all servers of a
+ * service, or that takes servers that are down, busy or new for it. Servers a
+ * to d are ready at 0; a step is a connection that was started at its time.
+ */
+static void tells_cut_off_from_servers_that_fail(void **state)
+{
+	enum { FAILS = 1, WORKS, STARTS, LEAVES };
+	static const struct {
+		const char *guards_against;
+		const char *servers;
+		struct {
+			int32_t at_ms, took_ms;
+			char server;
+			int what;
+		} steps[8];
+		bool is_cut_off;
+	} cases[] = {
+		{ "three servers fail, none works",
+		  "abcd",
+		  { { 5000, 200, 'a', FAILS },
+		    { 5010, 200, 'b', FAILS },
+		    { 5020, 2, 'd', FAILS } },
+		  true },
+		{ "two servers are down",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS }, { 5010, 2, 'b', FAILS } },
+		  false },
+		{ "one server refuses again and again",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'a', FAILS },
+		    { 5020, 2, 'a', FAILS } },
+		  false },
+		{ "a service with two servers",
+		  "ab",
+		  { { 5000, 2, 'a', FAILS }, { 5010, 2, 'b', FAILS } },
+		  true },
+		{ "a connection works among those that fail",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5015, 2, 'c', WORKS },
+		    { 5020, 2, 'd', FAILS } },
+		  false },
+		{ "an answer to a request from before the cut",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 4000, 1015, 'c', WORKS },
+		    { 5020, 2, 'd', FAILS } },
+		  true },
+		{ "a failure that shows after a later success",
+		  "abc",
+		  { { 5000, 200, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5020, 2, 'c', FAILS },
+		    { 5100, 2, 'b', WORKS },
+		    { 5050, 200, 'c', FAILS } },
+		  false },
+		{ "the way back",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5020, 2, 'd', FAILS },
+		    { 9000, 2, 'b', WORKS } },
+		  false },
+		{ "a new server is not tried",
+		  "abc",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5020, 2, 'c', FAILS },
+		    { 5100, 0, 'a', STARTS } },
+		  false },
+		{ "a new server fails, too",
+		  "abc",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5020, 2, 'c', FAILS },
+		    { 5100, 0, 'a', STARTS },
+		    { 5110, 2, 'a', FAILS } },
+		  true },
+		{ "servers that failed are gone",
+		  "abcd",
+		  { { 5000, 2, 'a', FAILS },
+		    { 5010, 2, 'b', FAILS },
+		    { 5020, 2, 'c', FAILS },
+		    { 5030, 0, 'a', LEAVES },
+		    { 5030, 0, 'b', LEAVES } },
+		  false },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		const char *name;
+		int64_t now_us = 0;
+
+		set_up(state);
+		for (name = cases[i].servers; *name; name++)
+			add((char[]){ *name, '\0' }, "north");
+		for (j = 0; j < COUNT_OF(cases[i].steps); j++) {
+			char id[] = { cases[i].steps[j].server, '\0' };
+			int64_t at_us = MS(cases[i].steps[j].at_ms);
+			backend_entry_t entry = entry_of(id, "north");
+
+			now_us = at_us + MS(cases[i].steps[j].took_ms);
+			switch (cases[i].steps[j].what) {
+			case FAILS:
+			case WORKS:
+				backend_note_connection(
+					backends_find(backends, id),
+					cases[i].steps[j].what == WORKS, at_us,
+					now_us);
+				break;
+			case STARTS:
+				entry.born_ms = 99;
+				backends_update(backends, &entry, now_us);
+				break;
+			case LEAVES:
+				backends_remove(backends, id, 0);
+				break;
+			}
+			if (cases[i].steps[j].what)
+				backends_check_reach(backends, ignore_change,
+						     NULL, now_us);
+		}
+		if (backends_is_cut_off(backends, service.name) !=
+		    cases[i].is_cut_off)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+		tear_down(state);
+	}
+}
+
 /* Guards against partitions that are found late, and against silent nodes
  * taken for a partition. Each node announces at least every 260 ms, at times
  * independent of the other nodes. */
@@ -804,6 +941,7 @@
 		cmocka_unit_test_setup_teardown(counts_load_of_attempt, set_up,
 						tear_down),
 		cmocka_unit_test(adds_load_of_other_nodes),
+		cmocka_unit_test(tells_cut_off_from_servers_that_fail),
 		cmocka_unit_test(tells_partition_from_silence),
 		cmocka_unit_test_setup_teardown(
 			avoids_server_failing_for_others, set_up, tear_down),
