Pass requests on to nodes that reach the servers

What callers saw: a node that had lost its links to the servers refused every request for as long as the cut lasted, after eight attempts of up to 200 ms each, although other nodes reached all servers.

Cause: a node served a request over its own links only. Class: what a node cannot do itself was taken for what the fleet cannot do. Ruled out: servers that are down (other nodes used them in the same second), the load balancer alone (open connections stay with their node, and below half of a data centre it uses all nodes).

Change: a request whose service is cut off from this node goes to another node of the region that announces no such cut, over HTTP, on the second port of the node's range. That node sends it to servers like one of its own callers', but - it passes nothing on: no loops; - it lets the request run once; the first node repeats, from the budget of its own callers' requests, so attempts and arrivals are counted once; - what is not a server's answer says what became of the request: no server has it (another node is tried, three at most), refused for a cause that holds everywhere (the caller is told), or it may have run; - it refuses while it stops, above an eighth of its descriptors, or with another configuration than the first node's for more than 150 ms; - only nodes get in: the key is in the node's entry in the store. A node of an earlier build has none, and gets no requests. Time left, cancelling, resuming, usage, limits, leases and evidence of crashes stay with the node that sends to servers. Without such a node servers are tried for an eighth of the objective, then the request is refused. A service now counts as cut off when three of the last four servers tried refused: in some cuts one server is left.

--- a/src/base/units.h
+++ b/src/base/units.h
@@ -19,5 +19,7 @@
 
 /** Size of a buffer for an HTTP URL or endpoint, with the terminating NUL. */
 enum { URL_SIZE_BYTES = 256 };
+/** Size of the key of requests that nodes pass to each other, in hex. */
+enum { RELAY_KEY_SIZE_BYTES = 33 };
 
 #endif
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -101,7 +101,7 @@
 {
 	server->generation++;
 	server->begun_us = now_us;
-	server->connect_failed_us = 0;
+	server->connected_us = server->connect_failed_us = 0;
 	server->leaving_us = 0;
 	server->rejects_until_us = 0;
 	server->failures = 0;
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -198,8 +198,8 @@
 void backend_note_connection(backend_t *backend, bool made, int64_t started_us,
 			     int64_t now_us);
 /**
- * @return true if this node seems to be partitioned from all servers of a
- * service: connections to several of them failed and none worked since. Whether
+ * @return true if this node seems to be partitioned from the servers of a
+ * service: connections failed to most of those that were tried last. Whether
  * they live is not known.
  */
 bool backends_is_cut_off(backends_t *backends, const char *service);
--- a/src/process/backends_health.c
+++ b/src/process/backends_health.c
@@ -167,7 +167,7 @@
 bool backend_is_partitioned(const backend_t *backend, int64_t now_us)
 {
 	return now_us < backend->dc->fallback_until_us ||
-	       is_partitioned(backend->dc);
+	       backend->service->is_cut_off || is_partitioned(backend->dc);
 }
 
 void backend_note_gap(backend_t *backend, double actual_us, double expected_us)
--- a/src/process/backends_reach.c
+++ b/src/process/backends_reach.c
@@ -3,9 +3,10 @@
 #include "base/mem.h"
 #include "process/backends_state.h"
 
-/* Servers to which connections must fail, with none that works meanwhile: fewer
- * may be down. All of them, if a service has fewer. */
-enum { CUT_OFF_SERVERS_MIN = 3 };
+/* A service is cut off when connections failed to so many of the servers that
+ * were tried last, or to all if it has fewer servers: some may be down, and
+ * some may be left in a partition of nearly all. */
+enum { LAST_TRIED = 4, LAST_FAILED_MIN = 3 };
 /* A server that started within this time is tried before its service counts as
  * cut off. */
 #define NEW_SERVER_US (2 * US_PER_S)
@@ -35,13 +36,37 @@
 
 static bool has_failed(const backend_t *server)
 {
-	return server->connect_failed_us > server->service->connected_us;
+	return server->connect_failed_us > server->connected_us;
+}
+
+static int64_t tried_us(const backend_t *server)
+{
+	return has_failed(server) ? server->connect_failed_us
+				  : server->connected_us;
+}
+
+/* Keeps the servers that were tried last, the latest first. */
+static void keep_last(const backend_t **last, const backend_t *server)
+{
+	size_t i;
+
+	for (i = 0; i < LAST_TRIED; i++) {
+		const backend_t *kept = last[i];
+
+		if (kept && tried_us(kept) >= tried_us(server))
+			continue;
+		last[i] = server;
+		if (!kept)
+			return;
+		server = kept;
+	}
 }
 
 static void judge(backends_t *backends, backend_service_t *service,
 		  int64_t now_us)
 {
-	size_t count = 0, failed = 0;
+	const backend_t *last[LAST_TRIED] = { NULL };
+	size_t i, count = 0, failed = 0;
 	backend_t *server, *next;
 
 	service->is_cut_off = false;
@@ -53,10 +78,13 @@
 		    now_us - server->begun_us < NEW_SERVER_US)
 			return;
 		count++;
-		failed += has_failed(server);
+		if (tried_us(server))
+			keep_last(last, server);
 	}
-	service->is_cut_off =
-		failed && (failed == count || failed >= CUT_OFF_SERVERS_MIN);
+	for (i = 0; i < LAST_TRIED && last[i]; i++)
+		failed += has_failed(last[i]);
+	service->is_cut_off = failed &&
+			      (failed >= LAST_FAILED_MIN || failed == count);
 }
 
 void backend_note_connection(backend_t *backend, bool made, int64_t started_us,
@@ -66,10 +94,14 @@
 
 	if (!made)
 		backend->connect_failed_us = started_us;
-	else if (started_us > service->connected_us)
-		service->connected_us = started_us;
-	if (backend->table && service->is_cut_off == made)
-		judge(backend->table, service, now_us);
+	else if (started_us > backend->connected_us)
+		backend->connected_us = started_us;
+	if (!backend->table || (made && !service->is_cut_off))
+		return;
+	judge(backend->table, service, now_us);
+	/* A server that works is followed by another one at once. */
+	if (made)
+		service->probed_us = 0;
 }
 
 bool backends_is_cut_off(backends_t *backends, const char *service)
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -29,7 +29,6 @@
 /* Reachability of the servers of a service from this node. */
 typedef struct backend_service {
 	char name[NAME_SIZE_BYTES];
-	int64_t connected_us; /* start of the newest connection that worked */
 	int64_t probed_us; /* last probe of one of its servers */
 	bool is_cut_off; /* see backends_is_cut_off() */
 	bool was_cut_off; /* what was last reported */
@@ -45,8 +44,9 @@
 	backend_dc_t *dc;
 	backend_service_t *service;
 	int64_t begun_us; /* when its generation was first seen */
-	int64_t connect_failed_us; /* start of the last connection that failed
-				      in this generation; 0: none */
+	/* Start of the last connection in this generation that worked, and of
+	 * the last one that failed; 0: none */
+	int64_t connected_us, connect_failed_us;
 	uint64_t listing; /* last listing that had its entry */
 	int64_t forget_at_us; /* for an absent server; 0: not set yet */
 	int64_t remove_at_us; /* end of the grace period; 0: entry is present */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -155,7 +155,8 @@
 		return false;
 	gateway->platform = platform_create(gateway->client, &platform);
 	if (!gateway_probes_start(gateway, err) ||
-	    !open_callers(gateway, err) || !gateway_peers_start(gateway, err))
+	    !open_callers(gateway, err) || !gateway_relay_start(gateway, err) ||
+	    !gateway_peers_start(gateway, err))
 		return false;
 	gateway_views_start(gateway);
 	gateway->duties = duties_create(gateway);
@@ -198,6 +199,7 @@
 	gateway_reach_stop(gateway);
 	gateway_views_stop(gateway);
 	listener_destroy(gateway->callers);
+	gateway_relay_stop(gateway);
 	duties_destroy(gateway->duties);
 	gateway_probes_stop(gateway);
 	gateway_peers_stop(gateway);
--- a/src/process/gateway_apply.c
+++ b/src/process/gateway_apply.c
@@ -49,6 +49,7 @@
 	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
 	routing_unref(gateway->routing);
 	gateway->routing = routing;
+	gateway->routing_applied_us = clock_monotonic_us();
 	limits = routing_limits(routing);
 	listener_set_timeouts(
 		gateway->callers,
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -262,6 +262,9 @@
 	mem_strlcpy(peer->address, vm->address, sizeof(peer->address));
 	mem_strlcpy(peer->data_centre, vm->data_centre,
 		    sizeof(peer->data_centre));
+	mem_strlcpy(peer->relay_address, vm->relay_address,
+		    sizeof(peer->relay_address));
+	mem_strlcpy(peer->relay_key, vm->relay_key, sizeof(peer->relay_key));
 }
 
 static void set_limit_nodes(gateway_t *gateway)
@@ -321,9 +324,11 @@
 
 static json_t *own_entry(const gateway_t *gateway)
 {
-	return json_pack("{s:s,s:s,s:b}", "data_centre",
+	return json_pack("{s:s,s:s,s:b,s:s,s:s}", "data_centre",
 			 gateway->settings.data_centre, "address",
-			 gateway->settings.peer_address, "leaving", 0);
+			 gateway->settings.peer_address, "leaving", 0, "relay",
+			 gateway->settings.relay_address, "relay_key",
+			 gateway->relay_key);
 }
 
 static void on_registered(void *context, platform_status_t status,
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -19,7 +19,12 @@
 #include "request/retry.h"
 #include "version/routing.h"
 
-enum { KINDS_WATCHED = LOAD_VIEWS, SERVICES_MAX = 64 };
+enum {
+	KINDS_WATCHED = LOAD_VIEWS,
+	SERVICES_MAX = 64,
+	/* Nodes that are remembered because a relayed request failed there. */
+	RELAY_FAILURES_MAX = 16
+};
 
 /** This node's copy of one kind of objects in the platform's store. */
 typedef struct {
@@ -60,12 +65,21 @@
 	char address[URL_SIZE_BYTES];
 	char data_centre[NAME_SIZE_BYTES];
 	uint64_t hash; /**< hash of the node's id */
+	char relay_address[URL_SIZE_BYTES]; /**< where the node takes requests
+					     * of others; empty: nowhere */
+	char relay_key[RELAY_KEY_SIZE_BYTES];
 	/* For each view: the revision that was last sent, and since when
 	 * changes that were sent are not acknowledged. */
 	int64_t sent_revisions[KINDS_WATCHED];
 	int64_t unacked_since_us[KINDS_WATCHED];
 } peer_t;
 
+/** A relayed request that failed. */
+typedef struct {
+	uint64_t node; /**< hash of the id of the node it was sent to */
+	int64_t at_us;
+} relay_failure_t;
+
 /** Phase of a graceful stop. */
 typedef enum {
 	STOP_NONE,
@@ -79,11 +93,17 @@
 	client_t *client;
 	platform_t *platform;
 	listener_t *callers, *ready, *metrics;
+	listener_t *relayed; /**< requests of other nodes; NULL: none */
+	char relay_key[RELAY_KEY_SIZE_BYTES]; /**< key of these requests */
+	int32_t relayed_count; /**< of them in progress */
+	relay_failure_t relay_failures[RELAY_FAILURES_MAX];
+	size_t relay_failure_count; /**< all so far; the ring has the last */
 	datagram_t *datagram;
 
 	/** Version of the routing configuration that the store has. */
 	int64_t stored_version;
 	routing_t *routing; /**< NULL: no configuration was read yet */
+	int64_t routing_applied_us;
 	backends_t *backends;
 	load_table_t *load_table;
 	segment_table_t *segments; /**< what crashes servers */
@@ -249,6 +269,31 @@
 void gateway_reach_start(gateway_t *gateway);
 void gateway_reach_stop(gateway_t *gateway);
 
+/* gateway_relay.c */
+/** Opens the listener for requests that other nodes pass on. */
+bool gateway_relay_start(gateway_t *gateway, err_t *err);
+void gateway_relay_stop(gateway_t *gateway);
+/** @return most requests of other nodes at a time */
+int32_t gateway_relayed_max(const gateway_t *gateway);
+/** @param key may be NULL @return true if @p key is this node's relay key */
+bool gateway_relay_key_is(const gateway_t *gateway, const char *key);
+
+typedef struct {
+	const char *service; /**< service that the node must reach */
+	const uint64_t *except; /**< nodes not to be used */
+	size_t except_count;
+} relay_query_t;
+
+/**
+ * Chooses, at random, another node of the region that takes requests and seems
+ * to reach the servers of a service.
+ * @return NULL: there is none
+ */
+const peer_t *gateway_choose_relay(gateway_t *gateway,
+				   const relay_query_t *query);
+/** Records that a node did not answer a relayed request. */
+void gateway_note_relay_failed(gateway_t *gateway, uint64_t node);
+
 /* gateway_probes.c */
 bool gateway_probes_start(gateway_t *gateway, err_t *err);
 void gateway_probes_stop(gateway_t *gateway);
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -26,6 +26,8 @@
 	char peer_address[URL_SIZE_BYTES]; /**< IP:PORT between nodes, UDP */
 	char metrics_address[URL_SIZE_BYTES]; /**< IP:PORT; empty: no metrics
 					       */
+	char relay_address[URL_SIZE_BYTES]; /**< IP:PORT for requests that other
+					     * nodes pass on; empty: none */
 	char platform_url[URL_SIZE_BYTES];
 
 	int64_t memory_limit_bytes; /**< the process is killed above this */
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -53,6 +53,15 @@
 			      * empty: none */
 } server_request_t;
 
+/** Headers that this node sets in a request that it passes to another node. */
+typedef struct {
+	const char *key; /**< key of the other node */
+	int64_t version; /**< configuration in force here */
+	int64_t version_age_ms; /**< time since it was applied */
+	int64_t deadline_ms; /**< time left until the final answer is due */
+	const char *last_event_id; /**< see server_request_t */
+} relayed_request_t;
+
 /** What an answer says of the rate of requests that its server accepts. */
 typedef enum {
 	RATE_NOT_STATED, /**< the server sets no rate, or sets it no longer */
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -44,8 +44,8 @@
 		  "request=%s content=%" PRIx64
 		  " route=%s account=%s status=%d outcome=%s "
 		  "sends=%zu runs=%d events=%" PRId64 " first_event_ms=%" PRId64
-		  " gap_max_ms=%" PRId64 " total_ms=%" PRId64
-		  " config=%" PRId64,
+		  " gap_max_ms=%" PRId64 " total_ms=%" PRId64 " config=%" PRId64
+		  " relays=%zu relayed=%d",
 		  *forward->request.id ? forward->request.id : "-",
 		  forward->content, forward->route ? forward->route->name : "-",
 		  forward->account ? forward->account->name : "-", status,
@@ -57,7 +57,8 @@
 			  : -1,
 		  forward->gap_max_us / US_PER_MS,
 		  (now_us - forward->received_us) / US_PER_MS,
-		  forward->routing ? routing_version(forward->routing) : -1);
+		  forward->routing ? routing_version(forward->routing) : -1,
+		  forward->relay_count, forward->is_relayed);
 }
 
 void forward_ended(forward_t *forward, int status, const char *outcome)
@@ -83,6 +84,7 @@
 		backend_unref(forward->tried[i]);
 	DL_DELETE(forward->gateway->forwards, forward);
 	forward->gateway->forward_count--;
+	forward->gateway->relayed_count -= forward->is_relayed;
 	sse_clear(&forward->events);
 	choice_clear(&forward->choice);
 	routing_unref(forward->routing);
@@ -113,8 +115,8 @@
 	if (forward->route)
 		return true;
 	if (may_be_outdated(forward))
-		forward_refuse(forward, "configuration_unconfirmed",
-			       OTHER_NODE_RETRY_MS);
+		forward_refuse_here(forward, "configuration_unconfirmed",
+				    OTHER_NODE_RETRY_MS);
 	else
 		forward_fail(forward, HTTP_NOT_FOUND, "no_route");
 	return false;
@@ -125,8 +127,8 @@
 	if (forward->route->is_public || !routing_needs_keys(forward->routing))
 		return true;
 	if (may_be_outdated(forward)) {
-		forward_refuse(forward, "keys_unconfirmed",
-			       OTHER_NODE_RETRY_MS);
+		forward_refuse_here(forward, "keys_unconfirmed",
+				    OTHER_NODE_RETRY_MS);
 		return false;
 	}
 	forward->account =
@@ -142,7 +144,7 @@
 	if (forward->gateway->stop != STOP_FINISHING ||
 	    forward->route->kind != CALL_STREAM)
 		return true;
-	forward_refuse(forward, "stopping", OTHER_NODE_RETRY_MS);
+	forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
 	return false;
 }
 
@@ -171,7 +173,7 @@
 static void refuse_memory(forward_t *forward)
 {
 	metrics_add(METRIC_MEMORY_REFUSED, 1);
-	forward_refuse(forward, "no_memory", MEMORY_RETRY_MS);
+	forward_refuse_here(forward, "no_memory", MEMORY_RETRY_MS);
 }
 
 static bool check_body(forward_t *forward)
@@ -193,10 +195,12 @@
 	gateway_t *gateway = forward->gateway;
 
 	if (!gateway_has_views(gateway)) {
-		forward_refuse(forward, "starting", START_RETRY_MS);
+		forward_refuse_here(forward, "starting", START_RETRY_MS);
 		return;
 	}
 	forward->routing = routing_ref(gateway->routing);
+	if (forward->is_relayed && !forward_admits_relayed(forward))
+		return;
 	if (!find_route(forward) || !find_account(forward) ||
 	    !may_start(forward) || !forward_check_segments(forward) ||
 	    !check_body(forward))
@@ -206,20 +210,24 @@
 		forward->routing,
 		routing_target(forward->route, gateway_random(gateway)));
 	if (!forward->service) {
-		forward_refuse(forward, "no_service", START_RETRY_MS);
+		forward_refuse_here(forward, "no_service", START_RETRY_MS);
 		return;
 	}
-	gateway_count_request(gateway, forward->service->name);
+	/* Counted by the node of the caller. */
+	if (!forward->is_relayed)
+		gateway_count_request(gateway, forward->service->name);
 	forward_set_timer(forward);
 }
 
-static void *on_request(void *context, exchange_t *exchange)
+static forward_t *begin(gateway_t *gateway, exchange_t *exchange,
+			bool is_relayed)
 {
-	gateway_t *gateway = context;
 	forward_t *forward = mem_calloc(1, sizeof(*forward));
 
 	forward->gateway = gateway;
 	forward->exchange = exchange;
+	forward->is_relayed = is_relayed;
+	gateway->relayed_count += is_relayed;
 	forward->received_us = clock_monotonic_us();
 	ev_init(&forward->timer, forward_on_timer);
 	forward->timer.data = forward;
@@ -233,6 +241,16 @@
 	return forward;
 }
 
+static void *on_request(void *context, exchange_t *exchange)
+{
+	return begin(context, exchange, false);
+}
+
+static void *on_relayed_request(void *context, exchange_t *exchange)
+{
+	return begin(context, exchange, true);
+}
+
 /* @return false if there is no memory for the body */
 static bool grow_body(forward_t *forward, size_t needed)
 {
@@ -313,6 +331,14 @@
 	.on_close = on_close,
 };
 
+const listener_handler_t forward_relayed_handler = {
+	.on_request = on_relayed_request,
+	.on_body = on_body,
+	.on_drained = on_drained,
+	.on_complete = on_complete,
+	.on_close = on_close,
+};
+
 void forward_retry_waiting(gateway_t *gateway)
 {
 	forward_t *forward, *next;
@@ -328,7 +354,7 @@
 	forward_t *forward, *next;
 
 	DL_FOREACH_SAFE (gateway->forwards, forward, next)
-		if (forward->attempt &&
+		if (forward->attempt && !forward->attempt->relay_node &&
 		    backend_is_partitioned(
 			    forward->attempt->load.shards[0].server, now_us))
 			forward_set_timer(forward);
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -13,6 +13,9 @@
 /** Callbacks of the listener for callers; the context is the gateway. */
 extern const listener_handler_t forward_handler;
 
+/** Callbacks of the listener for requests that other nodes pass on. */
+extern const listener_handler_t forward_relayed_handler;
+
 /** Tries to choose a server for each request that waits for one. */
 void forward_retry_waiting(struct gateway *gateway);
 
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -74,6 +74,8 @@
 
 static void record_evidence(const forward_t *forward, evidence_t evidence)
 {
+	if (forward->attempt->relay_node)
+		return;
 	backend_note(forward->attempt->load.shards[0].server, evidence,
 		     clock_monotonic_us());
 	/* Announces the failure, so that other nodes need not run into it. */
@@ -93,6 +95,13 @@
 	attempt_t *attempt = forward->attempt;
 	reply_headers_t *headers = &attempt->headers;
 
+	if (!strncasecmp(name, RELAY_HEADER_PREFIX,
+			 strlen(RELAY_HEADER_PREFIX))) {
+		if (attempt->relay_node &&
+		    !strcasecmp(name, RELAY_HEADER_OUTCOME))
+			attempt->relay_outcome = relay_outcome_of(value);
+		return;
+	}
 	platform_read_reply_header(name, value, forward->request.id,
 				   &attempt->reply);
 	if (!strcasecmp(name, "Content-Length") ||
@@ -167,14 +176,57 @@
 			       now_us + reply->retry_after_ms * US_PER_MS);
 }
 
-/* Counts the attempt, once, as usage of its client account. */
+/* Counts the attempt, once, as usage of its client account. The node that sends
+ * it to a server counts. */
 static void count_usage(const forward_t *forward, int64_t began_us)
 {
-	if (forward->account)
+	if (forward->account && !forward->attempt->relay_node)
 		duties_count_request(forward->gateway->duties,
 				     forward->account->name, began_us);
 }
 
+/* Records what the status of an answer shows about its server. */
+static void note_answer(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+	int64_t now_us = clock_monotonic_us();
+	backend_t *server;
+
+	if (attempt->relay_node)
+		return;
+	server = attempt->load.shards[0].server;
+	backend_note_received(server, now_us);
+	backend_note_connection(server, true, attempt->sent_us, now_us);
+	attempt_note_data(forward);
+	apply_server_notices(forward);
+}
+
+/*
+ * Ends an attempt whose node answered in place of a server.
+ * @return false if the answer is a server's
+ */
+static bool end_relay(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+	int64_t retry_after_ms = attempt->reply.retry_after_ms;
+
+	switch (attempt->relay_outcome) {
+	case RELAY_OUTCOME_ANSWERED:
+		return false;
+	case RELAY_OUTCOME_UNAVAILABLE:
+		forward_attempt_failed(forward, FAILURE_UNREACHABLE);
+		return true;
+	case RELAY_OUTCOME_REFUSED:
+		attempt_cancel(forward);
+		forward_refuse(forward, "refused_by_node", retry_after_ms);
+		return true;
+	case RELAY_OUTCOME_FAILED:
+		forward_attempt_failed(forward, FAILURE_BROKEN);
+		return true;
+	}
+	return false;
+}
+
 /*
  * A refusal, or an answer that is not the server's own, ends the attempt at its
  * headers: its body decides nothing and may have no end.
@@ -188,12 +240,9 @@
 	reply->status = status;
 	attempt->head_done = true;
 	attempt->last_progress_us = clock_monotonic_us();
-	backend_note_received(attempt->load.shards[0].server,
-			      clock_monotonic_us());
-	backend_note_connection(attempt->load.shards[0].server, true,
-				attempt->sent_us, clock_monotonic_us());
-	attempt_note_data(forward);
-	apply_server_notices(forward);
+	if (end_relay(forward))
+		return;
+	note_answer(forward);
 	if (status == HTTP_MISDIRECTED)
 		reply->not_run = true;
 	if (reply->not_run && !reply->foreign)
@@ -213,13 +262,14 @@
 static void record_event_gap(forward_t *forward, int64_t before_us)
 {
 	attempt_t *attempt = forward->attempt;
-	backend_t *server = attempt->load.shards[0].server;
 	const engine_profile_t *engine = &forward->service->engine;
 	server_load_t load;
+	backend_t *server;
 	double expected_us;
 
-	if (!engine->present || !before_us)
+	if (!engine->present || !before_us || attempt->relay_node)
 		return;
+	server = attempt->load.shards[0].server;
 	load = backend_load(server, forward->gateway->load_table, engine,
 			    attempt->last_event_us);
 	expected_us =
@@ -302,8 +352,9 @@
 	forward_t *forward = context;
 	attempt_t *attempt = forward->attempt;
 
-	backend_note_received(attempt->load.shards[0].server,
-			      clock_monotonic_us());
+	if (!attempt->relay_node)
+		backend_note_received(attempt->load.shards[0].server,
+				      clock_monotonic_us());
 	attempt_note_data(forward);
 	/* An incomplete event is no progress: a stream may stall within an
 	 * event. */
@@ -354,21 +405,32 @@
 		end_body(forward);
 }
 
+static void on_unreachable(forward_t *forward)
+{
+	const attempt_t *attempt = forward->attempt;
+
+	if (!attempt->relay_node)
+		backend_note_connection(attempt->load.shards[0].server, false,
+					attempt->sent_us, clock_monotonic_us());
+	attempt_note_unreachable(forward);
+	fail(forward, FAILURE_UNREACHABLE, EVIDENCE_UNREACHABLE);
+}
+
 static void on_end(void *context, client_end_t end, int status)
 {
 	forward_t *forward = context;
 	attempt_t *attempt = forward->attempt;
 
 	attempt->call = NULL;
+	if (end != CLIENT_OK && attempt->relay_node)
+		gateway_note_relay_failed(forward->gateway,
+					  attempt->relay_node);
 	switch (end) {
 	case CLIENT_OK:
 		on_complete_answer(forward);
 		return;
 	case CLIENT_CONNECT_FAILED:
-		backend_note_connection(attempt->load.shards[0].server, false,
-					attempt->sent_us, clock_monotonic_us());
-		attempt_note_unreachable(forward);
-		fail(forward, FAILURE_UNREACHABLE, EVIDENCE_UNREACHABLE);
+		on_unreachable(forward);
 		return;
 	case CLIENT_TIMED_OUT:
 		fail(forward, FAILURE_SILENT, EVIDENCE_SILENT);
--- a/src/request/forward_log.c
+++ b/src/request/forward_log.c
@@ -10,6 +10,7 @@
 /* Longest lists of helpers and of segments in a log line; longer ones are
  * truncated. */
 enum { HELPERS_TEXT_BYTES = 400, SEGMENTS_TEXT_BYTES = 200 };
+enum { RECEIVER_TEXT_BYTES = NAME_SIZE_BYTES + 8 };
 
 static const char *id_of(const forward_t *forward)
 {
@@ -85,6 +86,19 @@
 		  placement->missed_weight, placement->retry_in_us / US_PER_MS);
 }
 
+/* Names the server, or the node, to which the attempt was sent. */
+static void format_receiver(const forward_t *forward,
+			    char receiver[RECEIVER_TEXT_BYTES])
+{
+	if (forward->attempt && forward->attempt->relay_node)
+		snprintf(receiver, RECEIVER_TEXT_BYTES, "node=%016" PRIx64,
+			 forward->attempt->relay_node);
+	else
+		snprintf(receiver, RECEIVER_TEXT_BYTES, "server=%s",
+			 backend_entry(forward->tried[forward->tried_count - 1])
+				 ->id);
+}
+
 void forward_log_failed(const forward_t *forward, failure_t failure)
 {
 	static const char *const names[] = {
@@ -94,13 +108,13 @@
 		[FAILURE_SILENT] = "silent",
 		[FAILURE_SERVER_ERROR] = "server-error",
 	};
-	const backend_t *server = forward->tried[forward->tried_count - 1];
+	char receiver[RECEIVER_TEXT_BYTES];
 
+	format_receiver(forward, receiver);
 	metrics_add(METRIC_ATTEMPTS_FAILED, 1);
 	log_event(EVENT_ATTEMPT_FAILED,
-		  "request=%s server=%s end=%s events=%" PRId64
-		  " total_ms=%" PRId64,
-		  id_of(forward), backend_entry(server)->id, names[failure],
+		  "request=%s %s end=%s events=%" PRId64 " total_ms=%" PRId64,
+		  id_of(forward), receiver, names[failure],
 		  forward->event_count,
 		  (clock_monotonic_us() - forward->received_us) / US_PER_MS);
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -168,8 +168,8 @@
 		forward_refuse(forward, "servers_limited",
 			       (accepts.anywhere_us - now_us) / US_PER_MS + 1);
 	} else {
-		forward_refuse(forward, "no_server",
-			       no_server_retry_ms(forward, now_us));
+		forward_refuse_here(forward, "no_server",
+				    no_server_retry_ms(forward, now_us));
 	}
 }
 
@@ -260,11 +260,33 @@
 	forward_set_timer(forward);
 }
 
+/*
+ * Refuses a request whose service is cut off from here: one of another node at
+ * once, since that node tries others; one of a caller when it has waited for as
+ * long as a request may wait for a server.
+ * @return false if servers are to be tried
+ */
+static bool refuse_cut_off(forward_t *forward)
+{
+	int64_t now_us = clock_monotonic_us();
+	double wait_us = (double)(forward->route->target_ms * US_PER_MS) *
+			 WAIT_TARGET_FRACTION;
+
+	if (!backends_is_cut_off(forward->gateway->backends,
+				 forward->service->name) ||
+	    (!forward->is_relayed && (double)age_us(forward, now_us) < wait_us))
+		return false;
+	forward_refuse_here(forward, "servers_unreachable",
+			    no_server_retry_ms(forward, now_us));
+	return true;
+}
+
 void forward_place(forward_t *forward)
 {
 	const placement_t *placement = &forward->choice.placement;
 
-	if (!forward_check_segments(forward))
+	if (!forward_check_segments(forward) || forward_relay(forward) ||
+	    refuse_cut_off(forward))
 		return;
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
@@ -300,6 +322,8 @@
 {
 	int64_t now_us = clock_monotonic_us();
 
+	if (forward->is_relayed && forward->runs)
+		return false;
 	if (forward->tried_count >= SERVERS_TRIED_MAX ||
 	    now_us + ATTEMPT_TIME_MIN_MS * US_PER_MS >= forward->limit_us)
 		return false;
@@ -318,7 +342,7 @@
 static void give_up(forward_t *forward, failure_t failure)
 {
 	if (!forward->runs) {
-		forward_refuse(forward, "not_served", BUSY_RETRY_MS);
+		forward_refuse_here(forward, "not_served", BUSY_RETRY_MS);
 		return;
 	}
 	forward_fail(forward,
@@ -342,6 +366,8 @@
 {
 	forward_log_failed(forward, failure);
 	attempt_cancel(forward);
+	if (failure != FAILURE_UNREACHABLE)
+		forward->may_have_arrived = true;
 	if (failure != FAILURE_UNREACHABLE && failure != FAILURE_NOT_RUN)
 		forward->runs++;
 	if (forward->phase == FORWARD_ENDED)
--- a/src/request/forward_reply.c
+++ b/src/request/forward_reply.c
@@ -150,11 +150,25 @@
 	forward_ended(forward, forward->attempt->reply.status, "complete");
 }
 
+static const char *relay_outcome(const forward_t *forward, int status)
+{
+	if (forward->runs)
+		return RELAY_FAILED;
+	if (status != HTTP_UNAVAILABLE ||
+	    (forward->is_own_refusal && !forward->may_have_arrived))
+		return RELAY_UNAVAILABLE;
+	return RELAY_REFUSED;
+}
+
 static void reply_error(forward_t *forward, int status, const char *code,
 			reply_headers_t *headers)
 {
 	char body[ERROR_BODY_SIZE_BYTES];
 
+	if (forward->is_relayed)
+		headers->items[headers->count++] =
+			(reply_header_t){ RELAY_HEADER_OUTCOME,
+					  relay_outcome(forward, status) };
 	headers->items[headers->count++] =
 		(reply_header_t){ "Content-Type", "application/json" };
 	add_close_if_stopping(forward, headers);
@@ -183,6 +197,13 @@
 	forward_ended(forward, HTTP_UNAVAILABLE, code);
 }
 
+void forward_refuse_here(forward_t *forward, const char *code,
+			 int64_t retry_after_ms)
+{
+	forward->is_own_refusal = true;
+	forward_refuse(forward, code, retry_after_ms);
+}
+
 void forward_fail(forward_t *forward, int status, const char *code)
 {
 	reply_headers_t headers = { .count = 0 };
--- a/src/request/forward_segments.c
+++ b/src/request/forward_segments.c
@@ -88,10 +88,19 @@
 				    now_us);
 }
 
+/* A request that was passed on is judged by the node that sent it to a server.
+ */
+static bool is_judged_here(const forward_t *forward)
+{
+	return !forward->attempt->relay_node;
+}
+
 void attempt_note_data(forward_t *forward)
 {
 	int64_t now_us = clock_monotonic_us();
 
+	if (!is_judged_here(forward))
+		return;
 	segment_table_note_alive(forward->gateway->segments, server_of(forward),
 				 now_us - TRANSIT_MAX_US, now_us);
 	if (!forward->attempt->is_harmless &&
@@ -104,6 +113,8 @@
 	segments_t segments = segments_of(forward);
 	int64_t now_us = clock_monotonic_us();
 
+	if (!is_judged_here(forward))
+		return;
 	if (writes_on(forward->attempt, now_us))
 		note_harmless(forward, now_us);
 	else
@@ -114,6 +125,8 @@
 
 void attempt_note_unreachable(forward_t *forward)
 {
+	if (!is_judged_here(forward))
+		return;
 	segment_table_note_dead(forward->gateway->segments, server_of(forward),
 				clock_monotonic_us());
 	gateway_log_blocked(forward->gateway, id_of(forward));
@@ -141,7 +154,7 @@
 	const attempt_t *attempt = forward->attempt;
 	int64_t now_us = clock_monotonic_us();
 
-	if (attempt->is_harmless)
+	if (!is_judged_here(forward) || attempt->is_harmless)
 		return;
 	if (attempt->is_framed || writes_on(attempt, now_us))
 		note_harmless(forward, now_us);
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -45,9 +45,7 @@
 	}
 }
 
-/* @return silence, in us, before failover to another server; 0: no failover */
-static int64_t attempt_timeout_us(const forward_t *forward,
-				  int64_t predicted_us)
+int64_t attempt_timeout_us(const forward_t *forward, int64_t predicted_us)
 {
 	int64_t timeout_us = attempt_stream_timeout_us(forward);
 
@@ -74,28 +72,15 @@
 	return forward->route->priority;
 }
 
-static void send_request(forward_t *forward)
+void attempt_send(forward_t *forward, const char *address, char **headers)
 {
-	attempt_t *attempt = forward->attempt;
 	exchange_t *exchange = forward->exchange;
-	const backend_entry_t *entry =
-		backend_entry(choice_server(&forward->choice, 0));
 	char url[URL_SIZE_BYTES + 16], target[TARGET_SIZE_BYTES];
-	char helpers[PLACEMENT_SHARDS_MAX * (URL_SIZE_BYTES + NAME_SIZE_BYTES)];
 	client_handler_t handler = attempt_handler;
-	server_request_t node_headers = {
-		.server_id = entry->id,
-		.account = forward->account ? forward->account->name : NULL,
-		.deadline_ms =
-			(forward->limit_us - attempt->sent_us) / US_PER_MS,
-		.priority = priority_of(forward),
-		.last_event_id = forward->last_event_id,
-		.helpers = helpers,
-	};
-	char **headers;
 	client_request_t request = { .method = exchange_method(exchange),
 				     .url = url,
 				     .target = target,
+				     .headers = (const char *const *)headers,
 				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 				     .at_most_once = true };
 
@@ -104,20 +89,38 @@
 	if (forward->route->kind != CALL_AT_MOST_ONCE)
 		request.peer_silence_ms = SERVER_SILENCE_MS;
 	handler.context = forward;
-	format_helpers(forward, helpers, sizeof(helpers));
-	headers = platform_server_headers(exchange, &node_headers);
-	snprintf(url, sizeof(url), "http://%s/", entry->address);
+	snprintf(url, sizeof(url), "http://%s/", address);
 	snprintf(target, sizeof(target), "%s%s%s", exchange_path(exchange),
 		 *exchange_query(exchange) ? "?" : "",
 		 exchange_query(exchange));
-	request.headers = (const char *const *)headers;
 	if (forward->body_bytes || !strcmp(request.method, "POST") ||
 	    !strcmp(request.method, "PUT")) {
 		request.body = forward->body ? forward->body : "";
 		request.body_size_bytes = forward->body_bytes;
 	}
-	attempt->call =
+	forward->attempt->call =
 		client_call(forward->gateway->client, &request, &handler);
+}
+
+static void send_to_server(forward_t *forward)
+{
+	const backend_entry_t *entry =
+		backend_entry(choice_server(&forward->choice, 0));
+	char helpers[PLACEMENT_SHARDS_MAX * (URL_SIZE_BYTES + NAME_SIZE_BYTES)];
+	server_request_t node_headers = {
+		.server_id = entry->id,
+		.account = forward->account ? forward->account->name : NULL,
+		.deadline_ms = (forward->limit_us - forward->attempt->sent_us) /
+			       US_PER_MS,
+		.priority = priority_of(forward),
+		.last_event_id = forward->last_event_id,
+		.helpers = helpers,
+	};
+	char **headers;
+
+	format_helpers(forward, helpers, sizeof(helpers));
+	headers = platform_server_headers(forward->exchange, &node_headers);
+	attempt_send(forward, entry->address, headers);
 	platform_free_headers(headers);
 }
 
@@ -146,5 +149,5 @@
 			backend_hash(placement->shards[i]->server),
 			placement->prefill_us[i], now_us);
 	gateway_load_changed(forward->gateway, true);
-	send_request(forward);
+	send_to_server(forward);
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -11,10 +11,15 @@
 #include "process/choice.h"
 #include "request/caller_request.h"
 #include "request/forward.h"
+#include "request/relay_headers.h"
 #include "request/reservation.h"
 #include "request/sse.h"
 
-enum { SERVERS_TRIED_MAX = 8, REPLY_HEADERS_MAX = 48 };
+enum {
+	SERVERS_TRIED_MAX = 8,
+	REPLY_HEADERS_MAX = 48,
+	RELAYS_MAX = 3 /* nodes to which one request is passed on */
+};
 
 /** Headers of an answer that are relayed to the caller. */
 typedef struct {
@@ -23,9 +28,14 @@
 	size_t count;
 } reply_headers_t;
 
-/** One attempt: a request sent to one server, or to a set of servers. */
+/** One attempt: a request sent to one server, to a set of servers, or to
+ * another node. */
 typedef struct {
 	client_call_t *call; /**< NULL once the HTTP call has ended */
+	uint64_t
+		relay_node; /**< hash of the id of the node to which the request
+			     * was passed on; 0: it was sent to servers */
+	relay_outcome_t relay_outcome; /**< as this node stated it */
 	attempt_load_t load; /**< load that the attempt puts on its servers */
 	int64_t sent_us; /**< when the attempt was sent */
 	int64_t predicted_us; /**< predicted time from sending to first event */
@@ -74,6 +84,12 @@
 	backend_t *tried[SERVERS_TRIED_MAX]; /**< server of each attempt,
 					      * without its helpers */
 	size_t tried_count;
+	bool is_relayed; /**< another node passed the request on; that node
+			  * repeats it, if need be */
+	bool may_have_arrived; /**< a server may have received the request */
+	bool is_own_refusal; /**< the refusal is for a cause of this node */
+	uint64_t relays[RELAYS_MAX]; /**< nodes to which it was passed on */
+	size_t relay_count;
 	int32_t runs; /**< ended attempts that executed the request, or may
 		       * have */
 	choice_t choice; /**< servers of the current attempt */
@@ -107,6 +123,30 @@
 /** Sends the request to the chosen servers. */
 void attempt_start(forward_t *forward);
 
+/**
+ * Sends the request of the caller for the current attempt.
+ * @param address IP:PORT of the server or node
+ */
+void attempt_send(forward_t *forward, const char *address, char **headers);
+/** @return silence, in us, before failover to another server; 0: no failover */
+int64_t attempt_timeout_us(const forward_t *forward, int64_t predicted_us);
+
+/* forward_relay.c */
+/** @return true if the request may be passed to a node that reaches servers */
+bool forward_may_relay(const forward_t *forward);
+/** @return true if, besides, there is such a node */
+bool forward_can_relay(const forward_t *forward);
+/** Passes the request on. @return false if that is not possible */
+bool forward_relay(forward_t *forward);
+/** Decodes a value of RELAY_HEADER_OUTCOME. */
+relay_outcome_t relay_outcome_of(const char *value);
+/**
+ * Checks a request of another node, and refuses it if it is not to be served
+ * here.
+ * @return false if the request was refused
+ */
+bool forward_admits_relayed(forward_t *forward);
+
 /* forward_attempt.c */
 /** Callbacks for a server's answer; the context is the request. */
 extern const client_handler_t attempt_handler;
@@ -137,6 +177,9 @@
  */
 void forward_refuse(forward_t *forward, const char *code,
 		    int64_t retry_after_ms);
+/** Refuses like forward_refuse() for a cause of this node alone. */
+void forward_refuse_here(forward_t *forward, const char *code,
+			 int64_t retry_after_ms);
 /**
  * Answers with an error that does not say if the request has executed, or
  * aborts an answer that has begun.
--- a/src/request/forward_timer.c
+++ b/src/request/forward_timer.c
@@ -49,7 +49,7 @@
 	if (!attempt || !attempt->timeout_us)
 		return INT64_MAX;
 	timeout_us = attempt->timeout_us;
-	if (timeout_us > PARTITION_TIMEOUT_US &&
+	if (timeout_us > PARTITION_TIMEOUT_US && !attempt->relay_node &&
 	    backend_is_partitioned(attempt->load.shards[0].server,
 				   clock_monotonic_us()))
 		timeout_us = PARTITION_TIMEOUT_US;
@@ -104,6 +104,8 @@
 
 	if (forward->route->kind != CALL_STREAM)
 		return true;
+	if (forward_may_relay(forward))
+		return forward_can_relay(forward);
 	left_us = forward->attempt->last_progress_us +
 		  forward_caller_timeout_us(forward) - clock_monotonic_us();
 	result = forward_choose(forward, &choice);
@@ -112,17 +114,37 @@
 	       choice.placement.first_event_us < left_us;
 }
 
+static void stay(forward_t *forward)
+{
+	forward->attempt->timeout_us += FAILOVER_RECHECK_US;
+	forward_set_timer(forward);
+}
+
+static void on_relay_silence(forward_t *forward)
+{
+	uint64_t node = forward->attempt->relay_node;
+
+	if (should_fail_over(forward) &&
+	    forward_failover(forward, FAILURE_SILENT))
+		gateway_note_relay_failed(forward->gateway, node);
+	else
+		stay(forward);
+}
+
 static void on_silence(forward_t *forward)
 {
-	backend_t *server =
-		backend_ref(forward->attempt->load.shards[0].server);
+	backend_t *server;
 
+	if (forward->attempt->relay_node) {
+		on_relay_silence(forward);
+		return;
+	}
+	server = backend_ref(forward->attempt->load.shards[0].server);
 	if (should_fail_over(forward) &&
 	    forward_failover(forward, FAILURE_SILENT)) {
 		backend_note(server, EVIDENCE_SILENT, clock_monotonic_us());
 	} else {
-		forward->attempt->timeout_us += FAILOVER_RECHECK_US;
-		forward_set_timer(forward);
+		stay(forward);
 	}
 	backend_unref(server);
 }
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -305,6 +305,9 @@
 		    sizeof(settings.node_id));
 	loopback_free_address(settings.peer_address,
 			      sizeof(settings.peer_address));
+	if (!fixture->takes_no_relays)
+		loopback_free_address(settings.relay_address,
+				      sizeof(settings.relay_address));
 	fixture->loop = ev_loop_new(EVFLAG_AUTO);
 	fixture->store = listener_create(fixture->loop, &conf, &handler, &err);
 	assert_non_null(fixture->store);
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -80,6 +80,7 @@
 	bool no_configuration;
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
 	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
+	bool takes_no_relays; /**< like a node of an earlier build */
 	const char *node_id; /**< of the gateway; NULL: n1 */
 	char registration[500]; /**< entry that the gateway wrote for itself */
 	/** Another gateway, whose entry the list of nodes holds; NULL: none. */
