Repeat a relayed request at the same node if its server failed

A lookup whose server failed behind another node got 502 where that node was the only one left: a node that said that the request may have run, or whose stream broke off, got no second one. Now only nodes that could not pass the request to a server, or did not accept it, get it only once; what failed at a server is repeated there, on another server.

Ruled out: the budget of repeats (unused in the test). Shown by relayed_requests_break_a_rule_of_one_node, which failed for lookups (502, 1 arrival) and for streams that resume. With it tests of two hops: one run, headers, cancelling, loops, builds without relays, stopping nodes, other configurations, keys, and the way back.

--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -362,9 +362,18 @@
 	forward_place(forward);
 }
 
+/* A node that could not pass the request to a server gets it only once. */
+static void note_relay_failed(forward_t *forward, failure_t failure)
+{
+	if (forward->attempt->relay_node && failure == FAILURE_UNREACHABLE)
+		forward->relays_failed[forward->relays_failed_count++] =
+			forward->attempt->relay_node;
+}
+
 void forward_attempt_failed(forward_t *forward, failure_t failure)
 {
 	forward_log_failed(forward, failure);
+	note_relay_failed(forward, failure);
 	attempt_cancel(forward);
 	if (failure != FAILURE_UNREACHABLE)
 		forward->may_have_arrived = true;
--- a/src/request/forward_relay.c
+++ b/src/request/forward_relay.c
@@ -48,8 +48,8 @@
 static const peer_t *choose(const forward_t *forward)
 {
 	relay_query_t query = { .service = forward->service->name,
-				.except = forward->relays,
-				.except_count = forward->relay_count };
+				.except = forward->relays_failed,
+				.except_count = forward->relays_failed_count };
 
 	return gateway_choose_relay(forward->gateway, &query);
 }
@@ -66,7 +66,7 @@
 
 	if (!peer)
 		return false;
-	forward->relays[forward->relay_count++] = peer->hash;
+	forward->relay_count++;
 	metrics_add(METRIC_REQUESTS_RELAYED, 1);
 	log_event(EVENT_REQUEST_RELAYED,
 		  "request=%s node=%016" PRIx64
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -88,8 +88,10 @@
 			  * repeats it, if need be */
 	bool may_have_arrived; /**< a server may have received the request */
 	bool is_own_refusal; /**< the refusal is for a cause of this node */
-	uint64_t relays[RELAYS_MAX]; /**< nodes to which it was passed on */
-	size_t relay_count;
+	size_t relay_count; /**< times that it was passed on */
+	/** Hashes of the ids of nodes that could not serve it. */
+	uint64_t relays_failed[RELAYS_MAX];
+	size_t relays_failed_count; /**< entries of relays_failed */
 	int32_t runs; /**< ended attempts that executed the request, or may
 		       * have */
 	choice_t choice; /**< servers of the current attempt */
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 #include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
+#include "process/gateway.h"
 
 #define ALL_EVENTS                               \
 	"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" \
@@ -51,15 +53,33 @@
 	} while (clock_monotonic_us() < end_us);
 }
 
-static void start(pair_t *pair)
+/* The node that reaches the servers fails, refuses or stops. */
+typedef enum {
+	FAR_WORKS,
+	FAR_CUT_OFF,
+	FAR_TAKES_NONE, /* like a build without relays */
+	FAR_STOPS,
+	FAR_GONE, /* its process ended */
+	FAR_HAS_OTHER_CONFIGURATION
+} far_t;
+
+static void start_with(pair_t *pair, far_t far)
 {
 	*pair = (pair_t){ .near = { .node_id = "n1", .has_health = true },
-			  .far = { .node_id = "n2", .has_health = true } };
+			  .far = { .node_id = "n2" } };
+	pair->far.takes_no_relays = far == FAR_TAKES_NONE;
+	if (far == FAR_HAS_OTHER_CONFIGURATION)
+		pair->far.configuration_version = 9;
 	pair->near.other = &pair->far;
 	pair->far.other = &pair->near;
 	gateway_fixture_start(&pair->near);
 	gateway_fixture_start(&pair->far);
 	run(pair, MEET_MS);
+}
+
+static void start(pair_t *pair)
+{
+	start_with(pair, FAR_WORKS);
 	assert_true(gateway_is_ready(pair->near.gateway));
 	assert_true(gateway_is_ready(pair->far.gateway));
 }
@@ -79,6 +99,30 @@
 					   kind);
 }
 
+static void break_far(pair_t *pair, far_t far)
+{
+	size_t i;
+
+	switch (far) {
+	case FAR_WORKS:
+	case FAR_TAKES_NONE:
+	case FAR_HAS_OTHER_CONFIGURATION:
+		return;
+	case FAR_CUT_OFF:
+		for (i = 0; i < COUNT_OF(pair->far.servers); i++)
+			gateway_fixture_cut_server(
+				&pair->far, &pair->far.servers[i], CUT_REFUSES);
+		return;
+	case FAR_STOPS:
+		gateway_stop(pair->far.gateway);
+		return;
+	case FAR_GONE:
+		listener_destroy(pair->far.gateway->relayed);
+		pair->far.gateway->relayed = NULL;
+		return;
+	}
+}
+
 /* Sends a request to the node that is cut off. */
 static void call(pair_t *pair, reply_t *reply, const char *path, int number)
 {
@@ -148,11 +192,269 @@
 	}
 }
 
+/*
+ * Guards against a request that runs twice over two nodes, an answer that is
+ * not the server's, a refusal of a request that may have run, and a request
+ * that is passed on without end.
+ */
+static void relayed_requests_break_a_rule_of_one_node(void **state)
+{
+	static const struct {
+		const char *guards_against, *path;
+		far_t far;
+		server_act_t acts[ACTS_MAX];
+		size_t arrivals;
+		int status;
+		const char *body; /* NULL: any */
+	} cases[] = {
+		{ "an order that runs twice",
+		  "/once/x",
+		  FAR_WORKS,
+		  { CLOSES, SERVES },
+		  1,
+		  502,
+		  NULL },
+		{ "a lookup that is not repeated",
+		  "/safe/x",
+		  FAR_WORKS,
+		  { CLOSES, SERVES },
+		  2,
+		  200,
+		  "0123456789" },
+		{ "a lookup that runs more often than its route allows",
+		  "/safe/x",
+		  FAR_WORKS,
+		  { CLOSES, CLOSES, SERVES },
+		  2,
+		  502,
+		  NULL },
+		{ "an order that a server refused, not sent to another",
+		  "/once/x",
+		  FAR_WORKS,
+		  { NOT_RUN, SERVES },
+		  2,
+		  200,
+		  "0123456789" },
+		{ "a server's error that is not relayed",
+		  "/once/x",
+		  FAR_WORKS,
+		  { FAILS },
+		  1,
+		  500,
+		  "bad" },
+		{ "a stream that is not resumed",
+		  "/stream/x",
+		  FAR_WORKS,
+		  { BREAKS_OFF, SERVES },
+		  2,
+		  200,
+		  ALL_EVENTS },
+		{ "events twice",
+		  "/stream/x",
+		  FAR_WORKS,
+		  { BREAKS_OFF, REPEATS },
+		  2,
+		  200,
+		  ALL_EVENTS },
+		{ "a stream that may run once, broken off before the caller "
+		  "has its head, sent again",
+		  "/single/x",
+		  FAR_WORKS,
+		  { BREAKS_OFF },
+		  1,
+		  502,
+		  NULL },
+		{ "a stream that may run once, ended as if it were whole",
+		  "/single/x",
+		  FAR_WORKS,
+		  { TRICKLES },
+		  1,
+		  0,
+		  "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" },
+		{ "a loop", "/once/x", FAR_CUT_OFF, { SERVES }, 0, 503, NULL },
+		{ "a node that does not know relays",
+		  "/once/x",
+		  FAR_TAKES_NONE,
+		  { SERVES },
+		  0,
+		  503,
+		  NULL },
+		{ "a node that stops",
+		  "/once/x",
+		  FAR_STOPS,
+		  { SERVES },
+		  0,
+		  503,
+		  NULL },
+		{ "a node that is gone",
+		  "/once/x",
+		  FAR_GONE,
+		  { SERVES },
+		  0,
+		  503,
+		  NULL },
+		{ "a node with another configuration",
+		  "/once/x",
+		  FAR_HAS_OTHER_CONFIGURATION,
+		  { SERVES },
+		  0,
+		  503,
+		  NULL },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		pair_t pair;
+		reply_t reply;
+
+		start_with(&pair, cases[i].far);
+		cut(&pair, CUT_REFUSES);
+		notice(&pair, cases[i].path);
+		break_far(&pair, cases[i].far);
+		memcpy(pair.far.acts, cases[i].acts, sizeof(pair.far.acts));
+		pair.far.arrival_count = 0;
+		call(&pair, &reply, cases[i].path, 1);
+		if ((reply.end == CLIENT_OK ? reply.status : 0) !=
+			    cases[i].status ||
+		    pair.far.arrival_count != cases[i].arrivals ||
+		    (cases[i].body && strcmp(reply.body, cases[i].body) != 0))
+			fail_msg("case \"%s\": status %d, %zu arrivals, "
+				 "body \"%s\"",
+				 cases[i].guards_against, reply.status,
+				 pair.far.arrival_count, reply.body);
+		if (reply.status == 503 &&
+		    !strstr(reply.headers, "Retry-After: "))
+			fail_msg("case \"%s\": no Retry-After",
+				 cases[i].guards_against);
+		stop(&pair);
+	}
+}
+
+static bool has_header(const arrival_t *arrival, const char *header)
+{
+	return strstr(arrival->text, header);
+}
+
+/* Guards against a key, or what nodes tell each other, that reaches servers,
+ * and against a server that gets more time than the caller has. */
+static void server_of_a_relayed_request_gets_other_headers(void **state)
+{
+	pair_t pair;
+	reply_t reply;
+	const char *deadline;
+
+	start(&pair);
+	cut(&pair, CUT_REFUSES);
+	notice(&pair, "/once/x");
+	pair.far.arrival_count = 0;
+	call(&pair, &reply, "/once/x?q=1", 7);
+	assert_int_equal(reply.status, 200);
+	assert_null(strstr(reply.headers, "Chivestage-Relay"));
+	assert_true(has_header(pair.far.arrivals, "POST /once/x?q=1 "));
+	assert_true(has_header(pair.far.arrivals, "X-Request-Id: r7\r\n"));
+	assert_true(has_header(pair.far.arrivals, "X-Tenant: acme\r\n"));
+	assert_true(has_header(pair.far.arrivals, "\r\n\r\nbody"));
+	assert_false(has_header(pair.far.arrivals, "Authorization"));
+	assert_false(has_header(pair.far.arrivals, "Chivestage-Relay"));
+	deadline = strstr(pair.far.arrivals->text, "X-Deadline-Ms: ");
+	assert_non_null(deadline);
+	assert_true(atoi(deadline + strlen("X-Deadline-Ms: ")) <= DEADLINE_MS);
+	stop(&pair);
+}
+
+/* Guards against a server that works on for a caller that left. */
+static void server_works_on_for_a_caller_behind_two_nodes(void **state)
+{
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       "X-Deadline-Ms: 1400",
+					       FIXTURE_AUTHORIZATION, NULL };
+	pair_t pair;
+	reply_t reply;
+
+	start(&pair);
+	cut(&pair, CUT_REFUSES);
+	notice(&pair, "/stream/x");
+	pair.far.arrival_count = 0;
+	pair.far.acts[0] = SILENT;
+	gateway_fixture_call(&pair.near, &reply, "POST", "/stream/x", headers,
+			     "body");
+	run(&pair, 100);
+	assert_int_equal(pair.far.arrival_count, 1);
+	client_call_cancel(reply.call);
+	run(&pair, 200);
+	assert_true(pair.far.arrivals[0].closed);
+	stop(&pair);
+}
+
+/* Guards against requests of others than nodes at the address for nodes. */
+static void others_than_nodes_get_in(void **state)
+{
+	static const char *const keys[] = {
+		"X-None: 1",
+		"Chivestage-Relay-Key: ",
+		"Chivestage-Relay-Key: 00000000000000000000000000000000",
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(keys); i++) {
+		const char *headers[] = { "Host: h",
+					  "X-Request-Id: r1",
+					  "X-Deadline-Ms: 1400",
+					  "Chivestage-Relay-Version: 3,1000",
+					  FIXTURE_AUTHORIZATION,
+					  keys[i],
+					  NULL };
+		gateway_fixture_t fixture = { .has_health = true };
+		listener_t *callers;
+		reply_t reply;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		callers = fixture.gateway->callers;
+		fixture.gateway->callers = fixture.gateway->relayed;
+		gateway_fixture_call(&fixture, &reply, "POST", "/once/x",
+				     headers, "body");
+		fixture.gateway->callers = callers;
+		assert_true(gateway_fixture_wait(&fixture, &reply, 1000));
+		if (reply.status != 503 || fixture.arrival_count)
+			fail_msg("key \"%s\": status %d", keys[i],
+				 reply.status);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
+/* Guards against a node that goes on without its own servers after the cut. */
+static void servers_stay_unused_after_the_cut(void **state)
+{
+	pair_t pair;
+	reply_t reply;
+	size_t i;
+
+	start(&pair);
+	cut(&pair, CUT_HANGS);
+	notice(&pair, "/safe/x");
+	for (i = 0; i < COUNT_OF(pair.near.servers); i++)
+		gateway_fixture_heal_server(&pair.near, &pair.near.servers[i]);
+	run(&pair, STABLE_WINDOW_MS / 2);
+	pair.near.arrival_count = pair.far.arrival_count = 0;
+	call(&pair, &reply, "/safe/x", 1);
+	assert_int_equal(reply.status, 200);
+	assert_int_equal(pair.near.arrival_count, 1);
+	assert_int_equal(pair.far.arrival_count, 0);
+	stop(&pair);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			callers_of_a_node_cut_from_servers_are_refused),
+		cmocka_unit_test(relayed_requests_break_a_rule_of_one_node),
+		cmocka_unit_test(
+			server_of_a_relayed_request_gets_other_headers),
+		cmocka_unit_test(server_works_on_for_a_caller_behind_two_nodes),
+		cmocka_unit_test(others_than_nodes_get_in),
+		cmocka_unit_test(servers_stay_unused_after_the_cut),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
