Find the way back by connections; keep the relay key over a restart; soak

A probe is now a connection without a request, which each server allows, also a cold or limited one, and which is the evidence that decides. - A node that restarted had a new relay key, and others kept the old one until they read the list of nodes again, 5 s at most (157 requests refused with relay_key). It goes on with the key in its entry; that saves a write, too.

The store gives each node addresses of its own. The check is the platform's rule over first tries at undisturbed nodes, while another undisturbed node reaches the servers.

--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -59,6 +59,7 @@
 	 * not allowed: probes are sent once a second.
 	 */
 	int64_t peer_silence_ms;
+	bool connect_only; /**< opens and closes a connection, sends nothing */
 	const char *ca_path; /**< like ca_file, and replaces it if not NULL */
 } client_request_t;
 
--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -75,6 +75,8 @@
 			 (long)request->connect_timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)request->total_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY,
+			 (long)request->connect_only);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 (long)request->at_most_once);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -222,8 +222,15 @@
 void backends_note_peers(backends_t *backends, const char *data_centre,
 			 peers_state_t peers, int64_t now_us);
 /**
- * Chooses a server whose answer would show that a data centre or a service that
- * seems to be partitioned from this node can be reached.
+ * Chooses a server of a service that seems to be cut off from this node.
+ * @param salt random
+ * @return server to connect to; NULL: none now
+ */
+backend_t *backends_to_connect(backends_t *backends, uint64_t salt,
+			       int64_t now_us);
+/**
+ * Chooses a server whose answer would show that a data centre that seems to be
+ * partitioned from this node can be reached.
  * @param salt random
  * @return server to probe; NULL: none now
  */
--- a/src/process/backends_health.c
+++ b/src/process/backends_health.c
@@ -136,22 +136,32 @@
 	return dc->partitioned_us && dc->last_received_us <= dc->partitioned_us;
 }
 
-static bool needs_probe(const backend_t *server, int64_t now_us)
+/* What a probe is to find out. */
+typedef enum { PROBE_DATA_CENTRE, PROBE_SERVICE } probe_goal_t;
+
+/* @return when a probe with this goal was last sent; INT64_MAX: none is needed
+ */
+static int64_t probed_us(const backend_t *server, probe_goal_t goal)
 {
-	return (is_partitioned(server->dc) &&
-		now_us - server->dc->probed_us >= PROBE_INTERVAL_US) ||
-	       (server->service->is_cut_off &&
-		now_us - server->service->probed_us >= PROBE_INTERVAL_US);
+	switch (goal) {
+	case PROBE_DATA_CENTRE:
+		return is_partitioned(server->dc) ? server->dc->probed_us
+						  : INT64_MAX;
+	case PROBE_SERVICE:
+		return server->service->is_cut_off ? server->service->probed_us
+						   : INT64_MAX;
+	}
+	return INT64_MAX;
 }
 
-backend_t *backends_to_probe(backends_t *backends, uint64_t salt,
-			     int64_t now_us)
+static backend_t *choose_for_probe(backends_t *backends, probe_goal_t goal,
+				   uint64_t salt, int64_t now_us)
 {
 	backend_t *server, *next, *chosen = NULL;
 	uint64_t seen = 0;
 
 	HASH_ITER (hh, backends->servers, server, next) {
-		if (!needs_probe(server, now_us) ||
+		if (probed_us(server, goal) > now_us - PROBE_INTERVAL_US ||
 		    !backend_usable(server, now_us))
 			continue;
 		/* Reservoir sampling: equal probability for each server. */
@@ -159,8 +169,28 @@
 			chosen = server;
 		salt = salt * PROBE_SALT_FACTOR + 1;
 	}
+	return chosen;
+}
+
+backend_t *backends_to_probe(backends_t *backends, uint64_t salt,
+			     int64_t now_us)
+{
+	backend_t *chosen =
+		choose_for_probe(backends, PROBE_DATA_CENTRE, salt, now_us);
+
+	if (chosen)
+		chosen->dc->probed_us = now_us;
+	return chosen;
+}
+
+backend_t *backends_to_connect(backends_t *backends, uint64_t salt,
+			       int64_t now_us)
+{
+	backend_t *chosen =
+		choose_for_probe(backends, PROBE_SERVICE, salt, now_us);
+
 	if (chosen)
-		chosen->dc->probed_us = chosen->service->probed_us = now_us;
+		chosen->service->probed_us = now_us;
 	return chosen;
 }
 
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -339,13 +339,28 @@
 	gateway->registered = status == PLATFORM_OK;
 }
 
+/* Goes on with the relay key of an earlier process, which other nodes know. */
+static void keep_relay_key(gateway_t *gateway, const json_t *entry)
+{
+	const char *key =
+		json_string_value(json_object_get(entry, "relay_key"));
+
+	if (*gateway->relay_key && key &&
+	    strlen(key) == sizeof(gateway->relay_key) - 1)
+		mem_strlcpy(gateway->relay_key, key,
+			    sizeof(gateway->relay_key));
+}
+
 /* The entry that an earlier process wrote may hold another address. */
 static void on_own_entry(void *context, platform_status_t status,
 			 const platform_object_t *object)
 {
 	gateway_t *gateway = context;
-	json_t *entry = own_entry(gateway);
+	json_t *entry;
 
+	if (status == PLATFORM_OK)
+		keep_relay_key(gateway, object->spec);
+	entry = own_entry(gateway);
 	if (status == PLATFORM_OK && json_equal(entry, object->spec))
 		gateway->registered = true;
 	else if (status == PLATFORM_OK)
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -22,8 +22,8 @@
 	int64_t sent_us;
 } probe_t;
 
-/* Any answer, whatever its status, shows that the server is alive and can be
- * reached, and its data centre with it. */
+/* Any answer, whatever its status, shows that the server is alive and its data
+ * centre can be reached. */
 static void on_answer(const probe_t *probe)
 {
 	int64_t now_us = clock_monotonic_us();
@@ -31,7 +31,6 @@
 	segment_table_note_alive(probe->gateway->segments,
 				 backend_start_hash(probe->server),
 				 probe->sent_us, now_us);
-	backend_note_connection(probe->server, true, probe->sent_us, now_us);
 	if (backend_is_partitioned(probe->server, now_us))
 		log_event(EVENT_DATA_CENTRE_REACHABLE,
 			  "data_centre=%s server=%s evidence=probe",
@@ -49,24 +48,25 @@
 		on_answer(probe);
 		return;
 	case CLIENT_CONNECT_FAILED:
-		backend_note_connection(probe->server, false, probe->sent_us,
-					clock_monotonic_us());
-		/* fallthrough */
 	case CLIENT_BROKEN:
 		segment_table_note_dead(probe->gateway->segments,
 					backend_start_hash(probe->server),
 					clock_monotonic_us());
 		return;
 	case CLIENT_TIMED_OUT:
-		/* The server is busy, behind a link that works. */
-		backend_note_connection(probe->server, true, probe->sent_us,
-					clock_monotonic_us());
-		return;
 	case CLIENT_CANCELLED:
 		return;
 	}
 }
 
+static void on_connect_end(void *context, client_end_t end, int status)
+{
+	const probe_t *probe = context;
+
+	backend_note_connection(probe->server, end == CLIENT_OK, probe->sent_us,
+				clock_monotonic_us());
+}
+
 static void on_probe_free(void *context)
 {
 	probe_t *probe = context;
@@ -104,6 +104,29 @@
 	client_call(gateway->client, &request, &handler);
 }
 
+/* Connects to a server without a request, which services without a health path
+ * allow, too. */
+static void try_connection(gateway_t *gateway, backend_t *server)
+{
+	char url[URL_SIZE_BYTES + 16];
+	client_request_t request = { .method = "GET",
+				     .url = url,
+				     .connect_timeout_ms = PROBE_TIMEOUT_MS,
+				     .total_timeout_ms = PROBE_TIMEOUT_MS,
+				     .at_most_once = true,
+				     .connect_only = true };
+	client_handler_t handler = { .on_end = on_connect_end,
+				     .on_free = on_probe_free };
+	probe_t *probe = mem_calloc(1, sizeof(*probe));
+
+	*probe =
+		(probe_t){ gateway, backend_ref(server), clock_monotonic_us() };
+	handler.context = probe;
+	snprintf(url, sizeof(url), "http://%s/",
+		 backend_entry(server)->address);
+	client_call(gateway->client, &request, &handler);
+}
+
 static void note_peers(gateway_t *gateway, int64_t now_us)
 {
 	const region_t *region = &gateway->settings.region;
@@ -148,6 +171,10 @@
 				   now_us);
 	if (server)
 		gateway_probe(gateway, server);
+	server = backends_to_connect(gateway->backends, gateway_random(gateway),
+				     now_us);
+	if (server)
+		try_connection(gateway, server);
 	forward_check_partition(gateway);
 }
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -149,6 +149,7 @@
 		       call->soak->key_revoked_us[record->key];
 
 	call->record->done = true;
+	cuts_answered(call->soak, record, end == CLIENT_OK && status == 200);
 	if (end == CLIENT_OK && status == 200)
 		check_success(call);
 	else if (end == CLIENT_OK && (status == 503 || status == 429))
@@ -218,6 +219,7 @@
 	call->soak = soak;
 	call->record = record;
 	record->node = node;
+	cuts_sent(soak, record);
 	call->node = node;
 	call->node_disturbed_us = node->disturbed_us;
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/%c/x", node->port,
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -80,6 +80,7 @@
 		faults_end(soak);
 		rates_end(soak);
 		restores_end(soak);
+		cuts_end(soak);
 		soak_note(soak, "faults ended");
 		ev_timer_set(timer, RECOVERY_S, 0.);
 	} else if (!soak->recovered_us) {
@@ -126,6 +127,7 @@
 	rates_start(soak);
 	crashes_start(soak);
 	restores_start(soak);
+	cuts_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -135,6 +137,7 @@
 	servers_stop(soak);
 	store_stop();
 	callers_check(soak);
+	cuts_check(soak);
 }
 
 int main(int argc, const char **argv)
@@ -162,6 +165,8 @@
 		  "some segments of prompts crash servers", NULL },
 		{ "request-crashes", 0, POPT_ARG_NONE, &soak.request_crashes, 0,
 		  "some requests crash servers, and come again", NULL },
+		{ "server-cuts", 0, POPT_ARG_NONE, &soak.server_cuts, 0,
+		  "nodes lose their links to all servers", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -40,6 +40,7 @@
 	return bound;
 }
 
+/* @return the first of two ports that are free */
 static int free_port(void)
 {
 	static int port;
@@ -48,9 +49,11 @@
 		port = PORTS_FROM +
 		       (int)getpid() * PORTS_STEP % (PORTS_TO - PORTS_FROM);
 	do {
-		if (++port >= PORTS_TO)
+		port += 2;
+		if (port >= PORTS_TO)
 			port = PORTS_FROM;
-	} while (!is_free(port, SOCK_STREAM) || !is_free(port, SOCK_DGRAM));
+	} while (!is_free(port, SOCK_STREAM) || !is_free(port, SOCK_DGRAM) ||
+		 !is_free(port + 1, SOCK_STREAM));
 	return port;
 }
 
@@ -70,7 +73,7 @@
 		"contractParams.budgetRatio=0.5\n"
 		"contractParams.retrySlack=100\n",
 		node->name, node->port, node->ready_port, node->peer_port,
-		node->peer_port, proxy_port(node->store_link),
+		node->peer_port + 1, proxy_port(node->store_link),
 		STOP_MS / (int)MS_PER_S, REVOKE_MS);
 	fclose(file);
 }
@@ -204,7 +207,8 @@
 		node->port = free_port();
 		node->ready_port = free_port();
 		node->peer_port = free_port();
-		node->store_link = proxy_create(soak->loop, store_port());
+		node->store_link = proxy_create(soak->loop, store_port(i));
+		cuts_link_node(node);
 		snprintf(path, sizeof(path), "%s/%s.conf", soak->directory,
 			 node->name);
 		mem_strlcpy(node->settings, path, sizeof(node->settings));
@@ -235,5 +239,6 @@
 			waitpid(node->pid, NULL, 0);
 		}
 		proxy_destroy(node->store_link);
+		cuts_unlink_node(node);
 	}
 }
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -10,7 +10,7 @@
 #include "base/mem.h"
 #include "soak/soak.h"
 
-enum { BUFFER_SIZE_BYTES = 16 * 1024 };
+enum { BUFFER_SIZE_BYTES = 16 * 1024, BACKLOG = 128, FILLERS = 4 };
 #define REPLY_DELAY_S 0.15 /* delay of replies with LINK_SLOW */
 
 typedef struct pair pair_t;
@@ -39,6 +39,8 @@
 	int port, target_port;
 	link_mode_t link;
 	pair_t *pairs;
+	int fillers[FILLERS]; /* with LINK_SILENT: connections that are not
+				 accepted, so that new ones hang */
 };
 
 static void close_pair(pair_t *pair, bool reset)
@@ -67,7 +69,7 @@
 {
 	link_mode_t link = flow->pair->proxy->link;
 
-	return link == LINK_DROP_ALL ||
+	return link == LINK_DROP_ALL || link == LINK_SILENT ||
 	       (link == LINK_DROP_REPLIES && flow->reply);
 }
 
@@ -165,17 +167,29 @@
 	start_flow(pair, &pair->reply, to, from, true);
 }
 
+static int open_socket(struct sockaddr_in *address)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (bind(fd, (struct sockaddr *)address, sizeof(*address)))
+		abort();
+	return fd;
+}
+
 proxy_t *proxy_create(struct ev_loop *loop, int target_port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	socklen_t size = sizeof(address);
 	proxy_t *proxy = mem_calloc(1, sizeof(*proxy));
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int fd = open_socket(&address);
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&address, size) || listen(fd, 128))
-		abort();
+	/* The kernel keeps a port only if it was bound by number. */
 	getsockname(fd, (struct sockaddr *)&address, &size);
+	close(fd);
+	fd = open_socket(&address);
+	if (listen(fd, BACKLOG))
+		abort();
 	proxy->loop = loop;
 	proxy->port = ntohs(address.sin_port);
 	proxy->target_port = target_port;
@@ -196,20 +210,67 @@
 		close_pair(proxy->pairs, true);
 }
 
+/* Connections beyond the queue of those that are not accepted hang. */
+static void fill_queue(proxy_t *proxy)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	int i;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)proxy->port);
+	listen(proxy->accepting.fd, 0);
+	for (i = 0; i < FILLERS; i++) {
+		proxy->fillers[i] = socket(
+			AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+		(void)!connect(proxy->fillers[i], (struct sockaddr *)&address,
+			       sizeof(address));
+	}
+}
+
+static void empty_queue(proxy_t *proxy)
+{
+	int i;
+
+	for (i = 0; i < FILLERS && proxy->fillers[i]; i++) {
+		close(proxy->fillers[i]);
+		proxy->fillers[i] = 0;
+	}
+}
+
+/* Starts, or stops, to accept connections as a mode wants. */
+static void accept_none(proxy_t *proxy, link_mode_t link)
+{
+	bool closed = link == LINK_UNREACHABLE || link == LINK_OPEN_ONLY;
+
+	empty_queue(proxy);
+	ev_io_stop(proxy->loop, &proxy->accepting);
+	if (closed) {
+		shutdown(proxy->accepting.fd, SHUT_RDWR);
+	} else if (link == LINK_SILENT) {
+		fill_queue(proxy);
+	} else {
+		listen(proxy->accepting.fd, BACKLOG);
+		ev_io_start(proxy->loop, &proxy->accepting);
+	}
+}
+
 void proxy_set(proxy_t *proxy, link_mode_t link)
 {
 	/* Dropped data are lost, so that connections that lost data cannot
 	 * continue. */
-	if (link == LINK_REFUSED ||
-	    (link == LINK_NORMAL && (proxy->link == LINK_DROP_ALL ||
-				     proxy->link == LINK_DROP_REPLIES)))
+	if (link == LINK_REFUSED || link == LINK_UNREACHABLE ||
+	    (link == LINK_NORMAL &&
+	     (proxy->link == LINK_DROP_ALL || proxy->link == LINK_SILENT ||
+	      proxy->link == LINK_DROP_REPLIES)))
 		proxy_reset(proxy);
+	accept_none(proxy, link);
 	proxy->link = link;
 }
 
 void proxy_destroy(proxy_t *proxy)
 {
 	proxy_reset(proxy);
+	empty_queue(proxy);
 	ev_io_stop(proxy->loop, &proxy->accepting);
 	close(proxy->accepting.fd);
 	free(proxy);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,7 +50,10 @@
 	LINK_SLOW, /* delays replies */
 	LINK_DROP_REPLIES, /* drops replies */
 	LINK_DROP_ALL, /* drops both directions */
-	LINK_REFUSED /* resets open connections and closes new ones */
+	LINK_REFUSED, /* resets open connections and closes new ones */
+	LINK_UNREACHABLE, /* resets open connections and refuses new ones */
+	LINK_OPEN_ONLY, /* open connections go on, new ones are refused */
+	LINK_SILENT /* drops all data, new connections hang */
 } link_mode_t;
 
 /** A daemon process. */
@@ -69,6 +72,9 @@
 	int64_t told_us[SERVERS]; /* when the node first relayed the rate of a
 				     server, since its last fault; 0: not yet */
 	proxy_t *store_link;
+	proxy_t *server_links[SERVERS]; /* with server_cuts; else NULL */
+	int64_t cut_us; /* since when the links to all servers are cut; 0: they
+			   are not */
 	char settings[256]; /* path of the settings file */
 	ev_child child;
 	ev_timer restart;
@@ -113,6 +119,7 @@
 	char path; /* s: repeatable, o: runs at most once, t: stream */
 	int key; /* index of the caller's key; -1: none */
 	const node_t *node; /* node that got the request */
+	int tries; /* index in soak_t.tries; -1: not counted */
 	int crash_cause; /* what crashes servers: the index of a segment of its
 			    prompt, or from CRASH_SEGMENTS on the request
 			    itself; -1: nothing */
@@ -173,11 +180,18 @@
 	uint64_t crashes_random; /* state of the generator for these */
 	int request_crashes; /* some requests crash servers */
 	crash_log_t crashes[CRASH_CAUSES];
+	int server_cuts; /* nodes lose their links to all servers */
+	uint64_t cuts_random; /* state of the generator for these */
+	/* First tries at undisturbed nodes while some are cut off: at these,
+	 * and at the others. */
+	struct {
+		int sent, served;
+	} tries[2];
 	int store_restores; /* the store comes back from copies */
 	uint64_t restores_random; /* state of the generator for these */
 	bool restoring; /* the store is away until it does */
 	ev_timer caller_timer, fault_timer, rate_timer, restore_timer,
-		probe_timer, end_timer;
+		cut_timer, probe_timer, end_timer;
 };
 
 /** Prints a violation of a guarantee and counts it. */
@@ -204,10 +218,24 @@
 void proxy_reset(proxy_t *proxy);
 void proxy_destroy(proxy_t *proxy);
 
+/* cuts.c */
+/** Creates the links of a node to the servers, with server_cuts. */
+void cuts_link_node(node_t *node);
+void cuts_unlink_node(node_t *node);
+/** @return port at which the node reaches the server */
+int cuts_port(const node_t *node, const server_t *server);
+void cuts_start(soak_t *soak);
+void cuts_end(soak_t *soak);
+/** Decides if the request counts as a first try during a cut. */
+void cuts_sent(soak_t *soak, request_record_t *record);
+void cuts_answered(soak_t *soak, const request_record_t *record, bool served);
+/** Compares the first tries at nodes that were cut off with the others. */
+void cuts_check(soak_t *soak);
+
 /* store.c */
 typedef struct store store_t;
 void store_start(soak_t *soak);
-int store_port(void);
+int store_port(int node);
 /** Writes an object, or deletes the object if @p spec is NULL. The store frees
  * @p spec. */
 void store_write(const char *kind, const char *name, json_t *spec);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -33,6 +33,7 @@
 /* A call of the store's API. */
 typedef struct call {
 	exchange_t *exchange;
+	const node_t *node; /* node that calls */
 	char *body;
 	size_t size;
 	bool waiting; /* a watch without an answer yet */
@@ -46,7 +47,8 @@
 
 static struct {
 	struct ev_loop *loop;
-	listener_t *listener;
+	listener_t *listeners[NODES_MAX]; /* one for each node */
+	soak_t *soak;
 	object_t *objects;
 	call_t *calls;
 	int64_t revision; /* revision of the last change */
@@ -59,11 +61,35 @@
 
 static object_t *find_object(const char *kind, const char *name);
 
-static json_t *object_json(const object_t *object)
+/* @return the entry of a server as the node gets it, with an address of its own
+ * for it; other objects as they are */
+static json_t *spec_for(const node_t *node, const object_t *object)
 {
-	return json_pack("{s:{s:s,s:I},s:O?}", "meta", "name", object->name,
+	json_t *spec;
+	char address[32];
+	int i;
+
+	for (i = 0; object->spec && i < SERVERS; i++) {
+		const server_t *server = &store.soak->servers[i];
+
+		if (!strcmp(object->kind, "servers") && node->server_links[i] &&
+		    !strcmp(object->name, server->id)) {
+			spec = json_deep_copy(object->spec);
+			snprintf(address, sizeof(address), "127.0.0.1:%d",
+				 cuts_port(node, server));
+			json_object_set_new(spec, "address",
+					    json_string(address));
+			return spec;
+		}
+	}
+	return json_incref(object->spec);
+}
+
+static json_t *object_json(const node_t *node, const object_t *object)
+{
+	return json_pack("{s:{s:s,s:I},s:o?}", "meta", "name", object->name,
 			 "revision", (json_int_t)object->revision, "spec",
-			 object->spec);
+			 spec_for(node, object));
 }
 
 static void reply(call_t *call, int status, json_t *json)
@@ -80,7 +106,7 @@
 }
 
 /* @return events for the objects changed after a revision, in order */
-static json_t *list_changes(const char *kind, int64_t since)
+static json_t *list_changes(const node_t *node, const char *kind, int64_t since)
 {
 	json_t *events = json_array();
 	const object_t *object, *next;
@@ -97,8 +123,8 @@
 		since = next->revision;
 		json_array_append_new(events,
 				      json_pack("{s:o,s:b}", "object",
-						object_json(next), "deleted",
-						!next->spec));
+						object_json(node, next),
+						"deleted", !next->spec));
 	} while (next);
 	return events;
 }
@@ -106,7 +132,7 @@
 /* Answers a watch if there are changes or its time is over. */
 static void answer_watch(call_t *call, bool timed_out)
 {
-	json_t *events = list_changes(call->kind, call->since);
+	json_t *events = list_changes(call->node, call->kind, call->since);
 
 	if (!json_array_size(events) && !timed_out) {
 		json_decref(events);
@@ -240,7 +266,8 @@
 
 	LL_FOREACH (store.objects, object)
 		if (!strcmp(object->kind, kind) && object->spec)
-			json_array_append_new(items, object_json(object));
+			json_array_append_new(items,
+					      object_json(call->node, object));
 	reply(call, 200,
 	      json_pack("{s:o,s:b,s:I}", "items", items, "morePages", 0,
 			"storeRevision", (json_int_t)store.revision));
@@ -256,11 +283,12 @@
 	if (!name) {
 		reply(call, 400, NULL);
 	} else if (object && object->spec) {
-		reply(call, 409, object_json(object));
+		reply(call, 409, object_json(call->node, object));
 	} else {
 		store_write(kind, name,
 			    json_incref(json_object_get(body, "spec")));
-		reply(call, 200, object_json(find_object(kind, name)));
+		reply(call, 200,
+		      object_json(call->node, find_object(kind, name)));
 	}
 	json_decref(body);
 }
@@ -302,7 +330,8 @@
 	} else {
 		object = find_object(kind, name);
 		reply(call, object && object->spec ? 200 : 404,
-		      object && object->spec ? object_json(object) : NULL);
+		      object && object->spec ? object_json(call->node, object)
+					     : NULL);
 	}
 }
 
@@ -311,6 +340,7 @@
 	call_t *call = mem_calloc(1, sizeof(*call));
 
 	call->exchange = exchange;
+	call->node = context;
 	DL_APPEND(store.calls, call);
 	return call;
 }
@@ -341,16 +371,22 @@
 				       .on_body = on_body,
 				       .on_complete = on_complete,
 				       .on_close = on_close };
+	int i;
 
 	store.loop = soak->loop;
-	store.listener = listener_create(soak->loop, &conf, &handler, NULL);
+	store.soak = soak;
+	for (i = 0; i < soak->node_count; i++) {
+		handler.context = &soak->nodes[i];
+		store.listeners[i] =
+			listener_create(soak->loop, &conf, &handler, NULL);
+	}
 	ev_timer_init(&store.timer, on_timer, 0.01, 0.01);
 	ev_timer_start(soak->loop, &store.timer);
 }
 
-int store_port(void)
+int store_port(int node)
 {
-	return listener_port(store.listener);
+	return listener_port(store.listeners[node]);
 }
 
 void store_set_down(bool down)
@@ -363,7 +399,8 @@
 	size_t i;
 
 	ev_timer_stop(store.loop, &store.timer);
-	listener_destroy(store.listener);
+	for (i = 0; i < NODES_MAX; i++)
+		listener_destroy(store.listeners[i]);
 	free_objects(store.objects);
 	for (i = 0; i < COPIES_MAX; i++)
 		free_objects(store.copies[i].objects);
