End a stream whose next server answers with an error

What callers saw: a stream broke off and was resumed at another server, which answered with its own error. The caller's stream then never ended; a body of more than 256 KiB would have been written into it.

Cause: an answer with another status than success was relayed like a first answer, although the caller had the head and some events of a stream. A whole reply is ignored by the listener at that point. Class: what an answer means was decided without what the caller has.

Change: such an answer is a failed attempt; without another one allowed the connection is closed, which shows that the stream is not complete.

Test: three cases in relays_or_retries_answers.

--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -251,6 +251,9 @@
 						: EVIDENCE_FULL);
 	else if (is_untrusted(reply))
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+	else if (forward->head_sent && !is_success(reply))
+		/* The caller has a part of another server's answer. */
+		fail(forward, FAILURE_SERVER_ERROR, EVIDENCE_GOOD);
 	else if (forward->route->kind != CALL_STREAM)
 		count_usage(forward, attempt->sent_us);
 }
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -21,6 +21,7 @@
 	MISDIRECTED, /**< answers with status 421 */
 	CLOSES, /**< closes the connection without an answer */
 	FAILS, /**< answers with status 500 and a seal: the server's own */
+	FAILS_LONG, /**< the same, with a body too long to be held */
 	UNSEALED, /**< success without X-Server-Seal: not the server's own */
 	FOREIGN, /**< answer to another request */
 	BREAKS_OFF, /**< breaks off in the body, or in the middle of an event */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -159,6 +159,17 @@
 	ev_timer_start(connection->fixture->loop, &connection->pump);
 }
 
+/* Does not block: what the socket's buffer cannot take is left out. */
+static void send_long_error(int fd)
+{
+	static char body[400 * 1024];
+
+	memset(body, 'x', sizeof(body));
+	send_text(fd, "HTTP/1.1 500 Error\r\nX-Server-Seal: 1.2\r\n"
+		      "Connection: close\r\n\r\n");
+	(void)!send(fd, body, sizeof(body), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 /* @return true if the connection stays open */
 static bool act(connection_t *connection, int fd)
 {
@@ -196,6 +207,9 @@
 		send_text(fd, "HTTP/1.1 500 Error\r\nX-Server-Seal: 1.2\r\n"
 			      "Content-Length: 3\r\n\r\nbad");
 		return false;
+	case FAILS_LONG:
+		send_long_error(fd);
+		return false;
 	case GARBAGE:
 		send_text(fd, "\x01\x02garbage\r\n\r\n");
 		return false;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -22,6 +22,8 @@
 	"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n" \
 	"id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"
 
+#define TWO_EVENTS "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+
 static const char *const with_key[] = { "Host: h", "X-Request-Id: r1",
 					"X-Deadline-Ms: 1400",
 					FIXTURE_AUTHORIZATION, NULL };
@@ -200,6 +202,24 @@
 		  1,
 		  0,
 		  NULL },
+		{ "an error of the next server in the middle of a stream",
+		  "/stream/x",
+		  { BREAKS_OFF, FAILS },
+		  2,
+		  0,
+		  TWO_EVENTS },
+		{ "a long error of the next server in the middle of a stream",
+		  "/stream/x",
+		  { BREAKS_OFF, FAILS_LONG },
+		  2,
+		  0,
+		  TWO_EVENTS },
+		{ "a refusal of the next server in the middle of a stream",
+		  "/stream/x",
+		  { BREAKS_OFF, NOT_RUN },
+		  2,
+		  0,
+		  TWO_EVENTS },
 		{ "endless headers that hold a lookup",
 		  "/safe/x",
 		  { ENDLESS_HEAD, SERVES },
