Tests: take ports that the kernel gives to nobody else

relays_or_retries_answers failed once with "Address already in use": the fixture asked the kernel for a free port and closed it, and another socket got it before the gateway did.

--- a/tests/lib/loopback.c
+++ b/tests/lib/loopback.c
@@ -1,13 +1,22 @@
 #include "lib/loopback.h"
 
 #include <arpa/inet.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "cases.h"
 
-enum { BACKLOG = 8 };
+enum {
+	BACKLOG = 8,
+	/* Ports below the range that the kernel uses for outgoing
+	 * connections. */
+	PORTS_FROM = 12000,
+	PORTS_TO = 30000,
+	PORTS_STEP = 97 /* distance between the first ports of tests with
+			   successive process ids */
+};
 
 int loopback_listen_at(int port)
 {
@@ -34,11 +43,30 @@
 	return fd;
 }
 
+static bool can_bind(int port, int type)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port) };
+	int fd = socket(AF_INET, type, 0);
+	bool bound;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bound = !bind(fd, (struct sockaddr *)&address, sizeof(address));
+	close(fd);
+	return bound;
+}
+
 void loopback_free_address(char *address, size_t size)
 {
-	int port;
+	static int port;
 
-	close(loopback_listen(&port));
+	if (!port)
+		port = PORTS_FROM +
+		       (int)getpid() * PORTS_STEP % (PORTS_TO - PORTS_FROM);
+	do {
+		if (++port >= PORTS_TO)
+			port = PORTS_FROM;
+	} while (!can_bind(port, SOCK_STREAM) || !can_bind(port, SOCK_DGRAM));
 	snprintf(address, size, "127.0.0.1:%d", port);
 }
 
--- a/tests/lib/loopback.h
+++ b/tests/lib/loopback.h
@@ -15,7 +15,7 @@
 int loopback_listen(int *port);
 /** The same on @p port. */
 int loopback_listen_at(int port);
-/** Writes an address IP:PORT that was free just now. */
+/** Writes an address IP:PORT that is free for TCP and UDP. */
 void loopback_free_address(char *address, size_t size);
 /** Starts to connect to @p port. @return the socket, which does not block */
 int loopback_connect(int port);
