Do not take an answer that breaks off within its head for a whole one

What callers saw: a server that closed within its headers ended the caller's connection without an answer, also for lookups and streams that may go to another server.

Cause: libcurl reports success when a connection ends within the headers after the status line. The client passed that on as CLIENT_OK without a status, and the gateway replied with status 0. Class: success of a library taken for a whole answer. The same holds for all users of the client: the store, engines, our own interface; the fix is there.

Change: a call whose headers are not complete ends with CLIENT_BROKEN.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -40,6 +40,8 @@
 	ev_tstamp last_activity; /* last receipt: loop time in seconds */
 	ev_tstamp idle_timeout; /* seconds */
 	size_t header_bytes; /* received header lines */
+	bool head_done; /* the headers of the response are complete */
+	bool connect_only;
 	bool added; /* the multi handle of the client has easy */
 	bool paused;
 	bool cancelled;
@@ -94,16 +96,17 @@
  * Maps a result of libcurl. CLIENT_CONNECT_FAILED guarantees that no byte was
  * sent, so the number of sent bytes is checked besides the code: libcurl also
  * reports a failed connect when it repeats a request whose first connection
- * broke.
+ * broke. It reports success if the connection ends within the headers.
  */
-static client_end_t map_result(CURL *easy, CURLcode code)
+static client_end_t map_result(const client_call_t *call, CURLcode code)
 {
 	long sent_bytes = 0;
 
-	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	switch (code) {
 	case CURLE_OK:
-		return CLIENT_OK;
+		return call->head_done || call->connect_only ? CLIENT_OK
+							     : CLIENT_BROKEN;
 	case CURLE_OPERATION_TIMEDOUT:
 		return sent_bytes ? CLIENT_TIMED_OUT : CLIENT_CONNECT_FAILED;
 	case CURLE_COULDNT_CONNECT:
@@ -141,7 +144,7 @@
 		if (message->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
-		call_end(call, map_result(easy, code));
+		call_end(call, map_result(call, code));
 	}
 }
 
@@ -304,13 +307,15 @@
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_INFORMATIONAL_END)
 		return size;
-	/* The line end alone, 2 bytes, ends the headers. */
+	/* The line end alone, 2 bytes at most, ends the headers. */
 	if (size > 2) {
 		if (call->handler.on_header)
 			deliver_header(call, line, size);
-	} else if (call->handler.on_status) {
-		call->handler.on_status(call->handler.context, (int)status);
+		return call->cancelled ? 0 : size;
 	}
+	call->head_done = true;
+	if (call->handler.on_status)
+		call->handler.on_status(call->handler.context, (int)status);
 	return call->cancelled ? 0 : size;
 }
 
@@ -354,6 +359,7 @@
 
 	call->client = client;
 	call->handler = *handler;
+	call->connect_only = request->connect_only;
 	call->easy = curl_easy_init();
 	if (!call->easy)
 		abort();
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -28,6 +28,7 @@
 	ENDS_EARLY, /**< ends a stream after its second event */
 	ENDS_UNFRAMED, /**< ends early, in an answer without length or chunks */
 	REPEATS, /**< sends events that the caller already has, then the rest */
+	CUTS_HEAD, /**< closes the connection within the headers */
 	GARBAGE, /**< sends bytes that are not an HTTP answer */
 	ENDLESS_HEAD, /**< sends header lines without end */
 	/** Refuses the request before running it, with an endless body. */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -210,6 +210,10 @@
 	case FAILS_LONG:
 		send_long_error(fd);
 		return false;
+	case CUTS_HEAD:
+		send_text(fd, "HTTP/1.1 200 OK\r\nX-Server-Seal: 1.2\r\n"
+			      "Content-Le");
+		return false;
 	case GARBAGE:
 		send_text(fd, "\x01\x02garbage\r\n\r\n");
 		return false;
