Answer requests that come late in a stop

What callers saw: of requests that came late in a graceful stop, also orders that may not be repeated, some were sent to servers and cut off without an answer when the process ended.

Cause: after the notice only streams were refused; an order was taken with any time limit, and all requests in progress were aborted 0.25 s before the kill. Class: work is accepted without asking if its owner lives long enough to finish it. Ruled out: the notice itself (2.8 s, in which the load balancer takes the node out; what came until then had 5 s).

Change: after the notice an order is taken only if its time limit ends before the process does, a lookup only if its objective does; others are refused (503, not run). At the end each request whose answer has not begun gets 503 if it did not run, else 504, and 50 ms pass before the process exits.

Test: request_late_in_a_stop_gets_no_answer; its first case failed before (connection closed, the order had reached a server).

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -31,7 +31,7 @@
 	/* Shortest stop: requests that were on their way when the load balancer
 	 * took the node out still arrive. */
 	STOP_MIN_MS = 3200,
-	/* Requests in progress are aborted this long before the platform kills
+	/* Requests in progress are ended this long before the platform kills
 	 * the process. */
 	STOP_MARGIN_MS = 250,
 	SERVER_EXPIRY_MS = 100
@@ -219,6 +219,12 @@
 		  gateway->forward_count);
 }
 
+int64_t gateway_stops_at_us(const gateway_t *gateway)
+{
+	return gateway->stop_started_us +
+	       (gateway->settings.stop_ms - STOP_MARGIN_MS) * US_PER_MS;
+}
+
 static void on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -227,12 +233,16 @@
 
 	if (gateway->stop == STOP_NOTICE && passed_ms >= STOP_NOTICE_MS)
 		set_phase(gateway, STOP_FINISHING, "finishing");
-	if (passed_ms >= gateway->settings.stop_ms - STOP_MARGIN_MS)
-		forward_abort_all(gateway);
-	else if (passed_ms < STOP_MIN_MS || gateway->forward_count ||
-		 gateway->reservations)
-		return;
-	ev_break(loop, EVBREAK_ALL);
+	if (gateway->stop == STOP_ENDED) {
+		ev_break(loop, EVBREAK_ALL);
+	} else if (clock_monotonic_us() >= gateway_stops_at_us(gateway)) {
+		/* The answers are sent until the next call. */
+		forward_end_all(gateway);
+		set_phase(gateway, STOP_ENDED, "ended");
+	} else if (passed_ms >= STOP_MIN_MS && !gateway->forward_count &&
+		   !gateway->reservations) {
+		ev_break(loop, EVBREAK_ALL);
+	}
 }
 
 void gateway_stop(gateway_t *gateway)
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -84,7 +84,8 @@
 typedef enum {
 	STOP_NONE,
 	STOP_NOTICE, /**< the load balancer has not noticed the stop yet */
-	STOP_FINISHING /**< the node accepts no new streams */
+	STOP_FINISHING, /**< the node accepts no requests that may outlast it */
+	STOP_ENDED /**< all requests were ended, their answers are sent */
 } stop_phase_t;
 
 struct gateway {
@@ -308,5 +309,7 @@
  */
 bool gateway_take_retry(gateway_t *gateway, const char *service);
 uint64_t gateway_random(gateway_t *gateway);
+/** @return when a graceful stop that has begun ends all requests. */
+int64_t gateway_stops_at_us(const gateway_t *gateway);
 
 #endif
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -18,6 +18,7 @@
 	HTTP_UNAUTHORIZED = 401,
 	HTTP_NOT_FOUND = 404,
 	HTTP_TOO_LARGE = 413,
+	HTTP_GATEWAY_TIMEOUT = 504,
 	/* Retry-After where another node can serve the request at once. */
 	OTHER_NODE_RETRY_MS = 50,
 	/* Retry-After of a node that starts: it reads its configuration within
@@ -138,11 +139,27 @@
 	return forward->account;
 }
 
-/* A stream that starts late in a graceful stop would outlast the process. */
+/* @return time by which a request that starts now must have its answer when the
+ * process stops, so that it is not cut off */
+static int64_t needed_until_us(const forward_t *forward)
+{
+	switch (forward->route->kind) {
+	case CALL_IDEMPOTENT:
+		return forward->received_us +
+		       forward->route->target_ms * US_PER_MS;
+	case CALL_AT_MOST_ONCE:
+		return forward->limit_us;
+	case CALL_STREAM:
+		return INT64_MAX;
+	}
+	return INT64_MAX;
+}
+
+/* A request that starts late in a graceful stop may outlast the process. */
 static bool may_start(forward_t *forward)
 {
 	if (forward->gateway->stop != STOP_FINISHING ||
-	    forward->route->kind != CALL_STREAM)
+	    needed_until_us(forward) < gateway_stops_at_us(forward->gateway))
 		return true;
 	forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
 	return false;
@@ -201,11 +218,12 @@
 	forward->routing = routing_ref(gateway->routing);
 	if (forward->is_relayed && !forward_admits_relayed(forward))
 		return;
-	if (!find_route(forward) || !find_account(forward) ||
-	    !may_start(forward) || !forward_check_segments(forward) ||
-	    !check_body(forward))
+	if (!find_route(forward) || !find_account(forward))
 		return;
 	set_limit(forward);
+	if (!may_start(forward) || !forward_check_segments(forward) ||
+	    !check_body(forward))
+		return;
 	forward->service = routing_service(
 		forward->routing,
 		routing_target(forward->route, gateway_random(gateway)));
@@ -360,6 +378,27 @@
 			forward_set_timer(forward);
 }
 
+/* Ends a request with an answer, if that is still possible. */
+static void end_at_stop(forward_t *forward)
+{
+	if (forward->phase == FORWARD_ENDED)
+		return;
+	if (forward->phase == FORWARD_SENT)
+		forward->runs++;
+	if (forward->runs)
+		forward_fail(forward, HTTP_GATEWAY_TIMEOUT, "stopping");
+	else
+		forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
+}
+
+void forward_end_all(gateway_t *gateway)
+{
+	forward_t *forward, *next;
+
+	DL_FOREACH_SAFE (gateway->forwards, forward, next)
+		end_at_stop(forward);
+}
+
 void forward_abort_all(gateway_t *gateway)
 {
 	forward_t *forward, *next;
--- a/src/request/forward.h
+++ b/src/request/forward.h
@@ -25,6 +25,10 @@
  */
 void forward_check_partition(struct gateway *gateway);
 
+/** Ends all requests at the end of a graceful stop: those whose answer has not
+ * begun get an error. */
+void forward_end_all(struct gateway *gateway);
+
 /** Ends all requests without an answer, when the process stops. */
 void forward_abort_all(struct gateway *gateway);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -873,6 +873,46 @@
  * end, a stream that arrives after the load balancer has noticed the stop is
  * refused, so that the caller retries at another node.
  */
+static void request_late_in_a_stop_gets_no_answer(void **state)
+{
+	static const struct {
+		const char *guards_against, *path;
+		int32_t after_ms; /* time from SIGTERM to the request */
+		size_t arrivals;
+		int status;
+	} cases[] = {
+		{ "an order that may outlast the process", "/once/x", 2950, 0,
+		  503 },
+		{ "an order that is at a server when the process ends",
+		  "/once/x", 2600, 1, 504 },
+		{ "a lookup that is at a server when the process ends",
+		  "/safe/x", 2950, 2, 504 },
+		{ "a lookup that comes too late", "/safe/x", 3700, 0, 503 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture;
+		reply_t reply;
+
+		start(&fixture);
+		fixture.acts[0] = fixture.acts[1] = SILENT;
+		gateway_stop(fixture.gateway);
+		gateway_fixture_run(&fixture, cases[i].after_ms);
+		gateway_fixture_call(&fixture, &reply, "POST", cases[i].path,
+				     with_key, "body");
+		gateway_fixture_wait(&fixture, &reply,
+				     4000 - cases[i].after_ms);
+		if (!reply.ended || reply.end != CLIENT_OK ||
+		    reply.status != cases[i].status ||
+		    fixture.arrival_count != cases[i].arrivals)
+			fail_msg("case \"%s\": status %d, %zu arrivals",
+				 cases[i].guards_against, reply.status,
+				 fixture.arrival_count);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 static void stops_gracefully(void **state)
 {
 	gateway_fixture_t fixture;
@@ -914,6 +954,7 @@
 		cmocka_unit_test(obeys_server_notices),
 		cmocka_unit_test(places_again_when_a_server_changes),
 		cmocka_unit_test(reports_usage_once),
+		cmocka_unit_test(request_late_in_a_stop_gets_no_answer),
 		cmocka_unit_test(stops_gracefully),
 	};
 
