Do not blame a node for the silence of the server behind it

Cause: silence of a relayed request was taken for silence of its node. Ruled out: the nodes themselves (they announced and served others).

Change: only a node that accepts no connection is put aside; that it lives is shown by its announcements. The node that sent the request to the silent server notes that, 0.1 s before the first node may repeat it.

--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -425,9 +425,8 @@
 	attempt_t *attempt = forward->attempt;
 
 	attempt->call = NULL;
-	/* A node whose server broke off closes the connection, too. */
-	if (attempt->relay_node &&
-	    (end == CLIENT_CONNECT_FAILED || end == CLIENT_TIMED_OUT))
+	/* What ends later may be the fault of a server. */
+	if (attempt->relay_node && end == CLIENT_CONNECT_FAILED)
 		gateway_note_relay_failed(forward->gateway,
 					  attempt->relay_node);
 	switch (end) {
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -87,6 +87,7 @@
 	bool is_relayed; /**< another node passed the request on; that node
 			  * repeats it, if need be */
 	bool may_have_arrived; /**< a server may have received the request */
+	bool is_silence_noted; /**< its server is known to be silent */
 	bool is_own_refusal; /**< the refusal is for a cause of this node */
 	size_t relay_count; /**< times that it was passed on */
 	/** Hashes of the ids of nodes that could not serve it. */
--- a/src/request/forward_timer.c
+++ b/src/request/forward_timer.c
@@ -20,6 +20,10 @@
  * partitioned: a few iterations of an engine. */
 #define PARTITION_TIMEOUT_US (150 * US_PER_MS)
 
+/* Head start of the node to which a request was passed on in noticing that its
+ * server is silent, so that the request is not repeated there. */
+#define RELAY_HEAD_START_US (100 * US_PER_MS)
+
 /* Pause before a silent attempt that stayed on its server is compared with
  * other servers again. */
 #define FAILOVER_RECHECK_US (300 * US_PER_MS)
@@ -49,9 +53,11 @@
 	if (!attempt || !attempt->timeout_us)
 		return INT64_MAX;
 	timeout_us = attempt->timeout_us;
-	if (timeout_us > PARTITION_TIMEOUT_US && !attempt->relay_node &&
-	    backend_is_partitioned(attempt->load.shards[0].server,
-				   clock_monotonic_us()))
+	if (attempt->relay_node)
+		timeout_us += RELAY_HEAD_START_US;
+	else if (timeout_us > PARTITION_TIMEOUT_US &&
+		 backend_is_partitioned(attempt->load.shards[0].server,
+					clock_monotonic_us()))
 		timeout_us = PARTITION_TIMEOUT_US;
 	return attempt->last_progress_us + timeout_us;
 }
@@ -120,17 +126,24 @@
 	forward_set_timer(forward);
 }
 
+/* The silence is that of a server; announcements show if the node lives. */
 static void on_relay_silence(forward_t *forward)
 {
-	uint64_t node = forward->attempt->relay_node;
-
-	if (should_fail_over(forward) &&
-	    forward_failover(forward, FAILURE_SILENT))
-		gateway_note_relay_failed(forward->gateway, node);
-	else
+	if (!should_fail_over(forward) ||
+	    !forward_failover(forward, FAILURE_SILENT))
 		stay(forward);
 }
 
+/* The node that passed the request on decides if it is repeated. */
+static void on_relayed_silence(forward_t *forward)
+{
+	if (!forward->is_silence_noted)
+		backend_note(forward->attempt->load.shards[0].server,
+			     EVIDENCE_SILENT, clock_monotonic_us());
+	forward->is_silence_noted = true;
+	stay(forward);
+}
+
 static void on_silence(forward_t *forward)
 {
 	backend_t *server;
@@ -139,6 +152,10 @@
 		on_relay_silence(forward);
 		return;
 	}
+	if (forward->is_relayed) {
+		on_relayed_silence(forward);
+		return;
+	}
 	server = backend_ref(forward->attempt->load.shards[0].server);
 	if (should_fail_over(forward) &&
 	    forward_failover(forward, FAILURE_SILENT)) {
