Do not use connections again that were idle for a second

Cause: after a watch on a silent connection to the store was given up, libcurl put the next call on another silent connection of its pool, where it hung for another 4 s. Ruled out: view updates with a wrong age (nodes that took them knew in 0.5 s). Class: a resource is used again without a sign that it still works.

Change: connections that were idle for more than a second are not used again.

--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -10,6 +10,9 @@
 enum {
 	/* Idle time before the first keepalive probe and between probes. */
 	PROBE_INTERVAL_S = 1,
+	/* A connection that was idle for longer may be silent for good without
+	 * a sign; whole seconds, as libcurl wants them. */
+	IDLE_MAX_S = 1,
 	/* Limits the data that libcurl buffers for a paused call. */
 	RECEIVE_BUFFER_SIZE_BYTES = 8 * 1024
 };
@@ -79,6 +82,7 @@
 			 (long)request->connect_only);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
 			 (long)request->at_most_once);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 (long)request->at_most_once);
 	if (request->peer_silence_ms) {
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -203,6 +203,9 @@
 	int fd;
 	int connections, requests;
 	bool close_all;
+	/* Each connection answers one request, then stays open and silent. */
+	bool goes_silent;
+	bool answered[1024]; /* by socket */
 	pthread_t thread;
 	char url[64];
 } raw_server_t;
@@ -215,7 +218,10 @@
 
 	if (read(connection, text, sizeof(text)) <= 0)
 		return false;
-	if (raw->requests++ == 0)
+	if (raw->goes_silent && raw->answered[connection])
+		return true;
+	raw->answered[connection] = true;
+	if (raw->requests++ == 0 || raw->goes_silent)
 		return write(connection, reply, sizeof(reply) - 1) > 0;
 	if (raw->close_all)
 		shutdown(raw->fd, SHUT_RDWR);
@@ -242,6 +248,7 @@
 			if (fd < 0 || count == COUNT_OF(polled))
 				break;
 			raw->connections++;
+			raw->answered[fd] = false;
 			polled[count].fd = fd;
 			polled[count].events = POLLIN;
 			polled[count++].revents = 0;
@@ -293,6 +300,28 @@
 	stop_raw(&raw);
 }
 
+/* Guards against calls that wait for a connection that fell silent while no
+ * call used it, such as one to the store. */
+static void call_waits_on_a_connection_that_fell_silent(void **state)
+{
+	call_log_t first = { .flow = CLIENT_CONTINUE };
+	call_log_t second = { .flow = CLIENT_CONTINUE };
+	raw_server_t raw;
+
+	start_raw(&raw, false);
+	raw.goes_silent = true;
+	begin(&first, raw.url, "/", false, 1000);
+	run(&first, 2000);
+	assert_int_equal(first.end, CLIENT_OK);
+	usleep(2100 * US_PER_MS);
+	ev_now_update(loop);
+	begin(&second, raw.url, "/", false, 1000);
+	run(&second, 2000);
+	assert_int_equal(second.end, CLIENT_OK);
+	assert_int_equal(raw.connections, 2);
+	stop_raw(&raw);
+}
+
 /*
  * Guards against a request that must not run twice but that libcurl repeats by
  * itself, when a reused connection breaks.
@@ -523,6 +552,7 @@
 	const struct CMUnitTest tests[] = {
 		CASE(distinguishes_failures),
 		CASE(reports_a_repeated_request_as_sent),
+		CASE(call_waits_on_a_connection_that_fell_silent),
 		CASE(sends_at_most_once),
 		CASE(pauses_and_resumes),
 		CASE(cancels_from_inside_a_callback),
