Part forward.c and forward_attempt.c: stops, and answers of other nodes

Moves only, but for on_stop_timer(), whose two ways to end the loop are one condition now, for the linter.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -233,16 +233,17 @@
 
 	if (gateway->stop == STOP_NOTICE && passed_ms >= STOP_NOTICE_MS)
 		set_phase(gateway, STOP_FINISHING, "finishing");
-	if (gateway->stop == STOP_ENDED) {
-		ev_break(loop, EVBREAK_ALL);
-	} else if (clock_monotonic_us() >= gateway_stops_at_us(gateway)) {
+	if (gateway->stop != STOP_ENDED &&
+	    clock_monotonic_us() >= gateway_stops_at_us(gateway)) {
 		/* The answers are sent until the next call. */
 		forward_end_all(gateway);
 		set_phase(gateway, STOP_ENDED, "ended");
-	} else if (passed_ms >= STOP_MIN_MS && !gateway->forward_count &&
-		   !gateway->reservations) {
-		ev_break(loop, EVBREAK_ALL);
+		return;
 	}
+	if (gateway->stop == STOP_ENDED ||
+	    (passed_ms >= STOP_MIN_MS && !gateway->forward_count &&
+	     !gateway->reservations))
+		ev_break(loop, EVBREAK_ALL);
 }
 
 void gateway_stop(gateway_t *gateway)
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -18,9 +18,6 @@
 	HTTP_UNAUTHORIZED = 401,
 	HTTP_NOT_FOUND = 404,
 	HTTP_TOO_LARGE = 413,
-	HTTP_GATEWAY_TIMEOUT = 504,
-	/* Retry-After where another node can serve the request at once. */
-	OTHER_NODE_RETRY_MS = 50,
 	/* Retry-After of a node that starts: it reads its configuration within
 	 * this time. */
 	START_RETRY_MS = 500,
@@ -139,32 +136,6 @@
 	return forward->account;
 }
 
-/* @return time by which a request that starts now must have its answer when the
- * process stops, so that it is not cut off */
-static int64_t needed_until_us(const forward_t *forward)
-{
-	switch (forward->route->kind) {
-	case CALL_IDEMPOTENT:
-		return forward->received_us +
-		       forward->route->target_ms * US_PER_MS;
-	case CALL_AT_MOST_ONCE:
-		return forward->limit_us;
-	case CALL_STREAM:
-		return INT64_MAX;
-	}
-	return INT64_MAX;
-}
-
-/* A request that starts late in a graceful stop may outlast the process. */
-static bool may_start(forward_t *forward)
-{
-	if (forward->gateway->stop != STOP_FINISHING ||
-	    needed_until_us(forward) < gateway_stops_at_us(forward->gateway))
-		return true;
-	forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
-	return false;
-}
-
 static void set_limit(forward_t *forward)
 {
 	int64_t wait_ms = forward->request.deadline_ms;
@@ -221,7 +192,7 @@
 	if (!find_route(forward) || !find_account(forward))
 		return;
 	set_limit(forward);
-	if (!may_start(forward) || !forward_check_segments(forward) ||
+	if (!forward_may_start(forward) || !forward_check_segments(forward) ||
 	    !check_body(forward))
 		return;
 	forward->service = routing_service(
@@ -377,36 +348,3 @@
 			    forward->attempt->load.shards[0].server, now_us))
 			forward_set_timer(forward);
 }
-
-/* Ends a request with an answer, if that is still possible. */
-static void end_at_stop(forward_t *forward)
-{
-	if (forward->phase == FORWARD_ENDED)
-		return;
-	if (forward->phase == FORWARD_SENT)
-		forward->runs++;
-	if (forward->runs)
-		forward_fail(forward, HTTP_GATEWAY_TIMEOUT, "stopping");
-	else
-		forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
-}
-
-void forward_end_all(gateway_t *gateway)
-{
-	forward_t *forward, *next;
-
-	DL_FOREACH_SAFE (gateway->forwards, forward, next)
-		end_at_stop(forward);
-}
-
-void forward_abort_all(gateway_t *gateway)
-{
-	forward_t *forward, *next;
-
-	DL_FOREACH_SAFE (gateway->forwards, forward, next) {
-		if (forward->phase == FORWARD_ENDED)
-			continue;
-		exchange_abort(forward->exchange);
-		forward_ended(forward, 0, "stopped");
-	}
-}
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -201,32 +201,6 @@
 	apply_server_notices(forward);
 }
 
-/*
- * Ends an attempt whose node answered in place of a server.
- * @return false if the answer is a server's
- */
-static bool end_relay(forward_t *forward)
-{
-	attempt_t *attempt = forward->attempt;
-	int64_t retry_after_ms = attempt->reply.retry_after_ms;
-
-	switch (attempt->relay_outcome) {
-	case RELAY_OUTCOME_ANSWERED:
-		return false;
-	case RELAY_OUTCOME_UNAVAILABLE:
-		forward_attempt_failed(forward, FAILURE_UNREACHABLE);
-		return true;
-	case RELAY_OUTCOME_REFUSED:
-		attempt_cancel(forward);
-		forward_refuse(forward, "refused_by_node", retry_after_ms);
-		return true;
-	case RELAY_OUTCOME_FAILED:
-		forward_attempt_failed(forward, FAILURE_BROKEN);
-		return true;
-	}
-	return false;
-}
-
 /*
  * A refusal, or an answer that is not the server's own, ends the attempt at its
  * headers: its body decides nothing and may have no end.
@@ -240,7 +214,7 @@
 	reply->status = status;
 	attempt->head_done = true;
 	attempt->last_progress_us = clock_monotonic_us();
-	if (end_relay(forward))
+	if (attempt_end_relay(forward))
 		return;
 	note_answer(forward);
 	if (status == HTTP_MISDIRECTED)
--- a/src/request/forward_relay.c
+++ b/src/request/forward_relay.c
@@ -89,6 +89,28 @@
 	return RELAY_OUTCOME_FAILED;
 }
 
+bool attempt_end_relay(forward_t *forward)
+{
+	attempt_t *attempt = forward->attempt;
+	int64_t retry_after_ms = attempt->reply.retry_after_ms;
+
+	switch (attempt->relay_outcome) {
+	case RELAY_OUTCOME_ANSWERED:
+		return false;
+	case RELAY_OUTCOME_UNAVAILABLE:
+		forward_attempt_failed(forward, FAILURE_UNREACHABLE);
+		return true;
+	case RELAY_OUTCOME_REFUSED:
+		attempt_cancel(forward);
+		forward_refuse(forward, "refused_by_node", retry_after_ms);
+		return true;
+	case RELAY_OUTCOME_FAILED:
+		forward_attempt_failed(forward, FAILURE_BROKEN);
+		return true;
+	}
+	return false;
+}
+
 /* @return true if the sending node's configuration and that of this node are
  * the same, or the newer one has just been applied */
 static bool version_fits(const forward_t *forward)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -18,7 +18,9 @@
 enum {
 	SERVERS_TRIED_MAX = 8,
 	REPLY_HEADERS_MAX = 48,
-	RELAYS_MAX = 3 /* nodes to which one request is passed on */
+	RELAYS_MAX = 3, /* nodes to which one request is passed on */
+	/* Retry-After where another node can serve the request at once. */
+	OTHER_NODE_RETRY_MS = 50
 };
 
 /** Headers of an answer that are relayed to the caller. */
@@ -141,6 +143,11 @@
 bool forward_can_relay(const forward_t *forward);
 /** Passes the request on. @return false if that is not possible */
 bool forward_relay(forward_t *forward);
+/**
+ * Ends an attempt whose node answered in place of a server.
+ * @return false if the answer is a server's
+ */
+bool attempt_end_relay(forward_t *forward);
 /** Decodes a value of RELAY_HEADER_OUTCOME. */
 relay_outcome_t relay_outcome_of(const char *value);
 /**
@@ -234,6 +241,14 @@
 /** Notes that the answer ended as if it were complete. */
 void attempt_note_end(forward_t *forward);
 
+/* forward_stop.c */
+/**
+ * Refuses a request that comes so late in a graceful stop that it may outlast
+ * the process.
+ * @return false if the request was refused
+ */
+bool forward_may_start(forward_t *forward);
+
 /* forward_timer.c */
 /** @return silence of a stream, in us, after which the caller closes it */
 int64_t forward_caller_timeout_us(const forward_t *forward);
--- /dev/null
+++ b/src/request/forward_stop.c
@@ -0,0 +1,63 @@
+#include <utlist.h>
+
+#include "request/forward_state.h"
+
+enum { HTTP_GATEWAY_TIMEOUT = 504 };
+
+/* @return time by which a request that starts now must have its answer when the
+ * process stops, so that it is not cut off */
+static int64_t needed_until_us(const forward_t *forward)
+{
+	switch (forward->route->kind) {
+	case CALL_IDEMPOTENT:
+		return forward->received_us +
+		       forward->route->target_ms * US_PER_MS;
+	case CALL_AT_MOST_ONCE:
+		return forward->limit_us;
+	case CALL_STREAM:
+		return INT64_MAX;
+	}
+	return INT64_MAX;
+}
+
+bool forward_may_start(forward_t *forward)
+{
+	if (forward->gateway->stop != STOP_FINISHING ||
+	    needed_until_us(forward) < gateway_stops_at_us(forward->gateway))
+		return true;
+	forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
+	return false;
+}
+
+/* Ends a request with an answer, if that is still possible. */
+static void end_at_stop(forward_t *forward)
+{
+	if (forward->phase == FORWARD_ENDED)
+		return;
+	if (forward->phase == FORWARD_SENT)
+		forward->runs++;
+	if (forward->runs)
+		forward_fail(forward, HTTP_GATEWAY_TIMEOUT, "stopping");
+	else
+		forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
+}
+
+void forward_end_all(gateway_t *gateway)
+{
+	forward_t *forward, *next;
+
+	DL_FOREACH_SAFE (gateway->forwards, forward, next)
+		end_at_stop(forward);
+}
+
+void forward_abort_all(gateway_t *gateway)
+{
+	forward_t *forward, *next;
+
+	DL_FOREACH_SAFE (gateway->forwards, forward, next) {
+		if (forward->phase == FORWARD_ENDED)
+			continue;
+		exchange_abort(forward->exchange);
+		forward_ended(forward, 0, "stopped");
+	}
+}
