--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -437,6 +437,44 @@
 	pthread_mutex_unlock(&store_lock);
 }
 
+void store_put_server(const char *id, const char *service, int port, int slots)
+{
+	char spec[512];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
+		 "\"zone\":\"perth-north\",\"version\":\"v1\","
+		 "\"concurrencyLimit\":%d,\"state\":\"ready\",\"coldLeftMs\":0,"
+		 "\"seq\":1,\"born\":1000}",
+		 service, port, slots);
+	store_put("servers", id, spec);
+}
+
+void store_put_config(int version, const char *keys)
+{
+	static const char routes[] =
+		"{\"name\":\"status\",\"host\":\"jobs.example\","
+		"\"pathPrefix\":\"/status/\",\"kind\":\"idempotent\","
+		"\"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,"
+		"\"service\":\"jobdesk\",\"attempts\":2,\"public\":false},"
+		"{\"name\":\"order\",\"host\":\"jobs.example\","
+		"\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
+		"\"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,"
+		"\"service\":\"jobdesk\",\"attempts\":1,\"public\":false}";
+	char spec[SPEC_MAX_BYTES];
+
+	snprintf(spec, sizeof(spec),
+		 "{\"version\":%d,\"routes\":[%s],\"services\":[{\"name\":"
+		 "\"jobdesk\",\"healthPath\":\"/health\",\"maxConns\":96,"
+		 "\"coldS\":0.0,\"coldPerS\":0.0}],\"limits\":{"
+		 "\"headerBytes\":16384,\"bodyBytes\":4194304,"
+		 "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+		 "\"tenants\":[{\"name\":\"t1\",\"keys\":[%s],"
+		 "\"priority\":1}]}",
+		 version, routes, keys);
+	store_put("config", "main", spec);
+}
+
 typedef struct {
 	char *data;
 	size_t size;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -77,6 +77,16 @@
 int store_start(void);
 /** Writes an object; @p spec of NULL deletes it. */
 void store_put(const char *kind, const char *name, const char *spec);
+/** Writes the entry of a server that is ready. */
+void store_put_server(const char *id, const char *service, int port, int slots);
+/**
+ * Writes the configuration: a service `jobdesk`, and two routes to it of the
+ * host jobs.example: /status/ is idempotent with two attempts, /order/ is not
+ * idempotent. Time limits, limits of clients and the service are those of the
+ * site dswa-reports.
+ * @param keys keys of the one tenant, as JSON strings with commas
+ */
+void store_put_config(int version, const char *keys);
 
 /** A node: its process and addresses. */
 typedef struct {
