--- a/review/2/case.c
+++ b/review/2/case.c
@@ -165,16 +165,9 @@
 static void put_server(const char *id, const char *service, int slots)
 {
 	int port = 0, fd = listen_on(&port);
-	char spec[512];
 
 	serve(fd, on_request, NULL);
-	snprintf(spec, sizeof(spec),
-		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
-		 "\"zone\":\"perth-north\",\"version\":\"v1\","
-		 "\"concurrencyLimit\":%d,\"state\":\"ready\",\"coldLeftMs\":0,"
-		 "\"seq\":1,\"born\":1000}",
-		 service, port, slots);
-	store_put("servers", id, spec);
+	store_put_server(id, service, port, slots);
 }
 
 int main(int argc, char **argv)
