--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -456,11 +456,11 @@
 	static const char routes[] =
 		"{\"name\":\"status\",\"host\":\"jobs.example\","
 		"\"pathPrefix\":\"/status/\",\"kind\":\"idempotent\","
-		"\"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,"
+		"\"timeoutMs\":3000,\"targetLatencyMs\":300,\"priority\":2,"
 		"\"service\":\"jobdesk\",\"attempts\":2,\"public\":false},"
 		"{\"name\":\"order\",\"host\":\"jobs.example\","
 		"\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
-		"\"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,"
+		"\"timeoutMs\":3000,\"targetLatencyMs\":300,\"priority\":2,"
 		"\"service\":\"jobdesk\",\"attempts\":1,\"public\":false}";
 	char spec[SPEC_MAX_BYTES];
 
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -82,8 +82,9 @@
 /**
  * Writes the configuration: a service `jobdesk`, and two routes to it of the
  * host jobs.example: /status/ is idempotent with two attempts, /order/ is not
- * idempotent. Time limits, limits of clients and the service are those of the
- * site dswa-reports.
+ * idempotent. The limits of clients and the service are those of the site
+ * dswa-reports, the time limits of these kinds of request those of
+ * dswa-reports-large.
  * @param keys keys of the one tenant, as JSON strings with commas
  */
 void store_put_config(int version, const char *keys);
