Let no request start at the end of a stop

Cause: on_stop_timer() ends all requests STOP_MARGIN_MS before the end of the grace period and leaves the loop one poll later; forward_may_start() refused in STOP_FINISHING only, so that in this poll each request started.

Answers that were not passed to their sockets within the poll, and requests of which a part was read, were cut.

Ruled out: retries and relays at the end (ended by forward_end_all()); relayed requests, which a node refuses from SIGTERM on.

Change: no request starts in the last phase; the process then waits until the answers are sent and what was begun is read and refused, 150 ms at most and not into the last 100 ms of the grace period. An early end (no requests left) goes through the same phase. A listener that closes sends what is complete, then begins no request.

One fault, one place that decides.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -174,6 +174,8 @@
 {
 	const listener_handler_t *handler = &exchange->listener->handler;
 
+	if (exchange->listener->closing)
+		return MHD_NO;
 	if (!framing_is_clear(exchange->connection))
 		return refuse_framing(exchange);
 	callers_set_phase(exchange->connection, CALLER_SENDS_BODY);
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -259,10 +259,14 @@
 
 	if (!listener)
 		return;
+	/* Sends the replies that are complete. */
+	run_daemon(listener);
 	/*
 	 * Resumes all connections: the library cannot stop while connections
-	 * are suspended.
+	 * are suspended. Requests that arrive from now on are not begun, since
+	 * they would be suspended.
 	 */
+	listener->closing = true;
 	DL_FOREACH_SAFE (listener->exchanges, exchange, next)
 		exchange_abort(exchange);
 	run_daemon(listener);
@@ -274,6 +278,11 @@
 	free(listener);
 }
 
+bool listener_has_requests(const listener_t *listener)
+{
+	return listener && listener->exchanges;
+}
+
 void listener_set_timeouts(listener_t *listener,
 			   const listener_timeouts_t *timeouts)
 {
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -83,7 +83,16 @@
 listener_t *listener_create(struct ev_loop *loop, const listener_conf_t *conf,
 			    const listener_handler_t *handler, err_t *err);
 
-/** Closes all connections; on_close is called for their exchanges. */
+/**
+ * @return true if a request is being read, waits for its reply, or has a reply
+ * that is not passed to the network; false for NULL
+ */
+bool listener_has_requests(const listener_t *listener);
+
+/**
+ * Closes all connections after it has sent what their callers can take at once;
+ * on_close is called for their exchanges.
+ */
 void listener_destroy(listener_t *listener);
 
 /** Replaces the default times of callers. */
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -55,6 +55,7 @@
 	int64_t checked_us;
 	bool run_pending; /* a connection was resumed: call MHD_run() */
 	bool running; /* inside MHD_run() */
+	bool closing; /* no request begins any more */
 	uint16_t port;
 	char error[ERR_MESSAGE_SIZE_BYTES]; /* last error of the library */
 };
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -34,6 +34,11 @@
 	/* Requests in progress are ended this long before the platform kills
 	 * the process. */
 	STOP_MARGIN_MS = 250,
+	/* Longest time for sending the answers to these requests, and the time
+	 * that the process has for its end after that. */
+	STOP_SEND_MAX_MS = 150,
+	STOP_EXIT_MS = 100,
+	STOP_SEND_POLL_MS = 10,
 	SERVER_EXPIRY_MS = 100
 };
 
@@ -193,6 +198,9 @@
 {
 	if (!gateway)
 		return;
+	/* Requests that are still read while the listeners close are refused.
+	 */
+	gateway->stop = STOP_CLOSED;
 	forward_abort_all(gateway);
 	ev_timer_stop(gateway->loop, &gateway->stop_timer);
 	ev_timer_stop(gateway->loop, &gateway->expiry);
@@ -225,25 +233,50 @@
 	       (gateway->settings.stop_ms - STOP_MARGIN_MS) * US_PER_MS;
 }
 
+/* Includes refused requests whose answer is being sent, and requests that are
+ * only read in part. */
+static bool has_requests(const gateway_t *gateway)
+{
+	return listener_has_requests(gateway->callers) ||
+	       listener_has_requests(gateway->relayed);
+}
+
+/* Lets no request start any more; the answers of all that did are sent. */
+static void end_requests(gateway_t *gateway)
+{
+	int64_t now_us = clock_monotonic_us();
+	int64_t exit_us =
+		gateway->stop_started_us +
+		(gateway->settings.stop_ms - STOP_EXIT_MS) * US_PER_MS;
+
+	set_phase(gateway, STOP_ENDED, "ended");
+	forward_end_all(gateway);
+	gateway->stop_closes_us = now_us + STOP_SEND_MAX_MS * US_PER_MS;
+	if (gateway->stop_closes_us > exit_us)
+		gateway->stop_closes_us = exit_us;
+	gateway->stop_timer.repeat = (double)STOP_SEND_POLL_MS / MS_PER_S;
+	ev_timer_again(gateway->loop, &gateway->stop_timer);
+}
+
 static void on_stop_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
-	int64_t passed_ms =
-		(clock_monotonic_us() - gateway->stop_started_us) / US_PER_MS;
+	int64_t now_us = clock_monotonic_us();
+	int64_t passed_ms = (now_us - gateway->stop_started_us) / US_PER_MS;
 
-	if (gateway->stop == STOP_NOTICE && passed_ms >= STOP_NOTICE_MS)
-		set_phase(gateway, STOP_FINISHING, "finishing");
-	if (gateway->stop != STOP_ENDED &&
-	    clock_monotonic_us() >= gateway_stops_at_us(gateway)) {
-		/* The answers are sent until the next call. */
-		forward_end_all(gateway);
-		set_phase(gateway, STOP_ENDED, "ended");
+	if (gateway->stop == STOP_ENDED) {
+		if (has_requests(gateway) && now_us < gateway->stop_closes_us)
+			return;
+		set_phase(gateway, STOP_CLOSED, "closed");
+		ev_break(loop, EVBREAK_ALL);
 		return;
 	}
-	if (gateway->stop == STOP_ENDED ||
-	    (passed_ms >= STOP_MIN_MS && !gateway->forward_count &&
+	if (gateway->stop == STOP_NOTICE && passed_ms >= STOP_NOTICE_MS)
+		set_phase(gateway, STOP_FINISHING, "finishing");
+	if (now_us >= gateway_stops_at_us(gateway) ||
+	    (passed_ms >= STOP_MIN_MS && !has_requests(gateway) &&
 	     !gateway->reservations))
-		ev_break(loop, EVBREAK_ALL);
+		end_requests(gateway);
 }
 
 void gateway_stop(gateway_t *gateway)
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -85,7 +85,9 @@
 	STOP_NONE,
 	STOP_NOTICE, /**< the load balancer has not noticed the stop yet */
 	STOP_FINISHING, /**< the node accepts no requests that may outlast it */
-	STOP_ENDED /**< all requests were ended, their answers are sent */
+	STOP_ENDED, /**< all requests were ended; their answers are being sent,
+		     * and no request starts */
+	STOP_CLOSED /**< the event loop ends */
 } stop_phase_t;
 
 struct gateway {
@@ -147,6 +149,7 @@
 
 	stop_phase_t stop;
 	int64_t stop_started_us;
+	int64_t stop_closes_us; /**< latest end of STOP_ENDED */
 	ev_timer stop_timer;
 	ev_timer reach; /**< checks which data centres are silent */
 	int64_t reach_checked_us;
--- a/src/request/forward_stop.c
+++ b/src/request/forward_stop.c
@@ -20,10 +20,25 @@
 	return INT64_MAX;
 }
 
+static bool may_start(const forward_t *forward)
+{
+	switch (forward->gateway->stop) {
+	case STOP_NONE:
+	case STOP_NOTICE:
+		return true;
+	case STOP_FINISHING:
+		return needed_until_us(forward) <
+		       gateway_stops_at_us(forward->gateway);
+	case STOP_ENDED:
+	case STOP_CLOSED:
+		return false;
+	}
+	return false;
+}
+
 bool forward_may_start(forward_t *forward)
 {
-	if (forward->gateway->stop != STOP_FINISHING ||
-	    needed_until_us(forward) < gateway_stops_at_us(forward->gateway))
+	if (may_start(forward))
 		return true;
 	forward_refuse_here(forward, "stopping", OTHER_NODE_RETRY_MS);
 	return false;
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -38,11 +38,17 @@
 	/** Whole answer; says that the server accepts no new requests soon. */
 	SAYS_LEAVING,
 	SERVES_DELAYED, /**< whole answer, after 100 ms */
+	SERVES_LONG, /**< whole answer with a body of LONG_BODY_BYTES */
 	TRICKLES, /**< sends half of a stream, then a byte at intervals */
 	SILENT /**< holds the request without an answer */
 } server_act_t;
 
-enum { ARRIVALS_MAX = 160, ACTS_MAX = 6, STREAM_EVENTS = 4 };
+enum {
+	ARRIVALS_MAX = 160,
+	ACTS_MAX = 6,
+	STREAM_EVENTS = 4,
+	LONG_BODY_BYTES = 250000 /* less than the gateway holds */
+};
 
 typedef struct {
 	char text[8192]; /**< request head and body as received */
@@ -62,6 +68,12 @@
 	client_call_t *call;
 } reply_t;
 
+/** What a server does with requests that have a text. */
+typedef struct {
+	const char *text;
+	server_act_t act;
+} text_act_t;
+
 typedef struct gateway_fixture {
 	struct ev_loop *loop;
 	gateway_t *gateway;
@@ -112,6 +124,9 @@
 	} servers[2];
 	/** Script: act for each arrival, in order; SERVES after the last. */
 	server_act_t acts[ACTS_MAX];
+	/** Acts for requests with a text, in place of the script; ends with a
+	 * text of NULL. NULL: none. */
+	const text_act_t *text_acts;
 	arrival_t arrivals[ARRIVALS_MAX];
 	size_t arrival_count;
 } gateway_fixture_t;
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -170,6 +170,18 @@
 	(void)!send(fd, body, sizeof(body), MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
+static void send_long_body(int fd, const char *id)
+{
+	static char body[LONG_BODY_BYTES];
+	int size = 2 * LONG_BODY_BYTES;
+
+	memset(body, 'x', sizeof(body));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	send_head(fd, id, "text/plain", sizeof(body), true, "");
+	assert_int_equal(send(fd, body, sizeof(body), MSG_NOSIGNAL),
+			 sizeof(body));
+}
+
 /* @return true if the connection stays open */
 static bool act(connection_t *connection, int fd)
 {
@@ -239,6 +251,9 @@
 	case SERVES_DELAYED:
 		start_delay(connection);
 		return true;
+	case SERVES_LONG:
+		send_long_body(fd, id);
+		return false;
 	case SILENT:
 		return true;
 	}
@@ -325,6 +340,15 @@
 	start_server(fixture, server, loopback_listen_at(server->port));
 }
 
+static void choose_act(connection_t *connection)
+{
+	const text_act_t *act = connection->fixture->text_acts;
+
+	for (; act && act->text; act++)
+		if (strstr(connection->arrival->text, act->text))
+			connection->act = act->act;
+}
+
 /* Ends the server if the request crashes it. */
 static void crash(connection_t *connection)
 {
@@ -359,6 +383,7 @@
 	if (connection->answered || !is_whole(arrival->text))
 		return;
 	connection->answered = true;
+	choose_act(connection);
 	crash(connection);
 	if (!act(connection, watcher->fd))
 		close_connection(connection);
