Answer all requests at the end of a shutdown

Evidence: check_drain with this change left out fails with "a stream was cut", its last bytes in the middle of the stream.

Ruled out: requests that come after the start of the drain (refused before and after, not-run).

Change: TASK_MSG_END_ALL, sent when the time is over; each request that is left gets the final answer that its deadline would give it, with the outcome that is known (not-run, failed or unknown; an action with a whole answer of its server gets that). The 100 ms in which credits return are the time to send them.

After: the table in test_request_task and check_drain pass.

--- a/src/process/control_shutdown.c
+++ b/src/process/control_shutdown.c
@@ -79,6 +79,8 @@
 		send_to_request_tasks(control, TASK_MSG_DRAIN);
 		break;
 	case DRAIN_RETURNING:
+		if (shutdown->drain.timed_out)
+			send_to_request_tasks(control, TASK_MSG_END_ALL);
 		credit_holder_return_all(control->holder, now_us);
 		break;
 	case DRAIN_STOPPED:
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -191,28 +191,36 @@
 		      request->answer.data, request->answer.size);
 }
 
-static void on_deadline(struct ev_loop *loop, ev_timer *timer, int events)
+void request_end(request_t *request, attempt_end_t end, refusal_t refusal,
+		 const char *message)
 {
-	request_t *request = timer->data;
 	bool done = action_has_answer(request);
 
 	switch (request->state) {
 	case REQUEST_ANSWERED:
-		if (request->exchange)
-			exchange_abort(request->exchange);
 		return;
 	case REQUEST_RECEIVING:
 		break;
 	case REQUEST_WAITING:
 	case REQUEST_RUNNING:
-		request_give_up(request, ATTEMPT_DEADLINE);
+		request_give_up(request, end);
 		break;
 	}
 	if (done)
 		reply_server_answer(request);
 	else
-		request_refuse(request, REFUSAL_DEADLINE, OUTCOME_NOT_RUN,
-			       RETRY_AFTER_S, "");
+		request_refuse(request, refusal, OUTCOME_NOT_RUN, RETRY_AFTER_S,
+			       message);
+}
+
+static void on_deadline(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	request_t *request = timer->data;
+
+	if (request->state == REQUEST_ANSWERED && request->exchange)
+		exchange_abort(request->exchange);
+	else
+		request_end(request, ATTEMPT_DEADLINE, REFUSAL_DEADLINE, "");
 }
 
 void request_set_deadline(request_t *request)
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -195,6 +195,15 @@
  */
 void request_give_up(request_t *request, attempt_end_t end);
 
+/**
+ * Gives the request its final answer now: the server's whole answer, or a
+ * refusal with the outcome that holds. Does nothing after the final answer.
+ * Frees the request if its caller disconnected.
+ * @param message empty: default message of the refusal
+ */
+void request_end(request_t *request, attempt_end_t end, refusal_t refusal,
+		 const char *message);
+
 /** Cancels the call to the server and, for a model, the server's stream. */
 void request_stop_attempt(request_t *request);
 
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -44,6 +44,15 @@
 	task->document = document_ref(document);
 }
 
+static void end_all(request_task_t *task)
+{
+	request_t *request, *next;
+
+	HASH_ITER (hh, task->requests, request, next)
+		request_end(request, ATTEMPT_CALLER_GONE, REFUSAL_NOT_READY,
+			    "the node is shutting down");
+}
+
 static void on_message(void *context, void *received)
 {
 	request_task_t *task = context;
@@ -76,6 +85,9 @@
 		task->draining = true;
 		request_task_check_idle(task);
 		break;
+	case TASK_MSG_END_ALL:
+		end_all(task);
+		break;
 	case TASK_MSG_STOP:
 		ev_break(task->loop, EVBREAK_ALL);
 		break;
--- a/src/process/task_msg.h
+++ b/src/process/task_msg.h
@@ -131,6 +131,8 @@
 	 * left. From the main thread to the control task: start the shutdown.
 	 */
 	TASK_MSG_DRAIN,
+	/** Give each request that is left its final answer. */
+	TASK_MSG_END_ALL,
 	/** End the event loop. Also sent to the telemetry task and the main
 	 * thread. */
 	TASK_MSG_STOP
--- a/tests/lib/fleet.sh
+++ b/tests/lib/fleet.sh
@@ -32,6 +32,7 @@
 # FLEET_MEMORY                 callers.memory of the daemons
 # FLEET_TASKS                  callers.tasks of the daemons
 # FLEET_NOTICE                 shutdown.notice of the daemons
+# FLEET_STOP_LIMIT             shutdown.limit of the daemons
 # FLEET_TARGETS                addresses for fleet_mixed_load; default: all
 # FLEET_LOG_LINES              lines of each log to print after a failure
 
@@ -184,7 +185,9 @@
 		  token: $name
 		  claims_max: ${FLEET_CLAIMS_MAX:-200000}
 		history: {path: $RUN/history/$name}
-		shutdown: {notice: ${FLEET_NOTICE:-500ms}, limit: 30s}
+		shutdown:
+		  notice: ${FLEET_NOTICE:-500ms}
+		  limit: ${FLEET_STOP_LIMIT:-30s}
 		$extra
 	END
 	sed -i 's/^\t*//' "$RUN/$name.yaml"
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -460,6 +460,66 @@
 	}
 }
 
+static void serve_nothing(server_call_t *call, size_t index)
+{
+}
+
+static void serve_first_token(server_call_t *call, size_t index)
+{
+	serve_stream(call);
+	serve_chunk(call, serve_stream_id(call), 0, "a ", false);
+}
+
+/*
+ * Guards against requests that a shutdown cuts without an answer when its time
+ * is over: each gets one that says what is known of its outcome.
+ */
+static void request_is_cut_at_the_end_of_a_shutdown(void **state)
+{
+	static const struct {
+		const char *path, *header, *body;
+		void (*serve)(server_call_t *call, size_t index);
+		int status;
+		const char *outcome, *part; /* of the body */
+	} cases[] = {
+		{ "/v1/completions", NULL, prompt, serve_nothing, 503,
+		  "unknown", "shutting down" },
+		{ "/v1/completions", NULL, prompt, serve_first_token, 200, "",
+		  "\"outcome\":\"failed\"" },
+		{ "/v1/completions", NULL, unstreamed_prompt, serve_first_token,
+		  503, "failed", "shutting down" },
+		{ "/services/status/7", NULL, "{}", serve_nothing, 503,
+		  "unknown", "shutting down" },
+		{ "/services/orders/7", "Idempotency-Key: k", "{}",
+		  serve_nothing, 503, "unknown", "shutting down" },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		start();
+		fixture.serve = cases[i].serve;
+		fixture_call(&fixture, &answer, "POST", cases[i].path,
+			     cases[i].header, cases[i].body);
+		assert_non_null(fixture_server_call(&fixture, "POST", 0));
+		fixture_run(&fixture, NULL, 50);
+		assert_false(answer.ended);
+		fixture_send(&fixture, task_msg_create(TASK_MSG_DRAIN, 0));
+		fixture_send(&fixture, task_msg_create(TASK_MSG_END_ALL, 0));
+		fixture_wait(&fixture, &answer);
+		if (answer.status != cases[i].status ||
+		    strcmp(answer.outcome, cases[i].outcome) != 0 ||
+		    !strstr(answer.body, cases[i].part))
+			fail_msg("case %zu: %d %s %s", i, answer.status,
+				 answer.outcome, answer.body);
+		fixture_call(&fixture, &answer, "POST", cases[i].path,
+			     cases[i].header, cases[i].body);
+		fixture_wait(&fixture, &answer);
+		assert_int_equal(answer.status, 503);
+		assert_string_equal(answer.outcome, "not-run");
+		fixture_stop(&fixture);
+	}
+}
+
 /* Requests that must be refused, with the status and code of the refusal. */
 static const struct {
 	const char *method, *path, *header, *body;
@@ -787,6 +847,7 @@
 		cmocka_unit_test(last_event_of_a_stream_overruns_its_buffer),
 		cmocka_unit_test(delays_cancellations),
 		cmocka_unit_test(claims_not_run_only_if_nothing_was_sent),
+		cmocka_unit_test(request_is_cut_at_the_end_of_a_shutdown),
 		cmocka_unit_test(refuses_bad_requests),
 		cmocka_unit_test(forwards_a_lookup_unchanged),
 		cmocka_unit_test(never_forwards_a_copy_of_an_earlier_answer),
