Take a configuration with texts of any length

Nodes that lived on kept the version before, with its revoked keys.

Cause: the configuration was decoded into arrays of fixed size, and a text that did not fit made all of it invalid.

Related, all with the same cause: names of accounts and services of 64 bytes, prefixes and hosts of 256, 9 services of a route (refused); health paths of 256 (cut off); names in counts of usage, orders and budgets (cut off at 63, so that two accounts could become one).

Change: texts of a configuration live in a pool of their own; the services of a route are an array of their own; keys, hosts and prefixes are compared where they stand in the request. The name of a server's service belongs to the table of services. Counts of usage hold names of any length; one that fits no datagram is left out of those alone.

--- a/src/duty/order_duty.c
+++ b/src/duty/order_duty.c
@@ -13,7 +13,7 @@
 enum { ORDERED_SERVICES_MAX = 16 };
 
 typedef struct {
-	char name[NAME_SIZE_BYTES];
+	char *name;
 	fleet_size_t *size;
 } ordered_service_t;
 
@@ -33,8 +33,12 @@
 
 static void remove_services(order_duty_t *duty)
 {
-	while (duty->count)
-		fleet_size_destroy(duty->services[--duty->count].size);
+	while (duty->count) {
+		ordered_service_t *service = &duty->services[--duty->count];
+
+		fleet_size_destroy(service->size);
+		free(service->name);
+	}
 }
 
 void order_duty_destroy(order_duty_t *duty)
@@ -57,7 +61,7 @@
 	if (duty->count == ORDERED_SERVICES_MAX)
 		return NULL;
 	service = &duty->services[duty->count++];
-	mem_strlcpy(service->name, name, sizeof(service->name));
+	service->name = mem_strdup(name);
 	service->size = fleet_size_create(&duty->gateway->settings.region);
 	return service;
 }
--- a/src/duty/usage.c
+++ b/src/duty/usage.c
@@ -20,7 +20,7 @@
 };
 
 typedef struct {
-	char name[NAME_SIZE_BYTES];
+	char *name;
 	uint32_t requests;
 	UT_hash_handle hh;
 } account_t;
@@ -70,6 +70,7 @@
 
 	HASH_ITER (hh, window->accounts, account, next) {
 		HASH_DEL(window->accounts, account);
+		free(account->name);
 		free(account);
 	}
 	LL_DELETE(source->windows, window);
@@ -129,8 +130,9 @@
 	if (account || HASH_COUNT(window->accounts) >= ACCOUNTS_MAX)
 		return account;
 	account = mem_calloc(1, sizeof(*account));
-	mem_strlcpy(account->name, name, sizeof(account->name));
-	HASH_ADD_STR(window->accounts, name, account);
+	account->name = mem_strdup(name);
+	HASH_ADD_KEYPTR(hh, window->accounts, account->name, strlen(name),
+			account);
 	return account;
 }
 
@@ -153,6 +155,24 @@
 	finished->expected = HASH_COUNT(finished->accounts);
 }
 
+/* Other nodes do not get the counts of an account with a name that fits no
+ * datagram. */
+static bool fits_datagram(const account_t *account)
+{
+	return strlen(account->name) + COUNT_OVERHEAD_BYTES <=
+	       USAGE_COUNTS_SIZE_BYTES;
+}
+
+static uint32_t count_told(const window_t *window)
+{
+	const account_t *account;
+	uint32_t count = 0;
+
+	for (account = window->accounts; account; account = account->hh.next)
+		count += fits_datagram(account);
+	return count;
+}
+
 size_t usage_fill(const usage_t *usage, int64_t window, size_t first,
 		  usage_message_t *message)
 {
@@ -167,19 +187,18 @@
 	if (!found)
 		return 0;
 	message->final = found->final;
-	message->accounts = HASH_COUNT(found->accounts);
+	message->accounts = count_told(found);
 	for (account = found->accounts; account;
 	     account = account->hh.next, index++) {
 		usage_count_t *count = &message->counts[message->count];
 
-		if (index < first)
+		if (index < first || !fits_datagram(account))
 			continue;
 		size += strlen(account->name) + COUNT_OVERHEAD_BYTES;
 		if (size > USAGE_COUNTS_SIZE_BYTES ||
 		    message->count == USAGE_COUNTS_MAX)
 			return index;
-		mem_strlcpy(count->account, account->name,
-			    sizeof(count->account));
+		count->account = account->name;
 		count->requests = account->requests;
 		message->count++;
 	}
@@ -312,11 +331,17 @@
 	HASH_ITER (hh, sum.accounts, account, next) {
 		usage_count_t *result = &(*counts)[count++];
 
-		mem_strlcpy(result->account, account->name,
-			    sizeof(result->account));
+		result->account = account->name;
 		result->requests = account->requests;
 		HASH_DEL(sum.accounts, account);
 		free(account);
 	}
 	return count;
 }
+
+void usage_free_counts(usage_count_t *counts, size_t count)
+{
+	while (count)
+		free(counts[--count].account);
+	free(counts);
+}
--- a/src/duty/usage.h
+++ b/src/duty/usage.h
@@ -19,7 +19,7 @@
 typedef struct usage usage_t;
 
 typedef struct {
-	char account[NAME_SIZE_BYTES];
+	char *account; /**< name */
 	uint32_t requests; /**< requests that began to run in a window */
 } usage_count_t;
 
@@ -37,7 +37,7 @@
 	bool final; /**< the counts of the window do not change any more */
 	uint32_t accounts; /**< number of accounts in all datagrams of
 			     the window */
-	usage_count_t counts[USAGE_COUNTS_MAX];
+	usage_count_t counts[USAGE_COUNTS_MAX]; /**< names are the sender's */
 	size_t count; /**< entries of counts */
 } usage_message_t;
 
@@ -72,9 +72,10 @@
 int64_t usage_first_window(const usage_t *usage);
 /**
  * Sums up the counts of a window over all nodes.
- * @param counts set to one entry per account; to be freed with free()
+ * @param counts set to one entry per account; freed with usage_free_counts()
  * @return number of accounts
  */
 size_t usage_sum(const usage_t *usage, int64_t window, usage_count_t **counts);
+void usage_free_counts(usage_count_t *counts, size_t count);
 
 #endif
--- a/src/duty/usage_duty.c
+++ b/src/duty/usage_duty.c
@@ -147,7 +147,7 @@
 	for (i = 0; i < count; i++)
 		json_object_set_new(json, counts[i].account,
 				    json_integer(counts[i].requests));
-	free(counts);
+	usage_free_counts(counts, count);
 	return json;
 }
 
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -147,6 +147,7 @@
 	server->remove_at_us = 0;
 	server->dc = backends_dc(backends, entry->data_centre);
 	server->service = backends_service(backends, entry->service);
+	server->entry.service = server->service->name;
 	server->cold_until_us = now_us + entry->cold_left_ms * US_PER_MS;
 	return changed;
 }
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -33,7 +33,7 @@
 /** Entry of a server in the platform. */
 typedef struct {
 	char id[NAME_SIZE_BYTES]; /**< may stay the same over restarts */
-	char service[NAME_SIZE_BYTES];
+	const char *service;
 	char address[URL_SIZE_BYTES]; /**< IP:PORT */
 	char data_centre[NAME_SIZE_BYTES];
 	int32_t slots; /**< requests that the server runs at once */
@@ -68,7 +68,7 @@
 void backends_destroy(backends_t *backends);
 
 /**
- * Adds or updates a server.
+ * Adds or updates a server; copies @p entry with the name of its service.
  * @return true if the server is new, or its state, address or start changed
  */
 bool backends_update(backends_t *backends, const backend_entry_t *entry,
--- a/src/process/backends_reach.c
+++ b/src/process/backends_reach.c
@@ -19,8 +19,9 @@
 	if (service)
 		return service;
 	service = mem_calloc(1, sizeof(*service));
-	mem_strlcpy(service->name, name, sizeof(service->name));
-	HASH_ADD_STR(backends->services, name, service);
+	service->name = mem_strdup(name);
+	HASH_ADD_KEYPTR(hh, backends->services, service->name, strlen(name),
+			service);
 	return service;
 }
 
@@ -30,6 +31,7 @@
 
 	HASH_ITER (hh, backends->services, service, next) {
 		HASH_DEL(backends->services, service);
+		free(service->name);
 		free(service);
 	}
 }
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -28,7 +28,7 @@
 
 /* Reachability of the servers of a service from this node. */
 typedef struct backend_service {
-	char name[NAME_SIZE_BYTES];
+	char *name;
 	int64_t probed_us; /* last probe of one of its servers */
 	bool is_cut_off; /* see backends_is_cut_off() */
 	bool was_cut_off; /* what was last reported */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -69,7 +69,7 @@
 	if (gateway->budget_count == SERVICES_MAX)
 		return &gateway->budgets[SERVICES_MAX - 1].budget;
 	entry = &gateway->budgets[gateway->budget_count++];
-	mem_strlcpy(entry->service, service, sizeof(entry->service));
+	entry->service = mem_strdup(service);
 	return &entry->budget;
 }
 
@@ -194,6 +194,12 @@
 	return NULL;
 }
 
+static void free_budgets(gateway_t *gateway)
+{
+	while (gateway->budget_count)
+		free(gateway->budgets[--gateway->budget_count].service);
+}
+
 void gateway_destroy(gateway_t *gateway)
 {
 	if (!gateway)
@@ -217,6 +223,7 @@
 	segment_table_destroy(gateway->segments);
 	backends_destroy(gateway->backends);
 	routing_unref(gateway->routing);
+	free_budgets(gateway);
 	free(gateway);
 }
 
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -81,7 +81,7 @@
 	int64_t now_us = clock_monotonic_us();
 	const service_conf_t *service =
 		routing_service(gateway->routing, entry->service);
-	char url[URL_SIZE_BYTES + PREFIX_SIZE_BYTES + 16];
+	char url[URL_SIZE_BYTES + 16];
 	client_request_t request = { .method = "GET",
 				     .url = url,
 				     .connect_timeout_ms = PROBE_TIMEOUT_MS,
@@ -99,8 +99,8 @@
 	probe = mem_calloc(1, sizeof(*probe));
 	*probe = (probe_t){ gateway, backend_ref(server), now_us };
 	handler.context = probe;
-	snprintf(url, sizeof(url), "http://%s%s", entry->address,
-		 service->health_path);
+	snprintf(url, sizeof(url), "http://%s/", entry->address);
+	request.target = service->health_path;
 	client_call(gateway->client, &request, &handler);
 }
 
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -56,7 +56,7 @@
 
 /** Retry budget of one service. */
 typedef struct {
-	char service[NAME_SIZE_BYTES];
+	char *service;
 	retry_budget_t budget;
 } service_budget_t;
 
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -387,8 +387,7 @@
 	for (i = 0; i < packed->n_counts && i < USAGE_COUNTS_MAX; i++) {
 		usage_count_t *count = &report->counts[i];
 
-		mem_strlcpy(count->account, packed->counts[i]->account,
-			    sizeof(count->account));
+		count->account = mem_strdup(packed->counts[i]->account);
 		count->requests = packed->counts[i]->requests;
 	}
 	report->count = i;
@@ -424,6 +423,8 @@
 
 void packet_clear(packet_t *packet)
 {
+	size_t i;
+
 	switch (packet->type) {
 	case PACKET_LOAD:
 		free(packet->as.load.items);
@@ -432,6 +433,8 @@
 		view_update_clear(&packet->as.update);
 		break;
 	case PACKET_USAGE:
+		for (i = 0; i < packet->as.usage.count; i++)
+			free(packet->as.usage.counts[i].account);
 		break;
 	}
 }
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -23,8 +23,8 @@
 /** Headers of a caller's request. */
 typedef struct {
 	char id[REQUEST_ID_SIZE_BYTES]; /**< empty: not stated */
-	char key[ACCOUNT_KEY_SIZE_BYTES]; /**< key of a client account; empty:
-					   * not stated */
+	const char *key; /**< key of a client account, in the headers of the
+			  * exchange; empty: not stated */
 	int64_t deadline_ms; /**< how long the caller waits for the answer;
 			      * -1: not stated */
 	int64_t prompt_tokens; /**< length of the prompt; 0: not stated */
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -20,6 +20,34 @@
 	return order ? order : strcmp(a->prefix, b->prefix);
 }
 
+/* Host and path prefix that are looked up; parts of longer texts. */
+typedef struct {
+	const char *host, *prefix;
+	size_t host_size, prefix_size;
+} route_key_t;
+
+/* Compares the first @p size bytes of @p wanted, like @p compare, with the
+ * whole of @p text. */
+static int compare_part(const char *wanted, size_t size, const char *text,
+			int (*compare)(const char *, const char *, size_t))
+{
+	int order = compare(wanted, text, size);
+
+	return order || !text[size] ? order : -1;
+}
+
+static int compare_route_key(const void *key, const void *item)
+{
+	const route_key_t *wanted = key;
+	const route_conf_t *route = item;
+	int order = compare_part(wanted->host, wanted->host_size, route->host,
+				 strncasecmp);
+
+	return order ? order
+		     : compare_part(wanted->prefix, wanted->prefix_size,
+				    route->prefix, strncmp);
+}
+
 static int compare_keys(const void *left, const void *right)
 {
 	return strcmp(((const account_key_t *)left)->key,
@@ -45,6 +73,16 @@
 	return count ? bsearch(key, items, count, size, compare) : NULL;
 }
 
+void routing_conf_clear(routing_conf_t *conf)
+{
+	free(conf->routes);
+	free(conf->targets);
+	free(conf->services);
+	free(conf->accounts);
+	free(conf->keys);
+	text_pool_destroy(conf->texts);
+}
+
 routing_t *routing_create(const routing_conf_t *conf)
 {
 	routing_t *routing = mem_calloc(1, sizeof(*routing));
@@ -69,10 +107,7 @@
 {
 	if (!routing || --routing->references)
 		return;
-	free(routing->conf.routes);
-	free(routing->conf.services);
-	free(routing->conf.accounts);
-	free(routing->conf.keys);
+	routing_conf_clear(&routing->conf);
 	free(routing);
 }
 
@@ -91,41 +126,33 @@
 	return routing->conf.account_count > 0;
 }
 
-/* Copies @p host without its port: routes are compared without the port. */
-static void copy_host(char target[URL_SIZE_BYTES], const char *host)
+/* @return size of @p host without its port: routes are compared without it */
+static size_t host_size(const char *host)
 {
 	size_t size = strcspn(host, ":");
 
 	/* An IPv6 address stands in brackets and has colons of its own. */
 	if (*host == '[')
 		size = strcspn(host, "]") + 1;
-	if (size > strlen(host))
-		size = strlen(host);
-	if (size >= URL_SIZE_BYTES)
-		size = URL_SIZE_BYTES - 1;
-	memcpy(target, host, size);
-	target[size] = '\0';
+	return size < strlen(host) ? size : strlen(host);
 }
 
 const route_conf_t *routing_find(const routing_t *routing, const char *host,
 				 const char *path)
 {
-	route_conf_t wanted;
-	size_t length = strcspn(path, "?");
+	route_key_t wanted = { .host = host,
+			       .host_size = host_size(host),
+			       .prefix = path,
+			       .prefix_size = strcspn(path, "?") };
 
-	copy_host(wanted.host, host);
-	if (length >= sizeof(wanted.prefix))
-		length = sizeof(wanted.prefix) - 1;
-	memcpy(wanted.prefix, path, length);
-	for (; length > 0; length--) {
+	for (; wanted.prefix_size > 0; wanted.prefix_size--) {
 		const route_conf_t *route;
 
-		if (path[length - 1] != '/')
+		if (path[wanted.prefix_size - 1] != '/')
 			continue;
-		wanted.prefix[length] = '\0';
 		route = find(&wanted, routing->conf.routes,
 			     routing->conf.route_count, sizeof(*route),
-			     compare_routes);
+			     compare_route_key);
 		if (route)
 			return route;
 	}
@@ -134,23 +161,19 @@
 
 const account_conf_t *routing_account(const routing_t *routing, const char *key)
 {
-	account_key_t wanted;
-	const account_key_t *found;
+	const account_key_t wanted = { .key = key };
+	const account_key_t *found = find(&wanted, routing->conf.keys,
+					  routing->conf.key_count,
+					  sizeof(*found), compare_keys);
 
-	if (mem_strlcpy(wanted.key, key, sizeof(wanted.key)))
-		return NULL;
-	found = find(&wanted, routing->conf.keys, routing->conf.key_count,
-		     sizeof(*found), compare_keys);
 	return found ? &routing->conf.accounts[found->account] : NULL;
 }
 
 const service_conf_t *routing_service(const routing_t *routing,
 				      const char *name)
 {
-	service_conf_t wanted;
+	const service_conf_t wanted = { .name = name };
 
-	if (mem_strlcpy(wanted.name, name, sizeof(wanted.name)))
-		return NULL;
 	return find(&wanted, routing->conf.services,
 		    routing->conf.service_count, sizeof(wanted),
 		    compare_services);
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -15,14 +15,9 @@
 #include <stdint.h>
 
 #include "base/err.h"
+#include "base/text_pool.h"
 #include "base/units.h"
 
-enum {
-	PREFIX_SIZE_BYTES = 256, /**< path prefix of a route */
-	ACCOUNT_KEY_SIZE_BYTES = 128,
-	ROUTE_TARGETS_MAX = 8
-};
-
 /** How often a request may execute. */
 typedef enum {
 	CALL_IDEMPOTENT, /**< may execute any number of times */
@@ -33,15 +28,15 @@
 
 /** A service to which a route sends requests, chosen by weight. */
 typedef struct {
-	char service[NAME_SIZE_BYTES];
+	const char *service;
 	int32_t weight;
 } route_target_t;
 
 /** How requests for a host and a path prefix are served. */
 typedef struct {
-	char name[NAME_SIZE_BYTES];
-	char host[URL_SIZE_BYTES];
-	char prefix[PREFIX_SIZE_BYTES]; /**< begins and ends with a slash */
+	const char *name; /**< empty: not stated */
+	const char *host;
+	const char *prefix; /**< begins and ends with a slash */
 	call_kind_t kind;
 	int64_t timeout_ms; /**< longest wait of a caller for the answer */
 	int64_t target_ms; /**< latency objective; streams: to first event */
@@ -51,7 +46,7 @@
 	int32_t priority; /**< 0 is the most urgent */
 	bool is_public; /**< requests need no key of an account */
 	bool is_resumable; /**< another server can resume a broken stream */
-	route_target_t targets[ROUTE_TARGETS_MAX];
+	const route_target_t *targets; /**< among those of the configuration */
 	size_t target_count;
 } route_conf_t;
 
@@ -76,8 +71,8 @@
 
 /** A service and its servers. */
 typedef struct {
-	char name[NAME_SIZE_BYTES];
-	char health_path[PREFIX_SIZE_BYTES];
+	const char *name;
+	const char *health_path; /**< empty: none */
 	int32_t connections_max; /**< connections to one server, for all
 				    callers together */
 	double cold_requests_per_s; /**< limit of a cold server; 0: no limit */
@@ -91,13 +86,13 @@
 
 /** A client account. */
 typedef struct {
-	char name[NAME_SIZE_BYTES];
+	const char *name;
 	int32_t priority; /**< -1: the priority of the route applies */
 } account_conf_t;
 
 /** The key of a client account. */
 typedef struct {
-	char key[ACCOUNT_KEY_SIZE_BYTES];
+	const char *key;
 	int32_t account; /**< index into routing_conf_t.accounts */
 } account_key_t;
 
@@ -112,8 +107,10 @@
 /** The content of a routing configuration. */
 typedef struct {
 	int64_t version;
+	text_pool_t *texts; /**< all strings of the configuration */
 	route_conf_t *routes;
 	size_t route_count;
+	route_target_t *targets; /**< of all routes */
 	service_conf_t *services;
 	size_t service_count;
 	account_conf_t *accounts;
@@ -125,8 +122,12 @@
 
 typedef struct routing routing_t;
 
+/** Frees the arrays and strings of @p conf. */
+void routing_conf_clear(routing_conf_t *conf);
+
 /**
- * Builds a routing configuration and becomes owner of the arrays of @p conf.
+ * Builds a routing configuration and becomes owner of the arrays and strings of
+ * @p conf.
  * @return the routing configuration, with one reference for the caller
  */
 routing_t *routing_create(const routing_conf_t *conf);
--- a/tests/fuzz/fuzz_choice.c
+++ b/tests/fuzz/fuzz_choice.c
@@ -52,7 +52,7 @@
 	backend_entry_t entry = { .slots = 4 };
 
 	snprintf(entry.id, sizeof(entry.id), "i-%d", value % SERVERS);
-	mem_strlcpy(entry.service, service.name, sizeof(entry.service));
+	entry.service = service.name;
 	snprintf(entry.address, sizeof(entry.address), "10.0.0.%d:80",
 		 value / 64);
 	snprintf(entry.data_centre, sizeof(entry.data_centre), "c%d",
--- a/tests/fuzz/fuzz_node.c
+++ b/tests/fuzz/fuzz_node.c
@@ -54,11 +54,12 @@
 	if (packet.type == PACKET_USAGE) {
 		usage_t *usage = usage_create(1, 1);
 		usage_count_t *counts;
+		size_t count;
 
 		usage_receive(usage, &packet.as.usage);
-		usage_sum(usage, packet.as.usage.window, &counts);
+		count = usage_sum(usage, packet.as.usage.window, &counts);
+		usage_free_counts(counts, count);
 		usage_complete(usage, packet.as.usage.window);
-		free(counts);
 		usage_destroy(usage);
 	}
 	/* A decoded packet can be encoded again, or is too large for a
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -105,7 +105,8 @@
 
 static json_t *list_items(const gateway_fixture_t *fixture, const char *path)
 {
-	json_t *items = json_array();
+	json_t *items = json_array(), *item;
+	size_t i;
 
 	if (!strcmp(path, "/objects/config") && !fixture->no_configuration)
 		json_array_append_new(
@@ -118,9 +119,10 @@
 		json_array_append_new(items, server_entry(fixture, "m", 0));
 		json_array_append_new(items, server_entry(fixture, "m", 1));
 	}
+	json_array_foreach(items, i, item) if (fixture->edit)
+		fixture->edit(fixture, path, json_object_get(item, "spec"));
 	if (!strcmp(path, "/objects/chivestage-vms")) {
 		json_t *other = other_entry(fixture);
-		size_t i;
 
 		if (other)
 			json_array_append_new(items, other);
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -8,6 +8,7 @@
 #define TESTS_LIB_GATEWAY_FIXTURE_H
 
 #include <ev.h>
+#include <jansson.h>
 #include <stdbool.h>
 
 #include "connection/client.h"
@@ -93,6 +94,10 @@
 	int registrations; /**< entries that the gateway created for itself */
 	int64_t configuration_version; /**< 0: 3 */
 	bool no_configuration;
+	/** Changes the configuration, and the entry of each server, before they
+	 * are sent; NULL: does not. */
+	void (*edit)(const struct gateway_fixture *fixture, const char *path,
+		     json_t *spec);
 	size_t other_nodes; /**< nodes in the list of nodes after n1 */
 	const char *other_data_centre; /**< of these nodes; NULL: that of n1 */
 	bool takes_no_relays; /**< like a node of an earlier build */
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -36,7 +36,7 @@
 	backend_entry_t entry = { .slots = 4, .state = BACKEND_READY };
 
 	mem_strlcpy(entry.id, id, sizeof(entry.id));
-	mem_strlcpy(entry.service, service.name, sizeof(entry.service));
+	entry.service = service.name;
 	mem_strlcpy(entry.address, "10.0.0.1:80", sizeof(entry.address));
 	mem_strlcpy(entry.data_centre, dc, sizeof(entry.data_centre));
 	return entry;
@@ -150,7 +150,7 @@
 		backends_expire(backends, now_us);
 		break;
 	case OTHER_SERVICE:
-		mem_strlcpy(entry.service, "jobdesk", sizeof(entry.service));
+		entry.service = "jobdesk";
 		backends_update(backends, &entry, now_us);
 		break;
 	case ANNOUNCE_LEAVING:
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -462,6 +462,166 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/* A part of the configuration that has a size of the operator's choice. */
+typedef enum {
+	LONG_KEY,
+	LONG_ACCOUNT,
+	LONG_SERVICE,
+	LONG_PREFIX,
+	LONG_HOST,
+	LONG_HEALTH_PATH,
+	MANY_SERVICES /* of a route, by weight */
+} long_part_t;
+
+typedef struct {
+	long_part_t part;
+	int size;
+} long_case_t;
+
+static const long_case_t *long_case;
+
+/* @return a text of the size of the case, which begins with @p begin */
+static const char *long_text(const char *begin)
+{
+	static char text[16384];
+	int size = long_case->size;
+
+	assert_true(size < (int)sizeof(text));
+	memset(text, 'y', sizeof(text));
+	memcpy(text, begin, strlen(begin));
+	if (long_case->part == LONG_PREFIX)
+		text[size - 1] = '/';
+	text[size] = '\0';
+	return text;
+}
+
+static void set(json_t *array, size_t i, const char *key, const char *text)
+{
+	json_object_set_new(json_array_get(array, i), key, json_string(text));
+}
+
+static void use_many_services(json_t *route)
+{
+	json_t *services = json_array();
+	int i;
+
+	for (i = 0; i < long_case->size; i++)
+		json_array_append_new(services,
+				      json_pack("{s:s,s:i}", "service", "s",
+						"weight", 1));
+	json_object_del(route, "service");
+	json_object_set_new(route, "backends", services);
+}
+
+static void edit_long(const gateway_fixture_t *fixture, const char *path,
+		      json_t *spec)
+{
+	json_t *routes = json_object_get(spec, "routes");
+	json_t *accounts = json_object_get(spec, "tenants");
+	bool is_configuration = !strcmp(path, "/objects/config");
+	const char *service =
+		json_string_value(json_object_get(spec, "service"));
+
+	if (!is_configuration) {
+		if (long_case->part == LONG_SERVICE && service &&
+		    !strcmp(service, "s"))
+			json_object_set_new(spec, "service",
+					    json_string(long_text("")));
+		return;
+	}
+	switch (long_case->part) {
+	case LONG_KEY:
+		json_array_append_new(
+			json_object_get(json_array_get(accounts, 0), "keys"),
+			json_string(long_text("k2")));
+		return;
+	case LONG_ACCOUNT:
+		set(accounts, 0, "name", long_text(""));
+		return;
+	case LONG_SERVICE:
+		set(routes, 0, "service", long_text(""));
+		set(json_object_get(spec, "services"), 0, "name",
+		    long_text(""));
+		return;
+	case LONG_PREFIX:
+		set(routes, 0, "pathPrefix", long_text("/safe/"));
+		return;
+	case LONG_HOST:
+		set(routes, 0, "host", long_text("h"));
+		return;
+	case LONG_HEALTH_PATH:
+		set(json_object_get(spec, "services"), 0, "healthPath",
+		    long_text("/"));
+		return;
+	case MANY_SERVICES:
+		use_many_services(json_array_get(routes, 0));
+		return;
+	}
+}
+
+static void call_long(gateway_fixture_t *fixture, reply_t *reply, bool is_long)
+{
+	static char target[20000], host[20000], key[20000];
+	const char *headers[] = { host, "X-Request-Id: r1",
+				  "X-Deadline-Ms: 1400", key, NULL };
+	long_part_t part = long_case->part;
+
+	snprintf(target, sizeof(target), "/%s/x",
+		 is_long || part == LONG_SERVICE ? "safe" : "once");
+	if (is_long && part == LONG_PREFIX)
+		snprintf(target, sizeof(target), "%sx", long_text("/safe/"));
+	snprintf(host, sizeof(host), "Host: %s",
+		 is_long && part == LONG_HOST ? long_text("h") : "h");
+	snprintf(key, sizeof(key), "Authorization: Bearer %s",
+		 is_long && part == LONG_KEY ? long_text("k2") : FIXTURE_KEY);
+	gateway_fixture_call(fixture, reply, "POST", target, headers, "body");
+	assert_true(gateway_fixture_wait(fixture, reply, 2000));
+}
+
+/*
+ * Guards against a configuration that a node refuses as a whole, so that it
+ * serves nothing after a restart: each part of it has any size that fits into a
+ * request. What uses this part is served, and the rest, too.
+ */
+static void node_serves_nothing_with_a_long_configuration(void **state)
+{
+	static const long_case_t cases[] = {
+		{ LONG_KEY, 127 },	    { LONG_KEY, 128 },
+		{ LONG_KEY, 164 },	    { LONG_KEY, 8000 },
+		{ LONG_ACCOUNT, 63 },	    { LONG_ACCOUNT, 64 },
+		{ LONG_ACCOUNT, 640 },	    { LONG_SERVICE, 63 },
+		{ LONG_SERVICE, 64 },	    { LONG_SERVICE, 640 },
+		{ LONG_PREFIX, 255 },	    { LONG_PREFIX, 256 },
+		{ LONG_PREFIX, 2560 },	    { LONG_HOST, 255 },
+		{ LONG_HOST, 256 },	    { LONG_HOST, 2560 },
+		{ LONG_HEALTH_PATH, 255 },  { LONG_HEALTH_PATH, 256 },
+		{ LONG_HEALTH_PATH, 2560 }, { MANY_SERVICES, 8 },
+		{ MANY_SERVICES, 9 },	    { MANY_SERVICES, 90 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = { .edit = edit_long };
+		reply_t usual, special;
+		char account[1000] = "X-Tenant: acme\r\n";
+
+		long_case = &cases[i];
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		if (cases[i].part == LONG_ACCOUNT)
+			snprintf(account, sizeof(account), "X-Tenant: %s\r\n",
+				 long_text(""));
+		call_long(&fixture, &usual, false);
+		call_long(&fixture, &special, true);
+		if (usual.status != 200 || special.status != 200 ||
+		    !strstr(fixture.arrivals[1].text, account))
+			fail_msg("part %d of size %d: status %d and %d",
+				 (int)cases[i].part, cases[i].size,
+				 usual.status, special.status);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /*
  * Guards against requests served with an invalid key, and against keys and
  * routes rejected permanently while the store is silent and may hold newer
@@ -989,6 +1149,7 @@
 		cmocka_unit_test(refuses_with_retry_before_the_deadline),
 		cmocka_unit_test(sends_headers_to_servers),
 		cmocka_unit_test(server_gets_another_target),
+		cmocka_unit_test(node_serves_nothing_with_a_long_configuration),
 		cmocka_unit_test(checks_keys_and_routes),
 		cmocka_unit_test(refuses_without_configuration),
 		cmocka_unit_test(cancels_when_the_caller_closes),
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -368,8 +368,8 @@
 	reply_t reply;
 	const char *deadline;
 
-	memset(target, 'y', sizeof(target) - 1);
-	memcpy(target, "/once/x?q=", strlen("/once/x?q="));
+	snprintf(target, sizeof(target), "/once/x?q=%0*d",
+		 (int)sizeof(target) - 11, 0);
 	snprintf(line, sizeof(line), "POST %s ", target);
 	start(&pair);
 	cut(&pair, CUT_REFUSES);
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -596,13 +596,13 @@
 	size_t i;
 
 	for (i = 0; i < COUNT_OF(cases); i++) {
-		char target[12100] = "/services/status";
+		char target[12100];
 		size_t size;
 
 		start();
 		fixture.serve = serve_echo;
-		strcat(target, cases[i].target);
-		size = strlen(target);
+		size = (size_t)snprintf(target, sizeof(target),
+					"/services/status%s", cases[i].target);
 		memset(target + size, 'y', cases[i].filler_bytes);
 		target[size + cases[i].filler_bytes] = '\0';
 		fixture_call(&fixture, &answer, "PUT", target, NULL, "body");
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -27,6 +27,7 @@
 		assert_true(size > 0);
 		assert_true(packet_decode(&got, data, size));
 		usage_receive(to, &got.as.usage);
+		packet_clear(&got);
 	} while (next);
 }
 
@@ -40,7 +41,7 @@
 	for (i = 0; i < count; i++)
 		if (!strcmp(counts[i].account, account))
 			requests = counts[i].requests;
-	free(counts);
+	usage_free_counts(counts, count);
 	return requests;
 }
 
@@ -99,6 +100,37 @@
 	usage_destroy(other);
 }
 
+/* Guards against accounts that are taken for one because their names are long
+ * and begin alike, and against counts that wait for a name that fits no
+ * datagram. */
+static void counts_accounts_with_long_names(void **state)
+{
+	static const size_t sizes[] = { 63, 64, 65, 640, 1190, 1191, 5000 };
+	static const uint32_t told[] = { 1, 1, 1, 1, 1, 0, 0 };
+	usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+	char name[6000];
+	size_t i;
+
+	memset(name, 'y', sizeof(name));
+	for (i = 0; i < COUNT_OF(sizes); i++) {
+		name[sizes[i]] = '\0';
+		usage_count_request(other, 7, name);
+		name[sizes[i]] = 'y';
+	}
+	usage_finish(other, 7);
+	send_counts(other, own, 7);
+	usage_finish(own, 7);
+	for (i = 0; i < COUNT_OF(sizes); i++) {
+		name[sizes[i]] = '\0';
+		assert_int_equal(requests_of(own, 7, name), told[i]);
+		assert_int_equal(requests_of(other, 7, name), 1);
+		name[sizes[i]] = 'y';
+	}
+	assert_true(usage_complete(own, 7));
+	usage_destroy(own);
+	usage_destroy(other);
+}
+
 /* Guards against memory without bounds: a node sends more accounts for a window
  * than any fleet has. */
 static void bounds_accounts_of_other_nodes(void **state)
@@ -106,20 +138,24 @@
 	enum { DATAGRAMS = 70000 / USAGE_COUNTS_MAX };
 	usage_t *own = usage_create(1, 1);
 	usage_message_t message = { .node = 2, .incarnation = 1, .window = 7 };
+	char names[USAGE_COUNTS_MAX][16];
 	usage_count_t *counts;
+	size_t count;
 	int i, j;
 
 	message.count = USAGE_COUNTS_MAX;
 	for (i = 0; i < DATAGRAMS; i++) {
 		for (j = 0; j < USAGE_COUNTS_MAX; j++) {
-			snprintf(message.counts[j].account, NAME_SIZE_BYTES,
-				 "a%d", i * USAGE_COUNTS_MAX + j);
+			message.counts[j].account = names[j];
+			snprintf(names[j], sizeof(names[j]), "a%d",
+				 i * USAGE_COUNTS_MAX + j);
 			message.counts[j].requests = 1;
 		}
 		usage_receive(own, &message);
 	}
-	assert_in_range(usage_sum(own, 7, &counts), 1, 65536);
-	free(counts);
+	count = usage_sum(own, 7, &counts);
+	assert_in_range(count, 1, 65536);
+	usage_free_counts(counts, count);
 	usage_destroy(own);
 }
 
@@ -343,6 +379,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(sums_counts_of_all_nodes),
 		cmocka_unit_test(sends_many_accounts),
+		cmocka_unit_test(counts_accounts_with_long_names),
 		cmocka_unit_test(bounds_accounts_of_other_nodes),
 		cmocka_unit_test(knows_when_a_window_is_complete),
 		cmocka_unit_test(reports_each_window_once),
