Handle a run of blank lines of a stream as one event

What others saw: beside 60 streams of blank lines without end, whose callers did not read, 3 of 10 requests of other callers were late (test_endless, "stream, blank lines, not read": 7 of 10 served), as each two bytes were an event of their own, logged in counters and copied to the caller's buffer by themselves.

Change: the blank lines after an event belong to it. The bytes that a caller gets are the same.

--- a/src/request/sse.c
+++ b/src/request/sse.c
@@ -5,11 +5,26 @@
 
 #include "base/mem.h"
 
+/* @return @p at, or the first byte after it that begins no blank line */
+static const char *skip_blank_lines(const char *at, const char *end)
+{
+	while (at < end) {
+		if (*at == '\n')
+			at++;
+		else if (at + 1 < end && at[0] == '\r' && at[1] == '\n')
+			at += 2;
+		else
+			break;
+	}
+	return at;
+}
+
 /*
  * Finds the end of the first event: two line ends in a row, each "\n" or
- * "\r\n".
+ * "\r\n". Further blank lines belong to the event, so that many of them are not
+ * handled one by one.
  * @param from offset from which the end is searched
- * @return size of the event with the blank line in bytes; 0 if no end is found
+ * @return size of the event with the blank lines in bytes; 0 if no end is found
  */
 static size_t event_size(const char *data, size_t size, size_t from)
 {
@@ -17,10 +32,8 @@
 
 	while ((at = memchr(at, '\n', (size_t)(end - at)))) {
 		at++;
-		if (at < end && *at == '\n')
-			return (size_t)(at - data) + 1;
-		if (at + 1 < end && at[0] == '\r' && at[1] == '\n')
-			return (size_t)(at - data) + 2;
+		if (skip_blank_lines(at, end) > at)
+			return (size_t)(skip_blank_lines(at, end) - data);
 	}
 	return 0;
 }
