Bound the memory of all answers of a node together

Reported by others: a server sends bytes without end, the node that called it keeps them and runs out of memory. Here each answer had a bound (a head 64 KiB, a held body 256 KiB, what waits for a caller 64 KiB), their sum had none: 60 lookups at such a server whose callers do not read took 39,365 KiB of a node with 64 MiB (test_endless, "lookup, body, not read", bound 24,307 KiB); a body was kept twice once it was streamed. Ruled out: heads, interim answers, trailers, noise, probes, duties, which have bounds of their own (test_client, test_endless).

Change: answers that are held, and replies that the network has not taken, may have a fifth of the node's memory; beyond it an answer is streamed in place of being held, and its server is paused while anything of it waits. The held part is freed when it is streamed.

After: at most 20,352 KiB in 32 plays over the forms of heads and bodies, kinds of request, callers that read and do not; 10 of 10 requests of others served in each. The same over two nodes: 5,667 KiB of a bound of 9,676.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -97,6 +97,7 @@
 {
 	metrics_add(METRIC_REPLY_BUFFER_BYTES,
 		    (int64_t)capacity - (int64_t)exchange->capacity);
+	exchange->listener->reply_bytes += capacity - exchange->capacity;
 	exchange->capacity = capacity;
 	if (capacity) {
 		exchange->data = mem_realloc(exchange->data, capacity, 1);
@@ -259,6 +260,7 @@
 	if (exchange->reply)
 		MHD_destroy_response(exchange->reply);
 	set_capacity(exchange, 0);
+	listener->reply_bytes -= exchange->whole_bytes;
 	free(exchange->method);
 	free(exchange->path);
 	free(exchange->target);
@@ -375,6 +377,8 @@
 {
 	if (exchange->reply || exchange->aborted)
 		return;
+	exchange->whole_bytes = size;
+	exchange->listener->reply_bytes += size;
 	set_reply(exchange, status,
 		  MHD_create_response_from_buffer(size, (void *)body,
 						  MHD_RESPMEM_MUST_COPY),
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -283,6 +283,11 @@
 	return listener && listener->exchanges;
 }
 
+size_t listener_reply_bytes(const listener_t *listener)
+{
+	return listener ? listener->reply_bytes : 0;
+}
+
 void listener_set_timeouts(listener_t *listener,
 			   const listener_timeouts_t *timeouts)
 {
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -89,6 +89,9 @@
  */
 bool listener_has_requests(const listener_t *listener);
 
+/** @return memory of replies that the network has not accepted; 0 for NULL */
+size_t listener_reply_bytes(const listener_t *listener);
+
 /**
  * Closes all connections after it has sent what their callers can take at once;
  * on_close is called for their exchanges.
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -49,6 +49,7 @@
 	ev_prepare before_wait;
 	listener_handler_t handler;
 	exchange_t *exchanges;
+	size_t reply_bytes; /* memory of their replies */
 	caller_t *callers; /* all connections */
 	listener_timeouts_t timeouts;
 	ev_timer check; /* closes the connections of slow callers */
@@ -81,6 +82,7 @@
 	/* Streamed reply: the library has not read [start, start + size). */
 	char *data;
 	size_t start, size, capacity;
+	size_t whole_bytes; /* size of a reply that is not streamed */
 	int64_t progress_us; /* see exchange_progress_us() */
 	/*
 	 * While the connection is suspended, a readable socket means that the
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -126,6 +126,8 @@
 	char mem_lease_prefix[NAME_SIZE_BYTES];
 	/** Size of the bodies of all requests in progress. */
 	int64_t body_bytes;
+	/** Size of the answers that are held until they are complete. */
+	int64_t held_bytes;
 
 	peer_t *peers;
 	size_t peer_count;
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -27,11 +27,22 @@
 	HTTP_UNAVAILABLE = 503
 };
 
+/* Fraction of the memory limit that answers may take: those that are held, and
+ * what callers have not received. */
+#define ANSWER_MEMORY_FRACTION 0.2
 /* Silence of a stream before failover, as a fraction of the caller's timeout;
  * the rest of the timeout is left for the other server. */
 #define STREAM_TIMEOUT_FRACTION 0.5
 
-static void free_attempt(attempt_t *attempt)
+static void free_held_body(gateway_t *gateway, attempt_t *attempt)
+{
+	gateway->held_bytes -= (int64_t)attempt->body_bytes;
+	attempt->body_bytes = 0;
+	free(attempt->body);
+	attempt->body = NULL;
+}
+
+static void free_attempt(gateway_t *gateway, attempt_t *attempt)
 {
 	size_t i;
 
@@ -39,7 +50,7 @@
 		free((char *)attempt->headers.items[i].name);
 		free((char *)attempt->headers.items[i].value);
 	}
-	free(attempt->body);
+	free_held_body(gateway, attempt);
 	free(attempt);
 }
 
@@ -62,7 +73,7 @@
 	if (!attempt)
 		return;
 	end_load(forward, attempt);
-	free_attempt(attempt);
+	free_attempt(forward->gateway, attempt);
 	sse_reset(&forward->events);
 }
 
@@ -262,6 +273,29 @@
 			 STREAM_TIMEOUT_FRACTION);
 }
 
+/* @return true if @p more_bytes of answers find memory */
+static bool has_answer_memory(const gateway_t *gateway, size_t more_bytes)
+{
+	size_t used_bytes = (size_t)gateway->held_bytes +
+			    listener_reply_bytes(gateway->callers) +
+			    listener_reply_bytes(gateway->relayed);
+
+	return (double)(used_bytes + more_bytes) <
+	       (double)gateway->settings.memory_limit_bytes *
+		       ANSWER_MEMORY_FRACTION;
+}
+
+/* Pauses the server while much of its answer waits for the caller; if memory is
+ * short, while any of it does. */
+static client_flow_t flow_of(const forward_t *forward)
+{
+	size_t pending_bytes = exchange_pending_bytes(forward->exchange);
+	size_t limit_bytes =
+		has_answer_memory(forward->gateway, 0) ? PENDING_MAX_BYTES : 0;
+
+	return pending_bytes > limit_bytes ? CLIENT_PAUSE : CLIENT_CONTINUE;
+}
+
 static client_flow_t relay_events(forward_t *forward, const void *data,
 				  size_t size)
 {
@@ -286,23 +320,24 @@
 			record_event_gap(forward, before_us);
 		}
 	}
-	return exchange_pending_bytes(forward->exchange) > PENDING_MAX_BYTES
-		       ? CLIENT_PAUSE
-		       : CLIENT_CONTINUE;
+	return flow_of(forward);
 }
 
-/* Holds a body up to HOLD_MAX_BYTES; a longer one is streamed. */
+/* Holds a body up to HOLD_MAX_BYTES; a longer one, or one without memory to
+ * hold it, is streamed. */
 static client_flow_t relay_body(forward_t *forward, const void *data,
 				size_t size)
 {
 	attempt_t *attempt = forward->attempt;
 
 	if (!attempt->overflow &&
-	    attempt->body_bytes + size <= HOLD_MAX_BYTES) {
+	    attempt->body_bytes + size <= HOLD_MAX_BYTES &&
+	    has_answer_memory(forward->gateway, size)) {
 		attempt->body = mem_realloc(attempt->body,
 					    attempt->body_bytes + size, 1);
 		memcpy(attempt->body + attempt->body_bytes, data, size);
 		attempt->body_bytes += size;
+		forward->gateway->held_bytes += (int64_t)size;
 		return CLIENT_CONTINUE;
 	}
 	if (!attempt->overflow) {
@@ -310,11 +345,10 @@
 		forward_reply_begin(forward);
 		exchange_write(forward->exchange, attempt->body,
 			       attempt->body_bytes);
+		free_held_body(forward->gateway, attempt);
 	}
 	exchange_write(forward->exchange, data, size);
-	return exchange_pending_bytes(forward->exchange) > PENDING_MAX_BYTES
-		       ? CLIENT_PAUSE
-		       : CLIENT_CONTINUE;
+	return flow_of(forward);
 }
 
 static bool relays_events(const forward_t *forward)
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -15,6 +15,9 @@
 
 enum { WATCH_MS = 150, WATCH_POLL_MS = 30 };
 
+/* Time between two blocks of an answer without end. */
+#define ENDLESS_INTERVAL_S 0.001
+
 #define ROUTE(name, path, kind, service, extra)                         \
 	"{\"name\":\"" name "\",\"host\":\"h\",\"pathPrefix\":\"" path  \
 	"\",\"kind\":\"" kind "\",\"timeoutMs\":1500,"                  \
@@ -57,8 +60,9 @@
 	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:s,s:i,s:s,s:i}}", "meta",
 			 "name", name, "revision", 5, "spec", "service",
 			 service, "address", address, "zone", "a",
-			 "concurrencyLimit", 8, "state", "ready", "coldLeftMs",
-			 0);
+			 "concurrencyLimit",
+			 fixture->slots ? fixture->slots : 8, "state", "ready",
+			 "coldLeftMs", 0);
 }
 
 /* Entry of one of the nodes n2, n3 and so on; they are listed newest first. */
@@ -145,6 +149,27 @@
 	json_decref(json);
 }
 
+/* Begins, or goes on with, an answer that never ends. */
+static void write_endless(gateway_fixture_t *fixture, exchange_t *exchange)
+{
+	static char block[64 * 1024];
+
+	memset(block, ' ', sizeof(block));
+	if (exchange != fixture->endless)
+		exchange_stream(exchange, 200, NULL, 0);
+	fixture->endless = exchange;
+	if (exchange_pending_bytes(exchange) < sizeof(block))
+		exchange_write(exchange, block, sizeof(block));
+}
+
+static void on_endless_timer(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	gateway_fixture_t *fixture = timer->data;
+
+	if (fixture->endless)
+		write_endless(fixture, fixture->endless);
+}
+
 static void on_watch_timer(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_fixture_t *fixture = timer->data;
@@ -159,6 +184,10 @@
 		    now_us - fixture->watched_us[i] < WATCH_MS * US_PER_MS)
 			continue;
 		fixture->watches[i] = NULL;
+		if (fixture->store_endless) {
+			write_endless(fixture, exchange);
+			continue;
+		}
 		if (fixture->watch_status) {
 			reply_json(fixture, exchange, fixture->watch_status,
 				   json_object());
@@ -220,8 +249,11 @@
 			 sizeof(fixture->duty_calls[0]), "%s %s %s %s",
 			 exchange_path(call->exchange), holder, token,
 			 call->body);
-	reply_json(fixture, call->exchange, fixture->duties_fail ? 503 : 200,
-		   json_object());
+	if (fixture->duties_endless)
+		write_endless(fixture, call->exchange);
+	else
+		reply_json(fixture, call->exchange,
+			   fixture->duties_fail ? 503 : 200, json_object());
 	return true;
 }
 
@@ -266,6 +298,8 @@
 	store_call_t *call = user;
 	size_t i;
 
+	if (call->fixture->endless == call->exchange)
+		call->fixture->endless = NULL;
 	for (i = 0; i < COUNT_OF(call->fixture->watches); i++)
 		if (call->fixture->watches[i] == call->exchange)
 			call->fixture->watches[i] = NULL;
@@ -281,24 +315,28 @@
 				       .context = fixture };
 	listener_conf_t conf = { .address = "127.0.0.1:0",
 				 .connections_max = 50 };
-	node_settings_t settings = { .data_centre = "a",
-				     .region = { 1, { "a" } },
-				     .caller_address = "127.0.0.1:0",
-				     .ready_address = "127.0.0.1:0",
-				     .memory_limit_bytes = 64 << 20,
-				     .descriptors_max = 1000,
-				     .stop_ms = 4000,
-				     .config_apply_ms = 2000,
-				     .drain_ms = 2000,
-				     .evacuate_ms = 5000,
-				     .key_revoke_ms = 2000,
-				     .keys_expire = true,
-				     .retry_ratio = 0.2,
-				     .retry_slack = 100,
-				     .retry_window_ms = 10000,
-				     .cold_factor = 1,
-				     .reservation_max_ms = 20000,
-				     .reservation_free_ms = 4000 };
+	node_settings_t settings = {
+		.data_centre = "a",
+		.region = { 1, { "a" } },
+		.caller_address = "127.0.0.1:0",
+		.ready_address = "127.0.0.1:0",
+		.memory_limit_bytes = fixture->memory_limit_bytes
+					      ? fixture->memory_limit_bytes
+					      : 64 << 20,
+		.descriptors_max = 1000,
+		.stop_ms = 4000,
+		.config_apply_ms = 2000,
+		.drain_ms = 2000,
+		.evacuate_ms = 5000,
+		.key_revoke_ms = 2000,
+		.keys_expire = true,
+		.retry_ratio = 0.2,
+		.retry_slack = 100,
+		.retry_window_ms = 10000,
+		.cold_factor = 1,
+		.reservation_max_ms = 20000,
+		.reservation_free_ms = 4000
+	};
 	err_t err = { 0 };
 
 	if (!fixture->node_id)
@@ -332,6 +370,10 @@
 		      (double)WATCH_POLL_MS / MS_PER_S);
 	fixture->watch_timer.data = fixture;
 	ev_timer_start(fixture->loop, &fixture->watch_timer);
+	ev_timer_init(&fixture->endless_timer, on_endless_timer,
+		      ENDLESS_INTERVAL_S, ENDLESS_INTERVAL_S);
+	fixture->endless_timer.data = fixture;
+	ev_timer_start(fixture->loop, &fixture->endless_timer);
 	fixture->gateway = gateway_create(fixture->loop, &settings, &err);
 	if (!fixture->gateway)
 		fail_msg("%s", err.message);
@@ -346,6 +388,7 @@
 	gateway_fixture_run(fixture, 20);
 	client_destroy(fixture->client);
 	ev_timer_stop(fixture->loop, &fixture->watch_timer);
+	ev_timer_stop(fixture->loop, &fixture->endless_timer);
 	listener_destroy(fixture->store);
 	for (i = 0; i < 2; i++) {
 		if (*fixture->servers[i].fillers)
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -35,6 +35,14 @@
 	/** Refuses the request before running it, with an endless body. */
 	ENDLESS_REFUSAL,
 	ENDLESS_UNSEALED, /**< unsealed success with an endless body */
+	/* Sealed answers without end: */
+	ENDLESS_BODY,
+	ENDLESS_CHUNKS,
+	ENDLESS_ERROR, /**< with status 500 */
+	ENDLESS_EVENT, /**< a stream with one event */
+	ENDLESS_EVENTS, /**< a stream of events without ids */
+	ENDLESS_REPEATS, /**< a stream that repeats an event */
+	ENDLESS_BLANKS, /**< a stream of blank lines */
 	REJECTS_ALL, /**< 503; rejects all requests of this node for 300 ms */
 	/** Whole answer; says that the server accepts no new requests soon. */
 	SAYS_LEAVING,
@@ -84,7 +92,7 @@
 	exchange_t *watches[32]; /**< calls to the store not answered yet */
 	int64_t watched_us[32]; /**< when each of these calls arrived */
 	size_t watch_count;
-	ev_timer watch_timer;
+	ev_timer watch_timer, endless_timer;
 	bool store_silent;
 	bool store_refuses; /**< answers all calls with 503 */
 	int watch_status; /**< status of the answers to watches; 0: 200 */
@@ -112,6 +120,11 @@
 	/** How: CLOSES, BREAKS_OFF, ENDS_EARLY or ENDS_UNFRAMED. */
 	server_act_t crash_act;
 	int64_t crash_down_ms; /**< then refuses connections for so long */
+	bool store_endless; /**< answers watches with bodies without end */
+	bool duties_endless; /**< answers duties with bodies without end */
+	exchange_t *endless; /**< the last such answer; NULL: none */
+	int64_t memory_limit_bytes; /**< of the gateway; 0: 64 MiB */
+	int slots; /**< requests that a server runs at once; 0: 8 */
 	bool no_servers; /**< the entries of all servers were removed */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -138,6 +138,17 @@
 	if (connection->act == ENDLESS_HEAD)
 		size = (size_t)snprintf(text, sizeof(text),
 					"X-Filler: %01000d\r\n", 0);
+	if (connection->act == ENDLESS_CHUNKS)
+		size = (size_t)snprintf(text, sizeof(text),
+					"400\r\n%01024d\r\n", 0);
+	if (connection->act == ENDLESS_EVENTS)
+		size = (size_t)snprintf(text, sizeof(text), "data: %01000d\n\n",
+					0);
+	if (connection->act == ENDLESS_REPEATS)
+		size = (size_t)snprintf(text, sizeof(text),
+					"id: 1\ndata: %01000d\n\n", 0);
+	if (connection->act == ENDLESS_BLANKS)
+		memset(text, '\n', sizeof(text));
 	/* Bytes that do not fit into the socket's buffer are dropped. */
 	(void)!send(connection->readable.fd, text, size,
 		    MSG_DONTWAIT | MSG_NOSIGNAL);
@@ -241,6 +252,29 @@
 		send_head(fd, id, "text/plain", 0, false, "");
 		start_pump(connection);
 		return true;
+	case ENDLESS_BODY:
+		send_head(fd, id, "text/plain", 0, true, "");
+		start_pump(connection);
+		return true;
+	case ENDLESS_CHUNKS:
+		send_head(fd, id, "text/plain", 0, true,
+			  "Transfer-Encoding: chunked\r\n");
+		start_pump(connection);
+		return true;
+	case ENDLESS_ERROR:
+		send_text(fd, "HTTP/1.1 500 Error\r\nX-Server-Seal: 1.2\r\n"
+			      "Connection: close\r\n\r\n");
+		start_pump(connection);
+		return true;
+	case ENDLESS_EVENT:
+	case ENDLESS_EVENTS:
+	case ENDLESS_REPEATS:
+	case ENDLESS_BLANKS:
+		send_head(fd, id, "text/event-stream", 0, true, "");
+		if (connection->act == ENDLESS_EVENT)
+			send_text(fd, "data: ");
+		start_pump(connection);
+		return true;
 	case TRICKLES:
 		send_head(fd, id, "text/event-stream", 0, true, "");
 		send_events(fd, 1, true);
--- /dev/null
+++ b/tests/test_endless.c
@@ -0,0 +1,236 @@
+/**
+ * Peers that send bytes without end, in a head or in a body: what a node holds
+ * of them, and what other callers get meanwhile.
+ */
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "cases.h"
+#include "lib/gateway_fixture.h"
+#include "lib/loopback.h"
+#include "lib/memory.h"
+
+enum {
+	CALLERS_MAX = 60, /* of the peer that sends without end */
+	PLAY_MS = 600,
+	OTHERS = 10, /* requests of other callers, one after the other */
+	/* Heap of a connection on both of its ends, all within the test. */
+	CONNECTION_BYTES = 160 * 1024,
+	MEMORY_LIMIT_BYTES = 64 << 20
+};
+
+/* Fraction of the memory limit that answers may take. */
+#define ANSWER_FRACTION 0.2
+
+static int set_up(void **state)
+{
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	signal(SIGPIPE, SIG_IGN);
+	return 0;
+}
+
+/* Sends a request on a connection of its own, of which nothing is read. */
+static int send_request(gateway_fixture_t *fixture, const char *path,
+			int number)
+{
+	int fd = loopback_connect(listener_port(fixture->gateway->callers));
+	char text[400];
+
+	gateway_fixture_run(fixture, 1);
+	snprintf(text, sizeof(text),
+		 "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: e%d\r\n"
+		 "X-Deadline-Ms: 1400\r\n" FIXTURE_AUTHORIZATION
+		 "\r\nContent-Length: 4\r\n\r\nbody",
+		 path, number);
+	assert_true(send(fd, text, strlen(text), MSG_NOSIGNAL) > 0);
+	return fd;
+}
+
+static void read_all(const int *fds, int count)
+{
+	static char text[64 * 1024];
+	int i;
+
+	for (i = 0; i < count; i++)
+		(void)!recv(fds[i], text, sizeof(text), MSG_DONTWAIT);
+}
+
+/** What a play showed. */
+typedef struct {
+	size_t peak_bytes; /* heap beyond that at the start */
+	int served; /* of the other callers */
+} outcome_t;
+
+/* Sends requests to @p path, and then those of others. */
+static outcome_t play(gateway_fixture_t *fixture, const char *path, int callers,
+		      bool reads)
+{
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       "X-Deadline-Ms: 1000",
+					       FIXTURE_AUTHORIZATION, NULL };
+	outcome_t outcome = { .served = 0 };
+	int fds[CALLERS_MAX], i;
+	size_t before = memory_in_use();
+	int64_t end_us;
+
+	for (i = 0; i < callers; i++)
+		fds[i] = send_request(fixture, path, i);
+	end_us = clock_monotonic_us() + PLAY_MS * US_PER_MS;
+	for (i = 0; i < OTHERS || clock_monotonic_us() < end_us; i++) {
+		reply_t reply = { .ended = true };
+
+		if (i < OTHERS) {
+			gateway_fixture_call(fixture, &reply, "GET", "/safe/x",
+					     headers, NULL);
+			gateway_fixture_wait(fixture, &reply, 2000);
+		}
+		outcome.served += reply.status == 200;
+		gateway_fixture_run(fixture, 5);
+		if (reads)
+			read_all(fds, callers);
+		if (memory_in_use() > before + outcome.peak_bytes)
+			outcome.peak_bytes = memory_in_use() - before;
+	}
+	for (i = 0; i < callers; i++)
+		close(fds[i]);
+	return outcome;
+}
+
+static void check(const char *name, const outcome_t *outcome, int callers)
+{
+	size_t bound_bytes = (size_t)(MEMORY_LIMIT_BYTES * ANSWER_FRACTION) +
+			     (size_t)(callers + OTHERS) * CONNECTION_BYTES;
+
+	print_message("%s: at most %zu KiB, %d of %d others served\n", name,
+		      outcome->peak_bytes / 1024, outcome->served, OTHERS);
+	if (outcome->peak_bytes > bound_bytes || outcome->served < OTHERS)
+		fail_msg("%s: bound %zu KiB", name, bound_bytes / 1024);
+}
+
+/*
+ * Guards against a node that runs out of memory, or serves no others, while a
+ * server sends without end, to callers that read or do not.
+ */
+static void server_takes_the_memory_of_a_node(void **state)
+{
+	static const struct {
+		const char *name, *path;
+		server_act_t act;
+	} cases[] = {
+		{ "lookup, head", "/safe/e", ENDLESS_HEAD },
+		{ "lookup, body", "/safe/e", ENDLESS_BODY },
+		{ "lookup, chunks", "/safe/e", ENDLESS_CHUNKS },
+		{ "lookup, error", "/safe/e", ENDLESS_ERROR },
+		{ "lookup, unsealed", "/safe/e", ENDLESS_UNSEALED },
+		{ "order, head", "/once/e", ENDLESS_HEAD },
+		{ "order, body", "/once/e", ENDLESS_BODY },
+		{ "order, error", "/once/e", ENDLESS_ERROR },
+		{ "order, refusal", "/once/e", ENDLESS_REFUSAL },
+		{ "stream, head", "/stream/e", ENDLESS_HEAD },
+		{ "stream, event", "/stream/e", ENDLESS_EVENT },
+		{ "stream, events", "/stream/e", ENDLESS_EVENTS },
+		{ "stream, repeats", "/stream/e", ENDLESS_REPEATS },
+		{ "stream, blank lines", "/stream/e", ENDLESS_BLANKS },
+		{ "stream, error", "/stream/e", ENDLESS_ERROR },
+		{ "single stream, events", "/single/e", ENDLESS_EVENTS },
+	};
+	size_t i;
+
+	for (i = 0; i < 2 * COUNT_OF(cases); i++) {
+		bool reads = i % 2;
+		text_act_t acts[] = { { "/e HTTP", cases[i / 2].act },
+				      { NULL, SERVES } };
+		gateway_fixture_t fixture = { .text_acts = acts, .slots = 100 };
+		char name[64];
+		outcome_t outcome;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		outcome = play(&fixture, cases[i / 2].path, CALLERS_MAX, reads);
+		gateway_fixture_stop(&fixture);
+		snprintf(name, sizeof(name), "%s, %s", cases[i / 2].name,
+			 reads ? "read" : "not read");
+		check(name, &outcome, CALLERS_MAX);
+	}
+}
+
+/** Another peer than a server that answers requests. */
+typedef enum { PEER_PROBED, PEER_STORE, PEER_DUTIES } peer_kind_t;
+
+static void probe_all(gateway_fixture_t *fixture)
+{
+	int i;
+
+	for (i = 0; i < CALLERS_MAX; i++)
+		gateway_probe(fixture->gateway,
+			      backends_find(fixture->gateway->backends,
+					    "i-s0"));
+}
+
+/* Waits until the node reports usage, which the platform answers. */
+static void wait_for_report(gateway_fixture_t *fixture)
+{
+	int64_t end_us = clock_monotonic_us() + 10 * US_PER_S;
+
+	play(fixture, "", 0, false);
+	while (!fixture->duty_call_count && clock_monotonic_us() < end_us)
+		gateway_fixture_run(fixture, 10);
+	assert_true(fixture->duty_call_count > 0);
+}
+
+/* The same for health probes, the store and duties of the platform. */
+static void peer_takes_the_memory_of_a_node(void **state)
+{
+	static const struct {
+		const char *name;
+		peer_kind_t peer;
+		server_act_t act; /* of a server that is probed */
+	} cases[] = {
+		{ "health probe, head", PEER_PROBED, ENDLESS_HEAD },
+		{ "health probe, body", PEER_PROBED, ENDLESS_BODY },
+		{ "health probe, chunks", PEER_PROBED, ENDLESS_CHUNKS },
+		{ "store, body", PEER_STORE, SERVES },
+		{ "duty, body", PEER_DUTIES, SERVES },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		text_act_t acts[] = { { "GET /health", cases[i].act },
+				      { NULL, SERVES } };
+		gateway_fixture_t fixture = {
+			.text_acts = acts,
+			.slots = 100,
+			.has_health = true,
+			.store_endless = cases[i].peer == PEER_STORE,
+			.has_duties = cases[i].peer == PEER_DUTIES,
+			.duties_endless = cases[i].peer == PEER_DUTIES,
+		};
+		outcome_t outcome;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		if (cases[i].peer == PEER_PROBED)
+			probe_all(&fixture);
+		if (cases[i].peer == PEER_DUTIES)
+			wait_for_report(&fixture);
+		outcome = play(&fixture, "", 0, false);
+		gateway_fixture_stop(&fixture);
+		check(cases[i].name, &outcome, CALLERS_MAX);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(server_takes_the_memory_of_a_node),
+		cmocka_unit_test(peer_takes_the_memory_of_a_node),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, NULL);
+}
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -7,12 +7,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
+#include "lib/loopback.h"
+#include "lib/memory.h"
 #include "process/gateway.h"
 
 #define ALL_EVENTS                               \
@@ -27,7 +30,10 @@
 	STABLE_WINDOW_MS = 3000,
 	CALLS = 6, /* of each kind, after that */
 	DEADLINE_MS = 1400,
-	LONG_TARGET_BYTES = 12000
+	LONG_TARGET_BYTES = 12000,
+	MEMORY_LIMIT_BYTES = 8 << 20,
+	ENDLESS = 20, /* requests whose answers do not end */
+	CONNECTION_BYTES = 320 * 1024 /* heap of one, with both nodes */
 };
 
 /* A node that is cut off from its servers, and one that is not. Both know the
@@ -75,8 +81,13 @@
 {
 	int64_t end_us = clock_monotonic_us() + MEET_MS * US_PER_MS;
 
-	*pair = (pair_t){ .near = { .node_id = "n1", .has_health = true },
-			  .far = { .node_id = "n2" } };
+	*pair = (pair_t){ .near = { .node_id = "n1",
+				    .has_health = true,
+				    .slots = 100,
+				    .memory_limit_bytes = MEMORY_LIMIT_BYTES },
+			  .far = { .node_id = "n2",
+				   .slots = 100,
+				   .memory_limit_bytes = MEMORY_LIMIT_BYTES } };
 	pair->far.takes_no_relays = far == FAR_TAKES_NONE;
 	if (far == FAR_HAS_OTHER_CONFIGURATION)
 		pair->far.configuration_version = 9;
@@ -390,6 +401,60 @@
 	stop(&pair);
 }
 
+/* Sends a request to the node that is cut off, of whose answer nothing is read.
+ */
+static int begin_unread(pair_t *pair, int number)
+{
+	int fd = loopback_connect(listener_port(pair->near.gateway->callers));
+	char text[400];
+
+	run(pair, 1);
+	snprintf(text, sizeof(text),
+		 "POST /safe/e HTTP/1.1\r\nHost: h\r\nX-Request-Id: e%d\r\n"
+		 "X-Deadline-Ms: 1400\r\n" FIXTURE_AUTHORIZATION
+		 "\r\nContent-Length: 4\r\n\r\nbody",
+		 number);
+	assert_true(send(fd, text, strlen(text), MSG_NOSIGNAL) > 0);
+	return fd;
+}
+
+/* Guards against nodes that run out of memory while a server behind two of them
+ * sends without end. */
+static void answer_without_end_takes_the_memory_of_two_nodes(void **state)
+{
+	static const text_act_t acts[] = { { "/e HTTP", ENDLESS_BODY },
+					   { NULL, SERVES } };
+	/* Answers may take a fifth of the memory of each node. */
+	size_t bound_bytes =
+		2 * MEMORY_LIMIT_BYTES / 5 + ENDLESS * CONNECTION_BYTES;
+	size_t before, peak = 0;
+	int fds[ENDLESS], i;
+	pair_t pair;
+	reply_t reply;
+
+	start(&pair);
+	cut(&pair, CUT_REFUSES);
+	notice(&pair, "/safe/x");
+	pair.far.text_acts = acts;
+	before = memory_in_use();
+	for (i = 0; i < ENDLESS; i++)
+		fds[i] = begin_unread(&pair, i);
+	for (i = 0; i < CALLS; i++) {
+		call(&pair, &reply, "/safe/x", i);
+		if (reply.status != 200)
+			fail_msg("call %d: status %d %s", i, reply.status,
+				 reply.body);
+		run(&pair, 40);
+		if (memory_in_use() > before + peak)
+			peak = memory_in_use() - before;
+	}
+	print_message("at most %zu KiB\n", peak / 1024);
+	assert_true(peak <= bound_bytes);
+	for (i = 0; i < ENDLESS; i++)
+		close(fds[i]);
+	stop(&pair);
+}
+
 /* Guards against a server that works on for a caller that left. */
 static void server_works_on_for_a_caller_behind_two_nodes(void **state)
 {
@@ -480,6 +545,8 @@
 		cmocka_unit_test(relayed_requests_break_a_rule_of_one_node),
 		cmocka_unit_test(
 			server_of_a_relayed_request_gets_other_headers),
+		cmocka_unit_test(
+			answer_without_end_takes_the_memory_of_two_nodes),
 		cmocka_unit_test(server_works_on_for_a_caller_behind_two_nodes),
 		cmocka_unit_test(others_than_nodes_get_in),
 		cmocka_unit_test(servers_stay_unused_after_the_cut),
