Give up an engine that sends more than was asked for

Change: answers may take three quarters of the budget, the rest is for requests. More tokens than max_tokens end the request as failed, with the attempt as broken, so does text that can no longer be held for a caller who does not stream.

--- a/src/process/budget.h
+++ b/src/process/budget.h
@@ -24,7 +24,11 @@
  */
 bool budget_reserve(budget_t *budget, int64_t size_bytes);
 
-/** Returns @p size_bytes that budget_reserve() reserved. */
+/** Like budget_reserve() for a part of an answer: some memory is left for
+ * requests, whatever servers send. */
+bool budget_reserve_answer(budget_t *budget, int64_t size_bytes);
+
+/** Returns @p size_bytes that was reserved. */
 void budget_release(budget_t *budget, int64_t size_bytes);
 
 #endif
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -406,8 +406,8 @@
 	while (capacity <= needed)
 		capacity = capacity ? capacity * 2 : 1024;
 	if (needed > limit_bytes ||
-	    !budget_reserve(&request->task->budget,
-			    (int64_t)(capacity - buf->capacity))) {
+	    !budget_reserve_answer(&request->task->budget,
+				   (int64_t)(capacity - buf->capacity))) {
 		buf->overflow = true;
 		free(buf->data);
 		buf->data = NULL;
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -147,6 +147,15 @@
 		  chunk->offset_tokens, request->stream.next_tokens);
 }
 
+/* Ends the request and its attempt. */
+static void end_at_server_fault(request_t *request, refusal_t refusal,
+				const char *message)
+{
+	request_give_up(request, ATTEMPT_BROKEN);
+	request_refuse(request, refusal, OUTCOME_FAILED,
+		       refusal_retry_after_s(refusal), message);
+}
+
 /* @return false if the call to the server ended. */
 static bool on_chunk(request_t *request, const sse_event_t *event,
 		     const engine_chunk_t *chunk)
@@ -155,9 +164,19 @@
 		&request->stream, &chunk->stream_id, chunk->offset_tokens,
 		chunk->tokens, chunk->finish_reason[0]);
 
+	if (result == STREAM_DELIVER &&
+	    request->stream.next_tokens > request->completion.max_tokens) {
+		end_at_server_fault(request, REFUSAL_SERVER_FAILED,
+				    "the server sent more than was requested");
+		return false;
+	}
 	if (result == STREAM_DELIVER) {
 		deliver_chunk(request, event, chunk);
-		return true;
+		if (!request->answer.overflow || request->completion.stream)
+			return true;
+		/* The text is no longer held, so it cannot be sent. */
+		end_at_server_fault(request, REFUSAL_MEMORY_FULL, "");
+		return false;
 	}
 	count_drop(request, chunk, result);
 	if (result != STREAM_LOST)
--- a/tests/lib/fixture.c
+++ b/tests/lib/fixture.c
@@ -134,6 +134,14 @@
 		fixture->serve(call, (size_t)(call - fixture->calls));
 }
 
+static void on_server_drained(void *user)
+{
+	server_call_t *call = user;
+
+	if (call->fixture->serve_more)
+		call->fixture->serve_more(call);
+}
+
 static void on_server_close(void *user, bool sent)
 {
 	server_call_t *call = user;
@@ -191,6 +199,7 @@
 		.on_request = on_server_request,
 		.on_body = on_server_body,
 		.on_complete = on_server_complete,
+		.on_drained = on_server_drained,
 		.on_close = on_server_close,
 		.context = fixture,
 	};
--- a/tests/lib/fixture.h
+++ b/tests/lib/fixture.h
@@ -26,6 +26,7 @@
 	char *method, *target, *path, *query, *body;
 	size_t size; /**< size of body in bytes */
 	bool closed; /**< the exchange ended */
+	size_t sent; /**< tokens that the test counts */
 } server_call_t;
 
 struct fixture {
@@ -46,6 +47,9 @@
 	size_t call_count;
 	/** Called when the server received a whole request; NULL: no reply. */
 	void (*serve)(server_call_t *call, size_t index);
+	/** Called when what was written of a streamed reply is sent; NULL: no
+	 * more is written. */
+	void (*serve_more)(server_call_t *call);
 	/** Attempts that control dispatches before it refuses; 0: none. */
 	uint32_t attempts_max;
 	const char *dispatch_url; /**< NULL: server_url */
@@ -103,6 +107,7 @@
 	int status;
 	client_end_t end;
 	bool ended; /**< the call ended; end and status are set */
+	bool discards; /**< does not keep the body */
 	char outcome[32], retry_after[16], content_type[64], request_id[128];
 	char body[256 * 1024];
 	size_t size; /**< size of body in bytes */
--- a/tests/lib/fixture_http.c
+++ b/tests/lib/fixture_http.c
@@ -31,6 +31,8 @@
 {
 	answer_t *answer = context;
 
+	if (answer->discards)
+		return CLIENT_CONTINUE;
 	assert_true(answer->size + size < sizeof(answer->body));
 	memcpy(answer->body + answer->size, data, size);
 	answer->size += size;
--- a/tests/test_request_task.c
+++ b/tests/test_request_task.c
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "base/trace.h"
 #include "cases.h"
 #include "lib/fixture.h"
@@ -618,6 +620,147 @@
 	}
 }
 
+/* Next token of a stream that never ends; counts the tokens in the body. */
+static void send_token(server_call_t *call, int tokens)
+{
+	static char text[1024], event[1300];
+	int size;
+
+	memset(text, 'y', sizeof(text) - 1);
+	size = snprintf(event, sizeof(event),
+			"data: {\"stream_id\":\"%s\",\"offset\":%zu,"
+			"\"tokens\":%d,\"choices\":[{\"index\":0,\"text\":"
+			"\"%s\",\"finish_reason\":null}]}\n\n",
+			serve_stream_id(call), tokens ? call->sent++ : 0,
+			tokens, text);
+	exchange_write(call->exchange, event, (size_t)size);
+}
+
+static void send_tokens(server_call_t *call)
+{
+	send_token(call, 1);
+}
+
+static void send_empty_tokens(server_call_t *call)
+{
+	send_token(call, 0);
+}
+
+static void send_bytes(server_call_t *call)
+{
+	static char block[8192];
+
+	memset(block, 'y', sizeof(block));
+	exchange_write(call->exchange, block, sizeof(block));
+}
+
+static void send_comments(server_call_t *call)
+{
+	static char block[8000];
+	size_t i;
+
+	for (i = 0; i < sizeof(block); i++)
+		block[i] = ":y\n\n"[i % strlen(":y\n\n")];
+	exchange_write(call->exchange, block, sizeof(block));
+}
+
+static void serve_endless(server_call_t *call, size_t index)
+{
+	if (!strcmp(call->target, "/x")) {
+		serve_reply(call, 200, NULL, NULL, "answer");
+		return;
+	}
+	serve_stream(call);
+	call->fixture->serve_more(call);
+}
+
+/*
+ * Guards against the memory of a node that one server takes which sends without
+ * end, and against other callers that are refused for it.
+ */
+static void server_takes_the_memory_of_all_callers(void **state)
+{
+	enum {
+		ENDLESS = 8,
+		OTHERS = 10,
+		MEMORY_BYTES = 2 * 1024 * 1024,
+		PLAY_MS = 1500
+	};
+	static const struct {
+		const char *name, *path, *header, *body;
+		void (*serve_more)(server_call_t *call);
+		bool ends; /* long before the time limit */
+	} cases[] = {
+		{ "stream, tokens", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\",\"stream\":true}",
+		  send_tokens, true },
+		{ "completion, tokens", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\"}", send_tokens, true },
+		{ "completion, most tokens", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\","
+		  "\"max_tokens\":1000000}",
+		  send_tokens, true },
+		{ "completion, text without tokens", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\"}", send_empty_tokens,
+		  true },
+		{ "completion, one event", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\"}", send_bytes, true },
+		{ "completion, comments", "/v1/completions", NULL,
+		  "{\"model\":\"chat\",\"prompt\":\"x\"}", send_comments,
+		  false },
+		{ "lookup, body", "/services/status/e", NULL, "{}", send_bytes,
+		  false },
+		{ "action, body", "/services/orders/e", "Idempotency-Key: k",
+		  "{}", send_bytes, true },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		static answer_t answers[ENDLESS];
+		size_t served = 0, left = 0;
+		int64_t peak = 0, end_us;
+
+		fixture_start(&fixture,
+			      &(fixture_conf_t){ .memory_bytes = MEMORY_BYTES,
+						 .body_max_bytes = 64 * 1024,
+						 .deadline_ms = 4000 });
+		fixture.serve = serve_endless;
+		fixture.serve_more = cases[i].serve_more;
+		for (j = 0; j < ENDLESS; j++) {
+			answers[j].discards = true;
+			fixture_call(&fixture, &answers[j], "POST",
+				     cases[i].path, cases[i].header,
+				     cases[i].body);
+		}
+		end_us = clock_monotonic_us() + PLAY_MS * US_PER_MS;
+		for (j = 0; j < OTHERS || clock_monotonic_us() < end_us; j++) {
+			int64_t held;
+
+			fixture_step(&fixture);
+			held = metrics_get(METRIC_MEMORY_HELD_BYTES);
+			peak = held > peak ? held : peak;
+			if (j >= OTHERS)
+				continue;
+			fixture_call(&fixture, &answer, "POST",
+				     "/services/status/x", NULL, "{}");
+			fixture_wait(&fixture, &answer);
+			served += answer.status == 200;
+		}
+		for (j = 0; j < ENDLESS; j++)
+			left += !answers[j].ended;
+		print_message("%s: %lld KiB held, %zu of %d others served, "
+			      "%zu left\n",
+			      cases[i].name, (long long)peak / 1024, served,
+			      OTHERS, left);
+		/* A quarter of the memory is for requests. */
+		if (served < OTHERS ||
+		    peak > MEMORY_BYTES * 3 / 4 + 2 * REQUEST_RESERVE_BYTES ||
+		    (cases[i].ends && left))
+			fail_msg("%s", cases[i].name);
+		fixture_stop(&fixture);
+	}
+}
+
 /*
  * A server that echoes paths. On a reused connection it sends its previous
  * answer once more before each new answer.
@@ -871,6 +1014,7 @@
 		cmocka_unit_test(request_is_cut_at_the_end_of_a_shutdown),
 		cmocka_unit_test(refuses_bad_requests),
 		cmocka_unit_test(forwards_a_lookup_unchanged),
+		cmocka_unit_test(server_takes_the_memory_of_all_callers),
 		cmocka_unit_test(never_forwards_a_copy_of_an_earlier_answer),
 		cmocka_unit_test(
 			earlier_refusal_is_taken_for_one_of_the_next_prompt),
