--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -179,7 +179,7 @@
 	return NULL;
 }
 
-static request_record_t *new_record(soak_t *soak)
+request_record_t *callers_new_record(soak_t *soak)
 {
 	static const char paths[] = "sotts";
 	request_record_t *record = mem_calloc(1, sizeof(*record));
@@ -195,7 +195,7 @@
 
 static void send_request(soak_t *soak, node_t *node)
 {
-	request_record_t *record = new_record(soak);
+	request_record_t *record = callers_new_record(soak);
 	call_t *call = mem_calloc(1, sizeof(*call));
 	char url[96], id[64], key[64], deadline[48], tokens[48];
 	char segments[96] = "X-Prefix-Hash: ";
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -128,10 +128,12 @@
 	crashes_start(soak);
 	restores_start(soak);
 	cuts_start(soak);
+	stops_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
 	ev_run(soak->loop, 0);
+	stops_end(soak);
 	nodes_stop(soak);
 	client_destroy(soak->client);
 	servers_stop(soak);
@@ -167,6 +169,8 @@
 		  "some requests crash servers, and come again", NULL },
 		{ "server-cuts", 0, POPT_ARG_NONE, &soak.server_cuts, 0,
 		  "nodes lose their links to all servers", NULL },
+		{ "stops", 0, POPT_ARG_NONE, &soak.stops, 0,
+		  "nodes are stopped as planned, without other faults", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -12,6 +12,7 @@
 	SLOTS_MAX = 8, /* concurrencyLimit of the server in the store */
 	QUEUED_MAX = 8, /* requests that the server accepts above SLOTS_MAX */
 	PLAIN_REPLY_MS = 15, /* delay of an answer of the plain service */
+	LONG_REPLY_MS = 500, /* the same for the path /long */
 	EVENT_GAP_MS = 40, /* time between two events of a stream */
 	HEADERS_MAX = 4,
 	RATE_TEXT_BYTES = 16,
@@ -194,9 +195,11 @@
 	char rate[RATE_TEXT_BYTES];
 	reply_header_t headers[HEADERS_MAX];
 	size_t count = answer_headers(run, headers, rate);
-	double delay_s =
-		(double)(server->plain ? PLAIN_REPLY_MS : EVENT_GAP_MS) /
-		(double)MS_PER_S;
+	bool is_long = strstr(exchange_path(run->exchange), "/long");
+	double delay_s = (double)(is_long	  ? LONG_REPLY_MS
+				  : server->plain ? PLAIN_REPLY_MS
+						  : EVENT_GAP_MS) /
+			 (double)MS_PER_S;
 
 	run->running = true;
 	server->running++;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -190,6 +190,8 @@
 	int store_restores; /* the store comes back from copies */
 	uint64_t restores_random; /* state of the generator for these */
 	bool restoring; /* the store is away until it does */
+	int stops; /* planned stops alone, and callers of their own */
+	uint64_t stops_random; /* state of the generator for these callers */
 	ev_timer caller_timer, fault_timer, rate_timer, restore_timer,
 		cut_timer, probe_timer, end_timer;
 };
@@ -278,6 +280,13 @@
 /** Checks at the end that requests succeeded after the faults. */
 void callers_check(soak_t *soak);
 
+/** @return a new request with a random path and key. */
+request_record_t *callers_new_record(soak_t *soak);
+
+/* stops.c */
+void stops_start(soak_t *soak);
+void stops_end(soak_t *soak);
+
 /* rates.c */
 void rates_start(soak_t *soak);
 /** Checks, when a request arrives, the rate that the server states. */
