Never join the answers of two servers

Cause: may_retry() did not ask what the caller has. An answer that is passed on in part can only go on, or end as broken.

Change: forward_t.body_sent, set where a part of a body is sent; may_retry(), which decides on every repeat (broken, silent, failed, relayed), says no from then on. Streams of events resume as before.

Before: answers_of_two_servers_become_one fails in its first case (2 arrivals, no end). After: all six cases pass.

--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -342,6 +342,7 @@
 	}
 	if (!attempt->overflow) {
 		attempt->overflow = true;
+		forward->body_sent = true;
 		forward_reply_begin(forward);
 		exchange_write(forward->exchange, attempt->body,
 			       attempt->body_bytes);
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -322,7 +322,7 @@
 {
 	int64_t now_us = clock_monotonic_us();
 
-	if (forward->is_relayed && forward->runs)
+	if (forward->body_sent || (forward->is_relayed && forward->runs))
 		return false;
 	if (forward->tried_count >= SERVERS_TRIED_MAX ||
 	    now_us + ATTEMPT_TIME_MIN_MS * US_PER_MS >= forward->limit_us)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -103,6 +103,8 @@
 	int32_t reservations_failed;
 	attempt_t *attempt; /**< NULL: no attempt in flight */
 	bool head_sent; /**< status and headers were sent to the caller */
+	bool body_sent; /**< so was a part of a body: no other answer can go on
+			 * from there, unlike a stream of events */
 	sse_t events; /**< parser of the stream */
 	char last_event_id[EVENT_ID_SIZE_BYTES]; /**< last event that the caller
 						  * has; empty: none */
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -433,6 +433,10 @@
 {
 	reply_t *reply = context;
 
+	if (reply->discards) {
+		reply->size += size;
+		return CLIENT_CONTINUE;
+	}
 	assert_true(reply->size + size < sizeof(reply->body));
 	memcpy(reply->body + reply->size, data, size);
 	reply->size += size;
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -47,6 +47,9 @@
 	/** Whole answer; says that the server accepts no new requests soon. */
 	SAYS_LEAVING,
 	SERVES_DELAYED, /**< whole answer, after 100 ms */
+	BREAKS_OFF_LONG, /**< breaks off in a body longer than the gateway holds
+			  */
+	STALLS_LONG, /**< falls silent there */
 	SERVES_LONG, /**< whole answer with a body of LONG_BODY_BYTES */
 	TRICKLES, /**< sends half of a stream, then a byte at intervals */
 	SILENT /**< holds the request without an answer */
@@ -70,6 +73,7 @@
 /** Reply as the caller received it. */
 typedef struct {
 	bool ended;
+	bool discards; /**< keeps no body; set after the call began */
 	client_end_t end;
 	int status;
 	char headers[2048];
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -193,6 +193,18 @@
 			 sizeof(body));
 }
 
+/* Sends more than the gateway holds. */
+static void send_part(int fd)
+{
+	static char part[LONG_BODY_BYTES + LONG_BODY_BYTES / 2];
+	int size = 2 * sizeof(part);
+
+	memset(part, 'x', sizeof(part));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	assert_int_equal(send(fd, part, sizeof(part), MSG_NOSIGNAL),
+			 sizeof(part));
+}
+
 /* @return true if the connection stays open */
 static bool act(connection_t *connection, int fd)
 {
@@ -285,6 +297,11 @@
 	case SERVES_DELAYED:
 		start_delay(connection);
 		return true;
+	case BREAKS_OFF_LONG:
+	case STALLS_LONG:
+		send_head(fd, id, "text/plain", 2 * LONG_BODY_BYTES, true, "");
+		send_part(fd);
+		return connection->act == STALLS_LONG;
 	case SERVES_LONG:
 		send_long_body(fd, id);
 		return false;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -419,6 +419,55 @@
 	gateway_fixture_stop(&fixture);
 }
 
+/*
+ * Guards against answers of two servers that reach the caller as one, when the
+ * first was passed on in part: because it is long, or because there is no
+ * memory to hold it.
+ */
+static void answers_of_two_servers_become_one(void **state)
+{
+	enum { NO_MEMORY_BYTES = 64 * 1024 };
+	static const struct {
+		const char *path;
+		server_act_t act;
+		int64_t memory_bytes;
+		client_end_t end;
+		int status;
+	} cases[] = {
+		{ "/safe/x", BREAKS_OFF_LONG, 0, CLIENT_BROKEN, 200 },
+		{ "/safe/x", STALLS_LONG, 0, CLIENT_BROKEN, 200 },
+		{ "/safe/x", FAILS_LONG, 0, CLIENT_OK, 500 },
+		{ "/stream/x", FAILS_LONG, 0, CLIENT_OK, 500 },
+		{ "/once/x", BREAKS_OFF_LONG, 0, CLIENT_BROKEN, 200 },
+		{ "/safe/x", BREAKS_OFF_LONG, NO_MEMORY_BYTES, CLIENT_BROKEN,
+		  200 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_fixture_t fixture = {
+			.acts = { cases[i].act },
+			.memory_limit_bytes = cases[i].memory_bytes,
+		};
+		reply_t reply;
+
+		gateway_fixture_start(&fixture);
+		gateway_fixture_wait_ready(&fixture);
+		gateway_fixture_call(&fixture, &reply, "GET", cases[i].path,
+				     with_key, NULL);
+		reply.discards = true;
+		gateway_fixture_wait(&fixture, &reply, 3000);
+		if (!reply.ended || reply.end != cases[i].end ||
+		    reply.status != cases[i].status ||
+		    fixture.arrival_count != 1)
+			fail_msg("case %zu: ended %d with %d, status %d, "
+				 "%zu arrivals",
+				 i, reply.ended, (int)reply.end, reply.status,
+				 fixture.arrival_count);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /* Guards against a target that reaches the server cut off or changed. */
 static void server_gets_another_target(void **state)
 {
@@ -1148,6 +1197,7 @@
 		cmocka_unit_test(aborts_a_stream_that_cannot_resume),
 		cmocka_unit_test(refuses_with_retry_before_the_deadline),
 		cmocka_unit_test(sends_headers_to_servers),
+		cmocka_unit_test(answers_of_two_servers_become_one),
 		cmocka_unit_test(server_gets_another_target),
 		cmocka_unit_test(node_serves_nothing_with_a_long_configuration),
 		cmocka_unit_test(checks_keys_and_routes),
