test_request_limits: ask for the tokens that the server sends

Since an engine that sends more than was asked for is given up, the stream ended. The caller asks for 1,000,000 now; the checks are the same.

--- a/tests/test_request_limits.c
+++ b/tests/test_request_limits.c
@@ -187,6 +187,10 @@
  */
 static int connect_slow_caller(void)
 {
+	/* The server sends tens of thousands of tokens. */
+	static const char body[] =
+		"{\"model\":\"chat\",\"prompt\":\"hello\",\"stream\":true,"
+		"\"max_tokens\":1000000}";
 	struct sockaddr_in address = { .sin_family = AF_INET };
 	int size = 8 * 1024, fd = socket(AF_INET, SOCK_STREAM, 0);
 	char text[512];
@@ -194,7 +198,7 @@
 			      "POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
 			      "Authorization: Bearer secret\r\n"
 			      "Content-Length: %zu\r\n\r\n%s",
-			      strlen(prompt), prompt);
+			      strlen(body), body);
 
 	address.sin_port = htons(request_task_port(fixture.task));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
