--- a/src/duty/usage.h
+++ b/src/duty/usage.h
@@ -37,7 +37,9 @@
 	bool final; /**< the counts of the window do not change any more */
 	uint32_t accounts; /**< number of accounts in all datagrams of
 			     the window */
-	usage_count_t counts[USAGE_COUNTS_MAX]; /**< names are the sender's */
+	usage_count_t counts[USAGE_COUNTS_MAX]; /**< their names belong to the
+						 * table that fills them in, or
+						 * to the decoded packet */
 	size_t count; /**< entries of counts */
 } usage_message_t;
 
