--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -84,9 +84,11 @@
 	*pair = (pair_t){ .near = { .node_id = "n1",
 				    .has_health = true,
 				    .slots = 100,
+				    .keys_stay = true,
 				    .memory_limit_bytes = MEMORY_LIMIT_BYTES },
 			  .far = { .node_id = "n2",
 				   .slots = 100,
+				   .keys_stay = true,
 				   .memory_limit_bytes = MEMORY_LIMIT_BYTES } };
 	pair->far.takes_no_relays = far == FAR_TAKES_NONE;
 	if (far == FAR_HAS_OTHER_CONFIGURATION)
