test_endless: make sure that the store and the duties do send without end

Found on a last reading: the row "store, body" proved nothing. The row for duties did play.

A play goes on until the peer has sent more than the node reads of one answer, and checks that it did: 3 MiB for the store, 64 KiB for a duty. The wait for a report, written for duties alone, is part of the play now.

--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -158,8 +158,10 @@
 	if (exchange != fixture->endless)
 		exchange_stream(exchange, 200, NULL, 0);
 	fixture->endless = exchange;
-	if (exchange_pending_bytes(exchange) < sizeof(block))
-		exchange_write(exchange, block, sizeof(block));
+	if (exchange_pending_bytes(exchange) >= sizeof(block))
+		return;
+	exchange_write(exchange, block, sizeof(block));
+	fixture->endless_bytes += sizeof(block);
 }
 
 static void on_endless_timer(struct ev_loop *loop, ev_timer *timer, int events)
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -127,6 +127,7 @@
 	bool store_endless; /**< answers watches with bodies without end */
 	bool duties_endless; /**< answers duties with bodies without end */
 	exchange_t *endless; /**< the last such answer; NULL: none */
+	size_t endless_bytes; /**< sent in all such answers */
 	bool keys_stay; /**< valid, however late the store answers */
 	int64_t memory_limit_bytes; /**< of the gateway; 0: 64 MiB */
 	int slots; /**< requests that a server runs at once; 0: 8 */
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -19,6 +19,7 @@
 enum {
 	CALLERS_MAX = 60, /* of the peer that sends without end */
 	PLAY_MS = 600,
+	WAIT_MS = 10000, /* for a peer that is not asked at once */
 	OTHERS = 10, /* requests of other callers, one after the other */
 	/* Heap of a connection on both of its ends, all within the test. */
 	CONNECTION_BYTES = 160 * 1024,
@@ -67,9 +68,22 @@
 	int served; /* of the other callers */
 } outcome_t;
 
-/* Sends requests to @p path, and then those of others. */
+/* @return true until the peers other than servers have sent enough */
+static bool goes_on(const gateway_fixture_t *fixture, size_t least_bytes,
+		    int64_t end_us)
+{
+	int64_t now_us = clock_monotonic_us();
+
+	return now_us < end_us || (fixture->endless_bytes < least_bytes &&
+				   now_us < end_us + WAIT_MS * US_PER_MS);
+}
+
+/*
+ * Sends requests to @p path, and then those of others.
+ * @param least_bytes that the store and duties have to send meanwhile
+ */
 static outcome_t play(gateway_fixture_t *fixture, const char *path, int callers,
-		      bool reads)
+		      bool reads, size_t least_bytes)
 {
 	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
 					       "X-Deadline-Ms: 1000",
@@ -82,7 +96,7 @@
 	for (i = 0; i < callers; i++)
 		fds[i] = send_request(fixture, path, i);
 	end_us = clock_monotonic_us() + PLAY_MS * US_PER_MS;
-	for (i = 0; i < OTHERS || clock_monotonic_us() < end_us; i++) {
+	for (i = 0; i < OTHERS || goes_on(fixture, least_bytes, end_us); i++) {
 		reply_t reply = { .ended = true };
 
 		if (i < OTHERS) {
@@ -104,6 +118,7 @@
 	}
 	for (i = 0; i < callers; i++)
 		close(fds[i]);
+	assert_true(fixture->endless_bytes >= least_bytes);
 	return outcome;
 }
 
@@ -161,7 +176,8 @@
 
 		gateway_fixture_start(&fixture);
 		gateway_fixture_wait_ready(&fixture);
-		outcome = play(&fixture, cases[i / 2].path, CALLERS_MAX, reads);
+		outcome = play(&fixture, cases[i / 2].path, CALLERS_MAX, reads,
+			       0);
 		gateway_fixture_stop(&fixture);
 		snprintf(name, sizeof(name), "%s, %s", cases[i / 2].name,
 			 reads ? "read" : "not read");
@@ -182,17 +198,6 @@
 					    "i-s0"));
 }
 
-/* Waits until the node reports usage, which the platform answers. */
-static void wait_for_report(gateway_fixture_t *fixture)
-{
-	int64_t end_us = clock_monotonic_us() + 10 * US_PER_S;
-
-	play(fixture, "", 0, false);
-	while (!fixture->duty_call_count && clock_monotonic_us() < end_us)
-		gateway_fixture_run(fixture, 10);
-	assert_true(fixture->duty_call_count > 0);
-}
-
 /* The same for health probes, the store and duties of the platform. */
 static void peer_takes_the_memory_of_a_node(void **state)
 {
@@ -200,12 +205,13 @@
 		const char *name;
 		peer_kind_t peer;
 		server_act_t act; /* of a server that is probed */
+		size_t least_bytes; /* more than the node reads of one answer */
 	} cases[] = {
-		{ "health probe, head", PEER_PROBED, ENDLESS_HEAD },
-		{ "health probe, body", PEER_PROBED, ENDLESS_BODY },
-		{ "health probe, chunks", PEER_PROBED, ENDLESS_CHUNKS },
-		{ "store, body", PEER_STORE, SERVES },
-		{ "duty, body", PEER_DUTIES, SERVES },
+		{ "health probe, head", PEER_PROBED, ENDLESS_HEAD, 0 },
+		{ "health probe, body", PEER_PROBED, ENDLESS_BODY, 0 },
+		{ "health probe, chunks", PEER_PROBED, ENDLESS_CHUNKS, 0 },
+		{ "store, body", PEER_STORE, SERVES, 3 << 20 },
+		{ "duty, body", PEER_DUTIES, SERVES, 64 << 10 },
 	};
 	size_t i;
 
@@ -227,9 +233,7 @@
 		gateway_fixture_wait_ready(&fixture);
 		if (cases[i].peer == PEER_PROBED)
 			probe_all(&fixture);
-		if (cases[i].peer == PEER_DUTIES)
-			wait_for_report(&fixture);
-		outcome = play(&fixture, "", 0, false);
+		outcome = play(&fixture, "", 0, false, cases[i].least_bytes);
 		gateway_fixture_stop(&fixture);
 		check(cases[i].name, &outcome, CALLERS_MAX);
 	}
