usage: count the accounts that are told when they are added

usage_fill() is called for each datagram of a window and went over the names of all accounts in each, to count those that fit a datagram. The window keeps that number now; the size of an encoded count is computed in one place. No change of behaviour: test_usage passes.

--- a/src/duty/usage.c
+++ b/src/duty/usage.c
@@ -30,6 +30,7 @@
 	bool final;
 	uint32_t expected; /* number of accounts; set if final */
 	account_t *accounts;
+	uint32_t told; /* accounts whose counts fit a datagram */
 	struct window *next;
 } window_t;
 
@@ -120,6 +121,13 @@
 	return window;
 }
 
+/* Size of an encoded count. Other nodes do not get the counts of an account
+ * with a name that fits no datagram. */
+static size_t encoded_size(const account_t *account)
+{
+	return strlen(account->name) + COUNT_OVERHEAD_BYTES;
+}
+
 /* Finds or adds an account. Returns NULL if the window has too many accounts.
  */
 static account_t *get_account(window_t *window, const char *name)
@@ -133,6 +141,7 @@
 	account->name = mem_strdup(name);
 	HASH_ADD_KEYPTR(hh, window->accounts, account->name, strlen(name),
 			account);
+	window->told += encoded_size(account) <= USAGE_COUNTS_SIZE_BYTES;
 	return account;
 }
 
@@ -155,24 +164,6 @@
 	finished->expected = HASH_COUNT(finished->accounts);
 }
 
-/* Other nodes do not get the counts of an account with a name that fits no
- * datagram. */
-static bool fits_datagram(const account_t *account)
-{
-	return strlen(account->name) + COUNT_OVERHEAD_BYTES <=
-	       USAGE_COUNTS_SIZE_BYTES;
-}
-
-static uint32_t count_told(const window_t *window)
-{
-	const account_t *account;
-	uint32_t count = 0;
-
-	for (account = window->accounts; account; account = account->hh.next)
-		count += fits_datagram(account);
-	return count;
-}
-
 size_t usage_fill(const usage_t *usage, int64_t window, size_t first,
 		  usage_message_t *message)
 {
@@ -187,14 +178,15 @@
 	if (!found)
 		return 0;
 	message->final = found->final;
-	message->accounts = count_told(found);
+	message->accounts = found->told;
 	for (account = found->accounts; account;
 	     account = account->hh.next, index++) {
 		usage_count_t *count = &message->counts[message->count];
 
-		if (index < first || !fits_datagram(account))
+		if (index < first ||
+		    encoded_size(account) > USAGE_COUNTS_SIZE_BYTES)
 			continue;
-		size += strlen(account->name) + COUNT_OVERHEAD_BYTES;
+		size += encoded_size(account);
 		if (size > USAGE_COUNTS_SIZE_BYTES ||
 		    message->count == USAGE_COUNTS_MAX)
 			return index;
