Tests: one way to send a long body, no unused state

send_part() and send_long_body() of the servers differed in two sizes; `closed` of test_gateway_stop and a time in the soak's stops.c were set and never read; faults.c computes the duration as it did before.

--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -181,28 +181,19 @@
 	(void)!send(fd, body, sizeof(body), MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
-static void send_long_body(int fd, const char *id)
+/*
+ * Sends a head and the first bytes of a body, which the socket takes at once.
+ * @param length Content-Length
+ */
+static void send_long_body(int fd, const char *id, size_t length, size_t size)
 {
-	static char body[LONG_BODY_BYTES];
-	int size = 2 * LONG_BODY_BYTES;
+	static char body[2 * LONG_BODY_BYTES];
+	int buffer = 2 * sizeof(body);
 
-	memset(body, 'x', sizeof(body));
-	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
-	send_head(fd, id, "text/plain", sizeof(body), true, "");
-	assert_int_equal(send(fd, body, sizeof(body), MSG_NOSIGNAL),
-			 sizeof(body));
-}
-
-/* Sends more than the gateway holds. */
-static void send_part(int fd)
-{
-	static char part[LONG_BODY_BYTES + LONG_BODY_BYTES / 2];
-	int size = 2 * sizeof(part);
-
-	memset(part, 'x', sizeof(part));
-	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
-	assert_int_equal(send(fd, part, sizeof(part), MSG_NOSIGNAL),
-			 sizeof(part));
+	memset(body, 'x', size);
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof(buffer));
+	send_head(fd, id, "text/plain", length, true, "");
+	assert_int_equal(send(fd, body, size, MSG_NOSIGNAL), size);
 }
 
 /* @return true if the connection stays open */
@@ -299,11 +290,11 @@
 		return true;
 	case BREAKS_OFF_LONG:
 	case STALLS_LONG:
-		send_head(fd, id, "text/plain", 2 * LONG_BODY_BYTES, true, "");
-		send_part(fd);
+		send_long_body(fd, id, 2 * LONG_BODY_BYTES,
+			       LONG_BODY_BYTES + LONG_BODY_BYTES / 2);
 		return connection->act == STALLS_LONG;
 	case SERVES_LONG:
-		send_long_body(fd, id);
+		send_long_body(fd, id, LONG_BODY_BYTES, LONG_BODY_BYTES);
 		return false;
 	case SILENT:
 		return true;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -200,15 +200,14 @@
 	soak_t *soak = timer->data;
 	fault_type_t type = (fault_type_t)soak_random(soak, FAULT_COUNT);
 	int target = (int)soak_random(soak, 1000);
-	double duration_s;
+	double duration_s =
+		(double)(DURATION_MIN_MS +
+			 (int)soak_random(soak,
+					  DURATION_MAX_MS - DURATION_MIN_MS)) /
+		(double)MS_PER_S;
 
 	if (soak->stops)
 		type = FAULT_TERM;
-	duration_s = (double)(DURATION_MIN_MS +
-			      (int)soak_random(soak, DURATION_MAX_MS -
-							     DURATION_MIN_MS)) /
-		     (double)MS_PER_S;
-
 	if (begin_fault(soak, type, target)) {
 		fault_t *fault = mem_calloc(1, sizeof(*fault));
 
--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -196,7 +196,6 @@
 			.keeps = i >= NEW_CHANNELS,
 			.is_long = i < LONG_CHANNELS,
 			.fd = -1,
-			.due_us = clock_monotonic_us() + US_PER_S,
 		};
 		rest(&channels[i]);
 		channels[i].due_us += US_PER_S;
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -58,7 +58,6 @@
 	const char *late_part; /* of the request, sent LATE_PART_MS later */
 	int64_t sent_us; /* 0: not yet */
 	bool reads_late; /* reads nothing until READ_LATE_MS after STOP_ENDED */
-	bool closed;
 	char *text;
 	size_t size;
 } caller_t;
@@ -148,7 +147,6 @@
 		if (size > 0)
 			caller->size += (size_t)size;
 	} while (size > 0);
-	caller->closed |= !size;
 	caller->text[caller->size] = '\0';
 }
 
