--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -156,6 +156,24 @@
 		       refusal_retry_after_s(refusal), message);
 }
 
+/* Handles the chunk that is due. @return false if the call to the server ended.
+ */
+static bool on_next_chunk(request_t *request, const sse_event_t *event,
+			  const engine_chunk_t *chunk)
+{
+	if (request->stream.next_tokens > request->completion.max_tokens) {
+		end_at_server_fault(request, REFUSAL_SERVER_FAILED,
+				    "the server sent more than was requested");
+		return false;
+	}
+	deliver_chunk(request, event, chunk);
+	if (!request->answer.overflow || request->completion.stream)
+		return true;
+	/* The text is no longer held, so it cannot be sent. */
+	end_at_server_fault(request, REFUSAL_MEMORY_FULL, "");
+	return false;
+}
+
 /* @return false if the call to the server ended. */
 static bool on_chunk(request_t *request, const sse_event_t *event,
 		     const engine_chunk_t *chunk)
@@ -164,20 +182,8 @@
 		&request->stream, &chunk->stream_id, chunk->offset_tokens,
 		chunk->tokens, chunk->finish_reason[0]);
 
-	if (result == STREAM_DELIVER &&
-	    request->stream.next_tokens > request->completion.max_tokens) {
-		end_at_server_fault(request, REFUSAL_SERVER_FAILED,
-				    "the server sent more than was requested");
-		return false;
-	}
-	if (result == STREAM_DELIVER) {
-		deliver_chunk(request, event, chunk);
-		if (!request->answer.overflow || request->completion.stream)
-			return true;
-		/* The text is no longer held, so it cannot be sent. */
-		end_at_server_fault(request, REFUSAL_MEMORY_FULL, "");
-		return false;
-	}
+	if (result == STREAM_DELIVER)
+		return on_next_chunk(request, event, chunk);
 	count_drop(request, chunk, result);
 	if (result != STREAM_LOST)
 		return true;
