--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -123,8 +123,12 @@
 		json_array_append_new(items, server_entry(fixture, "m", 0));
 		json_array_append_new(items, server_entry(fixture, "m", 1));
 	}
-	json_array_foreach(items, i, item) if (fixture->edit)
-		fixture->edit(fixture, path, json_object_get(item, "spec"));
+	json_array_foreach(items, i, item)
+	{
+		if (fixture->edit)
+			fixture->edit(fixture, path,
+				      json_object_get(item, "spec"));
+	}
 	if (!strcmp(path, "/objects/chivestage-vms")) {
 		json_t *other = other_entry(fixture);
 
@@ -479,6 +483,22 @@
 	reply->call = client_call(fixture->client, &request, &handler);
 }
 
+int gateway_fixture_send_unread(gateway_fixture_t *fixture, const char *path,
+				int number)
+{
+	int fd = loopback_connect(listener_port(fixture->gateway->callers));
+	char text[400];
+
+	gateway_fixture_run(fixture, 1);
+	snprintf(text, sizeof(text),
+		 "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: e%d\r\n"
+		 "X-Deadline-Ms: 1400\r\n" FIXTURE_AUTHORIZATION
+		 "\r\nContent-Length: 4\r\n\r\nbody",
+		 path, number);
+	assert_true(send(fd, text, strlen(text), MSG_NOSIGNAL) > 0);
+	return fd;
+}
+
 bool gateway_fixture_wait(gateway_fixture_t *fixture, const reply_t *reply,
 			  int64_t limit_ms)
 {
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -186,6 +186,13 @@
 void gateway_fixture_call(gateway_fixture_t *fixture, reply_t *reply,
 			  const char *method, const char *path,
 			  const char *const *headers, const char *body);
+/**
+ * Sends a request on a connection of its own, of whose answer nothing is read.
+ * @param number makes the id of the request
+ * @return the socket
+ */
+int gateway_fixture_send_unread(gateway_fixture_t *fixture, const char *path,
+				int number);
 /**
  * Runs the loop until the reply ended.
  * @return false if it did not end within @p limit_ms
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -13,7 +13,6 @@
 #include "base/clock.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
-#include "lib/loopback.h"
 #include "lib/memory.h"
 
 enum {
@@ -36,23 +35,6 @@
 	return 0;
 }
 
-/* Sends a request on a connection of its own, of which nothing is read. */
-static int send_request(gateway_fixture_t *fixture, const char *path,
-			int number)
-{
-	int fd = loopback_connect(listener_port(fixture->gateway->callers));
-	char text[400];
-
-	gateway_fixture_run(fixture, 1);
-	snprintf(text, sizeof(text),
-		 "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: e%d\r\n"
-		 "X-Deadline-Ms: 1400\r\n" FIXTURE_AUTHORIZATION
-		 "\r\nContent-Length: 4\r\n\r\nbody",
-		 path, number);
-	assert_true(send(fd, text, strlen(text), MSG_NOSIGNAL) > 0);
-	return fd;
-}
-
 static void read_all(const int *fds, int count)
 {
 	static char text[64 * 1024];
@@ -94,7 +76,7 @@
 	int64_t end_us;
 
 	for (i = 0; i < callers; i++)
-		fds[i] = send_request(fixture, path, i);
+		fds[i] = gateway_fixture_send_unread(fixture, path, i);
 	end_us = clock_monotonic_us() + PLAY_MS * US_PER_MS;
 	for (i = 0; i < OTHERS || goes_on(fixture, least_bytes, end_us); i++) {
 		reply_t reply = { .ended = true };
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -7,14 +7,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
-#include "lib/loopback.h"
 #include "lib/memory.h"
 #include "process/gateway.h"
 
@@ -403,23 +401,6 @@
 	stop(&pair);
 }
 
-/* Sends a request to the node that is cut off, of whose answer nothing is read.
- */
-static int begin_unread(pair_t *pair, int number)
-{
-	int fd = loopback_connect(listener_port(pair->near.gateway->callers));
-	char text[400];
-
-	run(pair, 1);
-	snprintf(text, sizeof(text),
-		 "POST /safe/e HTTP/1.1\r\nHost: h\r\nX-Request-Id: e%d\r\n"
-		 "X-Deadline-Ms: 1400\r\n" FIXTURE_AUTHORIZATION
-		 "\r\nContent-Length: 4\r\n\r\nbody",
-		 number);
-	assert_true(send(fd, text, strlen(text), MSG_NOSIGNAL) > 0);
-	return fd;
-}
-
 /* Guards against nodes that run out of memory while a server behind two of them
  * sends without end. */
 static void answer_without_end_takes_the_memory_of_two_nodes(void **state)
@@ -440,7 +421,7 @@
 	pair.far.text_acts = acts;
 	before = memory_in_use();
 	for (i = 0; i < ENDLESS; i++)
-		fds[i] = begin_unread(&pair, i);
+		fds[i] = gateway_fixture_send_unread(&pair.near, "/safe/e", i);
 	for (i = 0; i < CALLS; i++) {
 		call(&pair, &reply, "/safe/x", i);
 		if (reply.status != 200)
