Say in the log what a stop did to a request and to its answer

Around SIGTERM it could not be told from the logs of a node whether a request was cut before its answer, within it, or after the node believed it was sent: line 408 is written when the answer is given to the HTTP library.

Line 408 has the phase of the shutdown; new event 413 and a counter say that a connection closed before its answer was passed to the network. The phases of a stop have a file of their own; no logic changes.

--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -314,6 +314,10 @@
  */
 bool gateway_take_retry(gateway_t *gateway, const char *service);
 uint64_t gateway_random(gateway_t *gateway);
+
+/* gateway_stop.c */
+/** @return the name of a phase, for the log. */
+const char *gateway_stop_text(stop_phase_t phase);
 /** @return when a graceful stop that has begun ends all requests. */
 int64_t gateway_stops_at_us(const gateway_t *gateway);
 
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -43,7 +43,7 @@
 		  " route=%s account=%s status=%d outcome=%s "
 		  "sends=%zu runs=%d events=%" PRId64 " first_event_ms=%" PRId64
 		  " gap_max_ms=%" PRId64 " total_ms=%" PRId64 " config=%" PRId64
-		  " relays=%zu relayed=%d",
+		  " relays=%zu relayed=%d stop=%s",
 		  *forward->request.id ? forward->request.id : "-",
 		  forward->content, forward->route ? forward->route->name : "-",
 		  forward->account ? forward->account->name : "-", status,
@@ -56,7 +56,20 @@
 		  forward->gap_max_us / US_PER_MS,
 		  (now_us - forward->received_us) / US_PER_MS,
 		  forward->routing ? routing_version(forward->routing) : -1,
-		  forward->relay_count, forward->is_relayed);
+		  forward->relay_count, forward->is_relayed,
+		  gateway_stop_text(forward->gateway->stop));
+}
+
+/* The request has ended, but its caller does not get all of the answer. */
+static void log_answer_cut(const forward_t *forward)
+{
+	metrics_add(METRIC_ANSWERS_CUT, 1);
+	log_event(EVENT_ANSWER_CUT,
+		  "request=%s pending_bytes=%zu after_ms=%" PRId64 " stop=%s",
+		  *forward->request.id ? forward->request.id : "-",
+		  exchange_pending_bytes(forward->exchange),
+		  (clock_monotonic_us() - forward->received_us) / US_PER_MS,
+		  gateway_stop_text(forward->gateway->stop));
 }
 
 void forward_ended(forward_t *forward, int status, const char *outcome)
@@ -304,6 +317,8 @@
 {
 	forward_t *forward = user;
 
+	if (forward->phase == FORWARD_ENDED && !sent)
+		log_answer_cut(forward);
 	forward->exchange = NULL;
 	if (forward->phase != FORWARD_ENDED) {
 		metrics_add(METRIC_CALLERS_GONE, 1);
