--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -103,6 +103,8 @@
 {
 	const counts_t *counts = &soak->counts;
 
+	if (soak->stops)
+		stops_print(soak);
 	printf("seed %llu: %d sent, %d complete, %d refused, %d failed, "
 	       "%d without a whole answer; after faults %d of %d complete; "
 	       "%d violations\n",
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -112,6 +112,7 @@
 			       "FAULT %s stopped with exit status %d",
 			       node->name, WEXITSTATUS(watcher->rstatus));
 	node->pid = 0;
+	node->ended_us = clock_monotonic_us();
 	node->ready = node->paused = false;
 	ev_timer_start(loop, &node->restart);
 }
@@ -143,6 +144,8 @@
 	if (!node->pid)
 		return;
 	node->disturbed_us = clock_monotonic_us();
+	if (number == SIGTERM && !node->stopping)
+		node->stop_us = clock_monotonic_us();
 	if (number == SIGTERM || number == SIGKILL)
 		node->stopping = true;
 	if (number == SIGSTOP)
