Start a request during a stop only if its time limit is over before the end

Callers saw answers cut in the middle 7.75 s after SIGTERM: idempotent requests, sent 5 s to 7.3 s after it, whose answers took longer than their target latency.

Cause: what starts in the last phase before the end was judged by guesses of how long a request takes: an idempotent one by the target latency of its route, a stream as endless. Only the time limit is certain. Besides, the phase was asked for when the headers were read: a body that came in pieces let requests of all kinds start seconds later, also in the phase that refuses them.

Change: each kind starts if its time limit is over before the stop ends; asked again when the body is complete. Refusals say that the request has not run, and another node serves it. Streams with short limits are no longer refused.

Relayed requests are refused from SIGTERM on, as before; the table plays them too. Two rows of the older tables change: a lookup with a limit of 1.4 s, 100 ms after the phase began, is refused in place of served, and streams with a limit of 0.6 s are served in place of refused: the rows pin both limits for all kinds now.

--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -294,7 +294,8 @@
 {
 	forward_t *forward = user;
 
-	if (forward->phase != FORWARD_RECEIVING)
+	/* The body may have taken long. */
+	if (forward->phase != FORWARD_RECEIVING || !forward_may_start(forward))
 		return;
 	forward->content =
 		content_id(forward->account ? forward->account->name : NULL,
--- a/src/request/forward_stop.c
+++ b/src/request/forward_stop.c
@@ -4,22 +4,6 @@
 
 enum { HTTP_GATEWAY_TIMEOUT = 504 };
 
-/* @return time by which a request that starts now must have its answer when the
- * process stops, so that it is not cut off */
-static int64_t needed_until_us(const forward_t *forward)
-{
-	switch (forward->route->kind) {
-	case CALL_IDEMPOTENT:
-		return forward->received_us +
-		       forward->route->target_ms * US_PER_MS;
-	case CALL_AT_MOST_ONCE:
-		return forward->limit_us;
-	case CALL_STREAM:
-		return INT64_MAX;
-	}
-	return INT64_MAX;
-}
-
 static bool may_start(const forward_t *forward)
 {
 	switch (forward->gateway->stop) {
@@ -27,7 +11,8 @@
 	case STOP_NOTICE:
 		return true;
 	case STOP_FINISHING:
-		return needed_until_us(forward) <
+		/* A shorter time than the limit is not certain to be enough. */
+		return forward->limit_us <
 		       gateway_stops_at_us(forward->gateway);
 	case STOP_ENDED:
 	case STOP_CLOSED:
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -51,6 +51,11 @@
 			  */
 	STALLS_LONG, /**< falls silent there */
 	SERVES_LONG, /**< whole answer with a body of LONG_BODY_BYTES */
+	/* The same with PARTS_BODY_BYTES, of which the last LAST_PART_BYTES
+	 * come after 800 ms: */
+	SERVES_PARTS, /**< with a length */
+	SERVES_PARTS_CHUNKED,
+	SERVES_PARTS_UNFRAMED, /**< ends with the connection */
 	TRICKLES, /**< sends half of a stream, then a byte at intervals */
 	SILENT /**< holds the request without an answer */
 } server_act_t;
@@ -60,7 +65,9 @@
 	ACTS_MAX = 6,
 	STREAM_EVENTS = 4,
 	ARRIVAL_TEXT_BYTES = 20000,
-	LONG_BODY_BYTES = 250000 /* less than the gateway holds */
+	LONG_BODY_BYTES = 250000, /* less than the gateway holds */
+	PARTS_BODY_BYTES = 350000, /* more than that, also without the last */
+	LAST_PART_BYTES = 50000
 };
 
 typedef struct {
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -26,6 +26,8 @@
 #define PUMP_S 0.001
 #define BYTE_INTERVAL_S 0.1
 #define DELAY_S 0.1
+/* Time between the first bytes of an answer in parts and the rest. */
+#define PART_DELAY_S 0.8
 
 static void on_server_accept(struct ev_loop *loop, ev_io *watcher, int events);
 
@@ -196,6 +198,48 @@
 	assert_int_equal(send(fd, body, size, MSG_NOSIGNAL), size);
 }
 
+/* Sends a part of a body, as a chunk if the answer is in chunks. */
+static void send_part(const connection_t *connection, size_t size)
+{
+	static char body[PARTS_BODY_BYTES];
+	int fd = connection->readable.fd;
+	char head[16];
+
+	memset(body, 'x', sizeof(body));
+	snprintf(head, sizeof(head), "%zx\r\n", size);
+	if (connection->act == SERVES_PARTS_CHUNKED)
+		send_text(fd, head);
+	assert_int_equal(send(fd, body, size, MSG_NOSIGNAL), size);
+	if (connection->act == SERVES_PARTS_CHUNKED)
+		send_text(fd, "\r\n");
+}
+
+static void on_last_part(struct ev_loop *loop, ev_timer *timer, int events)
+{
+	connection_t *connection = timer->data;
+
+	send_part(connection, LAST_PART_BYTES);
+	if (connection->act == SERVES_PARTS_CHUNKED)
+		send_text(connection->readable.fd, "0\r\n\r\n");
+	close_connection(connection);
+}
+
+static void serve_parts(connection_t *connection, const char *id)
+{
+	int fd = connection->readable.fd, buffer = 2 * PARTS_BODY_BYTES;
+
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof(buffer));
+	send_head(fd, id, "text/plain",
+		  connection->act == SERVES_PARTS ? PARTS_BODY_BYTES : 0, true,
+		  connection->act == SERVES_PARTS_CHUNKED
+			  ? "Transfer-Encoding: chunked\r\n"
+			  : "");
+	send_part(connection, PARTS_BODY_BYTES - LAST_PART_BYTES);
+	ev_timer_init(&connection->pump, on_last_part, PART_DELAY_S, 0.);
+	connection->pump.data = connection;
+	ev_timer_start(connection->fixture->loop, &connection->pump);
+}
+
 /* @return true if the connection stays open */
 static bool act(connection_t *connection, int fd)
 {
@@ -296,6 +340,11 @@
 	case SERVES_LONG:
 		send_long_body(fd, id, LONG_BODY_BYTES, LONG_BODY_BYTES);
 		return false;
+	case SERVES_PARTS:
+	case SERVES_PARTS_CHUNKED:
+	case SERVES_PARTS_UNFRAMED:
+		serve_parts(connection, id);
+		return true;
 	case SILENT:
 		return true;
 	}
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -19,8 +19,10 @@
 
 enum {
 	CALLERS_MAX = 96,
-	/* Holds the answer of a server with a long body. */
-	TEXT_SIZE_BYTES = LONG_BODY_BYTES + 8192,
+	/* Holds the longest answer, in the chunks of the node. */
+	TEXT_SIZE_BYTES = PARTS_BODY_BYTES + 16384,
+	DEADLINE_MS = 1400,
+	DEADLINE_SHORT_MS = 600, /* over before the stop ends */
 	SMALL_BUFFER_BYTES = 49152,
 	LATE_PART_MS = 80,
 	READ_LATE_MS = 60,
@@ -45,6 +47,7 @@
 typedef struct {
 	stop_phase_t phase;
 	int64_t after_ms; /* time since the phase began */
+	int deadline_ms; /* time limit of the requests */
 	int status[KINDS];
 } moment_t;
 
@@ -55,7 +58,8 @@
 	const char *path;
 	int status; /* expected */
 	int fd;
-	const char *late_part; /* of the request, sent LATE_PART_MS later */
+	const char *late_part; /* of the request, sent late_ms later */
+	int64_t late_ms;
 	int64_t sent_us; /* 0: not yet */
 	bool reads_late; /* reads nothing until READ_LATE_MS after STOP_ENDED */
 	char *text;
@@ -90,10 +94,11 @@
 			 play->fixture.gateway->relay_key);
 	return (size_t)snprintf(text, size,
 				"POST %s HTTP/1.1\r\nHost: h\r\n"
-				"X-Request-Id: r%td\r\nX-Deadline-Ms: 1400\r\n"
+				"X-Request-Id: r%td\r\nX-Deadline-Ms: %d\r\n"
 				"%s" FIXTURE_AUTHORIZATION
 				"\r\nContent-Length: 8\r\n\r\nbodybody",
-				caller->path, caller - play->callers, relay);
+				caller->path, caller - play->callers,
+				caller->moment->deadline_ms, relay);
 }
 
 static int connect_caller(const play_t *play, const caller_t *caller)
@@ -165,7 +170,8 @@
 	    (caller->sent_us || is_due(play, caller->moment)))
 		send_request(play, caller);
 	if (caller->sent_us > 1 && caller->late_part &&
-	    clock_monotonic_us() - caller->sent_us >= LATE_PART_MS * US_PER_MS)
+	    clock_monotonic_us() - caller->sent_us >=
+		    caller->late_ms * US_PER_MS)
 		send_late_part(play, caller);
 	if (caller->fd >= 0 &&
 	    (!caller->reads_late || play->phase == STOP_CLOSED ||
@@ -236,8 +242,8 @@
 	    arrived == ran)
 		return true;
 	print_error(
-		"%s connection, %s, phase %d after %d ms: %zu bytes, status %d in "
-		"place of %d, %s a server\n",
+		"%s connection, %s, phase %d after %d ms: %zu bytes, whole answer "
+		"%d in place of %d, %s a server\n",
 		use_names[caller->use], caller->path,
 		(int)caller->moment->phase, (int)caller->moment->after_ms,
 		caller->size, status, caller->status,
@@ -256,6 +262,7 @@
 			      .path = path,
 			      .status = status,
 			      .fd = -1,
+			      .late_ms = LATE_PART_MS,
 			      .text = test_calloc(TEXT_SIZE_BYTES, 1) };
 	return caller;
 }
@@ -340,23 +347,36 @@
 	return wrong;
 }
 
-static const moment_t notice = { STOP_NOTICE, 300, { 200, 200, 200, 200 } };
-static const moment_t finishing = { STOP_FINISHING,
-				    100,
-				    { 200, 503, 503, 503 } };
-static const moment_t finishing_late = { STOP_FINISHING,
-					 870,
-					 { 503, 503, 503, 503 } };
-static const moment_t ended = { STOP_ENDED, 0, { 503, 503, 503, 503 } };
-static const moment_t ended_later = { STOP_ENDED, 30, { 503, 503, 503, 503 } };
-static const moment_t closed = { STOP_CLOSED, 0, { 0, 0, 0, 0 } };
+static const moment_t notice = {
+	STOP_NOTICE, 300, DEADLINE_MS, { 200, 200, 200, 200 }
+};
+/* A request that may outlast the stop is refused, whatever its kind. */
+static const moment_t finishing = {
+	STOP_FINISHING, 100, DEADLINE_MS, { 503, 503, 503, 503 }
+};
+static const moment_t finishing_short = {
+	STOP_FINISHING, 100, DEADLINE_SHORT_MS, { 200, 200, 200, 200 }
+};
+static const moment_t finishing_late = {
+	STOP_FINISHING, 870, DEADLINE_SHORT_MS, { 503, 503, 503, 503 }
+};
+static const moment_t ended = {
+	STOP_ENDED, 0, DEADLINE_MS, { 503, 503, 503, 503 }
+};
+static const moment_t ended_later = {
+	STOP_ENDED, 30, DEADLINE_MS, { 503, 503, 503, 503 }
+};
+static const moment_t closed = { STOP_CLOSED, 0, DEADLINE_MS, { 0, 0, 0, 0 } };
 
 /* Sent just before all requests are ended. */
-static const moment_t before_end = { STOP_NOTICE, 2600, { 0 } };
+static const moment_t before_end = { STOP_NOTICE, 2600, DEADLINE_MS, { 0 } };
 
 static const text_act_t text_acts[] = { { "/x ", SERVES_DELAYED },
 					{ "/hold ", SILENT },
 					{ "/long ", SERVES_LONG },
+					{ "/length ", SERVES_PARTS },
+					{ "/chunks ", SERVES_PARTS_CHUNKED },
+					{ "/open ", SERVES_PARTS_UNFRAMED },
 					{ NULL, SERVES } };
 
 static size_t play_moments(const moment_t *const *moments, size_t count,
@@ -390,9 +410,10 @@
  */
 static void request_is_lost_at_the_end_of_a_stop(void **state)
 {
-	static const moment_t *const moments[] = { &notice,	    &finishing,
-						   &finishing_late, &ended,
-						   &ended_later,    &closed };
+	static const moment_t *const moments[] = {
+		&notice, &finishing,   &finishing_short, &finishing_late,
+		&ended,	 &ended_later, &closed
+	};
 
 	assert_int_equal(play_moments(moments, COUNT_OF(moments), true), 0);
 }
@@ -400,15 +421,91 @@
 /* The same, where the process ends early, as it has no requests left. */
 static void request_is_lost_at_an_early_end_of_a_stop(void **state)
 {
-	static const moment_t *const moments[] = { &notice, &finishing, &ended,
-						   &ended_later, &closed };
+	static const moment_t *const moments[] = { &notice,	     &finishing,
+						   &finishing_short, &ended,
+						   &ended_later,     &closed };
 
 	assert_int_equal(play_moments(moments, COUNT_OF(moments), false), 0);
 }
 
+/*
+ * Guards against requests that start late, since their bodies come late: the
+ * phase when a request is complete decides, not only that of its headers.
+ */
+static void request_with_a_late_body_outlasts_a_stop(void **state)
+{
+	static const moment_t head = { STOP_NOTICE, 2600, DEADLINE_MS, { 0 } };
+	play_t *play = test_malloc(sizeof(*play));
+	size_t wrong;
+	int kind;
+
+	begin(play);
+	play->fixture.text_acts = text_acts;
+	for (kind = 0; kind < KINDS; kind++) {
+		use_t use;
+
+		for (use = KEPT; use <= NEW; use++) {
+			caller_t *caller =
+				add(play, &head, use, paths[kind], 503);
+
+			caller->late_part = "dybody";
+			caller->late_ms = 400;
+		}
+	}
+	use_kept(play);
+	wrong = stop(play);
+	test_free(play);
+	assert_int_equal(wrong, 0);
+}
+
+/*
+ * Guards against answers that are cut in the middle since they take longer than
+ * the stop: a request starts only if its time limit is over before. The server
+ * sends the rest of the answers that come in parts 800 ms after it got the
+ * request, which is after the end of the stop, but for the first moment.
+ */
+static void answer_is_cut_in_the_middle_at_the_end_of_a_stop(void **state)
+{
+	static const moment_t in_time = {
+		STOP_NOTICE, 2500, DEADLINE_MS, { 0 }
+	};
+	static const moment_t too_late[] = {
+		{ STOP_FINISHING, 200, DEADLINE_MS, { 0 } },
+		{ STOP_FINISHING, 500, DEADLINE_MS, { 0 } },
+		{ STOP_FINISHING, 800, DEADLINE_MS, { 0 } },
+	};
+	static const char *const answers[] = { "/safe/length", "/safe/chunks",
+					       "/safe/open",   "/safe/hold",
+					       "/once/length", "/once/chunks",
+					       "/once/open",   "/once/hold" };
+	play_t *play = test_malloc(sizeof(*play));
+	size_t i, j, wrong;
+
+	begin(play);
+	play->fixture.text_acts = text_acts;
+	for (i = 0; i < COUNT_OF(answers); i++) {
+		bool is_held = strstr(answers[i], "/hold");
+		use_t use;
+
+		for (use = KEPT; use <= NEW; use++)
+			add(play, &in_time, use, answers[i],
+			    is_held ? 504 : 200);
+		for (use = KEPT; use < CONNECTION_USES; use++)
+			for (j = 0; j < COUNT_OF(too_late); j++)
+				add(play, &too_late[j], use, answers[i], 503);
+	}
+	use_kept(play);
+	wrong = stop(play);
+	test_free(play);
+	assert_int_equal(wrong, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			answer_is_cut_in_the_middle_at_the_end_of_a_stop),
+		cmocka_unit_test(request_with_a_late_body_outlasts_a_stop),
 		cmocka_unit_test(request_is_lost_at_the_end_of_a_stop),
 		cmocka_unit_test(request_is_lost_at_an_early_end_of_a_stop),
 	};
