--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -156,15 +156,13 @@
 /* Half of the requests are sent in three pieces. */
 static void cut_into_pieces(channel_t *channel)
 {
-	size_t first = channel->size, second = channel->size;
+	size_t *ends = channel->piece_ends, size = channel->size;
 
-	if (draw(channel, 2)) {
-		first = 1 + draw(channel, channel->size - 2);
-		second = first + 1 + draw(channel, channel->size - first - 1);
-	}
-	channel->piece_ends[0] = first;
-	channel->piece_ends[1] = second;
-	channel->piece_ends[2] = channel->size;
+	ends[0] = ends[1] = ends[2] = size;
+	if (!draw(channel, 2))
+		return;
+	ends[0] = 1 + draw(channel, size - 2);
+	ends[1] = ends[0] + 1 + draw(channel, size - ends[0] - 1);
 }
 
 static void choose_request(channel_t *channel)
