Send the last answers of a process to their end

Seen in a test, with a caller that reads late: the process ends, or the connection is reset, while the answer is on its way. A stop waits until the HTTP library has passed all answers on, and up to 128 KiB of each may be in a send buffer then. The kernel goes on sending after the process, but not if the host ends with it; and if the caller has sent bytes that were not read, closing the socket resets the connection at once: the log says complete, and the caller gets a part. Each answer in a stop closes its connection, so this can happen from SIGTERM on, not only at the end.

Change: from SIGTERM on, a connection that closes is kept, and read, until its caller has received all data, and the stop waits for it as for an answer, within the bounds that it has.

Before: last_answer_is_cut_as_the_process_ends fails, the second caller is reset. After: it passes. Class: what was handed on is taken for received.

--- a/src/connection/callers.c
+++ b/src/connection/callers.c
@@ -1,5 +1,10 @@
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utlist.h>
 
 #include "base/clock.h"
@@ -27,6 +32,73 @@
 	*context = caller;
 }
 
+/* @return true if the caller may still receive data that was sent to it */
+static bool is_unsent(int fd)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+	int bytes = 0;
+
+	return !ioctl(fd, SIOCOUTQ, &bytes) && bytes > 0 &&
+	       !getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) &&
+	       info.tcpi_state != TCP_CLOSE;
+}
+
+/* Closing a socket resets the connection, and loses what is on the way to the
+ * caller, if bytes of the caller were not read. */
+static void discard_input(int fd)
+{
+	char data[4096];
+
+	while (recv(fd, data, sizeof(data), MSG_DONTWAIT) > 0)
+		;
+}
+
+static void keep_unsent(listener_t *listener, int fd)
+{
+	unsent_t *unsent;
+	int copy = is_unsent(fd) ? dup(fd) : -1;
+
+	if (copy < 0)
+		return;
+	unsent = mem_calloc(1, sizeof(*unsent));
+	unsent->fd = copy;
+	DL_APPEND(listener->unsent, unsent);
+}
+
+static void drop_unsent(listener_t *listener, unsent_t *unsent)
+{
+	close(unsent->fd);
+	DL_DELETE(listener->unsent, unsent);
+	free(unsent);
+}
+
+bool callers_have_unsent(listener_t *listener)
+{
+	unsent_t *unsent, *next;
+	const caller_t *caller;
+
+	DL_FOREACH_SAFE (listener->unsent, unsent, next) {
+		discard_input(unsent->fd);
+		if (!is_unsent(unsent->fd))
+			drop_unsent(listener, unsent);
+	}
+	if (listener->unsent)
+		return true;
+	DL_FOREACH (listener->callers, caller)
+		if (is_unsent(caller->fd))
+			return true;
+	return false;
+}
+
+void callers_drop_unsent(listener_t *listener)
+{
+	unsent_t *unsent, *next;
+
+	DL_FOREACH_SAFE (listener->unsent, unsent, next)
+		drop_unsent(listener, unsent);
+}
+
 void callers_on_connection(void *listener_context,
 			   struct MHD_Connection *connection, void **context,
 			   enum MHD_ConnectionNotificationCode code)
@@ -37,6 +109,8 @@
 	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
 		on_started(listener, connection, context);
 	} else if (caller) {
+		if (listener->keeps_unsent)
+			keep_unsent(listener, caller->fd);
 		DL_DELETE(listener->callers, caller);
 		free(caller);
 		*context = NULL;
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -275,12 +275,22 @@
 	ev_prepare_stop(listener->loop, &listener->before_wait);
 	slow_callers_stop(listener);
 	MHD_stop_daemon(listener->daemon);
+	callers_drop_unsent(listener);
 	free(listener);
 }
 
-bool listener_has_requests(const listener_t *listener)
+void listener_keep_unsent(listener_t *listener)
 {
-	return listener && listener->exchanges;
+	if (listener)
+		listener->keeps_unsent = true;
+}
+
+bool listener_has_requests(listener_t *listener)
+{
+	if (!listener)
+		return false;
+	return listener->exchanges ||
+	       (listener->keeps_unsent && callers_have_unsent(listener));
 }
 
 size_t listener_reply_bytes(const listener_t *listener)
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -83,11 +83,19 @@
 listener_t *listener_create(struct ev_loop *loop, const listener_conf_t *conf,
 			    const listener_handler_t *handler, err_t *err);
 
+/**
+ * Prepares the end of the process: a connection that closes from now on is kept
+ * until its caller has received all data, or listener_destroy(). Nothing for
+ * NULL.
+ */
+void listener_keep_unsent(listener_t *listener);
+
 /**
  * @return true if a request is being read, waits for its reply, or has a reply
- * that is not passed to the network; false for NULL
+ * that its caller has not received (before listener_keep_unsent(): that is not
+ * passed to the network); false for NULL
  */
-bool listener_has_requests(const listener_t *listener);
+bool listener_has_requests(listener_t *listener);
 
 /** @return memory of replies that the network has not accepted; 0 for NULL */
 size_t listener_reply_bytes(const listener_t *listener);
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -40,6 +40,12 @@
 	struct caller *prev, *next;
 } caller_t;
 
+/* A connection that the library has closed while data was on the way. */
+typedef struct unsent {
+	int fd; /* a duplicate, which keeps the socket */
+	struct unsent *prev, *next;
+} unsent_t;
+
 /* HTTP server; the library is libmicrohttpd. */
 struct listener {
 	struct MHD_Daemon *daemon;
@@ -51,6 +57,8 @@
 	exchange_t *exchanges;
 	size_t reply_bytes; /* memory of their replies */
 	caller_t *callers; /* all connections */
+	bool keeps_unsent;
+	unsent_t *unsent; /* if keeps_unsent; as of the last check */
 	listener_timeouts_t timeouts;
 	ev_timer check; /* closes the connections of slow callers */
 	int64_t checked_us;
@@ -101,6 +109,13 @@
 			   enum MHD_ConnectionNotificationCode code);
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
+/**
+ * Closes the kept connections whose callers have received all.
+ * @return true if there are others, or open connections with such data
+ */
+bool callers_have_unsent(listener_t *listener);
+/** Closes all kept connections. */
+void callers_drop_unsent(listener_t *listener);
 /** Starts to close the connections of slow callers. */
 void slow_callers_start(listener_t *listener);
 void slow_callers_stop(listener_t *listener);
--- a/src/process/gateway_stop.c
+++ b/src/process/gateway_stop.c
@@ -107,6 +107,8 @@
 	set_phase(gateway, STOP_NOTICE);
 	gateway->stop_started_us = clock_monotonic_us();
 	duties_stop(gateway->duties);
+	listener_keep_unsent(gateway->callers);
+	listener_keep_unsent(gateway->relayed);
 	ev_timer_init(&gateway->stop_timer, on_stop_timer,
 		      (double)STOP_POLL_MS / MS_PER_S,
 		      (double)STOP_POLL_MS / MS_PER_S);
--- a/tests/test_listener.c
+++ b/tests/test_listener.c
@@ -16,6 +16,13 @@
 #include "connection/client.h"
 #include "connection/listener.h"
 
+enum {
+	SMALL_BUFFER_BYTES = 4096,
+	/* Of a reply that the send buffer holds, not the caller's. */
+	LAST_REPLY_BYTES = 90000,
+	UNREAD_BYTES = 40000
+};
+
 static struct ev_loop *loop;
 static listener_t *server;
 static exchange_t *held; /* awaits a reply; NULL: no such exchange */
@@ -45,6 +52,14 @@
 		held = exchange;
 		return;
 	}
+	if (!strcmp(exchange_path(exchange), "/last")) {
+		static char last[LAST_REPLY_BYTES];
+		reply_header_t close = { "Connection", "close" };
+
+		memset(last, 'x', sizeof(last));
+		exchange_reply(exchange, 200, &close, 1, last, sizeof(last));
+		return;
+	}
 	snprintf(text, sizeof(text), "%zu", body_size);
 	exchange_reply(exchange, 200, &header, 1, text, strlen(text));
 }
@@ -274,6 +289,61 @@
 	close(fd);
 }
 
+/* Reads to the end of the connection. @return bytes of the body; -1: reset */
+static int64_t read_to_end(int fd)
+{
+	int64_t received = 0, body = -1, size;
+	char data[4096];
+
+	while ((size = read(fd, data, sizeof(data))) > 0) {
+		if (body < 0 && strstr(data, "\r\n\r\n"))
+			body = strstr(data, "\r\n\r\n") + 4 - data;
+		received += size;
+		run_for(2);
+	}
+	return size < 0 ? -1 : received - body;
+}
+
+/*
+ * Guards against the last answer of a connection that its caller does not get
+ * whole: the process ends while the answer is on its way, or the connection is
+ * reset, since bytes of the caller were not read.
+ */
+static void last_answer_is_cut_as_the_process_ends(void **state)
+{
+	static const struct {
+		const char *caller;
+		bool sends_on; /* bytes that are not read */
+	} cases[] = { { "reads late", false },
+		      { "reads late and sends on", true } };
+	static char unread[UNREAD_BYTES];
+	int size = SMALL_BUFFER_BYTES;
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		int fd;
+
+		assert_true(start("127.0.0.1:0", NULL, NULL, NULL));
+		listener_keep_unsent(server);
+		fd = open_caller("GET /last HTTP/1.1\r\nHost: a\r\n");
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+		assert_int_equal(write(fd, "\r\n", 2), 2);
+		if (cases[i].sends_on)
+			(void)!write(fd, unread, sizeof(unread));
+		run_for(100);
+		if (!closed || !listener_has_requests(server))
+			fail_msg("%s: not waited for", cases[i].caller);
+		assert_int_equal(read_to_end(fd), LAST_REPLY_BYTES);
+		/* The caller confirms what it received up to 40 ms later. */
+		run_for(200);
+		if (listener_has_requests(server))
+			fail_msg("%s: waited for in vain", cases[i].caller);
+		close(fd);
+		listener_destroy(server);
+		server = NULL;
+	}
+}
+
 static void on_end(void *context, client_end_t end, int status)
 {
 	*(int *)context = end == CLIENT_OK ? status : -1;
@@ -425,6 +495,7 @@
 		CASE(answers_requests_of_one_connection),
 		CASE(refuses_a_body),
 		CASE(detects_a_caller_that_disconnects),
+		CASE(last_answer_is_cut_as_the_process_ends),
 		CASE(abort_leaves_a_stream_incomplete),
 		CASE(slow_caller_that_keeps_its_connection),
 		CASE(parses_addresses),
