Keep the end of a stop where it was when the stop began

Found by reading: SIGHUP during a stop reads the settings again, and a shorter grace period in them moved the end of the stop to before the limits of requests that were started by the old one; requests of all kinds, one that may run only once among them, were cut within their answers. A longer one let requests start that the platform's SIGKILL cuts.

Change: the length of a stop is read once, at SIGTERM.

--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -151,6 +151,7 @@
 
 	stop_phase_t stop;
 	int64_t stop_started_us;
+	int64_t stop_ms; /**< longest stop, by the settings when it began */
 	int64_t stop_closes_us; /**< latest end of STOP_ENDED */
 	ev_timer stop_timer;
 	ev_timer reach; /**< checks which data centres are silent */
--- a/src/process/gateway_stop.c
+++ b/src/process/gateway_stop.c
@@ -51,7 +51,7 @@
 int64_t gateway_stops_at_us(const gateway_t *gateway)
 {
 	return gateway->stop_started_us +
-	       (gateway->settings.stop_ms - STOP_MARGIN_MS) * US_PER_MS;
+	       (gateway->stop_ms - STOP_MARGIN_MS) * US_PER_MS;
 }
 
 /* Includes refused requests whose answer is being sent, and requests that are
@@ -68,7 +68,7 @@
 	int64_t now_us = clock_monotonic_us();
 	int64_t exit_us =
 		gateway->stop_started_us +
-		(gateway->settings.stop_ms - STOP_EXIT_MS) * US_PER_MS;
+		(gateway->stop_ms - STOP_EXIT_MS) * US_PER_MS;
 
 	set_phase(gateway, STOP_ENDED);
 	forward_end_all(gateway);
@@ -106,6 +106,7 @@
 		return;
 	set_phase(gateway, STOP_NOTICE);
 	gateway->stop_started_us = clock_monotonic_us();
+	gateway->stop_ms = gateway->settings.stop_ms;
 	duties_stop(gateway->duties);
 	listener_keep_unsent(gateway->callers);
 	listener_keep_unsent(gateway->relayed);
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -71,6 +71,7 @@
 	ev_timer step;
 	stop_phase_t phase;
 	int64_t phase_us; /* when the phase began */
+	int64_t reload_stop_ms; /* in settings that change in the notice */
 	caller_t callers[CALLERS_MAX];
 	size_t count;
 } play_t;
@@ -179,6 +180,14 @@
 		receive(caller);
 }
 
+static void reload(play_t *play)
+{
+	node_settings_t settings = play->fixture.gateway->settings;
+
+	settings.stop_ms = play->reload_stop_ms;
+	gateway_reload(play->fixture.gateway, &settings);
+}
+
 static void step(play_t *play, stop_phase_t phase)
 {
 	size_t i;
@@ -186,6 +195,8 @@
 	if (phase != play->phase) {
 		play->phase = phase;
 		play->phase_us = clock_monotonic_us();
+		if (phase == STOP_NOTICE && play->reload_stop_ms)
+			reload(play);
 	}
 	for (i = 0; i < play->count; i++)
 		step_caller(play, &play->callers[i]);
@@ -428,6 +439,27 @@
 	assert_int_equal(play_moments(moments, COUNT_OF(moments), false), 0);
 }
 
+/* Guards against a stop whose end moves, away from that which its requests
+ * started by. */
+static void changed_settings_cut_requests_in_a_stop(void **state)
+{
+	static const moment_t moment = {
+		STOP_NOTICE, 2500, DEADLINE_MS, { 0 }
+	};
+	play_t *play = test_malloc(sizeof(*play));
+	size_t wrong;
+
+	begin(play);
+	play->fixture.text_acts = text_acts;
+	play->reload_stop_ms = 3300;
+	add(play, &moment, NEW, "/safe/length", 200);
+	add(play, &moment, NEW, "/once/chunks", 200);
+	add(play, &finishing_short, NEW, "/once/x", 200);
+	wrong = stop(play);
+	test_free(play);
+	assert_int_equal(wrong, 0);
+}
+
 /*
  * Guards against requests that start late, since their bodies come late: the
  * phase when a request is complete decides, not only that of its headers.
@@ -505,6 +537,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			answer_is_cut_in_the_middle_at_the_end_of_a_stop),
+		cmocka_unit_test(changed_settings_cut_requests_in_a_stop),
 		cmocka_unit_test(request_with_a_late_body_outlasts_a_stop),
 		cmocka_unit_test(request_is_lost_at_the_end_of_a_stop),
 		cmocka_unit_test(request_is_lost_at_an_early_end_of_a_stop),
