Soak: count the body that comes with a long first read

A caller of planned stops lost count of what one read held beyond 4 KiB, so that a whole answer with a length was taken for a cut one. Answers in chunks, which all earlier findings are, are not counted.

--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -265,17 +265,16 @@
 
 static void read_answer(answer_t *answer, const char *data, size_t size)
 {
-	size_t before = answer->head_size;
+	size_t before = answer->head_size, room = HEAD_MAX_BYTES - 1 - before;
+	size_t copied = size < room ? size : room;
 
 	if (answer->head_done) {
 		read_body(answer, data, size);
 		return;
 	}
-	if (size > HEAD_MAX_BYTES - 1 - before)
-		size = HEAD_MAX_BYTES - 1 - before;
-	memcpy(answer->head + before, data, size);
-	answer->head[before + size] = '\0';
-	answer->head_size = before + size;
+	memcpy(answer->head + before, data, copied);
+	answer->head[before + copied] = '\0';
+	answer->head_size = before + copied;
 	read_head(answer);
 	if (answer->head_done)
 		read_body(answer, data + answer->head_size - before,
