--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/units.h"
+#include "soak/answer.h"
 #include "soak/soak.h"
 
 enum {
@@ -19,7 +20,6 @@
 	/* One channel of so many sends lookups that take long, so that a stop
 	 * has requests to wait for until its time is over. */
 	LONG_SHARE = 15,
-	HEAD_MAX_BYTES = 4096,
 	TEXT_MAX_BYTES = 1600,
 	BODY_BYTES = 600,
 	CHUNK_BYTES = 200,
@@ -41,16 +41,6 @@
 static const char *const body_names[] = { "no body", "a body with a length",
 					  "a body in chunks" };
 
-/* An answer, as far as it was received. */
-typedef struct {
-	char head[HEAD_MAX_BYTES];
-	size_t head_size;
-	bool head_done, is_whole;
-	int64_t left; /* bytes of the body; -1: it comes in chunks */
-	char last[8]; /* bytes received last, to find the end of the chunks */
-	size_t body_size;
-} answer_t;
-
 /* A caller with one connection, and its request in progress. */
 typedef struct {
 	soak_t *soak;
@@ -231,56 +221,6 @@
 	send_piece(channel);
 }
 
-static void read_head(answer_t *answer)
-{
-	const char *end = strstr(answer->head, "\r\n\r\n");
-	const char *length = strstr(answer->head, "Content-Length: ");
-
-	if (!end)
-		return;
-	answer->head_done = true;
-	answer->left = -1;
-	if (length && length < end)
-		answer->left =
-			strtoll(length + strlen("Content-Length: "), NULL, 10);
-	answer->head_size = (size_t)(end + 4 - answer->head);
-}
-
-static void read_body(answer_t *answer, const char *data, size_t size)
-{
-	static const char last[] = "\r\n0\r\n\r\n";
-	size_t room = strlen(last), i;
-
-	answer->body_size += size;
-	if (answer->left >= 0) {
-		answer->is_whole = (int64_t)answer->body_size >= answer->left;
-		return;
-	}
-	for (i = size > room ? size - room : 0; i < size; i++) {
-		memmove(answer->last, answer->last + 1, room - 1);
-		answer->last[room - 1] = data[i];
-	}
-	answer->is_whole = !memcmp(answer->last, last, room);
-}
-
-static void read_answer(answer_t *answer, const char *data, size_t size)
-{
-	size_t before = answer->head_size, room = HEAD_MAX_BYTES - 1 - before;
-	size_t copied = size < room ? size : room;
-
-	if (answer->head_done) {
-		read_body(answer, data, size);
-		return;
-	}
-	memcpy(answer->head + before, data, copied);
-	answer->head[before + copied] = '\0';
-	answer->head_size = before + copied;
-	read_head(answer);
-	if (answer->head_done)
-		read_body(answer, data + answer->head_size - before,
-			  before + size - answer->head_size);
-}
-
 static void count(const channel_t *channel, bool is_whole)
 {
 	soak_t *soak = channel->soak;
@@ -384,7 +324,7 @@
 	}
 	if (size < 0 || !channel->record)
 		return;
-	read_answer(&channel->answer, data, (size_t)size);
+	answer_read(&channel->answer, data, (size_t)size);
 	if (channel->answer.is_whole)
 		on_answer(channel);
 }
