Soak: take the time before which a connection was open from its own steps

Trace: the node closed them 7.904 s after SIGTERM, 173 ms and 258 ms after their first bytes, before their bodies were complete (408 with content=0, 413 with stop=closed); the run itself had stood still for 390 ms and noticed the end of the process late. The rule gives 200 ms after the last byte.

The end of a connection is taken to be the last step of the run before it was noticed, so that the run's own pauses count for the node; with steps of 2 ms it is as strict.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -74,8 +74,8 @@
 	int32_t failed_probes; /* readiness probes in a row without a 200 */
 	int64_t started_us;
 	int64_t disturbed_us; /* last fault of the process or its links */
-	/* When the last graceful stop began, and when the last process ended;
-	 * 0: none did. */
+	/* When the last graceful stop began, and, with stops, a time shortly
+	 * before the last process ended; 0: none did. */
 	int64_t stop_us, ended_us;
 	int port, ready_port, peer_port;
 	int64_t told_us[SERVERS]; /* when the node first relayed the rate of a
@@ -205,6 +205,7 @@
 		int sent, served, refused, failed; /* at nodes that stop */
 		int64_t served_ms; /* sum of their times */
 	} stop_counts;
+	int64_t stepped_us; /* when these callers were last looked at */
 	uint64_t stops_random; /* state of the generator for these callers */
 	ev_timer caller_timer, fault_timer, rate_timer, restore_timer,
 		cut_timer, probe_timer, end_timer;
--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -256,16 +256,16 @@
 	return NULL;
 }
 
-/* @return when the connection ended, which a caller that reads late may learn
- * after the process has ended */
+/* @return a time before the connection ended. This process may have stood still
+ * since, and a caller that reads late may learn of it after the node's end. */
 static int64_t closed_us(const channel_t *channel)
 {
-	int64_t now_us = clock_monotonic_us();
+	int64_t stepped_us = channel->soak->stepped_us;
 	int64_t ended_us = channel->node->ended_us;
 
-	return ended_us >= channel->record->sent_us && ended_us < now_us
+	return ended_us >= channel->record->sent_us && ended_us < stepped_us
 		       ? ended_us
-		       : now_us;
+		       : stepped_us;
 }
 
 /* The connection ended within a request, or before its whole answer. */
@@ -351,10 +351,13 @@
 
 static void on_step(struct ev_loop *loop, ev_timer *timer, int events)
 {
+	soak_t *soak = timer->data;
+	int64_t now_us = clock_monotonic_us();
 	int i;
 
 	for (i = 0; i < channel_count; i++)
 		step(&channels[i], clock_monotonic_us());
+	soak->stepped_us = now_us;
 }
 
 void stops_start(soak_t *soak)
@@ -379,6 +382,7 @@
 		channels[i].due_us += US_PER_S;
 	}
 	ev_timer_init(&step_timer, on_step, STEP_S, STEP_S);
+	step_timer.data = soak;
 	ev_timer_start(soak->loop, &step_timer);
 }
 
