Send answers after the limit of a shutdown until callers have them

Callers of our own interface that read a long answer late lost its end when shutdown.limit was over: completions and answers of actions that were whole in the process, and the last event of streams.

Cause: DRAIN_RETURNING took 100 ms whatever was left to send, and the process ended then. The time is meant for returning credits.

Ruled out: requests whose body completes after new requests are refused. They are admitted, run and get their answer; after the limit they are refused as not run, and reach no server.

Change: the phase lasts until all request tasks are idle and no outcome of an action is left to record, at least 100 ms and at most 1 s. A stop in time takes 100 ms, as before.

A caller that reads nothing for 1 s after the limit is still cut.

--- a/src/process/drain.c
+++ b/src/process/drain.c
@@ -4,6 +4,9 @@
 
 /* Time for the peer sockets to send the messages that return the credits. */
 #define RETURN_US (100 * US_PER_MS)
+/* Longest time for sending the answers that ended requests at the limit: a
+ * caller may read late, or not at all. */
+#define ANSWER_MAX_US US_PER_S
 
 void drain_init(drain_t *drain, const drain_conf_t *conf)
 {
@@ -21,24 +24,29 @@
 
 void drain_idle(drain_t *drain, uint32_t task)
 {
-	if (drain->phase == DRAIN_FINISHING && task < 64)
+	if ((drain->phase == DRAIN_FINISHING ||
+	     drain->phase == DRAIN_RETURNING) &&
+	    task < 64)
 		drain->idle_tasks |= UINT64_C(1) << task;
 }
 
-static bool all_idle(const drain_t *drain)
+static bool is_done(const drain_t *drain, int32_t pending)
 {
-	return __builtin_popcountll(drain->idle_tasks) >= drain->conf.tasks;
+	return !pending &&
+	       __builtin_popcountll(drain->idle_tasks) >= drain->conf.tasks;
 }
 
 static drain_phase_t next_phase(drain_t *drain, int32_t pending, int64_t now_us)
 {
+	int64_t passed_us = now_us - drain->since_us;
+
 	switch (drain->phase) {
 	case DRAIN_NOTICE:
-		if (now_us - drain->since_us >= drain->conf.notice_us)
+		if (passed_us >= drain->conf.notice_us)
 			return DRAIN_FINISHING;
 		break;
 	case DRAIN_FINISHING:
-		if (all_idle(drain) && !pending)
+		if (is_done(drain, pending))
 			return DRAIN_RETURNING;
 		if (now_us - drain->signalled_us >= drain->conf.limit_us) {
 			drain->timed_out = true;
@@ -46,7 +54,8 @@
 		}
 		break;
 	case DRAIN_RETURNING:
-		if (now_us - drain->since_us >= RETURN_US)
+		if (passed_us >= ANSWER_MAX_US ||
+		    (passed_us >= RETURN_US && is_done(drain, pending)))
 			return DRAIN_STOPPED;
 		break;
 	case DRAIN_RUNNING:
--- a/src/process/drain.h
+++ b/src/process/drain.h
@@ -16,7 +16,8 @@
 	DRAIN_RUNNING,
 	DRAIN_NOTICE, /**< not ready, but requests are still accepted */
 	DRAIN_FINISHING, /**< request tasks accept no new requests */
-	DRAIN_RETURNING, /**< credits go back to their owners */
+	/** Credits go back to their owners, and final answers to callers. */
+	DRAIN_RETURNING,
 	DRAIN_STOPPED
 } drain_phase_t;
 
