Collect the answers of lookups that a shutdown may end

Callers of long lookups got the first half of the answer and no end when shutdown.limit was over: an answer above 64 KiB was streamed as it came from the server, and could then only be broken off. A caller that read late was cut although the server had the whole answer, since the node had stopped reading it.

Cause: whether a lookup is streamed was decided by its size alone.

Ruled out: refusing such lookups from the signal on. In the notice the balancer still sends them, and most end long before the limit.

Change: request tasks are told at the signal when requests that are left are ended. A lookup whose time limit is later is collected up to callers.body_max, as an action is; at the limit its caller gets 503 with the outcome `unknown`.

Still cut at the limit: a lookup that was streamed before the signal, and one longer than callers.body_max.

--- a/src/process/control_shutdown.c
+++ b/src/process/control_shutdown.c
@@ -59,6 +59,18 @@
 		task_msg_destroy(message);
 }
 
+static void announce_end(control_t *control, int64_t ends_us)
+{
+	int32_t i;
+
+	for (i = 0; i < control->settings.request_tasks; i++) {
+		task_msg_t *message = task_msg_create(TASK_MSG_NOTICE, 0);
+
+		message->as.ends_us = ends_us;
+		control_send(control, (uint32_t)i, message);
+	}
+}
+
 /* Performs the actions that belong to the start of the current phase. */
 static void enter_phase(control_shutdown_t *shutdown, int64_t now_us)
 {
@@ -74,6 +86,7 @@
 	switch (shutdown->drain.phase) {
 	case DRAIN_NOTICE:
 		control_members_leave(control->members);
+		announce_end(control, drain_ends_us(&shutdown->drain));
 		break;
 	case DRAIN_FINISHING:
 		send_to_request_tasks(control, TASK_MSG_DRAIN);
--- a/src/process/control_task.c
+++ b/src/process/control_task.c
@@ -86,6 +86,7 @@
 	case TASK_MSG_REFUSE:
 	case TASK_MSG_ANSWER:
 	case TASK_MSG_CONFIG:
+	case TASK_MSG_NOTICE:
 	case TASK_MSG_END_ALL:
 		break;
 	}
--- a/src/process/drain.c
+++ b/src/process/drain.c
@@ -76,6 +76,15 @@
 	return true;
 }
 
+int64_t drain_ends_us(const drain_t *drain)
+{
+	const drain_conf_t *conf = &drain->conf;
+
+	return drain->signalled_us + (conf->limit_us > conf->notice_us
+					      ? conf->limit_us
+					      : conf->notice_us);
+}
+
 const char *drain_phase_text(drain_phase_t phase)
 {
 	switch (phase) {
--- a/src/process/drain.h
+++ b/src/process/drain.h
@@ -57,6 +57,9 @@
  */
 bool drain_tick(drain_t *drain, int32_t pending, int64_t now_us);
 
+/** @return when the requests that are left are ended, after the signal */
+int64_t drain_ends_us(const drain_t *drain);
+
 /** @return the name of a phase, as in the status and the log. */
 const char *drain_phase_text(drain_phase_t phase);
 
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -39,7 +39,8 @@
 	CONNECT_TIMEOUT_MS = 1000, /**< for connections to backend servers */
 	/** Resumptions of one attempt without a new token in between. */
 	RESUMES_MAX = 3,
-	/** A lookup's answer up to this size is collected before sending. */
+	/** A lookup's answer up to this size is collected before sending; a
+	 * longer one too, if a shutdown may end the request. */
 	COLLECT_MAX_BYTES = 64 * 1024,
 	RETRY_AFTER_S = 1, /**< Retry-After of refusals by a request task */
 	/**
@@ -89,6 +90,7 @@
 	request_t *requests; /**< hash table by number */
 	account_use_t *accounts; /**< hash table by name */
 	cancellation_t *cancellations; /**< list */
+	int64_t ends_us; /**< when a shutdown ends requests; 0: none began */
 	bool draining; /**< new requests are refused */
 	bool closing; /**< messages are discarded */
 	char text[SSE_EVENT_MAX_BYTES]; /**< decoded text of one chunk */
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -53,7 +53,22 @@
 }
 
 /*
- * Streams a lookup's answer that is longer than COLLECT_MAX_BYTES, beginning
+ * @return the size up to which a lookup's answer is collected. Of an answer
+ * that is streamed, nothing can be taken back when a shutdown ends the request.
+ */
+static size_t collect_max_bytes(const request_t *request)
+{
+	const request_task_t *task = request->task;
+	size_t body_max_bytes = (size_t)task->settings.body_max_bytes;
+
+	if (!task->ends_us || request->deadline_us < task->ends_us ||
+	    body_max_bytes < COLLECT_MAX_BYTES)
+		return COLLECT_MAX_BYTES;
+	return body_max_bytes;
+}
+
+/*
+ * Streams a lookup's answer that is longer than collect_max_bytes(), beginning
  * with the data collected so far.
  */
 static void begin_stream(request_t *request)
@@ -68,10 +83,12 @@
 static client_flow_t on_lookup_data(request_t *request, const void *data,
 				    size_t size)
 {
+	size_t max_bytes = collect_max_bytes(request);
+
 	if (!request->headers_sent &&
-	    request->answer.size + size <= COLLECT_MAX_BYTES) {
+	    request->answer.size + size <= max_bytes) {
 		body_buf_append(request, &request->answer, data, size,
-				COLLECT_MAX_BYTES);
+				max_bytes);
 		if (!request->answer.overflow)
 			return CLIENT_CONTINUE;
 		request_give_up(request, ATTEMPT_CALLER_GONE);
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -81,6 +81,9 @@
 	case TASK_MSG_CONFIG:
 		on_config(task, message->as.config);
 		break;
+	case TASK_MSG_NOTICE:
+		task->ends_us = message->as.ends_us;
+		break;
 	case TASK_MSG_DRAIN:
 		task->draining = true;
 		request_task_check_idle(task);
--- a/src/process/task_msg.c
+++ b/src/process/task_msg.c
@@ -34,6 +34,7 @@
 	case TASK_MSG_IDLE:
 	case TASK_MSG_DISPATCH:
 	case TASK_MSG_REFUSE:
+	case TASK_MSG_NOTICE:
 	case TASK_MSG_DRAIN:
 	case TASK_MSG_END_ALL:
 	case TASK_MSG_STOP:
--- a/src/process/task_msg.h
+++ b/src/process/task_msg.h
@@ -127,6 +127,8 @@
 	TASK_MSG_REFUSE,
 	TASK_MSG_ANSWER,
 	TASK_MSG_CONFIG, /**< a new configuration is in force */
+	/** The shutdown begins; requests are still accepted. */
+	TASK_MSG_NOTICE,
 	/** Accept no new request, and send TASK_MSG_IDLE when no request is
 	 * left. From the main thread to the control task: start the shutdown.
 	 */
@@ -152,6 +154,8 @@
 		document_t *config; /**< TASK_MSG_CONFIG: one reference,
 				     released with the message */
 		uint32_t task; /**< TASK_MSG_IDLE: index of the request task */
+		int64_t ends_us; /**< TASK_MSG_NOTICE: when requests that are
+				    left are ended */
 	} as;
 } task_msg_t;
 
--- a/tests/test_request_stop.c
+++ b/tests/test_request_stop.c
@@ -28,7 +28,14 @@
 };
 
 /** The kinds of requests; the path at the server names them. */
-typedef enum { STREAMED, COLLECTED, SHORT_LOOKUP, ACTION, KINDS } kind_t;
+typedef enum {
+	STREAMED,
+	COLLECTED,
+	SHORT_LOOKUP,
+	LONG_LOOKUP,
+	ACTION,
+	KINDS
+} kind_t;
 
 static const struct {
 	const char *name, *path, *header, *body;
@@ -39,6 +46,7 @@
 	{ "completion", "/v1/completions", "",
 	  "{\"model\":\"chat\",\"prompt\":\"x\",\"max_tokens\":1000}" },
 	{ "short lookup", "/services/status/short", "", "{}" },
+	{ "long lookup", "/services/status/long", "", "{}" },
 	{ "action", "/services/orders/x", "Idempotency-Key: k\r\n", "{}" },
 };
 
@@ -65,6 +73,7 @@
 	  { { 200, DONE },
 	    { 200, "complete" },
 	    { 200, "answer" },
+	    { 200, "yy" },
 	    { 200, "yy" } } },
 	{ "finished in time, read after the limit",
 	  0,
@@ -73,6 +82,7 @@
 	  { { 200, "\"outcome\":\"failed\"" },
 	    { 200, "complete" },
 	    { 200, "answer" },
+	    { 200, "yy" },
 	    { 200, "yy" } } },
 	{ "complete after new requests are refused",
 	  DRAIN_FINISHING,
@@ -81,12 +91,14 @@
 	  { { 200, DONE },
 	    { 200, "complete" },
 	    { 200, "answer" },
+	    { 200, "yy" },
 	    { 200, "yy" } } },
 	{ "running at the limit",
 	  0,
 	  false,
 	  false,
 	  { { 200, "\"outcome\":\"failed\"" },
+	    { 503, STOPPED },
 	    { 503, STOPPED },
 	    { 503, STOPPED },
 	    { 503, STOPPED } } },
@@ -95,6 +107,7 @@
 	  false,
 	  true,
 	  { { 200, "\"outcome\":\"failed\"" },
+	    { 503, STOPPED },
 	    { 503, STOPPED },
 	    { 503, STOPPED },
 	    { 503, STOPPED } } },
@@ -103,6 +116,7 @@
 	  false,
 	  false,
 	  { { 503, "not-run" },
+	    { 503, "not-run" },
 	    { 503, "not-run" },
 	    { 503, "not-run" },
 	    { 503, "not-run" } } },
@@ -267,6 +281,12 @@
 /* Performs what the control task does at the start of a phase. */
 static void enter_phase(const play_t *play)
 {
+	if (play->drain.phase == DRAIN_NOTICE) {
+		task_msg_t *message = task_msg_create(TASK_MSG_NOTICE, 0);
+
+		message->as.ends_us = drain_ends_us(&play->drain);
+		fixture_send(&fixture, message);
+	}
 	if (play->drain.phase == DRAIN_FINISHING)
 		fixture_send(&fixture, task_msg_create(TASK_MSG_DRAIN, 0));
 	if (play->drain.phase == DRAIN_RETURNING && play->drain.timed_out)
