Take the rest of a relayed stream while the node stops

A caller behind two nodes lost its stream in the middle, long before its time limit, when its server fell silent while the node that reaches the servers stopped: the node of the caller gave up the attempt to repeat it from the last event, and the stopping node refused the repetition as it refuses all relayed requests.

Cause: a refusal is safe only for a request whose caller has nothing yet; the rest of a stream cannot be refused, and there may be no third node.

Ruled out: answers that are held, delayed or in parts, in each of the two nodes while it stops, are delivered whole; what the stop ends gets 502 or 504; nothing that may run once runs twice.

--- a/src/request/forward_relay.c
+++ b/src/request/forward_relay.c
@@ -129,6 +129,14 @@
 	return own == version || age_ms < VERSION_SKEW_MAX_MS;
 }
 
+/* A node that stops takes only the rest of a stream: the caller has a part of
+ * it, so that the other node can no longer refuse it. */
+static bool is_taken_at_stop(const forward_t *forward)
+{
+	return forward->gateway->stop == STOP_NONE ||
+	       *forward->request.last_event_id;
+}
+
 bool forward_admits_relayed(forward_t *forward)
 {
 	gateway_t *gateway = forward->gateway;
@@ -136,7 +144,7 @@
 
 	if (!gateway_relay_key_is(gateway, key))
 		forward_refuse_here(forward, "relay_key", 0);
-	else if (gateway->stop != STOP_NONE)
+	else if (!is_taken_at_stop(forward))
 		forward_refuse_here(forward, "stopping", 0);
 	else if (gateway->relayed_count > gateway_relayed_max(gateway))
 		forward_refuse_here(forward, "relayed_max", 0);
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -28,6 +28,8 @@
 	STABLE_WINDOW_MS = 3000,
 	CALLS = 6, /* of each kind, after that */
 	DEADLINE_MS = 1400,
+	STOP_AFTER_MS = 50, /* a request was sent */
+	ENDED_MS = 300,
 	LONG_TARGET_BYTES = 12000,
 	MEMORY_LIMIT_BYTES = 8 << 20,
 	ENDLESS = 20, /* requests whose answers do not end */
@@ -148,19 +150,46 @@
 }
 
 /* Sends a request to the node that is cut off. */
-static void call(pair_t *pair, reply_t *reply, const char *path, int number)
+static void begin_call(pair_t *pair, reply_t *reply, const char *path,
+		       int number)
 {
-	int64_t end_us = clock_monotonic_us() + DEADLINE_MS * US_PER_MS;
 	char id[40];
 	const char *headers[] = { "Host: h", id, "X-Deadline-Ms: 1400",
 				  FIXTURE_AUTHORIZATION, NULL };
 
 	snprintf(id, sizeof(id), "X-Request-Id: r%d", number);
 	gateway_fixture_call(&pair->near, reply, "POST", path, headers, "body");
+}
+
+static void finish_call(pair_t *pair, const reply_t *reply)
+{
+	int64_t end_us = clock_monotonic_us() + DEADLINE_MS * US_PER_MS;
+
 	while (!reply->ended && clock_monotonic_us() < end_us)
 		run(pair, 0);
 }
 
+static void call(pair_t *pair, reply_t *reply, const char *path, int number)
+{
+	begin_call(pair, reply, path, number);
+	finish_call(pair, reply);
+}
+
+/*
+ * Stops a node.
+ * @param ends the requests that are left are ended after ENDED_MS
+ */
+static void stop_node(gateway_fixture_t *fixture, bool ends)
+{
+	gateway_t *gateway = fixture->gateway;
+
+	gateway_stop(gateway);
+	if (ends)
+		gateway->stop_started_us -= gateway_stops_at_us(gateway) -
+					    clock_monotonic_us() -
+					    ENDED_MS * US_PER_MS;
+}
+
 /* Calls until the node has noticed the cut, for which it has so long. */
 static void notice(pair_t *pair, const char *path)
 {
@@ -364,6 +393,105 @@
 	}
 }
 
+/*
+ * Guards against a relayed request that ends without a whole answer, or runs
+ * twice, since one of its two nodes stops while a server runs it.
+ */
+static void relayed_request_is_lost_when_a_node_stops(void **state)
+{
+	static const struct {
+		const char *guards_against, *path;
+		server_act_t act; /* of the first server that gets it */
+		enum {
+			FAR, /* reaches the servers */
+			FAR_ENDS, /* and ends the request */
+			NEAR, /* has the caller */
+			NEAR_ENDS,
+			NEAR_BEFORE /* before it gets the request */
+		} stops;
+		size_t arrivals;
+		int status;
+		size_t bytes; /* of the body; 0: any */
+	} cases[] = {
+		{ "a held lookup", "/safe/x", SERVES_DELAYED, FAR, 1, 200, 10 },
+		{ "a held order", "/once/x", SERVES_DELAYED, FAR, 1, 200, 10 },
+		{ "a delayed stream", "/stream/x", SERVES_DELAYED, FAR, 1, 200,
+		  0 },
+		{ "a lookup in parts", "/safe/x", SERVES_PARTS, FAR, 1, 200,
+		  PARTS_BODY_BYTES },
+		{ "an order in parts", "/once/x", SERVES_PARTS_CHUNKED, FAR, 1,
+		  200, PARTS_BODY_BYTES },
+		{ "an order that ends with its connection", "/once/x",
+		  SERVES_PARTS_UNFRAMED, FAR, 1, 200, PARTS_BODY_BYTES },
+		{ "a held lookup, sender", "/safe/x", SERVES_DELAYED, NEAR, 1,
+		  200, 10 },
+		{ "a held order, sender", "/once/x", SERVES_DELAYED, NEAR, 1,
+		  200, 10 },
+		{ "a delayed stream, sender", "/stream/x", SERVES_DELAYED, NEAR,
+		  1, 200, 0 },
+		{ "a lookup in parts, sender", "/safe/x", SERVES_PARTS, NEAR, 1,
+		  200, PARTS_BODY_BYTES },
+		{ "an order in parts, sender", "/once/x", SERVES_PARTS_CHUNKED,
+		  NEAR, 1, 200, PARTS_BODY_BYTES },
+		{ "a lookup after the signal", "/safe/x", SERVES, NEAR_BEFORE,
+		  1, 200, 10 },
+		{ "an order after the signal", "/once/x", SERVES_PARTS,
+		  NEAR_BEFORE, 1, 200, PARTS_BODY_BYTES },
+		{ "a stream after the signal", "/stream/x", SERVES, NEAR_BEFORE,
+		  1, 200, 0 },
+		{ "a stream that falls silent, sender", "/stream/x", TRICKLES,
+		  NEAR, 2, 200, 0 },
+		{ "a stream that falls silent", "/stream/x", TRICKLES, FAR, 2,
+		  200, 0 },
+		{ "a lookup whose server is silent", "/safe/x", SILENT, FAR, 1,
+		  502, 0 },
+		{ "a lookup that the stop ends", "/safe/x", SILENT, FAR_ENDS, 1,
+		  502, 0 },
+		{ "an order that the stop ends", "/once/x", SILENT, FAR_ENDS, 1,
+		  502, 0 },
+		{ "a stream that the stop ends", "/stream/x", SILENT, FAR_ENDS,
+		  1, 502, 0 },
+		{ "a lookup that the stop ends, sender", "/safe/x", SILENT,
+		  NEAR_ENDS, 1, 504, 0 },
+		{ "an order that the stop ends, sender", "/once/x", SILENT,
+		  NEAR_ENDS, 1, 504, 0 },
+	};
+	size_t i, wrong = 0;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		pair_t pair;
+		reply_t reply = { .ended = false };
+
+		start(&pair);
+		cut(&pair, CUT_REFUSES);
+		notice(&pair, cases[i].path);
+		pair.far.arrival_count = 0;
+		pair.far.acts[0] = cases[i].act;
+		if (cases[i].stops == NEAR_BEFORE)
+			stop_node(&pair.near, false);
+		begin_call(&pair, &reply, cases[i].path, 1);
+		reply.discards = true;
+		run(&pair, STOP_AFTER_MS);
+		stop_node(cases[i].stops >= NEAR ? &pair.near : &pair.far,
+			  cases[i].stops == FAR_ENDS ||
+				  cases[i].stops == NEAR_ENDS);
+		finish_call(&pair, &reply);
+		if ((reply.end == CLIENT_OK ? reply.status : 0) !=
+			    cases[i].status ||
+		    pair.far.arrival_count != cases[i].arrivals ||
+		    (cases[i].bytes && reply.size != cases[i].bytes)) {
+			print_error("case \"%s\": status %d, end %d, %zu "
+				    "bytes, %zu arrivals\n",
+				    cases[i].guards_against, reply.status,
+				    (int)reply.end, reply.size,
+				    pair.far.arrival_count);
+			wrong++;
+		}
+		stop(&pair);
+	}
+	assert_int_equal(wrong, 0);
+}
+
 static bool has_header(const arrival_t *arrival, const char *header)
 {
 	return strstr(arrival->text, header);
@@ -526,6 +654,7 @@
 		cmocka_unit_test(
 			callers_of_a_node_cut_from_servers_are_refused),
 		cmocka_unit_test(relayed_requests_break_a_rule_of_one_node),
+		cmocka_unit_test(relayed_request_is_lost_when_a_node_stops),
 		cmocka_unit_test(
 			server_of_a_relayed_request_gets_other_headers),
 		cmocka_unit_test(
