check_drain: a long lookup that runs when the time for the stop is over

Callers of real processes: test_request_stop plays the control task itself, so that nothing showed if the control task does not say when requests are ended.

Cause: the stand-in for plain services could only send whole answers. It can now fall silent after a part of one.

--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -6,6 +6,8 @@
  *                 an answer
  *   refuse        refuses the next N calls before they run
  *   slow_ms       delays each answer by this time, in ms
+ *   stall_after   sends so many bytes in place of each answer, and no end;
+ *                 0: whole answers
  */
 #include <inttypes.h>
 #include <pthread.h>
@@ -17,9 +19,13 @@
 #include "base/history.h"
 #include "lib_http.h"
 
+/* Longer than any time limit of the tests that use stall_after. */
+enum { STALL_MS = 20000 };
+
 static char *name = NULL;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static int64_t lose_answers, refuse, slow_ms, running, executed, incarnation;
+static int64_t lose_answers, refuse, slow_ms, stall_after, running, executed,
+	incarnation;
 
 static enum MHD_Result set_fault(http_request_t *request)
 {
@@ -28,6 +34,7 @@
 	http_read_fault(fault, "lose_answers", &lose_answers);
 	http_read_fault(fault, "refuse", &refuse);
 	http_read_fault(fault, "slow_ms", &slow_ms);
+	http_read_fault(fault, "stall_after", &stall_after);
 	json_decref(fault);
 	return http_reply(request, fault ? 200 : 400, "{}");
 }
@@ -65,6 +72,23 @@
 	return !http_use_fault(&lose_answers);
 }
 
+/* Content reader of an answer without end. */
+static ssize_t read_stalling(void *context, uint64_t position, char *target,
+			     size_t max)
+{
+	uint64_t left = (uint64_t)stall_after > position
+				? (uint64_t)stall_after - position
+				: 0;
+	size_t size = left < max ? (size_t)left : max;
+
+	if (!size) {
+		http_sleep_ms(STALL_MS);
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	}
+	memset(target, 'x', size);
+	return (ssize_t)size;
+}
+
 static enum MHD_Result on_request(http_request_t *request)
 {
 	char answer[256];
@@ -88,6 +112,9 @@
 	pthread_mutex_unlock(&lock);
 	if (refused)
 		return http_refuse(request);
+	if (answered && stall_after)
+		return http_stream(request, "text/plain", read_stalling, NULL,
+				   NULL);
 	return answered ? http_reply(request, 200, answer) : MHD_NO;
 }
 
