--- a/src/process/drain.h
+++ b/src/process/drain.h
@@ -16,7 +16,8 @@
 	DRAIN_RUNNING,
 	DRAIN_NOTICE, /**< not ready, but requests are still accepted */
 	DRAIN_FINISHING, /**< request tasks accept no new requests */
-	DRAIN_RETURNING, /**< credits go back to their owners */
+	/** Credits go back to their owners, and final answers to callers. */
+	DRAIN_RETURNING,
 	DRAIN_STOPPED
 } drain_phase_t;
 
@@ -56,6 +57,9 @@
  */
 bool drain_tick(drain_t *drain, int32_t pending, int64_t now_us);
 
+/** @return when the requests that are left are ended, after the signal */
+int64_t drain_ends_us(const drain_t *drain);
+
 /** @return the name of a phase, as in the status and the log. */
 const char *drain_phase_text(drain_phase_t phase);
 
