Hold an answer whole that may come after the end of a stop

Callers whose requests start while the load balancer has not noticed the stop, with a time limit after its end, got a part of an answer of more than 256 KiB and no end, 7.75 s after SIGTERM, also of requests that may run only once.

Cause: what is held was decided by its size alone. From SIGTERM on an answer of a request that the stop may end is held whole, as long as there is memory, and is a 504 at the end; nothing changes for requests whose limit is over before.

Before: answer_that_outlasts_a_stop_is_begun, 6 of 6 cut after 300 kB. After: 6 of 6 get a whole 504.

--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -15,7 +15,8 @@
 
 enum {
 	/* Answers up to this size are held until they are complete, so that
-	 * the request can be retried if the answer breaks. */
+	 * the request can be retried if the answer breaks; longer ones too, if
+	 * a stop may end the request. */
 	HOLD_MAX_BYTES = 256 * 1024,
 	/* The server's answer is paused while more than this is buffered for
 	 * the caller. */
@@ -323,6 +324,13 @@
 	return flow_of(forward);
 }
 
+/* @return true if a body of @p size is held. Of an answer that is streamed,
+ * nothing can be taken back when a stop ends the request. */
+static bool may_hold(const forward_t *forward, size_t size)
+{
+	return size <= HOLD_MAX_BYTES || forward_may_outlast_stop(forward);
+}
+
 /* Holds a body up to HOLD_MAX_BYTES; a longer one, or one without memory to
  * hold it, is streamed. */
 static client_flow_t relay_body(forward_t *forward, const void *data,
@@ -331,7 +339,7 @@
 	attempt_t *attempt = forward->attempt;
 
 	if (!attempt->overflow &&
-	    attempt->body_bytes + size <= HOLD_MAX_BYTES &&
+	    may_hold(forward, attempt->body_bytes + size) &&
 	    has_answer_memory(forward->gateway, size)) {
 		attempt->body = mem_realloc(attempt->body,
 					    attempt->body_bytes + size, 1);
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -250,6 +250,8 @@
  * @return false if the request was refused
  */
 bool forward_may_start(forward_t *forward);
+/** @return true if a graceful stop that has begun may end before the request */
+bool forward_may_outlast_stop(const forward_t *forward);
 
 /* forward_timer.c */
 /** @return silence of a stream, in us, after which the caller closes it */
--- a/src/request/forward_stop.c
+++ b/src/request/forward_stop.c
@@ -4,6 +4,14 @@
 
 enum { HTTP_GATEWAY_TIMEOUT = 504 };
 
+bool forward_may_outlast_stop(const forward_t *forward)
+{
+	const gateway_t *gateway = forward->gateway;
+
+	return gateway->stop != STOP_NONE &&
+	       forward->limit_us >= gateway_stops_at_us(gateway);
+}
+
 static bool may_start(const forward_t *forward)
 {
 	switch (forward->gateway->stop) {
@@ -12,8 +20,7 @@
 		return true;
 	case STOP_FINISHING:
 		/* A shorter time than the limit is not certain to be enough. */
-		return forward->limit_us <
-		       gateway_stops_at_us(forward->gateway);
+		return !forward_may_outlast_stop(forward);
 	case STOP_ENDED:
 	case STOP_CLOSED:
 		return false;
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -460,6 +460,31 @@
 	assert_int_equal(wrong, 0);
 }
 
+/*
+ * Guards against a part of an answer in place of an error, where the answer
+ * takes longer than the stop: its last part comes 3.4 s after SIGTERM.
+ */
+static void answer_that_outlasts_a_stop_is_begun(void **state)
+{
+	static const moment_t moment = {
+		STOP_NOTICE, 2600, DEADLINE_MS, { 0 }
+	};
+	static const char *const answers[] = { "/safe/length", "/safe/chunks",
+					       "/safe/open",   "/once/length",
+					       "/once/chunks", "/once/open" };
+	play_t *play = test_malloc(sizeof(*play));
+	size_t i, wrong;
+
+	begin(play);
+	play->fixture.text_acts = text_acts;
+	play->fixture.gateway->settings.stop_ms = 3500;
+	for (i = 0; i < COUNT_OF(answers); i++)
+		add(play, &moment, NEW, answers[i], 504);
+	wrong = stop(play);
+	test_free(play);
+	assert_int_equal(wrong, 0);
+}
+
 /*
  * Guards against requests that start late, since their bodies come late: the
  * phase when a request is complete decides, not only that of its headers.
@@ -538,6 +563,7 @@
 		cmocka_unit_test(
 			answer_is_cut_in_the_middle_at_the_end_of_a_stop),
 		cmocka_unit_test(changed_settings_cut_requests_in_a_stop),
+		cmocka_unit_test(answer_that_outlasts_a_stop_is_begun),
 		cmocka_unit_test(request_with_a_late_body_outlasts_a_stop),
 		cmocka_unit_test(request_is_lost_at_the_end_of_a_stop),
 		cmocka_unit_test(request_is_lost_at_an_early_end_of_a_stop),
