Bound what a stop keeps for callers that receive late

Change: at most 100 sockets; 64 KiB of input are read a check, and before a socket is closed; a caller that has received nothing for 1 s is not waited for; the byte of the end does not count, so that most closes keep nothing. A request that has not run is asked about whenever it is placed, so that one that waits for a server since the notice is refused too.

--- a/src/connection/callers.c
+++ b/src/connection/callers.c
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,6 +14,16 @@
 #include "base/units.h"
 #include "connection/listener_private.h"
 
+enum {
+	/* Closed connections that are kept; each takes a descriptor. */
+	UNSENT_MAX = 100,
+	/* A caller that sends without end must not hold up the others. */
+	DISCARD_READS_MAX = 16
+};
+
+/* A caller that has received nothing for so long is not waited for. */
+#define SILENCE_MAX_US US_PER_S
+
 /* Interval between two checks of all connections. */
 #define CHECK_S 0.5
 /* A check that is this late shows nothing: what callers sent meanwhile waits in
@@ -32,16 +43,26 @@
 	*context = caller;
 }
 
-/* @return true if the caller may still receive data that was sent to it */
-static bool is_unsent(int fd)
+/* @return bytes that were sent to the caller and that it has not confirmed */
+static int unconfirmed_bytes(int fd)
 {
 	struct tcp_info info;
 	socklen_t size = sizeof(info);
 	int bytes = 0;
 
-	return !ioctl(fd, SIOCOUTQ, &bytes) && bytes > 0 &&
-	       !getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) &&
-	       info.tcpi_state != TCP_CLOSE;
+	if (ioctl(fd, SIOCOUTQ, &bytes) ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return 0;
+	switch (info.tcpi_state) {
+	case TCP_CLOSE:
+		return 0;
+	case TCP_FIN_WAIT1:
+	case TCP_CLOSING:
+	case TCP_LAST_ACK:
+		return bytes - 1; /* the end itself counts as a byte */
+	default:
+		return bytes;
+	}
 }
 
 /* Closing a socket resets the connection, and loses what is on the way to the
@@ -49,44 +70,75 @@
 static void discard_input(int fd)
 {
 	char data[4096];
+	int i;
 
-	while (recv(fd, data, sizeof(data), MSG_DONTWAIT) > 0)
-		;
+	for (i = 0; i < DISCARD_READS_MAX; i++)
+		if (recv(fd, data, sizeof(data), MSG_DONTWAIT) <= 0)
+			return;
 }
 
-static void keep_unsent(listener_t *listener, int fd)
+/* @return true if the caller receives what was sent to it */
+static bool is_receiving(int fd, progress_t *progress)
 {
-	unsent_t *unsent;
-	int copy = is_unsent(fd) ? dup(fd) : -1;
+	int bytes = unconfirmed_bytes(fd);
+	int64_t now_us = clock_monotonic_us();
 
-	if (copy < 0)
-		return;
-	unsent = mem_calloc(1, sizeof(*unsent));
-	unsent->fd = copy;
-	DL_APPEND(listener->unsent, unsent);
+	if (bytes != progress->bytes)
+		*progress = (progress_t){ bytes, now_us };
+	return bytes > 0 && now_us - progress->since_us < SILENCE_MAX_US;
 }
 
 static void drop_unsent(listener_t *listener, unsent_t *unsent)
 {
+	discard_input(unsent->fd);
 	close(unsent->fd);
 	DL_DELETE(listener->unsent, unsent);
+	listener->unsent_count--;
 	free(unsent);
 }
 
-bool callers_have_unsent(listener_t *listener)
+/* Closes the kept connections whose callers have received all, or receive
+ * nothing. */
+static void check_unsent(listener_t *listener)
 {
 	unsent_t *unsent, *next;
-	const caller_t *caller;
 
 	DL_FOREACH_SAFE (listener->unsent, unsent, next) {
 		discard_input(unsent->fd);
-		if (!is_unsent(unsent->fd))
+		if (!is_receiving(unsent->fd, &unsent->progress))
 			drop_unsent(listener, unsent);
 	}
+}
+
+static void keep_unsent(listener_t *listener, int fd)
+{
+	unsent_t *unsent;
+	int copy;
+
+	if (unconfirmed_bytes(fd) <= 0)
+		return;
+	if (listener->unsent_count >= UNSENT_MAX)
+		check_unsent(listener);
+	if (listener->unsent_count >= UNSENT_MAX)
+		return;
+	copy = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+	if (copy < 0)
+		return;
+	unsent = mem_calloc(1, sizeof(*unsent));
+	unsent->fd = copy;
+	DL_APPEND(listener->unsent, unsent);
+	listener->unsent_count++;
+}
+
+bool callers_have_unsent(listener_t *listener)
+{
+	caller_t *caller;
+
+	check_unsent(listener);
 	if (listener->unsent)
 		return true;
 	DL_FOREACH (listener->callers, caller)
-		if (is_unsent(caller->fd))
+		if (is_receiving(caller->fd, &caller->progress))
 			return true;
 	return false;
 }
@@ -94,9 +146,13 @@
 void callers_drop_unsent(listener_t *listener)
 {
 	unsent_t *unsent, *next;
+	caller_t *caller;
 
 	DL_FOREACH_SAFE (listener->unsent, unsent, next)
 		drop_unsent(listener, unsent);
+	DL_FOREACH (listener->callers, caller)
+		if (unconfirmed_bytes(caller->fd) > 0)
+			discard_input(caller->fd);
 }
 
 void callers_on_connection(void *listener_context,
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -274,8 +274,9 @@
 	ev_timer_stop(listener->loop, &listener->timeout);
 	ev_prepare_stop(listener->loop, &listener->before_wait);
 	slow_callers_stop(listener);
-	MHD_stop_daemon(listener->daemon);
 	callers_drop_unsent(listener);
+	listener->keeps_unsent = false;
+	MHD_stop_daemon(listener->daemon);
 	free(listener);
 }
 
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -85,15 +85,16 @@
 
 /**
  * Prepares the end of the process: a connection that closes from now on is kept
- * until its caller has received all data, or listener_destroy(). Nothing for
+ * while its caller receives data, until listener_destroy(); a bounded number of
+ * them. listener_has_requests() has to be called now and then. Nothing for
  * NULL.
  */
 void listener_keep_unsent(listener_t *listener);
 
 /**
  * @return true if a request is being read, waits for its reply, or has a reply
- * that its caller has not received (before listener_keep_unsent(): that is not
- * passed to the network); false for NULL
+ * that its caller has not received, but receives (before
+ * listener_keep_unsent(): that is not passed to the network); false for NULL
  */
 bool listener_has_requests(listener_t *listener);
 
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -32,17 +32,25 @@
 	CALLER_WAITS /* the answer */
 } caller_phase_t;
 
+/* How much of what was sent to a caller is not confirmed, and since when. */
+typedef struct {
+	int bytes;
+	int64_t since_us;
+} progress_t;
+
 /* A connection, with or without an exchange. */
 typedef struct caller {
 	int fd;
 	caller_phase_t phase;
 	int64_t since_us; /* when the phase began */
+	progress_t progress; /* as of the last check for unsent data */
 	struct caller *prev, *next;
 } caller_t;
 
 /* A connection that the library has closed while data was on the way. */
 typedef struct unsent {
 	int fd; /* a duplicate, which keeps the socket */
+	progress_t progress;
 	struct unsent *prev, *next;
 } unsent_t;
 
@@ -59,6 +67,7 @@
 	caller_t *callers; /* all connections */
 	bool keeps_unsent;
 	unsent_t *unsent; /* if keeps_unsent; as of the last check */
+	size_t unsent_count;
 	listener_timeouts_t timeouts;
 	ev_timer check; /* closes the connections of slow callers */
 	int64_t checked_us;
@@ -109,12 +118,10 @@
 			   enum MHD_ConnectionNotificationCode code);
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
-/**
- * Closes the kept connections whose callers have received all.
- * @return true if there are others, or open connections with such data
- */
+/** @return true if a caller receives data that was sent to it, on a kept
+ * connection or an open one */
 bool callers_have_unsent(listener_t *listener);
-/** Closes all kept connections. */
+/** Closes all kept connections, and prepares the end of the open ones. */
 void callers_drop_unsent(listener_t *listener);
 /** Starts to close the connections of slow callers. */
 void slow_callers_start(listener_t *listener);
--- a/src/process/gateway_stop.c
+++ b/src/process/gateway_stop.c
@@ -66,9 +66,8 @@
 static void end_requests(gateway_t *gateway)
 {
 	int64_t now_us = clock_monotonic_us();
-	int64_t exit_us =
-		gateway->stop_started_us +
-		(gateway->stop_ms - STOP_EXIT_MS) * US_PER_MS;
+	int64_t exit_us = gateway->stop_started_us +
+			  (gateway->stop_ms - STOP_EXIT_MS) * US_PER_MS;
 
 	set_phase(gateway, STOP_ENDED);
 	forward_end_all(gateway);
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -294,8 +294,7 @@
 {
 	forward_t *forward = user;
 
-	/* The body may have taken long. */
-	if (forward->phase != FORWARD_RECEIVING || !forward_may_start(forward))
+	if (forward->phase != FORWARD_RECEIVING)
 		return;
 	forward->content =
 		content_id(forward->account ? forward->account->name : NULL,
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -285,6 +285,9 @@
 {
 	const placement_t *placement = &forward->choice.placement;
 
+	/* The body, or the wait for a server, may have taken long. */
+	if (!forward->runs && !forward_may_start(forward))
+		return;
 	if (!forward_check_segments(forward) || forward_relay(forward) ||
 	    refuse_cut_off(forward))
 		return;
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -51,6 +51,7 @@
 			  */
 	STALLS_LONG, /**< falls silent there */
 	SERVES_LONG, /**< whole answer with a body of LONG_BODY_BYTES */
+	SERVES_MEDIUM, /**< the same with MEDIUM_BODY_BYTES */
 	/* The same with PARTS_BODY_BYTES, of which the last LAST_PART_BYTES
 	 * come after 800 ms: */
 	SERVES_PARTS, /**< with a length */
@@ -66,6 +67,7 @@
 	STREAM_EVENTS = 4,
 	ARRIVAL_TEXT_BYTES = 20000,
 	LONG_BODY_BYTES = 250000, /* less than the gateway holds */
+	MEDIUM_BODY_BYTES = 150000, /* fits the buffers of a connection */
 	PARTS_BODY_BYTES = 350000, /* more than that, also without the last */
 	LAST_PART_BYTES = 50000
 };
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -340,6 +340,9 @@
 	case SERVES_LONG:
 		send_long_body(fd, id, LONG_BODY_BYTES, LONG_BODY_BYTES);
 		return false;
+	case SERVES_MEDIUM:
+		send_long_body(fd, id, MEDIUM_BODY_BYTES, MEDIUM_BODY_BYTES);
+		return false;
 	case SERVES_PARTS:
 	case SERVES_PARTS_CHUNKED:
 	case SERVES_PARTS_UNFRAMED:
--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -24,6 +24,7 @@
 	DEADLINE_MS = 1400,
 	DEADLINE_SHORT_MS = 600, /* over before the stop ends */
 	SMALL_BUFFER_BYTES = 49152,
+	UNREAD_BYTES = 40000,
 	LATE_PART_MS = 80,
 	READ_LATE_MS = 60,
 	SETTLE_MS = 200 /* until all kept connections are idle */
@@ -62,6 +63,7 @@
 	int64_t late_ms;
 	int64_t sent_us; /* 0: not yet */
 	bool reads_late; /* reads nothing until READ_LATE_MS after STOP_ENDED */
+	bool sends_on; /* UNREAD_BYTES after the request */
 	char *text;
 	size_t size;
 } caller_t;
@@ -116,6 +118,7 @@
 
 static void send_request(play_t *play, caller_t *caller)
 {
+	static const char unread[UNREAD_BYTES];
 	char text[1024];
 	size_t size = format(play, caller, text, sizeof(text));
 
@@ -129,6 +132,9 @@
 	/* Fails if the connection is not open yet, or was closed. */
 	if (send(caller->fd, text, size, MSG_NOSIGNAL | MSG_DONTWAIT) > 0)
 		caller->sent_us = clock_monotonic_us();
+	if (caller->sent_us > 1 && caller->sends_on)
+		(void)!send(caller->fd, unread, sizeof(unread),
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
 static void send_late_part(play_t *play, caller_t *caller)
@@ -385,6 +391,7 @@
 static const text_act_t text_acts[] = { { "/x ", SERVES_DELAYED },
 					{ "/hold ", SILENT },
 					{ "/long ", SERVES_LONG },
+					{ "/medium ", SERVES_MEDIUM },
 					{ "/length ", SERVES_PARTS },
 					{ "/chunks ", SERVES_PARTS_CHUNKED },
 					{ "/open ", SERVES_PARTS_UNFRAMED },
@@ -401,6 +408,10 @@
 	for (i = 0; i < count; i++)
 		add_moment(play, moments[i]);
 	if (is_held) {
+		caller_t *caller =
+			add(play, &finishing_short, NEW, "/safe/medium", 200);
+
+		caller->reads_late = caller->sends_on = true;
 		add(play, &before_end, NEW, "/once/hold", 504);
 		add(play, &before_end, NEW, "/safe/long", 200)->reads_late =
 			true;
