End the search for shards at the number of servers

Cause: shards_for_memory() raised the number of shards until the prompt fitted and compared it with PLACEMENT_SHARDS_MAX only after the loop. It ran until the number overflowed, 2 * 10^9 times. Numbers in headers had no bound, and sums of two of them overflowed an int64_t.

Ruled out: the listener, reading the headers and admission. strtoll() stops at its limits, the list of segments at 64, and the other loops of a placement run over at most 512 servers and 16 shards.

Change: the loop ends with the servers and with PLACEMENT_SHARDS_MAX. The stand-in servers of the gateway tests take any Last-Event-Id.

--- a/src/base/units.h
+++ b/src/base/units.h
@@ -14,6 +14,10 @@
 #define MS_PER_S INT64_C(1000)
 #define US_PER_S INT64_C(1000000)
 
+/** Bound of a number of tokens: of a prompt, an output or engine memory. Sums
+ * and times computed from such numbers do not overflow. */
+#define TOKENS_MAX INT64_C(1000000000)
+
 /** Size of a buffer for any configured name, with the terminating NUL. */
 enum { NAME_SIZE_BYTES = 64 };
 
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -270,16 +270,17 @@
 	double capacity =
 		(double)query->engine->kv_capacity_tokens * PLACEMENT_KV_SHARE;
 	double kv_tokens =
-		(double)(query->prompt_tokens + query->output_tokens);
-	int32_t shards = 1;
+		(double)query->prompt_tokens + (double)query->output_tokens;
+	int32_t shards;
 
 	if (capacity <= 0)
 		return 1;
-	while (kv_tokens / shards > capacity)
-		shards++;
-	return shards <= PLACEMENT_SHARDS_MAX && (size_t)shards <= count
-		       ? shards
-		       : 0;
+	for (shards = 1;
+	     shards <= PLACEMENT_SHARDS_MAX && (size_t)shards <= count;
+	     shards++)
+		if (kv_tokens / shards <= capacity)
+			return shards;
+	return 0;
 }
 
 /* Tries each number of shards and keeps the cheapest placement. */
--- a/src/request/caller_request.h
+++ b/src/request/caller_request.h
@@ -35,6 +35,8 @@
 	int64_t output_tokens_max; /**< limit of the output; 0: not stated */
 	int64_t output_tokens_hint; /**< the caller's estimate of the output;
 				     * 0: not stated */
+	const char *bounded_header; /**< header whose number was above its bound
+				     * and is read as the bound; NULL: none */
 	char last_event_id[EVENT_ID_SIZE_BYTES]; /**< last event that the caller
 						  * has of the stream; empty:
 						  * stream from the start */
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -221,6 +221,18 @@
 	forward_set_timer(forward);
 }
 
+/* The bound applies to decisions of this node; servers get the header as it was
+ * sent. */
+static void note_bounded(const forward_t *forward)
+{
+	if (!forward->request.bounded_header)
+		return;
+	metrics_add(METRIC_NUMBERS_BOUNDED, 1);
+	log_event(EVENT_NUMBER_BOUNDED, "request=%s header=%s",
+		  *forward->request.id ? forward->request.id : "-",
+		  forward->request.bounded_header);
+}
+
 static forward_t *begin(gateway_t *gateway, exchange_t *exchange,
 			bool is_relayed)
 {
@@ -237,6 +249,7 @@
 	gateway->forward_count++;
 	metrics_add(METRIC_REQUESTS, 1);
 	platform_read_request(exchange, &forward->request);
+	note_bounded(forward);
 	mem_strlcpy(forward->last_event_id, forward->request.last_event_id,
 		    sizeof(forward->last_event_id));
 	admit(forward);
--- a/src/version/fields.c
+++ b/src/version/fields.c
@@ -12,8 +12,6 @@
 	RTT_MAX_US = 10 * 1000 * 1000
 };
 
-#define KV_TOKENS_MAX INT64_C(1000000000)
-
 static const char *const server_kinds[] = { "engine", "plain", NULL };
 static const char *const fencings[] = { "enforced", "ignored", NULL };
 static const char *const roles[] = { "both", "prefill", "decode", NULL };
@@ -91,7 +89,7 @@
 	{ .key = "kv_tokens",
 	  .type = FIELD_INT64,
 	  AT(server_conf_t, kv_tokens),
-	  .max = KV_TOKENS_MAX,
+	  .max = TOKENS_MAX,
 	  .description = "KV memory in tokens." },
 	{ .key = "max_requests",
 	  .type = FIELD_INT32,
@@ -239,14 +237,14 @@
 	  .type = FIELD_INT64,
 	  AT(limits_conf_t, long_prompt_tokens),
 	  .min = 1,
-	  .max = KV_TOKENS_MAX,
+	  .max = TOKENS_MAX,
 	  .initial = 32000,
 	  .description = "Prompts of more tokens use the long lane." },
 	{ .key = "credit_block_tokens",
 	  .type = FIELD_INT64,
 	  AT(limits_conf_t, credit_block_tokens),
 	  .min = 1,
-	  .max = KV_TOKENS_MAX,
+	  .max = TOKENS_MAX,
 	  .initial = 16000,
 	  .description =
 		  "KV tokens in a node's block of credits on a server." },
--- a/tests/lib/gateway_servers.c
+++ b/tests/lib/gateway_servers.c
@@ -9,6 +9,7 @@
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "lib/loopback.h"
+#include "request/caller_request.h"
 
 typedef struct {
 	gateway_fixture_t *fixture;
@@ -81,6 +82,16 @@
 	send_text(fd, head);
 }
 
+/* @return number of the first event after the one with the id @p last */
+static int event_after(const char *last)
+{
+	long long id = strtoll(last, NULL, 10);
+
+	if (id < 0)
+		return 1;
+	return id < STREAM_EVENTS ? (int)id + 1 : STREAM_EVENTS + 1;
+}
+
 static void serve(const connection_t *connection, int fd, const char *id)
 {
 	const char *text = connection->arrival->text;
@@ -89,7 +100,7 @@
 		    (!stream && connection->act == ENDS_UNFRAMED);
 	const char *rate =
 		connection->fixture->servers[connection->arrival->server].rate;
-	char last[16] = "0", extra[64] = "";
+	char last[EVENT_ID_SIZE_BYTES] = "0", extra[64] = "";
 
 	if (connection->act == SAYS_LEAVING)
 		strcpy(extra, "Server-Leaving: 1\r\n");
@@ -105,7 +116,7 @@
 	    (connection->act == ENDS_EARLY || connection->act == ENDS_UNFRAMED))
 		send_text(fd, "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n");
 	else if (stream)
-		send_events(fd, atoi(last) + 1, half);
+		send_events(fd, event_after(last), half);
 	else
 		send_text(fd, half ? "01234" : "0123456789");
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -1,5 +1,7 @@
 /** Forecast and placement: selection of servers for a prompt, and refusals. */
+#include <inttypes.h>
 #include <string.h>
+#include <time.h>
 
 #include "base/units.h"
 #include "cases.h"
@@ -19,7 +21,13 @@
 	.usual_output_tokens = 1000,
 };
 
-enum { SERVERS = 8, MS = 1000 };
+enum {
+	SERVERS = 8,
+	MS = 1000,
+	/* Processor time of one placement: a node has hundreds a second, on a
+	 * quarter of a core. */
+	PLACING_MAX_US = 5 * MS
+};
 
 typedef struct {
 	int32_t decoding, gap_ms, pending_ms, kv_ktokens, distance_ms;
@@ -559,6 +567,57 @@
 	assert_ptr_equal(placement.shards[0], &candidates[0]);
 }
 
+static int64_t processor_time_us(void)
+{
+	struct timespec time;
+
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+	return (int64_t)time.tv_sec * US_PER_S + time.tv_nsec / 1000;
+}
+
+/* Guards against a placement that takes longer the more tokens a request
+ * states: the node does nothing else meanwhile. */
+static void number_of_tokens_decides_how_long_a_placement_takes(void **state)
+{
+	static const struct {
+		int64_t prompt_tokens, output_tokens, kv_capacity_tokens;
+		placement_result_t expected;
+	} cases[] = {
+		{ 700000, 1000, 400000, PLACEMENT_CHOSEN },
+		{ 5000000, 1000, 400000, PLACEMENT_TOO_LONG },
+		{ TOKENS_MAX, TOKENS_MAX, 400000, PLACEMENT_TOO_LONG },
+		{ TOKENS_MAX, TOKENS_MAX, 1, PLACEMENT_TOO_LONG },
+		{ INT64_C(800000000000000), 80, 400000, PLACEMENT_TOO_LONG },
+		{ 80, INT64_C(800000000000000), 400000, PLACEMENT_TOO_LONG },
+		{ INT64_MAX, INT64_MAX, 400000, PLACEMENT_TOO_LONG },
+	};
+	state_t idle[SERVERS] = { { 0 } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		engine_profile_t small = engine;
+		placement_query_t query =
+			query_of(cases[i].prompt_tokens, 4000);
+		candidate_t candidates[SERVERS];
+		placement_t placement;
+		placement_result_t result;
+		int64_t begin_us = processor_time_us(), took_us;
+
+		small.kv_capacity_tokens = cases[i].kv_capacity_tokens;
+		query.engine = &small;
+		query.output_tokens = cases[i].output_tokens;
+		fill(candidates, idle, SERVERS);
+		result = placement_choose(candidates, SERVERS, &query,
+					  &placement);
+		took_us = processor_time_us() - begin_us;
+		if (result != cases[i].expected || took_us > PLACING_MAX_US)
+			fail_msg("%" PRId64 " and %" PRId64
+				 " tokens: result %d after %" PRId64 " us",
+				 cases[i].prompt_tokens, cases[i].output_tokens,
+				 result, took_us);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -570,6 +629,8 @@
 		cmocka_unit_test(splits_prompts_beyond_one_memory),
 		cmocka_unit_test(places_requests_past_their_objective),
 		cmocka_unit_test(spreads_plain_calls),
+		cmocka_unit_test(
+			number_of_tokens_decides_how_long_a_placement_takes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
