--- a/tests/test_server_rates.c
+++ b/tests/test_server_rates.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "cases.h"
+#include "platform/headers.h"
 #include "process/backends.h"
 
 #define MS(ms) ((int64_t)(ms)*US_PER_MS)
@@ -536,12 +537,46 @@
 	server_rates_destroy(rates);
 }
 
+/* Guards against a server that states so high a rate that it is never used: the
+ * node's part of it is not a number. */
+static void high_rate_keeps_requests_from_a_server(void **state)
+{
+	static const char *const values[] = { "1000000", "1e15", "1e306",
+					      "1.7976931348623157e308" };
+	static const uint64_t hashes[] = { 1, 2 };
+	limit_nodes_t list = { .version = 0 };
+	size_t i;
+
+	limit_nodes_set(&list, hashes, COUNT_OF(hashes), 1, 0);
+	for (i = 0; i < COUNT_OF(values); i++) {
+		server_rates_t *rates = server_rates_create();
+		server_reply_t reply = { .status = 200 };
+		server_rate_t stated = { .server_hash = 7, .is_limited = true };
+		int64_t now_us = US_PER_S;
+
+		platform_read_reply_header("Server-Limit", values[i], "r1",
+					   &reply);
+		assert_int_equal(reply.rate, RATE_STATED);
+		stated.per_s = reply.rate_per_s;
+		server_rates_note(rates, &stated, now_us, now_us);
+		server_rates_allow(rates, 7, &list, now_us);
+		now_us += 20 * US_PER_S;
+		server_rates_allow(rates, 7, &list, now_us);
+		now_us += US_PER_S;
+		if (!server_rates_allow(rates, 7, &list, now_us))
+			fail_msg("rate %s", values[i]);
+		server_rates_destroy(rates);
+	}
+	limit_nodes_clear(&list);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(sum_over_all_nodes_above_a_stated_rate),
 		cmocka_unit_test(stated_rate_left_unused),
 		cmocka_unit_test(ended_rate_announced_for_ever),
+		cmocka_unit_test(high_rate_keeps_requests_from_a_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
