Bound the numbers of datagrams and of the state of the duties

No caller has seen this. Nodes and the store decide these numbers; a build with sanitizers ends at them, another one may date a view of the store wrongly.

Cause: packet_decode() took the age of a view, the echoed time and the number of a window as they were, and usage_duty_take_over() the windows in the store. Ages were subtracted, windows multiplied by their length: both overflow an int64_t. Numbers of requests over 32,767 came out as other numbers, by a mask: 32,768 as 0.

Ruled out: windows in usage datagrams reach the table only near the present one (duties_receive_usage()); revisions are compared only; load, rates and grace times have 32 bits and are multiplied in 64.

Change: times of other nodes are cut to 2^60 us, windows to 2^60, numbers of requests to 32,767, where they are decoded. Whether a window has ended is computed by a division. Datagrams are not refused for a number.

Before, numbers_of_a_datagram_overflow and number_of_a_window_overflows ended with "signed integer overflow" (view_update.c:155, usage_duty.c:73); after, both pass, with the 20 other tests of the two programs. A closed window far in the future, in the store or an announcement, still ends reports of usage.

--- a/src/duty/usage.h
+++ b/src/duty/usage.h
@@ -16,6 +16,9 @@
 
 #include "base/units.h"
 
+/** Bound of the number of a window that others state. */
+#define USAGE_WINDOW_MAX (INT64_C(1) << 60)
+
 typedef struct usage usage_t;
 
 typedef struct {
--- a/src/duty/usage_duty.c
+++ b/src/duty/usage_duty.c
@@ -70,7 +70,7 @@
 bool usage_duty_ended(const usage_duty_conf_t *conf, int64_t window,
 		      int64_t time_us, int64_t after_us)
 {
-	return time_us >= (window + 1) * conf->window_us + after_us;
+	return usage_duty_window(conf, time_us - after_us) > window;
 }
 
 int64_t usage_duty_open_windows(const usage_duty_conf_t *conf)
@@ -100,18 +100,27 @@
 	DL_APPEND(duty->reports, report);
 }
 
+/* @return the number of a window, within its bounds; 0: none */
+static int64_t read_window(const json_t *object, const char *key)
+{
+	json_int_t window = json_integer_value(json_object_get(object, key));
+
+	if (window < 0)
+		return 0;
+	return window < USAGE_WINDOW_MAX ? window : USAGE_WINDOW_MAX;
+}
+
 void usage_duty_take_over(usage_duty_t *duty, const json_t *state)
 {
 	const json_t *reports = json_object_get(state, "reports"), *report;
 	size_t i;
 
 	remove_reports(duty);
-	duty->closed = json_integer_value(json_object_get(state, "closed"));
+	duty->closed = read_window(state, "closed");
 	json_array_foreach(reports, i, report)
 	{
 		json_t *counts = json_object_get(report, "counts");
-		int64_t window =
-			json_integer_value(json_object_get(report, "window"));
+		int64_t window = read_window(report, "window");
 
 		if (window > 0 && json_is_object(counts))
 			add(duty, window, json_incref(counts));
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -13,6 +13,18 @@
 /* Times of day from this one on, in the year 5138, count as not stated. */
 #define WALL_MS_MAX UINT64_C(100000000000000)
 
+/* Bounds of what other nodes state: sums and differences of such times, and the
+ * next window, do not overflow. */
+#define AGE_MAX_US (INT64_C(1) << 60)
+#define BOOT_MAX_US (INT64_C(1) << 60)
+
+static int64_t within(int64_t value, int64_t min, int64_t max)
+{
+	if (value < min)
+		return min;
+	return value < max ? value : max;
+}
+
 static uint32_t to_unit(int64_t value, int64_t unit)
 {
 	int64_t units = (value + unit - 1) / unit;
@@ -256,7 +268,7 @@
 	segment_report_t report = {
 		.id = packed->id,
 		.is_blocked = packed->blocked,
-		.trials = (int32_t)(packed->trials & INT16_MAX),
+		.trials = (int32_t)within(packed->trials, 0, INT16_MAX),
 		.seen_age_us = (int64_t)packed->seen_age_ms * US_PER_MS,
 		.harmless_age_us = packed->harmless_age_ms
 					   ? ((int64_t)packed->harmless_age_ms -
@@ -284,7 +296,8 @@
 	message->node = announcement->node;
 	message->incarnation = announcement->incarnation;
 	message->sequence = announcement->sequence;
-	message->sent_boot_us = announcement->sent_boot_us;
+	message->sent_boot_us =
+		within(announcement->sent_boot_us, 0, BOOT_MAX_US);
 	message->store_reachable = announcement->sound;
 	message->link_mbps = (int64_t)announcement->link_mbps;
 	message->wall_ms = announcement->wall_ms < WALL_MS_MAX
@@ -293,7 +306,8 @@
 	message->duty = announcement->duty <= DUTY_STATE_HELD
 				? (duty_state_t)announcement->duty
 				: DUTY_STATE_NONE;
-	message->usage_closed = announcement->usage_closed;
+	message->usage_closed =
+		within(announcement->usage_closed, 0, USAGE_WINDOW_MAX);
 	for (i = 0; i < announcement->n_shunned && i < LOAD_FAILING_MAX; i++)
 		message->failing[i] = announcement->shunned[i];
 	message->failing_count = i;
@@ -327,9 +341,12 @@
 
 		message->items[i] = (load_item_t){
 			.server_hash = item->server,
-			.prefilling = (int32_t)(item->readers & INT16_MAX),
-			.decoding = (int32_t)(item->writers & INT16_MAX),
-			.decode_pending = (int32_t)(item->starting & INT16_MAX),
+			.prefilling =
+				(int32_t)within(item->readers, 0, INT16_MAX),
+			.decoding =
+				(int32_t)within(item->writers, 0, INT16_MAX),
+			.decode_pending =
+				(int32_t)within(item->starting, 0, INT16_MAX),
 			.kv_tokens = (int64_t)item->kv_kilotokens * KILO,
 			.backlog_us = (int64_t)item->pending_ms * US_PER_MS,
 			.gap_us = (int64_t)item->gap_ms * US_PER_MS,
@@ -346,7 +363,7 @@
 	view->revision = packed->revision;
 	view->from = packed->from;
 	view->version = packed->version;
-	view->age_us = packed->age_us;
+	view->age_us = within(packed->age_us, -AGE_MAX_US, AGE_MAX_US);
 	view->change_count = packed->n_changes;
 	view->changes =
 		mem_calloc(packed->n_changes + 1, sizeof(*view->changes));
@@ -368,7 +385,7 @@
 	size_t i;
 
 	update->node = packed->node;
-	update->echoed_boot_us = packed->echo_boot_us;
+	update->echoed_boot_us = within(packed->echo_boot_us, 0, BOOT_MAX_US);
 	update->grace_ms = packed->keep_ms;
 	for (i = 0; i < packed->n_views && i < UPDATE_VIEWS_MAX; i++)
 		decode_view(packed->views[i], &update->views[i]);
@@ -381,7 +398,7 @@
 
 	report->node = packed->node;
 	report->incarnation = packed->incarnation;
-	report->window = packed->window;
+	report->window = within(packed->window, 0, USAGE_WINDOW_MAX);
 	report->final = packed->final;
 	report->accounts = packed->accounts;
 	for (i = 0; i < packed->n_counts && i < USAGE_COUNTS_MAX; i++) {
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -374,6 +374,35 @@
 	usage_destroy(usage);
 }
 
+/* Guards against windows of other nodes, or of the state in the store, that
+ * overflow, and against reports that end after such a number. */
+static void number_of_a_window_overflows(void **state)
+{
+	static const int64_t windows[] = { INT64_MIN, -1, INT64_MAX / 2,
+					   INT64_MAX };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(windows); i++) {
+		usage_duty_t *duty = usage_duty_create(&conf);
+		usage_t *own = usage_create(1, 1), *other = usage_create(2, 1);
+		json_t *taken = json_pack("{s:I,s:[{s:I,s:{}}]}", "closed",
+					  (json_int_t)windows[i], "reports",
+					  "window", (json_int_t)windows[i],
+					  "counts");
+
+		usage_count_request(other, windows[i], "acme");
+		send_counts(other, own, windows[i]);
+		usage_duty_close(duty, own, 1000 * conf.window_us);
+		assert_in_range(usage_duty_last_closed(duty), 0, 1000);
+		usage_duty_take_over(duty, taken);
+		usage_duty_close(duty, own, 1000 * conf.window_us);
+		json_decref(taken);
+		usage_duty_destroy(duty);
+		usage_destroy(own);
+		usage_destroy(other);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -385,6 +414,7 @@
 		cmocka_unit_test(reports_each_window_once),
 		cmocka_unit_test(closes_windows_in_time),
 		cmocka_unit_test(ignores_very_old_windows),
+		cmocka_unit_test(number_of_a_window_overflows),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -431,6 +431,52 @@
 	packet_clear(&got);
 }
 
+/* Guards against numbers of a datagram that overflow in what is computed from
+ * them, or that come out as other numbers. */
+static void numbers_of_a_datagram_overflow(void **state)
+{
+	static const int64_t extremes[] = { INT64_MIN, -1, 0, INT64_MAX };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t i, j, size;
+	packet_t got;
+
+	for (i = 0; i < COUNT_OF(extremes); i++) {
+		for (j = 0; j < COUNT_OF(extremes); j++) {
+			packet_t sent = {
+				.type = PACKET_VIEW_UPDATE,
+				.as.update = { .echoed_boot_us = extremes[i],
+					       .views = { { .age_us = extremes
+								    [j] } },
+					       .view_count = 1 }
+			};
+
+			size = packet_encode(&sent, data, sizeof(data));
+			assert_true(packet_decode(&got, data, size));
+			assert_true(view_delta_confirmed_boot_us(
+					    &got.as.update,
+					    &got.as.update.views[0],
+					    MS(5000)) <= MS(5000));
+			packet_clear(&got);
+		}
+	}
+	for (i = 0; i < COUNT_OF(extremes); i++) {
+		load_item_t item = { .prefilling = INT32_MAX,
+				     .decoding = INT16_MAX + 1 };
+		packet_t sent = { .type = PACKET_LOAD,
+				  .as.load = { .data_centre = "north",
+					       .usage_closed = extremes[i],
+					       .items = &item,
+					       .item_count = 1 } };
+
+		size = packet_encode(&sent, data, sizeof(data));
+		assert_true(packet_decode(&got, data, size));
+		assert_in_range(got.as.load.usage_closed, 0, INT64_MAX / 2);
+		assert_int_equal(got.as.load.items[0].prefilling, INT16_MAX);
+		assert_int_equal(got.as.load.items[0].decoding, INT16_MAX);
+		packet_clear(&got);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -446,6 +492,7 @@
 		cmocka_unit_test(combines_two_publishers),
 		cmocka_unit_test(dates_views),
 		cmocka_unit_test(distinguishes_fresh_views),
+		cmocka_unit_test(numbers_of_a_datagram_overflow),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
