--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -14,6 +14,7 @@
 #include "cases.h"
 #include "lib/loopback.h"
 #include "platform/client.h"
+#include "platform/codec.h"
 
 /** What the server does with a connection once a request is complete. */
 typedef enum { REPLY, REPLY_AND_CLOSE, CLOSE, SILENT } behaviour_t;
@@ -579,11 +580,57 @@
 	}
 }
 
+/* Guards against revisions that overflow once the number of the copy is above
+ * them. */
+static void revision_overflows_in_a_later_copy(void **state)
+{
+	static const struct {
+		const char *revision;
+		bool valid;
+	} revisions[] = {
+		{ "0", true },
+		{ "1780000000000000", true },
+		{ "4611686018427387905", false },
+		{ "9223372036854775807", false },
+		{ "-1", false },
+		{ "-9223372036854775808", false },
+	};
+	int64_t offset = platform_era_offset(INT64_MAX);
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(revisions); i++) {
+		platform_parsed_page_t parsed;
+		platform_object_t object;
+		char text[200];
+		json_t *root;
+		err_t err;
+		bool valid;
+
+		snprintf(text, sizeof(text),
+			 "{\"meta\":{\"name\":\"n\",\"revision\":%s},"
+			 "\"spec\":{}}",
+			 revisions[i].revision);
+		root = platform_parse_object(text, strlen(text), offset,
+					     &object, &err);
+		assert_int_equal(root != NULL, revisions[i].valid);
+		json_decref(root);
+		snprintf(text, sizeof(text),
+			 "{\"items\":[],\"storeRevision\":%s}",
+			 revisions[i].revision);
+		valid = platform_parse_page(text, strlen(text), offset, &parsed,
+					    &err);
+		assert_int_equal(valid, revisions[i].valid);
+		if (valid)
+			platform_page_clear(&parsed);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(maps_answers),
 		cmocka_unit_test(revision_of_an_older_copy_is_used),
+		cmocka_unit_test(revision_overflows_in_a_later_copy),
 		cmocka_unit_test(reads_next_page_and_revision),
 		cmocka_unit_test(sends_writes_once),
 		cmocka_unit_test(parses_vm_list),
