--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 CPPFLAGS = -I. -Isrc -Itests -D_GNU_SOURCE
 CFLAGS = -std=c11 -O2 -g $(WARNINGS)
 ifeq ($(SANITIZE),1)
-CFLAGS += -fsanitize=address,undefined -fno-sanitize-recover=all \
-	-fno-omit-frame-pointer
+CFLAGS += -fsanitize=address,undefined,float-cast-overflow \
+	-fno-sanitize-recover=all -fno-omit-frame-pointer
 endif
 
 # The library consists of all of src and platform except the two programs.
@@ -88,7 +88,8 @@
 
 FUZZ_LIB = tests/lib/credit_sim.c
 # The fuzzers link a library of their own, which is built with clang.
-FUZZ_CFLAGS = -std=c11 -O1 -g -w -fsanitize=address,undefined \
+FUZZ_CFLAGS = -std=c11 -O1 -g -w \
+	-fsanitize=address,undefined,float-cast-overflow \
 	-fno-sanitize-recover=all
 FUZZ_LIB_OBJ = $(patsubst %.c,build/fuzz/%.o,$(LIB_SRC) \
 	$(wildcard tests/lib/*.c))
--- a/src/base/units.h
+++ b/src/base/units.h
@@ -18,6 +18,17 @@
  * and times computed from such numbers do not overflow. */
 #define TOKENS_MAX INT64_C(1000000000)
 
+/** Bound of a computed time, 35 years: sums of such times do not overflow. */
+#define TIME_MAX_US (INT64_C(1) << 50)
+
+/** @return a computed time as an integer, within TIME_MAX_US */
+static inline int64_t time_to_us(double us)
+{
+	if (us <= -(double)TIME_MAX_US)
+		return -TIME_MAX_US;
+	return us < (double)TIME_MAX_US ? (int64_t)us : TIME_MAX_US;
+}
+
 /** Size of a buffer for any configured name, with the terminating NUL. */
 enum { NAME_SIZE_BYTES = 64 };
 
--- a/src/process/limit_share.c
+++ b/src/process/limit_share.c
@@ -129,6 +129,6 @@
 	if (share->part <= 0)
 		return INT64_MAX;
 	return now_us +
-	       (int64_t)((1 - share->tokens) / (limit->per_s * share->part) *
-			 (double)US_PER_S);
+	       time_to_us((1 - share->tokens) / (limit->per_s * share->part) *
+			  (double)US_PER_S);
 }
--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -261,7 +261,7 @@
 				remaining_target_us(node, item, now_us));
 	}
 	if (engine)
-		wait_us = (int64_t)forecast_decode_wait_us(engine, load);
+		wait_us = time_to_us(forecast_decode_wait_us(engine, load));
 	load->backlog_us = prefill_clock_backlog_us(
 		table->clock, server_hash, load->backlog_us, wait_us, now_us);
 }
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -221,12 +221,12 @@
 	placement->missed_weight = 0;
 	for (i = 0; i < shards; i++) {
 		placement->shards[i] = options[i].candidate;
-		placement->prefill_us[i] = (int64_t)options[i].prefill_us;
+		placement->prefill_us[i] = time_to_us(options[i].prefill_us);
 		placement->missed_weight += options[i].missed_weight;
 		if (options[i].event_us > event_us)
 			event_us = options[i].event_us;
 	}
-	placement->first_event_us = (int64_t)event_us;
+	placement->first_event_us = time_to_us(event_us);
 	cost = placement->missed_weight * PLACEMENT_MISS_LOSS +
 	       time_cost(query, event_us) +
 	       (SHARD_LOSS + weight * SHARD_RISK) * (double)(shards - 1) +
@@ -342,7 +342,7 @@
 		return PLACEMENT_NO_SERVER;
 	if (placement_costs_too_much(candidates, count, query, placement)) {
 		placement->retry_in_us =
-			(int64_t)placement_backlog_us(candidates, count) +
+			time_to_us(placement_backlog_us(candidates, count)) +
 			RETRY_DELAY_US;
 		return PLACEMENT_BUSY;
 	}
--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -99,13 +99,14 @@
 			       const placement_query_t *query)
 {
 	int32_t slots_min = query->nodes < SLOTS_MIN ? query->nodes : SLOTS_MIN;
-	int32_t wanted;
+	double wanted;
 
 	if (query->nodes <= 1)
 		return 1;
-	wanted = (int32_t)(SLOTS_PER_ARRIVAL *
-			   unknown_arrivals(candidates, count, query));
-	return wanted > slots_min ? wanted : slots_min;
+	wanted = SLOTS_PER_ARRIVAL * unknown_arrivals(candidates, count, query);
+	if (wanted >= INT32_MAX)
+		return INT32_MAX;
+	return wanted > slots_min ? (int32_t)wanted : slots_min;
 }
 
 bool placement_pack(const candidate_t *candidates, size_t count,
@@ -135,8 +136,8 @@
 	*placement = (placement_t){
 		.count = 1,
 		.shards = { servers[i].candidate },
-		.first_event_us = (int64_t)servers[i].event_us,
-		.prefill_us = { (int64_t)prefill_us },
+		.first_event_us = time_to_us(servers[i].event_us),
+		.prefill_us = { time_to_us(prefill_us) },
 	};
 	return true;
 }
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -14,6 +14,7 @@
 #include "platform/headers.h"
 #include "platform/orders.h"
 #include "platform/settings.h"
+#include "process/placement.h"
 #include "request/hop_headers.h"
 
 #define SETTINGS                                                      \
@@ -247,6 +248,72 @@
 	}
 }
 
+/* Guards against numbers of an engine with which times, and sums of tokens,
+ * become other numbers when they are converted: a request would be placed by
+ * them, or never. */
+static void numbers_of_an_engine_overflow(void **state)
+{
+	static const char *const numbers[] = {
+		"1e300",   "-1e300", "1e-300", "9007199254740993",
+		"1000000", "0",	     "-1",     "9223372036854775807",
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(numbers) * COUNT_OF(numbers); i++) {
+		const char *number = numbers[i % COUNT_OF(numbers)];
+		const char *other = numbers[i / COUNT_OF(numbers)];
+		candidate_t candidates[3];
+		placement_query_t query = { .output_tokens = TOKENS_MAX,
+					    .prompt_tokens = TOKENS_MAX,
+					    .objective_us = US_PER_S,
+					    .target_us = US_PER_S,
+					    .limit_us = 10 * US_PER_S,
+					    .may_refuse = true,
+					    .nodes = 3 };
+		placement_t placement;
+		char text[900];
+		routing_t *routing;
+		const service_conf_t *service;
+
+		snprintf(text, sizeof(text),
+			 "{\"version\":1,\"routes\":[],\"services\":[{"
+			 "\"name\":\"m\",\"coldS\":%s,\"coldPerS\":%s,"
+			 "\"scale\":{\"startupS\":%s},\"engine\":{"
+			 "\"kvCapacity\":%s,\"stride\":%s,\"chunk\":%s,"
+			 "\"step_ms\":%s,\"per_seq_ms\":%s,"
+			 "\"context_per_k\":%s,\"read_per_s\":%s,"
+			 "\"pairs_per_m\":%s,\"usual\":{\"prompt\":%s,"
+			 "\"answer\":%s}}}]}",
+			 number, other, number, other, number, other, number,
+			 other, number, other, number, other, number);
+		routing = decode(text);
+		assert_non_null(routing);
+		service = routing_service(routing, "m");
+		assert_in_range(service->engine.kv_capacity_tokens, 0,
+				TOKENS_MAX);
+		if (service->engine.present)
+			query.engine = &service->engine;
+		for (j = 0; j < COUNT_OF(candidates); j++)
+			candidates[j] = (candidate_t){
+				.order = (uint32_t)j,
+				.load = { .decoding = 3, .prefilling = 1 },
+				.slots = 8,
+				.kv_capacity_tokens =
+					service->engine.kv_capacity_tokens,
+				.slowdown = 1
+			};
+		if (placement_choose(candidates, COUNT_OF(candidates), &query,
+				     &placement) == PLACEMENT_CHOSEN)
+			assert_in_range(placement.first_event_us, 0,
+					query.limit_us);
+		query.prompt_tokens = 1;
+		query.output_tokens = 1;
+		placement_choose(candidates, COUNT_OF(candidates), &query,
+				 &placement);
+		routing_unref(routing);
+	}
+}
+
 /* Guards against a malformed configuration that comes into force. */
 static void refuses_malformed_routing(void **state)
 {
@@ -520,6 +587,7 @@
 		cmocka_unit_test(finds_routes),
 		cmocka_unit_test(decodes_routing),
 		cmocka_unit_test(bounds_numbers),
+		cmocka_unit_test(numbers_of_an_engine_overflow),
 		cmocka_unit_test(refuses_malformed_routing),
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
