Bound the numbers of the load reports of servers

No caller has seen this. On chivestage's own interface a server that reported 2^31 - 1 running and as many queued requests made their sum overflow, and reports of tokens and speeds near 2^63 the products computed from them.

Cause: engine_parse_load() and the messages of peers took each number up to the limit of its type; sums follow in the digest, the credits and the backlog of a server. A credit message could state a lifetime or a pause up to 2^63 us, to which the present time is added.

Ruled out: offsets and tokens of chunks (each chunk must follow the last, of 2^31 tokens at most), max_tokens of callers (1 to 10^6, else 400), prompts (by their size).

Change: tokens and speeds are read as at most 10^9, requests as at most 10^6, from a server and from a peer; a report is not refused for a larger number. A credit message with a time above 35 years is refused as malformed, alone.

The times of credits are bounded by reading only. A report dated far in the future still keeps later ones from the warm-up state (control_warmup.c).

--- a/src/connection/engine.h
+++ b/src/connection/engine.h
@@ -142,6 +142,10 @@
 bool engine_parse_event(const char *data, size_t size, char *buffer,
 			size_t buffer_size, engine_chunk_t *chunk, err_t *err);
 
+/** Cuts the numbers of a load report to bounds within which sums do not
+ * overflow. */
+void engine_bound_load(load_report_t *report);
+
 /**
  * Parses a load report. `server` stays empty and `received_us` 0.
  * @return false and @p err if the report is malformed
--- a/src/connection/engine_report.c
+++ b/src/connection/engine_report.c
@@ -5,6 +5,9 @@
 #include "base/mem.h"
 #include "connection/engine.h"
 
+/* Bound of the requests that a server reports. */
+enum { REQUESTS_MAX = 1000000 };
+
 static bool malformed(err_t *err, const char *what)
 {
 	return err_set(err, ERR_LAYER_ENGINE, ENGINE_ERR_MALFORMED,
@@ -87,6 +90,23 @@
 	return true;
 }
 
+static int64_t at_most(int64_t number, int64_t max)
+{
+	return number < max ? number : max;
+}
+
+void engine_bound_load(load_report_t *report)
+{
+	report->kv_total_tokens = at_most(report->kv_total_tokens, TOKENS_MAX);
+	report->kv_used_tokens = at_most(report->kv_used_tokens, TOKENS_MAX);
+	report->prefill_queued_tokens =
+		at_most(report->prefill_queued_tokens, TOKENS_MAX);
+	report->prefill_tokens_per_s =
+		at_most(report->prefill_tokens_per_s, TOKENS_MAX);
+	report->running = (int32_t)at_most(report->running, REQUESTS_MAX);
+	report->queued = (int32_t)at_most(report->queued, REQUESTS_MAX);
+}
+
 static bool read_counts(const json_t *json, load_report_t *report, err_t *err)
 {
 	int64_t running, queued;
@@ -105,6 +125,7 @@
 		return false;
 	report->running = (int32_t)running;
 	report->queued = (int32_t)queued;
+	engine_bound_load(report);
 	return true;
 }
 
--- a/src/connection/peer_codec.c
+++ b/src/connection/peer_codec.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/mem.h"
+#include "connection/engine.h"
 #include "proto/peer.pb-c.h"
 
 bool peer_is_name(const char *text)
@@ -100,6 +101,7 @@
 	report->role = body->role;
 	report->shares_kv = body->shares_kv;
 	report->model_count = (int32_t)body->n_models;
+	engine_bound_load(report);
 	load->age_us = body->age_us;
 	for (i = 0; i < body->n_models; i++)
 		if (!read_name(report->models[i], body->models[i], "model",
--- a/src/process/credit.c
+++ b/src/process/credit.c
@@ -83,7 +83,9 @@
 	return message->resource.kind <= RESOURCE_WEIGHT_LOAD &&
 	       message->resource.name[0] && amount_valid(message->amount) &&
 	       amount_valid(message->minimum) && message->lifetime_us >= 0 &&
-	       message->retry_after_us >= 0;
+	       message->lifetime_us <= TIME_MAX_US &&
+	       message->retry_after_us >= 0 &&
+	       message->retry_after_us <= TIME_MAX_US;
 }
 
 credit_msg_t *credit_queue_add(credit_queue_t *queue,
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "cases.h"
+#include "connection/engine.h"
 #include "process/digest.h"
 #include "process/drain.h"
 #include "process/remote.h"
@@ -289,6 +290,46 @@
 	assert_int_equal(second[0], 4);
 }
 
+/* Guards against numbers in the report of a server that overflow in what is
+ * computed from them. */
+static void numbers_of_a_report_overflow(void **state)
+{
+	static const struct {
+		const char *tokens, *requests;
+	} cases[] = {
+		{ "9223372036854775807", "2147483647" },
+		{ "0", "0" },
+		{ "4611686018427387904", "1073741824" },
+	};
+	digest_t *digest = digest_create();
+	load_report_t report, sent[4];
+	int64_t now_us = 10 * US_PER_S;
+	char text[400];
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		snprintf(
+			text, sizeof(text),
+			"{\"incarnation\":1,\"cold\":false,\"shares_kv\":false,"
+			"\"role\":\"both\",\"models\":[\"m\"],"
+			"\"kv_total\":%s,\"kv_used\":%s,\"running\":%s,"
+			"\"queued\":%s,\"prefill_tokens_queued\":%s,"
+			"\"prefill_tokens_per_s\":%s,\"time_us\":%s}",
+			cases[i].tokens, cases[i].tokens, cases[i].requests,
+			cases[i].requests, cases[i].tokens, cases[i].tokens,
+			cases[i].tokens);
+		assert_true(
+			engine_parse_load(text, strlen(text), &report, NULL));
+		strcpy(report.server, "e1");
+		assert_in_range(report.kv_used_tokens, 0, TOKENS_MAX);
+		assert_in_range(report.prefill_queued_tokens, 0, TOKENS_MAX);
+		digest_update(digest, &report);
+		now_us += US_PER_S;
+		assert_int_equal(digest_take(digest, 1, now_us, sent, 4), 1);
+	}
+	digest_destroy(digest);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -296,6 +337,7 @@
 		cmocka_unit_test(shuts_down_in_order),
 		cmocka_unit_test(digest_sends_changes),
 		cmocka_unit_test(digest_stays_in_budget),
+		cmocka_unit_test(numbers_of_a_report_overflow),
 		cmocka_unit_test(summary_makes_reachable),
 		cmocka_unit_test(publishers_are_replaced),
 	};
