Bound the nodes whose load is kept

No caller has seen this. Each choice of servers reads the load that each known node has on each server, and any datagram with a new number of a node added one for 10 s: how long a choice takes was decided by numbers in datagrams. Sums of the loads of 65,538 nodes overflow an int32_t.

Cause: the load table had no bound, unlike usage (4,096 processes).

Ruled out: the items of an announcement, which the size of a datagram bounds and which are found by binary search; servers' entries, which come from the store.

Change: the table holds 4,096 nodes.

Datagrams are not authenticated: a flood of them may still keep a node that starts out of the table.

--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -30,6 +30,10 @@
 /* A shorter silence is no partition: nodes may be busy, or timers late. */
 #define PARTITION_SILENCE_MIN_US (120 * US_PER_MS)
 
+/* Nodes in the table: each choice of servers reads the load of all, and the
+ * sums of their loads must not overflow. */
+enum { NODES_MAX = 4096 };
+
 typedef struct node {
 	uint64_t id;
 	uint64_t incarnation;
@@ -82,13 +86,19 @@
 	free(table);
 }
 
+/* @return NULL if the table is full */
 static node_t *find_or_add_node(load_table_t *table, uint64_t id)
 {
+	size_t count = 0;
 	node_t *node;
 
-	LL_FOREACH (table->nodes, node)
+	LL_FOREACH (table->nodes, node) {
 		if (node->id == id)
 			return node;
+		count++;
+	}
+	if (count >= NODES_MAX)
+		return NULL;
 	node = mem_calloc(1, sizeof(*node));
 	node->id = id;
 	LL_PREPEND(table->nodes, node);
@@ -151,6 +161,8 @@
 	node_t *node = find_or_add_node(table, message->node);
 	size_t size = message->item_count * sizeof(*message->items);
 
+	if (!node)
+		return false;
 	/* The incarnation of a restarted node is lower than before if its clock
 	 * was set back; its announcements must not be ignored for that reason.
 	 */
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -96,7 +96,8 @@
 /**
  * Replaces the previous announcement of a node.
  * @param boot_us CLOCK_BOOTTIME of this node
- * @return false if @p message is not newer than the previous announcement
+ * @return false if @p message is not newer than the previous announcement, or
+ * the table is full
  */
 bool load_table_receive(load_table_t *table, const announcement_t *message,
 			int64_t now_us, int64_t boot_us);
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -958,6 +958,36 @@
 	load_table_destroy(table);
 }
 
+/* Guards against choices of servers that take longer the more nodes datagrams
+ * name, and against loads whose sum overflows. */
+static void names_of_nodes_decide_how_long_a_choice_takes(void **state)
+{
+	enum { NAMED = 10000, KEPT_MAX = 4096 };
+	load_table_t *table = load_table_create();
+	uint32_t hash = load_table_hash("a");
+	load_item_t item = { .server_hash = hash,
+			     .prefilling = INT16_MAX,
+			     .decoding = INT16_MAX };
+	candidate_t candidate = { .slots = 1 };
+	announcement_t message;
+	uint64_t node;
+
+	for (node = 1; node <= NAMED; node++) {
+		message = message_of(node, 1, &item, 1);
+		load_table_receive(table, &message, 0, 0);
+	}
+	assert_in_range(load_table_node_count(table), 1000, KEPT_MAX);
+	load_table_add_load(table, hash, NULL, &candidate.load, MS(1));
+	assert_true(candidate.load.decoding > 0);
+	assert_true(candidate.load.decoding + candidate.load.prefilling > 0);
+	message = message_of(1, 2, &item, 1);
+	assert_true(load_table_receive(table, &message, MS(2), 0));
+	load_table_expire(table, 20 * US_PER_S);
+	message = message_of(NAMED, 3, &item, 1);
+	assert_true(load_table_receive(table, &message, 20 * US_PER_S, 0));
+	load_table_destroy(table);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -977,6 +1007,7 @@
 		cmocka_unit_test(uses_median_of_clocks),
 		cmocka_unit_test(limits_announced_backlog),
 		cmocka_unit_test(accepts_restarted_node),
+		cmocka_unit_test(names_of_nodes_decide_how_long_a_choice_takes),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
