Soak: a connection that closed before its caller reads is noted at once

Trace: the node closed the connections 7.902 s after SIGTERM, 243 ms and 97 ms after the heads of the requests, their bodies not complete (408 with content=0, 413 with stop=closed); the process was gone 330 ms later.

The state of each connection is looked at in each step, so that the end of the process is not needed.

--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -112,7 +112,6 @@
 			       "FAULT %s stopped with exit status %d",
 			       node->name, WEXITSTATUS(watcher->rstatus));
 	node->pid = 0;
-	node->ended_us = node->soak->stepped_us;
 	node->ready = node->paused = false;
 	ev_timer_start(loop, &node->restart);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -74,9 +74,7 @@
 	int32_t failed_probes; /* readiness probes in a row without a 200 */
 	int64_t started_us;
 	int64_t disturbed_us; /* last fault of the process or its links */
-	/* When the last graceful stop began, and, with stops, a time shortly
-	 * before the last process ended; 0: none did. */
-	int64_t stop_us, ended_us;
+	int64_t stop_us; /* when the last graceful stop began; 0: none did */
 	int port, ready_port, peer_port;
 	int64_t told_us[SERVERS]; /* when the node first relayed the rate of a
 				     server, since its last fault; 0: not yet */
--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -1,6 +1,8 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -60,6 +62,7 @@
 	int64_t stop_us; /* SIGTERM of the process that got the request; 0: the
 			    request was sent before */
 	answer_t answer;
+	int64_t closed_us; /* when the connection was last open; 0: it is */
 } channel_t;
 
 static channel_t channels[CHANNELS_MAX];
@@ -179,6 +182,7 @@
 	format_request(channel);
 	cut_into_pieces(channel);
 	channel->sent = 0;
+	channel->closed_us = 0;
 	channel->answer = (answer_t){ .left = 0 };
 }
 
@@ -256,24 +260,12 @@
 	return NULL;
 }
 
-/* @return a time before the connection ended. This process may have stood still
- * since, and a caller that reads late may learn of it after the node's end. */
-static int64_t closed_us(const channel_t *channel)
-{
-	int64_t stepped_us = channel->soak->stepped_us;
-	int64_t ended_us = channel->node->ended_us;
-
-	return ended_us >= channel->record->sent_us && ended_us < stepped_us
-		       ? ended_us
-		       : stepped_us;
-}
-
 /* The connection ended within a request, or before its whole answer. */
 static void on_cut(channel_t *channel)
 {
 	const request_record_t *record = channel->record;
 	const node_t *node = channel->node;
-	int64_t end_us = closed_us(channel);
+	int64_t end_us = channel->closed_us;
 	const char *loss = find_loss(channel, end_us);
 
 	if (record->runs)
@@ -298,6 +290,8 @@
 
 static void on_closed(channel_t *channel)
 {
+	if (!channel->closed_us)
+		channel->closed_us = channel->soak->stepped_us;
 	if (channel->record)
 		on_cut(channel);
 	close_channel(channel);
@@ -337,8 +331,23 @@
 		 now_us - channel->sent_us >= READ_LATE_MS * US_PER_MS));
 }
 
+/* A caller that reads late learns later of the end of its connection. This
+ * process may have stood still since its last step. */
+static void note_closed(channel_t *channel)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+
+	if (channel->fd < 0 || !channel->record || channel->closed_us ||
+	    getsockopt(channel->fd, IPPROTO_TCP, TCP_INFO, &info, &size) ||
+	    info.tcpi_state == TCP_ESTABLISHED)
+		return;
+	channel->closed_us = channel->soak->stepped_us;
+}
+
 static void step(channel_t *channel, int64_t now_us)
 {
+	note_closed(channel);
 	if (reads_now(channel, now_us))
 		receive(channel);
 	if (now_us < channel->due_us)
