Comments of a stop: no call is needed now and then, streams are not an exception

Kept sockets are checked where one is added and where the stop asks, since; what starts after the notice is judged by its time limit, streams too, since. No code changes.

--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -86,8 +86,7 @@
 /**
  * Prepares the end of the process: a connection that closes from now on is kept
  * while its caller receives data, until listener_destroy(); a bounded number of
- * them. listener_has_requests() has to be called now and then. Nothing for
- * NULL.
+ * them. Nothing for NULL.
  */
 void listener_keep_unsent(listener_t *listener);
 
--- a/src/process/gateway_stop.c
+++ b/src/process/gateway_stop.c
@@ -8,8 +8,7 @@
 enum {
 	STOP_POLL_MS = 50,
 	/* The load balancer probes readiness each second and takes a node out
-	 * after two misses. Streams that begin after this time would be cut
-	 * off when the process ends. */
+	 * after two misses. */
 	STOP_NOTICE_MS = 2800,
 	/* Shortest stop: requests that were on their way when the load balancer
 	 * took the node out still arrive. */
