--- a/tests/test_gateway_stop.c
+++ b/tests/test_gateway_stop.c
@@ -397,14 +397,30 @@
 					{ "/open ", SERVES_PARTS_UNFRAMED },
 					{ NULL, SERVES } };
 
-static size_t play_moments(const moment_t *const *moments, size_t count,
-			   bool is_held)
+static play_t *begin_acts(void)
 {
 	play_t *play = test_malloc(sizeof(*play));
-	size_t i, wrong;
 
 	begin(play);
 	play->fixture.text_acts = text_acts;
+	return play;
+}
+
+/* Stops the process and frees the play. @return number of wrong outcomes */
+static size_t end_play(play_t *play)
+{
+	size_t wrong = stop(play);
+
+	test_free(play);
+	return wrong;
+}
+
+static size_t play_moments(const moment_t *const *moments, size_t count,
+			   bool is_held)
+{
+	play_t *play = begin_acts();
+	size_t i;
+
 	for (i = 0; i < count; i++)
 		add_moment(play, moments[i]);
 	if (is_held) {
@@ -420,9 +436,7 @@
 	add(play, &ended, NEW, "/safe/x", 503)->late_part = "Content-Length";
 	add(play, &ended, NEW, "/safe/x", 503)->late_part = "dybody";
 	use_kept(play);
-	wrong = stop(play);
-	test_free(play);
-	return wrong;
+	return end_play(play);
 }
 
 /*
@@ -457,18 +471,13 @@
 	static const moment_t moment = {
 		STOP_NOTICE, 2500, DEADLINE_MS, { 0 }
 	};
-	play_t *play = test_malloc(sizeof(*play));
-	size_t wrong;
+	play_t *play = begin_acts();
 
-	begin(play);
-	play->fixture.text_acts = text_acts;
 	play->reload_stop_ms = 3300;
 	add(play, &moment, NEW, "/safe/length", 200);
 	add(play, &moment, NEW, "/once/chunks", 200);
 	add(play, &finishing_short, NEW, "/once/x", 200);
-	wrong = stop(play);
-	test_free(play);
-	assert_int_equal(wrong, 0);
+	assert_int_equal(end_play(play), 0);
 }
 
 /*
@@ -483,17 +492,13 @@
 	static const char *const answers[] = { "/safe/length", "/safe/chunks",
 					       "/safe/open",   "/once/length",
 					       "/once/chunks", "/once/open" };
-	play_t *play = test_malloc(sizeof(*play));
-	size_t i, wrong;
+	play_t *play = begin_acts();
+	size_t i;
 
-	begin(play);
-	play->fixture.text_acts = text_acts;
 	play->fixture.gateway->settings.stop_ms = 3500;
 	for (i = 0; i < COUNT_OF(answers); i++)
 		add(play, &moment, NEW, answers[i], 504);
-	wrong = stop(play);
-	test_free(play);
-	assert_int_equal(wrong, 0);
+	assert_int_equal(end_play(play), 0);
 }
 
 /*
@@ -503,12 +508,9 @@
 static void request_with_a_late_body_outlasts_a_stop(void **state)
 {
 	static const moment_t head = { STOP_NOTICE, 2600, DEADLINE_MS, { 0 } };
-	play_t *play = test_malloc(sizeof(*play));
-	size_t wrong;
+	play_t *play = begin_acts();
 	int kind;
 
-	begin(play);
-	play->fixture.text_acts = text_acts;
 	for (kind = 0; kind < KINDS; kind++) {
 		use_t use;
 
@@ -521,9 +523,7 @@
 		}
 	}
 	use_kept(play);
-	wrong = stop(play);
-	test_free(play);
-	assert_int_equal(wrong, 0);
+	assert_int_equal(end_play(play), 0);
 }
 
 /*
@@ -546,11 +546,9 @@
 					       "/safe/open",   "/safe/hold",
 					       "/once/length", "/once/chunks",
 					       "/once/open",   "/once/hold" };
-	play_t *play = test_malloc(sizeof(*play));
-	size_t i, j, wrong;
+	play_t *play = begin_acts();
+	size_t i, j;
 
-	begin(play);
-	play->fixture.text_acts = text_acts;
 	for (i = 0; i < COUNT_OF(answers); i++) {
 		bool is_held = strstr(answers[i], "/hold");
 		use_t use;
@@ -563,9 +561,7 @@
 				add(play, &too_late[j], use, answers[i], 503);
 	}
 	use_kept(play);
-	wrong = stop(play);
-	test_free(play);
-	assert_int_equal(wrong, 0);
+	assert_int_equal(end_play(play), 0);
 }
 
 int main(void)
