Announce what load control needs: waiting requests, accounts, promises, paces

Two deployments have more load than room at times, and nodes decide alone on what little they know of each other. Announcements gain lists of what waits, of requests by account, of refused requests that are to return and of measured slowdown factors, all optional and bounded; earlier builds ignore them.

No behaviour changes: nothing reads the new fields yet.

--- a/src/process/forecast.h
+++ b/src/process/forecast.h
@@ -31,6 +31,9 @@
 	/** Prompts and expected output of prefilling and decoding requests. */
 	int64_t kv_tokens;
 	int64_t backlog_us; /**< prefill backlog */
+	/** Subset of `prefilling`: requests that the server admits after all
+	 * others. */
+	int32_t deferred;
 } server_load_t;
 
 /**
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -80,6 +80,7 @@
 			.backlog_us = load.backlog_us,
 			.gap_us = load.gap_us,
 			.target_us = load.target_us,
+			.deferred = load.deferred,
 		};
 	}
 	qsort(items, count, sizeof(*items), compare_load);
--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -265,6 +265,7 @@
 			continue;
 		load->prefilling += item->prefilling;
 		load->decode_pending += item->decode_pending;
+		load->deferred += item->deferred;
 		load->decoding += item->decoding;
 		load->kv_tokens += item->kv_tokens;
 		load->backlog_us += item->backlog_us;
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "base/units.h"
+#include "process/announced.h"
 #include "process/forecast.h"
 #include "process/region.h"
 #include "process/segment_table.h"
@@ -42,6 +43,8 @@
 	int64_t gap_us; /**< shortest event gap limit of a stream; 0: none */
 	int64_t target_us; /**< time left until the earliest objective of a
 			   prefilling request; 0: none */
+	int32_t deferred; /**< of the prefilling requests, those that the server
+			   * admits after all others */
 } load_item_t;
 
 /**
@@ -86,6 +89,14 @@
 	/** Contents of requests that may crash servers. */
 	segment_report_t contents[ANNOUNCED_CONTENTS_MAX];
 	size_t content_count; /**< entries of contents */
+	waiting_report_t waiting[ANNOUNCED_WAITING_MAX];
+	size_t waiting_count; /**< entries of waiting */
+	account_report_t accounts[ANNOUNCED_ACCOUNTS_MAX];
+	size_t account_count; /**< entries of accounts */
+	promise_report_t promises[ANNOUNCED_PROMISES_MAX];
+	size_t promise_count; /**< entries of promises */
+	pace_report_t paces[ANNOUNCED_PACES_MAX];
+	size_t pace_count; /**< entries of paces */
 	load_item_t *items;
 	size_t item_count;
 } announcement_t;
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -43,6 +43,12 @@
 	int64_t key_revoke_ms; /**< a removed key is refused */
 	bool keys_expire; /**< refuse keys that cannot be confirmed in time */
 
+	/** The servers do not state the rate of requests that they accept: the
+	 * nodes themselves keep the load within the room. */
+	bool controls_load;
+	/** Delay accepted to keep a megabyte within its data centre. */
+	int64_t traffic_price_us_per_mb;
+
 	double retry_ratio; /**< retries allowed per request */
 	int32_t retry_slack; /**< retries allowed above the ratio in a window */
 	int64_t retry_window_ms; /**< time over which the retries are counted */
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -6,6 +6,7 @@
 
 #include "base/mem.h"
 #include "base/units.h"
+#include "process/packet_announced.h"
 #include "proto/work.pb-c.h"
 
 enum { ITEMS_MAX = 256, CHANGES_MAX = 64, KILO = 1000 };
@@ -107,6 +108,7 @@
 	Work__Segment *segment_pointers[ANNOUNCED_SEGMENTS_MAX];
 	packed_segment_t contents[ANNOUNCED_CONTENTS_MAX];
 	Work__Segment *content_pointers[ANNOUNCED_CONTENTS_MAX];
+	packed_announced_t announced;
 	size_t i, size, count = message->item_count;
 
 	if (count > ITEMS_MAX)
@@ -123,6 +125,7 @@
 		items[i].pending_ms = to_unit(item->backlog_us, US_PER_MS);
 		items[i].gap_ms = to_unit(item->gap_us, US_PER_MS);
 		items[i].due_ms = to_unit(item->target_us, US_PER_MS);
+		items[i].deferred = to_unit(item->deferred, 1);
 		pointers[i] = &items[i];
 	}
 	announcement.node = message->node;
@@ -154,6 +157,7 @@
 		      content_pointers);
 	announcement.n_contents = message->content_count;
 	announcement.contents = content_pointers;
+	packet_pack_announced(message, &announced, &announcement);
 	packet.body_case = WORK__PACKET__BODY_ANNOUNCEMENT;
 	packet.announcement = &announcement;
 	/* Items are left out until the rest fits: a node that announces too
@@ -327,6 +331,7 @@
 		message->contents[i] =
 			unpack_segment(announcement->contents[i]);
 	message->content_count = i;
+	packet_unpack_announced(announcement, message);
 	mem_strlcpy(message->data_centre, announcement->data_centre,
 		    sizeof(message->data_centre));
 	mem_strlcpy(message->address, announcement->address,
@@ -351,6 +356,8 @@
 			.backlog_us = (int64_t)item->pending_ms * US_PER_MS,
 			.gap_us = (int64_t)item->gap_ms * US_PER_MS,
 			.target_us = (int64_t)item->due_ms * US_PER_MS,
+			.deferred =
+				(int32_t)within(item->deferred, 0, INT16_MAX),
 		};
 	}
 }
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -179,6 +179,41 @@
 		    compare_services);
 }
 
+static bool leads_to(const route_conf_t *route, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < route->target_count; i++)
+		if (!strcmp(route->targets[i].service, service))
+			return true;
+	return false;
+}
+
+static void add_rank(service_ranks_t *ranks, int32_t priority, bool *found)
+{
+	if (!*found || priority < ranks->first)
+		ranks->first = priority;
+	if (!*found || priority > ranks->last)
+		ranks->last = priority;
+	*found = true;
+}
+
+service_ranks_t routing_ranks(const routing_t *routing, const char *service)
+{
+	const routing_conf_t *conf = &routing->conf;
+	service_ranks_t ranks = { 0, 0 };
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < conf->route_count; i++)
+		if (leads_to(&conf->routes[i], service))
+			add_rank(&ranks, conf->routes[i].priority, &found);
+	for (i = 0; found && i < conf->account_count; i++)
+		if (conf->accounts[i].priority >= 0)
+			add_rank(&ranks, conf->accounts[i].priority, &found);
+	return ranks;
+}
+
 const char *routing_target(const route_conf_t *route, uint64_t draw)
 {
 	int64_t total = 0, offset;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -32,6 +32,39 @@
 	HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED HUNDRED \
 		HUNDRED HUNDRED HUNDRED
 
+/* Guards against load control where servers state their rates, or where the
+ * settings do not say whether they do. */
+static void controls_load_where_servers_state_no_rates(void **state)
+{
+	static const struct {
+		const char *guards_against, *text;
+		bool controls_load;
+	} cases[] = {
+		{ "a default that changes deployments", SETTINGS, false },
+		{ "contracts that are not read",
+		  SETTINGS "contracts=base,engine,stream\n", true },
+		{ "one contract of several",
+		  SETTINGS "contracts=base,pressure,stream\n", false },
+		{ "the last contract", SETTINGS "contracts=base,pressure\n",
+		  false },
+		{ "a name that contains the one that is wanted",
+		  SETTINGS "contracts=pressures,backpressure\n", true },
+	};
+	node_settings_t settings;
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		assert_true(platform_settings_parse("f", cases[i].text,
+						    &settings, NULL));
+		if (settings.controls_load != cases[i].controls_load)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+	}
+	assert_int_equal(settings.traffic_price_us_per_mb, 0);
+	assert_true(platform_settings_parse(
+		"f", SETTINGS "traffic.priceMsPerMb=3\n", &settings, NULL));
+	assert_int_equal(settings.traffic_price_us_per_mb, 3000);
+}
+
 /*
  * Guards against settings that are misread, and against a file that the
  * platform writes being refused.
@@ -176,6 +209,48 @@
 	routing_unref(routing);
 }
 
+/* Guards against a service whose requests count as equally urgent, or as
+ * unlike, when they are not. */
+static void finds_ranks_of_a_service(void **state)
+{
+	static const struct {
+		const char *guards_against, *config;
+		service_ranks_t expected;
+	} cases[] = {
+		{ "a route whose priority is not counted",
+		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":2") "," ROUTE(
+			  "b", "h", "/b/", ",\"priority\":0")),
+		  { 0, 3 } },
+		{ "an account whose priority is not counted",
+		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":1")),
+		  { 1, 3 } },
+		{ "a route to another service that counts",
+		  CONFIG(ROUTE(
+			  "a", "h", "/a/",
+			  ",\"priority\":1") ","
+					     "{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":"
+					     "\"/b/\",\"service\":\"other\",\"priority\":9,"
+					     "\"kind\":\"idempotent\",\"timeoutMs\":1000}"),
+		  { 1, 3 } },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		routing_t *routing = decode(cases[i].config);
+		service_ranks_t ranks;
+
+		assert_non_null(routing);
+		ranks = routing_ranks(routing, "s");
+		if (ranks.first != cases[i].expected.first ||
+		    ranks.last != cases[i].expected.last)
+			fail_msg("case \"%s\": %d to %d",
+				 cases[i].guards_against, ranks.first,
+				 ranks.last);
+		assert_int_equal(routing_ranks(routing, "none").last, 0);
+		routing_unref(routing);
+	}
+}
+
 /* Guards against keys that are ignored or misread, and against wrong units. */
 static void decodes_routing(void **state)
 {
@@ -583,8 +658,10 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(parses_settings),
+		cmocka_unit_test(controls_load_where_servers_state_no_rates),
 		cmocka_unit_test(refuses_a_long_settings_file),
 		cmocka_unit_test(finds_routes),
+		cmocka_unit_test(finds_ranks_of_a_service),
 		cmocka_unit_test(decodes_routing),
 		cmocka_unit_test(bounds_numbers),
 		cmocka_unit_test(numbers_of_an_engine_overflow),
