Reserve capacity for refused requests that return

Cause: a node keeps no record of a refused request, so a caller that retries is last in the queue again, often at another node.

Change: with controls_load, a refusal for load records a promise: when the request is to return, and the prefill that it needs. Nodes announce what they promised. The request that returns at its time, at any node, is not refused for its cost to others, and others see the reserved prefill as backlog. Announced promises name their service; one without prefill has been used.

--- a/src/process/announced.h
+++ b/src/process/announced.h
@@ -36,7 +36,9 @@
 	uint64_t content; /**< content id of the request */
 	int64_t return_in_us; /**< time until it may return; negative: it could
 			       * return that long ago */
-	int64_t prefill_us; /**< prefill that it needs */
+	int64_t prefill_us; /**< prefill that it needs; 0: the promise is used,
+			     * and reserves nothing */
+	uint32_t service_hash; /**< hash of the service's name */
 } promise_report_t;
 
 /** Slowdown factor of a server, as one node measured it. */
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -139,6 +139,7 @@
 		    sizeof(backends.data_centre));
 	gateway->backends = backends_create(&backends);
 	gateway->segments = segment_table_create();
+	gateway->promises = promises_create();
 	gateway->client = client_create(gateway->loop, err);
 	if (!gateway->client)
 		return false;
@@ -205,6 +206,7 @@
 	client_destroy(gateway->client);
 	reservations_destroy(&gateway->reservations);
 	segment_table_destroy(gateway->segments);
+	promises_destroy(gateway->promises);
 	backends_destroy(gateway->backends);
 	routing_unref(gateway->routing);
 	free_budgets(gateway);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -141,6 +141,9 @@
 	message->content_count = segment_table_list(
 		gateway->segments, CAUSE_CONTENT, message->contents,
 		ANNOUNCED_CONTENTS_MAX, now_us);
+	message->promise_count = promises_list(gateway->promises,
+					       message->promises,
+					       ANNOUNCED_PROMISES_MAX, now_us);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
@@ -199,6 +202,14 @@
 			  (1 - ANNOUNCE_IDLE_MIN_SHARE) * fraction);
 }
 
+static void expire_promises(gateway_t *gateway, int64_t now_us)
+{
+	metrics_add(METRIC_PROMISES_EXPIRED,
+		    (int64_t)promises_expire(gateway->promises, now_us));
+	metrics_set(METRIC_PROMISES_OPEN,
+		    (int64_t)promises_open_count(gateway->promises));
+}
+
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -209,6 +220,7 @@
 	load_table_expire(gateway->load_table, now_us);
 	server_rates_expire(backends_rates(gateway->backends), now_us);
 	gateway_check_crashes(gateway, now_us);
+	expire_promises(gateway, now_us);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -59,6 +59,18 @@
 	gateway_log_blocked(gateway, source);
 }
 
+static void receive_promises(gateway_t *gateway, const announcement_t *message)
+{
+	int64_t now_us = clock_monotonic_us();
+	size_t i;
+
+	if (!gateway->settings.controls_load)
+		return;
+	for (i = 0; i < message->promise_count; i++)
+		promises_receive(gateway->promises, &message->promises[i],
+				 now_us);
+}
+
 static bool is_listed(const gateway_t *gateway, uint64_t node)
 {
 	size_t i;
@@ -99,6 +111,7 @@
 {
 	receive_rates(gateway, message);
 	receive_causes(gateway, message);
+	receive_promises(gateway, message);
 	inform_new_node(gateway, message);
 }
 
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -6,6 +6,7 @@
 #ifndef PROCESS_GATEWAY_STATE_H
 #define PROCESS_GATEWAY_STATE_H
 
+#include "admission/promises.h"
 #include "connection/client.h"
 #include "connection/datagram.h"
 #include "connection/listener.h"
@@ -110,6 +111,7 @@
 	backends_t *backends;
 	load_table_t *load_table;
 	segment_table_t *segments; /**< what crashes servers */
+	promises_t *promises; /**< refused requests that are to return */
 	duties_t *duties; /**< NULL: the platform has no duties */
 	view_t views[KINDS_WATCHED];
 
--- a/src/process/packet_announced.c
+++ b/src/process/packet_announced.c
@@ -84,6 +84,7 @@
 		promise->return_in_ms = to_ms(report->return_in_us);
 		promise->overdue_ms = to_ms(-report->return_in_us);
 		promise->prefill_ms = to_ms(report->prefill_us);
+		promise->service = report->service_hash;
 		packed->promise_pointers[i] = promise;
 	}
 	announcement->n_promises = message->promise_count;
@@ -161,6 +162,7 @@
 				from_ms(promise->overdue_ms, RETURN_MAX_US),
 			.prefill_us =
 				from_ms(promise->prefill_ms, PREFILL_MAX_US),
+			.service_hash = promise->service,
 		};
 	}
 	message->promise_count = i;
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -322,6 +322,9 @@
 	placement->shared_memory = false;
 	placement->retry_in_us = 0;
 	placement->missed_weight = 0;
+	placement->first_event_us = 0;
+	placement->backlog_us = 0;
+	placement->server_count = count;
 	if (!count)
 		return PLACEMENT_NO_SERVER;
 	if (!query->engine)
@@ -338,12 +341,15 @@
 		found = place_cheapest(candidates, count, query,
 				       shards_min > 1 ? shards_min : 2, true,
 				       placement);
+	if (found && placement_is_short(query) &&
+	    placement->first_event_us <= query->limit_us)
+		return PLACEMENT_CHOSEN;
+	placement->backlog_us =
+		time_to_us(placement_backlog_us(candidates, count));
 	if (!found)
 		return PLACEMENT_NO_SERVER;
 	if (placement_costs_too_much(candidates, count, query, placement)) {
-		placement->retry_in_us =
-			time_to_us(placement_backlog_us(candidates, count)) +
-			RETRY_DELAY_US;
+		placement->retry_in_us = placement->backlog_us + RETRY_DELAY_US;
 		return PLACEMENT_BUSY;
 	}
 	if (placement->first_event_us <= query->limit_us)
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -127,6 +127,14 @@
 	return sum_us / (double)half;
 }
 
+double placement_expected_backlog_us(const candidate_t *candidates,
+				     size_t count,
+				     const placement_query_t *query)
+{
+	return placement_backlog_us(candidates, count) +
+	       (double)query->promised_us / (double)count;
+}
+
 /* @return price of server time; it grows with the backlog of long prompts. */
 static double price_per_us(const placement_query_t *query, double backlog_us)
 {
@@ -147,9 +155,10 @@
 	double backlog_us, prefill_us = 0;
 	size_t i;
 
-	if (placement_is_short(query) || !query->may_refuse)
+	if (placement_is_short(query) || !query->may_refuse ||
+	    query->is_returning)
 		return false;
-	backlog_us = placement_backlog_us(candidates, count);
+	backlog_us = placement_expected_backlog_us(candidates, count, query);
 	for (i = 0; i < placement->count; i++)
 		prefill_us += (double)placement->prefill_us[i];
 	return others_weight * PLACEMENT_MISS_LOSS +
--- a/src/proto/work.pb-c.c
+++ b/src/proto/work.pb-c.c
@@ -1153,7 +1153,7 @@
   (ProtobufCMessageInit) work__account_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor work__promise__field_descriptors[4] =
+static const ProtobufCFieldDescriptor work__promise__field_descriptors[5] =
 {
   {
     "content",
@@ -1203,17 +1203,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Work__Promise, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned work__promise__field_indices_by_name[] = {
   0,   /* field[0] = content */
   2,   /* field[2] = overdue_ms */
   3,   /* field[3] = prefill_ms */
   1,   /* field[1] = return_in_ms */
+  4,   /* field[4] = service */
 };
 static const ProtobufCIntRange work__promise__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor work__promise__descriptor =
 {
@@ -1223,7 +1236,7 @@
   "Work__Promise",
   "work",
   sizeof(Work__Promise),
-  4,
+  5,
   work__promise__field_descriptors,
   work__promise__field_indices_by_name,
   1,  work__promise__number_ranges,
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -227,13 +227,17 @@
    */
   uint32_t overdue_ms;
   /*
-   * prefill that it needs
+   * prefill that it needs; 0: it has returned
    */
   uint32_t prefill_ms;
+  /*
+   * hash of the service's name
+   */
+  uint32_t service;
 };
 #define WORK__PROMISE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__promise__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -91,6 +91,8 @@
 		.may_refuse = !forward->runs && !forward->head_sent,
 		.nodes = forward->gateway->nodes,
 		.salt = gateway_random(forward->gateway),
+		.promised_us = forward_promised_us(forward, now_us),
+		.is_returning = forward->is_returning,
 	};
 
 	if (query.prompt_tokens <= 0)
@@ -155,6 +157,12 @@
 	       !another_waits(forward);
 }
 
+/* @return true if there are servers, but none has free memory */
+static bool lacks_memory(const placement_t *placement)
+{
+	return placement->server_count && !placement->count;
+}
+
 static void wait_or_refuse(forward_t *forward)
 {
 	int64_t now_us = clock_monotonic_us();
@@ -165,8 +173,15 @@
 		forward->phase = FORWARD_WAITING;
 		forward_set_timer(forward);
 	} else if (accepts.anywhere_us != INT64_MAX) {
-		forward_refuse(forward, "servers_limited",
-			       (accepts.anywhere_us - now_us) / US_PER_MS + 1);
+		int64_t accept_ms =
+			(accepts.anywhere_us - now_us) / US_PER_MS + 1;
+
+		forward_refuse_load(forward, "servers_limited", accept_ms,
+				    accept_ms);
+	} else if (forward->gateway->settings.controls_load &&
+		   lacks_memory(&forward->choice.placement)) {
+		forward_refuse_load(forward, "no_engine_memory",
+				    MEMORY_RETRY_MS, MEMORY_RETRY_MS);
 	} else {
 		forward_refuse_here(forward, "no_server",
 				    no_server_retry_ms(forward, now_us));
@@ -222,7 +237,8 @@
 	if (!is_valid || ++forward->reservations_failed < RESERVATIONS_MAX)
 		forward_place(forward);
 	else
-		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
+		forward_refuse_load(forward, "no_engine_memory",
+				    MEMORY_RETRY_MS, MEMORY_RETRY_MS);
 }
 
 static int64_t lease_us(const node_settings_t *settings)
@@ -291,6 +307,7 @@
 	if (!forward_check_segments(forward) || forward_relay(forward) ||
 	    refuse_cut_off(forward))
 		return;
+	forward_check_promise(forward);
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
@@ -309,14 +326,14 @@
 		break;
 	case PLACEMENT_BUSY:
 		forward_log_busy(forward, "cost");
-		forward_refuse(forward, "busy",
-			       placement->retry_in_us / US_PER_MS);
+		forward_refuse_load(forward, "busy", 0,
+				    placement->retry_in_us / US_PER_MS);
 		break;
 	case PLACEMENT_PAST_LIMIT:
 		forward_log_busy(forward, "late");
-		forward_refuse(forward, "busy",
-			       BUSY_RETRY_MS +
-				       placement->retry_in_us / US_PER_MS);
+		forward_refuse_load(forward, "busy", 0,
+				    BUSY_RETRY_MS +
+					    placement->retry_in_us / US_PER_MS);
 		break;
 	}
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -89,6 +89,8 @@
 	bool is_relayed; /**< another node passed the request on; that node
 			  * repeats it, if need be */
 	bool may_have_arrived; /**< a server may have received the request */
+	bool is_return_checked; /**< for a promise, when it first arrived */
+	bool is_returning; /**< it returns at the time promised for it */
 	bool is_silence_noted; /**< its server is known to be silent */
 	bool is_own_refusal; /**< the refusal is for a cause of this node */
 	size_t relay_count; /**< times that it was passed on */
@@ -226,6 +228,21 @@
  */
 bool forward_failover(forward_t *forward, failure_t failure);
 
+/* forward_promise.c */
+/** Finds out, once, if the request returns at the time promised for it. */
+void forward_check_promise(forward_t *forward);
+/** @return prefill promised to other requests that return before the objective
+ *          of this one is over */
+int64_t forward_promised_us(const forward_t *forward, int64_t now_us);
+/**
+ * Refuses a request for load. With load control, its capacity is reserved, and
+ * the time to retry is that of the promise.
+ * @param known_ms       time in which capacity is known to be free; 0: unknown
+ * @param retry_after_ms time to retry without load control
+ */
+void forward_refuse_load(forward_t *forward, const char *code, int64_t known_ms,
+			 int64_t retry_after_ms);
+
 /* forward_segments.c */
 /**
  * Refuses the request if a segment of its prompt crashes servers.
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -427,7 +427,7 @@
 				  .waiting_count = 1,
 				  .accounts = { { 9, 11, 5 }, { 9, 12, 1 } },
 				  .account_count = 2,
-				  .promises = { { 77, MS(300), MS(40) },
+				  .promises = { { 77, MS(300), MS(40), 9 },
 						{ 78, -MS(200), MS(50) } },
 				  .promise_count = 2,
 				  .paces = { { 7, 1.5, 6, MS(90) } },
