Promises are made only where capacity can be reserved, and are kept

Promised prefill only raised the price of server time, which is at its full value by then anyway, and changed no decision.

Change: nothing is reserved if the backlog and what is promised before are not done by the time that the caller is told. Promised prefill of requests that return before a new one would be served counts as backlog of the new one, for its predicted first event as well.

--- a/src/admission/promises.c
+++ b/src/admission/promises.c
@@ -94,7 +94,7 @@
 }
 
 int64_t promises_prefill_us(const promises_t *promises,
-			    const promised_query_t *query)
+			    const promised_query_t *query, int64_t now_us)
 {
 	const entry_t *entry;
 	int64_t sum_us = 0;
@@ -102,11 +102,19 @@
 	for (entry = promises->entries; entry; entry = entry->hh.next)
 		if (!entry->is_used && entry->content != query->except &&
 		    entry->service_hash == query->service_hash &&
-		    entry->return_us <= query->until_us)
+		    !is_expired(entry, now_us) &&
+		    entry->return_us - now_us <= query->within_us)
 			sum_us += entry->prefill_us;
 	return sum_us;
 }
 
+/* @return time until the backlog and the prefill promised to others are done */
+static double wait_us(const refusal_t *refusal, int64_t promised_us)
+{
+	return (double)refusal->backlog_us +
+	       (double)promised_us / (double)refusal->servers;
+}
+
 /* @return prefill of the promises that return before a request which waits for
  * the backlog and for that prefill has been served */
 static int64_t prefill_before_us(const promises_t *promises,
@@ -116,18 +124,16 @@
 	int step;
 
 	for (step = 0; step < BEFORE_STEPS && sum_us != last_us; step++) {
-		double wait_us = (double)refusal->backlog_us +
-				 (double)sum_us / (double)refusal->servers;
+		double longest_us =
+			wait_us(refusal, sum_us) * (1 + JITTER_SHARE);
 		promised_query_t query = {
 			.service_hash = refusal->service_hash,
 			.except = refusal->content,
-			.until_us = now_us +
-				    time_to_us(wait_us * (1 + JITTER_SHARE)) +
-				    refusal->serve_us,
+			.within_us = time_to_us(longest_us) + refusal->serve_us,
 		};
 
 		last_us = sum_us;
-		sum_us = promises_prefill_us(promises, &query);
+		sum_us = promises_prefill_us(promises, &query, now_us);
 	}
 	return sum_us;
 }
@@ -154,13 +160,12 @@
 
 static int64_t retry_us(const refusal_t *refusal, int64_t promised_us)
 {
-	double wait_us = (double)refusal->backlog_us +
-			 (double)promised_us / (double)refusal->servers;
+	double us = wait_us(refusal, promised_us);
 	double random = (double)(refusal->salt >> 40) / (1 << 24);
 
-	if (wait_us < (double)refusal->least_us)
-		wait_us = (double)refusal->least_us;
-	return at_most(time_to_us(wait_us * (1 + JITTER_SHARE * random)),
+	if (us < (double)refusal->least_us)
+		us = (double)refusal->least_us;
+	return at_most(time_to_us(us * (1 + JITTER_SHARE * random)),
 		       retry_max_us(refusal));
 }
 
@@ -179,7 +184,9 @@
 	promise.promised_us = prefill_before_us(promises, refusal, now_us);
 	promise.retry_us = retry_us(refusal, promise.promised_us);
 	promise.result = PROMISE_LATE;
-	if (refusal->left_us <= refusal->serve_us)
+	if (refusal->left_us <= refusal->serve_us ||
+	    wait_us(refusal, promise.promised_us) >
+		    (double)retry_max_us(refusal))
 		return promise;
 	entry = renew(promises, refusal->content, now_us);
 	promise.result = entry ? PROMISE_MADE : PROMISE_FULL;
@@ -216,6 +223,15 @@
 		entry->return_us = return_us;
 }
 
+/* @return true if the promise was used, and its request was refused again and
+ * has a new one. That it was used may not be known here. */
+static bool is_followed(const entry_t *entry, const promise_report_t *report,
+			int64_t return_us, int64_t now_us)
+{
+	return report->prefill_us && return_us > entry->return_us + EARLY_US &&
+	       (entry->is_used || now_us >= entry->return_us - EARLY_US);
+}
+
 void promises_receive(promises_t *promises, const promise_report_t *report,
 		      int64_t now_us)
 {
@@ -225,10 +241,7 @@
 	if (!report->content || -report->return_in_us > EXPIRY_US)
 		return;
 	entry = find(promises, report->content, now_us);
-	/* A used promise is followed by one with another time if its request
-	 * was refused again. */
-	if (entry && entry->is_used && report->prefill_us &&
-	    return_us > entry->return_us + EARLY_US)
+	if (entry && is_followed(entry, report, return_us, now_us))
 		entry = NULL;
 	if (entry && !entry->is_used) {
 		merge(entry, report, return_us);
--- a/src/admission/promises.h
+++ b/src/admission/promises.h
@@ -47,7 +47,7 @@
 	PROMISE_MADE,
 	/** Requests with this content share a promise that is open. */
 	PROMISE_SHARED,
-	/** No promise: a retry cannot be served before the time limit. */
+	/** No promise: capacity will be free too late for the caller. */
 	PROMISE_LATE,
 	PROMISE_FULL /**< no promise: PROMISES_MAX are kept */
 } promise_result_t;
@@ -74,7 +74,9 @@
  *
  * The time is that until the backlog and the prefill promised to others before
  * it are done, plus a random part of up to a quarter. It is at most a third of
- * the time left, and leaves the request time to be served.
+ * the time left, and leaves the request time to be served. If they are not done
+ * by then, nothing is reserved: capacity that is promised twice makes all that
+ * return late.
  */
 promise_t promises_add(promises_t *promises, const refusal_t *refusal,
 		       int64_t now_us);
@@ -95,12 +97,12 @@
 typedef struct {
 	uint32_t service_hash;
 	uint64_t except; /**< content id of the request that asks */
-	int64_t until_us; /**< of promises that return by then */
+	int64_t within_us; /**< of promises that return within this time */
 } promised_query_t;
 
 /** @return sum of the prefill of open promises */
 int64_t promises_prefill_us(const promises_t *promises,
-			    const promised_query_t *query);
+			    const promised_query_t *query, int64_t now_us);
 /** Removes promises whose time passed 2 s ago.
  * @return the number of those made here that were not used */
 size_t promises_expire(promises_t *promises, int64_t now_us);
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -324,7 +324,7 @@
 	placement->missed_weight = 0;
 	placement->first_event_us = 0;
 	placement->backlog_us = 0;
-	placement->server_count = count;
+	placement->server_count = 0;
 	if (!count)
 		return PLACEMENT_NO_SERVER;
 	if (!query->engine)
@@ -344,6 +344,7 @@
 	if (found && placement_is_short(query) &&
 	    placement->first_event_us <= query->limit_us)
 		return PLACEMENT_CHOSEN;
+	placement->server_count = count;
 	placement->backlog_us =
 		time_to_us(placement_backlog_us(candidates, count));
 	if (!found)
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -52,8 +52,9 @@
 	bool may_refuse; /**< caller has received no event yet */
 	int32_t nodes; /**< nodes that place requests concurrently */
 	uint64_t salt; /**< random tie breaker of the request */
-	/** Prefill reserved for other requests, which were told when to
-	 * return; it counts as backlog, spread over all servers. */
+	/** Prefill reserved for other requests, which were told to return
+	 * before this one would be served; for the decision to refuse this one
+	 * it counts as backlog, spread over all servers. */
 	int64_t promised_us;
 	/** Returns at the time promised to it: not refused for its cost to
 	 * others. */
@@ -84,9 +85,9 @@
 	/** If the request is refused: time until capacity is expected to be
 	 * free. */
 	int64_t retry_in_us;
-	size_t server_count; /**< usable servers that were considered */
-	/** Mean prefill backlog of the less loaded half of them; 0 for a short
-	 * prompt that is not refused. */
+	/** Usable servers, and the mean prefill backlog of the less loaded half
+	 * of them; 0 for a short prompt that is not refused. */
+	size_t server_count;
 	int64_t backlog_us;
 } placement_t;
 
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -127,14 +127,6 @@
 	return sum_us / (double)half;
 }
 
-double placement_expected_backlog_us(const candidate_t *candidates,
-				     size_t count,
-				     const placement_query_t *query)
-{
-	return placement_backlog_us(candidates, count) +
-	       (double)query->promised_us / (double)count;
-}
-
 /* @return price of server time; it grows with the backlog of long prompts. */
 static double price_per_us(const placement_query_t *query, double backlog_us)
 {
@@ -150,7 +142,10 @@
 			      const placement_t *placement)
 {
 	double weight = placement_weight(query, query->prompt_tokens);
-	bool missed = placement->first_event_us > query->target_us;
+	/* Prefill promised to others runs before that of this request. */
+	double promised_us = (double)query->promised_us / (double)count;
+	bool missed = (double)placement->first_event_us + promised_us >
+		      (double)query->target_us;
 	double others_weight = placement->missed_weight;
 	double backlog_us, prefill_us = 0;
 	size_t i;
@@ -158,7 +153,7 @@
 	if (placement_is_short(query) || !query->may_refuse ||
 	    query->is_returning)
 		return false;
-	backlog_us = placement_expected_backlog_us(candidates, count, query);
+	backlog_us = placement_backlog_us(candidates, count) + promised_us;
 	for (i = 0; i < placement->count; i++)
 		prefill_us += (double)placement->prefill_us[i];
 	return others_weight * PLACEMENT_MISS_LOSS +
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -51,11 +51,6 @@
  */
 double placement_backlog_us(const candidate_t *candidates, size_t count);
 
-/** @return placement_backlog_us(), and prefill that is promised to others */
-double placement_expected_backlog_us(const candidate_t *candidates,
-				     size_t count,
-				     const placement_query_t *query);
-
 /** @return true if a long prompt costs other requests more than it gains. */
 bool placement_costs_too_much(const candidate_t *candidates, size_t count,
 			      const placement_query_t *query,
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -91,7 +91,6 @@
 		.may_refuse = !forward->runs && !forward->head_sent,
 		.nodes = forward->gateway->nodes,
 		.salt = gateway_random(forward->gateway),
-		.promised_us = forward_promised_us(forward, now_us),
 		.is_returning = forward->is_returning,
 	};
 
@@ -113,7 +112,17 @@
 					    (backend_t *const *)forward->tried,
 				    .except_count = forward->tried_count,
 				    .now_us = now_us };
-
+	placement_result_t result =
+		choice_make(choice, gateway->backends, &wanted, &query);
+
+	if (result != PLACEMENT_CHOSEN)
+		return result;
+	query.promised_us =
+		forward_promised_us(forward, &choice->placement, now_us);
+	if (!query.promised_us)
+		return result;
+	/* Decides again, with what is reserved for others until this request
+	 * would be served. */
 	return choice_make(choice, gateway->backends, &wanted, &query);
 }
 
--- a/src/request/forward_promise.c
+++ b/src/request/forward_promise.c
@@ -45,17 +45,20 @@
 	}
 }
 
-int64_t forward_promised_us(const forward_t *forward, int64_t now_us)
+int64_t forward_promised_us(const forward_t *forward,
+			    const placement_t *placement, int64_t now_us)
 {
 	promised_query_t query = {
 		.service_hash = load_table_hash(forward->service->name),
 		.except = forward->content,
-		.until_us = now_us + forward->route->target_ms * US_PER_MS,
+		.within_us = placement->first_event_us,
 	};
 
-	if (!has_promises(forward) || forward->is_returning)
+	/* Short prompts are not refused for their cost. */
+	if (!has_promises(forward) || forward->is_returning ||
+	    !placement->server_count)
 		return 0;
-	return promises_prefill_us(forward->gateway->promises, &query);
+	return promises_prefill_us(forward->gateway->promises, &query, now_us);
 }
 
 static refusal_t make_refusal(const forward_t *forward, int64_t known_ms,
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -231,9 +231,10 @@
 /* forward_promise.c */
 /** Finds out, once, if the request returns at the time promised for it. */
 void forward_check_promise(forward_t *forward);
-/** @return prefill promised to other requests that return before the objective
- *          of this one is over */
-int64_t forward_promised_us(const forward_t *forward, int64_t now_us);
+/** @return prefill promised to other requests that return before this one would
+ *          be served by @p placement; 0 for a short prompt */
+int64_t forward_promised_us(const forward_t *forward,
+			    const placement_t *placement, int64_t now_us);
 /**
  * Refuses a request for load. With load control, its capacity is reserved, and
  * the time to retry is that of the promise.
