--- a/src/admission/promises.c
+++ b/src/admission/promises.c
@@ -176,6 +176,8 @@
 	promise_t promise = { .result = PROMISE_SHARED };
 
 	if (entry && !entry->is_used) {
+		/* The node that made it may have died. */
+		entry->is_announced = true;
 		promise.retry_us = at_most(at_least(entry->return_us - now_us,
 						    refusal->least_us),
 					   retry_max_us(refusal));
