--- a/tests/test_gateway_promises.c
+++ b/tests/test_gateway_promises.c
@@ -101,8 +101,8 @@
 		  503 },
 		{ "a promise of another node that is not kept", true,
 		  "/stream/long/a", 0, 200 },
-		{ "promises where servers control the load", false,
-		  "/stream/long/a", 0, 503 },
+		{ "promises where servers control the load", false, NULL, 0,
+		  503 },
 	};
 	size_t i;
 
@@ -119,8 +119,12 @@
 		if (!cases[i].promised) {
 			assert_int_equal(
 				call(&fixture, &reply, "/stream/long/a"), 503);
-			/* At most a third of the time left. */
-			assert_in_range(retry_ms(&reply), 250, 470);
+			/* At most a third of the time left; without promises,
+			 * the backlog and a second. */
+			if (cases[i].controls_load)
+				assert_in_range(retry_ms(&reply), 250, 470);
+			else
+				assert_in_range(retry_ms(&reply), 1000, 1300);
 			gateway_fixture_run(
 				&fixture, retry_ms(&reply) - cases[i].early_ms);
 		}
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -502,6 +502,38 @@
 	}
 }
 
+/* Guards against a request that is refused although it returns at the time
+ * promised to it, and against capacity taken that is promised to others. */
+static void keeps_promises(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		int32_t pending_ms, promised_ms;
+		bool is_returning;
+		placement_result_t expected;
+	} cases[] = {
+		{ "a promise not kept", 800, 0, true, PLACEMENT_CHOSEN },
+		{ "a refusal without cause", 0, 0, false, PLACEMENT_CHOSEN },
+		{ "promised capacity", 0, 1600, false, PLACEMENT_BUSY },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		placement_query_t query = query_of(390000, 4000);
+		state_t states[2] = { { .pending_ms = cases[i].pending_ms },
+				      { .pending_ms = cases[i].pending_ms } };
+		candidate_t candidates[2];
+		placement_t placement;
+
+		query.is_returning = cases[i].is_returning;
+		query.promised_us = cases[i].promised_ms * US_PER_MS;
+		fill(candidates, states, COUNT_OF(states));
+		if (placement_choose(candidates, COUNT_OF(states), &query,
+				     &placement) != cases[i].expected)
+			fail_msg("%s", cases[i].guards_against);
+	}
+}
+
 /* Guards against a prompt that exceeds one server's memory but is sent to a
  * single server. */
 static void splits_prompts_beyond_one_memory(void **state)
@@ -626,6 +658,7 @@
 		cmocka_unit_test(packs_short_prompts),
 		cmocka_unit_test(spreads_a_burst_of_short_prompts),
 		cmocka_unit_test(refuses_requests),
+		cmocka_unit_test(keeps_promises),
 		cmocka_unit_test(splits_prompts_beyond_one_memory),
 		cmocka_unit_test(places_requests_past_their_objective),
 		cmocka_unit_test(spreads_plain_calls),
