Keep requests in their data centre, and spill over by pressure

Short prompts were packed in one order for the whole region, so two thirds of them left their data centre even when it was idle.

Where nodes control the load themselves, each request now goes to its own data centre, or to one that a share by pressure names (zone/zone_flow). Servers of others are a last choice: they serve what would be late or refused otherwise. A price of traffic is weighed as a cost.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -9,8 +9,8 @@
 /* A slowdown factor up to this counts as 1: the difference is within what the
  * time model leaves out. */
 #define SLOWDOWN_TOLERANCE 2.0
-/* Cost of a server in another data centre: network delay, and traffic between
- * data centres. */
+/* Network delay of a server in another data centre, and the cost of traffic
+ * where the operator states no price. */
 #define FAR_COST_US (3 * US_PER_MS)
 /* What is known of a server without an entry is kept for this long: the server
  * may be alive, and what it said of itself holds when its entry is back. */
@@ -91,6 +91,7 @@
 		return dc;
 	dc = mem_calloc(1, sizeof(*dc));
 	mem_strlcpy(dc->name, name, sizeof(dc->name));
+	dc->hash = load_table_hash(name);
 	HASH_ADD_STR(backends->dcs, name, dc);
 	return dc;
 }
@@ -341,8 +342,22 @@
 					query->now_us) >= AVOIDING_NODES_MIN;
 }
 
+bool backend_is_fallback(const backend_t *server, const backends_query_t *query)
+{
+	return server->leaving_us || query->now_us < server->paused_until_us ||
+	       is_avoided(server, query) ||
+	       backend_is_partitioned(server, query->now_us);
+}
+
+double backend_pace(const backend_t *backend)
+{
+	return backend->slowdown > SLOWDOWN_TOLERANCE ? backend->slowdown : 1;
+}
+
+/* @param flow spillover of the service; NULL: none is restricted */
 static candidate_t candidate_of(backend_t *server,
-				const backends_query_t *query)
+				const backends_query_t *query,
+				const zone_flow_t *flow)
 {
 	const engine_profile_t *engine = &query->service->engine;
 	bool near = !strcmp(server->entry.data_centre,
@@ -356,15 +371,15 @@
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
 			engine->present ? engine->kv_capacity_tokens : 0,
-		.slowdown = server->slowdown > SLOWDOWN_TOLERANCE
-				    ? server->slowdown
-				    : 1,
+		.slowdown = backend_pace(server),
 		.distance_us = near ? 0 : FAR_COST_US,
+		.traffic_us = near ? 0
+				   : backends_traffic_us(server->table,
+							 query->traffic_bytes),
 		.is_limited = backend_is_limited(server),
-		.fallback = server->leaving_us ||
-			    query->now_us < server->paused_until_us ||
-			    is_avoided(server, query) ||
-			    backend_is_partitioned(server, query->now_us),
+		.fallback = backend_is_fallback(server, query),
+		.reserved = flow && !zone_flow_may_leave(flow, server->dc->hash,
+							 query->salt),
 	};
 
 	return candidate;
@@ -383,6 +398,7 @@
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates)
 {
+	const zone_flow_t *flow = backends_flow(backends, query);
 	backend_t *server, *next;
 	size_t count = 0;
 
@@ -394,7 +410,7 @@
 		    is_excluded(server, query) ||
 		    !backend_allows(server, query->service, query->now_us))
 			continue;
-		(*candidates)[count++] = candidate_of(server, query);
+		(*candidates)[count++] = candidate_of(server, query, flow);
 	}
 	return count;
 }
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -62,6 +62,9 @@
 	int32_t cold_slack;
 	int64_t drain_us; /**< time in which a leaving server accepts requests
 			   */
+	/** See node_settings_t: requests stay in their data centre. */
+	bool controls_load;
+	int64_t traffic_price_us_per_mb;
 } backends_conf_t;
 
 backends_t *backends_create(const backends_conf_t *conf);
@@ -253,6 +256,9 @@
 	backend_t *const *except; /**< servers not to be used */
 	size_t except_count;
 	int64_t now_us;
+	uint64_t salt; /**< random number of the request */
+	/** Expected bytes of request and answer. */
+	int64_t traffic_bytes;
 } backends_query_t;
 
 /**
@@ -263,4 +269,14 @@
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates);
 
+/**
+ * Receives that requests for a service begin, or end, to spill over.
+ * @param share share of the requests that leaves this data centre; 0: none
+ */
+typedef void (*backends_flow_changed_t)(void *context, const char *service,
+					double share);
+/** Reports what changed since the last call. */
+void backends_check_flows(backends_t *backends, backends_flow_changed_t changed,
+			  void *context);
+
 #endif
--- a/src/process/backends_reach.c
+++ b/src/process/backends_reach.c
@@ -31,6 +31,7 @@
 
 	HASH_ITER (hh, backends->services, service, next) {
 		HASH_DEL(backends->services, service);
+		zone_flow_destroy(service->flow);
 		free(service->name);
 		free(service);
 	}
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -8,10 +8,12 @@
 #include <uthash.h>
 
 #include "process/backends.h"
+#include "zone/zone_flow.h"
 
 /* Health of a data centre, as seen from this node. */
 typedef struct backend_dc {
 	char name[NAME_SIZE_BYTES];
+	uint32_t hash; /* hash of the name */
 	bool evacuated;
 	peers_state_t peers;
 	int64_t partitioned_us; /* when its nodes fell silent together; 0: they
@@ -32,6 +34,9 @@
 	int64_t probed_us; /* last probe of one of its servers */
 	bool is_cut_off; /* see backends_is_cut_off() */
 	bool was_cut_off; /* what was last reported */
+	zone_flow_t *flow; /* spillover; NULL: no request yet */
+	int64_t flow_us; /* last update of the flow */
+	bool was_spilling; /* what was last reported */
 	UT_hash_handle hh;
 } backend_service_t;
 
@@ -94,4 +99,17 @@
 bool backend_allows(backend_t *backend, const service_conf_t *service,
 		    int64_t now_us);
 
+/* @return slowdown factor that placement uses. */
+double backend_pace(const backend_t *backend);
+/* @return true if the server is used only when no other is left. */
+bool backend_is_fallback(const backend_t *server,
+			 const backends_query_t *query);
+
+/* backends_zones.c */
+/* @return the spillover of a service, at most 50 ms old; NULL: requests go to
+ * any data centre */
+zone_flow_t *backends_flow(backends_t *backends, const backends_query_t *query);
+/* @return price of @p bytes between data centres. */
+int64_t backends_traffic_us(const backends_t *backends, int64_t bytes);
+
 #endif
--- /dev/null
+++ b/src/process/backends_zones.c
@@ -0,0 +1,137 @@
+#include <string.h>
+
+#include "process/backends_state.h"
+
+/* Least time between two updates of the shares of a service: nodes announce
+ * new load about so often. */
+#define FLOW_INTERVAL_US (50 * US_PER_MS)
+/* Prefill backlog at and above which a server serves no short prompt in time:
+ * the share of the shortest objective, 300 ms, that a prediction may use. */
+#define BACKLOG_FULL_US (180 * US_PER_MS)
+/* Assumed duration of a call to a plain service. */
+#define PLAIN_CALL_US (15 * US_PER_MS)
+#define BYTES_PER_MB 1e6
+
+/* @return time for which a request uses a slot of an idle server */
+static double call_us(const service_conf_t *service)
+{
+	server_load_t idle = { .decoding = 0 };
+	const engine_profile_t *engine = &service->engine;
+
+	if (!engine->present)
+		return PLAIN_CALL_US;
+	return forecast_prefill_us(engine, engine->usual_prompt_tokens, 1) +
+	       forecast_output_us(engine, engine->usual_output_tokens, &idle);
+}
+
+/* @return requests that a server serves in time, at once: fewer while it is
+ * slow, or while a limit for cold servers holds */
+static double capacity_of(const backend_t *server,
+			  const backends_query_t *query)
+{
+	const service_conf_t *service = query->service;
+	double capacity = server->entry.slots / backend_pace(server), cold;
+
+	if (!service->cold_requests_per_s ||
+	    !backend_is_cold(server, query->now_us))
+		return capacity;
+	cold = service->cold_requests_per_s * server->table->conf.cold_factor *
+	       call_us(service) / US_PER_S;
+	return cold < capacity ? cold : capacity;
+}
+
+static double used_of(const backend_t *server, const backends_query_t *query)
+{
+	const engine_profile_t *engine = &query->service->engine;
+	server_load_t load = backend_load(server, query->load_table,
+					  engine->present ? engine : NULL,
+					  query->now_us);
+	double running = load.prefilling + load.decoding;
+	double backlog =
+		engine->present ? (double)load.backlog_us / BACKLOG_FULL_US : 0;
+	double slots = server->entry.slots * (backlog < 1 ? backlog : 1);
+
+	return running > slots ? running : slots;
+}
+
+static zone_load_t *load_of_zone(zone_load_t *zones, size_t *count,
+				 uint32_t zone)
+{
+	size_t i;
+
+	for (i = 0; i < *count; i++)
+		if (zones[i].zone == zone)
+			return &zones[i];
+	if (*count == ZONES_MAX)
+		return NULL;
+	zones[*count] = (zone_load_t){ .zone = zone };
+	return &zones[(*count)++];
+}
+
+static void update_flow(backends_t *backends, const backends_query_t *query,
+			zone_flow_t *flow)
+{
+	zone_load_t zones[ZONES_MAX];
+	size_t count = 0;
+	backend_t *server, *next;
+
+	load_of_zone(zones, &count,
+		     load_table_hash(backends->conf.data_centre));
+	HASH_ITER (hh, backends->servers, server, next) {
+		zone_load_t *zone;
+
+		if (strcmp(server->entry.service, query->service->name) != 0 ||
+		    !backend_usable(server, query->now_us) ||
+		    backend_is_fallback(server, query))
+			continue;
+		zone = load_of_zone(zones, &count, server->dc->hash);
+		if (!zone)
+			continue;
+		zone->capacity += capacity_of(server, query);
+		zone->used += used_of(server, query);
+	}
+	zone_flow_update(flow, zones, count, query->now_us);
+}
+
+zone_flow_t *backends_flow(backends_t *backends, const backends_query_t *query)
+{
+	backend_service_t *service;
+
+	if (!backends->conf.controls_load)
+		return NULL;
+	service = backends_service(backends, query->service->name);
+	if (!service->flow)
+		service->flow = zone_flow_create(
+			load_table_hash(backends->conf.data_centre));
+	else if (query->now_us - service->flow_us < FLOW_INTERVAL_US)
+		return service->flow;
+	service->flow_us = query->now_us;
+	update_flow(backends, query, service->flow);
+	return service->flow;
+}
+
+int64_t backends_traffic_us(const backends_t *backends, int64_t bytes)
+{
+	return backends->conf.controls_load
+		       ? time_to_us((double)backends->conf
+					    .traffic_price_us_per_mb *
+				    (double)bytes / BYTES_PER_MB)
+		       : 0;
+}
+
+void backends_check_flows(backends_t *backends, backends_flow_changed_t changed,
+			  void *context)
+{
+	uint32_t own = load_table_hash(backends->conf.data_centre);
+	backend_service_t *service, *next;
+
+	HASH_ITER (hh, backends->services, service, next) {
+		double share =
+			service->flow ? zone_flow_share(service->flow, own) : 0;
+
+		if ((share > 0) == service->was_spilling)
+			continue;
+		service->was_spilling = share > 0;
+		changed(context, service->name, share);
+	}
+}
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -154,6 +154,12 @@
 	gateway_load_changed(gateway, true);
 }
 
+static void on_flow_changed(void *context, const char *service, double share)
+{
+	log_event(share > 0 ? EVENT_SPILLOVER_STARTED : EVENT_SPILLOVER_ENDED,
+		  "service=%s share=%.2f", service, share);
+}
+
 static void on_check(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -167,6 +173,7 @@
 	note_peers(gateway, now_us);
 	backends_check_reach(gateway->backends, on_reach_changed, gateway,
 			     now_us);
+	backends_check_flows(gateway->backends, on_flow_changed, NULL);
 	server = backends_to_probe(gateway->backends, gateway_random(gateway),
 				   now_us);
 	if (server)
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -54,6 +54,17 @@
 	       event_us / (objective_us > 1 ? objective_us : 1);
 }
 
+/* Cost of traffic to another data centre. The price counts up to the objective:
+ * it is never worth more than being in time. */
+static double traffic_cost(const placement_query_t *query,
+			   const candidate_t *candidate)
+{
+	double price_us = (double)candidate->traffic_us;
+	double max_us = (double)query->objective_us;
+
+	return time_cost(query, price_us < max_us ? price_us : max_us);
+}
+
 /* @return time until a server has a free slot: a full server starts the next
  * request when a running request ends. */
 static double slot_wait_us(const candidate_t *candidate,
@@ -127,7 +138,8 @@
 	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE)
 		option.cost += placement_weight(query, query->prompt_tokens) *
 			       PLACEMENT_MISS_LOSS;
-	option.cost += spread_cost(candidate, query, option.event_us) +
+	option.cost += traffic_cost(query, candidate) / shards +
+		       spread_cost(candidate, query, option.event_us) +
 		       jitter(query, candidate, jitter_bound);
 	return option;
 }
@@ -231,6 +243,9 @@
 	       time_cost(query, event_us) +
 	       (SHARD_LOSS + weight * SHARD_RISK) * (double)(shards - 1) +
 	       spread_cost(options[0].candidate, query, event_us);
+	for (i = 0; i < shards; i++)
+		cost += traffic_cost(query, options[i].candidate) /
+			(double)shards;
 	if (event_us > target_us * PLACEMENT_TARGET_SHARE)
 		cost += weight * PLACEMENT_MISS_LOSS;
 	return cost;
@@ -311,9 +326,10 @@
 	return found;
 }
 
-placement_result_t placement_choose(const candidate_t *candidates, size_t count,
-				    const placement_query_t *query,
-				    placement_t *placement)
+static placement_result_t choose_among(const candidate_t *candidates,
+				       size_t count,
+				       const placement_query_t *query,
+				       placement_t *placement)
 {
 	int32_t shards_min;
 	bool found = false;
@@ -322,6 +338,7 @@
 	placement->shared_memory = false;
 	placement->retry_in_us = 0;
 	placement->missed_weight = 0;
+	placement->leaves = LEAVES_NOT;
 	if (!count)
 		return PLACEMENT_NO_SERVER;
 	if (!query->engine)
@@ -351,3 +368,11 @@
 	placement->retry_in_us = placement->first_event_us - query->limit_us;
 	return PLACEMENT_PAST_LIMIT;
 }
+
+placement_result_t placement_choose(const candidate_t *candidates, size_t count,
+				    const placement_query_t *query,
+				    placement_t *placement)
+{
+	return placement_stay(candidates, count, query, choose_among,
+			      placement);
+}
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -32,9 +32,15 @@
 	int32_t slots; /**< requests that the server runs at once */
 	int64_t kv_capacity_tokens; /**< 0: no limit */
 	double slowdown; /**< slowdown factor: 1 is the stated speed */
-	/** Network delay plus the cost of traffic to a far server, as time. */
+	/** Network delay to a far server; 0: in this node's data centre. */
 	int64_t distance_us;
+	/** Price of the traffic to a far server, as time: weighed, but not part
+	 * of predictions. */
+	int64_t traffic_us;
 	bool fallback; /**< used only when no other server is left */
+	/** Last choice for short prompts and plain services: in a data centre
+	 * that the request should not go to. */
+	bool reserved;
 	/** States a rate of requests: takes whole prompts only, because each
 	 * shard would count as a request. */
 	bool is_limited;
@@ -63,6 +69,18 @@
 	PLACEMENT_PAST_LIMIT /**< first event predicted after limit_us */
 } placement_result_t;
 
+/** Why a request leaves its data centre. */
+typedef enum {
+	LEAVES_NOT, /**< it stays, or no data centre is reserved */
+	LEAVES_BY_SHARE, /**< the pressure there is high */
+	LEAVES_LATE, /**< no server there serves it in time */
+	LEAVES_NO_SERVER, /**< no usable server is there */
+	LEAVES_LONG /**< a long prompt, which goes anywhere */
+} leave_cause_t;
+
+/** @return name of a cause, as logs have it. */
+const char *placement_leaves_name(leave_cause_t cause);
+
 /** Servers selected for a request. */
 typedef struct {
 	size_t count; /**< prompt shards, one per server; 0: none selected */
@@ -75,6 +93,7 @@
 	/** Weight of other requests that miss their objective because of this
 	 * placement. */
 	double missed_weight;
+	leave_cause_t leaves; /**< by the server of the first shard */
 	/** If the request is refused: time until capacity is expected to be
 	 * free. */
 	int64_t retry_in_us;
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -76,6 +76,21 @@
 int32_t placement_spread_slots(const candidate_t *candidates, size_t count,
 			       const placement_query_t *query);
 
+/* placement_zone.c */
+/** Selects servers among all candidates, whatever is reserved. */
+typedef placement_result_t (*placement_among_t)(const candidate_t *candidates,
+						size_t count,
+						const placement_query_t *query,
+						placement_t *placement);
+/**
+ * Selects servers that are not reserved for a short prompt or a plain service,
+ * and others only if those do not serve it in time.
+ */
+placement_result_t placement_stay(const candidate_t *candidates, size_t count,
+				  const placement_query_t *query,
+				  placement_among_t among,
+				  placement_t *placement);
+
 /* placement_plain.c */
 /** Selects the server of a plain service that is expected to answer first. */
 placement_result_t placement_plain(const candidate_t *candidates, size_t count,
--- a/src/process/placement_plain.c
+++ b/src/process/placement_plain.c
@@ -32,6 +32,7 @@
 		}
 	}
 	placement->count = 1;
+	placement->missed_weight = 0;
 	placement->shards[0] = best;
 	placement->prefill_us[0] = 0;
 	placement->first_event_us = time_to_us(best_us);
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -384,6 +384,7 @@
 	if (!attempt->relay_node)
 		backend_note_received(attempt->load.shards[0].server,
 				      clock_monotonic_us());
+	forward_count_far(forward, METRIC_FAR_RECEIVED_BYTES, size);
 	attempt_note_data(forward);
 	/* An incomplete event is no progress: a stream may stall within an
 	 * event. */
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -110,7 +110,10 @@
 				    .except =
 					    (backend_t *const *)forward->tried,
 				    .except_count = forward->tried_count,
-				    .now_us = now_us };
+				    .now_us = now_us,
+				    .salt = query.salt,
+				    .traffic_bytes = forward_traffic_bytes(
+					    forward, query.output_tokens) };
 
 	return choice_make(choice, gateway->backends, &wanted, &query);
 }
@@ -196,6 +199,7 @@
 static void send(forward_t *forward)
 {
 	forward_log_placed(forward);
+	forward_count_left(forward);
 	add_tried(forward, choice_server(&forward->choice, 0));
 	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -115,6 +115,7 @@
 	char **headers;
 
 	format_helpers(forward, helpers, sizeof(helpers));
+	forward_count_far(forward, METRIC_FAR_SENT_BYTES, forward->body_bytes);
 	headers = platform_server_headers(forward->exchange, &node_headers);
 	attempt_send(forward, entry->address, headers);
 	platform_free_headers(headers);
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -6,6 +6,7 @@
 #ifndef REQUEST_FORWARD_STATE_H
 #define REQUEST_FORWARD_STATE_H
 
+#include "base/metrics.h"
 #include "process/gateway_state.h"
 #include "process/attempt_load.h"
 #include "process/choice.h"
@@ -126,6 +127,15 @@
 	FAILURE_SERVER_ERROR /**< status 5xx of the server; the request ran */
 } failure_t;
 
+/* forward_zone.c */
+/** @return expected bytes of request and answer */
+int64_t forward_traffic_bytes(const forward_t *forward, int64_t output_tokens);
+/** Counts a request that is sent to another data centre, by cause. */
+void forward_count_left(const forward_t *forward);
+/** Adds the bytes to @p metric if the attempt is at a server in another data
+ * centre. */
+void forward_count_far(const forward_t *forward, metric_t metric, size_t bytes);
+
 /* forward_send.c */
 /** Sends the request to the chosen servers. */
 void attempt_start(forward_t *forward);
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -988,6 +988,66 @@
 	load_table_destroy(table);
 }
 
+/* Guards against requests that leave an idle data centre, and against ones that
+ * stay in one that has no servers or no room; also against any of it where the
+ * servers state their rates. */
+static void reserves_other_data_centres(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		bool controls_load;
+		int32_t near_running;
+		bool evacuated;
+		bool far_reserved; /* expected */
+		int64_t traffic_us; /* expected */
+	} cases[] = {
+		{ "restricted with rates", false, 0, false, false, 0 },
+		{ "left while idle", true, 0, false, true, 3000 },
+		{ "busy, first steps", true, 4, false, true, 3000 },
+		{ "no servers here", true, 0, true, false, 3000 },
+	};
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		backends_conf_t zones = conf;
+		backends_query_t query = { .service = &service,
+					   .salt = 1,
+					   .traffic_bytes = 1000000 };
+		load_item_t item = { .server_hash = load_table_hash("a"),
+				     .decoding = cases[i].near_running };
+		announcement_t message = message_of(1, 1, &item, 1);
+		load_table_t *table = load_table_create();
+		candidate_t *candidates;
+		size_t count;
+
+		zones.controls_load = cases[i].controls_load;
+		zones.traffic_price_us_per_mb = 3000;
+		backends = backends_create(&zones);
+		add("a", "north");
+		add("b", "south");
+		backends_evacuate(backends, "north", cases[i].evacuated);
+		load_table_receive(table, &message, 0, 0);
+		query.load_table = table;
+		query.now_us = MS(1);
+		count = backends_candidates(backends, &query, &candidates);
+		assert_int_equal(count, cases[i].evacuated ? 1 : 2);
+		for (j = 0; j < count; j++) {
+			const backend_t *server = candidates[j].server;
+			bool near = *backend_entry(server)->id == 'a';
+
+			if (candidates[j].reserved !=
+				    (!near && cases[i].far_reserved) ||
+			    candidates[j].traffic_us !=
+				    (near ? 0 : cases[i].traffic_us))
+				fail_msg("case \"%s\"",
+					 cases[i].guards_against);
+		}
+		free(candidates);
+		load_table_destroy(table);
+		tear_down(NULL);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1004,6 +1064,7 @@
 		cmocka_unit_test_setup_teardown(
 			avoids_server_failing_for_others, set_up, tear_down),
 		cmocka_unit_test(announces_rates_to_earlier_builds),
+		cmocka_unit_test(reserves_other_data_centres),
 		cmocka_unit_test(uses_median_of_clocks),
 		cmocka_unit_test(limits_announced_backlog),
 		cmocka_unit_test(accepts_restarted_node),
