--- a/src/process/backends_zones.c
+++ b/src/process/backends_zones.c
@@ -71,7 +71,7 @@
 static void update_flow(backends_t *backends, const backends_query_t *query,
 			zone_flow_t *flow)
 {
-	zone_load_t zones[ZONES_MAX];
+	zone_load_t zones[ZONES_MAX] = { { .zone = 0 } };
 	size_t count = 0;
 	backend_t *server, *next;
 
