chivestage explain: where a node would place a request now, and why

/explain on the metrics address answers with the decision, the refusal and its Retry-After, and the candidates with their load and its age. It takes nothing from limits, updates no shares and draws no random number.

test_gateway_explain runs the command against a gateway; no request reaches a server.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,9 @@
 		$(BUILD)/libchivestage.a
 	@$(CC) $(CFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
+# test_gateway_explain runs the command.
+$(BUILD)/tests/test_gateway_explain: | $(BUILD)/chivestage
+
 # test_dispatch defines a fake credit holder, which the linker takes instead of
 # the one in the library.
 $(BUILD)/tests/test_dispatch: CFLAGS += -Wl,-z,muldefs
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -56,6 +56,22 @@
  */
 char *ctl_read_file(const char *path, size_t *size_bytes);
 
+/** A request to a node. */
+typedef struct {
+	const char *url;
+	const char *address; /**< of the node, for messages */
+	const char *header; /**< "Name: value"; NULL: none */
+	const char *ca_path; /**< NULL: no TLS */
+	bool shows_errors; /**< the text of an error says what is wrong */
+} ctl_fetch_t;
+
+/**
+ * Reads JSON from a node.
+ * @param code set to the exit code for the error
+ * @return NULL after printing the error
+ */
+json_t *ctl_fetch_json(const ctl_fetch_t *wanted, exit_code_t *code);
+
 exit_code_t command_config_check(const invocation_t *invocation);
 exit_code_t command_config_apply(const invocation_t *invocation);
 exit_code_t command_config_get(const invocation_t *invocation);
@@ -73,6 +89,7 @@
 exit_code_t command_class_remove(const invocation_t *invocation);
 exit_code_t command_status(const invocation_t *invocation);
 exit_code_t command_member_list(const invocation_t *invocation);
+exit_code_t command_explain(const invocation_t *invocation);
 exit_code_t command_keys(const invocation_t *invocation);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -51,6 +51,8 @@
 	{ NULL, "status", "", 0, 0, command_status, "print a node's status" },
 	{ "member", "list", "", 0, 0, command_member_list,
 	  "print the members that a node knows" },
+	{ NULL, "explain", "ADDRESS KEY=VALUE...", 2, -1, command_explain,
+	  "show where a request would be placed" },
 	{ NULL, "keys", "", 0, 0, command_keys,
 	  "generate a key pair for connections between nodes" },
 };
--- a/src/ctl/node.c
+++ b/src/ctl/node.c
@@ -28,49 +28,32 @@
 	ev_break(reply->loop, EVBREAK_ALL);
 }
 
-/** Requests the status of the node and waits for the answer. */
-static void fetch_status(const settings_t *settings, client_t *client,
-			 reply_t *reply)
+/** Requests a URL and waits for the answer. */
+static void fetch(const ctl_fetch_t *wanted, client_t *client, reply_t *reply)
 {
-	char url[URL_SIZE_BYTES + 32], authorization[NAME_SIZE_BYTES + 32];
-	const char *headers[] = { authorization, NULL };
+	const char *headers[] = { wanted->header, NULL };
 	client_request_t request = {
 		.method = "GET",
-		.url = url,
+		.url = wanted->url,
 		.headers = headers,
 		.connect_timeout_ms = TIMEOUT_MS,
 		.idle_timeout_ms = TIMEOUT_MS,
 		.total_timeout_ms = TIMEOUT_MS,
-		.ca_path = *settings->operator_certificate
-				   ? settings->operator_certificate
-				   : NULL,
+		.ca_path = wanted->ca_path,
 	};
 
-	snprintf(url, sizeof(url), "%s://%s/status",
-		 *settings->operator_certificate ? "https" : "http",
-		 settings->operator_address);
-	snprintf(authorization, sizeof(authorization),
-		 "Authorization: Bearer %s", settings->operator_token);
 	client_fetch(client, &request, STATUS_MAX_BYTES, on_done, reply);
 	ev_run(reply->loop, 0);
 }
 
-/**
- * Reads the status of the node that the settings name.
- * @param code set to the exit code for the error
- * @return NULL after printing the error
- */
-static json_t *read_status(const invocation_t *invocation, exit_code_t *code)
+json_t *ctl_fetch_json(const ctl_fetch_t *wanted, exit_code_t *code)
 {
 	reply_t reply = { .loop = NULL };
-	settings_t settings;
 	client_t *client;
 	json_t *json = NULL;
 	err_t err = { 0 };
 
 	*code = EXIT_FAILED;
-	if (!ctl_settings(invocation, &settings))
-		return NULL;
 	reply.loop = ev_loop_new(EVFLAG_AUTO);
 	client = client_create(reply.loop, &err);
 	if (!client) {
@@ -78,26 +61,50 @@
 		ev_loop_destroy(reply.loop);
 		return NULL;
 	}
-	fetch_status(&settings, client, &reply);
+	fetch(wanted, client, &reply);
 	client_destroy(client);
 	ev_loop_destroy(reply.loop);
 	if (reply.end != CLIENT_OK) {
-		ctl_error("%s: no answer from the node",
-			  settings.operator_address);
+		ctl_error("%s: no answer from the node", wanted->address);
 		*code = EXIT_UNREACHABLE;
 	} else if (reply.status != 200) {
-		ctl_error("%s: the node answered with HTTP status %d",
-			  settings.operator_address, reply.status);
+		ctl_error("%s: the node answered with HTTP status %d %s",
+			  wanted->address, reply.status,
+			  wanted->shows_errors ? reply.body : "");
 	} else {
 		json = json_loads(reply.body, 0, NULL);
 		if (!json)
 			ctl_error("%s: the node's answer is not JSON",
-				  settings.operator_address);
+				  wanted->address);
 	}
 	free(reply.body);
 	return json;
 }
 
+/**
+ * Reads the status of the node that the settings name.
+ * @param code set to the exit code for the error
+ * @return NULL after printing the error
+ */
+static json_t *read_status(const invocation_t *invocation, exit_code_t *code)
+{
+	char url[URL_SIZE_BYTES + 32], authorization[NAME_SIZE_BYTES + 32];
+	settings_t settings;
+	ctl_fetch_t wanted = { .url = url, .header = authorization };
+
+	*code = EXIT_FAILED;
+	if (!ctl_settings(invocation, &settings))
+		return NULL;
+	wanted.address = settings.operator_address;
+	if (*settings.operator_certificate)
+		wanted.ca_path = settings.operator_certificate;
+	snprintf(url, sizeof(url), "%s://%s/status",
+		 wanted.ca_path ? "https" : "http", settings.operator_address);
+	snprintf(authorization, sizeof(authorization),
+		 "Authorization: Bearer %s", settings.operator_token);
+	return ctl_fetch_json(&wanted, code);
+}
+
 /** Prints a JSON value and its nested values as PATH: VALUE lines. */
 static void print_value(const char *path, const json_t *value)
 {
--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -385,6 +385,14 @@
 	return candidate;
 }
 
+static bool allows(backend_t *server, const backends_query_t *query)
+{
+	return query->is_dry_run
+		       ? backend_would_allow(server, query->service,
+					     query->now_us)
+		       : backend_allows(server, query->service, query->now_us);
+}
+
 static bool is_excluded(const backend_t *server, const backends_query_t *query)
 {
 	size_t i;
@@ -407,8 +415,7 @@
 	HASH_ITER (hh, backends->servers, server, next) {
 		if (strcmp(server->entry.service, query->service->name) != 0 ||
 		    !backend_usable(server, query->now_us) ||
-		    is_excluded(server, query) ||
-		    !backend_allows(server, query->service, query->now_us))
+		    is_excluded(server, query) || !allows(server, query))
 			continue;
 		(*candidates)[count++] = candidate_of(server, query, flow);
 	}
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -256,6 +256,8 @@
 	backend_t *const *except; /**< servers not to be used */
 	size_t except_count;
 	int64_t now_us;
+	/** The query is made only to look: it has no effect. */
+	bool is_dry_run;
 	uint64_t salt; /**< random number of the request */
 	/** Expected bytes of request and answer. */
 	int64_t traffic_bytes;
@@ -269,12 +271,20 @@
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates);
 
+/**
+ * @param output_tokens expected output; not used for a plain service
+ * @return expected bytes of a request and its answer
+ */
+int64_t backends_traffic_bytes(const service_conf_t *service,
+			       int64_t body_bytes, int64_t output_tokens);
 /**
  * Receives that requests for a service begin, or end, to spill over.
  * @param share share of the requests that leaves this data centre; 0: none
  */
 typedef void (*backends_flow_changed_t)(void *context, const char *service,
 					double share);
+/** @return share of the requests for a service that leaves this data centre. */
+double backends_flow_share(const backends_t *backends, const char *service);
 /** Reports what changed since the last call. */
 void backends_check_flows(backends_t *backends, backends_flow_changed_t changed,
 			  void *context);
--- a/src/process/backends_limits.c
+++ b/src/process/backends_limits.c
@@ -66,6 +66,19 @@
 					     &table->nodes, now_us));
 }
 
+bool backend_would_allow(const backend_t *backend,
+			 const service_conf_t *service, int64_t now_us)
+{
+	const backends_t *table = backend->table;
+	limit_share_t share = backend->cold_share;
+	limit_t limit = cold_limit(backend, service);
+
+	return (!has_cold_limit(backend, service, now_us) ||
+		limit_share_allows(&share, &limit, &table->nodes, now_us)) &&
+	       server_rates_would_allow(table->rates, backend->hash,
+					&table->nodes, now_us);
+}
+
 bool backend_take(backend_t *backend, const service_conf_t *service,
 		  int64_t now_us)
 {
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -99,6 +99,9 @@
 bool backend_allows(backend_t *backend, const service_conf_t *service,
 		    int64_t now_us);
 
+/* The same without any effect, for a server that is in the table. */
+bool backend_would_allow(const backend_t *backend,
+			 const service_conf_t *service, int64_t now_us);
 /* @return slowdown factor that placement uses. */
 double backend_pace(const backend_t *backend);
 /* @return true if the server is used only when no other is left. */
--- a/src/process/backends_zones.c
+++ b/src/process/backends_zones.c
@@ -11,6 +11,10 @@
 /* Assumed duration of a call to a plain service. */
 #define PLAIN_CALL_US (15 * US_PER_MS)
 #define BYTES_PER_MB 1e6
+/* An event of a completion stream: a token and its JSON. */
+#define BYTES_PER_OUTPUT_TOKEN 200
+/* Headers of a request and its answer. */
+#define HEADER_BYTES 1000
 
 /* @return time for which a request uses a slot of an idle server */
 static double call_us(const service_conf_t *service)
@@ -99,6 +103,11 @@
 
 	if (!backends->conf.controls_load)
 		return NULL;
+	if (query->is_dry_run) {
+		HASH_FIND_STR(backends->services, query->service->name,
+			      service);
+		return service ? service->flow : NULL;
+	}
 	service = backends_service(backends, query->service->name);
 	if (!service->flow)
 		service->flow = zone_flow_create(
@@ -110,6 +119,16 @@
 	return service->flow;
 }
 
+int64_t backends_traffic_bytes(const service_conf_t *service,
+			       int64_t body_bytes, int64_t output_tokens)
+{
+	int64_t bytes = body_bytes + HEADER_BYTES;
+
+	if (service->engine.present)
+		bytes += output_tokens * BYTES_PER_OUTPUT_TOKEN;
+	return bytes;
+}
+
 int64_t backends_traffic_us(const backends_t *backends, int64_t bytes)
 {
 	return backends->conf.controls_load
@@ -119,6 +138,18 @@
 		       : 0;
 }
 
+double backends_flow_share(const backends_t *backends, const char *service)
+{
+	const backend_service_t *found;
+
+	HASH_FIND_STR(backends->services, service, found);
+	return found && found->flow
+		       ? zone_flow_share(
+				 found->flow,
+				 load_table_hash(backends->conf.data_centre))
+		       : 0;
+}
+
 void backends_check_flows(backends_t *backends, backends_flow_changed_t changed,
 			  void *context)
 {
--- a/src/process/gateway_probes.c
+++ b/src/process/gateway_probes.c
@@ -48,9 +48,14 @@
 
 static void *on_metrics(void *context, exchange_t *exchange)
 {
+	gateway_t *gateway = context;
 	reply_header_t type = { "Content-Type", "text/plain; version=0.0.4" };
 	char *text;
 
+	if (!strcmp(exchange_path(exchange), "/explain")) {
+		gateway_explain(gateway, exchange);
+		return exchange;
+	}
 	if (strcmp(exchange_path(exchange), "/metrics") != 0) {
 		exchange_reply(exchange, HTTP_NOT_FOUND, NULL, 0, NULL, 0);
 		return exchange;
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -306,6 +306,14 @@
 void gateway_probes_stop(gateway_t *gateway);
 bool gateway_is_ready(gateway_t *gateway);
 
+/* gateway_explain.c */
+/**
+ * Answers where a request would be placed now, and why, as JSON: GET
+ * /explain?service=NAME or route=HOST/PATH, with prompt=TOKENS, output=TOKENS
+ * and account=NAME. Changes nothing.
+ */
+void gateway_explain(gateway_t *gateway, exchange_t *exchange);
+
 /* gateway.c */
 /** Counts a request to a service for its retry budget. */
 void gateway_count_request(gateway_t *gateway, const char *service);
--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -279,6 +279,19 @@
 		table->clock, server_hash, load->backlog_us, wait_us, now_us);
 }
 
+int64_t load_table_age_us(const load_table_t *table, uint32_t server_hash,
+			  int64_t now_us)
+{
+	int64_t age_us = -1;
+	const node_t *node;
+
+	LL_FOREACH (table->nodes, node)
+		if (is_live(node, now_us) && find_item(node, server_hash) &&
+		    now_us - node->received_us > age_us)
+			age_us = now_us - node->received_us;
+	return age_us;
+}
+
 size_t load_table_node_count(const load_table_t *table)
 {
 	const node_t *node;
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -128,6 +128,12 @@
 void load_table_add_load(const load_table_t *table, uint32_t server_hash,
 			 const engine_profile_t *engine, server_load_t *load,
 			 int64_t now_us);
+/**
+ * @return age of the oldest live announcement that has load on a server; -1:
+ * none has
+ */
+int64_t load_table_age_us(const load_table_t *table, uint32_t server_hash,
+			  int64_t now_us);
 /** @return number of nodes in the table. */
 size_t load_table_node_count(const load_table_t *table);
 /** What the silence of the nodes of a data centre shows. */
--- a/src/process/server_rates.c
+++ b/src/process/server_rates.c
@@ -244,6 +244,20 @@
 	return limit_share_allows(&entry->share, &limit, nodes, now_us);
 }
 
+bool server_rates_would_allow(const server_rates_t *rates, uint32_t server_hash,
+			      const limit_nodes_t *nodes, int64_t now_us)
+{
+	const entry_t *entry = find_limited(rates, server_hash);
+	limit_share_t share;
+	limit_t limit;
+
+	if (!entry)
+		return true;
+	share = entry->share;
+	limit = limit_of(entry);
+	return limit_share_allows(&share, &limit, nodes, now_us);
+}
+
 void server_rates_take(server_rates_t *rates, uint32_t server_hash)
 {
 	entry_t *entry = find_limited(rates, server_hash);
--- a/src/process/server_rates.h
+++ b/src/process/server_rates.h
@@ -71,6 +71,9 @@
 /** @return true if this node may send the server a request now. */
 bool server_rates_allow(server_rates_t *rates, uint32_t server_hash,
 			const limit_nodes_t *nodes, int64_t now_us);
+/** The same without any effect. */
+bool server_rates_would_allow(const server_rates_t *rates, uint32_t server_hash,
+			      const limit_nodes_t *nodes, int64_t now_us);
 /** Uses a request that server_rates_allow() allowed. */
 void server_rates_take(server_rates_t *rates, uint32_t server_hash);
 /** When a server accepts the next request; INT64_MAX: not known. */
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -105,15 +105,17 @@
 	gateway_t *gateway = forward->gateway;
 	int64_t now_us = clock_monotonic_us();
 	placement_query_t query = make_query(forward, now_us);
-	backends_query_t wanted = { .service = forward->service,
-				    .load_table = gateway->load_table,
-				    .except =
-					    (backend_t *const *)forward->tried,
-				    .except_count = forward->tried_count,
-				    .now_us = now_us,
-				    .salt = query.salt,
-				    .traffic_bytes = forward_traffic_bytes(
-					    forward, query.output_tokens) };
+	backends_query_t wanted = {
+		.service = forward->service,
+		.load_table = gateway->load_table,
+		.except = (backend_t *const *)forward->tried,
+		.except_count = forward->tried_count,
+		.now_us = now_us,
+		.salt = query.salt,
+		.traffic_bytes = backends_traffic_bytes(
+			forward->service, (int64_t)forward->body_bytes,
+			query.output_tokens)
+	};
 
 	return choice_make(choice, gateway->backends, &wanted, &query);
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -128,8 +128,6 @@
 } failure_t;
 
 /* forward_zone.c */
-/** @return expected bytes of request and answer */
-int64_t forward_traffic_bytes(const forward_t *forward, int64_t output_tokens);
 /** Counts a request that is sent to another data centre, by cause. */
 void forward_count_left(const forward_t *forward);
 /** Adds the bytes to @p metric if the attempt is at a server in another data
--- a/src/request/forward_zone.c
+++ b/src/request/forward_zone.c
@@ -1,20 +1,6 @@
 #include "base/metrics.h"
 #include "request/forward_state.h"
 
-/* An event of a completion stream: a token and its JSON. */
-#define BYTES_PER_OUTPUT_TOKEN 200
-/* Headers of a request and its answer. */
-#define HEADER_BYTES 1000
-
-int64_t forward_traffic_bytes(const forward_t *forward, int64_t output_tokens)
-{
-	int64_t bytes = (int64_t)forward->body_bytes + HEADER_BYTES;
-
-	if (forward->service->engine.present)
-		bytes += output_tokens * BYTES_PER_OUTPUT_TOKEN;
-	return bytes;
-}
-
 void forward_count_left(const forward_t *forward)
 {
 	switch (forward->choice.placement.leaves) {
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -189,6 +189,28 @@
 	return false;
 }
 
+const account_conf_t *routing_account_named(const routing_t *routing,
+					    const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < routing->conf.account_count; i++)
+		if (!strcmp(routing->conf.accounts[i].name, name))
+			return &routing->conf.accounts[i];
+	return NULL;
+}
+
+const route_conf_t *routing_route_to(const routing_t *routing,
+				     const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < routing->conf.route_count; i++)
+		if (leads_to(&routing->conf.routes[i], service))
+			return &routing->conf.routes[i];
+	return NULL;
+}
+
 static void add_rank(service_ranks_t *ranks, int32_t priority, bool *found)
 {
 	if (!*found || priority < ranks->first)
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -148,6 +148,12 @@
 /** @return the account with the key @p key, or NULL. */
 const account_conf_t *routing_account(const routing_t *routing,
 				      const char *key);
+/** @return the account called @p name, or NULL. */
+const account_conf_t *routing_account_named(const routing_t *routing,
+					    const char *name);
+/** @return a route that leads to the service; NULL: none does */
+const route_conf_t *routing_route_to(const routing_t *routing,
+				     const char *service);
 /** @return the service called @p name, or NULL. */
 const service_conf_t *routing_service(const routing_t *routing,
 				      const char *name);
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -326,6 +326,7 @@
 		.region = { 1, { "a" } },
 		.caller_address = "127.0.0.1:0",
 		.ready_address = "127.0.0.1:0",
+		.metrics_address = "127.0.0.1:0",
 		.memory_limit_bytes = fixture->memory_limit_bytes
 					      ? fixture->memory_limit_bytes
 					      : 64 << 20,
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -1029,6 +1029,13 @@
 		load_table_receive(table, &message, 0, 0);
 		query.load_table = table;
 		query.now_us = MS(1);
+		/* A look has no effect: the shares are not found yet. */
+		query.is_dry_run = true;
+		count = backends_candidates(backends, &query, &candidates);
+		for (j = 0; j < count; j++)
+			assert_false(candidates[j].reserved);
+		free(candidates);
+		query.is_dry_run = false;
 		count = backends_candidates(backends, &query, &candidates);
 		assert_int_equal(count, cases[i].evacuated ? 1 : 2);
 		for (j = 0; j < count; j++) {
