Spillover: sum up data centres while the servers are listed

The sum took a pass of its own over all servers and announcements, which costs as much as a request. The loads are now taken from the pass that lists the candidates, and the data centre of a request is chosen once, not for each candidate.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -342,22 +342,8 @@
 					query->now_us) >= AVOIDING_NODES_MIN;
 }
 
-bool backend_is_fallback(const backend_t *server, const backends_query_t *query)
-{
-	return server->leaving_us || query->now_us < server->paused_until_us ||
-	       is_avoided(server, query) ||
-	       backend_is_partitioned(server, query->now_us);
-}
-
-double backend_pace(const backend_t *backend)
-{
-	return backend->slowdown > SLOWDOWN_TOLERANCE ? backend->slowdown : 1;
-}
-
-/* @param flow spillover of the service; NULL: none is restricted */
 static candidate_t candidate_of(backend_t *server,
-				const backends_query_t *query,
-				const zone_flow_t *flow)
+				const backends_query_t *query)
 {
 	const engine_profile_t *engine = &query->service->engine;
 	bool near = !strcmp(server->entry.data_centre,
@@ -371,15 +357,18 @@
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
 			engine->present ? engine->kv_capacity_tokens : 0,
-		.slowdown = backend_pace(server),
+		.slowdown = server->slowdown > SLOWDOWN_TOLERANCE
+				    ? server->slowdown
+				    : 1,
 		.distance_us = near ? 0 : FAR_COST_US,
 		.traffic_us = near ? 0
 				   : backends_traffic_us(server->table,
 							 query->traffic_bytes),
 		.is_limited = backend_is_limited(server),
-		.fallback = backend_is_fallback(server, query),
-		.reserved = flow && !zone_flow_may_leave(flow, server->dc->hash,
-							 query->salt),
+		.fallback = server->leaving_us ||
+			    query->now_us < server->paused_until_us ||
+			    is_avoided(server, query) ||
+			    backend_is_partitioned(server, query->now_us),
 	};
 
 	return candidate;
@@ -403,21 +392,44 @@
 	return false;
 }
 
+/* Marks the servers that a request should not go to. */
+static void reserve(candidate_t *candidates, size_t count,
+		    const backends_query_t *query, const zone_flow_t *flow)
+{
+	uint32_t zone;
+	size_t i;
+
+	if (!flow)
+		return;
+	zone = zone_flow_choose(flow, query->salt);
+	for (i = 0; i < count; i++) {
+		const backend_t *server = candidates[i].server;
+
+		candidates[i].reserved = server->dc->hash != zone;
+	}
+}
+
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates)
 {
-	const zone_flow_t *flow = backends_flow(backends, query);
 	backend_t *server, *next;
+	zone_sum_t sum;
 	size_t count = 0;
 
 	*candidates = mem_calloc(HASH_COUNT(backends->servers) + 1,
 				 sizeof(**candidates));
+	backends_begin_sum(backends, query, &sum);
 	HASH_ITER (hh, backends->servers, server, next) {
+		candidate_t *candidate = &(*candidates)[count];
+
 		if (strcmp(server->entry.service, query->service->name) != 0 ||
-		    !backend_usable(server, query->now_us) ||
-		    is_excluded(server, query) || !allows(server, query))
+		    !backend_usable(server, query->now_us))
 			continue;
-		(*candidates)[count++] = candidate_of(server, query, flow);
+		*candidate = candidate_of(server, query);
+		backends_add_to_sum(&sum, candidate, query);
+		count += !is_excluded(server, query) && allows(server, query);
 	}
+	reserve(*candidates, count, query,
+		backends_end_sum(backends, query, &sum));
 	return count;
 }
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -102,16 +102,27 @@
 /* The same without any effect, for a server that is in the table. */
 bool backend_would_allow(const backend_t *backend,
 			 const service_conf_t *service, int64_t now_us);
-/* @return slowdown factor that placement uses. */
-double backend_pace(const backend_t *backend);
-/* @return true if the server is used only when no other is left. */
-bool backend_is_fallback(const backend_t *server,
-			 const backends_query_t *query);
-
 /* backends_zones.c */
-/* @return the spillover of a service, at most 50 ms old; NULL: requests go to
- * any data centre */
-zone_flow_t *backends_flow(backends_t *backends, const backends_query_t *query);
+/* Load of the data centres of a service, summed up while its servers are
+ * listed.
+ */
+typedef struct {
+	zone_load_t zones[ZONES_MAX];
+	size_t count;
+	bool is_due; /* the sum is wanted */
+} zone_sum_t;
+
+/* Begins a sum if the spillover of the service is older than 50 ms. */
+void backends_begin_sum(const backends_t *backends,
+			const backends_query_t *query, zone_sum_t *sum);
+/* Adds a usable server. */
+void backends_add_to_sum(zone_sum_t *sum, const candidate_t *candidate,
+			 const backends_query_t *query);
+/* Updates the spillover of the service if the sum was due.
+ * @return the spillover; NULL: requests go to any data centre */
+const zone_flow_t *backends_end_sum(backends_t *backends,
+				    const backends_query_t *query,
+				    const zone_sum_t *sum);
 /* @return price of @p bytes between data centres. */
 int64_t backends_traffic_us(const backends_t *backends, int64_t bytes);
 
--- a/src/process/backends_zones.c
+++ b/src/process/backends_zones.c
@@ -30,11 +30,12 @@
 
 /* @return requests that a server serves in time, at once: fewer while it is
  * slow, or while a limit for cold servers holds */
-static double capacity_of(const backend_t *server,
+static double capacity_of(const candidate_t *candidate,
 			  const backends_query_t *query)
 {
+	const backend_t *server = candidate->server;
 	const service_conf_t *service = query->service;
-	double capacity = server->entry.slots / backend_pace(server), cold;
+	double capacity = candidate->slots / candidate->slowdown, cold;
 
 	if (!service->cold_requests_per_s ||
 	    !backend_is_cold(server, query->now_us))
@@ -44,16 +45,15 @@
 	return cold < capacity ? cold : capacity;
 }
 
-static double used_of(const backend_t *server, const backends_query_t *query)
+static double used_of(const candidate_t *candidate,
+		      const service_conf_t *service)
 {
-	const engine_profile_t *engine = &query->service->engine;
-	server_load_t load = backend_load(server, query->load_table,
-					  engine->present ? engine : NULL,
-					  query->now_us);
-	double running = load.prefilling + load.decoding;
-	double backlog =
-		engine->present ? (double)load.backlog_us / BACKLOG_FULL_US : 0;
-	double slots = server->entry.slots * (backlog < 1 ? backlog : 1);
+	const server_load_t *load = &candidate->load;
+	double running = load->prefilling + load->decoding;
+	double backlog = service->engine.present
+				 ? (double)load->backlog_us / BACKLOG_FULL_US
+				 : 0;
+	double slots = candidate->slots * (backlog < 1 ? backlog : 1);
 
 	return running > slots ? running : slots;
 }
@@ -72,50 +72,62 @@
 	return &zones[(*count)++];
 }
 
-static void update_flow(backends_t *backends, const backends_query_t *query,
-			zone_flow_t *flow)
+static backend_service_t *find_service(const backends_t *backends,
+				       const char *name)
 {
-	zone_load_t zones[ZONES_MAX] = { { .zone = 0 } };
-	size_t count = 0;
-	backend_t *server, *next;
-
-	load_of_zone(zones, &count,
-		     load_table_hash(backends->conf.data_centre));
-	HASH_ITER (hh, backends->servers, server, next) {
-		zone_load_t *zone;
-
-		if (strcmp(server->entry.service, query->service->name) != 0 ||
-		    !backend_usable(server, query->now_us) ||
-		    backend_is_fallback(server, query))
-			continue;
-		zone = load_of_zone(zones, &count, server->dc->hash);
-		if (!zone)
-			continue;
-		zone->capacity += capacity_of(server, query);
-		zone->used += used_of(server, query);
-	}
-	zone_flow_update(flow, zones, count, query->now_us);
+	backend_service_t *service;
+
+	HASH_FIND_STR(backends->services, name, service);
+	return service;
+}
+
+void backends_begin_sum(const backends_t *backends,
+			const backends_query_t *query, zone_sum_t *sum)
+{
+	const backend_service_t *service =
+		find_service(backends, query->service->name);
+
+	*sum = (zone_sum_t){ .count = 0 };
+	sum->is_due = backends->conf.controls_load && !query->is_dry_run &&
+		      (!service || !service->flow ||
+		       query->now_us - service->flow_us >= FLOW_INTERVAL_US);
+	/* The own data centre counts, also without a server. */
+	if (sum->is_due)
+		load_of_zone(sum->zones, &sum->count,
+			     load_table_hash(backends->conf.data_centre));
+}
+
+void backends_add_to_sum(zone_sum_t *sum, const candidate_t *candidate,
+			 const backends_query_t *query)
+{
+	const backend_t *server = candidate->server;
+	zone_load_t *zone;
+
+	if (!sum->is_due || candidate->fallback)
+		return;
+	zone = load_of_zone(sum->zones, &sum->count, server->dc->hash);
+	if (!zone)
+		return;
+	zone->capacity += capacity_of(candidate, query);
+	zone->used += used_of(candidate, query->service);
 }
 
-zone_flow_t *backends_flow(backends_t *backends, const backends_query_t *query)
+const zone_flow_t *backends_end_sum(backends_t *backends,
+				    const backends_query_t *query,
+				    const zone_sum_t *sum)
 {
 	backend_service_t *service;
 
-	if (!backends->conf.controls_load)
-		return NULL;
-	if (query->is_dry_run) {
-		HASH_FIND_STR(backends->services, query->service->name,
-			      service);
+	if (!sum->is_due) {
+		service = find_service(backends, query->service->name);
 		return service ? service->flow : NULL;
 	}
 	service = backends_service(backends, query->service->name);
 	if (!service->flow)
 		service->flow = zone_flow_create(
 			load_table_hash(backends->conf.data_centre));
-	else if (query->now_us - service->flow_us < FLOW_INTERVAL_US)
-		return service->flow;
 	service->flow_us = query->now_us;
-	update_flow(backends, query, service->flow);
+	zone_flow_update(service->flow, sum->zones, sum->count, query->now_us);
 	return service->flow;
 }
 
@@ -140,9 +152,8 @@
 
 double backends_flow_share(const backends_t *backends, const char *service)
 {
-	const backend_service_t *found;
+	const backend_service_t *found = find_service(backends, service);
 
-	HASH_FIND_STR(backends->services, service, found);
 	return found && found->flow
 		       ? zone_flow_share(
 				 found->flow,
--- a/src/zone/zone_flow.c
+++ b/src/zone/zone_flow.c
@@ -325,24 +325,29 @@
 	}
 }
 
-bool zone_flow_may_leave(const zone_flow_t *flow, uint32_t to, uint64_t salt)
+uint32_t zone_flow_choose(const zone_flow_t *flow, uint64_t salt)
 {
 	const zone_t *own = find(flow, flow->own);
 	double point, from = 0;
 	size_t i;
 
 	if (!own)
-		return to == flow->own;
+		return flow->own;
 	point = (double)(XXH64(&salt, sizeof(salt), 0) >> 11) /
 		(double)(UINT64_C(1) << 53);
 	for (i = 0; i < ZONES_MAX; i++) {
 		if (own->shares[i] <= 0)
 			continue;
 		if (point < from + own->shares[i])
-			return flow->zones[i].zone == to;
+			return flow->zones[i].zone;
 		from += own->shares[i];
 	}
-	return to == flow->own;
+	return flow->own;
+}
+
+bool zone_flow_may_leave(const zone_flow_t *flow, uint32_t to, uint64_t salt)
+{
+	return zone_flow_choose(flow, salt) == to;
 }
 
 double zone_flow_share(const zone_flow_t *flow, uint32_t from)
--- a/src/zone/zone_flow.h
+++ b/src/zone/zone_flow.h
@@ -47,11 +47,14 @@
 		      int64_t now_us);
 
 /**
- * Decides where a request goes first. Exactly one data centre is chosen for a
- * request if any may serve it.
- * @param to   data centre, also the own one
+ * Decides where a request goes first.
  * @param salt random number of the request
- * @return true if the request goes to data centre @p to
+ * @return the data centre; the own one if the request stays
+ */
+uint32_t zone_flow_choose(const zone_flow_t *flow, uint64_t salt);
+/**
+ * @param to data centre, also the own one
+ * @return true if zone_flow_choose() chooses it
  */
 bool zone_flow_may_leave(const zone_flow_t *flow, uint32_t to, uint64_t salt);
 
