--- a/src/ctl/node.c
+++ b/src/ctl/node.c
@@ -68,8 +68,9 @@
 		ctl_error("%s: no answer from the node", wanted->address);
 		*code = EXIT_UNREACHABLE;
 	} else if (reply.status != 200) {
-		ctl_error("%s: the node answered with HTTP status %d %s",
+		ctl_error("%s: the node answered with HTTP status %d%s%s",
 			  wanted->address, reply.status,
+			  wanted->shows_errors ? " " : "",
 			  wanted->shows_errors ? reply.body : "");
 	} else {
 		json = json_loads(reply.body, 0, NULL);
