--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -9,8 +9,8 @@
 /* A slowdown factor up to this counts as 1: the difference is within what the
  * time model leaves out. */
 #define SLOWDOWN_TOLERANCE 2.0
-/* Cost of a server in another data centre: network delay, and traffic between
- * data centres. */
+/* Network delay of a server in another data centre, and the cost of traffic
+ * where the operator states no price. */
 #define FAR_COST_US (3 * US_PER_MS)
 /* What is known of a server without an entry is kept for this long: the server
  * may be alive, and what it said of itself holds when its entry is back. */
@@ -91,6 +91,7 @@
 		return dc;
 	dc = mem_calloc(1, sizeof(*dc));
 	mem_strlcpy(dc->name, name, sizeof(dc->name));
+	dc->hash = load_table_hash(name);
 	HASH_ADD_STR(backends->dcs, name, dc);
 	return dc;
 }
@@ -360,6 +361,9 @@
 				    ? server->slowdown
 				    : 1,
 		.distance_us = near ? 0 : FAR_COST_US,
+		.traffic_us = near ? 0
+				   : backends_traffic_us(server->table,
+							 query->traffic_bytes),
 		.is_limited = backend_is_limited(server),
 		.fallback = server->leaving_us ||
 			    query->now_us < server->paused_until_us ||
@@ -370,6 +374,14 @@
 	return candidate;
 }
 
+static bool allows(backend_t *server, const backends_query_t *query)
+{
+	return query->is_dry_run
+		       ? backend_would_allow(server, query->service,
+					     query->now_us)
+		       : backend_allows(server, query->service, query->now_us);
+}
+
 static bool is_excluded(const backend_t *server, const backends_query_t *query)
 {
 	size_t i;
@@ -380,21 +392,44 @@
 	return false;
 }
 
+/* Marks the servers that a request should not go to. */
+static void reserve(candidate_t *candidates, size_t count,
+		    const backends_query_t *query, const zone_flow_t *flow)
+{
+	uint32_t zone;
+	size_t i;
+
+	if (!flow)
+		return;
+	zone = zone_flow_choose(flow, query->salt);
+	for (i = 0; i < count; i++) {
+		const backend_t *server = candidates[i].server;
+
+		candidates[i].reserved = server->dc->hash != zone;
+	}
+}
+
 size_t backends_candidates(backends_t *backends, const backends_query_t *query,
 			   candidate_t **candidates)
 {
 	backend_t *server, *next;
+	zone_sum_t sum;
 	size_t count = 0;
 
 	*candidates = mem_calloc(HASH_COUNT(backends->servers) + 1,
 				 sizeof(**candidates));
+	backends_begin_sum(backends, query, &sum);
 	HASH_ITER (hh, backends->servers, server, next) {
+		candidate_t *candidate = &(*candidates)[count];
+
 		if (strcmp(server->entry.service, query->service->name) != 0 ||
-		    !backend_usable(server, query->now_us) ||
-		    is_excluded(server, query) ||
-		    !backend_allows(server, query->service, query->now_us))
+		    !backend_usable(server, query->now_us))
 			continue;
-		(*candidates)[count++] = candidate_of(server, query);
+		*candidate = candidate_of(server, query);
+		backends_add_to_sum(&sum, candidate, query);
+		count += !is_excluded(server, query) && allows(server, query);
 	}
+	reserve(*candidates, count, query,
+		backends_end_sum(backends, query, &sum));
 	return count;
 }
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -105,12 +105,17 @@
 	gateway_t *gateway = forward->gateway;
 	int64_t now_us = clock_monotonic_us();
 	placement_query_t query = make_query(forward, now_us);
-	backends_query_t wanted = { .service = forward->service,
-				    .load_table = gateway->load_table,
-				    .except =
-					    (backend_t *const *)forward->tried,
-				    .except_count = forward->tried_count,
-				    .now_us = now_us };
+	backends_query_t wanted = {
+		.service = forward->service,
+		.load_table = gateway->load_table,
+		.except = (backend_t *const *)forward->tried,
+		.except_count = forward->tried_count,
+		.now_us = now_us,
+		.salt = query.salt,
+		.traffic_bytes = backends_traffic_bytes(
+			forward->service, (int64_t)forward->body_bytes,
+			query.output_tokens)
+	};
 
 	return choice_make(choice, gateway->backends, &wanted, &query);
 }
@@ -196,6 +201,7 @@
 static void send(forward_t *forward)
 {
 	forward_log_placed(forward);
+	forward_count_left(forward);
 	add_tried(forward, choice_server(&forward->choice, 0));
 	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
