HTTP client: an answer with a status outside 100 to 599 is none

libcurl accepts any three digits as a status, and text right after them, so that callers got the statuses 600 and 999 of servers unchanged, and "200X" as 200. After status 101, which nobody asks for, it delivered a body before any status.

The client checks the status line and ends such a call with CLIENT_INVALID, at the one place that servers, nodes, engines and the store go through: the attempt is broken. It is no sign that the request crashed its server, unlike a connection that breaks off.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -6,9 +6,12 @@
 #include <strings.h>
 #include <utlist.h>
 
+#include "base/log.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "base/units.h"
 #include "connection/client_options.h"
+#include "connection/status_line.h"
 
 enum {
 	/* Headers with a longer name are ignored. */
@@ -41,6 +44,7 @@
 	ev_tstamp idle_timeout; /* seconds */
 	size_t header_bytes; /* received header lines */
 	bool head_done; /* the headers of the response are complete */
+	bool is_invalid; /* what was received is no HTTP response */
 	bool connect_only;
 	bool added; /* the multi handle of the client has easy */
 	bool paused;
@@ -103,6 +107,10 @@
 	long sent_bytes = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	/* libcurl refuses some status lines itself. */
+	if (call->is_invalid ||
+	    (code == CURLE_UNSUPPORTED_PROTOCOL && sent_bytes))
+		return CLIENT_INVALID;
 	switch (code) {
 	case CURLE_OK:
 		return call->head_done || call->connect_only ? CLIENT_OK
@@ -117,12 +125,26 @@
 	}
 }
 
+static void log_invalid(const client_call_t *call, long status)
+{
+	const char *url = NULL;
+
+	metrics_add(METRIC_ANSWERS_INVALID, 1);
+	curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+	log_event(EVENT_ANSWER_INVALID, "url=%s status=%ld", url ? url : "-",
+		  status);
+}
+
 static void call_end(client_call_t *call, client_end_t end)
 {
 	client_handler_t handler = call->handler;
 	long status = 0;
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (end == CLIENT_INVALID)
+		log_invalid(call, status);
+	if (end == CLIENT_INVALID || status < STATUS_INFORMATIONAL_END)
+		status = 0;
 	call->handler.on_free = NULL;
 	call_free(call);
 	if (handler.on_end)
@@ -257,6 +279,10 @@
 		return 0;
 	if (call->paused)
 		return CURL_WRITEFUNC_PAUSE;
+	/* What follows status 101 is no body: no request asks for it. */
+	call->is_invalid = !call->head_done;
+	if (call->is_invalid)
+		return 0;
 	call->last_activity = ev_now(call->client->loop);
 	if (!call->handler.on_data)
 		return size;
@@ -304,6 +330,10 @@
 	if (call->header_bytes > CLIENT_HEADERS_MAX_BYTES)
 		return 0;
 	call->last_activity = ev_now(call->client->loop);
+	if (is_status_line(line, size) && !status_line_valid(line, size)) {
+		call->is_invalid = true;
+		return 0;
+	}
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (status < STATUS_INFORMATIONAL_END)
 		return size;
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -69,7 +69,10 @@
 	CLIENT_CONNECT_FAILED, /**< no byte of the request was sent */
 	CLIENT_TIMED_OUT, /**< timed out after bytes were sent */
 	CLIENT_BROKEN, /**< failed, and bytes may have been sent */
-	CLIENT_CANCELLED /**< reserved: on_end does not run after a cancel */
+	CLIENT_CANCELLED, /**< reserved: on_end does not run after a cancel */
+	/** The server sent bytes that are no HTTP answer, for example with a
+	 * status outside 100 to 599. */
+	CLIENT_INVALID
 } client_end_t;
 
 /** What a call does after on_data handled a block of the body. */
@@ -95,7 +98,7 @@
 	client_flow_t (*on_data)(void *context, const void *data, size_t size);
 	/**
 	 * Called when a call ended; its handle is invalid from here on.
-	 * @param status HTTP status; 0: no response was received
+	 * @param status HTTP status; 0: no valid response was received
 	 */
 	void (*on_end)(void *context, client_end_t end, int status);
 	/** Called last, when a call is freed, however the call ended. */
--- a/src/process/control_orders.c
+++ b/src/process/control_orders.c
@@ -153,6 +153,7 @@
 	case CLIENT_TIMED_OUT:
 	case CLIENT_BROKEN:
 	case CLIENT_CANCELLED:
+	case CLIENT_INVALID:
 		break;
 	}
 	return ORDER_UNKNOWN;
--- a/src/process/gateway_reach.c
+++ b/src/process/gateway_reach.c
@@ -45,6 +45,7 @@
 
 	switch (end) {
 	case CLIENT_OK:
+	case CLIENT_INVALID:
 		on_answer(probe);
 		return;
 	case CLIENT_CONNECT_FAILED:
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -314,6 +314,9 @@
 		else
 			resume_stream(request);
 		break;
+	case CLIENT_INVALID:
+		request_attempt_end(request, ATTEMPT_BROKEN);
+		break;
 	}
 }
 
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -186,6 +186,7 @@
 		break;
 	case CLIENT_BROKEN:
 	case CLIENT_CANCELLED:
+	case CLIENT_INVALID:
 		/*
 		 * The headers of a refusal are valid even if the body is cut
 		 * short.
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -472,6 +472,11 @@
 	case CLIENT_CANCELLED:
 		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
 		return;
+	case CLIENT_INVALID:
+		/* The server has not crashed: it sent something. */
+		attempt_note_data(forward);
+		fail(forward, FAILURE_BROKEN, EVIDENCE_BROKEN);
+		return;
 	}
 }
 
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -509,7 +509,7 @@
 		  "HTTP/1.1 100 Continue\r\n\r\n", CLIENT_BROKEN },
 		{ "a status line", "HTTP/1.1 200 ", "0123456789",
 		  CLIENT_BROKEN },
-		{ "noise", "\x01\x02", "\x03\x04\x05\x06", CLIENT_BROKEN },
+		{ "noise", "\x01\x02", "\x03\x04\x05\x06", CLIENT_INVALID },
 		{ "a body", OK_START "\r\n", "0123456789", CLIENT_BROKEN },
 		{ "chunks", CHUNKED_START, "1\r\nx\r\n", CLIENT_BROKEN },
 		{ "the size of a chunk", CHUNKED_START, "0", CLIENT_BROKEN },
