HTTP client: an answer is whole only if its framing, or the request, shows it

A server that answered 200 without length while a request was uploaded, sent a part of the body and closed the connection had this part delivered as a complete answer, if the end of the connection came before the reset: libcurl ends the call with success. The other way round, a whole answer with a length, of a server that closed without reading the rest, was lost, since sending failed.

An answer that the end of the connection ends now counts only if the server has received all of the request: libcurl has written it, and the kernel has none of it left that is not acknowledged (SIOCOUTQ). An error without length is broken, too. An answer with a length that came whole is delivered though sending failed.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -6,11 +6,10 @@
 #include <strings.h>
 #include <utlist.h>
 
-#include "base/log.h"
 #include "base/mem.h"
-#include "base/metrics.h"
 #include "base/units.h"
 #include "connection/client_options.h"
+#include "connection/client_private.h"
 #include "connection/status_line.h"
 
 enum {
@@ -20,38 +19,6 @@
 	STATUS_INFORMATIONAL_END = 200
 };
 
-struct client {
-	CURLM *multi;
-	struct ev_loop *loop;
-	ev_timer timer;
-	client_call_t *calls;
-	/*
-	 * Above 0 while libcurl runs. libcurl refuses to add or remove handles
-	 * from inside its callbacks, so both wait until libcurl returned.
-	 */
-	int curl_depth;
-	bool deferred; /* calls wait to be added or removed */
-};
-
-struct client_call {
-	client_t *client;
-	CURL *easy;
-	struct curl_slist *headers;
-	char *body;
-	client_handler_t handler;
-	ev_timer idle;
-	ev_tstamp last_activity; /* last receipt: loop time in seconds */
-	ev_tstamp idle_timeout; /* seconds */
-	size_t header_bytes; /* received header lines */
-	bool head_done; /* the headers of the response are complete */
-	bool is_invalid; /* what was received is no HTTP response */
-	bool connect_only;
-	bool added; /* the multi handle of the client has easy */
-	bool paused;
-	bool cancelled;
-	client_call_t *prev, *next;
-};
-
 typedef struct {
 	ev_io watcher;
 	client_t *client;
@@ -96,45 +63,6 @@
 	}
 }
 
-/*
- * Maps a result of libcurl. CLIENT_CONNECT_FAILED guarantees that no byte was
- * sent, so the number of sent bytes is checked besides the code: libcurl also
- * reports a failed connect when it repeats a request whose first connection
- * broke. It reports success if the connection ends within the headers.
- */
-static client_end_t map_result(const client_call_t *call, CURLcode code)
-{
-	long sent_bytes = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-	/* libcurl refuses some status lines itself. */
-	if (call->is_invalid ||
-	    (code == CURLE_UNSUPPORTED_PROTOCOL && sent_bytes))
-		return CLIENT_INVALID;
-	switch (code) {
-	case CURLE_OK:
-		return call->head_done || call->connect_only ? CLIENT_OK
-							     : CLIENT_BROKEN;
-	case CURLE_OPERATION_TIMEDOUT:
-		return sent_bytes ? CLIENT_TIMED_OUT : CLIENT_CONNECT_FAILED;
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
-		return sent_bytes ? CLIENT_BROKEN : CLIENT_CONNECT_FAILED;
-	default:
-		return CLIENT_BROKEN;
-	}
-}
-
-static void log_invalid(const client_call_t *call, long status)
-{
-	const char *url = NULL;
-
-	metrics_add(METRIC_ANSWERS_INVALID, 1);
-	curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
-	log_event(EVENT_ANSWER_INVALID, "url=%s status=%ld", url ? url : "-",
-		  status);
-}
-
 static void call_end(client_call_t *call, client_end_t end)
 {
 	client_handler_t handler = call->handler;
@@ -142,7 +70,7 @@
 
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (end == CLIENT_INVALID)
-		log_invalid(call, status);
+		client_log_invalid(call, status);
 	if (end == CLIENT_INVALID || status < STATUS_INFORMATIONAL_END)
 		status = 0;
 	call->handler.on_free = NULL;
@@ -166,7 +94,7 @@
 		if (message->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
-		call_end(call, map_result(call, code));
+		call_end(call, client_map_result(call, code));
 	}
 }
 
@@ -216,6 +144,7 @@
 	if (socket)
 		ev_io_stop(client->loop, &socket->watcher);
 	if (what == CURL_POLL_REMOVE) {
+		client_note_unsent(easy, fd);
 		free(socket);
 		curl_multi_assign(client->multi, fd, NULL);
 		return 0;
@@ -284,6 +213,7 @@
 	if (call->is_invalid)
 		return 0;
 	call->last_activity = ev_now(call->client->loop);
+	call->body_bytes += size;
 	if (!call->handler.on_data)
 		return size;
 	switch (call->handler.on_data(call->handler.context, data, size)) {
@@ -317,6 +247,13 @@
 	free(value);
 }
 
+static bool is_transfer_encoding(const char *line, size_t size)
+{
+	static const char name[] = "Transfer-Encoding:";
+
+	return size >= strlen(name) && !strncasecmp(line, name, strlen(name));
+}
+
 static size_t on_curl_header(char *line, size_t unit, size_t count,
 			     void *context)
 {
@@ -339,6 +276,7 @@
 		return size;
 	/* The line end alone, 2 bytes at most, ends the headers. */
 	if (size > 2) {
+		call->is_chunked |= is_transfer_encoding(line, size);
 		if (call->handler.on_header)
 			deliver_header(call, line, size);
 		return call->cancelled ? 0 : size;
@@ -394,6 +332,8 @@
 	if (!call->easy)
 		abort();
 	call->body = request->body_to_free;
+	call->upload_bytes =
+		call->body || request->body ? request->body_size_bytes : 0;
 	if (request->body)
 		call->body = mem_copy(request->body, request->body_size_bytes);
 	/*
@@ -425,6 +365,7 @@
 	if (!call->paused || call->cancelled)
 		return;
 	call->paused = false;
+	call->unsent_bytes = 0; /* of when the socket was last in use */
 	call->last_activity = ev_now(client->loop);
 	client->curl_depth++;
 	curl_easy_pause(call->easy, CURLPAUSE_CONT);
--- a/tests/lib/raw_server.c
+++ b/tests/lib/raw_server.c
@@ -70,6 +70,9 @@
 		shutdown(fd, SHUT_WR);
 		ev_io_start(loop, &connection->readable);
 		return;
+	case RAW_ENDS_UNREAD:
+		shutdown(fd, SHUT_WR);
+		return;
 	case RAW_STAYS:
 		ev_io_start(loop, &connection->readable);
 		return;
--- a/tests/lib/raw_server.h
+++ b/tests/lib/raw_server.h
@@ -16,6 +16,7 @@
 typedef enum {
 	RAW_RESETS, /**< with a reset; the rest of the request is not read */
 	RAW_ENDS, /**< as a whole answer does; the request is read on */
+	RAW_ENDS_UNREAD, /**< the same, but the request is not read on */
 	RAW_STAYS /**< not at all; the request is read on */
 } raw_end_t;
 
