Stop: a process ends in its time even if its stop hangs

Nothing bounded the end of a process itself, after its event loop: libcurl, for example, waits there for the lookup of a host name that gets no answer. A timer that the first SIGTERM sets ends the process with event 109 just before the platform would kill it (own interface: 2 s after shutdown.limit). A second signal does not prolong it.

--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -31,6 +31,9 @@
  */
 void gateway_stop(gateway_t *gateway);
 
+/** @return time, in ms, in which a stop has to end the process */
+int64_t gateway_stop_limit_ms(const gateway_t *gateway);
+
 /** Applies those of the changed settings that can change at run time. */
 void gateway_reload(gateway_t *gateway, const node_settings_t *settings);
 
--- a/src/process/gateway_run.c
+++ b/src/process/gateway_run.c
@@ -8,9 +8,16 @@
 #include "base/log.h"
 #include "platform/settings.h"
 #include "process/gateway.h"
+#include "process/stop_guard.h"
+
+/* The stop itself ends 100 ms before the platform kills the process; this is
+ * what is left of them for an end that hangs. */
+enum { STOP_GUARD_MARGIN_MS = 30 };
 
 static void on_stop(struct ev_loop *loop, ev_signal *watcher, int events)
 {
+	stop_guard_arm(gateway_stop_limit_ms(watcher->data) -
+		       STOP_GUARD_MARGIN_MS);
 	gateway_stop(watcher->data);
 }
 
--- a/src/process/gateway_stop.c
+++ b/src/process/gateway_stop.c
@@ -98,6 +98,11 @@
 		end_requests(gateway);
 }
 
+int64_t gateway_stop_limit_ms(const gateway_t *gateway)
+{
+	return gateway->settings.stop_ms;
+}
+
 void gateway_stop(gateway_t *gateway)
 {
 	if (gateway->stop != STOP_NONE)
--- a/src/process/main.c
+++ b/src/process/main.c
@@ -20,6 +20,7 @@
 #include "process/gateway_run.h"
 #include "process/request_task.h"
 #include "process/settings.h"
+#include "process/stop_guard.h"
 #include "process/task_msg.h"
 #if __has_include("process/telemetry_task.h")
 #include "process/telemetry_task.h"
@@ -30,6 +31,9 @@
 
 enum {
 	EXIT_USAGE = 2,
+	/* After the limit of the shutdown: answers that are sent (1 s), and the
+	 * end of the tasks and of the sockets to peers (0.2 s). */
+	STOP_END_MAX_MS = 2000,
 	/* Request tasks, control and telemetry. */
 	TASKS_MAX = REQUEST_TASKS_MAX + 2
 };
@@ -80,7 +84,11 @@
 {
 	daemon_t *process = watcher->data;
 	task_msg_t *message = task_msg_create(TASK_MSG_DRAIN, 0);
+	int64_t limit_ms = process->settings.drain_max_ms;
 
+	if (limit_ms < process->settings.drain_notice_ms)
+		limit_ms = process->settings.drain_notice_ms;
+	stop_guard_arm(limit_ms + STOP_END_MAX_MS);
 	if (!mailbox_send(process->control, message))
 		task_msg_destroy(message);
 }
