--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -14,13 +14,16 @@
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "lib/raw_server.h"
+#include "process/gateway.h"
 
 enum {
 	UPLOAD_BYTES = 4 << 20,
 	BODY_MAX_BYTES = 8 << 20,
 	LONG_PART_BYTES = 300 * 1024, /* more than a node holds */
 	MEET_MS = 10000, /* until nodes know of each other */
-	CALL_MAX_MS = 2500
+	CALL_MAX_MS = 2500,
+	TIMEOUT_MS = 60000,
+	STOP_MS = 4000 /* of the fixture */
 };
 
 #define SEALED "X-Server-Seal: 1.2\r\n"
@@ -34,6 +37,7 @@
 	gateway_fixture_t node, near;
 	raw_server_t server;
 	bool is_relayed;
+	bool is_hanging; /* requests have much time, since no answer comes */
 } play_t;
 
 /** Kinds of request, by the paths of their routes. */
@@ -75,12 +79,19 @@
 static void edit(const gateway_fixture_t *fixture, const char *path,
 		 json_t *spec)
 {
-	json_t *limits = json_object_get(spec, "limits");
+	json_t *limits = json_object_get(spec, "limits"), *route;
+	size_t i;
 	char address[64];
 
 	snprintf(address, sizeof(address), "127.0.0.1:%d", play.server.port);
 	if (!strcmp(path, "/objects/servers") && fixture == &play.node)
 		json_object_set_new(spec, "address", json_string(address));
+	json_array_foreach(json_object_get(spec, "routes"), i, route)
+	{
+		if (play.is_hanging)
+			json_object_set_new(route, "timeoutMs",
+					    json_integer(TIMEOUT_MS));
+	}
 	if (limits)
 		json_object_set_new(limits, "bodyBytes",
 				    json_integer(BODY_MAX_BYTES));
@@ -136,12 +147,13 @@
 	}
 }
 
-static void start(bool is_relayed)
+static void start_with(bool is_relayed, bool is_hanging)
 {
 	int64_t end_us = clock_monotonic_us() + MEET_MS * US_PER_MS;
 	static struct ev_loop *loop;
 
 	memset(&play, 0, sizeof(play));
+	play.is_hanging = is_hanging;
 	play.is_relayed = is_relayed;
 	loop = ev_loop_new(EVFLAG_AUTO);
 	raw_server_start(&play.server, loop);
@@ -168,6 +180,11 @@
 		cut_near();
 }
 
+static void start(bool is_relayed)
+{
+	start_with(is_relayed, false);
+}
+
 static void stop(void)
 {
 	struct ev_loop *loop = play.server.loop;
@@ -394,9 +411,47 @@
 	assert_int_equal(failed, 0);
 }
 
+/*
+ * Guards against a node that outlasts its stop since the node that it passed a
+ * request on to never answers, and against a caller without an answer.
+ */
+static void node_outlasts_its_stop_for_another_node(void **state)
+{
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       "X-Deadline-Ms: 60000",
+					       FIXTURE_AUTHORIZATION, NULL };
+	static const raw_answer_t none = { .head = NULL };
+	static reply_t replies[KINDS];
+	int64_t start_us;
+	kind_t kind;
+
+	start_with(true, true);
+	raw_server_script(&play.server, &none, 1);
+	for (kind = LOOKUP; kind < KINDS; kind++)
+		gateway_fixture_call(&play.near, &replies[kind], "POST",
+				     paths[kind], headers, "body");
+	start_us = clock_monotonic_us();
+	while (play.server.arrivals < KINDS) {
+		assert_true(clock_monotonic_us() - start_us <
+			    CALL_MAX_MS * US_PER_MS);
+		run();
+	}
+	gateway_stop(play.near.gateway);
+	start_us = clock_monotonic_us();
+	while (play.near.gateway->stop != STOP_CLOSED) {
+		assert_true(clock_monotonic_us() - start_us <
+			    STOP_MS * US_PER_MS);
+		run();
+	}
+	for (kind = LOOKUP; kind < KINDS; kind++)
+		assert_int_equal(replies[kind].status, 504);
+	stop();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(node_outlasts_its_stop_for_another_node),
 		cmocka_unit_test(status_that_is_none_reaches_a_caller),
 		cmocka_unit_test(whole_early_answer_is_lost),
 		cmocka_unit_test(part_of_an_early_answer_is_taken_for_all),
--- a/tests/test_request_answers.c
+++ b/tests/test_request_answers.c
@@ -64,9 +64,9 @@
 	char *body = test_calloc(size + strlen(kinds[kind].end) + 1, 1),
 	     url[64];
 
-	strcpy(body, kinds[kind].begin);
-	memset(body + strlen(body), 'u', body_bytes);
-	strcpy(body + size, kinds[kind].end);
+	memcpy(body, kinds[kind].begin, size - body_bytes);
+	memset(body + size - body_bytes, 'u', body_bytes);
+	memcpy(body + size, kinds[kind].end, strlen(kinds[kind].end));
 	fixture_start(&fixture,
 		      &(fixture_conf_t){ .body_max_bytes = BODY_MAX_BYTES });
 	raw_server_start(&server, fixture.loop);
