Paces of servers, replacement of refused memory leases, bounded additions

Cause: a slow server was found by each node alone, above a factor of 2; one refused memory lease released the whole set; nodes chose the same server between two announcements. Change: src/health/pace measures first events and event gaps, announces the result, and applies the median of the nodes. A refused lease is replaced by one on another server, and the attempt counts as load while its memory is requested. What a node adds to a server before others know is bounded. Only with controls_load.

--- a/src/process/backends.c
+++ b/src/process/backends.c
@@ -30,6 +30,8 @@
 
 	backends->conf = *conf;
 	backends->rates = server_rates_create();
+	if (conf->controls_load)
+		backends->paces = pace_create();
 	return backends;
 }
 
@@ -78,6 +80,7 @@
 	}
 	backends_free_services(backends);
 	server_rates_destroy(backends->rates);
+	pace_destroy(backends->paces);
 	limit_nodes_clear(&backends->nodes);
 	free(backends);
 }
@@ -108,6 +111,10 @@
 	server->failed_us = 0;
 	server->paused_until_us = 0;
 	server->slowdown = 1;
+	server->memory_refused_us = 0;
+	if (server->table->paces)
+		pace_restart(server->table->paces, backend_start_hash(server),
+			     now_us);
 	server->cold_share.tokens = 0;
 }
 
@@ -243,6 +250,11 @@
 	return backends->rates;
 }
 
+pace_table_t *backends_paces(backends_t *backends)
+{
+	return backends->paces;
+}
+
 backend_t *backends_next(backends_t *backends, const backend_t *server)
 {
 	return server ? server->hh.next : backends->servers;
@@ -341,6 +353,33 @@
 					query->now_us) >= AVOIDING_NODES_MIN;
 }
 
+/* @return slowdown factor to be applied to the predictions for a server */
+static double slowdown_of(const backend_t *server, int64_t now_us)
+{
+	if (server->table->paces)
+		return pace_slowdown(server->table->paces,
+				     backend_start_hash(server), now_us);
+	return server->slowdown > SLOWDOWN_TOLERANCE ? server->slowdown : 1;
+}
+
+/* @return requests that this node sent while the others may not know of it */
+static int32_t recent_of(const backend_t *server, int64_t now_us)
+{
+	return now_us - server->recent_us < PLACEMENT_LOAD_AGE_US
+		       ? server->recent
+		       : 0;
+}
+
+void backend_note_sent(backend_t *backend, int64_t now_us)
+{
+	if (backend->table && backend->table->paces)
+		pace_note_sent(backend->table->paces,
+			       backend_start_hash(backend), now_us);
+	backend->recent = recent_of(backend, now_us) + 1;
+	if (backend->recent == 1)
+		backend->recent_us = now_us;
+}
+
 static candidate_t candidate_of(backend_t *server,
 				const backends_query_t *query)
 {
@@ -356,9 +395,11 @@
 		.slots = server->entry.slots,
 		.kv_capacity_tokens =
 			engine->present ? engine->kv_capacity_tokens : 0,
-		.slowdown = server->slowdown > SLOWDOWN_TOLERANCE
-				    ? server->slowdown
-				    : 1,
+		.slowdown = slowdown_of(server, query->now_us),
+		.recent = recent_of(server, query->now_us),
+		.kv_refused_tokens = query->now_us < server->memory_refused_us
+					     ? server->memory_refused_tokens
+					     : 0,
 		.distance_us = near ? 0 : FAR_COST_US,
 		.is_limited = backend_is_limited(server),
 		.fallback = server->leaving_us ||
--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -19,6 +19,7 @@
 #include <stdint.h>
 
 #include "base/units.h"
+#include "health/pace.h"
 #include "process/placement.h"
 #include "process/local_load.h"
 #include "process/load_table.h"
@@ -62,6 +63,7 @@
 	int32_t cold_slack;
 	int64_t drain_us; /**< time in which a leaving server accepts requests
 			   */
+	bool controls_load; /**< see node_settings_t */
 } backends_conf_t;
 
 backends_t *backends_create(const backends_conf_t *conf);
@@ -164,6 +166,8 @@
 			   const load_table_t *load_table,
 			   const engine_profile_t *engine, int64_t now_us);
 
+/** Records that a request of this node, or a prompt shard, is sent. */
+void backend_note_sent(backend_t *backend, int64_t now_us);
 /** Records how an attempt on the server ended. */
 void backend_note(backend_t *backend, evidence_t evidence, int64_t now_us);
 /**
@@ -187,6 +191,17 @@
 
 /** @return the rates that the servers state. */
 server_rates_t *backends_rates(backends_t *backends);
+/** @return the paces of servers; NULL: the nodes do not control the load. */
+pace_table_t *backends_paces(backends_t *backends);
+
+/**
+ * Records that the server refused to reserve engine memory: for a time, this
+ * node assumes that it has less free. No effect unless the nodes control the
+ * load.
+ * @param tokens memory of the prompt shard that was refused
+ */
+void backend_note_memory_refused(backend_t *backend, int64_t tokens,
+				 int64_t now_us);
 
 /** Records that the server sent data: its data centre can be reached. */
 void backend_note_received(backend_t *backend, int64_t now_us);
--- a/src/process/backends_health.c
+++ b/src/process/backends_health.c
@@ -9,6 +9,9 @@
 #define ANNOUNCE_FAILURE_US US_PER_S
 /* A server without free capacity is paused for about one engine iteration. */
 #define FULL_PAUSE_US (100 * US_PER_MS)
+/* A server that refused memory is assumed to have no more free for the time
+ * after which the load of all nodes is known. */
+#define MEMORY_REFUSED_US (200 * US_PER_MS)
 /* Weight of the newest event gap in the moving average: a slow server shows
  * within some ten events, while one long prefill has little effect. */
 #define SLOWDOWN_WEIGHT_UP 0.1
@@ -105,6 +108,17 @@
 	}
 }
 
+void backend_note_memory_refused(backend_t *backend, int64_t tokens,
+				 int64_t now_us)
+{
+	if (!backend->table || !backend->table->conf.controls_load)
+		return;
+	if (now_us >= backend->memory_refused_us ||
+	    tokens < backend->memory_refused_tokens)
+		backend->memory_refused_tokens = tokens;
+	backend->memory_refused_us = now_us + MEMORY_REFUSED_US;
+}
+
 void backend_note_leaving(backend_t *backend, int64_t now_us)
 {
 	if (!backend->leaving_us)
--- a/src/process/backends_limits.c
+++ b/src/process/backends_limits.c
@@ -10,6 +10,8 @@
 			size_t count, uint64_t own, int64_t now_us)
 {
 	limit_nodes_set(&backends->nodes, nodes, count, own, now_us);
+	if (backends->paces)
+		pace_set_nodes(backends->paces, own, count);
 }
 
 bool backend_is_cold(const backend_t *backend, int64_t now_us)
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -64,6 +64,11 @@
 				    this time */
 	int64_t failed_us; /* last failure; 0: none since the last success */
 	double slowdown; /* mean ratio of event gaps to the model's; 1: equal */
+	int64_t memory_refused_tokens; /* least memory that the server refused
+					  to reserve until memory_refused_us */
+	int64_t memory_refused_us;
+	int32_t recent; /* requests sent since recent_us */
+	int64_t recent_us;
 	UT_hash_handle hh;
 };
 
@@ -74,6 +79,7 @@
 	backend_dc_t *dcs;
 	backend_service_t *services;
 	server_rates_t *rates;
+	pace_table_t *paces; /* NULL: the nodes do not control the load */
 	uint64_t listing; /* number of the current listing */
 	bool restoring; /* it is of an older copy of the store */
 	limit_nodes_t nodes; /* share the limits of servers */
--- a/src/process/choice.c
+++ b/src/process/choice.c
@@ -17,23 +17,19 @@
 	choice->placement.count = 0;
 }
 
-/* Copies the selected candidates into the choice, because the caller frees the
+/* Copies a selected candidate into the choice, because the caller frees the
  * list of all candidates. */
-static void copy_candidates(choice_t *choice, int64_t now_us)
+static void copy_candidate(choice_t *choice, size_t index, int64_t now_us)
 {
-	size_t i;
-
-	for (i = 0; i < choice->placement.count; i++) {
-		candidate_t *copy = &choice->candidates[i];
-		backend_t *server;
+	candidate_t *copy = &choice->candidates[index];
+	backend_t *server;
 
-		*copy = *choice->placement.shards[i];
-		choice->placement.shards[i] = copy;
-		server = backend_ref(copy->server);
-		choice->generations[i] = backend_generation(server);
-		choice->cold[i] = backend_is_cold(server, now_us);
-		choice->limited[i] = backend_is_limited(server);
-	}
+	*copy = *choice->placement.shards[index];
+	choice->placement.shards[index] = copy;
+	server = backend_ref(copy->server);
+	choice->generations[index] = backend_generation(server);
+	choice->cold[index] = backend_is_cold(server, now_us);
+	choice->limited[index] = backend_is_limited(server);
 }
 
 placement_result_t choice_make(choice_t *choice, backends_t *backends,
@@ -41,18 +37,41 @@
 			       const placement_query_t *query)
 {
 	candidate_t *candidates;
-	size_t count = backends_candidates(backends, wanted, &candidates);
+	size_t count = backends_candidates(backends, wanted, &candidates), i;
 	placement_result_t result;
 
 	choice_clear(choice);
 	result = placement_choose(candidates, count, query, &choice->placement);
 	if (result != PLACEMENT_CHOSEN)
 		choice->placement.count = 0;
-	copy_candidates(choice, wanted->now_us);
+	for (i = 0; i < choice->placement.count; i++)
+		copy_candidate(choice, i, wanted->now_us);
 	free(candidates);
 	return result;
 }
 
+backend_t *choice_replace(choice_t *choice, size_t index, backends_t *backends,
+			  const backends_query_t *wanted,
+			  const placement_query_t *query)
+{
+	backend_t *old = choice_server(choice, index), *server = NULL;
+	candidate_t *candidates;
+	size_t count = backends_candidates(backends, wanted, &candidates);
+
+	if (placement_replace(candidates, count, query, index,
+			      &choice->placement) &&
+	    backend_take(choice_server(choice, index), wanted->service,
+			 wanted->now_us)) {
+		copy_candidate(choice, index, wanted->now_us);
+		backend_unref(old);
+		server = choice_server(choice, index);
+	} else {
+		choice->placement.shards[index] = &choice->candidates[index];
+	}
+	free(candidates);
+	return server;
+}
+
 bool choice_is_valid(const choice_t *choice, int64_t now_us)
 {
 	size_t i;
--- a/src/process/choice.h
+++ b/src/process/choice.h
@@ -35,6 +35,15 @@
  */
 void choice_clear(choice_t *choice);
 
+/**
+ * Replaces the server of one prompt shard by the cheapest one that can take the
+ * shard and is not in the choice.
+ * @return the new server; NULL: none, and @p choice is unchanged
+ */
+backend_t *choice_replace(choice_t *choice, size_t index, backends_t *backends,
+			  const backends_query_t *wanted,
+			  const placement_query_t *query);
+
 /**
  * @param index prompt shard; 0: the shard of the server that decodes
  * @return server that prefills the shard; the reference stays with @p choice
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -128,7 +128,8 @@
 	backends_conf_t backends = {
 		.cold_factor = gateway->settings.cold_factor,
 		.cold_slack = gateway->settings.cold_slack,
-		.drain_us = gateway->settings.drain_ms * US_PER_MS
+		.drain_us = gateway->settings.drain_ms * US_PER_MS,
+		.controls_load = gateway->settings.controls_load
 	};
 
 	mem_strlcpy(platform.url, gateway->settings.platform_url,
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -141,6 +141,10 @@
 	message->content_count = segment_table_list(
 		gateway->segments, CAUSE_CONTENT, message->contents,
 		ANNOUNCED_CONTENTS_MAX, now_us);
+	if (backends_paces(gateway->backends))
+		message->pace_count =
+			pace_list(backends_paces(gateway->backends),
+				  message->paces, ANNOUNCED_PACES_MAX, now_us);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
@@ -199,6 +203,30 @@
 			  (1 - ANNOUNCE_IDLE_MIN_SHARE) * fraction);
 }
 
+static void on_pace_changed(void *context, uint32_t server, double slowdown)
+{
+	gateway_t *gateway = context;
+	const backend_t *backend = NULL;
+
+	while ((backend = backends_next(gateway->backends, backend)))
+		if (backend_start_hash(backend) == server)
+			break;
+	log_event(EVENT_SERVER_PACE, "server=%s slowdown=%.2f",
+		  backend ? backend_entry(backend)->id : "-", slowdown);
+	/* Other nodes may lack a measurement to agree. */
+	gateway_load_changed(gateway, false);
+}
+
+static void check_paces(gateway_t *gateway, int64_t now_us)
+{
+	pace_table_t *paces = backends_paces(gateway->backends);
+
+	if (paces)
+		metrics_set(METRIC_SERVERS_SLOW,
+			    (int64_t)pace_check(paces, on_pace_changed, gateway,
+						now_us));
+}
+
 static void on_announce(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	gateway_t *gateway = timer->data;
@@ -209,6 +237,7 @@
 	load_table_expire(gateway->load_table, now_us);
 	server_rates_expire(backends_rates(gateway->backends), now_us);
 	gateway_check_crashes(gateway, now_us);
+	check_paces(gateway, now_us);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -94,9 +94,20 @@
 	gateway_announce_to(gateway, &peer);
 }
 
+static void receive_paces(gateway_t *gateway, const announcement_t *message)
+{
+	pace_table_t *paces = backends_paces(gateway->backends);
+	size_t i;
+
+	for (i = 0; paces && i < message->pace_count; i++)
+		pace_receive(paces, message->node, &message->paces[i],
+			     clock_monotonic_us());
+}
+
 static void receive_statements(gateway_t *gateway,
 			       const announcement_t *message)
 {
+	receive_paces(gateway, message);
 	receive_rates(gateway, message);
 	receive_causes(gateway, message);
 	inform_new_node(gateway, message);
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -113,18 +113,20 @@
 	option.prefill_us = forecast_prefill_us(query->engine,
 						query->prompt_tokens, shards) *
 			    candidate->slowdown;
-	option.event_us = (double)candidate->distance_us +
-			  slot_wait_us(candidate, query) +
-			  forecast_first_event_us(query->engine,
-						  &candidate->load,
-						  option.prefill_us);
+	option.event_us =
+		(double)candidate->distance_us +
+		(slot_wait_us(candidate, query) +
+		 forecast_first_event_us(query->engine, &candidate->load, 0)) *
+			placement_slowdown(candidate, query) +
+		option.prefill_us;
 	iteration_us = forecast_iteration_prefill_us(
 		query->engine, option.prefill_us, shard_tokens);
 	option.missed_weight =
 		placement_delayed_weight(candidate, query, iteration_us);
 	option.cost = option.missed_weight * PLACEMENT_MISS_LOSS +
 		      time_cost(query, option.event_us);
-	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE)
+	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE ||
+	    (shards == 1 && !placement_keeps_gap(candidate, query)))
 		option.cost += placement_weight(query, query->prompt_tokens) *
 			       PLACEMENT_MISS_LOSS;
 	option.cost += spread_cost(candidate, query, option.event_us) +
@@ -311,6 +313,51 @@
 	return found;
 }
 
+static bool is_placed(const placement_t *placement,
+		      const candidate_t *candidate)
+{
+	size_t i;
+
+	for (i = 0; i < placement->count; i++)
+		if (placement->shards[i]->server == candidate->server)
+			return true;
+	return false;
+}
+
+bool placement_replace(const candidate_t *candidates, size_t count,
+		       const placement_query_t *query, size_t index,
+		       placement_t *placement)
+{
+	int32_t shards = (int32_t)placement->count;
+	int64_t kv_tokens =
+		(query->prompt_tokens + query->output_tokens) / shards + 1;
+	option_t best = { .candidate = NULL };
+	double bound;
+	size_t i;
+
+	if (!count)
+		return false;
+	bound = jitter_max(candidates, count, query);
+	for (i = 0; i < count; i++) {
+		option_t option;
+
+		if (candidates[i].fallback || candidates[i].is_limited ||
+		    is_placed(placement, &candidates[i]) ||
+		    !placement_fits(&candidates[i], kv_tokens))
+			continue;
+		option = option_of(&candidates[i], query, shards, bound);
+		if (!best.candidate || option.cost < best.cost)
+			best = option;
+	}
+	if (!best.candidate)
+		return false;
+	placement->shards[index] = best.candidate;
+	placement->prefill_us[index] = time_to_us(best.prefill_us);
+	if (best.event_us > (double)placement->first_event_us)
+		placement->first_event_us = time_to_us(best.event_us);
+	return true;
+}
+
 placement_result_t placement_choose(const candidate_t *candidates, size_t count,
 				    const placement_query_t *query,
 				    placement_t *placement)
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -19,9 +19,13 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "base/units.h"
 #include "process/forecast.h"
 
 enum { PLACEMENT_SHARDS_MAX = 16 };
+/** Greatest age of the load that other nodes announced to this node: the time
+ * for two announcements after an increase, plus the network delay. */
+#define PLACEMENT_LOAD_AGE_US (50 * US_PER_MS)
 
 /** A server that can take the request. */
 typedef struct {
@@ -31,7 +35,12 @@
 	server_load_t load;
 	int32_t slots; /**< requests that the server runs at once */
 	int64_t kv_capacity_tokens; /**< 0: no limit */
+	int64_t kv_refused_tokens; /**< memory that the server just refused to
+				    * reserve; 0: none */
 	double slowdown; /**< slowdown factor: 1 is the stated speed */
+	/** Requests that this node sent to the server within
+	 * PLACEMENT_LOAD_AGE_US. */
+	int32_t recent;
 	/** Network delay plus the cost of traffic to a far server, as time. */
 	int64_t distance_us;
 	bool fallback; /**< used only when no other server is left */
@@ -52,6 +61,9 @@
 	bool may_refuse; /**< caller has received no event yet */
 	int32_t nodes; /**< nodes that place requests concurrently */
 	uint64_t salt; /**< random tie breaker of the request */
+	bool controls_load; /**< see node_settings_t: slowdown factors apply to
+			     * all work of a server, and what this node adds to
+			     * a server is bounded */
 } placement_query_t;
 
 typedef enum {
@@ -90,4 +102,13 @@
 				    const placement_query_t *query,
 				    placement_t *placement);
 
+/**
+ * Replaces the server of one shard by the cheapest candidate that has memory
+ * for the shard and is not in the placement.
+ * @return false if there is none; @p placement is unchanged
+ */
+bool placement_replace(const candidate_t *candidates, size_t count,
+		       const placement_query_t *query, size_t index,
+		       placement_t *placement);
+
 #endif
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -20,7 +20,10 @@
 enum {
 	/* Prompts shorter than this many usual prompts count as short and are
 	 * packed. */
-	SHORT_PROMPTS = 2
+	SHORT_PROMPTS = 2,
+	/* A node may take this many equal shares of the free slots of a server
+	 * before the other nodes know of it: requests do not arrive evenly. */
+	SHARES_MAX = 2
 };
 
 double placement_weight(const placement_query_t *query, int64_t prompt_tokens)
@@ -43,12 +46,46 @@
 
 bool placement_fits(const candidate_t *candidate, int64_t kv_tokens)
 {
+	if (candidate->kv_refused_tokens &&
+	    kv_tokens >= candidate->kv_refused_tokens)
+		return false;
 	return !candidate->kv_capacity_tokens ||
 	       (double)(candidate->load.kv_tokens + kv_tokens) <=
 		       (double)candidate->kv_capacity_tokens *
 			       PLACEMENT_KV_SHARE;
 }
 
+double placement_slowdown(const candidate_t *candidate,
+			  const placement_query_t *query)
+{
+	return query->controls_load ? candidate->slowdown : 1;
+}
+
+bool placement_keeps_gap(const candidate_t *candidate,
+			 const placement_query_t *query)
+{
+	const server_load_t *load = &candidate->load;
+
+	if (!query->controls_load || candidate->slowdown <= 1 ||
+	    !query->gap_target_us)
+		return true;
+	return forecast_decode_us(query->engine,
+				  load->decoding + load->decode_pending + 1,
+				  load->kv_tokens + query->prompt_tokens) *
+		       candidate->slowdown <=
+	       (double)query->gap_target_us * GAP_SHARE;
+}
+
+bool placement_has_share(const candidate_t *candidate,
+			 const placement_query_t *query)
+{
+	int32_t share = (candidate->slots - placement_running(candidate)) *
+			SHARES_MAX / (query->nodes > 0 ? query->nodes : 1);
+
+	return query->controls_load && query->nodes > 1 &&
+	       candidate->recent >= (share > 1 ? share : 1);
+}
+
 /*
  * @return weight that is served per microsecond of prefill, for a prompt that
  * fills half of a server's memory. Prefill time grows with the square of the
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -42,6 +42,26 @@
 				const placement_query_t *query,
 				double prefill_us);
 
+/** @return slowdown factor of all work of the server, not only of the prefill
+ *          of the request; 1 unless the nodes control the load */
+double placement_slowdown(const candidate_t *candidate,
+			  const placement_query_t *query);
+
+/**
+ * @return true if the events of the request would come in time on a slow
+ * server. True unless the nodes control the load.
+ */
+bool placement_keeps_gap(const candidate_t *candidate,
+			 const placement_query_t *query);
+
+/**
+ * @return true if this node has just sent the server its share of the free
+ *         slots: other nodes may do the same and do not know of it yet. False
+ *         unless the nodes control the load.
+ */
+bool placement_has_share(const candidate_t *candidate,
+			 const placement_query_t *query);
+
 /** @return true if the prompt is short enough to be packed. */
 bool placement_is_short(const placement_query_t *query);
 
--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -3,11 +3,8 @@
 #include "base/units.h"
 #include "process/placement_cost.h"
 
-/* Greatest age of the load that other nodes announced to this node: the time
- * for two announcements after an increase, plus the network delay. */
-#define LOAD_AGE_US (50 * US_PER_MS)
 /* Free slots among which nodes choose, per request that arrives within
- * LOAD_AGE_US: enough that few nodes choose the same slot. */
+ * PLACEMENT_LOAD_AGE_US: enough that few nodes choose the same slot. */
 #define SLOTS_PER_ARRIVAL 2
 /* Servers with a longer round trip are in another region. */
 #define REGION_DISTANCE_US (10 * US_PER_MS)
@@ -46,15 +43,19 @@
 static capacity_t capacity_of(const candidate_t *candidate,
 			      const placement_query_t *query, double prefill_us)
 {
+	double slowdown = placement_slowdown(candidate, query);
 	capacity_t capacity = {
 		.candidate = candidate,
 		.event_us = (double)candidate->distance_us +
-			    forecast_first_event_us(query->engine,
-						    &candidate->load,
-						    prefill_us),
+			    slowdown * forecast_first_event_us(query->engine,
+							       &candidate->load,
+							       prefill_us),
 	};
 
-	if (!candidate->fallback && candidate->slowdown <= 1 &&
+	prefill_us *= slowdown;
+	if (!candidate->fallback && placement_keeps_gap(candidate, query) &&
+	    (candidate->slowdown <= 1 || query->controls_load) &&
+	    !placement_has_share(candidate, query) &&
 	    placement_fits(candidate,
 			   query->prompt_tokens + query->output_tokens) &&
 	    placement_delayed_weight(candidate, query, prefill_us) <= 0)
@@ -74,6 +75,8 @@
 
 	if (far_a != far_b)
 		return far_a ? 1 : -1;
+	if ((a->slowdown > 1) != (b->slowdown > 1))
+		return a->slowdown > 1 ? 1 : -1;
 	if (a->order != b->order)
 		return a->order < b->order ? -1 : 1;
 	return 0;
@@ -92,7 +95,7 @@
 
 	for (i = 0; i < count; i++)
 		sum += placement_running(&candidates[i]);
-	return decode_us > 0 ? sum * LOAD_AGE_US / decode_us : 0;
+	return decode_us > 0 ? sum * PLACEMENT_LOAD_AGE_US / decode_us : 0;
 }
 
 int32_t placement_spread_slots(const candidate_t *candidates, size_t count,
@@ -137,7 +140,9 @@
 		.count = 1,
 		.shards = { servers[i].candidate },
 		.first_event_us = time_to_us(servers[i].event_us),
-		.prefill_us = { time_to_us(prefill_us) },
+		.prefill_us = { time_to_us(
+			prefill_us *
+			placement_slowdown(servers[i].candidate, query)) },
 	};
 	return true;
 }
--- a/src/process/placement_plain.c
+++ b/src/process/placement_plain.c
@@ -1,14 +1,37 @@
+#include <stdlib.h>
+
+#include "base/mem.h"
 #include "process/placement_cost.h"
 
 enum {
 	/* Assumed duration of a call. Plain services state no cost, and only
 	 * the order of the servers depends on this value. */
-	PLAIN_CALL_US = 15000
+	PLAIN_CALL_US = 15000,
+	/* Free slots among which nodes choose, per request that arrives before
+	 * the latest choices of other nodes are known: less than 1 in 100
+	 * requests meets a server without a slot then. */
+	SLOTS_PER_ARRIVAL = 4,
+	SLOTS_MIN = 8 /* least number of these slots */
 };
 
-placement_result_t placement_plain(const candidate_t *candidates, size_t count,
-				   const placement_query_t *query,
-				   placement_t *placement)
+/** A server that may be chosen. */
+typedef struct {
+	const candidate_t *candidate;
+	double us; /* expected duration of the call */
+	int32_t free_slots;
+} option_t;
+
+static double call_us(const candidate_t *candidate)
+{
+	return (double)candidate->distance_us +
+	       PLAIN_CALL_US * candidate->slowdown *
+		       ((double)(placement_running(candidate) + 1) /
+			(candidate->slots > 0 ? candidate->slots : 1));
+}
+
+static const candidate_t *find_fastest(const candidate_t *candidates,
+				       size_t count,
+				       const placement_query_t *query)
 {
 	const candidate_t *best = NULL;
 	double best_us = 0;
@@ -17,11 +40,7 @@
 	for (i = 0; i < count; i++) {
 		const candidate_t *candidate =
 			&candidates[(i + query->salt % count) % count];
-		double us =
-			(double)candidate->distance_us +
-			PLAIN_CALL_US * candidate->slowdown *
-				((double)(placement_running(candidate) + 1) /
-				 (candidate->slots > 0 ? candidate->slots : 1));
+		double us = call_us(candidate);
 
 		if (best && candidate->fallback > best->fallback)
 			continue;
@@ -31,9 +50,89 @@
 			best_us = us;
 		}
 	}
+	return best;
+}
+
+static int compare_options(const void *left, const void *right)
+{
+	const option_t *a = left, *b = right;
+
+	if (a->us != b->us)
+		return a->us < b->us ? -1 : 1;
+	return 0;
+}
+
+/* Lists the servers with free slots, the fastest first. */
+static size_t list_options(const candidate_t *candidates, size_t count,
+			   const placement_query_t *query, option_t *options)
+{
+	size_t i, used = 0;
+
+	for (i = 0; i < count; i++) {
+		const candidate_t *candidate = &candidates[i];
+		int32_t free_slots =
+			candidate->slots - placement_running(candidate);
+
+		if (candidate->fallback || free_slots <= 0 ||
+		    placement_has_share(candidate, query))
+			continue;
+		options[used++] =
+			(option_t){ candidate, call_us(candidate), free_slots };
+	}
+	qsort(options, used, sizeof(*options), compare_options);
+	return used;
+}
+
+/* @return number of free slots among which nodes choose: all nodes see the same
+ * server as the fastest until they know of each other's requests. */
+static int64_t slots_wanted(const candidate_t *candidates, size_t count)
+{
+	int64_t running = 0, wanted;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		running += placement_running(&candidates[i]);
+	wanted = running * SLOTS_PER_ARRIVAL * PLACEMENT_LOAD_AGE_US /
+		 PLAIN_CALL_US;
+	return wanted > SLOTS_MIN ? wanted : SLOTS_MIN;
+}
+
+/* Chooses at random among the free slots of the fastest servers.
+ * @return NULL: no server has a free slot */
+static const candidate_t *choose_slot(const candidate_t *candidates,
+				      size_t count,
+				      const placement_query_t *query)
+{
+	option_t *options = mem_calloc(count, sizeof(*options));
+	size_t used = list_options(candidates, count, query, options), i;
+	int64_t wanted = slots_wanted(candidates, count), sum = 0, slot;
+	const candidate_t *chosen = NULL;
+
+	for (i = 0; i < used && sum < wanted; i++)
+		sum += options[i].free_slots;
+	if (sum) {
+		slot = (int64_t)(query->salt % (uint64_t)sum);
+		for (i = 0; slot >= options[i].free_slots; i++)
+			slot -= options[i].free_slots;
+		chosen = options[i].candidate;
+	}
+	free(options);
+	return chosen;
+}
+
+placement_result_t placement_plain(const candidate_t *candidates, size_t count,
+				   const placement_query_t *query,
+				   placement_t *placement)
+{
+	const candidate_t *chosen = NULL;
+
+	if (query->controls_load && query->nodes > 1)
+		chosen = choose_slot(candidates, count, query);
+	if (!chosen)
+		chosen = find_fastest(candidates, count, query);
 	placement->count = 1;
-	placement->shards[0] = best;
+	placement->shards[0] = chosen;
 	placement->prefill_us[0] = 0;
-	placement->first_event_us = time_to_us(best_us);
+	placement->first_event_us = time_to_us(call_us(chosen));
 	return PLACEMENT_CHOSEN;
 }
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -67,6 +67,7 @@
 
 	if (attempt && attempt->call)
 		client_call_cancel(attempt->call);
+	forward_end_reserving(forward);
 	if (forward->reservation)
 		reservation_release(forward->reservation);
 	forward->reservation = NULL;
@@ -217,6 +218,7 @@
 static void fail_not_run(forward_t *forward)
 {
 	if (forward->attempt->reply.status != HTTP_MISDIRECTED) {
+		metrics_add(METRIC_SERVERS_FULL, 1);
 		fail(forward, FAILURE_NOT_RUN, EVIDENCE_FULL);
 		return;
 	}
@@ -275,6 +277,33 @@
 		(double)load.backlog_us;
 	backend_note_gap(server, (double)(attempt->last_event_us - before_us),
 			 expected_us);
+	if (backends_paces(forward->gateway->backends))
+		pace_note_gap(backends_paces(forward->gateway->backends),
+			      backend_start_hash(server),
+			      (double)(attempt->last_event_us - before_us),
+			      expected_us, attempt->last_event_us);
+}
+
+/* Measures the pace of the server by the first event, unless requests of other
+ * nodes came in between. */
+static void record_first_event(const forward_t *forward)
+{
+	const attempt_t *attempt = forward->attempt;
+	pace_table_t *paces = backends_paces(forward->gateway->backends);
+	backend_t *server;
+	server_load_t load;
+
+	if (!paces || attempt->relay_node || attempt->pace_expected_us <= 0)
+		return;
+	server = attempt->load.shards[0].server;
+	load = backend_load(server, forward->gateway->load_table,
+			    &forward->service->engine, attempt->last_event_us);
+	if (load.prefilling + load.decoding > attempt->pace_running + 1)
+		return;
+	pace_note_first_event(
+		paces, backend_start_hash(server),
+		(double)(attempt->first_event_us - attempt->sent_us),
+		attempt->pace_expected_us, attempt->first_event_us);
 }
 
 int64_t attempt_stream_timeout_us(const forward_t *forward)
@@ -321,6 +350,7 @@
 		if (!attempt->first_event_us) {
 			attempt->first_event_us = attempt->last_event_us;
 			attempt_load_first_event(&attempt->load);
+			record_first_event(forward);
 			count_usage(forward, attempt->last_event_us);
 			gateway_load_changed(forward->gateway, false);
 			if (attempt->timeout_us)
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -25,16 +25,10 @@
 	RESERVATIONS_MAX = 3,
 	/* Time after which full engines are expected to have memory again. */
 	MEMORY_RETRY_MS = 1000,
-	/* Added to each lease, because the engine rounds up to blocks. */
-	RESERVED_TOKENS_MARGIN = 64,
 	/* An attempt with less time left would not complete. */
 	ATTEMPT_TIME_MIN_MS = 20
 };
 
-/* Duration of a memory lease, as a fraction of the time in which the memory of
- * a node that died must be free; the rest is a margin. */
-#define LEASE_FRACTION 0.85
-
 /* Fraction of the latency objective for which a request waits for a server to
  * appear; after it the caller is better served by a refusal. */
 #define WAIT_TARGET_FRACTION 0.125
@@ -75,7 +69,8 @@
 	return expected;
 }
 
-static placement_query_t make_query(const forward_t *forward, int64_t now_us)
+placement_query_t forward_placement_query(const forward_t *forward,
+					  int64_t now_us)
 {
 	const service_conf_t *service = forward->service;
 	placement_query_t query = {
@@ -91,6 +86,7 @@
 		.may_refuse = !forward->runs && !forward->head_sent,
 		.nodes = forward->gateway->nodes,
 		.salt = gateway_random(forward->gateway),
+		.controls_load = forward->gateway->settings.controls_load,
 	};
 
 	if (query.prompt_tokens <= 0)
@@ -100,19 +96,23 @@
 	return query;
 }
 
+backends_query_t forward_backends_query(const forward_t *forward,
+					int64_t now_us)
+{
+	return (backends_query_t){ .service = forward->service,
+				   .load_table = forward->gateway->load_table,
+				   .except = (backend_t *const *)forward->tried,
+				   .except_count = forward->tried_count,
+				   .now_us = now_us };
+}
+
 placement_result_t forward_choose(forward_t *forward, choice_t *choice)
 {
-	gateway_t *gateway = forward->gateway;
 	int64_t now_us = clock_monotonic_us();
-	placement_query_t query = make_query(forward, now_us);
-	backends_query_t wanted = { .service = forward->service,
-				    .load_table = gateway->load_table,
-				    .except =
-					    (backend_t *const *)forward->tried,
-				    .except_count = forward->tried_count,
-				    .now_us = now_us };
-
-	return choice_make(choice, gateway->backends, &wanted, &query);
+	placement_query_t query = forward_placement_query(forward, now_us);
+	backends_query_t wanted = forward_backends_query(forward, now_us);
+
+	return choice_make(choice, forward->gateway->backends, &wanted, &query);
 }
 
 /* @return Retry-After if no server is known to accept requests again: well
@@ -196,6 +196,8 @@
 static void send(forward_t *forward)
 {
 	forward_log_placed(forward);
+	if (forward->reservation)
+		reservation_note_used(forward->reservation);
 	add_tried(forward, choice_server(&forward->choice, 0));
 	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
@@ -225,41 +227,6 @@
 		forward_refuse(forward, "no_engine_memory", MEMORY_RETRY_MS);
 }
 
-static int64_t lease_us(const node_settings_t *settings)
-{
-	double free_ms = (double)settings->reservation_free_ms * LEASE_FRACTION;
-	double max_ms = (double)settings->reservation_max_ms;
-
-	return (int64_t)(free_ms < max_ms ? free_ms : max_ms) * US_PER_MS;
-}
-
-/* Reserves memory on the helpers. The first server keeps the KV cache of its
- * prompt shard and of the output without a lease. */
-static void reserve_memory(forward_t *forward)
-{
-	const placement_t *placement = &forward->choice.placement;
-	gateway_t *gateway = forward->gateway;
-	reservation_conf_t conf = {
-		.loop = gateway->loop,
-		.client = gateway->client,
-		.id_prefix = gateway->mem_lease_prefix,
-		.tokens = forward->request.prompt_tokens /
-				  (int64_t)placement->count +
-			  RESERVED_TOKENS_MARGIN,
-		.lease_us = lease_us(&gateway->settings),
-		.list = &gateway->reservations,
-	};
-	backend_t *servers[PLACEMENT_SHARDS_MAX];
-	size_t i;
-
-	for (i = 1; i < placement->count; i++)
-		servers[i - 1] = placement->shards[i]->server;
-	forward->phase = FORWARD_RESERVING;
-	forward->reservation = reservation_create(
-		&conf, servers, placement->count - 1, on_reserved, forward);
-	forward_set_timer(forward);
-}
-
 /*
  * Refuses a request whose service is cut off from here: one of another node at
  * once, since that node tries others; one of a caller when it has waited for as
@@ -297,7 +264,7 @@
 		if (!take_from_limits(forward))
 			wait_or_refuse(forward);
 		else if (placement->shared_memory)
-			reserve_memory(forward);
+			forward_reserve(forward, on_reserved);
 		else
 			send(forward);
 		break;
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -18,6 +18,10 @@
 
 /* Timeout of the first event, as a multiple of its predicted time. */
 #define FIRST_EVENT_TIMEOUT_FACTOR 2
+/* Greatest part of a predicted first event that prefill of other requests may
+ * be, for the event to show the pace of the server: how far their prefill is
+ * done is an estimate. */
+#define PACE_BACKLOG_SHARE 0.25
 /* Timeout of an idempotent request, as a multiple of its latency objective. */
 enum { LOOKUP_TIMEOUT_TARGETS = 3 };
 
@@ -120,30 +124,52 @@
 	platform_free_headers(headers);
 }
 
+/* Fills in what the first event is measured against, for the pace of the
+ * server. The prediction holds where prefill that other nodes sent was a small
+ * part of it, and the request need not wait for a slot. */
+static void expect_first_event(const forward_t *forward, attempt_t *attempt)
+{
+	const placement_t *placement = &forward->choice.placement;
+	const candidate_t *first = placement->shards[0];
+	const engine_profile_t *engine = &forward->service->engine;
+	double prefill_us = (double)placement->prefill_us[0] / first->slowdown;
+	double expected_us =
+		forecast_first_event_us(engine, &first->load, prefill_us);
+
+	if (!engine->present || placement->count > 1 ||
+	    first->load.prefilling + first->load.decoding >= first->slots ||
+	    (double)first->load.backlog_us > expected_us * PACE_BACKLOG_SHARE)
+		return;
+	attempt->pace_expected_us = expected_us;
+	attempt->pace_running = first->load.prefilling + first->load.decoding;
+}
+
 void attempt_start(forward_t *forward)
 {
 	const placement_t *placement = &forward->choice.placement;
 	attempt_t *attempt = mem_calloc(1, sizeof(*attempt));
-	int64_t now_us = clock_monotonic_us(), kv_tokens = 0;
+	int64_t now_us = clock_monotonic_us();
 	size_t i;
 
-	if (forward->service->engine.present)
-		kv_tokens = forward->request.prompt_tokens +
-			    forward->service->engine.usual_output_tokens;
+	forward_end_reserving(forward);
 	forward->attempt = attempt;
 	attempt->sent_us = attempt->last_progress_us = now_us;
 	attempt->predicted_us = placement->first_event_us;
 	attempt->timeout_us =
 		attempt_timeout_us(forward, placement->first_event_us);
-	attempt_load_begin(&attempt->load, placement, kv_tokens,
+	expect_first_event(forward, attempt);
+	attempt_load_begin(&attempt->load, placement,
+			   forward_kv_tokens(forward),
 			   forward->route->event_gap_target_ms * US_PER_MS,
-			   forward->received_us +
-				   forward->route->target_ms * US_PER_MS);
-	for (i = 0; i < placement->count; i++)
-		load_table_add_prefill(
-			forward->gateway->load_table,
-			backend_hash(placement->shards[i]->server),
-			placement->prefill_us[i], now_us);
+			   forward_due_us(forward));
+	for (i = 0; i < placement->count; i++) {
+		backend_t *server = placement->shards[i]->server;
+
+		backend_note_sent(server, now_us);
+		load_table_add_prefill(forward->gateway->load_table,
+				       backend_hash(server),
+				       placement->prefill_us[i], now_us);
+	}
 	gateway_load_changed(forward->gateway, true);
 	send_to_server(forward);
 }
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -41,6 +41,10 @@
 	attempt_load_t load; /**< load that the attempt puts on its servers */
 	int64_t sent_us; /**< when the attempt was sent */
 	int64_t predicted_us; /**< predicted time from sending to first event */
+	/** Predicted time to the first event at the stated speed of the server,
+	 * as a measurement of its pace; 0: load may be unknown. */
+	double pace_expected_us;
+	int32_t pace_running; /**< requests on the server for this prediction */
 	int64_t timeout_us; /**< silence after which the request fails over to
 			     * another server; 0: never */
 	server_reply_t reply;
@@ -101,6 +105,8 @@
 	reservation_t *reservation; /**< engine memory for the current attempt;
 				     * NULL: none needed */
 	int32_t reservations_failed;
+	attempt_load_t reserving; /**< load of the attempt while its memory is
+				   * requested */
 	attempt_t *attempt; /**< NULL: no attempt in flight */
 	bool head_sent; /**< status and headers were sent to the caller */
 	bool body_sent; /**< so was a part of a body: no other answer can go on
@@ -210,7 +216,26 @@
 /** Logs and counts a failed attempt. */
 void forward_log_failed(const forward_t *forward, failure_t failure);
 
+/* forward_reserve.c */
+/**
+ * Requests engine memory on the helpers of the chosen servers.
+ * @param done see reservation_create(); the context is the request
+ */
+void forward_reserve(forward_t *forward, reservation_done_t done);
+/** Ends the load that the attempt had while its memory was requested. */
+void forward_end_reserving(forward_t *forward);
+/** @return engine memory of the request, in tokens, on all of its servers */
+int64_t forward_kv_tokens(const forward_t *forward);
+/** @return when the first event meets the objective at the latest */
+int64_t forward_due_us(const forward_t *forward);
+
 /* forward_place.c */
+/** @return the request as the choice of servers sees it */
+placement_query_t forward_placement_query(const forward_t *forward,
+					  int64_t now_us);
+/** @return which servers may be chosen for the request */
+backends_query_t forward_backends_query(const forward_t *forward,
+					int64_t now_us);
 /**
  * Chooses servers for the next attempt.
  * @param choice receives the servers; freed with choice_clear()
--- a/src/request/reservation.h
+++ b/src/request/reservation.h
@@ -16,6 +16,14 @@
 
 typedef struct reservation reservation_t;
 
+/**
+ * Chooses a server in place of one that refused memory.
+ * @param may_replace false: the refusal is only to be noted
+ * @return server outside of the set; NULL: none, so that the reservation fails
+ */
+typedef backend_t *(*reservation_replace_t)(void *context, backend_t *refused,
+					    bool may_replace);
+
 typedef struct {
 	struct ev_loop *loop;
 	client_t *client;
@@ -25,8 +33,13 @@
 	int64_t lease_us; /**< duration of a lease without renewal */
 	reservation_t **list; /**< all reservations of the gateway; each adds
 			       * and removes itself */
+	reservation_replace_t replace; /**< gets the context of `done`; NULL:
+					* no lease is replaced */
 } reservation_conf_t;
 
+/** Most leases that one reservation replaces. */
+enum { RESERVATION_REPLACED_MAX = 3 };
+
 /** @param granted true if all engines granted the memory */
 typedef void (*reservation_done_t)(void *context, bool granted);
 
@@ -42,6 +55,9 @@
 const char *reservation_lease_id(const reservation_t *reservation,
 				 const backend_t *server);
 
+/** Records that the leases are used: the request is sent. */
+void reservation_note_used(reservation_t *reservation);
+
 /**
  * Releases the memory, and frees the reservation once each engine confirmed
  * the release or its lease expired. The callback is not called any more.
