Tests of paces: three nodes, restarts, trials of slow servers

Cause: of the lines in tests/mutations, those that let one node slow a server, keep a pace over a restart, or try a slow server without bound were not noticed.

--- a/tests/test_uneven.c
+++ b/tests/test_uneven.c
@@ -287,6 +287,44 @@
 	}
 }
 
+/* Guards against a server that fewer than three nodes slow down, and a pace of
+ * before a restart, in a node without measurements of its own. */
+static void believes_three_nodes(void **state)
+{
+	static const double expected[] = { 1, 1, 4, 1, 1 };
+	pace_table_t *table = pace_create();
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(expected); i++) {
+		pace_report_t report = { 7, 4, 1, MS(100) };
+
+		if (i == 3)
+			pace_restart(table, 7, MS(1050));
+		pace_receive(table, i + 1, &report, MS(1000) + MS(i));
+		assert_true(pace_slowdown(table, 7, MS(1100)) == expected[i]);
+	}
+	pace_destroy(table);
+}
+
+/* Guards against a node that sends a slow server all its requests once the pace
+ * has faded, and against a recovered one that stays slow. */
+static void tries_a_slow_server_with_one_request(void **state)
+{
+	pace_table_t *table = pace_create();
+	pace_report_t report = { 7, 4, 1, 0 };
+	uint64_t node;
+
+	for (node = 1; node <= 3; node++)
+		pace_receive(table, node, &report, MS(1000));
+	assert_true(pace_slowdown(table, 7, MS(6000)) == 4);
+	assert_true(pace_slowdown(table, 7, MS(6001)) == 1);
+	pace_note_sent(table, 7, MS(6001));
+	assert_true(pace_slowdown(table, 7, MS(6002)) == 4);
+	pace_note_first_event(table, 7, MS(100), MS(100), MS(6100));
+	assert_true(pace_slowdown(table, 7, MS(6100)) == 1);
+	pace_destroy(table);
+}
+
 /** Requests that many nodes send by load that is some time old. */
 typedef struct {
 	const char *guards_against;
@@ -433,6 +471,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(nodes_agree_on_slow_servers),
+		cmocka_unit_test(believes_three_nodes),
+		cmocka_unit_test(tries_a_slow_server_with_one_request),
 		cmocka_unit_test(nodes_spread_over_free_slots),
 	};
 
