test_gateway: wait for the answers to releases before the stop

Cause: the new test stopped the gateway while its orders to release leases were in flight; the stand-in then wrote to a closed connection (3 of 4 runs on a busy machine). Change: it runs the loop for 50 ms first, like the test before it.

--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1092,6 +1092,8 @@
 		assert_int_equal(strstr(arrivals[3].text, helper) != NULL,
 				 i > 0);
 	}
+	/* The servers answer the orders to release the leases. */
+	gateway_fixture_run(&fixture, 50);
 	gateway_fixture_stop(&fixture);
 }
 
