Defer requests that would be late, and weigh requests by rank

When more requests come than servers have slots, all of them waited in turn and all were late. A request that is predicted to miss its objective is now sent with the last priority, so that servers admit those first that can be in time. The weight of a request in the cost of a placement is halved for each rank below the most urgent of its service.

--- a/src/process/attempt_load.c
+++ b/src/process/attempt_load.c
@@ -30,6 +30,7 @@
 		shard->will_decode = !i;
 		shard->gap_us = i ? 0 : gap_us;
 		shard->due_at_us = due_at_us;
+		shard->deferred = placement->deferred;
 		begin_shard(shard, placement->shards[i]->server);
 	}
 }
--- a/src/process/local_load.c
+++ b/src/process/local_load.c
@@ -12,6 +12,7 @@
 	DL_FOREACH (local->prefills, prefill) {
 		load.prefilling++;
 		load.decode_pending += prefill->will_decode;
+		load.deferred += prefill->deferred;
 		load.backlog_us += prefill->prefill_us;
 		forecast_min_us(&load.gap_us, prefill->gap_us);
 		if (prefill->due_at_us)
--- a/src/process/local_load.h
+++ b/src/process/local_load.h
@@ -24,6 +24,7 @@
 	int64_t gap_us; /**< longest event gap that the stream allows; 0: any */
 	int64_t due_at_us; /**< latest time at which the first event meets
 			       its objective; 0: no objective */
+	bool deferred; /**< the server admits the request after all others */
 	struct local_prefill *prev, *next;
 } local_prefill_t;
 
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -50,7 +50,7 @@
 {
 	double objective_us = (double)query->objective_us;
 
-	return placement_weight(query, query->prompt_tokens) * TIME_LOSS *
+	return placement_own_weight(query) * TIME_LOSS *
 	       event_us / (objective_us > 1 ? objective_us : 1);
 }
 
@@ -59,14 +59,24 @@
 static double slot_wait_us(const candidate_t *candidate,
 			   const placement_query_t *query)
 {
-	int32_t over = placement_running(candidate) - candidate->slots + 1;
+	int32_t over = placement_ahead(candidate, query) - candidate->slots + 1;
+
+	double wait_us;
 
 	if (over <= 0 || candidate->slots <= 0)
 		return 0;
-	return forecast_output_us(query->engine,
-				  query->engine->usual_output_tokens,
-				  &candidate->load) *
-	       over / candidate->slots;
+	wait_us = forecast_output_us(query->engine,
+				     query->engine->usual_output_tokens,
+				     &candidate->load) *
+		  over / candidate->slots;
+	/* A slot becomes free at the end of an iteration, so that the half of
+	 * it that forecast_decode_wait_us() adds is not waited for. */
+	if (query->passes_deferred)
+		wait_us -= forecast_decode_us(query->engine,
+					      candidate->load.decoding,
+					      candidate->load.kv_tokens) /
+			   2;
+	return wait_us > 0 ? wait_us : 0;
 }
 
 /* Discount for servers in use, so that short prompts are packed: an idle server
@@ -125,7 +135,7 @@
 	option.cost = option.missed_weight * PLACEMENT_MISS_LOSS +
 		      time_cost(query, option.event_us);
 	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE)
-		option.cost += placement_weight(query, query->prompt_tokens) *
+		option.cost += placement_own_weight(query) *
 			       PLACEMENT_MISS_LOSS;
 	option.cost += spread_cost(candidate, query, option.event_us) +
 		       jitter(query, candidate, jitter_bound);
@@ -166,9 +176,10 @@
 	return used;
 }
 
-static bool has_slot(const candidate_t *candidate)
+static bool has_slot(const candidate_t *candidate,
+		     const placement_query_t *query)
 {
-	return placement_running(candidate) < candidate->slots;
+	return placement_ahead(candidate, query) < candidate->slots;
 }
 
 /* Moves the server that keeps the KV cache and decodes to the front: a server
@@ -176,8 +187,9 @@
  * candidates for a short prompt, and the fewest for a long prompt.
  * @return false if no server has free memory */
 static bool put_decoder_first(option_t *options, size_t shards,
-			      int64_t kv_tokens, bool prefer_busy)
+			      int64_t kv_tokens, const placement_query_t *query)
 {
+	bool prefer_busy = placement_is_short(query);
 	size_t i, decoder = shards;
 	option_t first;
 
@@ -188,12 +200,12 @@
 		if (!placement_fits(options[i].candidate, kv_tokens))
 			continue;
 		if (decoder == shards ||
-		    (has_slot(options[i].candidate) &&
-		     !has_slot(options[decoder].candidate))) {
+		    (has_slot(options[i].candidate, query) &&
+		     !has_slot(options[decoder].candidate, query))) {
 			decoder = i;
 			continue;
 		}
-		if (!has_slot(options[i].candidate))
+		if (!has_slot(options[i].candidate, query))
 			continue;
 		more = load->decoding -
 		       options[decoder].candidate->load.decoding;
@@ -213,7 +225,7 @@
 static double evaluate(const option_t *options, size_t shards,
 		       const placement_query_t *query, placement_t *placement)
 {
-	double weight = placement_weight(query, query->prompt_tokens);
+	double weight = placement_own_weight(query);
 	double target_us = (double)query->target_us, event_us = 0, cost;
 	size_t i;
 
@@ -255,8 +267,7 @@
 	if (used < (size_t)shards)
 		return false;
 	qsort(options, used, sizeof(*options), compare_options);
-	if (!put_decoder_first(options, (size_t)shards, kv_tokens,
-			       placement_is_short(query)))
+	if (!put_decoder_first(options, (size_t)shards, kv_tokens, query))
 		return false;
 	*cost = evaluate(options, (size_t)shards, query, placement);
 	placement->shared_memory = shared_memory;
@@ -320,6 +331,7 @@
 
 	placement->count = 0;
 	placement->shared_memory = false;
+	placement->deferred = false;
 	placement->retry_in_us = 0;
 	placement->missed_weight = 0;
 	if (!count)
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -50,6 +50,12 @@
 	int64_t target_us; /**< time left to the objective; 0: passed */
 	int64_t limit_us; /**< time left until the caller stops waiting */
 	bool may_refuse; /**< caller has received no event yet */
+	/** Ranks between the most urgent requests of the service and this one;
+	 * each halves the weight of the request. */
+	int32_t ranks_below;
+	/** Requests that servers admit after all others do not delay this one.
+	 */
+	bool passes_deferred;
 	int32_t nodes; /**< nodes that place requests concurrently */
 	uint64_t salt; /**< random tie breaker of the request */
 } placement_query_t;
@@ -78,6 +84,7 @@
 	/** If the request is refused: time until capacity is expected to be
 	 * free. */
 	int64_t retry_in_us;
+	bool deferred; /**< the servers admit the request after all others */
 } placement_t;
 
 /**
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -1,5 +1,6 @@
 #include "process/placement_cost.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 #include "base/mem.h"
@@ -30,6 +31,12 @@
 	return WEIGHT_BASE + (usual > 0 ? (double)prompt_tokens / usual : 1);
 }
 
+double placement_own_weight(const placement_query_t *query)
+{
+	return ldexp(placement_weight(query, query->prompt_tokens),
+		     -query->ranks_below);
+}
+
 bool placement_is_short(const placement_query_t *query)
 {
 	return query->prompt_tokens <
@@ -41,6 +48,20 @@
 	return candidate->load.prefilling + candidate->load.decoding;
 }
 
+int32_t placement_ahead(const candidate_t *candidate,
+			const placement_query_t *query)
+{
+	int32_t running = placement_running(candidate);
+	int32_t waiting = running - candidate->slots;
+
+	/* Those that have a slot are ahead, deferred or not. */
+	if (!query->passes_deferred || waiting <= 0)
+		return running;
+	return running - (waiting < candidate->load.deferred
+				  ? waiting
+				  : candidate->load.deferred);
+}
+
 bool placement_fits(const candidate_t *candidate, int64_t kv_tokens)
 {
 	return !candidate->kv_capacity_tokens ||
@@ -141,7 +162,7 @@
 			      const placement_query_t *query,
 			      const placement_t *placement)
 {
-	double weight = placement_weight(query, query->prompt_tokens);
+	double weight = placement_own_weight(query);
 	bool missed = placement->first_event_us > query->target_us;
 	double others_weight = placement->missed_weight;
 	double backlog_us, prefill_us = 0;
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -8,6 +8,10 @@
 
 #include "process/placement.h"
 
+/** @return weight of the request itself, which is less if its service has more
+ *          urgent requests. */
+double placement_own_weight(const placement_query_t *query);
+
 /* Fraction of a request's weight that is lost if the request misses its
  * objective. */
 #define PLACEMENT_MISS_LOSS 0.75
@@ -27,6 +31,13 @@
 /** @return requests that a server runs, plus prompt shards that it prefills. */
 int32_t placement_running(const candidate_t *candidate);
 
+/**
+ * @return requests of placement_running() that the server admits before this
+ *         one, or has admitted
+ */
+int32_t placement_ahead(const candidate_t *candidate,
+			const placement_query_t *query);
+
 /** @return true if the server has free memory for @p kv_tokens more tokens. */
 bool placement_fits(const candidate_t *candidate, int64_t kv_tokens);
 
--- a/src/process/placement_pack.c
+++ b/src/process/placement_pack.c
@@ -32,7 +32,7 @@
 				double prefill_us)
 {
 	int32_t slots = capacity->candidate->slots -
-			placement_running(capacity->candidate);
+			placement_ahead(capacity->candidate, query);
 	double left_us = (double)query->target_us * PLACEMENT_TARGET_SHARE -
 			 capacity->event_us;
 
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -91,8 +91,15 @@
 		.may_refuse = !forward->runs && !forward->head_sent,
 		.nodes = forward->gateway->nodes,
 		.salt = gateway_random(forward->gateway),
+		.passes_deferred = forward->gateway->settings.controls_load,
 	};
 
+	if (query.passes_deferred) {
+		service_ranks_t ranks =
+			routing_ranks(forward->routing, service->name);
+
+		query.ranks_below = forward_rank(forward) - ranks.first;
+	}
 	if (query.prompt_tokens <= 0)
 		query.prompt_tokens = service->engine.usual_prompt_tokens;
 	if (query.target_us < 0)
@@ -294,6 +301,12 @@
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
+		if (forward->gateway->settings.controls_load &&
+		    forward->service->engine.present &&
+		    placement->first_event_us >
+			    forward->route->target_ms * US_PER_MS -
+				    age_us(forward, clock_monotonic_us()))
+			forward->choice.placement.deferred = true;
 		if (!take_from_limits(forward))
 			wait_or_refuse(forward);
 		else if (placement->shared_memory)
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -13,7 +13,9 @@
 	CONNECT_TIMEOUT_MS = 200,
 	/* The VM of a server that is silent for this long missed 2 probes: it
 	 * died, or is partitioned for longer than callers wait for an event. */
-	SERVER_SILENCE_MS = 2000
+	SERVER_SILENCE_MS = 2000,
+	/* Requests with this priority are admitted after all others. */
+	PRIORITY_LAST = 9
 };
 
 /* Timeout of the first event, as a multiple of its predicted time. */
@@ -64,13 +66,19 @@
 	return 0;
 }
 
-static int32_t priority_of(const forward_t *forward)
+int32_t forward_rank(const forward_t *forward)
 {
 	if (forward->account && forward->account->priority >= 0)
 		return forward->account->priority;
 	return forward->route->priority;
 }
 
+static int32_t priority_of(const forward_t *forward)
+{
+	return forward->choice.placement.deferred ? PRIORITY_LAST
+						  : forward_rank(forward);
+}
+
 void attempt_send(forward_t *forward, const char *address, char **headers)
 {
 	exchange_t *exchange = forward->exchange;
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -135,6 +135,8 @@
  * @param address IP:PORT of the server or node
  */
 void attempt_send(forward_t *forward, const char *address, char **headers);
+/** @return priority of the request's account, or of its route; 0: most urgent */
+int32_t forward_rank(const forward_t *forward);
 /** @return silence, in us, before failover to another server; 0: no failover */
 int64_t attempt_timeout_us(const forward_t *forward, int64_t predicted_us);
 
