Weigh kinds of requests by the priority of their routes; defer short prompts only

The priority of an account precedes that of a route, but says nothing about the kind of request. Long prompts that were sent with the last priority held memory leases that they did not use in time.

--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -50,8 +50,8 @@
 {
 	double objective_us = (double)query->objective_us;
 
-	return placement_own_weight(query) * TIME_LOSS *
-	       event_us / (objective_us > 1 ? objective_us : 1);
+	return placement_own_weight(query) * TIME_LOSS * event_us /
+	       (objective_us > 1 ? objective_us : 1);
 }
 
 /* @return time until a server has a free slot: a full server starts the next
@@ -135,8 +135,8 @@
 	option.cost = option.missed_weight * PLACEMENT_MISS_LOSS +
 		      time_cost(query, option.event_us);
 	if (option.event_us > target_us * PLACEMENT_TARGET_SHARE)
-		option.cost += placement_own_weight(query) *
-			       PLACEMENT_MISS_LOSS;
+		option.cost +=
+			placement_own_weight(query) * PLACEMENT_MISS_LOSS;
 	option.cost += spread_cost(candidate, query, option.event_us) +
 		       jitter(query, candidate, jitter_bound);
 	return option;
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -50,8 +50,8 @@
 	int64_t target_us; /**< time left to the objective; 0: passed */
 	int64_t limit_us; /**< time left until the caller stops waiting */
 	bool may_refuse; /**< caller has received no event yet */
-	/** Ranks between the most urgent requests of the service and this one;
-	 * each halves the weight of the request. */
+	/** Ranks between the most urgent kind of request of the service and
+	 * this one; each halves the weight of the request. */
 	int32_t ranks_below;
 	/** Requests that servers admit after all others do not delay this one.
 	 */
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -9,7 +9,7 @@
 #include "process/placement.h"
 
 /** @return weight of the request itself, which is less if its service has more
- *          urgent requests. */
+ *          urgent kinds of requests. */
 double placement_own_weight(const placement_query_t *query);
 
 /* Fraction of a request's weight that is lost if the request misses its
--- a/src/request/forward_log.c
+++ b/src/request/forward_log.c
@@ -61,7 +61,7 @@
 		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
 		  " pending_ms=%" PRId64 " kv=%" PRId64
 		  " pace=%.2f doubtful=%d after_event=%s helpers=%s"
-		  " content=%" PRIx64 " segments=%s",
+		  " content=%" PRIx64 " segments=%s rank=%d deferred=%d",
 		  id_of(forward), entry->id, entry->data_centre,
 		  placement->count, forward->request.prompt_tokens,
 		  placement->first_event_us / US_PER_MS,
@@ -70,7 +70,8 @@
 		  first->load.backlog_us / US_PER_MS, first->load.kv_tokens,
 		  first->slowdown, first->fallback,
 		  *forward->last_event_id ? forward->last_event_id : "-",
-		  helpers, forward->content, segments);
+		  helpers, forward->content, segments, forward_rank(forward),
+		  placement->deferred);
 }
 
 void forward_log_busy(const forward_t *forward, const char *reason)
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -94,12 +94,10 @@
 		.passes_deferred = forward->gateway->settings.controls_load,
 	};
 
-	if (query.passes_deferred) {
-		service_ranks_t ranks =
-			routing_ranks(forward->routing, service->name);
-
-		query.ranks_below = forward_rank(forward) - ranks.first;
-	}
+	if (query.passes_deferred)
+		query.ranks_below =
+			forward->route->priority -
+			routing_first_priority(forward->routing, service->name);
 	if (query.prompt_tokens <= 0)
 		query.prompt_tokens = service->engine.usual_prompt_tokens;
 	if (query.target_us < 0)
@@ -302,7 +300,10 @@
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
 		if (forward->gateway->settings.controls_load &&
-		    forward->service->engine.present &&
+		    forward->service->engine.present && placement->count == 1 &&
+		    !placement->shared_memory &&
+		    forward->request.prompt_tokens <
+			    2 * forward->service->engine.usual_prompt_tokens &&
 		    placement->first_event_us >
 			    forward->route->target_ms * US_PER_MS -
 				    age_us(forward, clock_monotonic_us()))
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -189,29 +189,17 @@
 	return false;
 }
 
-static void add_rank(service_ranks_t *ranks, int32_t priority, bool *found)
-{
-	if (!*found || priority < ranks->first)
-		ranks->first = priority;
-	if (!*found || priority > ranks->last)
-		ranks->last = priority;
-	*found = true;
-}
-
-service_ranks_t routing_ranks(const routing_t *routing, const char *service)
+int32_t routing_first_priority(const routing_t *routing, const char *service)
 {
 	const routing_conf_t *conf = &routing->conf;
-	service_ranks_t ranks = { 0, 0 };
-	bool found = false;
+	int32_t first = INT32_MAX;
 	size_t i;
 
 	for (i = 0; i < conf->route_count; i++)
-		if (leads_to(&conf->routes[i], service))
-			add_rank(&ranks, conf->routes[i].priority, &found);
-	for (i = 0; found && i < conf->account_count; i++)
-		if (conf->accounts[i].priority >= 0)
-			add_rank(&ranks, conf->accounts[i].priority, &found);
-	return ranks;
+		if (conf->routes[i].priority < first &&
+		    leads_to(&conf->routes[i], service))
+			first = conf->routes[i].priority;
+	return first < INT32_MAX ? first : 0;
 }
 
 const char *routing_target(const route_conf_t *route, uint64_t draw)
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -151,18 +151,12 @@
 /** @return the service called @p name, or NULL. */
 const service_conf_t *routing_service(const routing_t *routing,
 				      const char *name);
-/** Priorities of the requests for one service; 0 is the most urgent. */
-typedef struct {
-	int32_t first; /**< of the most urgent requests */
-	int32_t last; /**< of the least urgent; same as first: all are equal */
-} service_ranks_t;
-
 /**
- * Finds the range of the priorities of a service's routes and of the client
- * accounts, whose own priority applies in place of that of a route.
- * @return 0 for both if no route leads to the service
+ * @return the priority of the most urgent of the routes that lead to a service;
+ * 0 if none does. Routes stand for kinds of requests: the priority of an
+ * account says nothing about the kind.
  */
-service_ranks_t routing_ranks(const routing_t *routing, const char *service);
+int32_t routing_first_priority(const routing_t *routing, const char *service);
 
 /**
  * Chooses a service of a route by weight.
