--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -189,6 +189,28 @@
 	return false;
 }
 
+const account_conf_t *routing_account_named(const routing_t *routing,
+					    const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < routing->conf.account_count; i++)
+		if (!strcmp(routing->conf.accounts[i].name, name))
+			return &routing->conf.accounts[i];
+	return NULL;
+}
+
+const route_conf_t *routing_route_to(const routing_t *routing,
+				     const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < routing->conf.route_count; i++)
+		if (leads_to(&routing->conf.routes[i], service))
+			return &routing->conf.routes[i];
+	return NULL;
+}
+
 int32_t routing_first_priority(const routing_t *routing, const char *service)
 {
 	const routing_conf_t *conf = &routing->conf;
