Find the most urgent route of each service once

It uses routing_first_priority() now, and places with the same query as forward_place() where nodes control the load.

A configuration may have thousands of routes, and a placement walked all of them: routing_create() notes the most urgent priority of each service.

--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -56,11 +56,10 @@
 
 static void print_request(const json_t *json)
 {
-	printf("service %s, route %s, priority %lld of %lld to %lld, prompt "
-	       "%lld, output %lld, objective %lld ms\n",
+	printf("service %s, route %s, priority %lld (most urgent route %lld), "
+	       "prompt %lld, output %lld, objective %lld ms\n",
 	       text_of(json, "service"), text_of(json, "route"),
 	       number_of(json, "priority"), number_of(json, "first_priority"),
-	       number_of(json, "last_priority"),
 	       number_of(json, "prompt_tokens"),
 	       number_of(json, "output_tokens"),
 	       number_of(json, "objective_ms"));
--- a/src/process/gateway_explain.c
+++ b/src/process/gateway_explain.c
@@ -159,6 +159,13 @@
 		.target_us = route->target_ms * US_PER_MS,
 		.limit_us = route->timeout_ms * US_PER_MS,
 		.may_refuse = true,
+		.ranks_below =
+			gateway->settings.controls_load
+				? route->priority - routing_first_priority(
+							    gateway->routing,
+							    service->name)
+				: 0,
+		.passes_deferred = gateway->settings.controls_load,
 		.nodes = gateway->nodes,
 		/* The node's own sequence of random numbers stays as it is. */
 		.salt = (uint64_t)explained->now_us,
@@ -279,18 +286,17 @@
 	const route_conf_t *route = explained->route;
 	const account_conf_t *account = explained->account;
 	const char *service = explained->service->name;
-	service_ranks_t ranks = routing_ranks(gateway->routing, service);
 	int32_t priority = account && account->priority >= 0 ? account->priority
 							     : route->priority;
 	json_t *json = json_pack(
-		"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:b,s:f,s:I}", "node",
+		"{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:b,s:f,s:I}", "node",
 		gateway->settings.node_id, "data_centre",
 		gateway->settings.data_centre, "service", service, "route",
 		route->name, "priority", priority, "first_priority",
-		ranks.first, "last_priority", ranks.last, "prompt_tokens",
-		(json_int_t)explained->query.prompt_tokens, "output_tokens",
-		(json_int_t)explained->query.output_tokens, "objective_ms",
-		(json_int_t)route->target_ms, "cut_off",
+		routing_first_priority(gateway->routing, service),
+		"prompt_tokens", (json_int_t)explained->query.prompt_tokens,
+		"output_tokens", (json_int_t)explained->query.output_tokens,
+		"objective_ms", (json_int_t)route->target_ms, "cut_off",
 		backends_is_cut_off(gateway->backends, service), "spillover",
 		backends_flow_share(gateway->backends, service),
 		"candidate_count", (json_int_t)explained->count);
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -10,6 +10,9 @@
 struct routing {
 	atomic_int references;
 	routing_conf_t conf;
+	/** Priority of the most urgent route of each service, in the order of
+	 * conf.services. */
+	int32_t *first_priorities;
 };
 
 static int compare_routes(const void *left, const void *right)
@@ -83,6 +86,40 @@
 	text_pool_destroy(conf->texts);
 }
 
+static void note_priority(routing_t *routing, const route_conf_t *route,
+			  const char *service)
+{
+	const service_conf_t *found = routing_service(routing, service);
+	int32_t *first;
+
+	if (!found)
+		return;
+	first = &routing->first_priorities[found - routing->conf.services];
+	if (route->priority < *first)
+		*first = route->priority;
+}
+
+/* A configuration may have thousands of routes, so that the priorities are not
+ * looked up for each request. */
+static void find_first_priorities(routing_t *routing)
+{
+	const routing_conf_t *conf = &routing->conf;
+	size_t i, target;
+
+	routing->first_priorities = mem_calloc(
+		conf->service_count + 1, sizeof(*routing->first_priorities));
+	for (i = 0; i < conf->service_count; i++)
+		routing->first_priorities[i] = INT32_MAX;
+	for (i = 0; i < conf->route_count; i++)
+		for (target = 0; target < conf->routes[i].target_count;
+		     target++)
+			note_priority(routing, &conf->routes[i],
+				      conf->routes[i].targets[target].service);
+	for (i = 0; i < conf->service_count; i++)
+		if (routing->first_priorities[i] == INT32_MAX)
+			routing->first_priorities[i] = 0;
+}
+
 routing_t *routing_create(const routing_conf_t *conf)
 {
 	routing_t *routing = mem_calloc(1, sizeof(*routing));
@@ -94,6 +131,7 @@
 	sort(conf->keys, conf->key_count, sizeof(*conf->keys), compare_keys);
 	sort(conf->services, conf->service_count, sizeof(*conf->services),
 	     compare_services);
+	find_first_priorities(routing);
 	return routing;
 }
 
@@ -108,6 +146,7 @@
 	if (!routing || --routing->references)
 		return;
 	routing_conf_clear(&routing->conf);
+	free(routing->first_priorities);
 	free(routing);
 }
 
@@ -213,15 +252,10 @@
 
 int32_t routing_first_priority(const routing_t *routing, const char *service)
 {
-	const routing_conf_t *conf = &routing->conf;
-	int32_t first = INT32_MAX;
-	size_t i;
+	const service_conf_t *found = routing_service(routing, service);
 
-	for (i = 0; i < conf->route_count; i++)
-		if (conf->routes[i].priority < first &&
-		    leads_to(&conf->routes[i], service))
-			first = conf->routes[i].priority;
-	return first < INT32_MAX ? first : 0;
+	return found ? routing->first_priorities[found - routing->conf.services]
+		     : 0;
 }
 
 const char *routing_target(const route_conf_t *route, uint64_t draw)
