Decide in a pure module which requests are deferred

Event 407 has the cause in place of a flag.

test_adapter, test_placement, test_gateway and test_gateway_explain pass with sanitizers.

--- a/src/request/forward_log.c
+++ b/src/request/forward_log.c
@@ -62,7 +62,7 @@
 		  " pending_ms=%" PRId64 " kv=%" PRId64
 		  " pace=%.2f doubtful=%d after_event=%s helpers=%s"
 		  " content=%" PRIx64 " leaves=%s segments=%s rank=%d"
-		  " deferred=%d",
+		  " deferred=%s",
 		  id_of(forward), entry->id, entry->data_centre,
 		  placement->count, forward->request.prompt_tokens,
 		  placement->first_event_us / US_PER_MS,
@@ -73,7 +73,8 @@
 		  *forward->last_event_id ? forward->last_event_id : "-",
 		  helpers, forward->content,
 		  placement_leaves_name(placement->leaves), segments,
-		  forward_rank(forward), placement->deferred);
+		  forward_rank(forward),
+		  admission_cause_name(forward->admission.cause));
 }
 
 void forward_log_busy(const forward_t *forward, const char *reason)
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -305,15 +305,7 @@
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
-		if (forward->gateway->settings.controls_load &&
-		    forward->service->engine.present && placement->count == 1 &&
-		    !placement->shared_memory &&
-		    forward->request.prompt_tokens <
-			    2 * forward->service->engine.usual_prompt_tokens &&
-		    placement->first_event_us >
-			    forward->route->target_ms * US_PER_MS -
-				    age_us(forward, clock_monotonic_us()))
-			forward->choice.placement.deferred = true;
+		forward_admit(forward);
 		if (!take_from_limits(forward))
 			wait_or_refuse(forward);
 		else if (placement->shared_memory)
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -13,9 +13,7 @@
 	CONNECT_TIMEOUT_MS = 200,
 	/* The VM of a server that is silent for this long missed 2 probes: it
 	 * died, or is partitioned for longer than callers wait for an event. */
-	SERVER_SILENCE_MS = 2000,
-	/* Requests with this priority are admitted after all others. */
-	PRIORITY_LAST = 9
+	SERVER_SILENCE_MS = 2000
 };
 
 /* Timeout of the first event, as a multiple of its predicted time. */
@@ -66,19 +64,6 @@
 	return 0;
 }
 
-int32_t forward_rank(const forward_t *forward)
-{
-	if (forward->account && forward->account->priority >= 0)
-		return forward->account->priority;
-	return forward->route->priority;
-}
-
-static int32_t priority_of(const forward_t *forward)
-{
-	return forward->choice.placement.deferred ? PRIORITY_LAST
-						  : forward_rank(forward);
-}
-
 void attempt_send(forward_t *forward, const char *address, char **headers)
 {
 	exchange_t *exchange = forward->exchange;
@@ -116,7 +101,7 @@
 		.account = forward->account ? forward->account->name : NULL,
 		.deadline_ms = (forward->limit_us - forward->attempt->sent_us) /
 			       US_PER_MS,
-		.priority = priority_of(forward),
+		.priority = forward->admission.priority,
 		.last_event_id = forward->last_event_id,
 		.helpers = helpers,
 	};
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -6,6 +6,7 @@
 #ifndef REQUEST_FORWARD_STATE_H
 #define REQUEST_FORWARD_STATE_H
 
+#include "admission/admission.h"
 #include "base/metrics.h"
 #include "process/gateway_state.h"
 #include "process/attempt_load.h"
@@ -99,6 +100,7 @@
 	int32_t runs; /**< ended attempts that executed the request, or may
 		       * have */
 	choice_t choice; /**< servers of the current attempt */
+	admission_t admission; /**< of the current attempt */
 	reservation_t *reservation; /**< engine memory for the current attempt;
 				     * NULL: none needed */
 	int32_t reservations_failed;
@@ -134,6 +136,13 @@
  * centre. */
 void forward_count_far(const forward_t *forward, metric_t metric, size_t bytes);
 
+/* forward_admit.c */
+/** @return priority of the request's account, or of its route; 0: most urgent
+ */
+int32_t forward_rank(const forward_t *forward);
+/** Decides how urgent the request is to the chosen servers. */
+void forward_admit(forward_t *forward);
+
 /* forward_send.c */
 /** Sends the request to the chosen servers. */
 void attempt_start(forward_t *forward);
@@ -143,8 +152,6 @@
  * @param address IP:PORT of the server or node
  */
 void attempt_send(forward_t *forward, const char *address, char **headers);
-/** @return priority of the request's account, or of its route; 0: most urgent */
-int32_t forward_rank(const forward_t *forward);
 /** @return silence, in us, before failover to another server; 0: no failover */
 int64_t attempt_timeout_us(const forward_t *forward, int64_t predicted_us);
 
