Defer requests of accounts above their share, and of less urgent kinds

A few accounts that send most of the load took all slots of a service that was short of capacity, and a burst of a less urgent kind made urgent requests late.

Nodes announce their requests in progress by service and account, the largest 12, and sum up what others announce (account_load). While fewer than a tenth of the slots of a service are free, an account above its max-min fair share is deferred. So are three of four requests of a kind that is not the most urgent of its service; the fourth keeps a part of the capacity for the kind.

Not tried on a full site.

--- a/src/process/choice.c
+++ b/src/process/choice.c
@@ -45,6 +45,7 @@
 	placement_result_t result;
 
 	choice_clear(choice);
+	choice->capacity = admission_capacity(candidates, count);
 	result = placement_choose(candidates, count, query, &choice->placement);
 	if (result != PLACEMENT_CHOSEN)
 		choice->placement.count = 0;
--- a/src/process/choice.h
+++ b/src/process/choice.h
@@ -9,6 +9,7 @@
 #ifndef PROCESS_CHOICE_H
 #define PROCESS_CHOICE_H
 
+#include "admission/admission.h"
 #include "process/backends.h"
 
 /** Servers of one attempt. */
@@ -20,6 +21,7 @@
 	bool cold[PLACEMENT_SHARDS_MAX]; /**< server was cold at selection */
 	/** Server stated a rate of requests at selection. */
 	bool limited[PLACEMENT_SHARDS_MAX];
+	admission_capacity_t capacity; /**< of the servers that matched */
 } choice_t;
 
 /**
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -141,6 +141,8 @@
 	message->content_count = segment_table_list(
 		gateway->segments, CAUSE_CONTENT, message->contents,
 		ANNOUNCED_CONTENTS_MAX, now_us);
+	message->account_count = account_load_list(
+		gateway->accounts, message->accounts, ANNOUNCED_ACCOUNTS_MAX);
 	for (i = 0; i < KINDS_WATCHED; i++)
 		if (gateway->views[i].listed)
 			message->known_revisions[i] =
@@ -207,6 +209,7 @@
 			 ANNOUNCE_IDLE_MIN_SHARE;
 
 	load_table_expire(gateway->load_table, now_us);
+	account_load_expire(gateway->accounts, now_us);
 	server_rates_expire(backends_rates(gateway->backends), now_us);
 	gateway_check_crashes(gateway, now_us);
 	metrics_set(
@@ -401,6 +404,7 @@
 bool gateway_peers_start(gateway_t *gateway, err_t *err)
 {
 	gateway->load_table = load_table_create();
+	gateway->accounts = account_load_create();
 	gateway->datagram = datagram_create(gateway->loop,
 					    gateway->settings.peer_address,
 					    gateway_on_datagram, gateway, err);
@@ -437,5 +441,6 @@
 	ev_timer_stop(gateway->loop, &gateway->update_timer);
 	datagram_destroy(gateway->datagram);
 	load_table_destroy(gateway->load_table);
+	account_load_destroy(gateway->accounts);
 	free(gateway->peers);
 }
--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -97,6 +97,7 @@
 static void receive_statements(gateway_t *gateway,
 			       const announcement_t *message)
 {
+	account_load_receive(gateway->accounts, message, clock_monotonic_us());
 	receive_rates(gateway, message);
 	receive_causes(gateway, message);
 	inform_new_node(gateway, message);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -6,6 +6,7 @@
 #ifndef PROCESS_GATEWAY_STATE_H
 #define PROCESS_GATEWAY_STATE_H
 
+#include "admission/account_load.h"
 #include "connection/client.h"
 #include "connection/datagram.h"
 #include "connection/listener.h"
@@ -109,6 +110,7 @@
 	int64_t routing_applied_us;
 	backends_t *backends;
 	load_table_t *load_table;
+	account_load_t *accounts; /**< use of services by client accounts */
 	segment_table_t *segments; /**< what crashes servers */
 	duties_t *duties; /**< NULL: the platform has no duties */
 	view_t views[KINDS_WATCHED];
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -58,6 +58,7 @@
 static void end_load(forward_t *forward, attempt_t *attempt)
 {
 	attempt_load_end(&attempt->load);
+	attempt_uncount_account(forward, attempt);
 	gateway_load_changed(forward->gateway, false);
 }
 
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -207,6 +207,7 @@
 {
 	forward_log_placed(forward);
 	forward_count_left(forward);
+	forward_count_deferred(forward);
 	add_tried(forward, choice_server(&forward->choice, 0));
 	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -133,6 +133,7 @@
 			   forward->route->event_gap_target_ms * US_PER_MS,
 			   forward->received_us +
 				   forward->route->target_ms * US_PER_MS);
+	attempt_count_account(forward, attempt);
 	for (i = 0; i < placement->count; i++)
 		load_table_add_prefill(
 			forward->gateway->load_table,
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -41,6 +41,7 @@
 			     * was passed on; 0: it was sent to servers */
 	relay_outcome_t relay_outcome; /**< as this node stated it */
 	attempt_load_t load; /**< load that the attempt puts on its servers */
+	bool is_counted; /**< it counts as a request of its account */
 	int64_t sent_us; /**< when the attempt was sent */
 	int64_t predicted_us; /**< predicted time from sending to first event */
 	int64_t timeout_us; /**< silence after which the request fails over to
@@ -142,6 +143,12 @@
 int32_t forward_rank(const forward_t *forward);
 /** Decides how urgent the request is to the chosen servers. */
 void forward_admit(forward_t *forward);
+/** Counts a request that is sent and deferred, by cause. */
+void forward_count_deferred(const forward_t *forward);
+/** Counts an attempt that is sent to servers as a request of its account. */
+void attempt_count_account(const forward_t *forward, attempt_t *attempt);
+/** Ends what attempt_count_account() counted. */
+void attempt_uncount_account(const forward_t *forward, attempt_t *attempt);
 
 /* forward_send.c */
 /** Sends the request to the chosen servers. */
