--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -84,6 +84,25 @@
 	printf(", leaves its data centre: %s\n", text_of(json, "leaves"));
 }
 
+static void print_admission(const json_t *json)
+{
+	const json_t *share = json_object_get(json, "account_share");
+
+	printf("deferred %s", text_of(json, "deferred"));
+	if (json_is_integer(json_object_get(json, "sent_priority")))
+		printf(", sent with priority %lld",
+		       number_of(json, "sent_priority"));
+	printf(", %lld of %lld slots free", number_of(json, "free_slots"),
+	       number_of(json, "slots"));
+	if (json_is_integer(json_object_get(json, "account_requests")))
+		printf(", %lld requests of the account",
+		       number_of(json, "account_requests"));
+	if (json_is_integer(share))
+		printf(", fair share %lld",
+		       (long long)json_integer_value(share));
+	printf("\n");
+}
+
 static void print_candidate(const json_t *json)
 {
 	printf("%s %s %s: %lld prefilling (%lld deferred), %lld decoding, %lld "
@@ -123,6 +142,7 @@
 	} else {
 		print_request(json);
 		print_decision(json);
+		print_admission(json);
 		json_array_foreach(json_object_get(json, "candidates"), i,
 				   candidate) print_candidate(candidate);
 	}
--- a/src/process/gateway_explain.c
+++ b/src/process/gateway_explain.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "admission/admission.h"
 #include "base/clock.h"
 #include "base/mem.h"
 #include "process/gateway_state.h"
@@ -41,6 +42,8 @@
 	size_t count;
 	placement_result_t result;
 	placement_t placement;
+	admission_query_t admission_query;
+	admission_t admission;
 } explained_t;
 
 static int64_t read_tokens(const char *text)
@@ -184,6 +187,35 @@
 		explained->placement.leaves = LEAVES_NOT;
 }
 
+/* Decides like forward_admit() for a request that has just arrived. */
+static void admit(const gateway_t *gateway, explained_t *explained)
+{
+	const account_conf_t *account = explained->account;
+	const placement_query_t *query = &explained->query;
+	const char *service = explained->service->name;
+
+	explained->admission_query = (admission_query_t){
+		.controls_load = gateway->settings.controls_load,
+		.engine = query->engine,
+		.placement = &explained->placement,
+		.prompt_tokens = query->prompt_tokens,
+		.priority = account && account->priority >= 0
+				    ? account->priority
+				    : explained->route->priority,
+		.ranks_below = query->ranks_below,
+		/* Most requests of a less urgent kind are deferred. */
+		.salt = 1,
+		.target_us = query->target_us,
+		.wait_max_us = INT64_MAX,
+		.capacity = admission_capacity(explained->candidates,
+					       explained->count),
+		.accounts = gateway->accounts,
+		.service = load_table_hash(service),
+		.account = account ? load_table_hash(account->name) : 0,
+	};
+	admission_decide(&explained->admission_query, &explained->admission);
+}
+
 static const char *result_name(placement_result_t result)
 {
 	static const char *const names[] = {
@@ -280,19 +312,45 @@
 	return list;
 }
 
+/* Adds what forward_admit() decides on. */
+static void describe_admission(const explained_t *explained, json_t *json)
+{
+	const admission_query_t *query = &explained->admission_query;
+	bool is_placed = explained->result == PLACEMENT_CHOSEN;
+	account_use_t use = admission_use(query);
+
+	json_object_set_new(
+		json, "deferred",
+		json_string(is_placed ? admission_cause_name(
+						explained->admission.cause)
+				      : "-"));
+	json_object_set_new(
+		json, "sent_priority",
+		is_placed ? json_integer(explained->admission.priority)
+			  : json_null());
+	json_object_set_new(json, "slots", json_integer(query->capacity.slots));
+	json_object_set_new(json, "free_slots",
+			    json_integer(query->capacity.free));
+	json_object_set_new(json, "account_requests",
+			    query->account ? json_integer(use.held)
+					   : json_null());
+	json_object_set_new(json, "account_share",
+			    query->account && use.share < INT64_MAX
+				    ? json_integer(use.share)
+				    : json_null());
+}
+
 static json_t *describe(const gateway_t *gateway, const explained_t *explained)
 {
 	const placement_t *placement = &explained->placement;
 	const route_conf_t *route = explained->route;
-	const account_conf_t *account = explained->account;
 	const char *service = explained->service->name;
-	int32_t priority = account && account->priority >= 0 ? account->priority
-							     : route->priority;
 	json_t *json = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:b,s:f,s:I}", "node",
 		gateway->settings.node_id, "data_centre",
 		gateway->settings.data_centre, "service", service, "route",
-		route->name, "priority", priority, "first_priority",
+		route->name, "priority", explained->admission_query.priority,
+		"first_priority",
 		routing_first_priority(gateway->routing, service),
 		"prompt_tokens", (json_int_t)explained->query.prompt_tokens,
 		"output_tokens", (json_int_t)explained->query.output_tokens,
@@ -314,6 +372,7 @@
 	json_object_set_new(json, "late_weight",
 			    json_real(placement->missed_weight));
 	json_object_set_new(json, "retry_after_ms", retry_after(explained));
+	describe_admission(explained, json);
 	json_object_set_new(json, "candidates",
 			    list_candidates(gateway, explained));
 	return json;
@@ -356,6 +415,7 @@
 		return;
 	}
 	place(gateway, &wanted, &explained);
+	admit(gateway, &explained);
 	reply(exchange, HTTP_OK, describe(gateway, &explained));
 	free(explained.candidates);
 }
