--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -221,6 +221,10 @@
 		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":2") "," ROUTE(
 			  "b", "h", "/b/", ",\"priority\":1")),
 		  1 },
+		{ "a less urgent route that counts, as it comes last",
+		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":1") "," ROUTE(
+			  "b", "h", "/b/", ",\"priority\":2")),
+		  1 },
 		{ "the priority of an account that counts as one of a kind",
 		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":5")), 5 },
 		{ "a route to another service that counts",
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -318,9 +318,11 @@
 		admit(site, i);
 	if (site->now_ms % (AGE_STEPS * STEP_MS) == 0)
 		announce(site);
-	for (; due > 0; due--)
+	while (due > 0) {
 		if (uniform(site) < due)
 			arrive(site);
+		due -= 1;
+	}
 }
 
 /* Adds to the results. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -14,7 +14,6 @@
 
 #include "base/clock.h"
 #include "base/mem.h"
-#include "base/metrics.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "process/gateway.h"
@@ -420,54 +419,6 @@
 	gateway_fixture_stop(&fixture);
 }
 
-static int64_t requests_of_acme(const gateway_fixture_t *fixture)
-{
-	return account_load_use(fixture->gateway->accounts,
-				load_table_hash("m"), load_table_hash("acme"),
-				1)
-		.held;
-}
-
-/* Guards against late requests that servers admit before others, against ones
- * that are deferred where servers state their rates, and against requests that
- * count for their account after their end. */
-static void defers_a_late_request(void **state)
-{
-	static const char *const headers[] = { "Host: h",
-					       "X-Request-Id: r1",
-					       "X-Deadline-Ms: 1400",
-					       FIXTURE_AUTHORIZATION,
-					       "X-Token-Counts: 100,100",
-					       NULL };
-	size_t i;
-
-	for (i = 0; i < 2; i++) {
-		gateway_fixture_t fixture;
-		const route_conf_t *route;
-		reply_t reply;
-
-		start(&fixture);
-		fixture.gateway->settings.controls_load = i;
-		route = routing_find(fixture.gateway->routing, "h",
-				     "/stream/long/");
-		((route_conf_t *)route)->target_ms = 1;
-		fixture.acts[0] = SERVES_DELAYED;
-		gateway_fixture_call(&fixture, &reply, "GET", "/stream/long/x",
-				     headers, NULL);
-		gateway_fixture_run(&fixture, 50);
-		assert_int_equal(fixture.arrival_count, 1);
-		assert_int_equal(!!strstr(fixture.arrivals[0].text,
-					  "X-Request-Priority: 9\r\n"),
-				 i);
-		assert_int_equal(metrics_get(METRIC_DEFERRED_LATE), i);
-		assert_int_equal(requests_of_acme(&fixture), i);
-		assert_true(gateway_fixture_wait(&fixture, &reply, 2000));
-		gateway_fixture_run(&fixture, 20);
-		assert_int_equal(requests_of_acme(&fixture), 0);
-		gateway_fixture_stop(&fixture);
-	}
-}
-
 /*
  * Guards against answers of two servers that reach the caller as one, when the
  * first was passed on in part: because it is long, or because there is no
@@ -1260,7 +1211,6 @@
 		cmocka_unit_test(aborts_a_stream_that_cannot_resume),
 		cmocka_unit_test(refuses_with_retry_before_the_deadline),
 		cmocka_unit_test(sends_headers_to_servers),
-		cmocka_unit_test(defers_a_late_request),
 		cmocka_unit_test(answers_of_two_servers_become_one),
 		cmocka_unit_test(server_gets_another_target),
 		cmocka_unit_test(node_serves_nothing_with_a_long_configuration),
--- a/tests/test_gateway_relay.c
+++ b/tests/test_gateway_relay.c
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "cases.h"
 #include "lib/gateway_fixture.h"
 #include "lib/memory.h"
@@ -648,6 +649,71 @@
 	stop(&pair);
 }
 
+static int64_t requests_of_acme(const gateway_fixture_t *fixture)
+{
+	return account_load_use(fixture->gateway->accounts,
+				load_table_hash("m"), load_table_hash("acme"),
+				1)
+		.held;
+}
+
+static int32_t deferred_at_servers(const gateway_fixture_t *fixture)
+{
+	const gateway_t *gateway = fixture->gateway;
+	backend_t *server = NULL;
+	int32_t sum = 0;
+
+	while ((server = backends_next(gateway->backends, server)))
+		sum += backend_load(server, gateway->load_table, NULL,
+				    clock_monotonic_us())
+			       .deferred;
+	return sum;
+}
+
+/* Guards against late requests that servers admit before others, or that other
+ * nodes do not know of, against ones that are deferred where servers state
+ * their rates, and against requests that count for their account after their
+ * end. */
+static void node_defers_a_late_request(void **state)
+{
+	static const char *const headers[] = { "Host: h",
+					       "X-Request-Id: r1",
+					       "X-Deadline-Ms: 1400",
+					       FIXTURE_AUTHORIZATION,
+					       "X-Token-Counts: 100,100",
+					       NULL };
+	int deferred;
+
+	for (deferred = 0; deferred < 2; deferred++) {
+		const route_conf_t *route;
+		reply_t reply;
+		pair_t pair;
+
+		start(&pair);
+		pair.near.gateway->settings.controls_load = deferred;
+		route = routing_find(pair.near.gateway->routing, "h",
+				     "/stream/long/");
+		((route_conf_t *)route)->target_ms = 1;
+		pair.near.acts[0] = SERVES_DELAYED;
+		gateway_fixture_call(&pair.near, &reply, "GET",
+				     "/stream/long/x", headers, NULL);
+		run(&pair, 80);
+		assert_int_equal(pair.near.arrival_count, 1);
+		assert_int_equal(!!strstr(pair.near.arrivals[0].text,
+					  "X-Request-Priority: 9\r\n"),
+				 deferred);
+		assert_int_equal(metrics_get(METRIC_DEFERRED_LATE), deferred);
+		assert_int_equal(requests_of_acme(&pair.near), deferred);
+		assert_int_equal(requests_of_acme(&pair.far), deferred);
+		assert_int_equal(deferred_at_servers(&pair.far), deferred);
+		finish_call(&pair, &reply);
+		run(&pair, 50);
+		assert_int_equal(requests_of_acme(&pair.near), 0);
+		assert_int_equal(requests_of_acme(&pair.far), 0);
+		stop(&pair);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
@@ -662,6 +728,7 @@
 		cmocka_unit_test(server_works_on_for_a_caller_behind_two_nodes),
 		cmocka_unit_test(others_than_nodes_get_in),
 		cmocka_unit_test(servers_stay_unused_after_the_cut),
+		cmocka_unit_test(node_defers_a_late_request),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, NULL);
