--- a/src/process/gateway_receive.c
+++ b/src/process/gateway_receive.c
@@ -108,6 +108,7 @@
 			       const announcement_t *message)
 {
 	receive_paces(gateway, message);
+	account_load_receive(gateway->accounts, message, clock_monotonic_us());
 	receive_rates(gateway, message);
 	receive_causes(gateway, message);
 	inform_new_node(gateway, message);
--- a/src/request/forward_log.c
+++ b/src/request/forward_log.c
@@ -61,7 +61,8 @@
 		  " late_weight=%.2f readers=%d writers=%d gap_ms=%" PRId64
 		  " pending_ms=%" PRId64 " kv=%" PRId64
 		  " pace=%.2f doubtful=%d after_event=%s helpers=%s"
-		  " content=%" PRIx64 " leaves=%s segments=%s",
+		  " content=%" PRIx64 " leaves=%s segments=%s rank=%d"
+		  " deferred=%s",
 		  id_of(forward), entry->id, entry->data_centre,
 		  placement->count, forward->request.prompt_tokens,
 		  placement->first_event_us / US_PER_MS,
@@ -71,7 +72,9 @@
 		  first->slowdown, first->fallback,
 		  *forward->last_event_id ? forward->last_event_id : "-",
 		  helpers, forward->content,
-		  placement_leaves_name(placement->leaves), segments);
+		  placement_leaves_name(placement->leaves), segments,
+		  forward_rank(forward),
+		  admission_cause_name(forward->admission.cause));
 }
 
 void forward_log_busy(const forward_t *forward, const char *reason)
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -89,6 +89,10 @@
 		.controls_load = forward->gateway->settings.controls_load,
 	};
 
+	if (query.controls_load)
+		query.ranks_below =
+			forward->route->priority -
+			routing_first_priority(forward->routing, service->name);
 	if (query.prompt_tokens <= 0)
 		query.prompt_tokens = service->engine.usual_prompt_tokens;
 	if (query.target_us < 0)
@@ -206,6 +210,7 @@
 	forward_count_left(forward);
 	if (forward->reservation)
 		reservation_note_used(forward->reservation);
+	forward_count_deferred(forward);
 	add_tried(forward, choice_server(&forward->choice, 0));
 	forward_segments_sent(forward);
 	forward->phase = FORWARD_SENT;
@@ -269,6 +274,7 @@
 	forward->phase = FORWARD_WAITING;
 	switch (forward_choose(forward, &forward->choice)) {
 	case PLACEMENT_CHOSEN:
+		forward_admit(forward);
 		if (!take_from_limits(forward))
 			wait_or_refuse(forward);
 		else if (placement->shared_memory)
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -68,13 +68,6 @@
 	return 0;
 }
 
-static int32_t priority_of(const forward_t *forward)
-{
-	if (forward->account && forward->account->priority >= 0)
-		return forward->account->priority;
-	return forward->route->priority;
-}
-
 void attempt_send(forward_t *forward, const char *address, char **headers)
 {
 	exchange_t *exchange = forward->exchange;
@@ -112,7 +105,7 @@
 		.account = forward->account ? forward->account->name : NULL,
 		.deadline_ms = (forward->limit_us - forward->attempt->sent_us) /
 			       US_PER_MS,
-		.priority = priority_of(forward),
+		.priority = forward->admission.priority,
 		.last_event_id = forward->last_event_id,
 		.helpers = helpers,
 	};
@@ -163,6 +156,7 @@
 			   forward_kv_tokens(forward),
 			   forward->route->event_gap_target_ms * US_PER_MS,
 			   forward_due_us(forward));
+	attempt_count_account(forward, attempt);
 	for (i = 0; i < placement->count; i++) {
 		backend_t *server = placement->shards[i]->server;
 
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -6,6 +6,7 @@
 #ifndef REQUEST_FORWARD_STATE_H
 #define REQUEST_FORWARD_STATE_H
 
+#include "admission/admission.h"
 #include "base/metrics.h"
 #include "process/gateway_state.h"
 #include "process/attempt_load.h"
@@ -40,6 +41,7 @@
 			     * was passed on; 0: it was sent to servers */
 	relay_outcome_t relay_outcome; /**< as this node stated it */
 	attempt_load_t load; /**< load that the attempt puts on its servers */
+	bool is_counted; /**< it counts as a request of its account */
 	int64_t sent_us; /**< when the attempt was sent */
 	int64_t predicted_us; /**< predicted time from sending to first event */
 	/** Predicted time to the first event at the stated speed of the server,
@@ -103,6 +105,7 @@
 	int32_t runs; /**< ended attempts that executed the request, or may
 		       * have */
 	choice_t choice; /**< servers of the current attempt */
+	admission_t admission; /**< of the current attempt */
 	reservation_t *reservation; /**< engine memory for the current attempt;
 				     * NULL: none needed */
 	int32_t reservations_failed;
@@ -140,6 +143,19 @@
  * centre. */
 void forward_count_far(const forward_t *forward, metric_t metric, size_t bytes);
 
+/* forward_admit.c */
+/** @return priority of the request's account, or of its route; 0: most urgent
+ */
+int32_t forward_rank(const forward_t *forward);
+/** Decides how urgent the request is to the chosen servers. */
+void forward_admit(forward_t *forward);
+/** Counts a request that is sent and deferred, by cause. */
+void forward_count_deferred(const forward_t *forward);
+/** Counts an attempt that is sent to servers as a request of its account. */
+void attempt_count_account(const forward_t *forward, attempt_t *attempt);
+/** Ends what attempt_count_account() counted. */
+void attempt_uncount_account(const forward_t *forward, attempt_t *attempt);
+
 /* forward_send.c */
 /** Sends the request to the chosen servers. */
 void attempt_start(forward_t *forward);
