--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -89,12 +89,8 @@
 	/** Contents of requests that may crash servers. */
 	segment_report_t contents[ANNOUNCED_CONTENTS_MAX];
 	size_t content_count; /**< entries of contents */
-	waiting_report_t waiting[ANNOUNCED_WAITING_MAX];
-	size_t waiting_count; /**< entries of waiting */
 	account_report_t accounts[ANNOUNCED_ACCOUNTS_MAX];
 	size_t account_count; /**< entries of accounts */
-	promise_report_t promises[ANNOUNCED_PROMISES_MAX];
-	size_t promise_count; /**< entries of promises */
 	pace_report_t paces[ANNOUNCED_PACES_MAX];
 	size_t pace_count; /**< entries of paces */
 	load_item_t *items;
--- a/src/process/packet_announced.c
+++ b/src/process/packet_announced.c
@@ -5,9 +5,7 @@
 /* Percent of a slowdown factor of 1. */
 #define PERCENT 100.0
 /* Bounds of what other nodes state. */
-enum { RANK_MAX = 100, COUNT_MAX = 1000000, SAMPLES_MAX = 1000 };
-#define PREFILL_MAX_US (3600 * US_PER_S)
-#define RETURN_MAX_US (600 * US_PER_S)
+enum { COUNT_MAX = 1000000, SAMPLES_MAX = 1000 };
 #define SLOWDOWN_MAX_PERCENT 10000
 
 static int64_t at_most(int64_t value, int64_t max)
@@ -23,32 +21,6 @@
 	return ms > 0 ? (uint32_t)at_most(ms, UINT32_MAX) : 0;
 }
 
-static int64_t from_ms(uint32_t ms, int64_t max_us)
-{
-	return at_most((int64_t)ms * US_PER_MS, max_us);
-}
-
-static void pack_waiting(const announcement_t *message,
-			 packed_announced_t *packed,
-			 Work__Announcement *announcement)
-{
-	size_t i;
-
-	for (i = 0; i < message->waiting_count; i++) {
-		const waiting_report_t *report = &message->waiting[i];
-		Work__Waiting *waiting = &packed->waiting[i];
-
-		work__waiting__init(waiting);
-		waiting->service = report->service_hash;
-		waiting->rank = (uint32_t)report->rank;
-		waiting->count = (uint32_t)report->count;
-		waiting->prefill_ms = to_ms(report->prefill_us);
-		packed->waiting_pointers[i] = waiting;
-	}
-	announcement->n_waiting = message->waiting_count;
-	announcement->waiting = packed->waiting_pointers;
-}
-
 static void pack_accounts(const announcement_t *message,
 			  packed_announced_t *packed,
 			  Work__Announcement *announcement)
@@ -69,27 +41,6 @@
 	announcement->accounts = packed->account_pointers;
 }
 
-static void pack_promises(const announcement_t *message,
-			  packed_announced_t *packed,
-			  Work__Announcement *announcement)
-{
-	size_t i;
-
-	for (i = 0; i < message->promise_count; i++) {
-		const promise_report_t *report = &message->promises[i];
-		Work__Promise *promise = &packed->promises[i];
-
-		work__promise__init(promise);
-		promise->content = report->content;
-		promise->return_in_ms = to_ms(report->return_in_us);
-		promise->overdue_ms = to_ms(-report->return_in_us);
-		promise->prefill_ms = to_ms(report->prefill_us);
-		packed->promise_pointers[i] = promise;
-	}
-	announcement->n_promises = message->promise_count;
-	announcement->promises = packed->promise_pointers;
-}
-
 static void pack_paces(const announcement_t *message,
 		       packed_announced_t *packed,
 		       Work__Announcement *announcement)
@@ -115,9 +66,7 @@
 			   packed_announced_t *packed,
 			   Work__Announcement *announcement)
 {
-	pack_waiting(message, packed, announcement);
 	pack_accounts(message, packed, announcement);
-	pack_promises(message, packed, announcement);
 	pack_paces(message, packed, announcement);
 }
 
@@ -126,19 +75,6 @@
 {
 	size_t i;
 
-	for (i = 0; i < announcement->n_waiting && i < ANNOUNCED_WAITING_MAX;
-	     i++) {
-		const Work__Waiting *waiting = announcement->waiting[i];
-
-		message->waiting[i] = (waiting_report_t){
-			.service_hash = waiting->service,
-			.rank = (int32_t)at_most(waiting->rank, RANK_MAX),
-			.count = (int32_t)at_most(waiting->count, COUNT_MAX),
-			.prefill_us =
-				from_ms(waiting->prefill_ms, PREFILL_MAX_US),
-		};
-	}
-	message->waiting_count = i;
 	for (i = 0; i < announcement->n_accounts && i < ANNOUNCED_ACCOUNTS_MAX;
 	     i++) {
 		const Work__AccountLoad *account = announcement->accounts[i];
@@ -150,20 +86,6 @@
 		};
 	}
 	message->account_count = i;
-	for (i = 0; i < announcement->n_promises && i < ANNOUNCED_PROMISES_MAX;
-	     i++) {
-		const Work__Promise *promise = announcement->promises[i];
-
-		message->promises[i] = (promise_report_t){
-			.content = promise->content,
-			.return_in_us =
-				from_ms(promise->return_in_ms, RETURN_MAX_US) -
-				from_ms(promise->overdue_ms, RETURN_MAX_US),
-			.prefill_us =
-				from_ms(promise->prefill_ms, PREFILL_MAX_US),
-		};
-	}
-	message->promise_count = i;
 	for (i = 0; i < announcement->n_paces && i < ANNOUNCED_PACES_MAX; i++) {
 		const Work__Pace *pace = announcement->paces[i];
 		int64_t percent = at_most(pace->percent, SLOWDOWN_MAX_PERCENT);
--- a/src/process/packet_announced.h
+++ b/src/process/packet_announced.h
@@ -11,12 +11,8 @@
 /** The packed lists of one announcement, with the arrays of pointers that it
  * needs. */
 typedef struct {
-	Work__Waiting waiting[ANNOUNCED_WAITING_MAX];
-	Work__Waiting *waiting_pointers[ANNOUNCED_WAITING_MAX];
 	Work__AccountLoad accounts[ANNOUNCED_ACCOUNTS_MAX];
 	Work__AccountLoad *account_pointers[ANNOUNCED_ACCOUNTS_MAX];
-	Work__Promise promises[ANNOUNCED_PROMISES_MAX];
-	Work__Promise *promise_pointers[ANNOUNCED_PROMISES_MAX];
 	Work__Pace paces[ANNOUNCED_PACES_MAX];
 	Work__Pace *pace_pointers[ANNOUNCED_PACES_MAX];
 } packed_announced_t;
--- a/src/proto/work.pb-c.h
+++ b/src/proto/work.pb-c.h
@@ -17,9 +17,7 @@
 
 typedef struct Work__Packet Work__Packet;
 typedef struct Work__Announcement Work__Announcement;
-typedef struct Work__Waiting Work__Waiting;
 typedef struct Work__AccountLoad Work__AccountLoad;
-typedef struct Work__Promise Work__Promise;
 typedef struct Work__Pace Work__Pace;
 typedef struct Work__Segment Work__Segment;
 typedef struct Work__Rate Work__Rate;
@@ -136,21 +134,11 @@
    */
   size_t n_cut_off;
   uint32_t *cut_off;
-  /*
-   * requests that wait at the sender
-   */
-  size_t n_waiting;
-  Work__Waiting **waiting;
   /*
    * Requests of the sender that are in progress, by service and account.
    */
   size_t n_accounts;
   Work__AccountLoad **accounts;
-  /*
-   * refused requests that are to return
-   */
-  size_t n_promises;
-  Work__Promise **promises;
   /*
    * slowdown factors that the sender measured
    */
@@ -159,32 +147,7 @@
 };
 #define WORK__ANNOUNCEMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&work__announcement__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
-
-
-/*
- * Requests of one service and rank that wait at a node for a server.
- */
-struct  Work__Waiting
-{
-  ProtobufCMessage base;
-  /*
-   * hash of the service's name
-   */
-  uint32_t service;
-  /*
-   * 0 is the most urgent
-   */
-  uint32_t rank;
-  uint32_t count;
-  /*
-   * prefill of all of them
-   */
-  uint32_t prefill_ms;
-};
-#define WORK__WAITING__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&work__waiting__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0, 0, 0,NULL, 0, 0,NULL, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -208,34 +171,6 @@
     , 0, 0, 0 }
 
 
-/*
- * A refused request that was told when to return.
- */
-struct  Work__Promise
-{
-  ProtobufCMessage base;
-  /*
-   * hash of what the request asks for
-   */
-  uint64_t content;
-  /*
-   * time until it may return; 0: it may now
-   */
-  uint32_t return_in_ms;
-  /*
-   * time since it could first return
-   */
-  uint32_t overdue_ms;
-  /*
-   * prefill that it needs
-   */
-  uint32_t prefill_ms;
-};
-#define WORK__PROMISE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&work__promise__descriptor) \
-    , 0, 0, 0, 0 }
-
-
 /*
  * Slowdown factor of a server.
  */
@@ -538,25 +473,6 @@
 void   work__announcement__free_unpacked
                      (Work__Announcement *message,
                       ProtobufCAllocator *allocator);
-/* Work__Waiting methods */
-void   work__waiting__init
-                     (Work__Waiting         *message);
-size_t work__waiting__get_packed_size
-                     (const Work__Waiting   *message);
-size_t work__waiting__pack
-                     (const Work__Waiting   *message,
-                      uint8_t             *out);
-size_t work__waiting__pack_to_buffer
-                     (const Work__Waiting   *message,
-                      ProtobufCBuffer     *buffer);
-Work__Waiting *
-       work__waiting__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   work__waiting__free_unpacked
-                     (Work__Waiting *message,
-                      ProtobufCAllocator *allocator);
 /* Work__AccountLoad methods */
 void   work__account_load__init
                      (Work__AccountLoad         *message);
@@ -576,25 +492,6 @@
 void   work__account_load__free_unpacked
                      (Work__AccountLoad *message,
                       ProtobufCAllocator *allocator);
-/* Work__Promise methods */
-void   work__promise__init
-                     (Work__Promise         *message);
-size_t work__promise__get_packed_size
-                     (const Work__Promise   *message);
-size_t work__promise__pack
-                     (const Work__Promise   *message,
-                      uint8_t             *out);
-size_t work__promise__pack_to_buffer
-                     (const Work__Promise   *message,
-                      ProtobufCBuffer     *buffer);
-Work__Promise *
-       work__promise__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   work__promise__free_unpacked
-                     (Work__Promise *message,
-                      ProtobufCAllocator *allocator);
 /* Work__Pace methods */
 void   work__pace__init
                      (Work__Pace         *message);
@@ -774,15 +671,9 @@
 typedef void (*Work__Announcement_Closure)
                  (const Work__Announcement *message,
                   void *closure_data);
-typedef void (*Work__Waiting_Closure)
-                 (const Work__Waiting *message,
-                  void *closure_data);
 typedef void (*Work__AccountLoad_Closure)
                  (const Work__AccountLoad *message,
                   void *closure_data);
-typedef void (*Work__Promise_Closure)
-                 (const Work__Promise *message,
-                  void *closure_data);
 typedef void (*Work__Pace_Closure)
                  (const Work__Pace *message,
                   void *closure_data);
@@ -818,9 +709,7 @@
 
 extern const ProtobufCMessageDescriptor work__packet__descriptor;
 extern const ProtobufCMessageDescriptor work__announcement__descriptor;
-extern const ProtobufCMessageDescriptor work__waiting__descriptor;
 extern const ProtobufCMessageDescriptor work__account_load__descriptor;
-extern const ProtobufCMessageDescriptor work__promise__descriptor;
 extern const ProtobufCMessageDescriptor work__pace__descriptor;
 extern const ProtobufCMessageDescriptor work__segment__descriptor;
 extern const ProtobufCMessageDescriptor work__rate__descriptor;
