--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -160,29 +160,38 @@
 }
 
 static void send_announcement(gateway_t *gateway, const peer_t *peers,
-			      size_t count, int64_t now_us)
+			      size_t count, bool near_only, int64_t now_us)
 {
 	uint8_t data[PACKET_SIZE_MAX_BYTES];
 	size_t size = encode_announcement(gateway, now_us, data, sizeof(data));
-	size_t i;
+	size_t i, sent = 0;
 
-	for (i = 0; size && i < count; i++)
+	for (i = 0; size && i < count; i++) {
+		if (near_only && strcmp(peers[i].data_centre,
+					gateway->settings.data_centre) != 0)
+			continue;
 		datagram_send(gateway->datagram, peers[i].address, data, size);
-	metrics_add(METRIC_PEER_SENT, (int64_t)count);
-	metrics_add(METRIC_PEER_SENT_BYTES, (int64_t)(size * count));
+		sent++;
+	}
+	metrics_add(METRIC_PEER_SENT, (int64_t)sent);
+	metrics_add(METRIC_PEER_SENT_BYTES, (int64_t)(size * sent));
 }
 
 static void announce(gateway_t *gateway, int64_t now_us)
 {
+	bool far = far_pace_take(&gateway->far_pace,
+				 gateway->settings.controls_load, now_us);
+
 	gateway->announced_us = now_us;
 	gateway->announce_due = false;
-	send_announcement(gateway, gateway->peers, gateway->peer_count, now_us);
+	send_announcement(gateway, gateway->peers, gateway->peer_count, !far,
+			  now_us);
 	gateway_send_updates(gateway);
 }
 
 void gateway_announce_to(gateway_t *gateway, const peer_t *peer)
 {
-	send_announcement(gateway, peer, 1, clock_monotonic_us());
+	send_announcement(gateway, peer, 1, false, clock_monotonic_us());
 }
 
 void gateway_acknowledge(gateway_t *gateway, uint64_t node)
@@ -259,6 +268,7 @@
 	int64_t now_us = clock_monotonic_us();
 	double pause_s = urgent ? ANNOUNCE_MIN_S : announce_pause_s(gateway);
 
+	far_pace_changed(&gateway->far_pace, urgent);
 	pause_s -= (double)(now_us - gateway->announced_us) / (double)US_PER_S;
 	if (pause_s < 0)
 		pause_s = 0;
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -19,6 +19,7 @@
 #include "process/load_table.h"
 #include "request/retry.h"
 #include "version/routing.h"
+#include "zone/far_pace.h"
 
 enum {
 	KINDS_WATCHED = LOAD_VIEWS,
@@ -136,6 +137,7 @@
 	ev_timer announce, registry;
 	bool announce_due; /**< the load changed since the last announcement */
 	int64_t announced_us;
+	far_pace_t far_pace; /**< announcements to other data centres */
 	uint64_t incarnation, sequence;
 	int64_t started_us;
 	ev_timer update_timer; /**< sends changes to subscribers */
--- a/tests/test_zone_flow.c
+++ b/tests/test_zone_flow.c
@@ -10,6 +10,7 @@
 #include "base/units.h"
 #include "cases.h"
 #include "process/placement.h"
+#include "zone/far_pace.h"
 #include "zone/zone_flow.h"
 
 enum {
@@ -475,9 +476,42 @@
 	zone_flow_destroy(flow);
 }
 
+/* Guards against other data centres that hear late of new load, or are taken
+ * for partitioned, and against bytes for load that ended. */
+static void announces_to_other_data_centres(void **state)
+{
+	static const struct {
+		const char *guards_against;
+		bool controls_load, grew;
+		int64_t pause_ms;
+		bool far;
+	} cases[] = {
+		{ "new load that is announced late", true, true, 20, true },
+		{ "bytes for load that ended", true, false, 20, false },
+		{ "silence that looks like a partition", true, false, 150,
+		  true },
+		{ "a change without load control", false, false, 20, true },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		far_pace_t pace = { .load_grew = false };
+		int64_t now_us = US_PER_S;
+
+		assert_true(
+			far_pace_take(&pace, cases[i].controls_load, now_us));
+		far_pace_changed(&pace, cases[i].grew);
+		now_us += cases[i].pause_ms * US_PER_MS;
+		if (far_pace_take(&pace, cases[i].controls_load, now_us) !=
+		    cases[i].far)
+			fail_msg("case \"%s\"", cases[i].guards_against);
+	}
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
+		cmocka_unit_test(announces_to_other_data_centres),
 		cmocka_unit_test(shares_follow_pressure),
 		cmocka_unit_test(sends_the_share),
 		cmocka_unit_test(serves_callers_and_keeps_requests),
