Ranks: bound the difference of priorities

The priorities of routes come from the configuration as any 32-bit numbers, and their difference overflowed. It is bounded to 0 to 9, which is all that servers know; a test of the adapter notices.

--- a/src/process/gateway_explain.c
+++ b/src/process/gateway_explain.c
@@ -162,12 +162,11 @@
 		.target_us = route->target_ms * US_PER_MS,
 		.limit_us = route->timeout_ms * US_PER_MS,
 		.may_refuse = true,
-		.ranks_below =
-			gateway->settings.controls_load
-				? route->priority - routing_first_priority(
-							    gateway->routing,
-							    service->name)
-				: 0,
+		.ranks_below = gateway->settings.controls_load
+				       ? routing_ranks_below(gateway->routing,
+							     route,
+							     service->name)
+				       : 0,
 		.controls_load = gateway->settings.controls_load,
 		.nodes = gateway->nodes,
 		/* The node's own sequence of random numbers stays as it is. */
--- a/src/request/forward_admit.c
+++ b/src/request/forward_admit.c
@@ -60,9 +60,8 @@
 		.placement = &forward->choice.placement,
 		.prompt_tokens = forward->request.prompt_tokens,
 		.priority = forward_rank(forward),
-		.ranks_below =
-			forward->route->priority -
-			routing_first_priority(forward->routing, service->name),
+		.ranks_below = routing_ranks_below(
+			forward->routing, forward->route, service->name),
 		.salt = gateway_random(forward->gateway),
 		.target_us = forward->route->target_ms * US_PER_MS - waited_us,
 		.waited_us = waited_us,
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -90,9 +90,8 @@
 	};
 
 	if (query.controls_load)
-		query.ranks_below =
-			forward->route->priority -
-			routing_first_priority(forward->routing, service->name);
+		query.ranks_below = routing_ranks_below(
+			forward->routing, forward->route, service->name);
 	if (query.prompt_tokens <= 0)
 		query.prompt_tokens = service->engine.usual_prompt_tokens;
 	if (query.target_us < 0)
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -258,6 +258,17 @@
 		     : 0;
 }
 
+int32_t routing_ranks_below(const routing_t *routing, const route_conf_t *route,
+			    const char *service)
+{
+	int64_t ranks = (int64_t)route->priority -
+			routing_first_priority(routing, service);
+
+	if (ranks < 0)
+		return 0;
+	return ranks < ROUTING_RANKS_MAX ? (int32_t)ranks : ROUTING_RANKS_MAX;
+}
+
 const char *routing_target(const route_conf_t *route, uint64_t draw)
 {
 	int64_t total = 0, offset;
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -164,6 +164,15 @@
  */
 int32_t routing_first_priority(const routing_t *routing, const char *service);
 
+/** Greatest difference of priorities: servers know those from 0 to 9. */
+enum { ROUTING_RANKS_MAX = 9 };
+/**
+ * @return steps of priority between the most urgent route of a service and a
+ *         route that leads to it, 0 to ROUTING_RANKS_MAX
+ */
+int32_t routing_ranks_below(const routing_t *routing, const route_conf_t *route,
+			    const char *service);
+
 /**
  * Chooses a service of a route by weight.
  * @param draw random number, uniform over all values of the type
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -249,6 +249,27 @@
 	}
 }
 
+/* Guards against priorities whose difference overflows. */
+static void bounds_ranks(void **state)
+{
+	routing_t *routing = decode(CONFIG(
+		ROUTE("a", "h", "/a/",
+		      ",\"priority\":-9999999999") "," ROUTE("b", "h", "/b/",
+							     ",\"priority\":"
+							     "9999999999")));
+
+	assert_non_null(routing);
+	assert_int_equal(routing_ranks_below(routing,
+					     routing_find(routing, "h", "/b/x"),
+					     "s"),
+			 ROUTING_RANKS_MAX);
+	assert_int_equal(routing_ranks_below(routing,
+					     routing_find(routing, "h", "/a/x"),
+					     "s"),
+			 0);
+	routing_unref(routing);
+}
+
 /* Guards against keys that are ignored or misread, and against wrong units. */
 static void decodes_routing(void **state)
 {
@@ -660,6 +681,7 @@
 		cmocka_unit_test(refuses_a_long_settings_file),
 		cmocka_unit_test(finds_routes),
 		cmocka_unit_test(finds_most_urgent_kind_of_a_service),
+		cmocka_unit_test(bounds_ranks),
 		cmocka_unit_test(decodes_routing),
 		cmocka_unit_test(bounds_numbers),
 		cmocka_unit_test(numbers_of_an_engine_overflow),
