Placement: keep one in four long prompts of less urgent kinds

The weight of a request is halved for each step of priority, also where placement decides if a long prompt costs others too much. With 200 ms of prefill on all servers, a prompt of 40,000 tokens two steps below the most urgent kind was always refused (0 of 100 in tests/test_placement), and the most urgent one always placed. One in four is now judged by its full weight, since no kind is to be served less than a quarter as often as all.

--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -25,7 +25,10 @@
 	/* Free slots that are left to requests of other nodes: without one, 57
 	 * instead of 11 of 1,000 short prompts meet a full server in
 	 * test_uneven. */
-	SLOTS_SPARE = 1
+	SLOTS_SPARE = 1,
+	/* One in so many long prompts is not refused for its rank: no kind is
+	 * to be served less than a quarter as often as all. */
+	KEPT_DIVISOR = 4
 };
 
 double placement_weight(const placement_query_t *query, int64_t prompt_tokens)
@@ -212,7 +215,9 @@
 			      const placement_query_t *query,
 			      const placement_t *placement)
 {
-	double weight = placement_own_weight(query);
+	double weight = query->salt % KEPT_DIVISOR
+				? placement_own_weight(query)
+				: placement_weight(query, query->prompt_tokens);
 	bool missed = placement->first_event_us > query->target_us;
 	double others_weight = placement->missed_weight;
 	double backlog_us, prefill_us = 0;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -502,6 +502,44 @@
 	}
 }
 
+/* Guards against long prompts of a less urgent kind that are all refused while
+ * prefill waits everywhere and urgent ones are served. */
+static void keeps_some_long_prompts_of_each_rank(void **state)
+{
+	enum { REQUESTS = 100 };
+	placement_query_t query = { .engine = &engine,
+				    .prompt_tokens = 40000,
+				    .output_tokens = 300,
+				    .objective_us = 2 * US_PER_S,
+				    .target_us = 2 * US_PER_S,
+				    .limit_us = 10 * US_PER_S,
+				    .may_refuse = true,
+				    .nodes = 1,
+				    .controls_load = true };
+	candidate_t candidates[SERVERS];
+	state_t states[SERVERS];
+	placement_t placement;
+	size_t i;
+
+	for (i = 0; i < SERVERS; i++)
+		states[i] = (state_t){ .decoding = 2,
+				       .gap_ms = 250,
+				       .pending_ms = 200 };
+	fill(candidates, states, SERVERS);
+	for (; query.ranks_below <= 9; query.ranks_below++) {
+		int placed = 0;
+
+		for (query.salt = 0; query.salt < REQUESTS; query.salt++)
+			placed += placement_choose(candidates, SERVERS, &query,
+						   &placement) ==
+				  PLACEMENT_CHOSEN;
+		if (query.ranks_below ? placed * 4 < REQUESTS
+				      : placed < REQUESTS)
+			fail_msg("%d steps of priority below: %d placed",
+				 query.ranks_below, placed);
+	}
+}
+
 /* Guards against a prompt that exceeds one server's memory but is sent to a
  * single server. */
 static void splits_prompts_beyond_one_memory(void **state)
@@ -626,6 +664,7 @@
 		cmocka_unit_test(packs_short_prompts),
 		cmocka_unit_test(spreads_a_burst_of_short_prompts),
 		cmocka_unit_test(refuses_requests),
+		cmocka_unit_test(keeps_some_long_prompts_of_each_rank),
 		cmocka_unit_test(splits_prompts_beyond_one_memory),
 		cmocka_unit_test(places_requests_past_their_objective),
 		cmocka_unit_test(spreads_plain_calls),
