Detect cut answers with other codings, and forget old spillover

Any Transfer-Encoding counted as chunked, so that the part of an answer with "identity" was delivered as complete when the server closed the connection during the upload.

The shares of a service were changed for at most 250 ms after a quiet time of any length: after 10 s without a request, 53 % of the requests still left an idle data centre. The state is discarded after 4 s, in which a share can fall to 0 in steps.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -247,11 +247,18 @@
 	free(value);
 }
 
-static bool is_transfer_encoding(const char *line, size_t size)
+/* @return true if the header says that the body is sent in chunks: only then
+ * does the last chunk show its end. Chunks are always the last coding. */
+static bool is_chunked(const char *line, size_t size)
 {
-	static const char name[] = "Transfer-Encoding:";
-
-	return size >= strlen(name) && !strncasecmp(line, name, strlen(name));
+	static const char name[] = "Transfer-Encoding:", coding[] = "chunked";
+	size_t coding_size = strlen(coding);
+
+	while (size && strchr(" \t\r\n", line[size - 1]))
+		size--;
+	return size >= strlen(name) + coding_size &&
+	       !strncasecmp(line, name, strlen(name)) &&
+	       !strncasecmp(line + size - coding_size, coding, coding_size);
 }
 
 static size_t on_curl_header(char *line, size_t unit, size_t count,
@@ -276,7 +283,7 @@
 		return size;
 	/* The line end alone, 2 bytes at most, ends the headers. */
 	if (size > 2) {
-		call->is_chunked |= is_transfer_encoding(line, size);
+		call->is_chunked |= is_chunked(line, size);
 		if (call->handler.on_header)
 			deliver_header(call, line, size);
 		return call->cancelled ? 0 : size;
--- a/src/zone/zone_flow.c
+++ b/src/zone/zone_flow.c
@@ -34,6 +34,9 @@
 /* Longest time for which one update changes shares, also if the last one was
  * longer ago: a node without requests has not seen what happened since. */
 #define UPDATE_MAX_US (250 * US_PER_MS)
+/* Time after the last update from which the state is discarded: each share
+ * could have fallen to 0 since. */
+#define FORGET_US (US_PER_S / FALL_PER_S)
 /* Largest share that is used to estimate demand from the requests that stay. */
 #define SENT_MAX 0.9
 /* Shares below this count as none. */
@@ -304,6 +307,8 @@
 	double offers[ZONES_MAX], offered = 0, growth;
 	size_t i;
 
+	if ((double)passed_us >= FORGET_US)
+		memset(flow->zones, 0, sizeof(flow->zones));
 	flow->updated_us = now_us;
 	enter_loads(flow, zones, count, us);
 	for (i = 0; i < ZONES_MAX; i++)
--- a/tests/test_zone_flow.c
+++ b/tests/test_zone_flow.c
@@ -447,6 +447,34 @@
 	}
 }
 
+/* Guards against a first request after a quiet time that is sent away for the
+ * load of back then. */
+static void forgets_old_pressure(void **state)
+{
+	static const struct {
+		int32_t idle_ms;
+		double min, max; /* share after it */
+	} cases[] = { { 3000, 0.05, 0.6 }, { 10000, 0, 0 } };
+	zone_load_t busy[ZONES] = { { 0, 40, 38 }, { 1, 40, 4 }, { 2, 40, 4 } };
+	zone_load_t idle[ZONES] = { { 0, 40, 0 }, { 1, 40, 0 }, { 2, 40, 0 } };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		zone_flow_t *flow = zone_flow_create(0);
+		int64_t now_us = US_PER_S;
+		double share;
+
+		for (; now_us < 5 * US_PER_S; now_us += UPDATE_MS * US_PER_MS)
+			zone_flow_update(flow, busy, ZONES, now_us);
+		now_us += cases[i].idle_ms * US_PER_MS;
+		zone_flow_update(flow, idle, ZONES, now_us);
+		share = zone_flow_share(flow, 0);
+		if (share < cases[i].min || share > cases[i].max)
+			fail_msg("%d ms: %.3f", cases[i].idle_ms, share);
+		zone_flow_destroy(flow);
+	}
+}
+
 /* Guards against a request that may go to no data centre, or to two, and
  * against a share that is not kept. */
 static void sends_the_share(void **state)
@@ -479,6 +507,7 @@
 {
 	static const struct CMUnitTest tests[] = {
 		cmocka_unit_test(shares_follow_pressure),
+		cmocka_unit_test(forgets_old_pressure),
 		cmocka_unit_test(sends_the_share),
 		cmocka_unit_test(serves_callers_and_keeps_requests),
 	};
