Measure spillover by the service's own objectives, and share Retry-After

A server counted as full from 180 ms of prefill backlog on, which is 0.6 of the 300 ms objective of one deployment. It is 0.6 of the shortest objective of the service's routes now, found when the configuration is read.

Both callers use process/retry_after now.

--- a/src/process/backends.h
+++ b/src/process/backends.h
@@ -274,6 +274,8 @@
 	uint64_t salt; /**< random number of the request */
 	/** Expected bytes of request and answer. */
 	int64_t traffic_bytes;
+	/** Shortest latency objective of the routes to the service; 0: none. */
+	int64_t objective_us;
 } backends_query_t;
 
 /**
--- a/src/process/backends_zones.c
+++ b/src/process/backends_zones.c
@@ -5,9 +5,6 @@
 /* Least time between two updates of the shares of a service: nodes announce
  * new load about so often. */
 #define FLOW_INTERVAL_US (50 * US_PER_MS)
-/* Prefill backlog at and above which a server serves no short prompt in time:
- * the share of the shortest objective, 300 ms, that a prediction may use. */
-#define BACKLOG_FULL_US (180 * US_PER_MS)
 /* Assumed duration of a call to a plain service. */
 #define PLAIN_CALL_US (15 * US_PER_MS)
 #define BYTES_PER_MB 1e6
@@ -45,16 +42,20 @@
 	return cold < capacity ? cold : capacity;
 }
 
+/* @return requests in progress, or the slots that the prefill backlog makes
+ * useless. All are where a prompt without any prefill of its own would miss the
+ * shortest objective. */
 static double used_of(const candidate_t *candidate,
-		      const service_conf_t *service)
+		      const backends_query_t *query)
 {
 	const server_load_t *load = &candidate->load;
 	double running = load->prefilling + load->decoding;
-	double backlog = service->engine.present
-				 ? (double)load->backlog_us / BACKLOG_FULL_US
-				 : 0;
-	double slots = candidate->slots * (backlog < 1 ? backlog : 1);
+	double full_us = (double)query->objective_us * PLACEMENT_TARGET_SHARE;
+	double backlog = 0, slots;
 
+	if (query->service->engine.present && full_us > 0)
+		backlog = (double)load->backlog_us / full_us;
+	slots = candidate->slots * (backlog < 1 ? backlog : 1);
 	return running > slots ? running : slots;
 }
 
@@ -109,7 +110,7 @@
 	if (!zone)
 		return;
 	zone->capacity += capacity_of(candidate, query);
-	zone->used += used_of(candidate, query->service);
+	zone->used += used_of(candidate, query);
 }
 
 const zone_flow_t *backends_end_sum(backends_t *backends,
--- a/src/process/gateway_explain.c
+++ b/src/process/gateway_explain.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/mem.h"
 #include "process/gateway_state.h"
+#include "process/retry_after.h"
 
 enum {
 	/* Candidates listed in one answer; it says how many there are. */
@@ -14,9 +15,6 @@
 	QUERY_SIZE_BYTES = 1024,
 	/* Of the body of a request, for the price of traffic. */
 	BYTES_PER_PROMPT_TOKEN = 4,
-	/* As in request/forward_place.c. */
-	NO_SERVER_RETRY_MS = 1000,
-	BUSY_RETRY_MS = 250,
 	HTTP_OK = 200,
 	HTTP_BAD_REQUEST = 400,
 	HTTP_NOT_FOUND = 404,
@@ -178,6 +176,9 @@
 	servers.traffic_bytes = backends_traffic_bytes(
 		service, query->prompt_tokens * BYTES_PER_PROMPT_TOKEN,
 		query->output_tokens);
+	servers.objective_us =
+		routing_shortest_target_ms(gateway->routing, service->name) *
+		US_PER_MS;
 	explained->count = backends_candidates(gateway->backends, &servers,
 					       &explained->candidates);
 	explained->result = placement_choose(explained->candidates,
@@ -229,23 +230,15 @@
 	return names[result];
 }
 
-/* @return Retry-After of the refusal, unless its caller has less time */
+/* @return Retry-After of the refusal, unless a server is known to accept
+ * requests again. */
 static json_t *retry_after(const explained_t *explained)
 {
-	int64_t ms = explained->placement.retry_in_us / US_PER_MS;
-
-	switch (explained->result) {
-	case PLACEMENT_CHOSEN:
+	if (explained->result == PLACEMENT_CHOSEN)
 		return json_null();
-	case PLACEMENT_NO_SERVER:
-	case PLACEMENT_TOO_LONG:
-		return json_integer(NO_SERVER_RETRY_MS);
-	case PLACEMENT_BUSY:
-		return json_integer(ms);
-	case PLACEMENT_PAST_LIMIT:
-		return json_integer(BUSY_RETRY_MS + ms);
-	}
-	return json_null();
+	return json_integer(retry_after_ms(explained->result,
+					   &explained->placement,
+					   explained->query.limit_us));
 }
 
 static size_t shard_of(const explained_t *explained,
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -26,6 +26,9 @@
 /** Greatest age of the load that other nodes announced to this node: the time
  * for two announcements after an increase, plus the network delay. */
 #define PLACEMENT_LOAD_AGE_US (50 * US_PER_MS)
+/** Fraction of an objective that a prediction may use up before the request
+ * counts as missing it; the rest covers errors of the prediction. */
+#define PLACEMENT_TARGET_SHARE 0.6
 
 /** A server that can take the request. */
 typedef struct {
--- a/src/process/placement_cost.h
+++ b/src/process/placement_cost.h
@@ -20,10 +20,6 @@
  *          engine's usual length. */
 double placement_weight(const placement_query_t *query, int64_t prompt_tokens);
 
-/* Fraction of an objective that a prediction may use up before the request
- * counts as missing it; the rest covers errors of the prediction. */
-#define PLACEMENT_TARGET_SHARE 0.6
-
 /* Share of a server's KV cache that placements may fill; the rest covers
  * outputs that turn out longer than expected. */
 #define PLACEMENT_KV_SHARE 0.92
--- a/src/request/forward_place.c
+++ b/src/request/forward_place.c
@@ -7,19 +7,12 @@
 #include "base/log.h"
 #include "base/mem.h"
 #include "base/metrics.h"
+#include "process/retry_after.h"
 #include "request/forward_state.h"
 
 enum {
 	HTTP_BAD_GATEWAY = 502,
 	HTTP_GATEWAY_TIMEOUT = 504,
-	/* Retry-After if a service has no usable server, by when one is
-	 * expected again; shortened if the caller has less time. */
-	NO_SERVER_RETRY_MS = 1000,
-	/* The caller's time left is divided by this to get Retry-After, so
-	 * that the retry can still be served. */
-	RETRY_TIME_DIVISOR = 4,
-	/* Shortest useful Retry-After when all servers are busy. */
-	BUSY_RETRY_MS = 250,
 	/* Failed reservations, each on newly chosen servers, after which a
 	 * request is refused. */
 	RESERVATIONS_MAX = 3,
@@ -104,16 +97,21 @@
 					const placement_query_t *query,
 					int64_t now_us)
 {
-	return (backends_query_t){ .service = forward->service,
-				   .load_table = forward->gateway->load_table,
-				   .except = (backend_t *const *)forward->tried,
-				   .except_count = forward->tried_count,
-				   .now_us = now_us,
-				   .salt = query->salt,
-				   .traffic_bytes = backends_traffic_bytes(
-					   forward->service,
-					   (int64_t)forward->body_bytes,
-					   query->output_tokens) };
+	return (backends_query_t){
+		.service = forward->service,
+		.load_table = forward->gateway->load_table,
+		.except = (backend_t *const *)forward->tried,
+		.except_count = forward->tried_count,
+		.now_us = now_us,
+		.salt = query->salt,
+		.traffic_bytes = backends_traffic_bytes(
+			forward->service, (int64_t)forward->body_bytes,
+			query->output_tokens),
+		.objective_us =
+			routing_shortest_target_ms(forward->routing,
+						   forward->service->name) *
+			US_PER_MS
+	};
 }
 
 placement_result_t forward_choose(forward_t *forward, choice_t *choice)
@@ -126,18 +124,6 @@
 	return choice_make(choice, forward->gateway->backends, &wanted, &query);
 }
 
-/* @return Retry-After if no server is known to accept requests again: well
- * before the caller's deadline, after which a retry is not served at all */
-static int64_t no_server_retry_ms(const forward_t *forward, int64_t now_us)
-{
-	int64_t left_ms =
-		(forward->limit_us - now_us) / US_PER_MS / RETRY_TIME_DIVISOR;
-
-	if (left_ms < BUSY_RETRY_MS / RETRY_TIME_DIVISOR)
-		left_ms = BUSY_RETRY_MS / RETRY_TIME_DIVISOR;
-	return left_ms < NO_SERVER_RETRY_MS ? left_ms : NO_SERVER_RETRY_MS;
-}
-
 static bool another_waits(const forward_t *forward)
 {
 	const forward_t *other;
@@ -179,8 +165,9 @@
 		forward_refuse(forward, "servers_limited",
 			       (accepts.anywhere_us - now_us) / US_PER_MS + 1);
 	} else {
-		forward_refuse_here(forward, "no_server",
-				    no_server_retry_ms(forward, now_us));
+		forward_refuse_here(
+			forward, "no_server",
+			no_server_retry_ms(forward->limit_us - now_us));
 	}
 }
 
@@ -257,13 +244,21 @@
 	    (!forward->is_relayed && (double)age_us(forward, now_us) < wait_us))
 		return false;
 	forward_refuse_here(forward, "servers_unreachable",
-			    no_server_retry_ms(forward, now_us));
+			    no_server_retry_ms(forward->limit_us - now_us));
 	return true;
 }
 
+/* @return Retry-After of a request that cannot be placed */
+static int64_t retry_ms(const forward_t *forward, placement_result_t result)
+{
+	return retry_after_ms(result, &forward->choice.placement,
+			      forward->limit_us - clock_monotonic_us());
+}
+
 void forward_place(forward_t *forward)
 {
 	const placement_t *placement = &forward->choice.placement;
+	placement_result_t result;
 
 	/* The body, or the wait for a server, may have taken long. */
 	if (!forward->runs && !forward_may_start(forward))
@@ -272,7 +267,8 @@
 	    refuse_cut_off(forward))
 		return;
 	forward->phase = FORWARD_WAITING;
-	switch (forward_choose(forward, &forward->choice)) {
+	result = forward_choose(forward, &forward->choice);
+	switch (result) {
 	case PLACEMENT_CHOSEN:
 		forward_admit(forward);
 		if (!take_from_limits(forward))
@@ -286,18 +282,16 @@
 		wait_or_refuse(forward);
 		break;
 	case PLACEMENT_TOO_LONG:
-		forward_refuse(forward, "prompt_too_long", NO_SERVER_RETRY_MS);
+		forward_refuse(forward, "prompt_too_long",
+			       retry_ms(forward, result));
 		break;
 	case PLACEMENT_BUSY:
 		forward_log_busy(forward, "cost");
-		forward_refuse(forward, "busy",
-			       placement->retry_in_us / US_PER_MS);
+		forward_refuse(forward, "busy", retry_ms(forward, result));
 		break;
 	case PLACEMENT_PAST_LIMIT:
 		forward_log_busy(forward, "late");
-		forward_refuse(forward, "busy",
-			       BUSY_RETRY_MS +
-				       placement->retry_in_us / US_PER_MS);
+		forward_refuse(forward, "busy", retry_ms(forward, result));
 		break;
 	}
 }
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -10,9 +10,12 @@
 struct routing {
 	atomic_int references;
 	routing_conf_t conf;
-	/** Priority of the most urgent route of each service, in the order of
-	 * conf.services. */
-	int32_t *first_priorities;
+	/** What the routes ask of each service, in the order of conf.services.
+	 */
+	struct service_routes {
+		int32_t first_priority; /* of the most urgent one */
+		int64_t shortest_target_ms; /* INT64_MAX: none has one */
+	} * asked;
 };
 
 static int compare_routes(const void *left, const void *right)
@@ -86,38 +89,42 @@
 	text_pool_destroy(conf->texts);
 }
 
-static void note_priority(routing_t *routing, const route_conf_t *route,
-			  const char *service)
+static void note_route(routing_t *routing, const route_conf_t *route,
+		       const char *service)
 {
 	const service_conf_t *found = routing_service(routing, service);
-	int32_t *first;
+	struct service_routes *asked;
 
 	if (!found)
 		return;
-	first = &routing->first_priorities[found - routing->conf.services];
-	if (route->priority < *first)
-		*first = route->priority;
+	asked = &routing->asked[found - routing->conf.services];
+	if (route->priority < asked->first_priority)
+		asked->first_priority = route->priority;
+	if (route->target_ms > 0 &&
+	    route->target_ms < asked->shortest_target_ms)
+		asked->shortest_target_ms = route->target_ms;
 }
 
-/* A configuration may have thousands of routes, so that the priorities are not
- * looked up for each request. */
-static void find_first_priorities(routing_t *routing)
+/* A configuration may have thousands of routes, so that this is not looked up
+ * for each request. */
+static void note_routes(routing_t *routing)
 {
 	const routing_conf_t *conf = &routing->conf;
 	size_t i, target;
 
-	routing->first_priorities = mem_calloc(
-		conf->service_count + 1, sizeof(*routing->first_priorities));
+	routing->asked =
+		mem_calloc(conf->service_count + 1, sizeof(*routing->asked));
 	for (i = 0; i < conf->service_count; i++)
-		routing->first_priorities[i] = INT32_MAX;
+		routing->asked[i] =
+			(struct service_routes){ INT32_MAX, INT64_MAX };
 	for (i = 0; i < conf->route_count; i++)
 		for (target = 0; target < conf->routes[i].target_count;
 		     target++)
-			note_priority(routing, &conf->routes[i],
-				      conf->routes[i].targets[target].service);
+			note_route(routing, &conf->routes[i],
+				   conf->routes[i].targets[target].service);
 	for (i = 0; i < conf->service_count; i++)
-		if (routing->first_priorities[i] == INT32_MAX)
-			routing->first_priorities[i] = 0;
+		if (routing->asked[i].first_priority == INT32_MAX)
+			routing->asked[i].first_priority = 0;
 }
 
 routing_t *routing_create(const routing_conf_t *conf)
@@ -131,7 +138,7 @@
 	sort(conf->keys, conf->key_count, sizeof(*conf->keys), compare_keys);
 	sort(conf->services, conf->service_count, sizeof(*conf->services),
 	     compare_services);
-	find_first_priorities(routing);
+	note_routes(routing);
 	return routing;
 }
 
@@ -146,7 +153,7 @@
 	if (!routing || --routing->references)
 		return;
 	routing_conf_clear(&routing->conf);
-	free(routing->first_priorities);
+	free(routing->asked);
 	free(routing);
 }
 
@@ -254,10 +261,24 @@
 {
 	const service_conf_t *found = routing_service(routing, service);
 
-	return found ? routing->first_priorities[found - routing->conf.services]
+	return found ? routing->asked[found - routing->conf.services]
+			       .first_priority
 		     : 0;
 }
 
+int64_t routing_shortest_target_ms(const routing_t *routing,
+				   const char *service)
+{
+	const service_conf_t *found = routing_service(routing, service);
+	int64_t target_ms;
+
+	if (!found)
+		return 0;
+	target_ms = routing->asked[found - routing->conf.services]
+			    .shortest_target_ms;
+	return target_ms < INT64_MAX ? target_ms : 0;
+}
+
 const char *routing_target(const route_conf_t *route, uint64_t draw)
 {
 	int64_t total = 0, offset;
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -163,6 +163,12 @@
  * account says nothing about the kind.
  */
 int32_t routing_first_priority(const routing_t *routing, const char *service);
+/**
+ * @return the shortest latency objective of the routes that lead to a service;
+ * 0 if none has one
+ */
+int64_t routing_shortest_target_ms(const routing_t *routing,
+				   const char *service);
 
 /**
  * Chooses a service of a route by weight.
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -2,6 +2,7 @@
  * Tests of decoding what the platform sends: settings, the routing
  * configuration, entries of servers, and headers of answers.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -123,6 +124,11 @@
 	"\"timeoutMs\":9000,\"targetLatencyMs\":300,\"attempts\":2," \
 	"\"service\":\"s\"" extra "}"
 
+#define SHORT_ROUTE                                                           \
+	"{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":\"/b/\","              \
+	"\"kind\":\"idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":150," \
+	"\"service\":\"s\",\"priority\":1}"
+
 #define CONFIG(routes)                                                  \
 	"{\"version\":7,\"routes\":[" routes "],\"services\":["         \
 	"{\"name\":\"s\",\"maxConns\":9,\"coldS\":3.0,\"coldPerS\":36," \
@@ -216,25 +222,35 @@
 	static const struct {
 		const char *guards_against, *config;
 		int32_t first;
+		int64_t target_ms; /* of the shortest objective */
 	} cases[] = {
+		{ "a shorter objective that does not count",
+		  CONFIG(ROUTE("a", "h", "/a/",
+			       ",\"priority\":1") "," SHORT_ROUTE),
+		  1, 150 },
+		{ "a longer objective that does",
+		  CONFIG(SHORT_ROUTE
+			 "," ROUTE("a", "h", "/a/", ",\"priority\":1")),
+		  1, 150 },
 		{ "a route whose priority is not counted",
 		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":2") "," ROUTE(
 			  "b", "h", "/b/", ",\"priority\":1")),
-		  1 },
+		  1, 300 },
 		{ "a less urgent route that counts, as it comes last",
 		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":1") "," ROUTE(
 			  "b", "h", "/b/", ",\"priority\":2")),
-		  1 },
+		  1, 300 },
 		{ "the priority of an account that counts as one of a kind",
-		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":5")), 5 },
+		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":5")), 5, 300 },
 		{ "a route to another service that counts",
 		  CONFIG(ROUTE(
 			  "a", "h", "/a/",
 			  ",\"priority\":2") ","
 					     "{\"name\":\"b\",\"host\":\"h\",\"pathPrefix\":"
 					     "\"/b/\",\"service\":\"other\",\"priority\":0,"
-					     "\"kind\":\"idempotent\",\"timeoutMs\":1000}"),
-		  2 },
+					     "\"kind\":\"idempotent\",\"timeoutMs\":1000,"
+					     "\"targetLatencyMs\":100}"),
+		  2, 300 },
 	};
 	size_t i;
 
@@ -242,9 +258,16 @@
 		routing_t *routing = decode(cases[i].config);
 
 		assert_non_null(routing);
-		if (routing_first_priority(routing, "s") != cases[i].first)
-			fail_msg("case \"%s\"", cases[i].guards_against);
+		if (routing_first_priority(routing, "s") != cases[i].first ||
+		    routing_shortest_target_ms(routing, "s") !=
+			    cases[i].target_ms)
+			fail_msg("case \"%s\": %d, %" PRId64 " ms",
+				 cases[i].guards_against,
+				 routing_first_priority(routing, "s"),
+				 routing_shortest_target_ms(routing, "s"));
 		assert_int_equal(routing_first_priority(routing, "none"), 0);
+		assert_int_equal(routing_shortest_target_ms(routing, "none"),
+				 0);
 		routing_unref(routing);
 	}
 }
--- a/tests/test_backends.c
+++ b/tests/test_backends.c
@@ -1055,6 +1055,53 @@
 	}
 }
 
+/* Guards against a prefill backlog that is measured against the objective of
+ * another deployment. */
+static void spills_by_own_objective(void **state)
+{
+	static const struct {
+		int64_t objective_ms;
+		bool spills;
+	} cases[] = { { 0, false }, { 100, true }, { 500, false } };
+	service_conf_t engines = service;
+	backends_conf_t zones = conf;
+	size_t i;
+	uint64_t n;
+
+	engines.engine.present = true;
+	engines.cold_requests_per_s = 0;
+	zones.controls_load = true;
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		backends_query_t query = { .service = &engines,
+					   .objective_us =
+						   MS(cases[i].objective_ms) };
+		load_item_t item = { .server_hash = load_table_hash("a"),
+				     .backlog_us = MS(100) };
+		candidate_t *candidates;
+
+		backends = backends_create(&zones);
+		add("a", "north");
+		add("b", "south");
+		for (n = 1; n < 10; n++) {
+			announcement_t message = message_of(1, n, &item, 1);
+
+			load_table_t *table = load_table_create();
+
+			query.load_table = table;
+			query.now_us = MS(60) * (int64_t)n;
+			load_table_receive(table, &message, query.now_us, 0);
+			backends_candidates(backends, &query, &candidates);
+			free(candidates);
+			load_table_destroy(table);
+		}
+		if ((backends_flow_share(backends, service.name) > 0) !=
+		    cases[i].spills)
+			fail_msg("objective of %d ms",
+				 (int)cases[i].objective_ms);
+		tear_down(NULL);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1072,6 +1119,7 @@
 			avoids_server_failing_for_others, set_up, tear_down),
 		cmocka_unit_test(announces_rates_to_earlier_builds),
 		cmocka_unit_test(reserves_other_data_centres),
+		cmocka_unit_test(spills_by_own_objective),
 		cmocka_unit_test(uses_median_of_clocks),
 		cmocka_unit_test(limits_announced_backlog),
 		cmocka_unit_test(accepts_restarted_node),
