--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -230,7 +230,7 @@
 		  1, 150 },
 		{ "a longer objective that does",
 		  CONFIG(SHORT_ROUTE
-			 "," ROUTE("a", "h", "/a/", ",\"priority\":1")),
+			 "," ROUTE("c", "h", "/c/", ",\"priority\":1")),
 		  1, 150 },
 		{ "a route whose priority is not counted",
 		  CONFIG(ROUTE("a", "h", "/a/", ",\"priority\":2") "," ROUTE(
