soak: overload under load control

The soak ran daemons only with the settings under which servers may state rates, so that admission control was never met by its faults. Checked besides the guarantees of all runs: no kind of request runs after a refusal, answers within the limit and 0.5 s, fairness by account and kind, priorities of the route or 9, and nothing left counted at the end.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -11,6 +11,7 @@
 	/* Time after the time limit of a request in which its answer may still
 	 * arrive. */
 	ANSWER_SLACK_MS = 700,
+	OVERLOAD_SLACK_MS = 500, /* the same with overload */
 	BODY_MAX_BYTES = 4096
 };
 
@@ -60,6 +61,8 @@
 {
 	call_t *call = context;
 
+	if (!call->record->first_us)
+		call->record->first_us = clock_monotonic_us();
 	if (call->size + size < sizeof(call->body)) {
 		memcpy(call->body + call->size, data, size);
 		call->size += size;
@@ -67,6 +70,16 @@
 	return CLIENT_CONTINUE;
 }
 
+bool callers_is_stream(const request_record_t *record)
+{
+	return strchr("tuv", record->path);
+}
+
+bool callers_is_once(const request_record_t *record)
+{
+	return strchr("ov", record->path);
+}
+
 /* @return true if the body is all events of the stream, in order */
 static bool is_whole_stream(const call_t *call)
 {
@@ -88,8 +101,8 @@
 	bool whole;
 
 	snprintf(expected, sizeof(expected), "answer to %s", call->record->id);
-	whole = call->record->path == 't' ? is_whole_stream(call)
-					  : !strcmp(call->body, expected);
+	whole = callers_is_stream(call->record) ? is_whole_stream(call)
+						: !strcmp(call->body, expected);
 	if (!*call->seal || !whole)
 		soak_violation(call->soak, "MIXED %s: unexpected answer %s",
 			       call->record->id, call->body);
@@ -100,7 +113,7 @@
 	request_record_t *record = call->record;
 
 	record->refused = true;
-	if (record->path == 'o' && record->runs)
+	if ((callers_is_once(record) || call->soak->overload) && record->runs)
 		soak_violation(call->soak, "REFUSED %s: status %d, but it ran",
 			       record->id, status);
 	if (!call->has_retry_after)
@@ -114,8 +127,10 @@
 {
 	int64_t took_ms =
 		(clock_monotonic_us() - call->record->sent_us) / US_PER_MS;
+	int64_t slack_ms = call->soak->overload ? OVERLOAD_SLACK_MS
+						: ANSWER_SLACK_MS;
 
-	if (took_ms > DEADLINE_MS + ANSWER_SLACK_MS &&
+	if (took_ms > DEADLINE_MS + slack_ms &&
 	    call->node->disturbed_us == call->node_disturbed_us &&
 	    node_undisturbed(call->node))
 		soak_violation(call->soak, "LATE %s: ended with %d after %d ms",
@@ -128,7 +143,7 @@
 	int i;
 
 	for (i = 0; i < SERVERS; i++)
-		if (soak->servers[i].plain != (record->path == 't') &&
+		if (soak->servers[i].plain != callers_is_stream(record) &&
 		    !soak->servers[i].down)
 			return false;
 	return true;
@@ -163,6 +178,8 @@
 
 	call->record->done = true;
 	cuts_answered(call->soak, record, end == CLIENT_OK && status == 200);
+	if (call->soak->overload)
+		overload_answered(record, end == CLIENT_OK && status == 200);
 	if (end == CLIENT_OK && status == 200)
 		check_success(call);
 	else if (end == CLIENT_OK && (status == 503 || status == 429))
@@ -201,6 +218,7 @@
 		 (unsigned long long)soak->next_id++);
 	record->path = paths[soak_random(soak, sizeof(paths) - 1)];
 	record->key = (int)soak_random(soak, KEYS);
+	overload_choose(soak, record);
 	record->sent_us = clock_monotonic_us();
 	HASH_ADD_STR(soak->requests, id, record);
 	return record;
@@ -260,7 +278,7 @@
 		send_request(soak, node);
 	ev_timer_set(timer,
 		     (0.2 + (double)soak_random(soak, 1600) / 1000) /
-			     soak->rate_per_s,
+			     (soak->rate_per_s * overload_factor(soak)),
 		     0.);
 	ev_timer_start(loop, timer);
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -112,8 +112,9 @@
 
 void faults_remove_key(soak_t *soak, int key)
 {
-	/* Key 0 stays valid, so that some requests still succeed. */
-	if (key == 0 || soak->key_revoked_us[key])
+	/* Key 0 stays valid, so that some requests still succeed. With
+	 * overload the accounts that are compared all keep theirs. */
+	if (key == 0 || soak->overload || soak->key_revoked_us[key])
 		return;
 	soak->key_revoked_us[key] = clock_monotonic_us();
 	store_configure(soak);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -90,6 +90,7 @@
 		/* Waits for the answers of the requests in flight. */
 		soak->callers_over = true;
 		ev_timer_stop(loop, &soak->caller_timer);
+		overload_ask(soak);
 		ev_timer_set(timer, (double)(DEADLINE_MS + 2000) / MS_PER_S,
 			     0.);
 	} else {
@@ -131,6 +132,7 @@
 	restores_start(soak);
 	cuts_start(soak);
 	stops_start(soak);
+	overload_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -142,6 +144,7 @@
 	store_stop();
 	callers_check(soak);
 	cuts_check(soak);
+	overload_check(soak);
 }
 
 int main(int argc, const char **argv)
@@ -173,6 +176,8 @@
 		  "nodes lose their links to all servers", NULL },
 		{ "stops", 0, POPT_ARG_NONE, &soak.stops, 0,
 		  "nodes are stopped as planned, without other faults", NULL },
+		{ "overload", 0, POPT_ARG_NONE, &soak.overload, 0,
+		  "nodes control the load; bursts beyond the slots", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -71,10 +71,11 @@
 		"contractParams.graceS=%d\ncontractParams.revokeMs=%d\n"
 		"contractParams.strictRevoke=true\n"
 		"contractParams.budgetRatio=0.5\n"
-		"contractParams.retrySlack=100\n",
+		"contractParams.retrySlack=100\n%s",
 		node->name, node->port, node->ready_port, node->peer_port,
 		node->peer_port + 1, proxy_port(node->store_link),
-		STOP_MS / (int)MS_PER_S, REVOKE_MS);
+		STOP_MS / (int)MS_PER_S, REVOKE_MS,
+		node->soak->overload ? "contracts=base,engine,stream\n" : "");
 	fclose(file);
 }
 
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -36,18 +36,25 @@
 	outcome_t outcome;
 	int next_event, /* number, from 1, of the next event of the stream */
 		break_at; /* event in which the stream is aborted; 0: none */
-	bool running; /* counted in server_t.running */
+	bool running, waiting; /* counted in server_t.running, or .waiting */
 	struct run *prev, *next; /* the requests at all servers */
 } run_t;
 
 static run_t *runs;
 
+static void admit_next(server_t *server);
+
 static void finish(run_t *run)
 {
-	if (run->running)
-		run->server->running--;
-	run->running = false;
-	ev_timer_stop(run->server->soak->loop, &run->timer);
+	server_t *server = run->server;
+	bool running = run->running;
+
+	server->running -= running;
+	server->waiting -= run->waiting;
+	run->running = run->waiting = false;
+	ev_timer_stop(server->soak->loop, &run->timer);
+	if (running)
+		admit_next(server);
 }
 
 static const char *header(const exchange_t *exchange, const char *name)
@@ -157,6 +164,7 @@
 	soak_t *soak = run->server->soak;
 	request_record_t *record = callers_find(soak, run->id);
 	int64_t now_us = clock_monotonic_us();
+	char account[16];
 
 	if (!record) {
 		soak_violation(soak,
@@ -165,16 +173,18 @@
 		return;
 	}
 	record->runs++;
-	if (record->path == 'o' && record->runs > 1)
+	snprintf(account, sizeof(account), soak->overload ? "acme-%d" : "acme",
+		 record->key);
+	if (callers_is_once(record) && record->runs > 1)
 		soak_violation(soak, "TWICE %s ran again at %s", run->id,
 			       run->server->id);
-	if (record->path == 'o' && record->refused)
+	if ((callers_is_once(record) || soak->overload) && record->refused)
 		soak_violation(soak, "REFUSED %s runs after its refusal",
 			       run->id);
-	if ((record->path == 't') == run->server->plain)
+	if (callers_is_stream(record) == run->server->plain)
 		soak_violation(soak, "ROUTE %s ran at %s of the wrong service",
 			       run->id, run->server->id);
-	if (strcmp(header(run->exchange, "X-Tenant"), "acme") != 0 ||
+	if (strcmp(header(run->exchange, "X-Tenant"), account) != 0 ||
 	    exchange_header(run->exchange, "Authorization"))
 		soak_violation(soak,
 			       "UNASKED %s without X-Tenant acme or with the "
@@ -247,6 +257,44 @@
 	ev_timer_start(soak->loop, &run->timer);
 }
 
+static int32_t slots(const server_t *server)
+{
+	return server->soak->overload && !server->plain ? ENGINE_SLOTS
+							: SLOTS_MAX;
+}
+
+static int priority(const run_t *run)
+{
+	return atoi(header(run->exchange, "X-Request-Priority"));
+}
+
+/* An engine starts the most urgent request that waits, the oldest of these. */
+static void admit_next(server_t *server)
+{
+	run_t *run, *next = NULL;
+
+	if (!server->waiting || server->running >= slots(server))
+		return;
+	DL_FOREACH (runs, run)
+		if (run->server == server && run->waiting &&
+		    (!next || priority(run) < priority(next)))
+			next = run;
+	server->waiting--;
+	next->waiting = false;
+	start_run(next);
+}
+
+static void wait_for_slot(run_t *run)
+{
+	request_record_t *record = callers_find(run->server->soak, run->id);
+
+	if (record)
+		overload_arrival(run->server->soak, record, priority(run));
+	run->waiting = true;
+	run->server->waiting++;
+	admit_next(run->server);
+}
+
 static void *on_request(void *context, exchange_t *exchange)
 {
 	run_t *run = mem_calloc(1, sizeof(*run));
@@ -277,8 +325,10 @@
 	}
 	rates_arrival(server, callers_find(server->soak, run->id));
 	crashes_arrival(server->soak, callers_find(server->soak, run->id));
-	if (server->running >= SLOTS_MAX + QUEUED_MAX)
+	if (server->running + server->waiting >= slots(server) + QUEUED_MAX)
 		refuse(run, HTTP_FULL);
+	else if (server->soak->overload && !server->plain)
+		wait_for_slot(run);
 	else
 		start_run(run);
 }
@@ -298,17 +348,17 @@
 
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 		 proxy_port(server->link));
-	store_write("servers", server->id,
-		    server->listed
-			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}",
-					"service",
-					server->plain ? "plain" : "model",
-					"address", address, "zone", "a",
-					"concurrencyLimit", SLOTS_MAX, "state",
-					server->draining ? "draining" : "ready",
-					"coldLeftMs", 0, "born",
-					(json_int_t)server->born_ms)
-			    : NULL);
+	store_write(
+		"servers", server->id,
+		server->listed
+			? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}", "service",
+				    server->plain ? "plain" : "model",
+				    "address", address, "zone", "a",
+				    "concurrencyLimit", slots(server), "state",
+				    server->draining ? "draining" : "ready",
+				    "coldLeftMs", 0, "born",
+				    (json_int_t)server->born_ms)
+			: NULL);
 }
 
 int server_index(const server_t *server)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,13 @@
 	SERVERS = 6, /* the last two serve the plain service */
 	PLAIN_SERVERS = 2,
 	KEYS = 4, /* keys of the client account */
+	/* With overload: accounts with a key each, more than the 12 that a node
+	 * announces; slots of an engine; X-Request-Priority of the less urgent
+	 * routes, and of deferred requests. */
+	ACCOUNTS = 14,
+	ENGINE_SLOTS = 3,
+	LESS_URGENT = 4,
+	LAST_PRIORITY = 9,
 	STREAM_EVENTS = 12, /* events of a whole stream */
 	/* The next three are time limits from the settings of the daemons, or
 	 * from the defaults of these settings. */
@@ -111,7 +118,7 @@
 				as deleted */
 	listener_t *listener;
 	proxy_t *link;
-	int32_t running; /* requests in flight */
+	int32_t running, waiting; /* requests that run, or wait for a slot */
 	bool down; /* crashed, and not started again yet */
 	ev_timer start_timer; /* starts the server again after a crash */
 	double abort_chance; /* probability that an answer is aborted */
@@ -123,7 +130,9 @@
 /** One request of a caller, for the checks. */
 typedef struct {
 	char id[24];
-	char path; /* s: repeatable, o: runs at most once, t: stream */
+	char path; /* s: repeatable, o: runs at most once, t: stream; with
+		      overload also u: less urgent stream, v: the same that
+		      runs at most once */
 	int key; /* index of the caller's key; -1: none */
 	const node_t *node; /* node that got the request */
 	int tries; /* index in soak_t.tries; -1: not counted */
@@ -131,7 +140,8 @@
 			    prompt, or from CRASH_SEGMENTS on the request
 			    itself; -1: nothing */
 	char body[16]; /* empty: none */
-	int64_t sent_us;
+	int64_t sent_us, first_us; /* first_us: first data of the answer; 0:
+				      none */
 	int32_t runs; /* times that a server began to run the request */
 	bool refused; /* the answer promised that the request was not run */
 	bool done; /* the call of the caller ended */
@@ -179,7 +189,7 @@
 	bool faults_over; /* all faults ended: the fleet must recover */
 	int64_t store_down_us; /* when the store fell silent; 0: it answers */
 	int64_t recovered_us; /* end of the time to recover; 0: not reached */
-	int64_t key_revoked_us[KEYS]; /* 0: the key is valid */
+	int64_t key_revoked_us[ACCOUNTS]; /* 0: the key is valid */
 	int64_t version; /* version of the configuration written last */
 	int server_rates; /* servers state rates, and restart */
 	uint64_t rates_random; /* state of the generator for rates */
@@ -197,6 +207,7 @@
 	int store_restores; /* the store comes back from copies */
 	uint64_t restores_random; /* state of the generator for these */
 	bool restoring; /* the store is away until it does */
+	int overload; /* nodes control the load; bursts beyond the slots */
 	int stops; /* planned stops and changes alone, and callers of their own
 		    */
 	struct {
@@ -293,9 +304,28 @@
 /** Checks at the end that requests succeeded after the faults. */
 void callers_check(soak_t *soak);
 
+/** @return true if the request is answered by a model */
+bool callers_is_stream(const request_record_t *record);
+/** @return true if the request may run once at most */
+bool callers_is_once(const request_record_t *record);
 /** @return a new request with a random path and key. */
 request_record_t *callers_new_record(soak_t *soak);
 
+/* overload.c */
+void overload_start(soak_t *soak);
+/** @return the part of the rate at which callers send requests now */
+double overload_factor(const soak_t *soak);
+/** Chooses path and account of a request. */
+void overload_choose(const soak_t *soak, request_record_t *record);
+void overload_answered(const request_record_t *record, bool served);
+/** Checks the priority of a request that an engine got. */
+void overload_arrival(soak_t *soak, const request_record_t *record,
+		      int priority);
+/** Asks the nodes for what they count when no requests are left. */
+void overload_ask(soak_t *soak);
+/** Compares what was served of each account and kind. */
+void overload_check(soak_t *soak);
+
 /* stops.c */
 void stops_start(soak_t *soak);
 void stops_end(soak_t *soak);
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -406,42 +406,68 @@
 		free_objects(store.copies[i].objects);
 }
 
-static json_t *route(const char *path, const char *kind, const char *service)
+static json_t *route(const char *path, const char *kind, const char *service,
+		     int priority)
 {
-	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:b,s:i}", "name",
-			 kind, "host", "soak", "pathPrefix", path, "kind", kind,
-			 "timeoutMs", DEADLINE_MS, "targetLatencyMs", 300,
-			 "attempts", 2, "service", service, "resumable", 1,
-			 "gapAimMs", 250);
+	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:b,s:i,s:i}",
+			 "name", kind, "host", "soak", "pathPrefix", path,
+			 "kind", kind, "timeoutMs", DEADLINE_MS,
+			 "targetLatencyMs", 300, "attempts", 2, "service",
+			 service, "resumable", 1, "gapAimMs", 250, "priority",
+			 priority);
 }
 
-static json_t *engine_json(void)
+static json_t *engine_json(int slots)
 {
 	return json_pack("{s:i,s:i,s:i,s:f,s:f,s:i,s:f,s:{s:i,s:i}}",
-			 "concurrencyLimit", 8, "kvCapacity", 400000, "stride",
-			 34, "step_ms", 1.0, "read_per_s", 150000.0, "chunk",
-			 2048, "pairs_per_m", 0.16, "usual", "prompt", 5000,
-			 "answer", 400);
+			 "concurrencyLimit", slots, "kvCapacity", 400000,
+			 "stride", 34, "step_ms", 1.0, "read_per_s", 150000.0,
+			 "chunk", 2048, "pairs_per_m", 0.16, "usual", "prompt",
+			 5000, "answer", 400);
 }
 
-void store_configure(soak_t *soak)
+/* @return the accounts: one with all keys that are not revoked, or with
+ * overload one for each key */
+static json_t *accounts(const soak_t *soak)
 {
-	json_t *keys = json_array(), *routes = json_array(), *spec;
-	char key[16];
+	json_t *keys = json_array(), *list = json_array();
 	int i;
 
-	for (i = 0; i < KEYS; i++) {
-		snprintf(key, sizeof(key), "key-%d", i);
-		if (!soak->key_revoked_us[i])
-			json_array_append_new(keys, json_string(key));
+	for (i = 0; i < (soak->overload ? ACCOUNTS : KEYS); i++) {
+		if (soak->overload)
+			json_array_append_new(
+				list,
+				json_pack("{s:o,s:[o]}", "name",
+					  json_sprintf("acme-%d", i), "keys",
+					  json_sprintf("key-%d", i)));
+		else if (!soak->key_revoked_us[i])
+			json_array_append_new(keys, json_sprintf("key-%d", i));
+	}
+	if (!soak->overload)
+		json_array_append_new(list, json_pack("{s:s,s:O}", "name",
+						      "acme", "keys", keys));
+	json_decref(keys);
+	return list;
+}
+
+void store_configure(soak_t *soak)
+{
+	json_t *routes = json_array(), *spec;
+
+	json_array_append_new(routes, route("/s/", "idempotent", "plain", 0));
+	json_array_append_new(routes,
+			      route("/o/", "non_idempotent", "plain", 0));
+	json_array_append_new(routes, route("/t/", "stream", "model", 0));
+	if (soak->overload) {
+		json_array_append_new(routes, route("/u/", "stream", "model",
+						    LESS_URGENT));
+		json_array_append_new(routes, route("/v/", "non_idempotent",
+						    "model", LESS_URGENT));
 	}
-	json_array_append_new(routes, route("/s/", "idempotent", "plain"));
-	json_array_append_new(routes, route("/o/", "non_idempotent", "plain"));
-	json_array_append_new(routes, route("/t/", "stream", "model"));
-	spec = json_pack("{s:I,s:o,s:[{s:s},{s:s,s:o}],s:[{s:s,s:o}]}",
-			 "version", (json_int_t)(soak->version += 3), "routes",
-			 routes, "services", "name", "plain", "name", "model",
-			 "engine", engine_json(), "tenants", "name", "acme",
-			 "keys", keys);
+	spec = json_pack("{s:I,s:o,s:[{s:s},{s:s,s:o}],s:o}", "version",
+			 (json_int_t)(soak->version += 3), "routes", routes,
+			 "services", "name", "plain", "name", "model", "engine",
+			 engine_json(soak->overload ? ENGINE_SLOTS : 8),
+			 "tenants", accounts(soak));
 	store_write("config", "main", spec);
 }
