--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -83,7 +83,8 @@
 			.deferred = load.deferred,
 		};
 	}
-	qsort(items, count, sizeof(*items), compare_load);
+	if (count > 1)
+		qsort(items, count, sizeof(*items), compare_load);
 	return count;
 }
 
