One piece of code for three things that load control wrote again

The priority of a request by account and route stood in forward_admit.c and gateway_explain.c, what counts as a short prompt in admission.c and placement_cost.c, the lookup of a service in backends_zones.c and backends_reach.c: routing_priority(), placement_is_short_prompt() and backends_find_service() serve both now. No behaviour changes.

make lint passed.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -4,13 +4,6 @@
  * waits for a first event: the rest suffices to be served in its turn. */
 enum { WAIT_DIVISOR = 2 };
 
-enum {
-	/* Prompts shorter than this many usual prompts may be deferred, as
-	 * those that are packed. Longer ones hold memory, and leases, that they
-	 * do not use while they wait. */
-	SHORT_PROMPTS = 2
-};
-
 /* A service is short of capacity if fewer slots than this part of all are free.
  * Nodes know of the requests of others up to 200 ms late, in which about a
  * tenth of the slots changes hands when streams take 2 s: as long as so many
@@ -72,9 +65,10 @@
 {
 	if (!query->controls_load || !query->engine || query->has_events)
 		return false;
+	/* Long prompts hold memory, and leases, that they do not use while they
+	 * wait. */
 	if (query->placement->count > 1 || query->placement->shared_memory ||
-	    query->prompt_tokens >=
-		    query->engine->usual_prompt_tokens * SHORT_PROMPTS)
+	    !placement_is_short_prompt(query->engine, query->prompt_tokens))
 		return false;
 	return query->waited_us < query->wait_max_us / WAIT_DIVISOR;
 }
--- a/src/process/backends_reach.c
+++ b/src/process/backends_reach.c
@@ -11,11 +11,19 @@
  * cut off. */
 #define NEW_SERVER_US (2 * US_PER_S)
 
-backend_service_t *backends_service(backends_t *backends, const char *name)
+backend_service_t *backends_find_service(const backends_t *backends,
+					 const char *name)
 {
 	backend_service_t *service;
 
 	HASH_FIND_STR(backends->services, name, service);
+	return service;
+}
+
+backend_service_t *backends_service(backends_t *backends, const char *name)
+{
+	backend_service_t *service = backends_find_service(backends, name);
+
 	if (service)
 		return service;
 	service = mem_calloc(1, sizeof(*service));
@@ -109,9 +117,9 @@
 
 bool backends_is_cut_off(backends_t *backends, const char *service)
 {
-	backend_service_t *found;
+	const backend_service_t *found =
+		backends_find_service(backends, service);
 
-	HASH_FIND_STR(backends->services, service, found);
 	return found && found->is_cut_off;
 }
 
--- a/src/process/backends_state.h
+++ b/src/process/backends_state.h
@@ -93,6 +93,9 @@
 /** Finds a data centre, or adds it. @return never NULL */
 backend_dc_t *backends_dc(backends_t *backends, const char *name);
 
+/** @return NULL: no server, or request, of the service was seen */
+backend_service_t *backends_find_service(const backends_t *backends,
+					 const char *name);
 /** Finds a service, or adds it. @return never NULL */
 backend_service_t *backends_service(backends_t *backends, const char *name);
 /** Frees the table of services. */
--- a/src/process/backends_zones.c
+++ b/src/process/backends_zones.c
@@ -73,20 +73,11 @@
 	return &zones[(*count)++];
 }
 
-static backend_service_t *find_service(const backends_t *backends,
-				       const char *name)
-{
-	backend_service_t *service;
-
-	HASH_FIND_STR(backends->services, name, service);
-	return service;
-}
-
 void backends_begin_sum(const backends_t *backends,
 			const backends_query_t *query, zone_sum_t *sum)
 {
 	const backend_service_t *service =
-		find_service(backends, query->service->name);
+		backends_find_service(backends, query->service->name);
 
 	*sum = (zone_sum_t){ .count = 0 };
 	sum->is_due = backends->conf.controls_load && !query->is_dry_run &&
@@ -120,7 +111,7 @@
 	backend_service_t *service;
 
 	if (!sum->is_due) {
-		service = find_service(backends, query->service->name);
+		service = backends_find_service(backends, query->service->name);
 		return service ? service->flow : NULL;
 	}
 	service = backends_service(backends, query->service->name);
@@ -153,7 +144,8 @@
 
 double backends_flow_share(const backends_t *backends, const char *service)
 {
-	const backend_service_t *found = find_service(backends, service);
+	const backend_service_t *found =
+		backends_find_service(backends, service);
 
 	return found && found->flow
 		       ? zone_flow_share(
--- a/src/process/gateway_explain.c
+++ b/src/process/gateway_explain.c
@@ -199,9 +199,7 @@
 		.engine = query->engine,
 		.placement = &explained->placement,
 		.prompt_tokens = query->prompt_tokens,
-		.priority = account && account->priority >= 0
-				    ? account->priority
-				    : explained->route->priority,
+		.priority = routing_priority(explained->route, account),
 		.ranks_below = query->ranks_below,
 		/* Most requests of a less urgent kind are deferred. */
 		.salt = 1,
--- a/src/process/placement.c
+++ b/src/process/placement.c
@@ -71,7 +71,6 @@
 			   const placement_query_t *query)
 {
 	int32_t over = placement_ahead(candidate, query) - candidate->slots + 1;
-
 	double wait_us;
 
 	if (over <= 0 || candidate->slots <= 0)
--- a/src/process/placement.h
+++ b/src/process/placement.h
@@ -119,6 +119,10 @@
 	bool deferred; /**< the servers admit the request after all others */
 } placement_t;
 
+/** @return true if the prompt counts as short: short ones are packed. */
+bool placement_is_short_prompt(const engine_profile_t *engine,
+			       int64_t prompt_tokens);
+
 /**
  * Selects the servers for one request.
  * @param placement the selected servers; for PLACEMENT_BUSY and
--- a/src/process/placement_cost.c
+++ b/src/process/placement_cost.c
@@ -44,10 +44,15 @@
 		     -query->ranks_below);
 }
 
+bool placement_is_short_prompt(const engine_profile_t *engine,
+			       int64_t prompt_tokens)
+{
+	return prompt_tokens < engine->usual_prompt_tokens * SHORT_PROMPTS;
+}
+
 bool placement_is_short(const placement_query_t *query)
 {
-	return query->prompt_tokens <
-	       query->engine->usual_prompt_tokens * SHORT_PROMPTS;
+	return placement_is_short_prompt(query->engine, query->prompt_tokens);
 }
 
 int32_t placement_running(const candidate_t *candidate)
--- a/src/request/forward_admit.c
+++ b/src/request/forward_admit.c
@@ -3,9 +3,7 @@
 
 int32_t forward_rank(const forward_t *forward)
 {
-	if (forward->account && forward->account->priority >= 0)
-		return forward->account->priority;
-	return forward->route->priority;
+	return routing_priority(forward->route, forward->account);
 }
 
 static uint32_t account_hash(const forward_t *forward)
--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -246,6 +246,13 @@
 	return NULL;
 }
 
+int32_t routing_priority(const route_conf_t *route,
+			 const account_conf_t *account)
+{
+	return account && account->priority >= 0 ? account->priority
+						 : route->priority;
+}
+
 const route_conf_t *routing_route_to(const routing_t *routing,
 				     const char *service)
 {
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -154,6 +154,12 @@
 /** @return a route that leads to the service; NULL: none does */
 const route_conf_t *routing_route_to(const routing_t *routing,
 				     const char *service);
+/**
+ * @param account client account of the request; NULL: none
+ * @return priority of requests on a route: that of the account, if it has one
+ */
+int32_t routing_priority(const route_conf_t *route,
+			 const account_conf_t *account);
 /** @return the service called @p name, or NULL. */
 const service_conf_t *routing_service(const routing_t *routing,
 				      const char *name);
