Memory of a connection holds any request within the limits, and its answer

Through another node the caller got 502, and what may be repeated ran twice.

Cause: libmicrohttpd keeps the head of a request, 64 bytes for each header, what was read beyond it and the head of the answer in one block of 16 KiB, and closes the connection if the answer's head does not fit. Nothing checked this before the request ran.

Change: the block has 96 KiB, and what it holds is measured: head, records, and what was read of next requests (bytes that the kernel counts as received, less those of the requests). Requests that leave under 4 KiB are refused before they run, with 431 or, if requests behind are the reason, 503. An answer that does not fit is replaced by a 502 that counts as run. While idle connections would take more than an eighth of the memory limit, answers carry "Connection: close".

--- a/src/connection/callers.c
+++ b/src/connection/callers.c
@@ -40,6 +40,7 @@
 	caller->fd = info ? info->connect_fd : -1;
 	caller->since_us = clock_monotonic_us();
 	DL_APPEND(listener->callers, caller);
+	listener->caller_count++;
 	*context = caller;
 }
 
@@ -168,16 +169,23 @@
 		if (listener->keeps_unsent)
 			keep_unsent(listener, caller->fd);
 		DL_DELETE(listener->callers, caller);
+		listener->caller_count--;
 		free(caller);
 		*context = NULL;
 	}
 }
 
-void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase)
+caller_t *callers_find(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-	caller_t *caller = info ? info->socket_context : NULL;
+
+	return info ? info->socket_context : NULL;
+}
+
+void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase)
+{
+	caller_t *caller = callers_find(connection);
 
 	if (!caller)
 		return;
--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -1,7 +1,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <utlist.h>
 
@@ -14,6 +16,9 @@
 
 enum {
 	HTTP_BAD_REQUEST = 400,
+	HTTP_HEADERS_TOO_LONG = 431,
+	HTTP_BAD_GATEWAY = 502,
+	ERROR_BODY_SIZE_BYTES = 80,
 	REPLY_BLOCK_SIZE_BYTES = 4096,
 	/* An empty buffer above this size is freed. */
 	EMPTY_BUFFER_MAX_BYTES = 16 * 1024
@@ -151,20 +156,74 @@
 				  exchange->reply);
 }
 
-/* Closes the connection: where the next request begins is not known. */
-static enum MHD_Result refuse_framing(exchange_t *exchange)
+static bool has_header(const reply_header_t *headers, size_t count,
+		       const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcasecmp(headers[i].name, name))
+			return true;
+	return false;
+}
+
+static void set_reply(exchange_t *exchange, int status,
+		      struct MHD_Response *reply, const reply_header_t *headers,
+		      size_t header_count)
+{
+	const listener_t *listener = exchange->listener;
+	size_t i;
+
+	for (i = 0; i < header_count; i++)
+		MHD_add_response_header(reply, headers[i].name,
+					headers[i].value);
+	if (listener->kept_max && listener->caller_count > listener->kept_max &&
+	    !has_header(headers, header_count, "Connection"))
+		MHD_add_response_header(reply, "Connection", "close");
+	exchange->status = status;
+	exchange->reply = reply;
+	exchange->progress_us = clock_monotonic_us();
+	resume(exchange);
+}
+
+static void reply_whole(exchange_t *exchange, int status,
+			const reply_header_t *headers, size_t header_count,
+			const void *body, size_t size)
+{
+	exchange->whole_bytes = size;
+	exchange->listener->reply_bytes += size;
+	set_reply(exchange, status,
+		  MHD_create_response_from_buffer(size, (void *)body,
+						  MHD_RESPMEM_MUST_COPY),
+		  headers, header_count);
+}
+
+/* Answers with an error of the listener, and closes the connection. */
+static void reply_error(exchange_t *exchange, int status, const char *code)
 {
-	static const char body[] =
-		"{\"error\":{\"code\":\"length_not_clear\"}}";
 	static const reply_header_t headers[] = {
 		{ "Content-Type", "application/json" },
 		{ "Connection", "close" },
 	};
+	char body[ERROR_BODY_SIZE_BYTES];
 
+	snprintf(body, sizeof(body), "{\"error\":{\"code\":\"%s\"}}", code);
+	reply_whole(exchange, status, headers,
+		    sizeof(headers) / sizeof(headers[0]), body, strlen(body));
+}
+
+/* Closes the connection: where the next request begins is not known. */
+static enum MHD_Result refuse_framing(exchange_t *exchange)
+{
 	metrics_add(METRIC_FRAMING_REFUSED, 1);
-	exchange_reply(exchange, HTTP_BAD_REQUEST, headers,
-		       sizeof(headers) / sizeof(headers[0]), body,
-		       sizeof(body) - 1);
+	reply_error(exchange, HTTP_BAD_REQUEST, "length_not_clear");
+	return queue_reply(exchange);
+}
+
+static enum MHD_Result refuse_headers(exchange_t *exchange)
+{
+	metrics_add(METRIC_HEADERS_REFUSED, 1);
+	reply_error(exchange, HTTP_HEADERS_TOO_LONG, "headers_too_long");
 	return queue_reply(exchange);
 }
 
@@ -180,6 +239,9 @@
 		return MHD_NO;
 	if (!framing_is_clear(exchange->connection))
 		return refuse_framing(exchange);
+	exchange_measure_head(exchange);
+	if (!exchange_has_reply_room(exchange))
+		return refuse_headers(exchange);
 	callers_set_phase(exchange->connection, CALLER_SENDS_BODY);
 	exchange->started = true;
 	exchange->method = mem_strdup(method);
@@ -199,6 +261,7 @@
 {
 	if (!exchange->completed) {
 		exchange->completed = true;
+		exchange_measure_unread(exchange);
 		callers_set_phase(exchange->connection, CALLER_WAITS);
 		MHD_set_connection_option(exchange->connection,
 					  MHD_CONNECTION_OPTION_TIMEOUT, 0U);
@@ -233,6 +296,7 @@
 		return complete_request(exchange);
 	if (!exchange->reply && handler->on_body)
 		handler->on_body(exchange->user, data, *size);
+	exchange->body_bytes += *size;
 	*size = 0;
 	return exchange->aborted ? MHD_NO : MHD_YES;
 }
@@ -356,19 +420,12 @@
 	return exchange_header(exchange, "Transfer-Encoding") ? -1 : 0;
 }
 
-static void set_reply(exchange_t *exchange, int status,
-		      struct MHD_Response *reply, const reply_header_t *headers,
-		      size_t header_count)
+/* The request may have run: the caller must get an answer. */
+static void replace_reply(exchange_t *exchange)
 {
-	size_t i;
-
-	for (i = 0; i < header_count; i++)
-		MHD_add_response_header(reply, headers[i].name,
-					headers[i].value);
-	exchange->status = status;
-	exchange->reply = reply;
-	exchange->progress_us = clock_monotonic_us();
-	resume(exchange);
+	metrics_add(METRIC_ANSWERS_REPLACED, 1);
+	exchange->ended = true;
+	reply_error(exchange, HTTP_BAD_GATEWAY, "answer_headers_too_long");
 }
 
 void exchange_reply(exchange_t *exchange, int status,
@@ -377,12 +434,11 @@
 {
 	if (exchange->reply || exchange->aborted)
 		return;
-	exchange->whole_bytes = size;
-	exchange->listener->reply_bytes += size;
-	set_reply(exchange, status,
-		  MHD_create_response_from_buffer(size, (void *)body,
-						  MHD_RESPMEM_MUST_COPY),
-		  headers, header_count);
+	if (!exchange_reply_fits(exchange, headers, header_count))
+		replace_reply(exchange);
+	else
+		reply_whole(exchange, status, headers, header_count, body,
+			    size);
 }
 
 void exchange_stream(exchange_t *exchange, int status,
@@ -390,6 +446,10 @@
 {
 	if (exchange->reply || exchange->aborted)
 		return;
+	if (!exchange_reply_fits(exchange, headers, header_count)) {
+		replace_reply(exchange);
+		return;
+	}
 	exchange->streaming = true;
 	set_reply(exchange, status,
 		  MHD_create_response_from_callback(MHD_SIZE_UNKNOWN,
--- a/src/connection/listener.c
+++ b/src/connection/listener.c
@@ -22,11 +22,6 @@
 	 * Without a limit the kernel grows the send buffer up to 4 MiB.
 	 */
 	SEND_BUFFER_SIZE_BYTES = 64 * 1024,
-	/*
-	 * Memory of a connection: holds the request headers, later the reply
-	 * block that is being sent.
-	 */
-	CONNECTION_MEMORY_SIZE_BYTES = 16 * 1024,
 	CREDENTIAL_SIZE_MAX_BYTES = 256 * 1024,
 	OPTIONS_MAX = 16
 };
@@ -149,8 +144,8 @@
 		{ MHD_OPTION_LISTEN_SOCKET, fd, NULL },
 		{ MHD_OPTION_CONNECTION_LIMIT, conf->connections_max, NULL },
 		{ MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S, NULL },
-		{ MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		  CONNECTION_MEMORY_SIZE_BYTES, NULL },
+		{ MHD_OPTION_CONNECTION_MEMORY_LIMIT, LISTENER_CONNECTION_BYTES,
+		  NULL },
 		{ MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)exchange_on_completed,
 		  listener },
 		{ MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)exchange_on_uri,
@@ -244,6 +239,7 @@
 
 	listener->loop = loop;
 	listener->handler = *handler;
+	listener->kept_max = conf->kept_max;
 	listener->timeouts = default_timeouts;
 	if (!start(listener, conf, err)) {
 		free(listener);
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -21,6 +21,17 @@
 typedef struct listener listener_t;
 typedef struct exchange exchange_t;
 
+enum {
+	/**
+	 * Memory of a connection: the head of the request, a record for each of
+	 * its headers, what was read of its body and of next requests (up to
+	 * half of this), and the head of the reply. Memory that the first
+	 * request does not need is not touched; before each further one all of
+	 * it is cleared.
+	 */
+	LISTENER_CONNECTION_BYTES = 96 * 1024
+};
+
 /** Codes of ERR_LAYER_CONNECTION that the listener reports. */
 typedef enum {
 	LISTENER_ERR_ADDRESS = 1, /**< address malformed or cannot be bound */
@@ -35,6 +46,9 @@
 	const char *key; /**< PEM file with the private key of certificate */
 	bool shared; /**< other listeners of the process bind the same port */
 	int32_t connections_max; /**< largest number of open connections */
+	/** While more connections are open, each is closed after its reply,
+	 * which bounds the memory of idle ones; 0: none is closed for this. */
+	int32_t kept_max;
 } listener_conf_t;
 
 /**
@@ -139,6 +153,21 @@
 /** @return Content-Length; 0: no body, -1: a body of unknown length. */
 int64_t exchange_body_bytes(const exchange_t *exchange);
 
+/**
+ * @return bytes that the status line and the headers of a reply may have. What
+ * the library holds of this request and of next ones on the connection takes
+ * from the same memory. A reply beyond it is replaced by status 502.
+ */
+size_t exchange_reply_room_bytes(const exchange_t *exchange);
+
+/** @return true if there is room for a reply of usual size: a request for which
+ * there is none must be refused before it is run */
+bool exchange_has_reply_room(const exchange_t *exchange);
+
+/** @return true if there is room for a reply with these headers */
+bool exchange_reply_fits(const exchange_t *exchange,
+			 const reply_header_t *headers, size_t header_count);
+
 /** Sends a whole reply; the body is copied. A second reply is ignored. */
 void exchange_reply(exchange_t *exchange, int status,
 		    const reply_header_t *headers, size_t header_count,
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -44,6 +44,7 @@
 	caller_phase_t phase;
 	int64_t since_us; /* when the phase began */
 	progress_t progress; /* as of the last check for unsent data */
+	uint64_t request_bytes; /* heads and bodies of its requests so far */
 	struct caller *prev, *next;
 } caller_t;
 
@@ -65,6 +66,8 @@
 	exchange_t *exchanges;
 	size_t reply_bytes; /* memory of their replies */
 	caller_t *callers; /* all connections */
+	int32_t caller_count;
+	int32_t kept_max; /* see listener_conf_t */
 	bool keeps_unsent;
 	unsent_t *unsent; /* if keeps_unsent; as of the last check */
 	size_t unsent_count;
@@ -94,6 +97,11 @@
 	bool streaming; /* the reply is streamed */
 	bool ended; /* the streamed reply gets no more data */
 	bool aborted;
+	size_t head_bytes; /* request line and headers */
+	size_t copied_bytes; /* of headers, of which the library has a copy */
+	size_t record_count; /* headers, cookies and parameters of the query */
+	uint64_t body_bytes; /* read so far */
+	size_t unread_bytes; /* what the library may hold of next requests */
 	struct MHD_Response *reply; /* NULL: no reply yet */
 	int status;
 	/* Streamed reply: the library has not read [start, start + size). */
@@ -118,6 +126,8 @@
 			   enum MHD_ConnectionNotificationCode code);
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
+/** @return the caller of a connection; NULL: the connection has ended */
+caller_t *callers_find(struct MHD_Connection *connection);
 /** @return true if a caller receives data that was sent to it, on a kept
  * connection or an open one */
 bool callers_have_unsent(listener_t *listener);
@@ -146,4 +156,10 @@
 			   void **exchange,
 			   enum MHD_RequestTerminationCode code);
 
+/* exchange_room.c */
+/** Notes the size of the head of a request, whose headers were read. */
+void exchange_measure_head(exchange_t *exchange);
+/** Notes how much was read of next requests, when this one was read. */
+void exchange_measure_unread(exchange_t *exchange);
+
 #endif
--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -82,6 +82,9 @@
 				(int32_t)floor, clock_monotonic_us());
 }
 
+/* Share of the memory limit for connections that are kept open. */
+enum { KEPT_MEMORY_DIVISOR = 8 };
+
 static bool open_callers(gateway_t *gateway, err_t *err)
 {
 	listener_handler_t handler = forward_handler;
@@ -90,6 +93,9 @@
 		.connections_max = (gateway->settings.descriptors_max -
 				    DESCRIPTORS_RESERVED) /
 				   2,
+		.kept_max = (int32_t)(gateway->settings.memory_limit_bytes /
+				      KEPT_MEMORY_DIVISOR /
+				      LISTENER_CONNECTION_BYTES),
 	};
 
 	handler.context = gateway;
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -261,7 +261,14 @@
 	request_t *request = user;
 
 	request_record_phase(request, "accept", false);
-	request_admit(request);
+	if (exchange_has_reply_room(request->exchange)) {
+		request_admit(request);
+		return;
+	}
+	metrics_add(METRIC_HEADERS_REFUSED, 1);
+	request_refuse(request, REFUSAL_MEMORY_FULL, OUTCOME_NOT_RUN,
+		       RETRY_AFTER_S,
+		       "requests ahead of their answers fill the connection");
 }
 
 void request_on_drained(void *user)
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -10,7 +10,10 @@
 #include "base/mem.h"
 #include "process/request.h"
 
-enum { CONNECTIONS_MAX = 20000 }; /* caller connections of one request task */
+enum {
+	CONNECTIONS_MAX = 20000, /* caller connections of one request task */
+	CONNECTIONS_KEPT_MAX = 2000 /* the same, that wait for a next request */
+};
 
 /* Period of the check for stalled callers. */
 #define TICK_S 0.1
@@ -163,6 +166,7 @@
 		.key = settings->caller_key,
 		.shared = settings->request_tasks > 1,
 		.connections_max = CONNECTIONS_MAX,
+		.kept_max = CONNECTIONS_KEPT_MAX,
 	};
 	listener_handler_t handler = {
 		.on_request = request_on_request,
--- a/src/request/forward.c
+++ b/src/request/forward.c
@@ -303,12 +303,23 @@
 	forward->body_bytes = needed;
 }
 
+/* The caller sent requests ahead of their answers. */
+static void refuse_reply_room(forward_t *forward)
+{
+	metrics_add(METRIC_HEADERS_REFUSED, 1);
+	forward_refuse_here(forward, "no_reply_room", OTHER_NODE_RETRY_MS);
+}
+
 static void on_complete(void *user)
 {
 	forward_t *forward = user;
 
 	if (forward->phase != FORWARD_RECEIVING)
 		return;
+	if (!exchange_has_reply_room(forward->exchange)) {
+		refuse_reply_room(forward);
+		return;
+	}
 	forward->content =
 		content_id(forward->account ? forward->account->name : NULL,
 			   exchange_method(forward->exchange),
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -25,6 +25,7 @@
 	HTTP_MULTIPLE_CHOICES = 300,
 	HTTP_MISDIRECTED = 421,
 	HTTP_SERVER_ERROR = 500,
+	HTTP_BAD_GATEWAY = 502,
 	HTTP_UNAVAILABLE = 503
 };
 
@@ -227,6 +228,23 @@
 	fail(forward, FAILURE_NOT_RUN, EVIDENCE_GONE);
 }
 
+/* The request has run, and would get as long an answer from another server. */
+static void fail_undeliverable(forward_t *forward)
+{
+	metrics_add(METRIC_ANSWERS_REPLACED, 1);
+	forward->runs++;
+	forward_fail(forward, HTTP_BAD_GATEWAY, "answer_headers_too_long");
+}
+
+static bool is_deliverable(const forward_t *forward)
+{
+	const reply_headers_t *headers = &forward->attempt->headers;
+
+	return forward->head_sent ||
+	       exchange_reply_fits(forward->exchange, headers->items,
+				   headers->count);
+}
+
 /*
  * A refusal, or an answer that is not the server's own, ends the attempt at its
  * headers: its body decides nothing and may have no end.
@@ -252,6 +270,8 @@
 	else if (forward->head_sent && !is_success(reply))
 		/* The caller has a part of another server's answer. */
 		fail(forward, FAILURE_SERVER_ERROR, EVIDENCE_GOOD);
+	else if (!is_deliverable(forward))
+		fail_undeliverable(forward);
 	else if (forward->route->kind != CALL_STREAM)
 		count_usage(forward, attempt->sent_us);
 }
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -433,6 +433,8 @@
 	reply_t *reply = context;
 	size_t used = strlen(reply->headers);
 
+	reply->header_bytes += strlen(name) + strlen(value);
+	reply->is_sealed |= !strcasecmp(name, "X-Server-Seal");
 	snprintf(reply->headers + used, sizeof(reply->headers) - used,
 		 "%s: %s\n", name, value);
 }
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -85,7 +85,9 @@
 	bool discards; /**< keeps no body; set after the call began */
 	client_end_t end;
 	int status;
-	char headers[2048];
+	char headers[2048]; /**< the first of them */
+	size_t header_bytes; /**< names and values of all */
+	bool is_sealed; /**< has X-Server-Seal */
 	char body[8192];
 	size_t size;
 	client_call_t *call;
--- a/tests/lib/raw_server.h
+++ b/tests/lib/raw_server.h
@@ -48,7 +48,7 @@
 		const raw_answer_t *answer; /**< NULL: no head has come */
 		ev_io readable;
 		ev_timer end;
-		char head[4096];
+		char head[20000];
 		size_t size; /**< of head */
 		size_t received_bytes, expected_bytes;
 		bool is_open, is_answered;
--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -106,11 +106,13 @@
 	usleep(100);
 }
 
-static reply_t call(const char *path, const char *body)
+static const char *const usual_headers[] = { "Host: h", "X-Request-Id: r1",
+					     "X-Deadline-Ms: 1400",
+					     FIXTURE_AUTHORIZATION, NULL };
+
+static reply_t call_with(const char *path, const char *const *headers,
+			 const char *body)
 {
-	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
-					       "X-Deadline-Ms: 1400",
-					       FIXTURE_AUTHORIZATION, NULL };
 	int64_t end_us = clock_monotonic_us() + CALL_MAX_MS * US_PER_MS;
 	static reply_t reply;
 
@@ -132,6 +134,11 @@
 		 load_table_node_count(fixture->gateway->load_table)));
 }
 
+static reply_t call(const char *path, const char *body)
+{
+	return call_with(path, usual_headers, body);
+}
+
 /* Cuts the node that callers ask off, and waits until it knows of it. */
 static void cut_near(void)
 {
@@ -411,6 +418,100 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Headers of a request beside those of its answer. */
+typedef struct {
+	const char *name;
+	size_t count, bytes; /* further headers of the request, each */
+	size_t answer_count, answer_bytes; /* the same of the answer */
+} headers_t;
+
+/* @return lines with one NULL after them, to be freed with their text */
+static char **make_lines(const headers_t *shape)
+{
+	size_t usual = COUNT_OF(usual_headers) - 1, i;
+	char **lines = calloc(usual + shape->count + 1, sizeof(*lines));
+
+	for (i = 0; i < usual; i++)
+		lines[i] = (char *)usual_headers[i];
+	for (i = 0; i < shape->count; i++) {
+		lines[usual + i] = calloc(1, shape->bytes);
+		snprintf(lines[usual + i], shape->bytes - 1, "X-%zu: %0*d", i,
+			 (int)shape->bytes, 0);
+	}
+	return lines;
+}
+
+static void free_lines(char **lines)
+{
+	size_t i;
+
+	for (i = COUNT_OF(usual_headers) - 1; lines[i]; i++)
+		free(lines[i]);
+	free(lines);
+}
+
+/* @return headers of a whole answer, of which the seal is the last */
+static char *make_head(const headers_t *shape, kind_t kind)
+{
+	size_t size = shape->answer_count * (shape->answer_bytes + 1) + 400, i;
+	char *head = calloc(1, size), *at = head;
+
+	at += sprintf(at, "HTTP/1.1 200 OK\r\n%s",
+		      is_stream(kind) ? "Content-Type: text/event-stream\r\n"
+					"Transfer-Encoding: chunked\r\n"
+				      : "Content-Length: 10\r\n");
+	for (i = 0; i < shape->answer_count; i++)
+		at += sprintf(at, "X-%03zu: %0*d\r\n", i,
+			      (int)shape->answer_bytes - 9, 0);
+	sprintf(at, SEALED "\r\n");
+	return head;
+}
+
+/* @return 1 after a message if the answer is not whole, else 0 */
+static size_t play_headers(const headers_t *shape, kind_t kind)
+{
+	raw_answer_t answer = is_stream(kind) ? whole_stream : whole_answer;
+	char *head = make_head(shape, kind), **lines = make_lines(shape);
+	reply_t reply;
+	bool expected;
+
+	answer.head = head;
+	raw_server_script(&play.server, &answer, 1);
+	reply = call_with(paths[kind], (const char *const *)lines, "body");
+	expected = is_whole(&reply, kind) && reply.is_sealed &&
+		   reply.header_bytes >=
+			   shape->answer_count * (shape->answer_bytes - 4);
+	free_lines(lines);
+	free(head);
+	return judge(shape->name, kind, &reply, expected, 1);
+}
+
+/* Guards against requests that run and are not answered, or without the seal,
+ * since their headers and those of the answer share a bound. */
+static void headers_cost_the_answer(void **state)
+{
+	static const headers_t shapes[] = {
+		{ "8,000 bytes in 320 headers", 320, 25, 14, 75 },
+		{ "12,600 bytes in 50 headers", 50, 245, 14, 75 },
+		{ "16,000 bytes in 2 headers", 2, 8000, 14, 75 },
+		{ "16,000 bytes in 640 headers", 640, 25, 14, 75 },
+		{ "12,600 bytes, a long answer", 50, 245, 30, 1000 },
+		{ "an answer of 30,000 bytes", 0, 0, 30, 1000 },
+		{ "an answer of 60,000 bytes", 0, 0, 6, 10000 },
+	};
+	size_t way, i, failed = 0;
+	kind_t kind;
+
+	for (way = 0; way < 2; way++) {
+		start(way);
+		for (i = 0; i < COUNT_OF(shapes); i++)
+			for (kind = LOOKUP; kind < KINDS; kind++)
+				failed += play_headers(&shapes[i], kind);
+		stop();
+	}
+	assert_int_equal(failed, 0);
+}
+
 /*
  * Guards against a node that outlasts its stop since the node that it passed a
  * request on to never answers, and against a caller without an answer.
@@ -451,6 +552,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(headers_cost_the_answer),
 		cmocka_unit_test(node_outlasts_its_stop_for_another_node),
 		cmocka_unit_test(status_that_is_none_reaches_a_caller),
 		cmocka_unit_test(whole_early_answer_is_lost),
