Answers keep all of their headers

Cause: the headers of an attempt stood in an array of 48, and the 48th and further ones were dropped without a word.

Change: the array grows. The header "Connection: close" of a node that stops is added by the listener, which needs no place in the array.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -172,12 +172,14 @@
 		      size_t header_count)
 {
 	const listener_t *listener = exchange->listener;
+	bool is_full = listener->kept_max &&
+		       listener->caller_count > listener->kept_max;
 	size_t i;
 
 	for (i = 0; i < header_count; i++)
 		MHD_add_response_header(reply, headers[i].name,
 					headers[i].value);
-	if (listener->kept_max && listener->caller_count > listener->kept_max &&
+	if ((exchange->is_last || is_full) &&
 	    !has_header(headers, header_count, "Connection"))
 		MHD_add_response_header(reply, "Connection", "close");
 	exchange->status = status;
@@ -420,6 +422,11 @@
 	return exchange_header(exchange, "Transfer-Encoding") ? -1 : 0;
 }
 
+void exchange_set_last(exchange_t *exchange)
+{
+	exchange->is_last = true;
+}
+
 /* The request may have run: the caller must get an answer. */
 static void replace_reply(exchange_t *exchange)
 {
--- a/src/connection/listener.h
+++ b/src/connection/listener.h
@@ -168,6 +168,9 @@
 bool exchange_reply_fits(const exchange_t *exchange,
 			 const reply_header_t *headers, size_t header_count);
 
+/** The connection is closed after the reply, which says so. */
+void exchange_set_last(exchange_t *exchange);
+
 /** Sends a whole reply; the body is copied. A second reply is ignored. */
 void exchange_reply(exchange_t *exchange, int status,
 		    const reply_header_t *headers, size_t header_count,
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -97,6 +97,7 @@
 	bool streaming; /* the reply is streamed */
 	bool ended; /* the streamed reply gets no more data */
 	bool aborted;
+	bool is_last; /* the connection is closed after the reply */
 	size_t head_bytes; /* request line and headers */
 	size_t copied_bytes; /* of headers, of which the library has a copy */
 	size_t record_count; /* headers, cookies and parameters of the query */
--- a/src/request/forward_attempt.c
+++ b/src/request/forward_attempt.c
@@ -21,6 +21,7 @@
 	/* The server's answer is paused while more than this is buffered for
 	 * the caller. */
 	PENDING_MAX_BYTES = 64 * 1024,
+	HEADERS_FIRST = 16, /* of an answer, that need no more memory */
 	HTTP_OK = 200,
 	HTTP_MULTIPLE_CHOICES = 300,
 	HTTP_MISDIRECTED = 421,
@@ -52,6 +53,7 @@
 		free((char *)attempt->headers.items[i].name);
 		free((char *)attempt->headers.items[i].value);
 	}
+	free(attempt->headers.items);
 	free_held_body(gateway, attempt);
 	free(attempt);
 }
@@ -104,11 +106,24 @@
 	forward_attempt_failed(forward, failure);
 }
 
+/* The client bounds the size of all headers. */
+static void append_header(answer_headers_t *headers, const char *name,
+			  const char *value)
+{
+	if (headers->count == headers->capacity) {
+		headers->capacity = headers->capacity ? 2 * headers->capacity
+						      : HEADERS_FIRST;
+		headers->items = mem_realloc(headers->items, headers->capacity,
+					     sizeof(*headers->items));
+	}
+	headers->items[headers->count++] =
+		(reply_header_t){ mem_strdup(name), mem_strdup(value) };
+}
+
 static void on_header(void *context, const char *name, const char *value)
 {
 	forward_t *forward = context;
 	attempt_t *attempt = forward->attempt;
-	reply_headers_t *headers = &attempt->headers;
 
 	if (!strncasecmp(name, RELAY_HEADER_PREFIX,
 			 strlen(RELAY_HEADER_PREFIX))) {
@@ -122,11 +137,8 @@
 	if (!strcasecmp(name, "Content-Length") ||
 	    !strcasecmp(name, "Transfer-Encoding"))
 		attempt->is_framed = true;
-	if (is_hop_header(name, NULL) ||
-	    headers->count >= REPLY_HEADERS_MAX - 1)
-		return;
-	headers->items[headers->count++] =
-		(reply_header_t){ mem_strdup(name), mem_strdup(value) };
+	if (!is_hop_header(name, NULL))
+		append_header(&attempt->headers, name, value);
 }
 
 static bool is_success(const server_reply_t *reply)
@@ -238,7 +250,7 @@
 
 static bool is_deliverable(const forward_t *forward)
 {
-	const reply_headers_t *headers = &forward->attempt->headers;
+	const answer_headers_t *headers = &forward->attempt->headers;
 
 	return forward->head_sent ||
 	       exchange_reply_fits(forward->exchange, headers->items,
--- a/src/request/forward_reply.c
+++ b/src/request/forward_reply.c
@@ -14,47 +14,35 @@
 	EVENT_FIELD_ID_BYTES = 3 /* "id:" */
 };
 
-static void add_close_if_stopping(const forward_t *forward,
-				  reply_headers_t *headers)
+static void close_if_stopping(const forward_t *forward)
 {
-	if (forward->gateway->stop == STOP_NONE ||
-	    headers->count == REPLY_HEADERS_MAX)
-		return;
-	headers->items[headers->count++] =
-		(reply_header_t){ "Connection", "close" };
-}
-
-/* @return headers whose strings are borrowed from the attempt */
-static reply_headers_t make_headers(const forward_t *forward)
-{
-	reply_headers_t headers = forward->attempt->headers;
-
-	add_close_if_stopping(forward, &headers);
-	return headers;
+	if (forward->gateway->stop != STOP_NONE)
+		exchange_set_last(forward->exchange);
 }
 
 void forward_reply_whole(forward_t *forward)
 {
 	const attempt_t *attempt = forward->attempt;
-	reply_headers_t headers = make_headers(forward);
 
 	forward->head_sent = true;
 	metrics_add(METRIC_REQUESTS_COMPLETE, 1);
-	exchange_reply(forward->exchange, attempt->reply.status, headers.items,
-		       headers.count, attempt->body, attempt->body_bytes);
+	close_if_stopping(forward);
+	exchange_reply(forward->exchange, attempt->reply.status,
+		       attempt->headers.items, attempt->headers.count,
+		       attempt->body, attempt->body_bytes);
 	forward_ended(forward, attempt->reply.status, "complete");
 }
 
 void forward_reply_begin(forward_t *forward)
 {
-	reply_headers_t headers;
+	const attempt_t *attempt = forward->attempt;
 
 	if (forward->head_sent)
 		return;
-	headers = make_headers(forward);
 	forward->head_sent = true;
-	exchange_stream(forward->exchange, forward->attempt->reply.status,
-			headers.items, headers.count);
+	close_if_stopping(forward);
+	exchange_stream(forward->exchange, attempt->reply.status,
+			attempt->headers.items, attempt->headers.count);
 }
 
 /*
@@ -161,7 +149,7 @@
 }
 
 static void reply_error(forward_t *forward, int status, const char *code,
-			reply_headers_t *headers)
+			own_headers_t *headers)
 {
 	char body[ERROR_BODY_SIZE_BYTES];
 
@@ -171,7 +159,7 @@
 					  relay_outcome(forward, status) };
 	headers->items[headers->count++] =
 		(reply_header_t){ "Content-Type", "application/json" };
-	add_close_if_stopping(forward, headers);
+	close_if_stopping(forward);
 	snprintf(body, sizeof(body), "{\"error\":{\"code\":\"%s\"}}", code);
 	exchange_reply(forward->exchange, status, headers->items,
 		       headers->count, body, strlen(body));
@@ -180,7 +168,7 @@
 void forward_refuse(forward_t *forward, const char *code,
 		    int64_t retry_after_ms)
 {
-	reply_headers_t headers = { .count = 1 };
+	own_headers_t headers = { .count = 1 };
 	char seconds[SECONDS_SIZE_BYTES];
 
 	/* A refusal states that the request has not run: a request that may
@@ -206,7 +194,7 @@
 
 void forward_fail(forward_t *forward, int status, const char *code)
 {
-	reply_headers_t headers = { .count = 0 };
+	own_headers_t headers = { .count = 0 };
 
 	metrics_add(METRIC_REQUESTS_FAILED, 1);
 	if (forward->head_sent)
--- a/src/request/forward_state.h
+++ b/src/request/forward_state.h
@@ -19,18 +19,23 @@
 
 enum {
 	SERVERS_TRIED_MAX = 8,
-	REPLY_HEADERS_MAX = 48,
+	OWN_HEADERS_MAX = 4, /* of an answer of this node */
 	RELAYS_MAX = 3, /* nodes to which one request is passed on */
 	/* Retry-After where another node can serve the request at once. */
 	OTHER_NODE_RETRY_MS = 50
 };
 
-/** Headers of an answer that are relayed to the caller. */
+/** Headers of a server's answer that are relayed to the caller. */
 typedef struct {
-	reply_header_t items[REPLY_HEADERS_MAX]; /**< owned strings, unless
-						  * borrowed from an attempt */
+	reply_header_t *items; /**< owned strings */
+	size_t count, capacity;
+} answer_headers_t;
+
+/** Headers of an answer of this node; the strings are borrowed. */
+typedef struct {
+	reply_header_t items[OWN_HEADERS_MAX];
 	size_t count;
-} reply_headers_t;
+} own_headers_t;
 
 /** One attempt: a request sent to one server, to a set of servers, or to
  * another node. */
@@ -51,7 +56,7 @@
 	int64_t timeout_us; /**< silence after which the request fails over to
 			     * another server; 0: never */
 	server_reply_t reply;
-	reply_headers_t headers;
+	answer_headers_t headers;
 	char *body; /**< answer held until it is complete; NULL: no data yet */
 	size_t body_bytes;
 	bool head_done; /**< status and headers are complete */
--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -498,6 +498,8 @@
 		{ "12,600 bytes, a long answer", 50, 245, 30, 1000 },
 		{ "an answer of 30,000 bytes", 0, 0, 30, 1000 },
 		{ "an answer of 60,000 bytes", 0, 0, 6, 10000 },
+		{ "an answer of 60 headers", 0, 0, 60, 40 },
+		{ "an answer of 600 headers", 0, 0, 600, 40 },
 	};
 	size_t way, i, failed = 0;
 	kind_t kind;
