--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -204,6 +204,7 @@
 	ev_timer_stop(gateway->loop, &gateway->stop_timer);
 	ev_timer_stop(gateway->loop, &gateway->expiry);
 	gateway_reach_stop(gateway);
+	gateway_stop_store_probes(gateway);
 	gateway_views_stop(gateway);
 	listener_destroy(gateway->callers);
 	gateway_relay_stop(gateway);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -12,6 +12,7 @@
 #include "connection/listener.h"
 #include "platform/client.h"
 #include "duty/duties.h"
+#include "health/outage.h"
 #include "process/backends.h"
 #include "process/gateway.h"
 #include "process/view_update.h"
@@ -47,8 +48,6 @@
 	/** Last time at which the view was complete; 0: never. */
 	int64_t confirmed_boot_us;
 	int32_t failures; /**< failed calls in a row */
-	/** Since when the store may not have answered; 0: it answers. */
-	int64_t failing_boot_us;
 	change_log_t *log; /**< recent changes, for subscribers */
 	/** The last check found that view updates replace a watch. */
 	bool subscribed;
@@ -56,6 +55,14 @@
 	bool takes_over;
 } view_t;
 
+enum { STORE_PROBES_MAX = 4 };
+
+/** A call that finds out if the store answers. */
+typedef struct {
+	gateway_t *gateway;
+	int64_t sent_boot_us; /**< 0: not in flight */
+} store_probe_t;
+
 /** Retry budget of one service. */
 typedef struct {
 	char *service;
@@ -148,6 +155,9 @@
 	 * 0: none.
 	 */
 	int64_t grace_until_us, received_grace_until_us;
+	outage_t outage; /**< of the store, as this node's calls show it */
+	ev_timer probe_timer; /**< active while calls to the store fail */
+	store_probe_t probes[STORE_PROBES_MAX];
 	/** Nodes that the list of nodes lacks are kept until then. */
 	int64_t keep_peers_until_us;
 	bool registered; /**< the list of nodes holds this node's entry */
@@ -195,6 +205,27 @@
 void gateway_retry_views(gateway_t *gateway);
 /** Ends the outage of a view after a view update of another node. */
 void gateway_end_outage(view_t *view);
+/** Calls the store for all views now; calls in flight may never be answered. */
+void gateway_call_views(gateway_t *gateway);
+
+/* gateway_outage.c */
+/**
+ * Notes a call of a view that the store did not answer.
+ * @param is_silent see outage_note_failure()
+ */
+void gateway_note_store_failure(gateway_t *gateway, int64_t sent_boot_us,
+				bool is_silent);
+/** Notes a call of a view that the store answered; after an outage, the grace
+ * period of servers without an entry begins. */
+void gateway_note_store_answer(gateway_t *gateway, int64_t sent_boot_us);
+/** Ends an outage of this node's calls after a view update of another node. */
+void gateway_end_store_outage(gateway_t *gateway);
+/** @return true if this node finds out by probes when the store answers; others
+ * wait for the view updates of those that do */
+bool gateway_probes_store(const gateway_t *gateway);
+/** Starts probes, which call the views as soon as the store answers. */
+void gateway_start_store_probes(gateway_t *gateway, int64_t delay_ms);
+void gateway_stop_store_probes(gateway_t *gateway);
 
 /* gateway_updates.c */
 /** @return true if view updates of others replace this node's own watch */
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -54,13 +54,8 @@
 /* Nodes that learn that the store came back read it within this time. */
 enum { RESTORED_SPREAD_MS = 200 };
 
-/* Grace period after an outage of the store. Entries that expired in the outage
- * are written again within 2 s; until the period ends, servers that left stay
- * usable as well. */
-#define SERVER_GRACE_US (1800 * US_PER_MS)
-/* Entries expire after several reports of their servers are missing: calls that
- * fail for less than this are no outage in which they may have. */
-#define OUTAGE_MIN_US (1 * US_PER_S)
+/* Retry of a node whose probes find out when the store answers again. */
+enum { RETRY_PROBED_MS = 3000 };
 
 static void schedule(view_t *view, int64_t delay_ms)
 {
@@ -92,48 +87,6 @@
 		       : 0;
 }
 
-/* Sets the grace period after an outage. A node that received view updates in
- * the meantime takes it from them: the publishers know if the platform was
- * unavailable. */
-static void start_grace_period(gateway_t *gateway)
-{
-	gateway->grace_until_us =
-		gateway_receives_updates(gateway)
-			? gateway->received_grace_until_us
-			: clock_monotonic_us() + SERVER_GRACE_US;
-}
-
-/* Notes since when the store may not have answered: a call that was not
- * answered in time tells nothing of the time before. */
-static void note_failing(view_t *view, platform_status_t status)
-{
-	int64_t now_us = clock_boot_us();
-
-	/* The store answered that it lacks the changes. */
-	if (status == PLATFORM_CONFLICT || view->failing_boot_us)
-		return;
-	view->failing_boot_us = now_us;
-	if (now_us - view->called_boot_us >= view->wait_ms * US_PER_MS)
-		view->failing_boot_us = view->called_boot_us;
-}
-
-/* @return true if, until the call that was answered now, the store did not
- * answer for so long that entries of servers may have expired */
-static bool ends_outage(const view_t *view)
-{
-	return view->failing_boot_us && view->confirmed_boot_us &&
-	       view->called_boot_us - view->failing_boot_us >= OUTAGE_MIN_US;
-}
-
-/* The store answers: no view waits for it any longer. */
-static void end_outages(gateway_t *gateway)
-{
-	size_t i;
-
-	for (i = 0; i < KINDS_WATCHED; i++)
-		gateway->views[i].failing_boot_us = 0;
-}
-
 /* Prepares a listing, which replaces all known objects; a watch only adds
  * changes. */
 static void begin_listing(view_t *view)
@@ -246,6 +199,28 @@
 	}
 }
 
+void gateway_call_views(gateway_t *gateway)
+{
+	size_t i;
+
+	for (i = 0; i < KINDS_WATCHED; i++) {
+		view_t *view = &gateway->views[i];
+
+		if (view->calling)
+			platform_cancel(gateway->platform, view);
+		view->calling = false;
+		schedule(view, 0);
+	}
+}
+
+static void note_failure(const view_t *view)
+{
+	int64_t age_us = clock_boot_us() - view->called_boot_us;
+
+	gateway_note_store_failure(view->gateway, view->called_boot_us,
+				   age_us >= view->wait_ms * US_PER_MS);
+}
+
 static void on_answer_failed(view_t *view, platform_status_t status)
 {
 	int32_t doublings = view->failures < RETRY_DOUBLINGS_MAX
@@ -254,7 +229,6 @@
 	int64_t delay_ms = RETRY_FIRST_MS << doublings;
 	int64_t longest_ms = RETRY_MAX_MS, idle_ms;
 
-	note_failing(view, status);
 	view->failures++;
 	/* The store has dropped the changes since the view's revision: list all
 	 * objects again, at once. */
@@ -263,6 +237,8 @@
 		delay_ms = 0;
 		log_event(EVENT_VIEW_RELISTED, "kind=%d revision=%" PRId64,
 			  (int)view->kind, view->revision);
+	} else {
+		note_failure(view);
 	}
 	if (gateway_receives_updates(view->gateway))
 		longest_ms = (int64_t)((double)gateway_bound_us(view) *
@@ -276,6 +252,10 @@
 	if (delay_ms)
 		delay_ms += (int64_t)(gateway_random(view->gateway) %
 				      (uint64_t)delay_ms);
+	if (delay_ms && gateway_probes_store(view->gateway)) {
+		gateway_start_store_probes(view->gateway, delay_ms);
+		delay_ms = RETRY_PROBED_MS;
+	}
 	schedule(view, delay_ms);
 }
 
@@ -318,9 +298,7 @@
 		on_answer_failed(view, status);
 		return;
 	}
-	if (ends_outage(view))
-		start_grace_period(view->gateway);
-	end_outages(view->gateway);
+	gateway_note_store_answer(view->gateway, view->called_boot_us);
 	if (view->failures) {
 		view->failures = 0;
 		gateway_retry_views(view->gateway);
@@ -352,8 +330,7 @@
 void gateway_end_outage(view_t *view)
 {
 	view->failures = 0;
-	end_outages(view->gateway);
-	start_grace_period(view->gateway);
+	gateway_end_store_outage(view->gateway);
 	schedule(view, SUBSCRIBER_CHECK_MS);
 }
 
--- a/src/process/node_settings.h
+++ b/src/process/node_settings.h
@@ -39,6 +39,7 @@
 	 * change is in force. */
 	int64_t config_apply_ms; /**< a new routing configuration */
 	int64_t drain_ms; /**< a server leaves the service */
+	int64_t settle_ms; /**< after an outage, until these times hold again */
 	int64_t evacuate_ms; /**< a data centre goes out of service */
 	int64_t key_revoke_ms; /**< a removed key is refused */
 	bool keys_expire; /**< refuse keys that cannot be confirmed in time */
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -13,7 +13,11 @@
 #include "cases.h"
 #include "lib/loopback.h"
 
-enum { WATCH_MS = 150, WATCH_POLL_MS = 30 };
+enum {
+	WATCH_MS = 150,
+	WATCH_POLL_MS = 30,
+	REMOVALS_REVISION = 20 /* above those of all objects */
+};
 
 /* Time between two blocks of an answer without end. */
 #define ENDLESS_INTERVAL_S 0.001
@@ -153,6 +157,51 @@
 	json_decref(json);
 }
 
+static void refuse_call(const gateway_fixture_t *fixture, exchange_t *exchange)
+{
+	if (fixture->store_refusal < 0)
+		exchange_abort(exchange);
+	else
+		reply_json(fixture, exchange,
+			   fixture->store_refusal ? fixture->store_refusal
+						  : 503,
+			   json_object());
+}
+
+/* @return true if the watch of the servers lacks their removal */
+static bool lacks_removals(const gateway_fixture_t *fixture,
+			   const exchange_t *exchange)
+{
+	const char *since = strstr(exchange_query(exchange), "watch=");
+
+	return fixture->tells_removals && since &&
+	       !strcmp(exchange_path(exchange), "/objects/servers") &&
+	       atoi(since + strlen("watch=")) < REMOVALS_REVISION;
+}
+
+static void tell_removals(const gateway_fixture_t *fixture,
+			  exchange_t *exchange)
+{
+	static const char *const names[] = { "i-s0", "i-s1", "i-m0", "i-m1" };
+	json_t *events = json_array();
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(names); i++)
+		json_array_append_new(
+			events,
+			json_pack("{s:{s:{s:s,s:i},s:{}},s:b}", "object",
+				  "meta", "name", names[i], "revision",
+				  REMOVALS_REVISION, "spec", "deleted", 1));
+	reply_json(fixture, exchange, 200,
+		   json_pack("{s:o,s:i}", "events", events, "storeRevision",
+			     REMOVALS_REVISION));
+}
+
+void gateway_fixture_forget_calls(gateway_fixture_t *fixture)
+{
+	memset(fixture->watches, 0, sizeof(fixture->watches));
+}
+
 /* Begins, or goes on with, an answer that never ends. */
 static void write_endless(gateway_fixture_t *fixture, exchange_t *exchange)
 {
@@ -280,11 +329,15 @@
 			    sizeof(fixture->registration));
 	}
 	if (fixture->store_refuses)
-		reply_json(fixture, exchange, 503, json_object());
+		refuse_call(fixture, exchange);
+	else if (!fixture->store_silent && lacks_removals(fixture, exchange))
+		tell_removals(fixture, exchange);
 	else if (fixture->store_silent ||
 		 strstr(exchange_query(exchange), "watch="))
 		hold_exchange(fixture, exchange);
-	else if (strstr(exchange_path(exchange), "chivestage-leases/") &&
+	else if (strstr(exchange_path(exchange), "/chivestage-") &&
+		 strchr(strstr(exchange_path(exchange), "/chivestage-") + 1,
+			'/') &&
 		 !strcmp(exchange_method(exchange), "GET"))
 		reply_json(fixture, exchange, 404, json_object());
 	else if (!strcmp(exchange_method(exchange), "GET"))
@@ -335,6 +388,7 @@
 		.config_apply_ms = 2000,
 		.drain_ms = 2000,
 		.evacuate_ms = 5000,
+		.settle_ms = 3000,
 		.key_revoke_ms = 2000,
 		.keys_expire = !fixture->keys_stay,
 		.retry_ratio = 0.2,
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -109,7 +109,8 @@
 	size_t watch_count;
 	ev_timer watch_timer, endless_timer;
 	bool store_silent;
-	bool store_refuses; /**< answers all calls with 503 */
+	bool store_refuses; /**< answers all calls with store_refusal */
+	int store_refusal; /**< a status; 0: 503, -1: resets connections */
 	int watch_status; /**< status of the answers to watches; 0: 200 */
 	/** Calls to the store, without those for the list of nodes. */
 	int view_calls;
@@ -144,6 +145,7 @@
 	int slots; /**< requests that a server runs at once; 0: 8 */
 	bool controls_load; /**< see node_settings_t */
 	bool no_servers; /**< the entries of all servers were removed */
+	bool tells_removals; /**< watches get these removals as changes */
 	bool has_duties; /**< the platform has duties; set before the start */
 	bool duties_fail; /**< answers calls of duties with 503 */
 	/** Path, holder, token and body of each call. */
@@ -188,6 +190,9 @@
 				 struct server *server);
 /** Runs the loop until the gateway knows routes and servers. */
 void gateway_fixture_wait_ready(gateway_fixture_t *fixture);
+/** Calls that the store holds are never answered, like those that arrive while
+ * it is cut off. */
+void gateway_fixture_forget_calls(gateway_fixture_t *fixture);
 /** Runs the loop for @p ms. */
 void gateway_fixture_run(gateway_fixture_t *fixture, int64_t ms);
 
