Test headers and their answers on the own interface

Headers within the limits, and answers of 30,000 bytes of headers, for streams, completions, lookups and orders.

--- a/tests/test_request_answers.c
+++ b/tests/test_request_answers.c
@@ -13,7 +13,8 @@
 enum {
 	UPLOAD_BYTES = 4 << 20,
 	BODY_MAX_BYTES = 8 << 20,
-	LONG_PART_BYTES = 300 * 1024
+	LONG_PART_BYTES = 300 * 1024,
+	HEADERS_SIZE_BYTES = 20000
 };
 
 #define OK "HTTP/1.1 200 OK\r\n"
@@ -43,9 +44,23 @@
 };
 
 static fixture_t fixture;
+static const char *more_headers; /* of requests; NULL: none */
 static raw_server_t server;
 static answer_t answer;
 
+/* @return header lines of a request; NULL: none */
+static const char *make_headers(kind_t kind)
+{
+	static char text[HEADERS_SIZE_BYTES];
+	const char *header = kinds[kind].header;
+
+	if (!more_headers)
+		return header;
+	snprintf(text, sizeof(text), "%s%s%s", header ? header : "",
+		 header ? "\r\n" : "", more_headers);
+	return text;
+}
+
 /* Plays an answer of the server, which gives whole ones after it. */
 static void play(const raw_answer_t *first, kind_t kind, size_t body_bytes)
 {
@@ -77,7 +92,7 @@
 	fixture.attempts_max = kind == ORDER ? 1 : 2;
 	answer.discards = false;
 	fixture_call(&fixture, &answer, "POST", kinds[kind].path,
-		     kinds[kind].header, body);
+		     make_headers(kind), body);
 	answer.discards = first->filler_bytes > 0;
 	fixture_wait(&fixture, &answer);
 	raw_server_stop(&server);
@@ -228,9 +243,54 @@
 	assert_int_equal(failed, 0);
 }
 
+/* Guards against requests that run and are not answered, since their headers
+ * and those of the answer share a bound. */
+static void headers_cost_the_answer(void **state)
+{
+	static const struct {
+		const char *name;
+		size_t count, bytes; /* further headers, each */
+		size_t answer_bytes; /* of a header of the answer */
+	} cases[] = {
+		{ "8,000 bytes in 320 headers", 320, 25, 1200 },
+		{ "12,600 bytes in 50 headers", 50, 245, 1200 },
+		{ "16,000 bytes in 2 headers", 2, 8000, 1200 },
+		{ "16,000 bytes in 640 headers", 640, 25, 1200 },
+		{ "an answer of 30,000 bytes", 1, 20, 30000 },
+	};
+	static char text[HEADERS_SIZE_BYTES], head[2 * HEADERS_SIZE_BYTES];
+	size_t c, i, failed = 0;
+	kind_t kind;
+
+	for (c = 0; c < COUNT_OF(cases); c++) {
+		char *at = text;
+
+		for (i = 0; i < cases[c].count; i++)
+			at += sprintf(at, "%sX-%03zu: %0*d", i ? "\r\n" : "", i,
+				      (int)cases[c].bytes - 9, 0);
+		snprintf(head, sizeof(head),
+			 OK "Content-Type: text/%0*d\r\n" CHUNKED,
+			 (int)cases[c].answer_bytes, 0);
+		more_headers = text;
+		for (kind = STREAM; kind < KINDS; kind++) {
+			bool is_model = kind == STREAM || kind == COMPLETION;
+			raw_answer_t first = { head,
+					       is_model ? TOKENS("1") : "whole",
+					       .is_chunked = true,
+					       .end = RAW_ENDS };
+
+			play(&first, kind, 1);
+			failed += judge(cases[c].name, kind, is_whole(kind), 1);
+		}
+	}
+	more_headers = NULL;
+	assert_int_equal(failed, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(headers_cost_the_answer),
 		cmocka_unit_test(status_that_is_none_reaches_a_caller),
 		cmocka_unit_test(whole_early_answer_is_lost),
 		cmocka_unit_test(part_of_an_early_answer_is_taken_for_all),
