After a short silence of the store, all views are read at once

A node that got no answers from 81.0 to 82.5 s read its servers at 86.85 s.

Cause: a view's call that had waited was answered late and ended the probes, while the views whose calls had failed were due 3 s later; and the views of servers and evacuations waited for the answer of the configuration's watch, up to 1.5 s.

Evidence: event 614, which names the failed calls of views, their age and whether the store is probed, was added first; in the trace the call of the servers failed at 82.47 s, another call was answered at 82.505 s, and nothing followed until 85 s.

Change: while the node probes, an answer to one view starts the others, too, and no view waits for another one. Probes that wait for over 0.2 s when the store answers count as failed, which narrows the end of the outage.

--- a/src/process/gateway_outage.c
+++ b/src/process/gateway_outage.c
@@ -10,6 +10,8 @@
 	/* Bounds the time for which the node does not know that the store
 	 * answers again: servers may have left, and no watch may be open. */
 	PROBE_INTERVAL_MS = 400,
+	/* A probe that waits for longer was sent before the store answers. */
+	ANSWER_MS = 200,
 	/* After an outage a server without an entry is removed this long before
 	 * its bound: a request takes time to reach it. */
 	REMOVE_MARGIN_MS = 200,
@@ -17,8 +19,10 @@
 	RETURN_MS = 2000
 };
 
-static void stop_probes(gateway_t *gateway)
+/* @return false if there was none to stop */
+static bool stop_probes(gateway_t *gateway)
 {
+	bool probed = ev_is_active(&gateway->probe_timer);
 	size_t i;
 
 	ev_timer_stop(gateway->loop, &gateway->probe_timer);
@@ -29,6 +33,7 @@
 			platform_cancel(gateway->platform, probe);
 		probe->sent_boot_us = 0;
 	}
+	return probed;
 }
 
 void gateway_note_store_failure(gateway_t *gateway, int64_t sent_boot_us,
@@ -38,6 +43,20 @@
 			    clock_boot_us());
 }
 
+/* Notes the probes that were sent before @p sent_boot_us and have no answer,
+ * while the store answers another call. */
+static void note_unanswered(gateway_t *gateway, int64_t sent_boot_us)
+{
+	size_t i;
+
+	for (i = 0; i < STORE_PROBES_MAX; i++) {
+		int64_t sent_us = gateway->probes[i].sent_boot_us;
+
+		if (sent_us && sent_us < sent_boot_us)
+			gateway_note_store_failure(gateway, sent_us, true);
+	}
+}
+
 /* @return the end of the grace period after an outage that ends now */
 static int64_t grace_end_us(const gateway_t *gateway)
 {
@@ -62,14 +81,16 @@
 	gateway->grace_until_us = grace_end_us(gateway);
 }
 
-void gateway_note_store_answer(gateway_t *gateway, int64_t sent_boot_us)
+bool gateway_note_store_answer(gateway_t *gateway, int64_t sent_boot_us)
 {
 	int64_t now_us = clock_boot_us(), since_us = gateway->outage.since_us;
 	int64_t keep_ms;
+	bool probed;
 
-	stop_probes(gateway);
+	note_unanswered(gateway, now_us - ANSWER_MS * US_PER_MS);
+	probed = stop_probes(gateway);
 	if (!outage_note_answer(&gateway->outage, sent_boot_us, now_us))
-		return;
+		return probed;
 	gateway->grace_until_us = grace_end_us(gateway);
 	keep_ms = (gateway->grace_until_us - clock_monotonic_us()) / US_PER_MS;
 	log_event(EVENT_STORE_ANSWERS,
@@ -78,19 +99,7 @@
 		  (now_us - since_us) / US_PER_MS,
 		  (now_us - gateway->outage.failed_us) / US_PER_MS,
 		  keep_ms > 0 ? keep_ms : 0);
-}
-
-/* The store did not answer probes that were sent before one that it answers. */
-static void note_unanswered(gateway_t *gateway, int64_t answered_sent_us)
-{
-	size_t i;
-
-	for (i = 0; i < STORE_PROBES_MAX; i++) {
-		int64_t sent_us = gateway->probes[i].sent_boot_us;
-
-		if (sent_us && sent_us < answered_sent_us)
-			gateway_note_store_failure(gateway, sent_us, true);
-	}
+	return probed;
 }
 
 static void on_probe(void *context, platform_status_t status,
@@ -104,7 +113,7 @@
 	if (status == PLATFORM_OK || status == PLATFORM_NOT_FOUND) {
 		note_unanswered(gateway, sent_boot_us);
 		stop_probes(gateway);
-		gateway_call_views(gateway);
+		gateway_call_views(gateway, NULL);
 		return;
 	}
 	gateway_note_store_failure(gateway, sent_boot_us, true);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -205,8 +205,9 @@
 void gateway_retry_views(gateway_t *gateway);
 /** Ends the outage of a view after a view update of another node. */
 void gateway_end_outage(view_t *view);
-/** Calls the store for all views now; calls in flight may never be answered. */
-void gateway_call_views(gateway_t *gateway);
+/** Calls the store now for all views but @p except, which may be NULL; calls in
+ * flight may never be answered. */
+void gateway_call_views(gateway_t *gateway, const view_t *except);
 
 /* gateway_outage.c */
 /**
@@ -215,9 +216,12 @@
  */
 void gateway_note_store_failure(gateway_t *gateway, int64_t sent_boot_us,
 				bool is_silent);
-/** Notes a call of a view that the store answered; after an outage, the grace
- * period of servers without an entry begins. */
-void gateway_note_store_answer(gateway_t *gateway, int64_t sent_boot_us);
+/**
+ * Notes a call of a view that the store answered; after an outage, the grace
+ * period of servers without an entry begins.
+ * @return true if this node was probing the store
+ */
+bool gateway_note_store_answer(gateway_t *gateway, int64_t sent_boot_us);
 /** Ends an outage of this node's calls after a view update of another node. */
 void gateway_end_store_outage(gateway_t *gateway);
 /** @return true if this node finds out by probes when the store answers; others
--- a/src/process/gateway_views.c
+++ b/src/process/gateway_views.c
@@ -199,13 +199,15 @@
 	}
 }
 
-void gateway_call_views(gateway_t *gateway)
+void gateway_call_views(gateway_t *gateway, const view_t *except)
 {
 	size_t i;
 
 	for (i = 0; i < KINDS_WATCHED; i++) {
 		view_t *view = &gateway->views[i];
 
+		if (view == except)
+			continue;
 		if (view->calling)
 			platform_cancel(gateway->platform, view);
 		view->calling = false;
@@ -221,6 +223,18 @@
 				   age_us >= view->wait_ms * US_PER_MS);
 }
 
+static void log_failure(const view_t *view, platform_status_t status,
+			bool probes)
+{
+	int64_t age_us = clock_boot_us() - view->called_boot_us;
+
+	log_event(EVENT_VIEW_CALL_FAILED,
+		  "kind=%d status=%d after_ms=%" PRId64 " failures=%" PRId32
+		  " probes=%d",
+		  (int)view->kind, (int)status, age_us / US_PER_MS,
+		  view->failures, probes);
+}
+
 static void on_answer_failed(view_t *view, platform_status_t status)
 {
 	int32_t doublings = view->failures < RETRY_DOUBLINGS_MAX
@@ -228,6 +242,7 @@
 				    : RETRY_DOUBLINGS_MAX;
 	int64_t delay_ms = RETRY_FIRST_MS << doublings;
 	int64_t longest_ms = RETRY_MAX_MS, idle_ms;
+	bool probes;
 
 	view->failures++;
 	/* The store has dropped the changes since the view's revision: list all
@@ -252,10 +267,12 @@
 	if (delay_ms)
 		delay_ms += (int64_t)(gateway_random(view->gateway) %
 				      (uint64_t)delay_ms);
-	if (delay_ms && gateway_probes_store(view->gateway)) {
+	probes = delay_ms && gateway_probes_store(view->gateway);
+	if (probes) {
 		gateway_start_store_probes(view->gateway, delay_ms);
 		delay_ms = RETRY_PROBED_MS;
 	}
+	log_failure(view, status, probes);
 	schedule(view, delay_ms);
 }
 
@@ -298,7 +315,8 @@
 		on_answer_failed(view, status);
 		return;
 	}
-	gateway_note_store_answer(view->gateway, view->called_boot_us);
+	if (gateway_note_store_answer(view->gateway, view->called_boot_us))
+		gateway_call_views(view->gateway, view);
 	if (view->failures) {
 		view->failures = 0;
 		gateway_retry_views(view->gateway);
@@ -345,12 +363,13 @@
 }
 
 /* In an outage the first kind alone calls the platform, to find out when it
- * answers again. */
+ * answers again, unless probes do. */
 static bool is_deferred(const view_t *view)
 {
 	const view_t *first = &view->gateway->views[0];
 
-	return view != first && first->failures;
+	return view != first && first->failures &&
+	       !gateway_probes_store(view->gateway);
 }
 
 static void on_next(struct ev_loop *loop, ev_timer *timer, int events)
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -236,7 +236,8 @@
 
 		if (!exchange || fixture->store_silent ||
 		    fixture->store_refuses ||
-		    now_us - fixture->watched_us[i] < WATCH_MS * US_PER_MS)
+		    now_us - fixture->watched_us[i] <
+			    fixture->wait_ms[i] * US_PER_MS)
 			continue;
 		fixture->watches[i] = NULL;
 		if (fixture->store_endless) {
@@ -272,12 +273,16 @@
 
 static void hold_exchange(gateway_fixture_t *fixture, exchange_t *exchange)
 {
+	const char *wait = strstr(exchange_query(exchange), "waitMs=");
 	size_t i = 0;
 
 	while (fixture->watches[i])
 		assert_true(++i < COUNT_OF(fixture->watches));
 	fixture->watches[i] = exchange;
 	fixture->watched_us[i] = clock_monotonic_us();
+	fixture->wait_ms[i] = fixture->watches_wait && wait
+				      ? atoi(wait + strlen("waitMs="))
+				      : WATCH_MS;
 }
 
 static void on_store_body(void *user, const void *data, size_t size)
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -108,6 +108,8 @@
 	int64_t watched_us[32]; /**< when each of these calls arrived */
 	size_t watch_count;
 	ev_timer watch_timer, endless_timer;
+	int64_t wait_ms[32]; /**< until they are answered */
+	bool watches_wait; /**< for as long as they ask, else 150 ms */
 	bool store_silent;
 	bool store_refuses; /**< answers all calls with store_refusal */
 	int store_refusal; /**< a status; 0: 503, -1: resets connections */
--- a/tests/test_gateway_outage.c
+++ b/tests/test_gateway_outage.c
@@ -26,7 +26,8 @@
 	 * three reports. */
 	EXPIRY_MS = 3600,
 	REMOVED_BEFORE_MS = 200, /* before the end of an outage */
-	SETTLED_START_MS = 800
+	SETTLED_START_MS = 800,
+	PHASES_MS = 4400 /* longer than any watch waits */
 };
 
 /* How the store treats the calls of the node. */
@@ -38,6 +39,7 @@
 	int64_t outage_ms;
 	int times; /* the outage comes again after gap_ms; 0: once */
 	int64_t gap_ms;
+	bool answers_late; /* calls that waited get an answer after it */
 	bool lists; /* the node has to list the servers again */
 	size_t other_nodes;
 
@@ -70,7 +72,7 @@
 
 	if (fails == (fixture->store_refuses || fixture->store_silent))
 		return;
-	if (!fails && play->fault == FAULT_SILENT)
+	if (!fails && play->fault == FAULT_SILENT && !play->answers_late)
 		gateway_fixture_forget_calls(fixture);
 	fixture->store_refusal = play->fault == FAULT_TOO_MANY ? 429
 				 : play->fault == FAULT_RESETS ? -1
@@ -125,13 +127,15 @@
 
 	for (i = 0; i < count; i++) {
 		plays[i].fixture.other_nodes = plays[i].other_nodes;
+		plays[i].fixture.watches_wait = true;
 		gateway_fixture_start(&plays[i].fixture);
 		gateway_fixture_wait_ready(&plays[i].fixture);
 	}
 	begin_us = clock_monotonic_us() + SETTLED_START_MS * US_PER_MS;
 	for (i = 0; i < count; i++) {
 		/* Watches stand at different points of their wait. */
-		plays[i].begin_us = begin_us + (int64_t)i * 37 * US_PER_MS;
+		plays[i].begin_us =
+			begin_us + (int64_t)i * 370 % PHASES_MS * US_PER_MS;
 		end_us = plays[i].begin_us + last_end_ms(&plays[i]) * US_PER_MS;
 	}
 	for (i = 0; i < count; i++)
@@ -209,6 +213,54 @@
 		{ .name = "silence, 3.3 s",
 		  .fault = FAULT_SILENT,
 		  .outage_ms = 3300 },
+		{ .name = "silence, 1.5 s, answered late",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1500,
+		  .answers_late = true },
+		{ .name = "silence, 2.7 s, answered late",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 2700,
+		  .answers_late = true },
+		{ .name = "silence, 3.3 s, answered late",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 3300,
+		  .answers_late = true },
+		{ .name = "silence, 4.8 s, answered late",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 4800,
+		  .answers_late = true },
+		{ .name = "silence, 1.5 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1500,
+		  .answers_late = true },
+		{ .name = "silence, 1.7 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1700,
+		  .answers_late = true },
+		{ .name = "silence, 1.5 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1500,
+		  .answers_late = true },
+		{ .name = "silence, 1.3 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1300,
+		  .answers_late = true },
+		{ .name = "silence, 1.5 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1500,
+		  .answers_late = true },
+		{ .name = "silence, 1.6 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1600,
+		  .answers_late = true },
+		{ .name = "silence, 2.0 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 2000,
+		  .answers_late = true },
+		{ .name = "silence, 1.5 s, answered late, other phase",
+		  .fault = FAULT_SILENT,
+		  .outage_ms = 1500,
+		  .answers_late = true },
 		{ .name = "503, 1 s, four times",
 		  .fault = FAULT_BUSY,
 		  .outage_ms = 1000,
