--- a/src/process/gateway_outage.c
+++ b/src/process/gateway_outage.c
@@ -22,12 +22,12 @@
 /* @return false if there was none to stop */
 static bool stop_probes(gateway_t *gateway)
 {
-	bool probed = ev_is_active(&gateway->probe_timer);
+	bool probed = ev_is_active(&gateway->store_probe_timer);
 	size_t i;
 
-	ev_timer_stop(gateway->loop, &gateway->probe_timer);
+	ev_timer_stop(gateway->loop, &gateway->store_probe_timer);
 	for (i = 0; i < STORE_PROBES_MAX; i++) {
-		store_probe_t *probe = &gateway->probes[i];
+		store_probe_t *probe = &gateway->store_probes[i];
 
 		if (probe->sent_boot_us)
 			platform_cancel(gateway->platform, probe);
@@ -50,7 +50,7 @@
 	size_t i;
 
 	for (i = 0; i < STORE_PROBES_MAX; i++) {
-		int64_t sent_us = gateway->probes[i].sent_boot_us;
+		int64_t sent_us = gateway->store_probes[i].sent_boot_us;
 
 		if (sent_us && sent_us < sent_boot_us)
 			gateway_note_store_failure(gateway, sent_us, true);
@@ -127,7 +127,7 @@
 	size_t i;
 
 	for (i = 0; i < STORE_PROBES_MAX; i++) {
-		store_probe_t *probe = &gateway->probes[i];
+		store_probe_t *probe = &gateway->store_probes[i];
 
 		if (probe->sent_boot_us)
 			continue;
@@ -148,13 +148,13 @@
 
 void gateway_start_store_probes(gateway_t *gateway, int64_t delay_ms)
 {
-	if (ev_is_active(&gateway->probe_timer))
+	if (ev_is_active(&gateway->store_probe_timer))
 		return;
-	ev_timer_init(&gateway->probe_timer, on_probe_timer,
+	ev_timer_init(&gateway->store_probe_timer, on_probe_timer,
 		      (double)delay_ms / MS_PER_S,
 		      (double)PROBE_INTERVAL_MS / MS_PER_S);
-	gateway->probe_timer.data = gateway;
-	ev_timer_start(gateway->loop, &gateway->probe_timer);
+	gateway->store_probe_timer.data = gateway;
+	ev_timer_start(gateway->loop, &gateway->store_probe_timer);
 }
 
 void gateway_stop_store_probes(gateway_t *gateway)
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -156,8 +156,8 @@
 	 */
 	int64_t grace_until_us, received_grace_until_us;
 	outage_t outage; /**< of the store, as this node's calls show it */
-	ev_timer probe_timer; /**< active while calls to the store fail */
-	store_probe_t probes[STORE_PROBES_MAX];
+	ev_timer store_probe_timer; /**< active while calls to the store fail */
+	store_probe_t store_probes[STORE_PROBES_MAX];
 	/** Nodes that the list of nodes lacks are kept until then. */
 	int64_t keep_peers_until_us;
 	bool registered; /**< the list of nodes holds this node's entry */
--- a/src/process/request_task.c
+++ b/src/process/request_task.c
@@ -12,7 +12,7 @@
 
 enum {
 	CONNECTIONS_MAX = 20000, /* caller connections of one request task */
-	CONNECTIONS_KEPT_MAX = 2000 /* the same, that wait for a next request */
+	CONNECTIONS_KEPT_MAX = 1000 /* the same, that wait for a next request */
 };
 
 /* Period of the check for stalled callers. */
