--- a/src/connection/callers.c
+++ b/src/connection/callers.c
@@ -175,7 +175,7 @@
 	}
 }
 
-caller_t *callers_find(struct MHD_Connection *connection)
+caller_t *callers_of_connection(struct MHD_Connection *connection)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -185,7 +185,7 @@
 
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase)
 {
-	caller_t *caller = callers_find(connection);
+	caller_t *caller = callers_of_connection(connection);
 
 	if (!caller)
 		return;
--- a/src/connection/exchange_room.c
+++ b/src/connection/exchange_room.c
@@ -58,7 +58,7 @@
 
 void exchange_measure_unread(exchange_t *exchange)
 {
-	caller_t *caller = callers_find(exchange->connection);
+	caller_t *caller = callers_of_connection(exchange->connection);
 	uint64_t read;
 
 	exchange->unread_bytes = UNREAD_MAX_BYTES;
--- a/src/connection/listener_private.h
+++ b/src/connection/listener_private.h
@@ -128,7 +128,7 @@
 /** Notes what a connection waits for from now on. */
 void callers_set_phase(struct MHD_Connection *connection, caller_phase_t phase);
 /** @return the caller of a connection; NULL: the connection has ended */
-caller_t *callers_find(struct MHD_Connection *connection);
+caller_t *callers_of_connection(struct MHD_Connection *connection);
 /** @return true if a caller receives data that was sent to it, on a kept
  * connection or an open one */
 bool callers_have_unsent(listener_t *listener);
