--- a/src/connection/exchange_room.c
+++ b/src/connection/exchange_room.c
@@ -10,7 +10,7 @@
 #include "connection/listener_private.h"
 
 enum {
-	/* The library reads no more than this beside a request. */
+	/* The library reads into half of the memory of a connection. */
 	UNREAD_MAX_BYTES = LISTENER_CONNECTION_BYTES / 2,
 	/* Memory of the library for a header of a request, beside the text. */
 	HEADER_RECORD_SIZE_BYTES = 64,
@@ -27,7 +27,6 @@
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
 		exchange->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
-
 	const char *cookies;
 
 	exchange->head_bytes = info ? info->header_size : 0;
