Streamed answers are given to the library in blocks of 12 KiB at most

What callers saw: the end of a long streamed answer was missing when the process stopped and the caller read late.

Cause: the library takes as much of a streamed answer as its memory for the connection has room for, 90 KiB in place of 14. What it holds when the process ends is lost unless the socket takes it at once.

--- a/src/connection/exchange.c
+++ b/src/connection/exchange.c
@@ -20,6 +20,11 @@
 	HTTP_BAD_GATEWAY = 502,
 	ERROR_BODY_SIZE_BYTES = 80,
 	REPLY_BLOCK_SIZE_BYTES = 4096,
+	/*
+	 * Most of a streamed reply that the library holds: as the process ends,
+	 * it is lost unless the socket takes it at once.
+	 */
+	LIBRARY_BLOCK_MAX_BYTES = 12 * 1024,
 	/* An empty buffer above this size is freed. */
 	EMPTY_BUFFER_MAX_BYTES = 16 * 1024
 };
@@ -353,6 +358,8 @@
 		return 0;
 	}
 	size = exchange->size < max ? exchange->size : max;
+	if (size > LIBRARY_BLOCK_MAX_BYTES)
+		size = LIBRARY_BLOCK_MAX_BYTES;
 	memcpy(target, exchange->data + exchange->start, size);
 	exchange->start += size;
 	exchange->size -= size;
