Processes that start count their share of the retries as spent

Cause: what a process has spent ended with it. Besides, a node that did not know the list of nodes took 16 of them, and retries left the window up to a second early.

Now a process counts its share as spent until it has run for a window, but for a tenth that grows with its age, so that processes in series add up to one. It has its share sooner if most nodes state in their announcements that they run longer than a window, noticed a start, and no more than a sixth of the nodes started; or if the whole fleet is new (the store had no entry of this node, and most nodes say the same). The sums are in retry_share.h. Nodes of the earlier build state nothing, and ignore the new fields. Event 415 and two metrics show the share and what is refused.

--- a/src/process/gateway.c
+++ b/src/process/gateway.c
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/mem.h"
+#include "base/metrics.h"
 #include "process/gateway_state.h"
 #include "request/forward.h"
 #include "request/reservation.h"
@@ -20,15 +21,9 @@
 	PLATFORM_CALLS_PER_S = 40,
 	/* File descriptors kept for other uses than callers and servers. */
 	DESCRIPTORS_RESERVED = 400,
-	/* Nodes assumed to share the limits until the list of nodes is read. */
-	NODES_ASSUMED = 16,
-	PERCENT = 100,
 	SERVER_EXPIRY_MS = 100
 };
 
-/* Share of the retry budget that this node uses; the rest covers nodes that
- * count requests differently. */
-#define RETRY_BUDGET_SHARE 0.8
 /* Prefix of chivestage's own kinds of objects in the store. */
 #define PLATFORM_NAMESPACE "chivestage"
 
@@ -65,21 +60,13 @@
 
 bool gateway_take_retry(gateway_t *gateway, const char *service)
 {
-	const node_settings_t *settings = &gateway->settings;
-	/* Ratio of the platform's retry window to the window of the budget. */
-	double window = (double)settings->retry_window_ms /
-			(double)(RETRY_WINDOW_S * MS_PER_S);
-	double percent = settings->retry_ratio * PERCENT * RETRY_BUDGET_SHARE;
-	double floor = settings->retry_slack * RETRY_BUDGET_SHARE /
-		       (gateway->nodes > 0 ? gateway->nodes : NODES_ASSUMED);
-
-	if (window < 1)
-		percent *= window;
-	else
-		floor /= window;
-
-	return retry_take_floor(find_budget(gateway, service), (int32_t)percent,
-				(int32_t)floor, clock_monotonic_us());
+	const retry_limits_t limits = gateway_retry_limits(gateway);
+
+	if (retry_take_within(find_budget(gateway, service), &limits,
+			      clock_monotonic_us()))
+		return true;
+	metrics_add(METRIC_RETRIES_REFUSED, 1);
+	return false;
 }
 
 /* Share of the memory limit for connections that are kept open. */
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -125,6 +125,8 @@
 		.wall_ms = clock_wall_us() / US_PER_MS,
 		.duty = duties_state(gateway->duties),
 		.usage_closed = duties_usage_closed(gateway->duties),
+		.starts = gateway_announced_starts(gateway),
+		.is_first = gateway->is_first,
 		.items = items,
 		.item_count = list_load(gateway, items,
 					sizeof(items) / sizeof(items[0]),
@@ -251,6 +253,7 @@
 	server_rates_expire(backends_rates(gateway->backends), now_us);
 	gateway_check_crashes(gateway, now_us);
 	check_paces(gateway, now_us);
+	gateway_check_retry_share(gateway);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
@@ -356,6 +359,8 @@
 		add_peer(gateway, &kept[i]);
 	free(kept);
 	gateway->nodes = (int32_t)gateway->peer_count + 1;
+	if (gateway->nodes > gateway->retry_nodes)
+		gateway->retry_nodes = gateway->nodes;
 	set_limit_nodes(gateway);
 	if (before == gateway->peer_count)
 		return;
@@ -420,6 +425,11 @@
 	gateway_t *gateway = context;
 
 	gateway->registered = status == PLATFORM_OK;
+	/* An entry that is missing later was lost by the store. */
+	if (status == PLATFORM_OK && !gateway->entry_known)
+		gateway->is_first = true;
+	if (status == PLATFORM_OK || status == PLATFORM_EXISTS)
+		gateway->entry_known = true;
 	if (status == PLATFORM_EXISTS)
 		platform_get(gateway->platform, PLATFORM_VMS,
 			     gateway->settings.node_id, on_own_entry, gateway);
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -18,6 +18,7 @@
 #include "process/view_update.h"
 #include "process/packet.h"
 #include "process/load_table.h"
+#include "process/retry_share.h"
 #include "request/retry.h"
 #include "version/routing.h"
 #include "zone/far_pace.h"
@@ -127,6 +128,10 @@
 	size_t budget_count;
 	int32_t nodes; /**< nodes of the fleet, which divide the limits among
 			  themselves; 0: not known yet */
+	/** Nodes that divide the retries: the most that were listed beside this
+	 * one, as those that left the list may go on; 0: not known yet. */
+	int32_t retry_nodes;
+	retry_share_t retry_share; /**< at the last announcement */
 	uint64_t random;
 
 	struct forward *forwards; /**< proxied requests in progress */
@@ -161,6 +166,8 @@
 	/** Nodes that the list of nodes lacks are kept until then. */
 	int64_t keep_peers_until_us;
 	bool registered; /**< the list of nodes holds this node's entry */
+	bool entry_known; /**< the store said if this node had an entry */
+	bool is_first; /**< it had none: the node never ran before */
 	int32_t registry_reads;
 
 	stop_phase_t stop;
@@ -295,6 +302,15 @@
 /** Sends a datagram to the nodes that request duties or hold them. */
 void gateway_send_to_duty_nodes(gateway_t *gateway, const packet_t *packet);
 
+/* gateway_retries.c */
+/** @return this node's limits of retries now */
+retry_limits_t gateway_retry_limits(const gateway_t *gateway);
+/** Logs a change of this node's share of the retries. */
+void gateway_check_retry_share(gateway_t *gateway);
+/** @return what to announce: starts of processes within the window of retries;
+ * -1: this process started within it */
+int32_t gateway_announced_starts(const gateway_t *gateway);
+
 /* gateway_receive.c */
 /** Handles a datagram of another node; the context is the gateway. */
 void gateway_on_datagram(void *context, const uint8_t *data, size_t size);
--- a/src/process/load_table.c
+++ b/src/process/load_table.c
@@ -34,6 +34,9 @@
  * sums of their loads must not overflow. */
 enum { NODES_MAX = 4096 };
 
+/* Starts of processes that are remembered; more count as this many. */
+enum { STARTS_MAX = 512 };
+
 typedef struct node {
 	uint64_t id;
 	uint64_t incarnation;
@@ -51,6 +54,8 @@
 	size_t cut_off_count;
 	duty_state_t duty;
 	int64_t usage_closed;
+	int32_t starts; /* see announcement_t */
+	bool is_first;
 	load_item_t *items; /* sorted by server_hash; NULL: none */
 	size_t item_count;
 	struct node *next;
@@ -59,6 +64,8 @@
 struct load_table {
 	node_t *nodes;
 	prefill_clock_t *clock; /* prefill backlog of each server */
+	int64_t starts_us[STARTS_MAX]; /* when starts were noticed; a ring */
+	size_t start_count; /* all so far */
 };
 
 load_table_t *load_table_create(void)
@@ -173,6 +180,8 @@
 	     message->sequence <= node->sequence))
 		return false;
 	add_new_prefill(table, node, message, now_us);
+	if (message->incarnation != node->incarnation)
+		table->starts_us[table->start_count++ % STARTS_MAX] = now_us;
 	node->incarnation = message->incarnation;
 	node->sequence = message->sequence;
 	node->received_us = now_us;
@@ -184,6 +193,8 @@
 	node->link_mbps = message->link_mbps;
 	node->wall_ms = message->wall_ms;
 	node->duty = message->duty;
+	node->starts = message->starts;
+	node->is_first = message->is_first;
 	node->failing_count = message->failing_count;
 	memcpy(node->failing, message->failing, sizeof(node->failing));
 	node->cut_off_count = message->cut_off_count;
@@ -404,6 +415,36 @@
 	return false;
 }
 
+load_starts_t load_table_starts(const load_table_t *table, int64_t now_us)
+{
+	load_starts_t starts = { 0 };
+	const node_t *node;
+
+	LL_FOREACH (table->nodes, node) {
+		if (!is_live(node, now_us))
+			continue;
+		starts.nodes++;
+		starts.first += node->is_first;
+		starts.settled += node->starts >= 0;
+		starts.noticed += node->starts > 0;
+		if (node->starts > starts.starts)
+			starts.starts = node->starts;
+	}
+	return starts;
+}
+
+int32_t load_table_started(const load_table_t *table, int64_t since_us)
+{
+	size_t i, kept = table->start_count;
+	int32_t count = 0;
+
+	if (kept > STARTS_MAX)
+		kept = STARTS_MAX;
+	for (i = 0; i < kept; i++)
+		count += table->starts_us[i] >= since_us;
+	return count;
+}
+
 size_t load_table_failing_count(const load_table_t *table, uint32_t server_hash,
 				int64_t now_us)
 {
--- a/src/process/load_table.h
+++ b/src/process/load_table.h
@@ -93,6 +93,10 @@
 	size_t account_count; /**< entries of accounts */
 	pace_report_t paces[ANNOUNCED_PACES_MAX];
 	size_t pace_count; /**< entries of paces */
+	/** Starts of processes that the node noticed within the window of
+	 * retries; -1: it started within the window itself, or does not say */
+	int32_t starts;
+	bool is_first; /**< no process of the node ran before this one */
 	load_item_t *items;
 	size_t item_count;
 } announcement_t;
@@ -186,6 +190,21 @@
 bool load_table_find_timestamps(const load_table_t *table, uint64_t node,
 				int64_t now_us, load_timestamps_t *last);
 
+/** What live nodes state of processes that started within the window of
+ * retries. */
+typedef struct {
+	int32_t nodes; /**< live nodes, without this one */
+	int32_t first; /**< of these, those that are the first of their node */
+	int32_t settled; /**< and those that run longer than the window */
+	int32_t noticed; /**< of the settled ones, those that noticed a start */
+	int32_t starts; /**< most starts that one of them noticed */
+} load_starts_t;
+
+load_starts_t load_table_starts(const load_table_t *table, int64_t now_us);
+/** @return number of starts of other processes that this node noticed since
+ * @p since_us; a node that was silent for long counts as started */
+int32_t load_table_started(const load_table_t *table, int64_t since_us);
+
 /** @return number of live nodes that announce a server as failing. */
 size_t load_table_failing_count(const load_table_t *table, uint32_t server_hash,
 				int64_t now_us);
--- a/src/process/packet.c
+++ b/src/process/packet.c
@@ -139,6 +139,8 @@
 	announcement.wall_ms = (uint64_t)message->wall_ms;
 	announcement.duty = (uint32_t)message->duty;
 	announcement.usage_closed = message->usage_closed;
+	announcement.starts = to_unit((int64_t)message->starts + 1, 1);
+	announcement.first = message->is_first;
 	announcement.n_shunned = message->failing_count;
 	announcement.shunned = (uint32_t *)message->failing;
 	announcement.n_cut_off = message->cut_off_count;
@@ -312,6 +314,9 @@
 				: DUTY_STATE_NONE;
 	message->usage_closed =
 		within(announcement->usage_closed, 0, USAGE_WINDOW_MAX);
+	message->starts = (int32_t)within((int64_t)announcement->starts - 1, -1,
+					  INT16_MAX);
+	message->is_first = announcement->first;
 	for (i = 0; i < announcement->n_shunned && i < LOAD_FAILING_MAX; i++)
 		message->failing[i] = announcement->shunned[i];
 	message->failing_count = i;
--- a/src/request/retry.h
+++ b/src/request/retry.h
@@ -12,6 +12,9 @@
 
 enum {
 	RETRY_WINDOW_S = 10, /**< requests of this time count as recent */
+	/** Seconds for which retries are kept: one more than the window, as the
+	 * first second lies in the window only in part. */
+	RETRY_KEPT_S = RETRY_WINDOW_S + 1,
 	/** Retries in the window that are allowed whatever the load, so that a
 	 * service with few requests can survive the loss of a server. */
 	RETRY_FLOOR = 3
@@ -20,10 +23,16 @@
 typedef struct {
 	int64_t second; /**< monotonic clock, in s, of the newest entry of the
 			 * arrays, which are indexed modulo the window */
-	int32_t requests[RETRY_WINDOW_S]; /**< new requests in each second */
-	int32_t retries[RETRY_WINDOW_S]; /**< retries in each second */
+	int32_t requests[RETRY_KEPT_S]; /**< new requests in each second */
+	int32_t retries[RETRY_KEPT_S]; /**< retries in each second */
 } retry_budget_t;
 
+/** What a budget allows in a window. */
+typedef struct {
+	double ratio; /**< retries per request in the window */
+	double floor; /**< retries that are allowed whatever the load */
+} retry_limits_t;
+
 /** Counts a new request. */
 void retry_count_request(retry_budget_t *budget, int64_t now_us);
 
@@ -35,12 +44,11 @@
 bool retry_take(retry_budget_t *budget, int32_t percent, int64_t now_us);
 
 /**
- * Takes one retry from the budget, as retry_take() but with a floor of its own.
- * @param percent retries in % of the requests in the window; 0: the floor only
- * @param floor   retries in the window that are allowed whatever the load
+ * Takes one retry from the budget. In any RETRY_WINDOW_S, no more retries are
+ * taken than @p limits allows for the requests of that time.
  * @return false if the budget is used up
  */
-bool retry_take_floor(retry_budget_t *budget, int32_t percent, int32_t floor,
-		      int64_t now_us);
+bool retry_take_within(retry_budget_t *budget, const retry_limits_t *limits,
+		       int64_t now_us);
 
 #endif
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -317,6 +317,22 @@
 	return true;
 }
 
+/* @return true if the call is for the node's own entry, which exists */
+static bool answer_entry_call(gateway_fixture_t *fixture, exchange_t *exchange)
+{
+	static const char kind[] = "/objects/chivestage-vms";
+	const char *path = exchange_path(exchange);
+	bool creates = !strcmp(exchange_method(exchange), "POST");
+
+	if (!fixture->has_entry || strncmp(path, kind, sizeof(kind) - 1) != 0 ||
+	    (!creates && !path[sizeof(kind) - 1]))
+		return false;
+	reply_json(fixture, exchange, creates ? 409 : 200,
+		   json_pack("{s:{s:s,s:i},s:{}}", "meta", "name", "n1",
+			     "revision", 9, "spec"));
+	return true;
+}
+
 static void on_store_complete(void *user)
 {
 	store_call_t *call = user;
@@ -335,6 +351,8 @@
 	}
 	if (fixture->store_refuses)
 		refuse_call(fixture, exchange);
+	else if (!fixture->store_silent && answer_entry_call(fixture, exchange))
+		return;
 	else if (!fixture->store_silent && lacks_removals(fixture, exchange))
 		tell_removals(fixture, exchange);
 	else if (fixture->store_silent ||
--- a/tests/lib/gateway_fixture.h
+++ b/tests/lib/gateway_fixture.h
@@ -118,6 +118,7 @@
 	int view_calls;
 	const char *era; /**< Store-Era of the store's answers; NULL: none */
 	int registrations; /**< entries that the gateway created for itself */
+	bool has_entry; /**< the store has one of an earlier process */
 	int64_t configuration_version; /**< 0: 3 */
 	bool no_configuration;
 	/** Changes the configuration, and the entry of each server, before they
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -38,10 +38,41 @@
 	}
 }
 
+static const struct {
+	int64_t first_us, again_us; /* when all retries are taken */
+	int granted_again;
+} window_cases[] = {
+	{ 0, 9 * US_PER_S, 0 },
+	/* Less than a window apart, in seconds that are a window apart. */
+	{ US_PER_S - 1, 10 * US_PER_S, 0 },
+	{ US_PER_S - 1, 11 * US_PER_S - 1, 0 },
+	{ US_PER_S - 1, 11 * US_PER_S, RETRY_FLOOR },
+};
+
+/* Guards against retries that leave the window too early. */
+static void counts_retries_for_a_whole_window(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(window_cases); i++) {
+		retry_budget_t budget = { 0 };
+		int granted = 0;
+
+		while (retry_take(&budget, 10, window_cases[i].first_us))
+			granted++;
+		assert_int_equal(granted, RETRY_FLOOR);
+		granted = 0;
+		while (retry_take(&budget, 10, window_cases[i].again_us))
+			granted++;
+		assert_int_equal(granted, window_cases[i].granted_again);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(grants_a_percentage_of_recent_requests),
+		cmocka_unit_test(counts_retries_for_a_whole_window),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
