Soak checks the budget of retries, with kills of all nodes in bursts

All arrivals beyond the first at servers are counted against the limits that the daemons are given, in each run.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -221,6 +221,7 @@
 	overload_choose(soak, record);
 	record->sent_us = clock_monotonic_us();
 	HASH_ADD_STR(soak->requests, id, record);
+	budget_sent(record);
 	return record;
 }
 
@@ -278,7 +279,8 @@
 		send_request(soak, node);
 	ev_timer_set(timer,
 		     (0.2 + (double)soak_random(soak, 1600) / 1000) /
-			     (soak->rate_per_s * overload_factor(soak)),
+			     (soak->rate_per_s * overload_factor(soak) *
+			      budget_factor(soak)),
 		     0.);
 	ev_timer_start(loop, timer);
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -133,6 +133,7 @@
 	cuts_start(soak);
 	stops_start(soak);
 	overload_start(soak);
+	budget_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
@@ -142,6 +143,7 @@
 	client_destroy(soak->client);
 	servers_stop(soak);
 	store_stop();
+	budget_check(soak);
 	callers_check(soak);
 	cuts_check(soak);
 	overload_check(soak);
@@ -178,6 +180,8 @@
 		  "nodes are stopped as planned, without other faults", NULL },
 		{ "overload", 0, POPT_ARG_NONE, &soak.overload, 0,
 		  "nodes control the load; bursts beyond the slots", NULL },
+		{ "retry-kills", 0, POPT_ARG_NONE, &soak.retry_kills, 0,
+		  "servers reject bursts in which all nodes are killed", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -70,11 +70,12 @@
 		"limits.memoryMb=260\nlimits.maxFds=1024\n"
 		"contractParams.graceS=%d\ncontractParams.revokeMs=%d\n"
 		"contractParams.strictRevoke=true\n"
-		"contractParams.budgetRatio=0.5\n"
-		"contractParams.retrySlack=100\n%s",
+		"contractParams.budgetRatio=%.1f\n"
+		"contractParams.retrySlack=%d\n%s",
 		node->name, node->port, node->ready_port, node->peer_port,
 		node->peer_port + 1, proxy_port(node->store_link),
-		STOP_MS / (int)MS_PER_S, REVOKE_MS,
+		STOP_MS / (int)MS_PER_S, REVOKE_MS, budget_ratio(node->soak),
+		budget_slack(node->soak),
 		node->soak->overload ? "contracts=base,engine,stream\n" : "");
 	fclose(file);
 }
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -327,6 +327,11 @@
 		refuse(run, 421);
 		return;
 	}
+	budget_arrival(callers_find(server->soak, run->id));
+	if (budget_sheds(server->soak)) {
+		refuse(run, HTTP_FULL);
+		return;
+	}
 	rates_arrival(server, callers_find(server->soak, run->id));
 	crashes_arrival(server->soak, callers_find(server->soak, run->id));
 	if (server->running + server->waiting >= slots(server) + QUEUED_MAX)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -142,6 +142,7 @@
 	char body[16]; /* empty: none */
 	int64_t sent_us, first_us; /* first_us: first data of the answer; 0:
 				      none */
+	int32_t arrivals; /* times that the request reached a server */
 	int32_t runs; /* times that a server began to run the request */
 	bool refused; /* the answer promised that the request was not run */
 	bool done; /* the call of the caller ended */
@@ -208,6 +209,8 @@
 	uint64_t restores_random; /* state of the generator for these */
 	bool restoring; /* the store is away until it does */
 	int overload; /* nodes control the load; bursts beyond the slots */
+	int retry_kills; /* servers reject bursts in which all nodes are killed
+			  */
 	int stops; /* planned stops and changes alone, and callers of their own
 		    */
 	struct {
@@ -244,6 +247,22 @@
 void proxy_reset(proxy_t *proxy);
 void proxy_destroy(proxy_t *proxy);
 
+/* budget.c */
+void budget_start(soak_t *soak);
+/** @return factor of the rate of requests */
+double budget_factor(const soak_t *soak);
+/** @return true if a server rejects the request that arrives now */
+bool budget_sheds(const soak_t *soak);
+/** Counts a request of a caller. */
+void budget_sent(const request_record_t *record);
+/** Counts an arrival at a server; NULL: no caller sent the request. */
+void budget_arrival(request_record_t *record);
+/** @return settings of the daemons: retries per request, and above that */
+double budget_ratio(const soak_t *soak);
+int budget_slack(const soak_t *soak);
+/** Checks the retries of the whole run. */
+void budget_check(soak_t *soak);
+
 /* cuts.c */
 /** Creates the links of a node to the servers, with server_cuts. */
 void cuts_link_node(node_t *node);
