A configuration with an empty list of accounts opens no route

A configuration that lists accounts, be it none, now needs keys on all routes that are not public; only one without a list, or with null, needs none. A value that is no list is refused, as it would have opened the routes in the same way.

--- a/src/version/routing.c
+++ b/src/version/routing.c
@@ -169,7 +169,7 @@
 
 bool routing_needs_keys(const routing_t *routing)
 {
-	return routing->conf.account_count > 0;
+	return routing->conf.needs_keys;
 }
 
 /* @return size of @p host without its port: routes are compared without it */
--- a/src/version/routing.h
+++ b/src/version/routing.h
@@ -113,6 +113,7 @@
 	route_target_t *targets; /**< of all routes */
 	service_conf_t *services;
 	size_t service_count;
+	bool needs_keys; /**< the configuration lists accounts, maybe none */
 	account_conf_t *accounts;
 	size_t account_count;
 	account_key_t *keys;
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -448,6 +448,8 @@
 		{ "a key that is not a string",
 		  "{\"version\":1,\"routes\":[],\"tenants\":[{\"name\":\"t\","
 		  "\"keys\":[7]}]}" },
+		{ "accounts that are no list",
+		  "{\"version\":1,\"routes\":[],\"tenants\":{}}" },
 	};
 	size_t i;
 
@@ -456,6 +458,35 @@
 			fail_msg("case \"%s\"", cases[i].guards_against);
 }
 
+/* Guards against routes that are open to all once the last account is gone. */
+static void needs_keys_if_accounts_are_listed(void **state)
+{
+	static const struct {
+		const char *accounts;
+		bool needs_keys;
+	} cases[] = {
+		{ "", false },
+		{ ",\"tenants\":null", false },
+		{ ",\"tenants\":[]", true },
+		{ ",\"tenants\":[{\"name\":\"t\",\"keys\":[]}]", true },
+		{ ",\"tenants\":[{\"name\":\"t\",\"keys\":[\"k\"]}]", true },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		char text[128];
+		routing_t *routing;
+
+		snprintf(text, sizeof(text), "{\"version\":1,\"routes\":[]%s}",
+			 cases[i].accounts);
+		routing = decode(text);
+		assert_non_null(routing);
+		if (routing_needs_keys(routing) != cases[i].needs_keys)
+			fail_msg("case %zu: %s", i, text);
+		routing_unref(routing);
+	}
+}
+
 /* Guards against requests that are not split by the weights of a route. */
 static void splits_by_weight(void **state)
 {
@@ -709,6 +740,7 @@
 		cmocka_unit_test(bounds_numbers),
 		cmocka_unit_test(numbers_of_an_engine_overflow),
 		cmocka_unit_test(refuses_malformed_routing),
+		cmocka_unit_test(needs_keys_if_accounts_are_listed),
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
 		cmocka_unit_test(odd_entry_hides_the_other_servers),
