Log how a configuration came into force, and who announced it

A report of a configuration in force late could not be told apart: by a node's own watch or a listing, after an announcement of which node, how long before. Event 200 says so, 615 notes each announcement of a newer view, and a gauge has the age of the last confirmation.

--- a/src/process/gateway_apply.c
+++ b/src/process/gateway_apply.c
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/units.h"
 #include "platform/config.h"
 #include "process/gateway_state.h"
 
@@ -16,8 +17,29 @@
 	return gateway->routing ? routing_version(gateway->routing) : -1;
 }
 
-static void apply_routing(gateway_t *gateway, const platform_object_t *object)
+/* Says how a version came into force: by which call, how long ago it was sent,
+ * and which node announced the version, if one did. */
+static void log_applied(const view_t *view, const routing_t *routing,
+			int64_t before, int64_t revision)
 {
+	int64_t told_ms =
+		view->told_by
+			? (clock_monotonic_us() - view->told_us) / US_PER_MS
+			: -1;
+
+	log_event(EVENT_CONFIG_APPLIED,
+		  "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
+		  " source=platform call=%s called_ms=%" PRId64
+		  " told_by=node-%016" PRIx64 " told_ms=%" PRId64,
+		  routing_version(routing), before, revision,
+		  view->listed ? "watch" : "list",
+		  (clock_boot_us() - view->called_boot_us) / US_PER_MS,
+		  view->told_by, told_ms);
+}
+
+static void apply_routing(view_t *view, const platform_object_t *object)
+{
+	gateway_t *gateway = view->gateway;
 	int64_t current = gateway_routing_version(gateway);
 	const caller_limits_t *limits;
 	routing_t *routing;
@@ -39,13 +61,12 @@
 				  "version=%" PRId64 " in_force=%" PRId64
 				  " source=platform",
 				  routing_version(routing), current);
+		view->told_by = 0;
 		routing_unref(routing);
 		return;
 	}
-	log_event(EVENT_CONFIG_APPLIED,
-		  "version=%" PRId64 " before=%" PRId64 " revision=%" PRId64
-		  " source=platform",
-		  routing_version(routing), current, object->version);
+	log_applied(view, routing, current, object->version);
+	view->told_by = 0;
 	metrics_set(METRIC_CONFIG_VERSION, routing_version(routing));
 	routing_unref(gateway->routing);
 	gateway->routing = routing;
@@ -99,7 +120,7 @@
 {
 	switch (view->kind) {
 	case PLATFORM_ROUTING:
-		apply_routing(view->gateway, object);
+		apply_routing(view, object);
 		break;
 	case PLATFORM_SERVERS:
 		apply_server(view->gateway, object, grace_until_us);
--- a/src/process/gateway_peers.c
+++ b/src/process/gateway_peers.c
@@ -254,6 +254,11 @@
 	gateway_check_crashes(gateway, now_us);
 	check_paces(gateway, now_us);
 	gateway_check_retry_share(gateway);
+	if (gateway->routing)
+		metrics_set(METRIC_CONFIG_CONFIRMED_AGE_MS,
+			    (clock_boot_us() -
+			     gateway->views[0].confirmed_boot_us) /
+				    US_PER_MS);
 	metrics_set(
 		METRIC_SERVERS_LIMITED,
 		(int64_t)server_rates_count(backends_rates(gateway->backends)));
--- a/src/process/gateway_state.h
+++ b/src/process/gateway_state.h
@@ -54,6 +54,10 @@
 	bool subscribed;
 	/** The last call was the node's first watch as publisher. */
 	bool takes_over;
+	/** Node (hash of its id) whose view update announced what this node
+	 * fetches, and when; 0: none did. */
+	uint64_t told_by;
+	int64_t told_us;
 } view_t;
 
 enum { STORE_PROBES_MAX = 4 };
--- a/src/process/gateway_updates.c
+++ b/src/process/gateway_updates.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -371,6 +372,21 @@
 	return result == DELTA_APPLICABLE || result == DELTA_CURRENT;
 }
 
+/* Notes that a view update announced objects that this node has to fetch. */
+static void note_announced(view_t *view, uint64_t node,
+			   const view_delta_t *received)
+{
+	view->told_by = node;
+	view->told_us = clock_monotonic_us();
+	log_event(EVENT_VIEW_ANNOUNCED,
+		  "kind=%d revision=%" PRId64 " own=%" PRId64
+		  " version=%" PRId64 " own_version=%" PRId64
+		  " node=node-%016" PRIx64,
+		  (int)view->kind, received->revision, view->revision,
+		  received->version, gateway_routing_version(view->gateway),
+		  node);
+}
+
 static void receive_view(gateway_t *gateway, view_t *view,
 			 const view_update_t *update,
 			 const view_delta_t *received)
@@ -387,6 +403,7 @@
 	if (result == DELTA_LATER ||
 	    (view->kind == PLATFORM_ROUTING &&
 	     received->version > gateway_routing_version(gateway))) {
+		note_announced(view, update->node, received);
 		gateway_relist(view, fetch_delay_ms(view));
 		return;
 	}
