Tests of starts in a calm fleet, and of what nodes announce of starts

A process that starts alone in a fleet of six, one a window after another, or a node that is added, has its share within a second; so has a new fleet.

--- a/tests/test_retry_share.c
+++ b/tests/test_retry_share.c
@@ -263,15 +263,13 @@
 	  .per_s = 2, .burst_per_s = 2, .burst_ms = 0 },
 };
 
-static void play(const fleet_case_t *fleet_case)
+/* Plays the time until @p until_ms, and leaves the nodes as they are then. */
+static void play_until(const fleet_case_t *fleet_case, int until_ms,
+		       node_t *nodes, double *requests, double *retries)
 {
-	static double requests[STEPS], retries[STEPS];
-	node_t nodes[NODES_MAX] = { 0 };
 	int i, step;
 
-	memset(requests, 0, sizeof(requests));
-	memset(retries, 0, sizeof(retries));
-	for (step = 0; step < STEPS; step++) {
+	for (step = 0; step < until_ms / STEP_MS; step++) {
 		int now_ms = step * STEP_MS, count = fleet_case->nodes;
 		double per_s = now_ms < fleet_case->burst_ms
 				       ? fleet_case->per_s
@@ -281,6 +279,7 @@
 			count += fleet_case->added;
 		kill_nodes(nodes, fleet_case, now_ms);
 		requests[step] = per_s * STEP_MS / (double)MS_PER_S;
+		retries[step] = 0;
 		for (i = 0; i < count; i++)
 			step_node(nodes, i, count, fleet_case, now_ms);
 		for (i = 0; i < count; i++)
@@ -289,8 +288,23 @@
 						       requests[step] / count,
 						       now_ms * US_PER_MS);
 	}
+}
+
+static void end_all(node_t *nodes)
+{
+	int i;
+
 	for (i = 0; i < NODES_MAX; i++)
 		end(&nodes[i]);
+}
+
+static void play(const fleet_case_t *fleet_case)
+{
+	static double requests[STEPS], retries[STEPS];
+	node_t nodes[NODES_MAX] = { 0 };
+
+	play_until(fleet_case, LENGTH_MS, nodes, requests, retries);
+	end_all(nodes);
 	check_windows(fleet_case, requests, retries);
 }
 
@@ -304,6 +318,59 @@
 		play(&fleets[i]);
 }
 
+static const struct {
+	fleet_case_t fleet;
+	int at_ms, node; /* whose share, and when */
+	retry_share_t share;
+} calm[] = {
+	{ { .name = "a new fleet", .nodes = 6 }, 500, 5, RETRY_SHARE_FIRST },
+	{ { .name = "one starts again",
+	    .nodes = 6,
+	    .kills = { { 30000, 0, 1 } } },
+	  31000,
+	  0,
+	  RETRY_SHARE_CALM },
+	{ { .name = "one a window after the other",
+	    .nodes = 6,
+	    .kills = { { 30000, 0, 1 }, { 40500, 1, 1 } } },
+	  41500,
+	  1,
+	  RETRY_SHARE_CALM },
+	{ { .name = "one is added", .nodes = 6, .added = 1, .added_ms = 30000 },
+	  31000,
+	  6,
+	  RETRY_SHARE_CALM },
+	{ { .name = "all start again",
+	    .nodes = 6,
+	    .kills = { { 30000, 0, 6 } } },
+	  31000,
+	  0,
+	  RETRY_SHARE_SPENT },
+};
+
+/* Guards against calm starts that refuse retries for a whole window. */
+static void process_has_its_share_soon_in_a_calm_fleet(void **state)
+{
+	static double requests[STEPS], retries[STEPS];
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(calm); i++) {
+		node_t nodes[NODES_MAX] = { 0 };
+		retry_fleet_t fleet;
+		retry_share_t share;
+
+		play_until(&calm[i].fleet, calm[i].at_ms, nodes, requests,
+			   retries);
+		fleet = fleet_of(&nodes[calm[i].node],
+				 calm[i].at_ms * US_PER_MS);
+		share = retry_share(&fleet, limits.window_us);
+		end_all(nodes);
+		if (share != calm[i].share)
+			fail_msg("%s: %s", calm[i].fleet.name,
+				 retry_share_text(share));
+	}
+}
+
 static const struct {
 	const char *name;
 	retry_fleet_t fleet;
@@ -409,6 +476,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(fleet_keeps_its_budget_when_processes_start),
+		cmocka_unit_test(process_has_its_share_soon_in_a_calm_fleet),
 		cmocka_unit_test(share_depends_on_what_is_known_of_starts),
 		cmocka_unit_test(limits_are_divided_among_the_nodes),
 	};
--- a/tests/test_view_update.c
+++ b/tests/test_view_update.c
@@ -444,6 +444,33 @@
 	packet_clear(&got);
 }
 
+/* Guards against starts of processes that are announced as others, or by nodes
+ * of earlier builds, which do not know them. */
+static void encodes_starts_of_processes(void **state)
+{
+	static const struct {
+		int32_t starts;
+		bool is_first;
+	} cases[] = { { -1, false }, { -1, true }, { 0, false }, { 15, true } };
+	uint8_t data[PACKET_SIZE_MAX_BYTES];
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		packet_t got,
+			sent = { .type = PACKET_LOAD,
+				 .as.load = { .node = 3,
+					      .data_centre = "north",
+					      .starts = cases[i].starts,
+					      .is_first = cases[i].is_first } };
+		size_t size = packet_encode(&sent, data, sizeof(data));
+
+		assert_true(packet_decode(&got, data, size));
+		assert_int_equal(got.as.load.starts, cases[i].starts);
+		assert_int_equal(got.as.load.is_first, cases[i].is_first);
+		packet_clear(&got);
+	}
+}
+
 /* Guards against values of a later build that this build does not know. */
 static void bounds_unknown_values(void **state)
 {
@@ -518,6 +545,7 @@
 		cmocka_unit_test(encodes_load),
 		cmocka_unit_test(decodes_earlier_builds),
 		cmocka_unit_test(encodes_what_overload_needs),
+		cmocka_unit_test(encodes_starts_of_processes),
 		cmocka_unit_test(bounds_unknown_values),
 		cmocka_unit_test(encodes_as_much_load_as_fits),
 		cmocka_unit_test(encodes_view_update),
