Client resets the connection of a call that ends early

Cause: a call that has timed out closes its socket in the usual way, and the kernel goes on sending what the peer has not acknowledged, for minutes. The same holds after a cancel, after the end of the process, and without any close while the process is stopped. All times of leases assume that a call that has ended cannot arrive.

Now all sockets of the client have a linger time of 0 from the start, so that the kernel resets them if the process ends, and only a call whose response was received whole closes its connection in the usual way, or leaves it to the next. TCP_USER_TIMEOUT is the rest of the call's time, for a process that is stopped; requests to servers, which their owners cancel, state that time in the new unsent_timeout_ms.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -6,10 +6,12 @@
 #include <strings.h>
 #include <utlist.h>
 
+#include "base/clock.h"
 #include "base/mem.h"
 #include "base/units.h"
 #include "connection/client_options.h"
 #include "connection/client_private.h"
+#include "connection/client_sockets.h"
 #include "connection/status_line.h"
 
 enum {
@@ -24,13 +26,15 @@
 	client_t *client;
 } client_socket_t;
 
-static void call_free(client_call_t *call)
+/* @param ended_well the response was received whole */
+static void call_free(client_call_t *call, bool ended_well)
 {
 	ev_timer_stop(call->client->loop, &call->idle);
 	DL_DELETE(call->client->calls, call);
 	if (call->added)
 		curl_multi_remove_handle(call->client->multi, call->easy);
 	curl_easy_cleanup(call->easy);
+	client_sockets_release(call, ended_well);
 	curl_slist_free_all(call->headers);
 	free(call->body);
 	if (call->handler.on_free)
@@ -57,7 +61,7 @@
 	client->deferred = false;
 	DL_FOREACH_SAFE (client->calls, call, next) {
 		if (call->cancelled)
-			call_free(call);
+			call_free(call, false);
 		else if (!call->added)
 			call_add(call);
 	}
@@ -74,7 +78,7 @@
 	if (end == CLIENT_INVALID || status < STATUS_INFORMATIONAL_END)
 		status = 0;
 	call->handler.on_free = NULL;
-	call_free(call);
+	call_free(call, end == CLIENT_OK);
 	if (handler.on_end)
 		handler.on_end(handler.context, end, (int)status);
 	if (handler.on_free)
@@ -139,6 +143,7 @@
 {
 	client_t *client = context;
 	client_socket_t *socket = socket_context;
+	client_call_t *call = NULL;
 	int events = 0;
 
 	if (socket)
@@ -149,6 +154,8 @@
 		curl_multi_assign(client->multi, fd, NULL);
 		return 0;
 	}
+	curl_easy_getinfo(easy, CURLINFO_PRIVATE, (char **)&call);
+	client_sockets_use(call, fd);
 	if (!socket) {
 		socket = mem_calloc(1, sizeof(*socket));
 		socket->client = client;
@@ -193,7 +200,7 @@
 	if (!client)
 		return;
 	DL_FOREACH_SAFE (client->calls, call, next)
-		call_free(call);
+		call_free(call, false);
 	curl_multi_cleanup(client->multi);
 	ev_timer_stop(client->loop, &client->timer);
 	free(client);
@@ -326,6 +333,29 @@
 	ev_timer_start(call->client->loop, &call->idle);
 }
 
+/* @return the lesser of two times, either of which may be 0: none */
+static int64_t least_ms(int64_t a_ms, int64_t b_ms)
+{
+	if (a_ms <= 0 || b_ms <= 0)
+		return a_ms > b_ms ? a_ms : b_ms;
+	return a_ms < b_ms ? a_ms : b_ms;
+}
+
+/* Notes when the kernel gives up what the server has not acknowledged, which a
+ * process that has stopped cannot do. */
+static void limit_unsent(client_call_t *call, const client_request_t *request)
+{
+	int64_t limit_ms =
+		least_ms(request->total_timeout_ms, request->unsent_timeout_ms);
+
+	call->keepalive_ms = request->peer_silence_ms;
+	call->silence_ms =
+		least_ms(request->peer_silence_ms, request->idle_timeout_ms);
+	if (limit_ms)
+		call->unsent_until_us =
+			clock_monotonic_us() + limit_ms * US_PER_MS;
+}
+
 client_call_t *client_call(client_t *client, const client_request_t *request,
 			   const client_handler_t *handler)
 {
@@ -351,6 +381,8 @@
 	for (header = request->headers; header && *header; header++)
 		call->headers = curl_slist_append(call->headers, *header);
 	client_set_options(call->easy, request, call->body, call->headers);
+	limit_unsent(call, request);
+	client_sockets_watch(call);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
@@ -382,7 +414,7 @@
 void client_call_cancel(client_call_t *call)
 {
 	if (!call->client->curl_depth) {
-		call_free(call);
+		call_free(call, false);
 		return;
 	}
 	call->cancelled = true;
--- a/src/connection/client.h
+++ b/src/connection/client.h
@@ -16,7 +16,10 @@
 /** HTTP client: the calls of one event loop. */
 typedef struct client client_t;
 
-/** Call: one HTTP request and its response. */
+/**
+ * Call: one HTTP request and its response. A call that ends early resets its
+ * connection, so that nothing of its request is delivered after its end.
+ */
 typedef struct client_call client_call_t;
 
 enum {
@@ -46,6 +49,12 @@
 	/** Time without received bytes after which a call fails; 0: none. */
 	int64_t idle_timeout_ms;
 	int64_t total_timeout_ms; /**< limit of the whole call; 0: none */
+	/**
+	 * Time after which the kernel drops what it has not delivered of the
+	 * request, for calls without total_timeout_ms that their owner cancels:
+	 * a process that has stopped cannot. 0: none.
+	 */
+	int64_t unsent_timeout_ms;
 	/**
 	 * Sends the request at most once, on a new connection: libcurl repeats
 	 * a request by itself when a reused connection turns out to be closed.
--- a/src/connection/client_options.c
+++ b/src/connection/client_options.c
@@ -1,15 +1,8 @@
 #include "connection/client_options.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
-
-#include "base/units.h"
 
 enum {
-	/* Idle time before the first keepalive probe and between probes. */
-	PROBE_INTERVAL_S = 1,
 	/* A connection that was idle for longer may be silent for good without
 	 * a sign; whole seconds, as libcurl wants them. */
 	IDLE_MAX_S = 1,
@@ -17,34 +10,6 @@
 	RECEIVE_BUFFER_SIZE_BYTES = 8 * 1024
 };
 
-/*
- * Turns on TCP keepalive probes. The kernel of the server's VM answers them
- * even while the server process is busy. Without probes, a VM that is down
- * looks like a server that works on a long prompt.
- * @param context timeout in milliseconds: silence after which TCP closes the
- * connection
- */
-static int set_keepalive(void *context, curl_socket_t fd, curlsocktype type)
-{
-	int silence_ms = (int)(intptr_t)context;
-	int on = 1, interval_s = PROBE_INTERVAL_S;
-	int probes = silence_ms / (PROBE_INTERVAL_S * (int)MS_PER_S);
-
-	if (probes < 1)
-		probes = 1;
-	if (!setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) &&
-	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &interval_s,
-			sizeof(interval_s)) &&
-	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
-			sizeof(interval_s)) &&
-	    !setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes,
-			sizeof(probes)) &&
-	    !setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
-			sizeof(silence_ms)))
-		return CURL_SOCKOPT_OK;
-	return CURL_SOCKOPT_ERROR;
-}
-
 static void set_method(CURL *easy, const client_request_t *request,
 		       const char *body)
 {
@@ -85,11 +50,6 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_MAX_S);
 	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
 			 (long)request->at_most_once);
-	if (request->peer_silence_ms) {
-		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, set_keepalive);
-		curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA,
-				 (void *)(intptr_t)request->peer_silence_ms);
-	}
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
 	set_method(easy, request, body);
 	if (request->ca_path)
--- a/src/connection/client_private.h
+++ b/src/connection/client_private.h
@@ -6,14 +6,19 @@
 #define CONNECTION_CLIENT_PRIVATE_H
 
 #include <curl/curl.h>
+#include <uthash.h>
 
 #include "connection/client.h"
 
+/** A connection to a server, see client_sockets.c. */
+typedef struct client_connection client_connection_t;
+
 struct client {
 	CURLM *multi;
 	struct ev_loop *loop;
 	ev_timer timer;
 	client_call_t *calls;
+	client_connection_t *connections; /* hash table of open ones, by fd */
 	/*
 	 * Above 0 while libcurl runs. libcurl refuses to add or remove handles
 	 * from inside its callbacks, so both wait until libcurl returned.
@@ -35,6 +40,10 @@
 	int unsent_bytes; /* of the request, in the kernel at the end */
 	size_t header_bytes; /* received header lines */
 	size_t body_bytes; /* of the response, taken by the handler */
+	int64_t keepalive_ms; /* peer_silence_ms of the request */
+	int64_t silence_ms; /* longest of the server or its VM; 0: no limit */
+	int64_t unsent_until_us; /* clock_monotonic_us(); 0: no such limit */
+	client_connection_t *connections; /* list of those that it uses */
 	bool head_done; /* the headers of the response are complete */
 	bool is_invalid; /* what was received is no HTTP response */
 	bool is_chunked; /* the response */
--- a/src/process/request.c
+++ b/src/process/request.c
@@ -214,6 +214,13 @@
 			       message);
 }
 
+int64_t request_left_ms(const request_t *request)
+{
+	int64_t left_us = request->deadline_us - clock_monotonic_us();
+
+	return left_us > US_PER_MS ? left_us / US_PER_MS : 1;
+}
+
 static void on_deadline(struct ev_loop *loop, ev_timer *timer, int events)
 {
 	request_t *request = timer->data;
--- a/src/process/request.h
+++ b/src/process/request.h
@@ -164,6 +164,9 @@
 /** Cancels the call to the server, and returns all memory to the budget. */
 void request_destroy(request_t *request);
 
+/** @return milliseconds to the deadline, 1 at least. */
+int64_t request_left_ms(const request_t *request);
+
 /** Starts the timer of the deadline, which the request's class states. */
 void request_set_deadline(request_t *request);
 
--- a/src/process/request_model.c
+++ b/src/process/request_model.c
@@ -335,6 +335,7 @@
 		.body_size_bytes = call->body_size_bytes,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_timeout_ms = request->class_conf->server_idle_ms,
+		.unsent_timeout_ms = request_left_ms(request),
 		/* As for plain services: no answer of an earlier call. */
 		.at_most_once = true,
 	};
--- a/src/process/request_plain.c
+++ b/src/process/request_plain.c
@@ -223,6 +223,7 @@
 		.body_size_bytes = request->body_size_bytes,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.idle_timeout_ms = request->class_conf->server_idle_ms,
+		.unsent_timeout_ms = request_left_ms(request),
 		/*
 		 * Opens a new connection, on which no answer of an earlier
 		 * call can arrive.
--- a/src/request/forward_send.c
+++ b/src/request/forward_send.c
@@ -80,6 +80,8 @@
 				     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
 				     .at_most_once = true };
 
+	request.unsent_timeout_ms =
+		(forward->limit_us - forward->attempt->sent_us) / US_PER_MS;
 	/* An at-most-once request must not run again, and its answer may still
 	 * come: there is no limit on the silence of its server. */
 	if (forward->route->kind != CALL_AT_MOST_ONCE)
