Client forgets sockets that libcurl closes without a word

An entry whose descriptor is opened again is replaced, and the rest is freed with the client. Nothing was sent on such a socket.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -202,6 +202,7 @@
 	DL_FOREACH_SAFE (client->calls, call, next)
 		call_free(call, false);
 	curl_multi_cleanup(client->multi);
+	client_sockets_forget(client);
 	ev_timer_stop(client->loop, &client->timer);
 	free(client);
 }
--- a/src/connection/client_sockets.c
+++ b/src/connection/client_sockets.c
@@ -91,11 +91,26 @@
 	LL_PREPEND(call->connections, connection);
 }
 
+/* Frees the entry of a socket that is closed. */
+static void forget(client_t *client, client_connection_t *connection)
+{
+	HASH_DEL(client->connections, connection);
+	if (connection->call)
+		LL_DELETE(connection->call->connections, connection);
+	free(connection);
+}
+
 static int on_open(void *context, curl_socket_t fd, curlsocktype type)
 {
 	client_call_t *call = context;
-	client_connection_t *connection = mem_calloc(1, sizeof(*connection));
+	client_connection_t *connection;
 
+	/* libcurl does not say that it closed a socket which never connected.
+	 */
+	HASH_FIND_INT(call->client->connections, &fd, connection);
+	if (connection)
+		forget(call->client, connection);
+	connection = mem_calloc(1, sizeof(*connection));
 	connection->fd = fd;
 	HASH_ADD_INT(call->client->connections, fd, connection);
 	attach(connection, call);
@@ -164,3 +179,11 @@
 	}
 	call->connections = NULL;
 }
+
+void client_sockets_forget(client_t *client)
+{
+	client_connection_t *connection, *next;
+
+	HASH_ITER (hh, client->connections, connection, next)
+		forget(client, connection);
+}
--- a/src/connection/client_sockets.h
+++ b/src/connection/client_sockets.h
@@ -25,4 +25,7 @@
  */
 void client_sockets_release(client_call_t *call, bool ended_well);
 
+/** Frees what is left of a client whose connections are closed. */
+void client_sockets_forget(client_t *client);
+
 #endif
--- a/tests/test_client_ends.c
+++ b/tests/test_client_ends.c
@@ -280,11 +280,35 @@
 	free(body);
 }
 
+/* Guards against memory that a client keeps of each call that ended while it
+ * connected: libcurl does not report the end of such a socket. */
+static void call_that_ends_while_it_connects_leaves_nothing(void **state)
+{
+	const end_case_t play = { .end = BY_CANCEL };
+	struct ev_loop *loop = ev_loop_new(EVFLAG_AUTO);
+	client_t *client = client_create(loop, NULL);
+	int i, port, listening = loopback_listen(&port);
+	bool done;
+
+	/* LeakSanitizer checks at exit. */
+	for (i = 0; i < 3; i++) {
+		client_call_t *handle = call(client, port, &play, "x", &done);
+
+		ev_run(loop, EVRUN_ONCE); /* opens the socket */
+		client_call_cancel(handle);
+	}
+	client_destroy(client);
+	ev_loop_destroy(loop);
+	close(listening);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(call_that_was_given_up_is_not_delivered),
 		cmocka_unit_test(call_of_a_stopped_process_is_not_delivered),
+		cmocka_unit_test(
+			call_that_ends_while_it_connects_leaves_nothing),
 	};
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
