Soak holds up reports of usage while their sender loses its duty

Again and again a cut holds up a report of the holder, which is then cut off from the store, killed, stopped or paused; another node takes over, and the cut ends. A report with a lower fence after that, or two holders with one fence, is a violation. A link that holds up data drops it if the sender has reset the connection, and takes so little that most of a report stays in the kernel of its sender, as with a cut.

The store of the soak took every PUT and DELETE for a GET, so that no lease changed hands; it now carries them out.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -218,6 +218,8 @@
 		 (unsigned long long)soak->next_id++);
 	record->path = paths[soak_random(soak, sizeof(paths) - 1)];
 	record->key = (int)soak_random(soak, KEYS);
+	if (soak->duties)
+		record->key = duties_key();
 	overload_choose(soak, record);
 	record->sent_us = clock_monotonic_us();
 	HASH_ADD_STR(soak->requests, id, record);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -124,6 +124,7 @@
 	store_start(soak);
 	store_configure(soak);
 	servers_start(soak);
+	duties_open(soak);
 	nodes_start(soak);
 	callers_start(soak);
 	faults_start(soak);
@@ -134,12 +135,14 @@
 	stops_start(soak);
 	overload_start(soak);
 	budget_start(soak);
+	duties_start(soak);
 	ev_timer_init(&soak->end_timer, on_end, (double)soak->seconds, 0.);
 	soak->end_timer.data = soak;
 	ev_timer_start(soak->loop, &soak->end_timer);
 	ev_run(soak->loop, 0);
 	stops_end(soak);
 	nodes_stop(soak);
+	duties_check(soak);
 	client_destroy(soak->client);
 	servers_stop(soak);
 	store_stop();
@@ -182,6 +185,8 @@
 		  "nodes control the load; bursts beyond the slots", NULL },
 		{ "retry-kills", 0, POPT_ARG_NONE, &soak.retry_kills, 0,
 		  "servers reject bursts in which all nodes are killed", NULL },
+		{ "duties", 0, POPT_ARG_NONE, &soak.duties, 0,
+		  "usage is reported, and cuts hold up reports", NULL },
 		{ "store-restores", 0, POPT_ARG_NONE, &soak.store_restores, 0,
 		  "the store comes back from copies", NULL },
 		{ "build", 0, POPT_ARG_STRING, &soak.build, 0,
--- a/tests/soak/nodes.c
+++ b/tests/soak/nodes.c
@@ -60,9 +60,11 @@
 static void write_settings(node_t *node)
 {
 	FILE *file = fopen(node->settings, "we");
+	char duties[256];
 
 	if (!file)
 		abort();
+	duties_settings(node, duties, sizeof(duties));
 	fprintf(file,
 		"node=%s\nrole=gateway\nip=127.0.0.1\nzone=a\n"
 		"bind.front=127.0.0.1:%d\nbind.ready=127.0.0.1:%d\n"
@@ -71,12 +73,13 @@
 		"contractParams.graceS=%d\ncontractParams.revokeMs=%d\n"
 		"contractParams.strictRevoke=true\n"
 		"contractParams.budgetRatio=%.1f\n"
-		"contractParams.retrySlack=%d\n%s",
+		"contractParams.retrySlack=%d\n%s%s",
 		node->name, node->port, node->ready_port, node->peer_port,
 		node->peer_port + 1, proxy_port(node->store_link),
 		STOP_MS / (int)MS_PER_S, REVOKE_MS, budget_ratio(node->soak),
 		budget_slack(node->soak),
-		node->soak->overload ? "contracts=base,engine,stream\n" : "");
+		node->soak->overload ? "contracts=base,engine,stream\n" : "",
+		duties);
 	fclose(file);
 }
 
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -10,7 +11,12 @@
 #include "base/mem.h"
 #include "soak/soak.h"
 
-enum { BUFFER_SIZE_BYTES = 16 * 1024, BACKLOG = 128, FILLERS = 4 };
+enum {
+	BUFFER_SIZE_BYTES = 16 * 1024,
+	BACKLOG = 128,
+	FILLERS = 4,
+	HELD_BUFFER_BYTES = 1 /* the kernel takes the least that it allows */
+};
 #define REPLY_DELAY_S 0.15 /* delay of replies with LINK_SLOW */
 #define RETRY_S \
 	0.005 /* until data is written again that a socket did not take */
@@ -154,6 +160,15 @@
 	ev_io_start(pair->proxy->loop, &flow->readable);
 }
 
+/* A reset leaves what came before it readable. */
+static bool was_reset(int fd)
+{
+	int error = 0;
+	socklen_t size = sizeof(error);
+
+	return getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) || error;
+}
+
 static void on_accept(struct ev_loop *loop, ev_io *watcher, int events)
 {
 	proxy_t *proxy = watcher->data;
@@ -163,6 +178,10 @@
 
 	if (from < 0)
 		return;
+	if (was_reset(from)) {
+		close(from);
+		return;
+	}
 	to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	fcntl(from, F_SETFD, FD_CLOEXEC);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -177,6 +196,8 @@
 	pair->proxy = proxy;
 	DL_APPEND(proxy->pairs, pair);
 	start_flow(pair, &pair->request, from, to, false);
+	if (proxy->link == LINK_HOLD)
+		ev_io_stop(loop, &pair->request.readable);
 	start_flow(pair, &pair->reply, to, from, true);
 }
 
@@ -267,8 +288,32 @@
 	}
 }
 
+static void hold_requests(proxy_t *proxy)
+{
+	pair_t *pair;
+
+	DL_FOREACH (proxy->pairs, pair)
+		ev_io_stop(proxy->loop, &pair->request.readable);
+}
+
+static void release_requests(proxy_t *proxy)
+{
+	pair_t *pair, *next;
+
+	DL_FOREACH_SAFE (proxy->pairs, pair, next) {
+		if (was_reset(pair->request.from))
+			close_pair(pair, true);
+		else
+			ev_io_start(proxy->loop, &pair->request.readable);
+	}
+}
+
 void proxy_set(proxy_t *proxy, link_mode_t link)
 {
+	if (link == LINK_HOLD)
+		hold_requests(proxy);
+	else if (proxy->link == LINK_HOLD)
+		release_requests(proxy);
 	/* Dropped data are lost, so that connections that lost data cannot
 	 * continue. */
 	if (link == LINK_REFUSED || link == LINK_UNREACHABLE ||
@@ -280,6 +325,45 @@
 	proxy->link = link;
 }
 
+void proxy_bound_held(proxy_t *proxy)
+{
+	int size = HELD_BUFFER_BYTES;
+
+	setsockopt(proxy->accepting.fd, SOL_SOCKET, SO_RCVBUF, &size,
+		   sizeof(size));
+}
+
+/* @return true if all of an HTTP request with a length can be read */
+static bool has_request(int fd)
+{
+	char text[BUFFER_SIZE_BYTES + 1];
+	ssize_t size = recv(fd, text, BUFFER_SIZE_BYTES, MSG_PEEK);
+	const char *length, *body;
+
+	if (size <= 0)
+		return false;
+	text[size] = '\0';
+	length = strcasestr(text, "\r\nContent-Length:");
+	body = strstr(text, "\r\n\r\n");
+	return length && body &&
+	       text + size - (body + 4) >=
+		       strtol(strchr(length, ':') + 1, NULL, 10);
+}
+
+held_call_t proxy_held_call(const proxy_t *proxy)
+{
+	const pair_t *pair;
+	int size = 0;
+
+	if (proxy->link != LINK_HOLD)
+		return HELD_NONE;
+	DL_FOREACH (proxy->pairs, pair)
+		if (!ioctl(pair->request.from, FIONREAD, &size) && size)
+			return has_request(pair->request.from) ? HELD_WHOLE
+							       : HELD_PART;
+	return HELD_NONE;
+}
+
 void proxy_destroy(proxy_t *proxy)
 {
 	proxy_reset(proxy);
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -164,7 +164,7 @@
 	soak_t *soak = run->server->soak;
 	request_record_t *record = callers_find(soak, run->id);
 	int64_t now_us = clock_monotonic_us();
-	char account[16];
+	char account[64];
 
 	if (!record) {
 		soak_violation(soak,
@@ -173,8 +173,7 @@
 		return;
 	}
 	record->runs++;
-	snprintf(account, sizeof(account), soak->overload ? "acme-%d" : "acme",
-		 record->key);
+	store_account_name(soak, record->key, account, sizeof(account));
 	if (callers_is_once(record) && record->runs > 1)
 		soak_violation(soak, "TWICE %s ran again at %s", run->id,
 			       run->server->id);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,7 @@
 	SERVERS = 6, /* the last two serve the plain service */
 	PLAIN_SERVERS = 2,
 	KEYS = 4, /* keys of the client account */
+	DUTY_KEYS = 80, /* the same with duties, and each of an account */
 	/* With overload: accounts with a key each, more than the 12 that a node
 	 * announces; slots of an engine; X-Request-Priority of the less urgent
 	 * routes, and of deferred requests. */
@@ -66,9 +67,18 @@
 	LINK_REFUSED, /* resets open connections and closes new ones */
 	LINK_UNREACHABLE, /* resets open connections and refuses new ones */
 	LINK_OPEN_ONLY, /* open connections go on, new ones are refused */
-	LINK_SILENT /* drops all data, new connections hang */
+	LINK_SILENT, /* drops all data, new connections hang */
+	LINK_HOLD /* holds up requests, which are lost if their sender resets
+		     the connection before the link is normal again */
 } link_mode_t;
 
+/** What LINK_HOLD holds up of a request with a length. */
+typedef enum {
+	HELD_NONE, /* or of none with a length */
+	HELD_PART, /* the rest is still with its sender */
+	HELD_WHOLE
+} held_call_t;
+
 /** A daemon process. */
 typedef struct {
 	soak_t *soak;
@@ -190,7 +200,7 @@
 	bool faults_over; /* all faults ended: the fleet must recover */
 	int64_t store_down_us; /* when the store fell silent; 0: it answers */
 	int64_t recovered_us; /* end of the time to recover; 0: not reached */
-	int64_t key_revoked_us[ACCOUNTS]; /* 0: the key is valid */
+	int64_t key_revoked_us[DUTY_KEYS]; /* 0: the key is valid */
 	int64_t version; /* version of the configuration written last */
 	int server_rates; /* servers state rates, and restart */
 	uint64_t rates_random; /* state of the generator for rates */
@@ -211,6 +221,7 @@
 	int overload; /* nodes control the load; bursts beyond the slots */
 	int retry_kills; /* servers reject bursts in which all nodes are killed
 			  */
+	int duties; /* usage is reported, and cuts hold up reports */
 	int stops; /* planned stops and changes alone, and callers of their own
 		    */
 	struct {
@@ -246,6 +257,10 @@
 /** Resets the open connections of the proxy. */
 void proxy_reset(proxy_t *proxy);
 void proxy_destroy(proxy_t *proxy);
+/** Makes what LINK_HOLD holds up stay with the sender, but for its begin. */
+void proxy_bound_held(proxy_t *proxy);
+/** @return what LINK_HOLD holds up of a request. */
+held_call_t proxy_held_call(const proxy_t *proxy);
 
 /* budget.c */
 void budget_start(soak_t *soak);
@@ -277,6 +292,16 @@
 /** Compares the first tries at nodes that were cut off with the others. */
 void cuts_check(soak_t *soak);
 
+/* duties.c */
+/** Opens the platform's interface. */
+void duties_open(soak_t *soak);
+/** Writes the settings of a daemon for duties; empty: it has none. */
+void duties_settings(const node_t *node, char *text, size_t size);
+/** @return the key of the next request */
+int duties_key(void);
+void duties_start(soak_t *soak);
+void duties_check(soak_t *soak);
+
 /* store.c */
 typedef struct store store_t;
 void store_start(soak_t *soak);
@@ -292,6 +317,9 @@
 /** @return the revision of the last change. */
 int64_t store_revision(void);
 void store_stop(void);
+/** Writes the name of the account of a key. With duties, names are so long that
+ * a report of all is larger than what a link holds up. */
+void store_account_name(const soak_t *soak, int key, char *name, size_t size);
 /** Writes a configuration with the keys that are not revoked. */
 void store_configure(soak_t *soak);
 
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -293,6 +293,31 @@
 	json_decref(body);
 }
 
+/* Replaces or deletes an object, if the call is for its revision. */
+static void change_object(call_t *call, const char *kind, const char *name,
+			  int64_t revision, bool deletes)
+{
+	json_t *body = json_loadb(call->body, call->size, 0, NULL);
+	json_t *meta = json_object_get(body, "meta");
+	json_t *spec = json_object_get(body, "spec");
+	object_t *object = find_object(kind, name);
+
+	if (!deletes)
+		revision =
+			json_integer_value(json_object_get(meta, "revision"));
+	if (!object || !object->spec) {
+		reply(call, 404, NULL);
+	} else if (revision && revision != object->revision) {
+		reply(call, 409, object_json(call->node, object));
+	} else {
+		if (deletes || !json_equal(spec, object->spec))
+			store_write(kind, name,
+				    deletes ? NULL : json_incref(spec));
+		reply(call, 200, object_json(call->node, object));
+	}
+	json_decref(body);
+}
+
 /* @return the number after @p name in the query; @p fallback if not found */
 static int64_t query_integer(const char *query, const char *name,
 			     int64_t fallback)
@@ -325,6 +350,11 @@
 		answer_watch(call, false);
 	} else if (!strcmp(exchange_method(call->exchange), "POST")) {
 		create_object(call, kind);
+	} else if (!strcmp(exchange_method(call->exchange), "PUT")) {
+		change_object(call, kind, name, 0, false);
+	} else if (!strcmp(exchange_method(call->exchange), "DELETE")) {
+		change_object(call, kind, name,
+			      query_integer(query, "revision=", 0), true);
 	} else if (!*name) {
 		list_objects(call, kind);
 	} else {
@@ -426,24 +456,39 @@
 			 "answer", 400);
 }
 
+void store_account_name(const soak_t *soak, int key, char *name, size_t size)
+{
+	if (soak->duties)
+		snprintf(name, size, "acme-%050d", key);
+	else if (soak->overload)
+		snprintf(name, size, "acme-%d", key);
+	else
+		snprintf(name, size, "acme");
+}
+
 /* @return the accounts: one with all keys that are not revoked, or with
- * overload one for each key */
+ * overload or duties one for each key */
 static json_t *accounts(const soak_t *soak)
 {
 	json_t *keys = json_array(), *list = json_array();
+	bool has_accounts = soak->overload || soak->duties;
+	int count = soak->duties ? DUTY_KEYS : soak->overload ? ACCOUNTS : KEYS;
+	char name[64];
 	int i;
 
-	for (i = 0; i < (soak->overload ? ACCOUNTS : KEYS); i++) {
-		if (soak->overload)
+	for (i = 0; i < count; i++) {
+		store_account_name(soak, i, name, sizeof(name));
+		if (soak->key_revoked_us[i])
+			continue;
+		if (has_accounts)
 			json_array_append_new(
 				list,
-				json_pack("{s:o,s:[o]}", "name",
-					  json_sprintf("acme-%d", i), "keys",
+				json_pack("{s:s,s:[o]}", "name", name, "keys",
 					  json_sprintf("key-%d", i)));
-		else if (!soak->key_revoked_us[i])
+		else
 			json_array_append_new(keys, json_sprintf("key-%d", i));
 	}
-	if (!soak->overload)
+	if (!has_accounts)
 		json_array_append_new(list, json_pack("{s:s,s:O}", "name",
 						      "acme", "keys", keys));
 	json_decref(keys);
