An entry that lacks what a server writes names no server

Cause: an entry of another writer, without version, coldLeftMs, seq and born, counted as the server's own: only five of nine fields had to be there. The missing start read as 0, another start than before, which also forgot that the server leaves and what it had refused.

An entry without it for a server that stated one is another writer's.

--- a/src/process/gateway_apply.c
+++ b/src/process/gateway_apply.c
@@ -79,13 +79,25 @@
 					.body_ms = BODY_TIMEOUT_MS });
 }
 
+/* @return false if the object names no server to use. A server that states its
+ * start does so in all its entries: one without it is of another writer. */
+static bool decode_entry(const gateway_t *gateway,
+			 const platform_object_t *object,
+			 backend_entry_t *entry)
+{
+	const backend_t *known = backends_find(gateway->backends, object->name);
+
+	return !object->deleted && platform_decode_server(object, entry) &&
+	       (entry->born_ms || !known || !backend_entry(known)->born_ms);
+}
+
 static void apply_server(gateway_t *gateway, const platform_object_t *object,
 			 int64_t grace_until_us)
 {
 	int64_t now_us = clock_monotonic_us();
 	backend_entry_t entry;
 
-	if (object->deleted || !platform_decode_server(object, &entry)) {
+	if (!decode_entry(gateway, object, &entry)) {
 		if (backends_remove(gateway->backends, object->name,
 				    grace_until_us))
 			log_event(EVENT_SERVER_REMOVED,
--- a/tests/lib/gateway_fixture.c
+++ b/tests/lib/gateway_fixture.c
@@ -61,12 +61,12 @@
 	snprintf(address, sizeof(address), "127.0.0.1:%d",
 		 fixture->servers[i].port);
 	snprintf(name, sizeof(name), "i-%s%d", service, i);
-	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:s,s:i,s:s,s:i}}", "meta",
-			 "name", name, "revision", 5, "spec", "service",
+	return json_pack("{s:{s:s,s:i},s:{s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:i}}",
+			 "meta", "name", name, "revision", 5, "spec", "service",
 			 service, "address", address, "zone", "a",
 			 "concurrencyLimit",
 			 fixture->slots ? fixture->slots : 8, "state", "ready",
-			 "coldLeftMs", 0);
+			 "coldLeftMs", 0, "version", "v1", "seq", 1);
 }
 
 /* Entry of one of the nodes n2, n3 and so on; they are listed newest first. */
--- a/tests/soak/server.c
+++ b/tests/soak/server.c
@@ -359,14 +359,14 @@
 		 proxy_port(server->link));
 	store_write("servers", server->id,
 		    server->listed
-			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:I}",
+			    ? json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:s,s:i,s:I}",
 					"service",
 					server->plain ? "plain" : "model",
 					"address", address, "zone", "a",
 					"concurrencyLimit", max_slots, "state",
 					server->draining ? "draining" : "ready",
-					"coldLeftMs", 0, "born",
-					(json_int_t)server->born_ms)
+					"coldLeftMs", 0, "version", "v1", "seq",
+					1, "born", (json_int_t)server->born_ms)
 			    : NULL);
 }
 
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -507,7 +507,7 @@
 #define ENTRY(slots, address, state)                                 \
 	"{\"service\":\"s\",\"address\":" address ",\"zone\":\"a\"," \
 	"\"concurrencyLimit\":" slots ",\"state\":" state            \
-	",\"coldLeftMs\":1500,\"born\":1700000000000}"
+	",\"version\":\"v1\",\"seq\":3,\"coldLeftMs\":1500,\"born\":1700000000000}"
 
 /*
  * Guards against a usable server that is ignored, and against a malformed entry
@@ -547,7 +547,7 @@
 		{ "a time that overflows",
 		  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\","
 		  "\"zone\":\"a\",\"concurrencyLimit\":16,"
-		  "\"state\":\"ready\",\"coldLeftMs\":1e300}",
+		  "\"state\":\"ready\",\"version\":\"v1\",\"seq\":3,\"coldLeftMs\":1e300}",
 		  false },
 		{ "an entry that is not an object", "\"bytes\"", false },
 		{ "an empty entry", "{}", false },
@@ -572,6 +572,41 @@
 	}
 }
 
+/* Guards against a server that is put into use by an entry of another program,
+ * which lacks what the server says, or says it in another type. */
+static void entry_that_lacks_a_field_names_no_server(void **state)
+{
+	static const char *const fields[] = {
+		"service", "address", "zone", "version",    "concurrencyLimit",
+		"state",   "seq",     "born", "coldLeftMs",
+	};
+	static const char *const odd[] = { NULL, "null", "[]", "{}", "true" };
+	size_t i, j;
+
+	for (i = 0; i < COUNT_OF(fields) * COUNT_OF(odd); i++) {
+		const char *field = fields[i / COUNT_OF(odd)];
+		json_t *spec = json_loads(
+			ENTRY("16", "\"10.0.0.9:80\"", "\"ready\""), 0, NULL);
+		platform_object_t object = { .name = "i-1", .spec = spec };
+		backend_entry_t entry;
+		bool is_usable;
+
+		j = i % COUNT_OF(odd);
+		assert_non_null(json_object_get(spec, field));
+		if (odd[j])
+			json_object_set_new(spec, field,
+					    json_loads(odd[j], JSON_DECODE_ANY,
+						       NULL));
+		else
+			json_object_del(spec, field);
+		is_usable = platform_decode_server(&object, &entry);
+		/* Some servers do not state their start. */
+		if (is_usable != (!odd[j] && !strcmp(field, "born")))
+			fail_msg("%s: %s", field, odd[j] ? odd[j] : "absent");
+		json_decref(spec);
+	}
+}
+
 enum { NESTED = 200000 };
 
 /* @return text with @p value as a value of the entry in the middle of three */
@@ -587,7 +622,8 @@
 		 "{\"%s\":[%s{\"meta\":{\"name\":\"i-1\",\"revision\":5},"
 		 "\"spec\":%s}%s,%s{\"meta\":{\"name\":\"i-2\",\"revision\":6},"
 		 "\"spec\":{\"odd\":%s}}%s,%s{\"meta\":{\"name\":\"i-3\","
-		 "\"revision\":7},\"spec\":%s}%s],\"storeRevision\":9}",
+		 "\"revision\":7},\"spec\":%s}%s],\"morePages\":false,"
+		 "\"storeRevision\":9}",
 		 are_events ? "events" : "items", before, sound, after, before,
 		 value, after, before, sound, after);
 	return text;
@@ -743,6 +779,7 @@
 		cmocka_unit_test(needs_keys_if_accounts_are_listed),
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
+		cmocka_unit_test(entry_that_lacks_a_field_names_no_server),
 		cmocka_unit_test(odd_entry_hides_the_other_servers),
 		cmocka_unit_test(parses_reply_headers),
 		cmocka_unit_test(recognises_hop_headers),
--- a/tests/test_gateway_updates.c
+++ b/tests/test_gateway_updates.c
@@ -521,6 +521,52 @@
 	gateway_fixture_stop(&fixture);
 }
 
+static void apply_entry(gateway_t *gateway, const char *state, int64_t born_ms)
+{
+	platform_object_t object = { .name = "i-9", .version = 20 };
+
+	object.spec = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:i}", "service",
+				"s", "address", "127.0.0.1:9", "zone", "a",
+				"version", "v1", "concurrencyLimit", 8, "state",
+				state, "coldLeftMs", 0, "seq", 1);
+	if (born_ms)
+		json_object_set_new(object.spec, "born", json_integer(born_ms));
+	gateway_apply(&gateway->views[1], &object, 0);
+	json_decref(object.spec);
+}
+
+/* Guards against a draining server that is put into use by an entry of another
+ * program, which does not know when the server started. */
+static void entry_without_its_start_ends_no_drain(void **state)
+{
+	static const struct {
+		int64_t own_ms, other_ms; /* starts; 0: not stated */
+		bool is_used;
+	} cases[] = {
+		{ 1700000000000, 0, false },
+		{ 1700000000000, 1700000000001, true },
+		{ 0, 0, true }, /* a server that never states its start */
+	};
+	gateway_fixture_t fixture = { 0 };
+	size_t i;
+
+	gateway_fixture_start(&fixture);
+	gateway_fixture_wait_ready(&fixture);
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		gateway_t *gateway = fixture.gateway;
+		const backend_t *server;
+
+		apply_entry(gateway, "draining", cases[i].own_ms);
+		apply_entry(gateway, "ready", cases[i].other_ms);
+		server = backends_find(gateway->backends, "i-9");
+		if ((server && backend_usable(server, clock_monotonic_us())) !=
+		    cases[i].is_used)
+			fail_msg("case %zu", i);
+		backends_remove(gateway->backends, "i-9", 0);
+	}
+	gateway_fixture_stop(&fixture);
+}
+
 /* Guards against changes that a node does not receive because another node,
  * which had the same place in the list of nodes before, has them already. */
 static void tracks_changes_per_node(void **state)
@@ -602,6 +648,7 @@
 		cmocka_unit_test(keeps_servers_after_an_outage),
 		cmocka_unit_test(server_that_left_is_used_after_a_failed_call),
 		cmocka_unit_test(odd_entry_fits_no_datagram),
+		cmocka_unit_test(entry_without_its_start_ends_no_drain),
 		cmocka_unit_test(tracks_changes_per_node),
 	};
 
