A field of a configuration that cannot be read opens nothing

Each of these opened something by what it lacked or by its type: - "tenants":null counted as no list of accounts, so that all routes were open; it is now a list with none. - An empty key was a key, which a caller has who sends "Bearer" and nothing. - A weight that is no number counted as 1, and "backends" that is no list as absent: a service got requests that the configuration does not give it. - maxConns, coldPerS or coldS that is no number counted as no limit. The last two kinds now make the configuration invalid, so that the one before stays in force.

The case of null in needs_keys_if_accounts_are_listed stated the old reading and is turned round, which is stricter: "tenants" is there, and names nobody.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -466,7 +466,7 @@
 		bool needs_keys;
 	} cases[] = {
 		{ "", false },
-		{ ",\"tenants\":null", false },
+		{ ",\"tenants\":null", true },
 		{ ",\"tenants\":[]", true },
 		{ ",\"tenants\":[{\"name\":\"t\",\"keys\":[]}]", true },
 		{ ",\"tenants\":[{\"name\":\"t\",\"keys\":[\"k\"]}]", true },
@@ -607,6 +607,69 @@
 	}
 }
 
+/* Guards against a configuration that opens routes, or lifts limits, by what it
+ * lacks or says in another type. */
+static void field_that_cannot_be_read_opens_nothing(void **state)
+{
+#define ROUTE_WITH(more)                                             \
+	"\"routes\":[{\"host\":\"h\",\"pathPrefix\":\"/\",\"kind\":" \
+	"\"idempotent\"" more "}]"
+#define SERVICE_WITH(more) \
+	"\"routes\":[],\"services\":[{\"name\":\"s\"" more "}]"
+	static const struct {
+		const char *text;
+		bool is_valid;
+	} cases[] = {
+		{ ROUTE_WITH(",\"service\":\"a\""), true },
+		{ ROUTE_WITH(""), false },
+		{ ROUTE_WITH(",\"service\":null"), false },
+		{ ROUTE_WITH(",\"service\":7"), false },
+		{ ROUTE_WITH(",\"service\":\"a\",\"backends\":null"), true },
+		{ ROUTE_WITH(",\"service\":\"a\",\"backends\":{}"), false },
+		{ ROUTE_WITH(",\"service\":\"a\",\"backends\":[]"), false },
+		{ ROUTE_WITH(",\"backends\":[{\"service\":\"a\"}]"), true },
+		{ ROUTE_WITH(",\"backends\":[{\"service\":\"a\","
+			     "\"weight\":\"0\"}]"),
+		  false },
+		{ ROUTE_WITH(",\"backends\":[{\"service\":\"a\","
+			     "\"weight\":null}]"),
+		  false },
+		{ SERVICE_WITH(",\"maxConns\":4,\"coldPerS\":1,\"coldS\":2"),
+		  true },
+		{ SERVICE_WITH(",\"maxConns\":\"4\""), false },
+		{ SERVICE_WITH(",\"coldPerS\":\"1\""), false },
+		{ SERVICE_WITH(",\"coldPerS\":null"), false },
+		{ SERVICE_WITH(",\"coldS\":[2]"), false },
+		{ "\"routes\":[],\"tenants\":{}", false },
+		{ "\"routes\":[],\"tenants\":false", false },
+		{ "\"routes\":null", false },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		char text[256];
+		routing_t *routing;
+
+		snprintf(text, sizeof(text), "{\"version\":1,%s}",
+			 cases[i].text);
+		routing = decode(text);
+		if (!routing != !cases[i].is_valid)
+			fail_msg("%s", text);
+		routing_unref(routing);
+	}
+}
+
+/* Guards against callers without a key that have the empty one. */
+static void empty_key_is_no_key(void **state)
+{
+	routing_t *routing = decode("{\"version\":1,\"routes\":[],\"tenants\":["
+				    "{\"name\":\"t\",\"keys\":[\"\",\"k\"]}]}");
+
+	assert_null(routing_account(routing, ""));
+	assert_non_null(routing_account(routing, "k"));
+	routing_unref(routing);
+}
+
 enum { NESTED = 200000 };
 
 /* @return text with @p value as a value of the entry in the middle of three */
@@ -780,6 +843,8 @@
 		cmocka_unit_test(splits_by_weight),
 		cmocka_unit_test(decodes_servers),
 		cmocka_unit_test(entry_that_lacks_a_field_names_no_server),
+		cmocka_unit_test(field_that_cannot_be_read_opens_nothing),
+		cmocka_unit_test(empty_key_is_no_key),
 		cmocka_unit_test(odd_entry_hides_the_other_servers),
 		cmocka_unit_test(parses_reply_headers),
 		cmocka_unit_test(recognises_hop_headers),
