An answer of the store that lacks a field is not taken

A list without morePages counted as whole: what its rest held, such as an evacuation or a draining server, would have been taken for deleted, and a change without `deleted` for a present object, so that a server that left would have stayed in use.

Pages of test_platform and test_adapter that lacked the fields have them now.

--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -670,6 +670,49 @@
 	routing_unref(routing);
 }
 
+/* Guards against a list that is cut short, and a deletion that is taken for a
+ * change: what such an answer lacks would be out of force or in use. */
+static void answer_that_lacks_a_field_is_not_taken(void **state)
+{
+#define EVENT_WITH(more)                                                          \
+	"\"events\":[{\"object\":{\"meta\":{\"name\":\"i\",\"revision\":1}}" more \
+	"}]"
+	static const struct {
+		const char *text;
+		bool is_valid;
+	} cases[] = {
+		{ "\"items\":[],\"morePages\":false", true },
+		{ "\"items\":[]", false },
+		{ "\"items\":[],\"morePages\":null", false },
+		{ "\"items\":[],\"morePages\":1", false },
+		{ "\"items\":null,\"morePages\":false", false },
+		{ "\"items\":{},\"morePages\":false", false },
+		{ "\"events\":[]", true },
+		{ "\"events\":null", false },
+		{ EVENT_WITH(",\"deleted\":true"), true },
+		{ EVENT_WITH(""), false },
+		{ EVENT_WITH(",\"deleted\":null"), false },
+		{ EVENT_WITH(",\"deleted\":\"true\""), false },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		platform_parsed_page_t parsed;
+		char text[256];
+		err_t err;
+		bool is_valid;
+
+		snprintf(text, sizeof(text), "{%s,\"storeRevision\":9}",
+			 cases[i].text);
+		is_valid = platform_parse_page(text, strlen(text), 0, &parsed,
+					       &err);
+		if (is_valid != cases[i].is_valid)
+			fail_msg("%s", text);
+		if (is_valid)
+			platform_page_clear(&parsed);
+	}
+}
+
 enum { NESTED = 200000 };
 
 /* @return text with @p value as a value of the entry in the middle of three */
@@ -678,7 +721,7 @@
 	static const char sound[] = ENTRY("16", "\"10.0.0.9:80\"", "\"ready\"");
 	size_t size = strlen(value) + 4 * sizeof(sound) + 400;
 	const char *before = are_events ? "{\"object\":" : "";
-	const char *after = are_events ? "}" : "";
+	const char *after = are_events ? ",\"deleted\":false}" : "";
 	char *text = mem_calloc(size, 1);
 
 	snprintf(text, size,
@@ -845,6 +888,7 @@
 		cmocka_unit_test(entry_that_lacks_a_field_names_no_server),
 		cmocka_unit_test(field_that_cannot_be_read_opens_nothing),
 		cmocka_unit_test(empty_key_is_no_key),
+		cmocka_unit_test(answer_that_lacks_a_field_is_not_taken),
 		cmocka_unit_test(odd_entry_hides_the_other_servers),
 		cmocka_unit_test(parses_reply_headers),
 		cmocka_unit_test(recognises_hop_headers),
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -336,13 +336,13 @@
 	{ "an object with bytes outside UTF-8 that hides the others", LIST,
 	  REPLY, 200,
 	  "{\"items\":[{\"meta\":{\"name\":\"x\"},\"spec\":\"\xff\xfe\"}," OBJECT
-	  "],\"storeRevision\":9}",
+	  "],\"morePages\":false,\"storeRevision\":9}",
 	  PLATFORM_OK, 8, "" },
 	{ "a page that the platform no longer has", LIST, REPLY, 410, "{}",
 	  PLATFORM_CONFLICT, 0, "" },
 	{ "a malformed VM list that is used", VMS, REPLY, 200,
-	  "{\"items\":[{}],\"storeRevision\":9}", PLATFORM_UNKNOWN, 0,
-	  "/objects/ns-vms" },
+	  "{\"items\":[{}],\"morePages\":false,\"storeRevision\":9}",
+	  PLATFORM_UNKNOWN, 0, "/objects/ns-vms" },
 };
 
 /*
@@ -447,9 +447,10 @@
 
 	start(&fake, 100);
 	fake.status = 200;
-	fake.body = "{\"items\":[{\"meta\":{\"name\":\"a1\",\"revision\":1},"
-		    "\"spec\":{\"data_centre\":\"a\",\"address\":"
-		    "\"10.0.0.1:1\",\"leaving\":true}}],\"storeRevision\":1}";
+	fake.body =
+		"{\"items\":[{\"meta\":{\"name\":\"a1\",\"revision\":1},"
+		"\"spec\":{\"data_centre\":\"a\",\"address\":"
+		"\"10.0.0.1:1\",\"leaving\":true}}],\"morePages\":false,\"storeRevision\":1}";
 	call(&fake, VMS);
 	run(&fake, 3000);
 	assert_int_equal(fake.got, PLATFORM_OK);
@@ -614,9 +615,10 @@
 					     &object, &err);
 		assert_int_equal(root != NULL, revisions[i].valid);
 		json_decref(root);
-		snprintf(text, sizeof(text),
-			 "{\"items\":[],\"storeRevision\":%s}",
-			 revisions[i].revision);
+		snprintf(
+			text, sizeof(text),
+			"{\"items\":[],\"morePages\":false,\"storeRevision\":%s}",
+			revisions[i].revision);
 		valid = platform_parse_page(text, strlen(text), offset, &parsed,
 					    &err);
 		assert_int_equal(valid, revisions[i].valid);
