--- a/tests/lib/loopback.c
+++ b/tests/lib/loopback.c
@@ -80,3 +80,23 @@
 	(void)!connect(fd, (struct sockaddr *)&address, sizeof(address));
 	return fd;
 }
+
+int loopback_option(int port, int level, int option)
+{
+	enum { DESCRIPTORS_MAX = 256 };
+	int fd;
+
+	for (fd = 0; fd < DESCRIPTORS_MAX; fd++) {
+		struct sockaddr_in peer = { .sin_family = 0 };
+		socklen_t size = sizeof(peer);
+		int value = -1;
+		socklen_t value_size = sizeof(value);
+
+		if (getpeername(fd, (struct sockaddr *)&peer, &size) ||
+		    peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+			continue;
+		getsockopt(fd, level, option, &value, &value_size);
+		return value;
+	}
+	return -1;
+}
--- a/tests/lib/loopback.h
+++ b/tests/lib/loopback.h
@@ -19,5 +19,10 @@
 void loopback_free_address(char *address, size_t size);
 /** Starts to connect to @p port. @return the socket, which does not block */
 int loopback_connect(int port);
+/**
+ * @return the value of a socket option on a connection of this process to
+ * @p port; -1: no such connection
+ */
+int loopback_option(int port, int level, int option);
 
 #endif
--- a/tests/test_client.c
+++ b/tests/test_client.c
@@ -383,30 +383,6 @@
 	assert_false(log.ended || other.ended);
 }
 
-/*
- * @return the value of a socket option on the connection to @p port; -1: no
- * such connection
- */
-static int option_to(uint16_t port, int level, int option)
-{
-	enum { DESCRIPTORS_MAX = 256 };
-	int fd;
-
-	for (fd = 0; fd < DESCRIPTORS_MAX; fd++) {
-		struct sockaddr_in peer = { .sin_family = 0 };
-		socklen_t size = sizeof(peer);
-		int value = -1;
-		socklen_t value_size = sizeof(value);
-
-		if (getpeername(fd, (struct sockaddr *)&peer, &size) ||
-		    peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
-			continue;
-		getsockopt(fd, level, option, &value, &value_size);
-		return value;
-	}
-	return -1;
-}
-
 /*
  * Guards against a VM without power that looks like a busy server: without TCP
  * keepalive probes both are silent.
@@ -441,13 +417,15 @@
 		log.call = client_call(client, &request, &handler);
 		run(&log, 50);
 		assert_false(log.ended);
-		assert_int_equal(option_to(port, SOL_SOCKET, SO_KEEPALIVE),
+		assert_int_equal(loopback_option(port, SOL_SOCKET,
+						 SO_KEEPALIVE),
 				 cases[i].keeps_alive);
 		if (cases[i].keeps_alive)
-			assert_int_equal(option_to(port, IPPROTO_TCP,
-						   TCP_KEEPCNT),
+			assert_int_equal(loopback_option(port, IPPROTO_TCP,
+							 TCP_KEEPCNT),
 					 cases[i].probes);
-		assert_int_equal(option_to(port, IPPROTO_TCP, TCP_USER_TIMEOUT),
+		assert_int_equal(loopback_option(port, IPPROTO_TCP,
+						 TCP_USER_TIMEOUT),
 				 cases[i].timeout_ms);
 		client_call_cancel(log.call);
 	}
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -3,6 +3,8 @@
  * when a server fails: checks which requests reach the servers, how often, and
  * what the caller receives.
  */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <signal.h>
@@ -15,6 +17,7 @@
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
+#include "lib/loopback.h"
 #include "lib/gateway_fixture.h"
 #include "process/gateway.h"
 
@@ -768,6 +771,38 @@
 	}
 }
 
+/* Guards against a request that a stopped node passes on when its time is over:
+ * the kernel sends it again until then at most. */
+static void request_of_a_stopped_node_comes_late(void **state)
+{
+	enum { DEADLINE_MS = 900 };
+	static const char *const paths[] = { "/safe/x", "/once/x",
+					     "/stream/x" };
+	static const char *const headers[] = { "Host: h", "X-Request-Id: r1",
+					       "Authorization: Bearer k1",
+					       "X-Deadline-Ms: 900", NULL };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(paths); i++) {
+		gateway_fixture_t fixture;
+		reply_t reply;
+		int limit_ms;
+
+		start(&fixture);
+		fixture.acts[0] = SILENT;
+		gateway_fixture_call(&fixture, &reply, "GET", paths[i], headers,
+				     NULL);
+		gateway_fixture_run(&fixture, 60);
+		assert_int_equal(fixture.arrival_count, 1);
+		limit_ms = loopback_option(
+			fixture.servers[fixture.arrivals[0].server].port,
+			IPPROTO_TCP, TCP_USER_TIMEOUT);
+		if (limit_ms < 1 || limit_ms > DEADLINE_MS)
+			fail_msg("%s: %d ms", paths[i], limit_ms);
+		gateway_fixture_stop(&fixture);
+	}
+}
+
 /*
  * Guards against bodies above the limit, and against request smuggling: bodies
  * whose length two parsers take differently.
@@ -1267,6 +1302,7 @@
 		cmocka_unit_test(checks_keys_and_routes),
 		cmocka_unit_test(refuses_without_configuration),
 		cmocka_unit_test(cancels_when_the_caller_closes),
+		cmocka_unit_test(request_of_a_stopped_node_comes_late),
 		cmocka_unit_test(refuses_invalid_bodies),
 		cmocka_unit_test(body_refused_because_its_memory_counts_twice),
 		cmocka_unit_test(obeys_server_notices),
--- a/tests/test_request_limits.c
+++ b/tests/test_request_limits.c
@@ -1,6 +1,7 @@
 /** Request task: callers that leave or stall, deadlines, memory, shutdown. */
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +12,7 @@
 #include "base/mem.h"
 #include "base/metrics.h"
 #include "cases.h"
+#include "lib/loopback.h"
 #include "lib/fixture.h"
 
 static fixture_t fixture;
@@ -101,6 +103,33 @@
 	fixture_stop(&fixture);
 }
 
+/* Guards against a request that a stopped node passes on after its deadline:
+ * the kernel sends it again until then at most. */
+static void request_of_a_stopped_node_comes_late(void **state)
+{
+	enum { DEADLINE_MS = 2000 };
+	static const char *const paths[] = { "/v1/completions",
+					     "/services/orders/x" };
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(paths); i++) {
+		int limit_ms;
+
+		fixture_start(&fixture,
+			      &(fixture_conf_t){ .deadline_ms = DEADLINE_MS });
+		fixture.serve = serve_nothing;
+		fixture_call(&fixture, &answer, "POST", paths[i],
+			     i ? "Idempotency-Key: k" : NULL, prompt);
+		assert_non_null(fixture_server_call(&fixture, "POST", 0));
+		limit_ms = loopback_option(listener_port(fixture.server),
+					   IPPROTO_TCP, TCP_USER_TIMEOUT);
+		if (limit_ms < 1 || limit_ms > DEADLINE_MS)
+			fail_msg("%s: %d ms", paths[i], limit_ms);
+		client_call_cancel(answer.call);
+		fixture_stop(&fixture);
+	}
+}
+
 /* Guards against an answer that is lost, or comes after the deadline. */
 static void answers_at_the_deadline(void **state)
 {
@@ -375,6 +404,7 @@
 		cmocka_unit_test(
 			gives_up_a_waiting_request_of_a_caller_that_left),
 		cmocka_unit_test(finishes_an_action_without_its_caller),
+		cmocka_unit_test(request_of_a_stopped_node_comes_late),
 		cmocka_unit_test(answers_at_the_deadline),
 		cmocka_unit_test(times_out_a_silent_server),
 		cmocka_unit_test(disconnects_a_caller_that_stops_reading),
