--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -3,9 +3,9 @@
  * when a server fails: checks which requests reach the servers, how often, and
  * what the caller receives.
  */
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
@@ -17,8 +17,8 @@
 #include "base/clock.h"
 #include "base/mem.h"
 #include "cases.h"
-#include "lib/loopback.h"
 #include "lib/gateway_fixture.h"
+#include "lib/loopback.h"
 #include "process/gateway.h"
 
 #define ALL_EVENTS                               \
