An account whose list of services is empty may use none

Own interface: "services":[] counted like a missing list, so that an account whose last service was taken away could use all of them.

account_without_services_may_use_none failed on (empty list).

--- a/src/version/document.c
+++ b/src/version/document.c
@@ -384,6 +384,6 @@
 bool document_account_may_use_service(const account_conf_t *account,
 				      const char *service)
 {
-	return !account->service_count ||
+	return !account->services ||
 	       contains(account->services, account->service_count, service);
 }
--- a/src/version/document.h
+++ b/src/version/document.h
@@ -104,7 +104,7 @@
 	size_t class_count;
 	char (*classes)[NAME_SIZE_BYTES]; /**< classes that requests may name */
 	size_t service_count;
-	char (*services)[NAME_SIZE_BYTES]; /**< allowed services; empty: all */
+	char (*services)[NAME_SIZE_BYTES]; /**< allowed services; NULL: all */
 } account_conf_t;
 
 /**
--- a/src/version/fields.c
+++ b/src/version/fields.c
@@ -229,7 +229,7 @@
 	  .type = FIELD_NAMES,
 	  AT(account_conf_t, service_count),
 	  .refers_to = "services",
-	  .description = "Services of the account; empty: all." },
+	  .description = "Services of the account; missing: all." },
 };
 
 static const field_t limits_fields[] = {
--- a/src/version/parse.c
+++ b/src/version/parse.c
@@ -59,7 +59,8 @@
 		return schema_error(err, path, field->key,
 				    "expected an array of names");
 	target->count = json_array_size(json);
-	target->names = mem_calloc(target->count, NAME_SIZE_BYTES);
+	/* An empty list is not a missing one. */
+	target->names = mem_calloc(target->count + 1, NAME_SIZE_BYTES);
 	for (i = 0; i < target->count; i++) {
 		const char *name = json_string_value(json_array_get(json, i));
 
--- a/tests/test_document.c
+++ b/tests/test_document.c
@@ -61,6 +61,47 @@
 	document_unref(document);
 }
 
+/* Guards against an account that may use all services once the last of its own
+ * is taken away. */
+static void account_without_services_may_use_none(void **state)
+{
+#define SERVICE(name)                                                \
+	"{\"name\":\"" name "\",\"kind\":\"model\",\"model\":\"m\"," \
+	"\"class\":\"quick\"}"
+	static const struct {
+		const char *services;
+		bool may_use;
+	} cases[] = {
+		{ "", true },
+		{ ",\"services\":[\"s\"]", true },
+		{ ",\"services\":[\"t\"]", false },
+		{ ",\"services\":[]", false },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT_OF(cases); i++) {
+		char text[1024];
+		document_t *document;
+		err_t err = { 0 };
+
+		snprintf(
+			text, sizeof(text),
+			"{\"version\":1," DC "," CLASSES ","
+			"\"services\":[" SERVICE("s") "," SERVICE(
+				"t") "],"
+				     "\"accounts\":[{\"name\":\"acme\",\"key_hash\":"
+				     "\"" HASH_A "\"%s}]}",
+			cases[i].services);
+		document = document_parse(text, strlen(text), &err);
+		assert_string_equal(err.message, "");
+		if (document_account_may_use_service(
+			    document_account_at(document, 0), "s") !=
+		    cases[i].may_use)
+			fail_msg("case %zu: %s", i, cases[i].services);
+		document_unref(document);
+	}
+}
+
 static const struct {
 	const char *text;
 	const char *message;
@@ -132,6 +173,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(account_without_services_may_use_none),
 		cmocka_unit_test(accepts_a_complete_document),
 		cmocka_unit_test(refuses_invalid_documents),
 	};
