Client: one file for the limits of its sockets

client.c worked out the times that client_sockets.c alone uses, so that the rule stood in two files. client_sockets_watch() now takes the request and works them out itself; nothing else changes.

--- a/src/connection/client.c
+++ b/src/connection/client.c
@@ -6,7 +6,6 @@
 #include <strings.h>
 #include <utlist.h>
 
-#include "base/clock.h"
 #include "base/mem.h"
 #include "base/units.h"
 #include "connection/client_options.h"
@@ -334,29 +333,6 @@
 	ev_timer_start(call->client->loop, &call->idle);
 }
 
-/* @return the lesser of two times, either of which may be 0: none */
-static int64_t least_ms(int64_t a_ms, int64_t b_ms)
-{
-	if (a_ms <= 0 || b_ms <= 0)
-		return a_ms > b_ms ? a_ms : b_ms;
-	return a_ms < b_ms ? a_ms : b_ms;
-}
-
-/* Notes when the kernel gives up what the server has not acknowledged, which a
- * process that has stopped cannot do. */
-static void limit_unsent(client_call_t *call, const client_request_t *request)
-{
-	int64_t limit_ms =
-		least_ms(request->total_timeout_ms, request->unsent_timeout_ms);
-
-	call->keepalive_ms = request->peer_silence_ms;
-	call->silence_ms =
-		least_ms(request->peer_silence_ms, request->idle_timeout_ms);
-	if (limit_ms)
-		call->unsent_until_us =
-			clock_monotonic_us() + limit_ms * US_PER_MS;
-}
-
 client_call_t *client_call(client_t *client, const client_request_t *request,
 			   const client_handler_t *handler)
 {
@@ -382,8 +358,7 @@
 	for (header = request->headers; header && *header; header++)
 		call->headers = curl_slist_append(call->headers, *header);
 	client_set_options(call->easy, request, call->body, call->headers);
-	limit_unsent(call, request);
-	client_sockets_watch(call);
+	client_sockets_watch(call, request);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_curl_data);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
--- a/src/connection/client_sockets.c
+++ b/src/connection/client_sockets.c
@@ -147,8 +147,32 @@
 	return 0;
 }
 
-void client_sockets_watch(client_call_t *call)
+/* @return the lesser of two times, either of which may be 0: none */
+static int64_t least_ms(int64_t a_ms, int64_t b_ms)
 {
+	if (a_ms <= 0 || b_ms <= 0)
+		return a_ms > b_ms ? a_ms : b_ms;
+	return a_ms < b_ms ? a_ms : b_ms;
+}
+
+/* Notes when the kernel gives up what the server has not acknowledged, which a
+ * process that has stopped cannot do. */
+static void limit_unsent(client_call_t *call, const client_request_t *request)
+{
+	int64_t limit_ms =
+		least_ms(request->total_timeout_ms, request->unsent_timeout_ms);
+
+	call->keepalive_ms = request->peer_silence_ms;
+	call->silence_ms =
+		least_ms(request->peer_silence_ms, request->idle_timeout_ms);
+	if (limit_ms)
+		call->unsent_until_us =
+			clock_monotonic_us() + limit_ms * US_PER_MS;
+}
+
+void client_sockets_watch(client_call_t *call, const client_request_t *request)
+{
+	limit_unsent(call, request);
 	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTFUNCTION, on_open);
 	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
--- a/src/connection/client_sockets.h
+++ b/src/connection/client_sockets.h
@@ -12,8 +12,9 @@
 
 #include "connection/client_private.h"
 
-/** Makes libcurl open and close the sockets of a call here. */
-void client_sockets_watch(client_call_t *call);
+/** Makes libcurl open and close the sockets of a call here, with the times that
+ * @p request states. */
+void client_sockets_watch(client_call_t *call, const client_request_t *request);
 
 /** Notes that a call sends on a socket, which another call may have opened. */
 void client_sockets_use(client_call_t *call, curl_socket_t fd);
