--- a/tests/soak/duties.c
+++ b/tests/soak/duties.c
@@ -1,7 +1,5 @@
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <utlist.h>
 
 #include "base/clock.h"
 #include "base/mem.h"
@@ -153,14 +151,12 @@
 
 static void end_cut(void)
 {
+	/* The links first: what is held up comes before the process goes on. */
+	set_links(LINK_NORMAL);
 	if (duties.state == CUT_HOLDS) {
 		soak_note(duties.soak, "link of %s heals", duties.holder->name);
-		/* The link first: what is held up comes before the process
-		 * goes on. */
-		set_links(LINK_NORMAL);
 		end_fault(duties.holder);
 	}
-	set_links(LINK_NORMAL);
 	duties.state = CUT_NONE;
 	duties.until_us = in_ms(CALM_MIN_MS, CALM_MAX_MS);
 }
